--- /dev/null
+++ b/rattanloom/metrics.py
@@ -0,0 +1,72 @@
+"""Counters, gauges and hdrhistogram latencies, as Prometheus text."""
+
+from collections import defaultdict
+
+from attrs import define, field
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+DIGITS = 2
+US_PER_MS = 1000
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+PREFIX = "rattanloom"
+
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+@define(eq=False)
+class Metrics:
+    """The metrics of one process; names use underscores, labels one value."""
+
+    counters: dict[tuple[str, str], int] = field(factory=lambda: defaultdict(int))
+    gauges: dict[tuple[str, str], float] = field(factory=dict)
+    latencies: dict[str, HdrHistogram] = field(
+        factory=lambda: defaultdict(_new_histogram)
+    )
+
+    def count(self, name: str, label: str = "", by: int = 1) -> None:
+        """Add ``by`` to a counter."""
+        self.counters[name, label] += by
+
+    def gauge(self, name: str, value: float, label: str = "") -> None:
+        """Set a gauge."""
+        self.gauges[name, label] = value
+
+    def observe(self, name: str, value_ms: float) -> None:
+        """Record one latency in milliseconds."""
+        self.latencies[name].record_value(max(LOWEST_US, int(value_ms * US_PER_MS)))
+
+    def render(self) -> str:
+        """Return all metrics in the Prometheus text form."""
+        lines = [
+            *_section("counter", "_total", self.counters),
+            *_section("gauge", "", self.gauges),
+        ]
+        for name, histogram in sorted(self.latencies.items()):
+            lines += _summary(name, histogram)
+        return "\n".join(lines) + "\n"
+
+
+def _section(kind: str, suffix: str, values: dict) -> list[str]:
+    lines = []
+    last_name = None
+    for (name, label), value in sorted(values.items()):
+        if name != last_name:
+            lines.append(f"# TYPE {PREFIX}_{name}{suffix} {kind}")
+            last_name = name
+        labels = f'{{reason="{label}"}}' if label else ""
+        lines.append(f"{PREFIX}_{name}{suffix}{labels} {value}")
+    return lines
+
+
+def _summary(name: str, histogram: HdrHistogram) -> list[str]:
+    full_name = f"{PREFIX}_{name}_ms"
+    lines = [f"# TYPE {full_name} summary"]
+    for quantile in QUANTILES:
+        value_ms = histogram.get_value_at_percentile(quantile) / US_PER_MS
+        lines.append(f'{full_name}{{quantile="{quantile / 100:g}"}} {value_ms}')
+    lines.append(f"{full_name}_count {histogram.get_total_count()}")
+    return lines
