Add the platform's client, its stand-in and the configuration of a host

The client tells writes that surely had no effect (connection refused, 503) from those whose reply was lost. Settings refuse a text where a list is due, which cattrs took letter by letter.

--- /dev/null
+++ b/rattanloom/configuration.py
@@ -0,0 +1,299 @@
+"""The configuration in force at one entry host, learned from platform and peers.
+
+A version passes two steps. It is *held* once its document is fetched and
+checked here; peers are told the held version. It is *in force* once the other
+live hosts of the zone hold it too, or a bounded wait has passed. A host that
+restarts during an outage therefore finds, at its live peers, every version
+that it had in force. Neither step ever goes to an older version.
+"""
+
+from enum import Enum
+
+import gevent
+from attrs import define, field, frozen
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.configuration_document import (
+    HEAD_KEY,
+    Document,
+    Head,
+    object_name,
+    parse_document,
+    parse_head,
+)
+from rattanloom.environment import Environment
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.logs import get_log
+from rattanloom.peers.protocol import Member, MemberState, Peers
+from rattanloom.platform.protocol import ObjectStore, Table
+from rattanloom.rules import Rules
+from rattanloom.settings import EntrySettings
+from rattanloom.timeline import EventKind, TimeLine
+from rattanloom.timer import Subscription, TimerService
+
+log = get_log("config")
+
+NO_VERSION = 0
+HOLD_CHECK_MS = 50
+HOLD_WAIT_MS = 1_500
+SETTLE_HEARTBEATS = 6
+POLL_JITTER = 0.1
+REACHABLE = frozenset({MemberState.LIVE, MemberState.LEAVING})
+
+
+class Ground(Enum):
+    """Why a version was put in force."""
+
+    HELD_BY_ZONE = "held by the live hosts of the zone"
+    HELD_BY_PEER = "held by a live peer of another zone"
+    WAIT_PASSED = "the wait for the live hosts of the zone passed"
+    ALONE = "no other entry host is in the settings"
+
+
+@frozen
+class ConfigStatus:
+    """What the configuration says of itself, for status pages.
+
+    ``platform_version`` is the newest head read from the platform,
+    ``problem`` why the newest known version is not held, empty if it is.
+    """
+
+    in_force: int
+    held: int
+    platform_version: int
+    platform_reachable: bool
+    ground: str
+    problem: str
+
+
+@frozen
+class Held:
+    """A document held here: since when, and from where it came."""
+
+    document: Document
+    since_ms: float
+    source: str
+
+
+@define(eq=False)
+class Configuration:
+    """Learns versions, fetches and checks them, and puts them in force."""
+
+    settings: EntrySettings
+    environment: Environment
+    timers: TimerService
+    time_line: TimeLine
+    table: Table
+    objects: ObjectStore
+    hold_wait_ms: float = HOLD_WAIT_MS
+    _peers: Peers | None = field(init=False, default=None)
+    _in_force: Document | None = field(init=False, default=None)
+    _newest: Document | None = field(init=False, default=None)
+    _waiting: list[Held] = field(init=False, factory=list)
+    _hold_check: Subscription | None = field(init=False, default=None)
+    _fetching_from_peers: bool = field(init=False, default=False)
+    _platform_version: int = field(init=False, default=NO_VERSION)
+    _platform_answered: bool = field(init=False, default=False)
+    _platform_reachable: bool = field(init=False, default=False)
+    _ground: str = field(init=False, default="")
+    _problem: str = field(init=False, default="")
+
+    def start(self, peers: Peers) -> None:
+        """Begin to learn versions from the platform and from ``peers``."""
+        self._peers = peers
+        peers.on_config_version(self._on_peer_version)
+        gevent.spawn(self.poll)
+        interval_ms = self.settings.config_poll_ms
+        self.timers.subscribe("config poll", interval_ms, self._poll_with_jitter)
+
+    def rules(self) -> Rules | None:
+        """Return the rules in force, or None while there are none."""
+        return None if self._in_force is None else self._in_force.rules
+
+    def version(self) -> int:
+        """Return the version in force, 0 while there is none."""
+        return _version_of(self._in_force)
+
+    def held_version(self) -> int:
+        """Return the newest version held here; peers are told this one."""
+        return _version_of(self._newest)
+
+    def document(self, version: int) -> str | Failure:
+        """Return the text of the newest held document, if ``version`` or newer."""
+        if self._newest is None or self._newest.version < version:
+            reason = f"configuration version {version} is not held here"
+            return Failure(ErrorKind.NOT_FOUND, reason)
+        return self._newest.text
+
+    def status(self) -> ConfigStatus:
+        """Return what is in force, what is held, and why."""
+        return ConfigStatus(
+            self.version(),
+            self.held_version(),
+            self._platform_version,
+            self._platform_reachable,
+            self._ground,
+            self._problem,
+        )
+
+    def poll(self) -> None:
+        """Look once for a newer version, at the platform and at the peers."""
+        head = self._read_head()
+        if head is not None and head.record.version > self.held_version():
+            self._fetch_object(head)
+        self._learn_from_peers()
+
+    def _poll_with_jitter(self) -> None:
+        jitter = self.environment.random.random() * POLL_JITTER
+        gevent.sleep(jitter * self.settings.config_poll_ms / MS_PER_S)
+        self.poll()
+
+    def _read_head(self) -> Head | None:
+        rows = self.table.read([HEAD_KEY])
+        self._platform_reachable = not isinstance(rows, Failure)
+        if isinstance(rows, Failure):
+            log.debug("platform is unreachable: {}", rows.reason)
+            return None
+        head = parse_head(rows[0].value) if rows else None
+        if isinstance(head, Failure):
+            self._note_problem(f"the platform's head row is unusable: {head.reason}")
+            return None
+        self._platform_answered = True
+        if head is not None:
+            newest = max(self._platform_version, head.record.version)
+            self._platform_version = newest
+        return head
+
+    def _fetch_object(self, head: Head) -> None:
+        content = self.objects.get(object_name(head.digest))
+        if isinstance(content, Failure):
+            self._note_problem(f"object of {head.record.version}: {content.reason}")
+            return
+        document = parse_document(content.decode(errors="replace"))
+        if isinstance(document, Document) and document.digest != head.digest:
+            document = Failure(ErrorKind.INTERNAL, "it is not the head's document")
+        self._take(document, head.record.version, "the platform")
+
+    def _on_peer_version(self, host: str, version: int) -> None:
+        log.debug("{} tells version {}", host, version)
+        gevent.spawn(self._learn_from_peers)
+
+    def _learn_from_peers(self) -> None:
+        if self._fetching_from_peers:
+            return
+        self._fetching_from_peers = True
+        try:
+            self._fetch_newest()
+        finally:
+            self._fetching_from_peers = False
+
+    def _fetch_newest(self) -> None:
+        newest_first = sorted(self._reachable_peers(), key=_told, reverse=True)
+        for member in newest_first:
+            if member.config_version <= self.held_version():
+                return
+            text = self._peers.fetch_config(member.host, member.config_version)
+            document = text if isinstance(text, Failure) else parse_document(text)
+            self._take(document, member.config_version, f"peer {member.host}")
+
+    def _take(self, document: Document | Failure, version: int, source: str) -> None:
+        """Hold a fetched document if it is usable and newer."""
+        if isinstance(document, Failure):
+            self._note_problem(f"version {version} from {source}: {document.reason}")
+            return
+        if document.version <= self.held_version():
+            return
+        self._problem = ""
+        self._newest = document
+        now_ms = self.environment.clock.now_ms()
+        self._waiting.append(Held(document, now_ms, source))
+        log.info("holds version {} from {}", document.version, source)
+        self.consider()
+        if self._waiting and self._hold_check is None:
+            self._hold_check = self.timers.subscribe(
+                "config hold check", HOLD_CHECK_MS, self.consider
+            )
+
+    def consider(self) -> None:
+        """Put the newest held version in force that may be."""
+        for held in reversed(self._waiting):
+            ground = self._ground_for(held)
+            if ground is not None:
+                self._put_in_force(held, ground)
+                break
+        if not self._waiting and self._hold_check is not None:
+            self._hold_check.cancel()
+            self._hold_check = None
+
+    def _ground_for(self, held: Held) -> Ground | None:
+        """Return why ``held`` may be put in force now, or None."""
+        if self._in_force is None and not self._is_surely_newest(held):
+            return None
+        version = held.document.version
+        peers = self._live_peers()
+        mates = [peer for peer in peers if peer.zone == self.settings.zone]
+        if mates and all(peer.config_version >= version for peer in mates):
+            return Ground.HELD_BY_ZONE
+        if not mates and any(peer.config_version >= version for peer in peers):
+            return Ground.HELD_BY_PEER
+        if not peers and not self._other_seeds():
+            return Ground.ALONE
+        waited_ms = self.environment.clock.now_ms() - held.since_ms
+        return Ground.WAIT_PASSED if waited_ms >= self.hold_wait_ms else None
+
+    def _is_surely_newest(self, held: Held) -> bool:
+        """Say whether no reachable place can hold a newer version, after a start.
+
+        That is so once the platform has answered, or every seed was heard,
+        or peers had the time of a few heartbeats to tell theirs.
+        """
+        if self._platform_answered and held.document.version >= self._platform_version:
+            return True
+        heard = {peer.host for peer in self._live_peers()}
+        if heard.issuperset(self._other_seeds()):
+            return True
+        waited_ms = self.environment.clock.now_ms() - self._first_held_at_ms()
+        return waited_ms >= SETTLE_HEARTBEATS * self.settings.heartbeat_ms
+
+    def _first_held_at_ms(self) -> float:
+        return self._waiting[0].since_ms
+
+    def _put_in_force(self, held: Held, ground: Ground) -> None:
+        document = held.document
+        self._waiting = [
+            other
+            for other in self._waiting
+            if other.document.version > document.version
+        ]
+        self._in_force = document
+        platform = "answers" if self._platform_reachable else "is unreachable"
+        self._ground = f"from {held.source}, {ground.value}; the platform {platform}"
+        detail = f"version {document.version} {self._ground}"
+        self.time_line.record(EventKind.CONFIG_IN_FORCE, detail=detail)
+        log.info("version {} is in force: {}", document.version, self._ground)
+
+    def _reachable_peers(self) -> list[Member]:
+        return [peer for peer in self._members() if peer.state in REACHABLE]
+
+    def _live_peers(self) -> list[Member]:
+        return [peer for peer in self._members() if peer.state is MemberState.LIVE]
+
+    def _members(self) -> tuple[Member, ...]:
+        return () if self._peers is None else self._peers.members()
+
+    def _other_seeds(self) -> set[str]:
+        own = self.settings.host
+        return {seed.host for seed in self.settings.seeds if seed.host != own}
+
+    def _note_problem(self, problem: str) -> None:
+        if problem != self._problem:
+            log.warning("{}", problem)
+        self._problem = problem
+
+
+def _version_of(document: Document | None) -> int:
+    return NO_VERSION if document is None else document.version
+
+
+def _told(member: Member) -> int:
+    return member.config_version
--- /dev/null
+++ b/rattanloom/configuration_folder.py
@@ -0,0 +1,238 @@
+"""The operators' folder: small JSON files merged in the order of their names.
+
+A later file wins field by field. ``null`` removes the entry or field that an
+earlier file sets. A list is replaced whole. Errors name file, field and reason.
+"""
+
+import json
+from pathlib import Path
+from re import fullmatch
+
+from attrs import Factory, define, field
+from cattrs import transform_error
+from cattrs.errors import BaseValidationError
+
+from rattanloom.rules import (
+    DeploymentRule,
+    KindRule,
+    Rules,
+    TargetRule,
+    TeamRule,
+)
+from rattanloom.settings import CONVERTER, NAME_PATTERN, SettingsError, field_names
+
+ENTRY_SHAPES = {"kinds": KindRule, "teams": TeamRule, "targets": TargetRule}
+SINGLE_SHAPES = {"deployment": DeploymentRule}
+FILE_PATTERN = "*.json"
+FILE_MAX_BYTES = 1_000_000
+UNNAMED_FILE = "document"
+
+FieldPath = tuple[str, ...]
+
+
+@define(eq=False)
+class MergedFolder:
+    """The merged sections, and which file set each field."""
+
+    sections: dict = field(factory=dict)
+    set_by: dict[FieldPath, str] = Factory(dict)
+
+    def file_of(self, path: FieldPath) -> str:
+        """Return the file that set ``path``, or the nearest level above it."""
+        while path and path not in self.set_by:
+            path = path[:-1]
+        return self.set_by.get(path, UNNAMED_FILE)
+
+
+def load_folder(folder: str | Path) -> tuple[dict, Rules]:
+    """Return the merged sections and the rules; raise ``SettingsError``."""
+    merged = read_folder(folder)
+    return merged.sections, _check(merged)
+
+
+def read_folder(folder: str | Path) -> MergedFolder:
+    """Merge the folder's files in the order of their names."""
+    paths = _files(Path(folder))
+    merged = MergedFolder()
+    for path in paths:
+        _merge_file(merged, path.name, _read_file(path))
+    return merged
+
+
+def merge_sections(below: dict, above: dict) -> dict:
+    """Return ``above`` merged on top of ``below``; neither is changed."""
+    merged = dict(below)
+    for name, value in above.items():
+        current = merged.get(name)
+        if isinstance(value, dict) and isinstance(current, dict):
+            value = merge_sections(current, value)
+        merged[name] = value
+    return merged
+
+
+def check_sections(sections: dict) -> Rules:
+    """Return the rules that merged sections say; raise ``SettingsError``."""
+    return _check(MergedFolder(sections))
+
+
+def _files(folder: Path) -> list[Path]:
+    if not folder.is_dir():
+        raise SettingsError(f"{folder}: is not a folder; name the rules folder")
+    paths = (path for path in folder.glob(FILE_PATTERN) if path.name[0] != ".")
+    return sorted(paths, key=_file_name)
+
+
+def _file_name(path: Path) -> str:
+    return path.name
+
+
+def _read_file(path: Path) -> dict:
+    name = path.name
+    try:
+        content = path.read_bytes()
+        if len(content) > FILE_MAX_BYTES:
+            raise SettingsError(f"{name}: is larger than {FILE_MAX_BYTES} bytes")
+        document = json.loads(
+            content.decode(),
+            object_pairs_hook=_without_duplicates,
+            parse_constant=_refuse_constant,
+        )
+    except OSError as error:
+        raise SettingsError(f"{name}: cannot be read: {error.strerror}") from error
+    except (ValueError, RecursionError) as error:
+        raise SettingsError(f"{name}: not valid JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise SettingsError(f"{name}: the top level must be an object")
+    return document
+
+
+def _without_duplicates(pairs: list[tuple[str, object]]) -> dict:
+    document = dict(pairs)
+    if len(document) < len(pairs):
+        names = [name for name, _ in pairs]
+        twice = sorted({name for name in names if names.count(name) > 1})
+        raise ValueError(f"field {', '.join(twice)} stands twice in one object")
+    return document
+
+
+def _refuse_constant(text: str) -> object:
+    raise ValueError(f"{text} is not a number")
+
+
+def _merge_file(merged: MergedFolder, name: str, document: dict) -> None:
+    _merge_level(merged, name, merged.sections, document, ())
+
+
+def _merge_level(
+    merged: MergedFolder, name: str, below: dict, above: dict, path: FieldPath
+) -> None:
+    for key, value in above.items():
+        here = (*path, key)
+        if value is None:
+            _remove(merged, name, below, here)
+        elif isinstance(value, dict):
+            _merge_object(merged, name, below, value, here)
+        else:
+            below[key] = value
+            merged.set_by[here] = name
+
+
+def _remove(merged: MergedFolder, name: str, below: dict, path: FieldPath) -> None:
+    if path[-1] not in below:
+        raise SettingsError(
+            f"{name}: {_dotted(path)}: null removes what no earlier file sets"
+        )
+    del below[path[-1]]
+    merged.set_by[path] = name
+
+
+def _merge_object(
+    merged: MergedFolder, name: str, below: dict, value: dict, path: FieldPath
+) -> None:
+    current = below.get(path[-1])
+    if not isinstance(current, dict):
+        current = below[path[-1]] = {}
+        merged.set_by[path] = name
+    _merge_level(merged, name, current, value, path)
+
+
+def _check(merged: MergedFolder) -> Rules:
+    problems = _find_problems(merged)
+    if problems:
+        raise SettingsError("; ".join(problems))
+    return CONVERTER.structure(merged.sections, Rules)
+
+
+def _find_problems(merged: MergedFolder) -> list[str]:
+    problems = []
+    for section, content in merged.sections.items():
+        if not isinstance(content, dict):
+            problems.append(_problem(merged, (section,), "expected an object"))
+        elif section in SINGLE_SHAPES:
+            shape = SINGLE_SHAPES[section]
+            problems += _check_entry(merged, (section,), content, shape)
+        elif section in ENTRY_SHAPES:
+            problems += _check_entries(merged, section, content)
+        else:
+            problems.append(_problem(merged, (section,), _unknown(Rules)))
+    return problems
+
+
+def _check_entries(merged: MergedFolder, section: str, content: dict) -> list[str]:
+    problems = []
+    for name, entry in content.items():
+        path = (section, name)
+        if not _valid_name(name):
+            problems.append(_problem(merged, path, "is not a valid name"))
+        elif not isinstance(entry, dict):
+            problems.append(_problem(merged, path, "expected an object"))
+        else:
+            problems += _check_entry(merged, path, entry, ENTRY_SHAPES[section])
+    return problems
+
+
+def _check_entry(
+    merged: MergedFolder, path: FieldPath, entry: dict, shape: type
+) -> list[str]:
+    known = field_names(shape)
+    problems = [
+        _problem(merged, (*path, name), _unknown(shape))
+        for name in entry
+        if name not in known
+    ]
+    for name in entry:
+        if name in known:
+            problems += _check_field(merged, (*path, name), entry[name], shape)
+    return problems
+
+
+def _check_field(
+    merged: MergedFolder, path: FieldPath, value: object, shape: type
+) -> list[str]:
+    try:
+        CONVERTER.structure({path[-1]: value}, shape)
+    except BaseValidationError as error:
+        messages = transform_error(error, format_exception=_reason)
+        reasons = [message.rsplit(" @ ", 1)[0] for message in messages]
+        return [_problem(merged, path, reason) for reason in reasons]
+    return []
+
+
+def _reason(error: BaseException, _: type | None) -> str:
+    return str(error.args[0]) if error.args else repr(error)
+
+
+def _unknown(shape: type) -> str:
+    return f"is unknown here; known are {', '.join(field_names(shape))}"
+
+
+def _problem(merged: MergedFolder, path: FieldPath, reason: str) -> str:
+    return f"{merged.file_of(path)}: {_dotted(path)}: {reason}"
+
+
+def _dotted(path: FieldPath) -> str:
+    return ".".join(path)
+
+
+def _valid_name(name: str) -> bool:
+    return fullmatch(NAME_PATTERN, name) is not None
--- /dev/null
+++ b/rattanloom/platform/client.py
@@ -0,0 +1,203 @@
+"""HTTP client of the platform's table, object store and host list."""
+
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import TypeVar
+from urllib.parse import quote
+
+from attrs import define, field, frozen
+from gevent import Timeout as GeventTimeout
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import (
+    ClosedPoolError,
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.platform.messages import (
+    HostsReply,
+    MessageError,
+    ReadRequest,
+    RowsReply,
+    ScanRequest,
+    TransactRequest,
+    decode_message,
+    encode_message,
+)
+from rattanloom.platform.protocol import (
+    Change,
+    Committed,
+    Conflicted,
+    ListedTarget,
+    Row,
+)
+
+T = TypeVar("T")
+
+POOL_CONNECTIONS = 8
+TOTAL_TIMEOUT_FACTOR = 2
+NOT_SENT = (NewConnectionError, ConnectTimeoutError, ClosedPoolError)
+REFUSED_STATUSES = frozenset(
+    {HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS}
+)
+
+
+@frozen
+class Reply:
+    """One HTTP reply of the platform."""
+
+    status: int
+    body: bytes
+
+
+@define(eq=False)
+class PlatformClient:
+    """Speaks to the platform at ``address`` (``host:port``).
+
+    Connecting and each wait for the reply are bounded by ``timeout_ms``, the
+    whole call by twice that. Nothing is ever resent here.
+    """
+
+    address: str
+    timeout_ms: float = 1000
+    _pool: HTTPConnectionPool = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        timeout_s = self.timeout_ms / MS_PER_S
+        self._pool = HTTPConnectionPool(
+            host.strip("[]"),
+            int(port),
+            maxsize=POOL_CONNECTIONS,
+            timeout=Timeout(connect=timeout_s, read=timeout_s),
+            retries=False,
+        )
+
+    def read(self, keys: Sequence[str]) -> tuple[Row, ...] | Failure:
+        """Return the rows that exist among ``keys``, from one snapshot."""
+        request = encode_message(ReadRequest(tuple(keys)))
+        reply = self._fetch("POST", "/table/read", request)
+        return reply if isinstance(reply, Failure) else _rows(reply)
+
+    def scan(self, prefix: str, limit: int) -> tuple[Row, ...] | Failure:
+        """Return up to ``limit`` rows whose key starts with ``prefix``, in order."""
+        request = encode_message(ScanRequest(prefix, limit))
+        reply = self._fetch("POST", "/table/scan", request)
+        return reply if isinstance(reply, Failure) else _rows(reply)
+
+    def transact(self, changes: Sequence[Change]) -> Committed | Conflicted | Failure:
+        """Apply all of ``changes``, or none of them."""
+        request = encode_message(TransactRequest(tuple(changes)))
+        reply = self._write("POST", "/table/transact", request)
+        if isinstance(reply, Failure):
+            return reply
+        try:
+            rows = decode_message(reply.body, RowsReply).rows
+        except MessageError as error:
+            return _reply_lost(str(error))
+        if reply.status == HTTPStatus.CONFLICT:
+            return Conflicted(rows)
+        return Committed(rows)
+
+    def put(self, name: str, content: bytes) -> None | Failure:
+        """Store ``content``; storing the same name and content again is harmless."""
+        reply = self._write("PUT", _object_path(name), content)
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status == HTTPStatus.CONFLICT:
+            return Failure(ErrorKind.CONFLICT, f"object {name} has other content")
+        return None
+
+    def get(self, name: str) -> bytes | Failure:
+        """Return the content, or a NOT_FOUND or PLATFORM_UNREACHABLE failure."""
+        reply = self._fetch("GET", _object_path(name))
+        return reply if isinstance(reply, Failure) else reply.body
+
+    def listed_targets(self) -> tuple[ListedTarget, ...] | Failure:
+        """Return the workers as the platform last knew them."""
+        reply = self._fetch("GET", "/hosts")
+        if isinstance(reply, Failure):
+            return reply
+        decoded = _decode(reply, HostsReply)
+        return decoded if isinstance(decoded, Failure) else decoded.targets
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
+    def _fetch(self, method: str, path: str, body: bytes | None = None) -> object:
+        """Send a request without effect; every lost reply is UNREACHABLE."""
+        reply = self._request(method, path, body)
+        if isinstance(reply, Failure):
+            return _unreachable(reply.reason)
+        if reply.status == HTTPStatus.NOT_FOUND:
+            return Failure(ErrorKind.NOT_FOUND, f"the platform has no {path}")
+        if reply.status != HTTPStatus.OK:
+            return _unreachable(f"the platform answered status {reply.status}")
+        return reply
+
+    def _write(self, method: str, path: str, body: bytes) -> Reply | Failure:
+        """Send a request that takes effect; only a clear refusal is UNREACHABLE."""
+        reply = self._request(method, path, body)
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status in (HTTPStatus.OK, HTTPStatus.CONFLICT):
+            return reply
+        if reply.status in REFUSED_STATUSES:
+            return _unreachable(f"the platform refused: status {reply.status}")
+        return _reply_lost(f"the platform answered status {reply.status}")
+
+    def _request(self, method: str, path: str, body: bytes | None) -> Reply | Failure:
+        bound_s = TOTAL_TIMEOUT_FACTOR * self.timeout_ms / MS_PER_S
+        bound = GeventTimeout.start_new(bound_s)
+        try:
+            reply = self._pool.request(method, path, body=body, redirect=False)
+            return Reply(reply.status, reply.data)
+        except NOT_SENT as error:
+            return _unreachable(f"{self.address} cannot be connected to: {error}")
+        except HTTPError as error:
+            self._drop_idle()
+            return _reply_lost(f"no reply from {self.address}: {error}")
+        except GeventTimeout as error:
+            if error is not bound:
+                raise
+            self._drop_idle()
+            return _reply_lost(f"no whole reply from {self.address} in {bound_s} s")
+        finally:
+            bound.close()
+
+    def _drop_idle(self) -> None:
+        """Close the idle connections, which may have gone silent as well."""
+        idle = self._pool.pool
+        taken = [idle.get_nowait() for _ in range(idle.qsize())]
+        for connection in taken:
+            if connection is not None:
+                connection.close()
+            idle.put_nowait(None)
+
+
+def _object_path(name: str) -> str:
+    return f"/objects/{quote(name)}"
+
+
+def _rows(reply: Reply) -> tuple[Row, ...] | Failure:
+    decoded = _decode(reply, RowsReply)
+    return decoded if isinstance(decoded, Failure) else decoded.rows
+
+
+def _decode(reply: Reply, shape: type[T]) -> T | Failure:
+    try:
+        return decode_message(reply.body, shape)
+    except MessageError as error:
+        return _unreachable(str(error))
+
+
+def _unreachable(reason: str) -> Failure:
+    return Failure(ErrorKind.PLATFORM_UNREACHABLE, reason)
+
+
+def _reply_lost(reason: str) -> Failure:
+    return Failure(ErrorKind.REPLY_LOST, reason)
--- a/rattanloom/settings.py
+++ b/rattanloom/settings.py
@@ -7,11 +7,12 @@
 import json
 from collections.abc import Callable
 from pathlib import Path
-from typing import TypeVar
+from typing import TypeVar, get_args, get_origin
 
 from attrs import Attribute, field, fields, frozen
 from attrs.validators import and_, ge, instance_of, le, matches_re
 from cattrs import Converter, transform_error
+from cattrs.cols import homogenous_tuple_structure_factory
 from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError
 from cattrs.strategies import configure_union_passthrough
 from cattrs.v import format_exception
@@ -32,9 +33,25 @@
     configure_union_passthrough(str | int | float | bool | None, converter)
     for kind in (int, float, str, bool):
         converter.register_structure_hook(kind, _exact(kind))
+    converter.register_structure_hook_factory(_is_tuple_of_one_kind, _only_from_list)
     return converter
 
 
+def _is_tuple_of_one_kind(shape: type) -> bool:
+    return get_origin(shape) is tuple and get_args(shape)[-1:] == (Ellipsis,)
+
+
+def _only_from_list(shape: type, converter: Converter) -> Callable:
+    structure_items = homogenous_tuple_structure_factory(shape, converter)
+
+    def structure(value: object, _: type) -> object:
+        if not isinstance(value, list | tuple):
+            raise ValueError(f"expected a list, found {json.dumps(value)}")
+        return structure_items(value, shape)
+
+    return structure
+
+
 def _exact(kind: type) -> Callable[[object, type], object]:
     def structure(value: object, _: type) -> object:
         wrong_bool = isinstance(value, bool) and kind is not bool
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,211 @@
+"""Stand-in of the platform's services: ``python -m standins.platform --help``.
+
+Serves a transactional table, an object store and a host list from memory,
+and a control page of faults: ``POST /switches``, ``PUT /hosts``, ``GET /counts``.
+"""
+
+if __name__ == "__main__":
+    from gevent.monkey import patch_all
+
+    patch_all()
+
+import json
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from http import HTTPStatus
+from socket import SHUT_RDWR
+
+import gevent
+from attrs import asdict
+from bottle import Bottle, HTTPResponse, request
+from fire import Fire
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.platform.messages import (
+    HostsReply,
+    MessageError,
+    ReadRequest,
+    RowsReply,
+    ScanRequest,
+    TransactRequest,
+    decode_message,
+    encode_message,
+)
+from rattanloom.platform.protocol import Conflicted, ListedTarget
+from standins.platform_state import PlatformState, RateLimit
+
+SOCKET_KEY = "standin.socket"
+STALL_CHECK_S = 0.05
+BODY_MAX_BYTES = 64_000_000
+
+
+class SocketHandler(WSGIHandler):
+    """Gives the application its connection, so that it can drop it."""
+
+    def get_environ(self) -> dict:
+        """Return the WSGI environment with the socket added."""
+        return super().get_environ() | {SOCKET_KEY: self.socket}
+
+
+def make_application(state: PlatformState) -> Bottle:
+    """Return the stand-in's WSGI application over ``state``."""
+    application = Bottle()
+    _add_table(application, state)
+    _add_objects(application, state)
+    _add_hosts(application, state)
+    _add_control(application, state)
+    return application
+
+
+def _add_table(application: Bottle, state: PlatformState) -> None:
+    @application.post("/table/read")
+    def read() -> HTTPResponse:
+        _admit_read(state)
+        rows = state.table.read(_body(ReadRequest).keys)
+        state.counts.rows_read += len(rows)
+        return _reply(RowsReply(rows))
+
+    @application.post("/table/scan")
+    def scan() -> HTTPResponse:
+        _admit_read(state)
+        asked = _body(ScanRequest)
+        rows = state.table.scan(asked.prefix, asked.limit)
+        state.counts.rows_read += len(rows)
+        return _reply(RowsReply(rows))
+
+    @application.post("/table/transact")
+    def transact() -> HTTPResponse:
+        _admit_write(state)
+        outcome = state.table.transact(_body(TransactRequest).changes)
+        conflicted = isinstance(outcome, Conflicted)
+        if not conflicted:
+            state.counts.rows_written += len(outcome.rows)
+        _maybe_lose_reply(state)
+        status = HTTPStatus.CONFLICT if conflicted else HTTPStatus.OK
+        return _reply(RowsReply(outcome.rows), status)
+
+
+def _add_objects(application: Bottle, state: PlatformState) -> None:
+    @application.get("/objects/<name:path>")
+    def get(name: str) -> HTTPResponse:
+        _admit_read(state)
+        content = state.objects.get(name)
+        if content is None:
+            return HTTPResponse(status=HTTPStatus.NOT_FOUND)
+        return HTTPResponse(content, status=HTTPStatus.OK)
+
+    @application.put("/objects/<name:path>")
+    def put(name: str) -> HTTPResponse:
+        _admit_write(state)
+        content = request.body.read(BODY_MAX_BYTES)
+        if state.objects.setdefault(name, content) != content:
+            return HTTPResponse(status=HTTPStatus.CONFLICT)
+        _maybe_lose_reply(state)
+        return HTTPResponse(status=HTTPStatus.OK)
+
+
+def _add_hosts(application: Bottle, state: PlatformState) -> None:
+    @application.get("/hosts")
+    def hosts() -> HTTPResponse:
+        _admit_read(state)
+        return _reply(HostsReply(state.hosts.read()))
+
+    @application.put("/hosts")
+    def replace_hosts() -> HTTPResponse:
+        targets = _body(tuple[ListedTarget, ...])
+        state.hosts.replace(targets, state.switches.host_list_lag_ms)
+        return _reply(HostsReply(targets))
+
+
+def _add_control(application: Bottle, state: PlatformState) -> None:
+    @application.get("/switches")
+    def switches() -> dict:
+        return asdict(state.switches)
+
+    @application.post("/switches")
+    def switch() -> dict:
+        try:
+            return asdict(state.switch(json.loads(request.body.read())))
+        except (TypeError, ValueError) as error:
+            raise HTTPResponse(str(error), status=HTTPStatus.BAD_REQUEST) from error
+
+    @application.get("/counts")
+    def counts() -> dict:
+        return asdict(state.counts)
+
+
+def _body(shape: type) -> object:
+    try:
+        return decode_message(request.body.read(BODY_MAX_BYTES), shape)
+    except MessageError as error:
+        raise HTTPResponse(str(error), status=HTTPStatus.BAD_REQUEST) from error
+
+
+def _reply(message: object, status: HTTPStatus = HTTPStatus.OK) -> HTTPResponse:
+    headers = {"Content-Type": "application/json"}
+    return HTTPResponse(encode_message(message), status=status, headers=headers)
+
+
+def _admit_read(state: PlatformState) -> None:
+    _admit(state, state.reads, state.switches.read_limit_per_s)
+    state.counts.reads += 1
+
+
+def _admit_write(state: PlatformState) -> None:
+    _admit(state, state.writes, state.switches.write_limit_per_s)
+    state.counts.writes += 1
+
+
+def _admit(state: PlatformState, rate: RateLimit, limit_per_s: int) -> None:
+    """Pass the request through the faults that come before its effect."""
+    if state.switches.latency_ms:
+        gevent.sleep(state.switches.latency_ms / MS_PER_S)
+    if state.switches.stall:
+        _stall(state)
+    if state.switches.down or not rate.allow(limit_per_s):
+        state.counts.refused += 1
+        raise HTTPResponse(status=HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def _stall(state: PlatformState) -> None:
+    while state.switches.stall:
+        gevent.sleep(STALL_CHECK_S)
+    _drop_connection()
+
+
+def _maybe_lose_reply(state: PlatformState) -> None:
+    if state.switches.lose_replies:
+        _drop_connection()
+
+
+def _drop_connection() -> None:
+    request.environ[SOCKET_KEY].shutdown(SHUT_RDWR)
+    raise HTTPResponse(status=HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+@contextmanager
+def serving(
+    state: PlatformState, address: str, log: object = None
+) -> Iterator[WSGIServer]:
+    """Serve ``state`` at ``address``; port 0 takes a free one."""
+    application: Callable = make_application(state)
+    server = WSGIServer(
+        address, application, handler_class=SocketHandler, log=log, error_log=log
+    )
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop(timeout=0)
+
+
+def main(address: str) -> None:
+    """Serve the platform stand-in at ``address`` (host:port) until stopped."""
+    with serving(PlatformState(), address) as server:
+        print(f"platform stand-in at {address}", flush=True)
+        server.serve_forever()
+
+
+if __name__ == "__main__":
+    Fire(main)
--- /dev/null
+++ b/tests/test_platform_client.py
@@ -0,0 +1,97 @@
+"""The platform's client tells lost replies from refusals, over real sockets."""
+
+from contextlib import contextmanager
+
+import pytest
+
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.platform.client import PlatformClient
+from rattanloom.platform.protocol import (
+    ABSENT,
+    Change,
+    Committed,
+    Conflicted,
+    ListedTarget,
+    Row,
+)
+from standins.platform import serving
+from standins.platform_state import PlatformState, Switches
+
+TIMEOUT_MS = 200
+
+
+@contextmanager
+def platform(switches=None, timeout_ms=5_000):
+    state = PlatformState(switches=switches or Switches())
+    with serving(state, "127.0.0.1:0") as server:
+        client = PlatformClient(f"127.0.0.1:{server.server_port}", timeout_ms)
+        yield state, client
+        client.close()
+
+
+def insert(client, key="a", value="1"):
+    return client.transact([Change(key, ABSENT, value)])
+
+
+def kind_of(result):
+    assert isinstance(result, Failure), result
+    return result.kind
+
+
+def test_transaction_applies_whole_or_not_at_all():
+    with platform() as (_, client):
+        assert insert(client) == Committed((Row("a", 1, "1"),))
+        both = [Change("b", ABSENT, "2"), Change("a", ABSENT, "3")]
+        assert client.transact(both) == Conflicted((Row("a", 1, "1"),))
+        assert client.read(["a", "b"]) == (Row("a", 1, "1"),)
+        assert client.transact([Change("a", 1, None)]) == Committed((Row("a", 0, ""),))
+        assert client.scan("", 10) == ()
+
+
+def test_objects_and_hosts_are_served():
+    with platform() as (state, client):
+        assert client.put("config/x y", b"\x00text") is None
+        assert client.put("config/x y", b"\x00text") is None
+        assert kind_of(client.put("config/x y", b"other")) is ErrorKind.CONFLICT
+        assert client.get("config/x y") == b"\x00text"
+        assert kind_of(client.get("none")) is ErrorKind.NOT_FOUND
+        target = ListedTarget("w1", "Adum", "127.0.0.1:1", 8, 64)
+        state.hosts.replace((target,), 0)
+        assert client.listed_targets() == (target,)
+
+
+def test_write_whose_reply_is_lost_is_told_as_lost_and_did_apply():
+    with platform(Switches(lose_replies=True)) as (state, client):
+        assert kind_of(insert(client)) is ErrorKind.REPLY_LOST
+        assert kind_of(client.put("o", b"x")) is ErrorKind.REPLY_LOST
+        assert state.table.rows["a"].value == "1"
+        assert state.objects == {"o": b"x"}
+
+
+@pytest.mark.parametrize(
+    "switches", [Switches(down=True), Switches(write_limit_per_s=1, read_limit_per_s=1)]
+)
+def test_refused_request_is_surely_without_effect(switches):
+    with platform(switches) as (state, client):
+        results = [insert(client, f"k{number}") for number in range(20)]
+        refused = [result for result in results if isinstance(result, Failure)]
+        assert refused
+        assert {failure.kind for failure in refused} == {ErrorKind.PLATFORM_UNREACHABLE}
+        assert len(state.table.rows) == len(results) - len(refused)
+
+
+def test_refused_connection_is_surely_without_effect():
+    with platform() as (_, client):
+        address = client.address
+    assert kind_of(insert(client)) is ErrorKind.PLATFORM_UNREACHABLE
+    client = PlatformClient(address)
+    assert kind_of(insert(client)) is ErrorKind.PLATFORM_UNREACHABLE
+    assert kind_of(client.read(["a"])) is ErrorKind.PLATFORM_UNREACHABLE
+
+
+def test_stalled_platform_is_given_up_on():
+    with platform(Switches(stall=True), TIMEOUT_MS) as (state, client):
+        assert kind_of(client.read(["a"])) is ErrorKind.PLATFORM_UNREACHABLE
+        assert kind_of(insert(client)) is ErrorKind.REPLY_LOST
+        state.switch({"stall": False})
+        assert isinstance(insert(client, "b"), Committed)
