--- /dev/null
+++ b/rattanloom/configuration_publish.py
@@ -0,0 +1,277 @@
+"""Publishing: an operator's change becomes the next accepted version.
+
+The document goes to the object store first, then one table transaction moves
+the head row and inserts the version's row. A change is accepted once that
+transaction is known to have taken effect. After a lost reply the same
+transaction is sent again: it can take effect only once, and the version's row
+then names the publication that won.
+"""
+
+from collections.abc import Callable
+from secrets import token_hex
+from typing import TypeVar
+
+import gevent
+from attrs import define, frozen
+from tenacity import (
+    RetryCallState,
+    Retrying,
+    retry_if_result,
+    stop_after_delay,
+    wait_random_exponential,
+)
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.configuration_document import (
+    HEAD_KEY,
+    Document,
+    Head,
+    VersionRecord,
+    encode_head,
+    make_document,
+    object_name,
+    parse_document,
+    parse_head,
+    version_key,
+)
+from rattanloom.environment import Environment
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.platform.protocol import (
+    ABSENT,
+    Change,
+    Committed,
+    Conflicted,
+    ObjectStore,
+    Row,
+    Table,
+)
+
+T = TypeVar("T")
+
+PUBLISH_ID_BYTES = 8
+GIVE_UP_MS = 6_000
+RETRY_BASE_MS = 50
+RETRY_MAX_MS = 1_000
+TRANSIENT = frozenset({ErrorKind.PLATFORM_UNREACHABLE, ErrorKind.REPLY_LOST})
+
+
+@frozen
+class Parts:
+    """The two parts of a document that an edit asks for."""
+
+    folder: dict
+    overrides: dict
+
+
+@frozen
+class HeadState:
+    """The head as read: its row's version and its document, if there is one."""
+
+    row_version: int
+    document: Document | None
+
+    @property
+    def version(self) -> int:
+        """Return the version at the head, 0 if nothing was published."""
+        return 0 if self.document is None else self.document.version
+
+    @property
+    def folder_version(self) -> int:
+        """Return the version that last changed the folder part."""
+        return 0 if self.document is None else self.document.record.folder_version
+
+    @property
+    def parts(self) -> Parts:
+        """Return the two parts of the document at the head."""
+        if self.document is None:
+            return Parts({}, {})
+        return Parts(self.document.folder, self.document.overrides)
+
+
+@frozen
+class Accepted:
+    """The platform has this version; it will be in force."""
+
+    record: VersionRecord
+
+
+@frozen
+class Unchanged:
+    """The head already says what the edit asks for."""
+
+    version: int
+
+
+class Overtaken:
+    """Another publication became this version; this one surely never will."""
+
+
+Edit = Callable[[HeadState], Parts | Failure]
+
+
+@define(eq=False)
+class Publisher:
+    """Publishes one operator's changes."""
+
+    operator: str
+    environment: Environment
+    table: Table
+    objects: ObjectStore
+    give_up_ms: float = GIVE_UP_MS
+    retry_base_ms: float = RETRY_BASE_MS
+
+    def publish(self, edit: Edit, message: str) -> Accepted | Unchanged | Failure:
+        """Publish what ``edit`` makes of the head, until accepted or refused.
+
+        ``edit`` is asked again on each newer head, so it decides what is a
+        conflict. Raises ``SettingsError`` if the edit fails the checks.
+        Failures: CONFLICT and PLATFORM_UNREACHABLE (not accepted), REPLY_LOST
+        (may have been accepted).
+        """
+        while True:
+            head = self.read_head()
+            if isinstance(head, Failure):
+                return head
+            parts = edit(head)
+            if isinstance(parts, Failure):
+                return parts
+            if head.document is not None and parts == head.parts:
+                return Unchanged(head.version)
+            document = self._next_document(head, parts, message)
+            outcome = self._commit(head, document)
+            if not isinstance(outcome, Overtaken):
+                return outcome
+
+    def read_head(self) -> HeadState | Failure:
+        """Return the head of the accepted versions."""
+        rows = self._retry(lambda: self.table.read([HEAD_KEY]))
+        if isinstance(rows, Failure):
+            return rows
+        if not rows:
+            return HeadState(ABSENT, None)
+        head = parse_head(rows[0].value)
+        if isinstance(head, Failure):
+            return head
+        document = self.fetch_document(head)
+        if isinstance(document, Failure):
+            return document
+        return HeadState(rows[0].version, document)
+
+    def fetch_document(self, head: Head) -> Document | Failure:
+        """Return the document that a head or version row names."""
+        content = self._retry(lambda: self.objects.get(object_name(head.digest)))
+        if isinstance(content, Failure):
+            return content
+        document = parse_document(content.decode(errors="replace"))
+        if isinstance(document, Document) and document.digest != head.digest:
+            return Failure(ErrorKind.INTERNAL, f"object {head.digest} is another's")
+        return document
+
+    def read_versions(self, newest: int, count: int) -> list[VersionRecord] | Failure:
+        """Return up to ``count`` records, from ``newest`` downwards."""
+        oldest = max(1, newest - count + 1)
+        keys = [version_key(version) for version in range(newest, oldest - 1, -1)]
+        rows = self._retry(lambda: self.table.read(keys))
+        if isinstance(rows, Failure):
+            return rows
+        heads = [parse_head(row.value) for row in rows]
+        return [head.record for head in heads if isinstance(head, Head)]
+
+    def _next_document(
+        self, head: HeadState, parts: Parts, message: str
+    ) -> Document:
+        version = head.version + 1
+        folder_changed = head.document is None or parts.folder != head.parts.folder
+        record = VersionRecord(
+            version,
+            version if folder_changed else head.folder_version,
+            token_hex(PUBLISH_ID_BYTES),
+            self.operator,
+            message,
+            self.environment.clock.wall_ms(),
+        )
+        return make_document(record, parts.folder, parts.overrides)
+
+    def _commit(
+        self, head: HeadState, document: Document
+    ) -> Accepted | Overtaken | Failure:
+        name, content = object_name(document.digest), document.text.encode()
+        stored = self._retry(lambda: self.objects.put(name, content))
+        if isinstance(stored, Failure):
+            return Failure(ErrorKind.PLATFORM_UNREACHABLE, stored.reason)
+        return self._retry(Commit(self.table, head, document).send)
+
+    def _retry(self, call: Callable[[], T]) -> T:
+        """Call until the result is not transient, or the time is up."""
+        retrying = Retrying(
+            stop=stop_after_delay(self.give_up_ms / MS_PER_S),
+            wait=wait_random_exponential(
+                self.retry_base_ms / MS_PER_S, RETRY_MAX_MS / MS_PER_S
+            ),
+            retry=retry_if_result(_is_transient),
+            retry_error_callback=_last_result,
+            sleep=gevent.sleep,
+        )
+        return retrying(call)
+
+
+@define(eq=False)
+class Commit:
+    """One transaction, which may be sent several times but applies once."""
+
+    table: Table
+    head: HeadState
+    document: Document
+    maybe_applied: bool = False
+
+    def send(self) -> Accepted | Overtaken | Failure:
+        """Send the transaction, or find out how an earlier sending ended."""
+        outcome = self.table.transact(self._changes())
+        if isinstance(outcome, Committed):
+            return Accepted(self.document.record)
+        if isinstance(outcome, Conflicted):
+            return self._find_winner() if self.maybe_applied else Overtaken()
+        self.maybe_applied |= outcome.kind is not ErrorKind.PLATFORM_UNREACHABLE
+        return self._doubtful(outcome)
+
+    def _changes(self) -> tuple[Change, ...]:
+        record = self.document.record
+        value = encode_head(Head(record, self.document.digest))
+        return (
+            Change(HEAD_KEY, self.head.row_version, value),
+            Change(version_key(record.version), ABSENT, value),
+        )
+
+    def _find_winner(self) -> Accepted | Overtaken | Failure:
+        record = self.document.record
+        rows = self.table.read([version_key(record.version)])
+        if isinstance(rows, Failure):
+            return self._doubtful(rows)
+        return Accepted(record) if self._is_ours(rows) else Overtaken()
+
+    def _is_ours(self, rows: tuple[Row, ...]) -> bool:
+        heads = [parse_head(row.value) for row in rows]
+        ours = self.document.record.publish_id
+        return any(
+            isinstance(head, Head) and head.record.publish_id == ours
+            for head in heads
+        )
+
+    def _doubtful(self, failure: Failure) -> Failure:
+        """Return the failure as it stands after every sending so far."""
+        if not self.maybe_applied:
+            return failure
+        record = self.document.record
+        return Failure(
+            ErrorKind.REPLY_LOST,
+            f"version {record.version} may have been accepted ({failure.reason}); "
+            f"look for publication {record.publish_id} with the command versions",
+        )
+
+
+def _is_transient(result: object) -> bool:
+    return isinstance(result, Failure) and result.kind in TRANSIENT
+
+
+def _last_result(state: RetryCallState) -> object:
+    return state.outcome.result()
--- /dev/null
+++ b/rattanloom/operators/settings.py
@@ -0,0 +1,21 @@
+"""Settings of the operators' client."""
+
+from attrs import field, frozen
+from attrs.validators import deep_mapping
+
+from rattanloom.settings import in_range, is_address, is_name
+
+
+@frozen
+class OperatorSettings:
+    """Who the operator is, and where the platform and the entry hosts are.
+
+    ``entry_addresses`` maps each entry host's name to its HTTP address.
+    """
+
+    operator: str = field(validator=is_name)
+    platform_address: str = field(validator=is_address)
+    entry_addresses: dict[str, str] = field(
+        factory=dict, validator=deep_mapping(is_name, is_address)
+    )
+    timeout_ms: int = field(default=1_000, validator=in_range(10, 60_000))
