--- /dev/null
+++ b/rattanloom/callers/api.py
@@ -0,0 +1,148 @@
+"""The HTTP interface of an entry host, described in docs/API.md."""
+
+import json
+from http import HTTPStatus
+from math import ceil
+
+import gevent
+from attrs import define, field
+from bottle import Bottle, HTTPError, HTTPResponse, request
+
+from rattanloom.callers.submission import (
+    TicketsBody,
+    answer_status,
+    answer_to_json,
+    failure_to_json,
+    parse_body,
+    parse_job,
+)
+from rattanloom.clock import MS_PER_S
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.job import JobAnswer
+from rattanloom.jobs import JobService
+from rattanloom.logs import get_log
+
+log = get_log("callers")
+
+WAIT_MAX_MS = 60_000
+JSON = "application/json"
+
+ERRORS_BY_STATUS = {
+    HTTPStatus.NOT_FOUND: (
+        ErrorKind.NOT_FOUND,
+        "no such page; docs/API.md lists them",
+    ),
+    HTTPStatus.METHOD_NOT_ALLOWED: (
+        ErrorKind.METHOD_NOT_ALLOWED,
+        "this page does not take that method; see the Allow header",
+    ),
+    HTTPStatus.BAD_REQUEST: (ErrorKind.BAD_REQUEST, "the request is malformed"),
+}
+
+
+@define(eq=False)
+class CallersApi:
+    """Routes of the callers' interface, over one job service."""
+
+    jobs: JobService
+    body_max_bytes: int
+    body_timeout_ms: float
+    app: Bottle = field(factory=Bottle)
+
+    def __attrs_post_init__(self) -> None:
+        self.app.post("/v1/tickets", callback=self.post_tickets)
+        self.app.post("/v1/jobs", callback=self.post_job)
+        self.app.get("/v1/jobs/<job_id>", callback=self.get_job)
+        self.app.delete("/v1/jobs/<job_id>", callback=self.delete_job)
+        self.app.default_error_handler = error_page
+
+    def post_tickets(self) -> HTTPResponse:
+        """Mint tickets in bulk."""
+        raw = self.read_body()
+        if isinstance(raw, Failure):
+            return failure_response(raw)
+        body = parse_body(raw or b"{}", TicketsBody)
+        if isinstance(body, Failure):
+            return failure_response(body)
+        return json_response({"tickets": list(self.jobs.mint_tickets(body.count))})
+
+    def post_job(self) -> HTTPResponse:
+        """Submit a job, or resubmit one, and wait for its answer."""
+        raw = self.read_body()
+        job = raw if isinstance(raw, Failure) else parse_job(raw)
+        if isinstance(job, Failure):
+            return failure_response(job)
+        return answer_response(self.jobs.submit(job))
+
+    def get_job(self, job_id: str) -> HTTPResponse:
+        """Ask for a job's answer, waiting up to ``wait_ms`` for it."""
+        try:
+            wait_ms = float(request.query.get("wait_ms", "0"))
+        except ValueError:
+            return failure_response(
+                Failure(ErrorKind.BAD_REQUEST, "wait_ms must be a number")
+            )
+        wait_ms = min(max(wait_ms, 0.0), WAIT_MAX_MS)
+        return answer_response(self.jobs.ask(job_id, wait_ms))
+
+    def delete_job(self, job_id: str) -> HTTPResponse:
+        """Cancel a job."""
+        return answer_response(self.jobs.cancel(job_id))
+
+    def read_body(self) -> bytes | Failure:
+        """Return the request's body within its limits of size and time."""
+        limit_bytes = self.body_max_bytes
+        too_large = Failure(
+            ErrorKind.TOO_LARGE, f"the body is larger than {limit_bytes} bytes"
+        )
+        if request.content_length > limit_bytes:
+            return too_large
+        raw = None
+        with gevent.Timeout(self.body_timeout_ms / MS_PER_S, False):
+            raw = self._read_input(limit_bytes + 1)
+        if raw is None:
+            return Failure(ErrorKind.BAD_REQUEST, "the body did not arrive in time")
+        return too_large if len(raw) > limit_bytes else raw
+
+    def _read_input(self, limit_bytes: int) -> bytes | Failure:
+        try:
+            return request.environ["wsgi.input"].read(limit_bytes)
+        except (OSError, ValueError) as error:
+            log.debug("Body cannot be read: {}", error)
+            return b""
+
+
+def json_response(
+    document: object, status: HTTPStatus = HTTPStatus.OK, retry_after_ms: int = 0
+) -> HTTPResponse:
+    """Return a JSON reply, with a Retry-After header where one applies."""
+    headers = {"Content-Type": JSON}
+    if retry_after_ms:
+        headers["Retry-After"] = str(ceil(retry_after_ms / MS_PER_S))
+    return HTTPResponse(json.dumps(document), status=status.value, headers=headers)
+
+
+def failure_response(failure: Failure) -> HTTPResponse:
+    """Return the reply for a request that failed before it named a job."""
+    return json_response(
+        {"failure": failure_to_json(failure)},
+        failure.answer.http_status,
+        failure.come_back_ms,
+    )
+
+
+def answer_response(answer: JobAnswer) -> HTTPResponse:
+    """Return the reply that carries a job's answer."""
+    retry_after_ms = 0 if answer.failure is None else answer.failure.come_back_ms
+    return json_response(answer_to_json(answer), answer_status(answer), retry_after_ms)
+
+
+def error_page(error: HTTPError) -> str:
+    """Return the JSON body for an error that bottle found."""
+    kind, reason = ERRORS_BY_STATUS.get(
+        error.status_code, (ErrorKind.INTERNAL, "internal error; see the host's log")
+    )
+    if kind is ErrorKind.INTERNAL:
+        log.error("Request failed: {!r}", error.exception)
+    error.content_type = JSON
+    return json.dumps({"failure": failure_to_json(Failure(kind, reason))})
--- /dev/null
+++ b/rattanloom/callers/client.py
@@ -0,0 +1,206 @@
+"""A Python client for callers: submit, resubmit, ask and cancel."""
+
+import json
+from collections import deque
+
+from attrs import define, evolve, field, frozen
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import HTTPError, MaxRetryError, NewConnectionError
+
+from rattanloom.callers.submission import (
+    answer_from_json,
+    failure_from_json,
+    job_to_json,
+)
+from rattanloom.clock import MS_PER_S
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.job import Job, JobAnswer, JobOutcome, Task
+
+TICKET_BATCH = 50
+CONNECTIONS_PER_ADDRESS = 64
+CONNECT_TIMEOUT_MS = 1_000
+ANSWER_SLACK_MS = 2_000
+SHORT_REPLY_MS = 2_000
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+@frozen
+class Reply:
+    """One HTTP reply: status and parsed JSON body."""
+
+    status: int
+    document: dict
+
+
+@define(eq=False)
+class Entry:
+    """One address of the system, with the tickets fetched from it.
+
+    Tickets are used at the address that gave them, where they need no
+    forwarding.
+    """
+
+    address: str
+    pool: HTTPConnectionPool
+    tickets: deque[str] = field(factory=deque)
+
+
+@define(eq=False)
+class Dispatcher:
+    """A caller's connection to rattanloom, over one or more addresses.
+
+    Stays with one address until that fails, then moves to the next.
+    ``ticket_batch`` is how many tickets one request fetches ahead.
+    """
+
+    addresses: tuple[str, ...]
+    team: str
+    ticket_batch: int = TICKET_BATCH
+    _entries: tuple[Entry, ...] = field(init=False)
+    _current: int = field(init=False, default=0)
+
+    def __attrs_post_init__(self) -> None:
+        self._entries = tuple(
+            Entry(address, _open_pool(address)) for address in self.addresses
+        )
+
+    def new_job(
+        self,
+        tasks: tuple[Task, ...],
+        deadline_ms: int,
+        idempotent: bool = True,
+        key: str = "",
+    ) -> Job | Failure:
+        """Return a job with a fresh ticket, ready to submit and resubmit."""
+        ticket = "" if key else self._take_ticket()
+        if isinstance(ticket, Failure):
+            return ticket
+        return Job(ticket, self.team, tasks, deadline_ms, idempotent, key)
+
+    def submit(self, job: Job) -> JobAnswer:
+        """Submit a job and wait for its answer.
+
+        Sending the same job again, here or through another client, joins it:
+        it never runs twice. After an UNKNOWN answer, ask or resubmit later.
+        """
+        body = json.dumps(job_to_json(job)).encode()
+        timeout_ms = job.deadline_ms + ANSWER_SLACK_MS
+        result = self._anywhere("POST", "/v1/jobs", body, timeout_ms)
+        return _to_answer(job.job_id, result)
+
+    def ask(self, job_id: str, wait_ms: int = 0) -> JobAnswer:
+        """Ask for a job's answer, waiting up to ``wait_ms`` for it."""
+        path = f"/v1/jobs/{job_id}?wait_ms={wait_ms}"
+        result = self._anywhere("GET", path, None, wait_ms + SHORT_REPLY_MS)
+        return _to_answer(job_id, result)
+
+    def cancel(self, job_id: str) -> JobAnswer:
+        """Cancel a job; its answer says whether anything ran."""
+        result = self._anywhere("DELETE", f"/v1/jobs/{job_id}", None, SHORT_REPLY_MS)
+        return _to_answer(job_id, result)
+
+    def _anywhere(
+        self, method: str, path: str, body: bytes | None, timeout_ms: float
+    ) -> Reply | Failure:
+        """Send to the current address, and to the others while none took it.
+
+        Only what surely was not received is sent on to another address.
+        """
+        result = Failure(ErrorKind.HOME_UNREACHABLE, "no address to send to")
+        for _ in self._entries:
+            result = self._request(self._entry, method, path, body, timeout_ms)
+            if isinstance(result, Reply):
+                return result
+            self._move_on()
+            if result.ran is not Ran.NOT_RUN:
+                return result
+        return result
+
+    def _take_ticket(self) -> str | Failure:
+        failure = Failure(ErrorKind.HOME_UNREACHABLE, "no address gave tickets")
+        for _ in self._entries:
+            entry = self._entry
+            if entry.tickets:
+                return entry.tickets.popleft()
+            failure = self._fetch_tickets(entry)
+            if failure is None:
+                return entry.tickets.popleft()
+            self._move_on()
+        return failure
+
+    def _fetch_tickets(self, entry: Entry) -> Failure | None:
+        body = json.dumps({"count": self.ticket_batch}).encode()
+        reply = self._request(entry, "POST", "/v1/tickets", body, SHORT_REPLY_MS)
+        if isinstance(reply, Failure):
+            return reply
+        if "tickets" not in reply.document:
+            return failure_from_json(reply.document["failure"])
+        entry.tickets.extend(reply.document["tickets"])
+        return None
+
+    @property
+    def _entry(self) -> Entry:
+        return self._entries[self._current]
+
+    def _move_on(self) -> None:
+        self._current = (self._current + 1) % len(self._entries)
+
+    def _request(
+        self,
+        entry: Entry,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_ms: float,
+    ) -> Reply | Failure:
+        timeout = Timeout(
+            connect=CONNECT_TIMEOUT_MS / MS_PER_S, read=timeout_ms / MS_PER_S
+        )
+        try:
+            response = entry.pool.request(
+                method,
+                path,
+                body=body,
+                headers=JSON_HEADERS,
+                timeout=timeout,
+                retries=False,
+            )
+            return Reply(response.status, json.loads(response.data))
+        except NewConnectionError as error:
+            reason = f"{entry.address} refused the connection: {error}"
+            return Failure(ErrorKind.HOME_UNREACHABLE, reason, ran=Ran.NOT_RUN)
+        except (HTTPError, MaxRetryError, ValueError) as error:
+            reason = f"no whole answer from {entry.address}: {error}"
+            return Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
+
+
+def _open_pool(address: str) -> HTTPConnectionPool:
+    host, _, port = address.rpartition(":")
+    return HTTPConnectionPool(
+        host, int(port), maxsize=CONNECTIONS_PER_ADDRESS, block=False
+    )
+
+
+def _to_answer(job_id: str, result: Reply | Failure) -> JobAnswer:
+    """Return what a reply, or its absence, tells of the job.
+
+    An undelivered request says nothing of earlier ones for the same job, so
+    only an entry host's own word is taken as a refusal.
+    """
+    if isinstance(result, Failure):
+        unknown = evolve(result, ran=Ran.MAY_HAVE_RUN)
+        return JobAnswer(job_id, JobOutcome.UNKNOWN, failure=unknown)
+    if "outcome" in result.document:
+        return answer_from_json(result.document)
+    failure = failure_from_json(result.document["failure"])
+    refused = failure.ran_word is Ran.NOT_RUN
+    outcome = JobOutcome.REFUSED if refused else JobOutcome.UNKNOWN
+    return JobAnswer(job_id, outcome, failure=failure)
+
+
+def renew(job: Job, dispatcher: Dispatcher) -> Job | Failure:
+    """Return the same work under a fresh ticket: a new submission."""
+    fresh = dispatcher.new_job(job.tasks, job.deadline_ms, job.idempotent)
+    if isinstance(fresh, Failure):
+        return fresh
+    return evolve(job, job_id=fresh.job_id)
--- /dev/null
+++ b/rattanloom/callers/commands.py
@@ -0,0 +1,131 @@
+"""The commands of the callers' command line, each printing one JSON answer."""
+
+import json
+
+from attrs import define, evolve
+
+from rattanloom.callers.client import Dispatcher
+from rattanloom.callers.submission import answer_to_json, failure_to_json
+from rattanloom.environment import Environment
+from rattanloom.errors import Failure
+from rattanloom.job import Job, JobAnswer, JobOutcome, Task
+from rattanloom.status import ExitStatus
+
+STATUSES = {
+    JobOutcome.COMPLETE: ExitStatus.OK,
+    JobOutcome.PENDING: ExitStatus.OK,
+    JobOutcome.FAILED: ExitStatus.ERROR,
+    JobOutcome.REFUSED: ExitStatus.REFUSED,
+    JobOutcome.UNKNOWN: ExitStatus.MAY_HAVE_RUN,
+}
+DEADLINE_MS = 10_000
+
+
+@define
+class CallerCommands:
+    """Commands over one environment; ``status`` is that of the last command."""
+
+    environment: Environment
+    status: ExitStatus = ExitStatus.OK
+
+    def submit(
+        self,
+        address: str,
+        team: str,
+        kind: str,
+        payload: str = "",
+        count: int = 1,
+        run_ms: int = 100,
+        deadline_ms: int = DEADLINE_MS,
+        key: str = "",
+        idempotent: bool = True,
+    ) -> None:
+        """Submit a job of ``count`` equal tasks and wait for its answer.
+
+        Args:
+            address: HTTP addresses (host:port) of the system, with commas.
+            team: the team the job runs for.
+            kind: the kind of its tasks.
+            payload: the text handed to each task.
+            count: how many tasks.
+            run_ms: the declared run time of a task in milliseconds.
+            deadline_ms: how long the answer is awaited.
+            key: your own idempotency key, in place of a ticket.
+            idempotent: whether running the job's work again does no harm.
+        """
+        dispatcher = _open(address, team)
+        tasks = (Task(kind, _text(payload), run_ms=run_ms),) * count
+        job = dispatcher.new_job(tasks, deadline_ms, idempotent, str(key))
+        self._submit(dispatcher, job)
+
+    def resubmit(
+        self,
+        address: str,
+        team: str,
+        job_id: str,
+        kind: str,
+        payload: str = "",
+        count: int = 1,
+        run_ms: int = 100,
+        deadline_ms: int = DEADLINE_MS,
+        idempotent: bool = True,
+    ) -> None:
+        """Submit again under a ticket used before; nothing starts twice.
+
+        Args:
+            address: HTTP addresses (host:port) of the system, with commas.
+            team: the team of the first submission.
+            job_id: the ticket of the first submission.
+            kind: the kind of its tasks.
+            payload: the text handed to each task.
+            count: how many tasks.
+            run_ms: the declared run time of a task in milliseconds.
+            deadline_ms: how long the answer is awaited.
+            idempotent: as in the first submission.
+        """
+        dispatcher = _open(address, team)
+        tasks = (Task(kind, _text(payload), run_ms=run_ms),) * count
+        job = Job(str(job_id), team, tasks, deadline_ms, idempotent)
+        self._submit(dispatcher, job)
+
+    def ask(self, address: str, job_id: str, wait_ms: int = 0) -> None:
+        """Ask for the answer of a job, waiting up to ``wait_ms`` for it."""
+        self._print(_open(address, "").ask(str(job_id), wait_ms))
+
+    def cancel(self, address: str, job_id: str) -> None:
+        """Cancel a job; the answer says whether anything may have run."""
+        self._print(_open(address, "").cancel(str(job_id)))
+
+    def tickets(self, address: str, count: int = 1) -> None:
+        """Fetch ``count`` tickets and print them, one a line."""
+        dispatcher = evolve(_open(address, ""), ticket_batch=count)
+        for _ in range(count):
+            job = dispatcher.new_job((), 1)
+            if isinstance(job, Failure):
+                self._print_failure(job)
+                return
+            print(job.job_id, file=self.environment.stdout)
+
+    def _submit(self, dispatcher: Dispatcher, job: Job | Failure) -> None:
+        if isinstance(job, Failure):
+            self._print_failure(job)
+            return
+        self._print(dispatcher.submit(job))
+
+    def _print(self, answer: JobAnswer) -> None:
+        print(json.dumps(answer_to_json(answer)), file=self.environment.stdout)
+        self.status = STATUSES[answer.outcome]
+
+    def _print_failure(self, failure: Failure) -> None:
+        document = {"failure": failure_to_json(failure)}
+        print(json.dumps(document), file=self.environment.stdout)
+        self.status = ExitStatus.UNREACHABLE
+
+
+def _open(address: str, team: str) -> Dispatcher:
+    addresses = address if isinstance(address, tuple | list) else address.split(",")
+    return Dispatcher(tuple(addresses), team)
+
+
+def _text(payload: object) -> str:
+    return payload if isinstance(payload, str) else json.dumps(payload)
--- /dev/null
+++ b/rattanloom/callers/server.py
@@ -0,0 +1,76 @@
+"""A gevent HTTP server that bounds what one connection may cost."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import gevent
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.logs import get_log
+
+log = get_log("callers")
+
+IDLE_TIMEOUT_MS = 75_000
+BACKLOG = 1024
+
+
+class BoundedHandler(WSGIHandler):
+    """Closes connections that idle too long or send their request too slowly."""
+
+    header_timeout_ms = 5_000
+    served_requests = 0
+
+    def read_requestline(self) -> str:
+        """Read the request line; a first request must come soon."""
+        timeout_ms = IDLE_TIMEOUT_MS if self.served_requests else self.header_timeout_ms
+        self.served_requests += 1
+        with gevent.Timeout(timeout_ms / MS_PER_S, False):
+            return super().read_requestline()
+        return ""
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read the headers within their time."""
+        timeout = gevent.Timeout(self.header_timeout_ms / MS_PER_S)
+        with timeout:
+            return super().read_request(raw_requestline)
+
+    def handle_one_request(self) -> object:
+        """Serve one request; a timeout while reading closes the connection."""
+        try:
+            return super().handle_one_request()
+        except gevent.Timeout:
+            return None
+
+    def log_error(self, message: str, *args: object) -> None:
+        """Log malformed requests shortly."""
+        log.debug("Malformed request: {}", message % args if args else message)
+
+
+@contextmanager
+def serving_http(
+    address: str,
+    application: Callable,
+    header_timeout_ms: float,
+    connections_max: int,
+) -> Iterator[WSGIServer]:
+    """Serve a WSGI application on ``address`` until the block ends."""
+    host, _, port = address.rpartition(":")
+    handler = type(
+        "Handler", (BoundedHandler,), {"header_timeout_ms": header_timeout_ms}
+    )
+    server = WSGIServer(
+        (host, int(port)),
+        application,
+        handler_class=handler,
+        spawn=Pool(connections_max),
+        backlog=BACKLOG,
+        log=None,
+        error_log=None,
+    )
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop(timeout=1)
--- /dev/null
+++ b/rattanloom/callers/submission.py
@@ -0,0 +1,166 @@
+"""JSON bodies of the callers' interface, checked and turned into jobs and back."""
+
+import json
+from http import HTTPStatus
+
+from attrs import field, frozen
+from attrs.validators import max_len
+
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.job import Job, JobAnswer, JobOutcome, Task
+from rattanloom.rules import HOUR_MS
+from rattanloom.settings import SettingsError, in_range, structure_document
+from rattanloom.ticket import TICKET_MAX_CHARS
+
+NAME_MAX_CHARS = 63
+KEY_MAX_CHARS = 128
+SLOTS_MAX = 1_000_000
+TICKETS_MAX = 1_000
+
+
+@frozen
+class TaskBody:
+    """One task in a submission."""
+
+    kind: str = field(validator=max_len(NAME_MAX_CHARS))
+    payload: str = ""
+    size_slots: int = field(default=1, validator=in_range(1, SLOTS_MAX))
+    run_ms: int = field(default=100, validator=in_range(0, HOUR_MS))
+    accelerator: bool = False
+
+
+@frozen
+class JobBody:
+    """The body of ``POST /v1/jobs``: a ticket, a key of the caller's, or both."""
+
+    team: str = field(validator=max_len(NAME_MAX_CHARS))
+    tasks: tuple[TaskBody, ...] = field()
+    deadline_ms: int = field(validator=in_range(1, HOUR_MS))
+    job_id: str = field(default="", validator=max_len(TICKET_MAX_CHARS))
+    key: str = field(default="", validator=max_len(KEY_MAX_CHARS))
+    idempotent: bool = True
+
+    @tasks.validator
+    def _tasks_are_given(self, _attribute: object, value: tuple) -> None:
+        if not value:
+            raise ValueError("tasks must hold at least one task")
+
+
+@frozen
+class TicketsBody:
+    """The body of ``POST /v1/tickets``."""
+
+    count: int = field(default=1, validator=in_range(1, TICKETS_MAX))
+
+
+def parse_body(raw: bytes, shape: type) -> object | Failure:
+    """Parse one JSON body into ``shape``, or say what is wrong with it."""
+    try:
+        document = json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        return Failure(ErrorKind.BAD_REQUEST, f"body is not valid JSON: {error}")
+    try:
+        return structure_document("body", document, shape)
+    except SettingsError as error:
+        return Failure(ErrorKind.BAD_REQUEST, str(error))
+
+
+def parse_job(raw: bytes) -> Job | Failure:
+    """Parse a submission."""
+    body = parse_body(raw, JobBody)
+    if isinstance(body, Failure):
+        return body
+    if not body.job_id and not body.key:
+        return Failure(
+            ErrorKind.BAD_REQUEST,
+            "body: job_id is missing; get tickets from POST /v1/tickets or send a key",
+        )
+    tasks = tuple(
+        Task(task.kind, task.payload, task.size_slots, task.run_ms, task.accelerator)
+        for task in body.tasks
+    )
+    return Job(
+        job_id=body.job_id,
+        team=body.team,
+        tasks=tasks,
+        deadline_ms=body.deadline_ms,
+        idempotent=body.idempotent,
+        key=body.key,
+    )
+
+
+def job_to_json(job: Job) -> dict:
+    """Return the submission body of a job."""
+    return {
+        "job_id": job.job_id,
+        "team": job.team,
+        "deadline_ms": job.deadline_ms,
+        "idempotent": job.idempotent,
+        "key": job.key,
+        "tasks": [
+            {
+                "kind": task.kind,
+                "payload": task.payload,
+                "size_slots": task.size_slots,
+                "run_ms": task.run_ms,
+                "accelerator": task.accelerator,
+            }
+            for task in job.tasks
+        ],
+    }
+
+
+def failure_to_json(failure: Failure) -> dict:
+    """Return the error part of an answer."""
+    return {
+        "kind": failure.kind.value,
+        "reason": failure.reason,
+        "ran": failure.ran_word.value,
+        "retryable": failure.answer.retryable,
+        "retry_after_ms": failure.come_back_ms,
+    }
+
+
+def failure_from_json(document: dict) -> Failure:
+    """Return the failure in the error part of an answer."""
+    return Failure(
+        ErrorKind(document["kind"]),
+        document["reason"],
+        document["retry_after_ms"],
+        Ran(document["ran"]),
+    )
+
+
+def answer_to_json(answer: JobAnswer) -> dict:
+    """Return the answer's body."""
+    failure = answer.failure
+    return {
+        "job_id": answer.job_id,
+        "outcome": answer.outcome.value,
+        "outputs": list(answer.outputs),
+        "failure": None if failure is None else failure_to_json(failure),
+        "failed_task": answer.failed_task,
+        "run_ms": round(answer.run_ms, 3),
+    }
+
+
+def answer_from_json(document: dict) -> JobAnswer:
+    """Return the answer in a reply's body."""
+    failure = document["failure"]
+    return JobAnswer(
+        document["job_id"],
+        JobOutcome(document["outcome"]),
+        tuple(document["outputs"]),
+        None if failure is None else failure_from_json(failure),
+        document["failed_task"],
+        document["run_ms"],
+    )
+
+
+def answer_status(answer: JobAnswer) -> HTTPStatus:
+    """Return the HTTP status of an answer."""
+    if answer.outcome is JobOutcome.COMPLETE:
+        return HTTPStatus.OK
+    if answer.outcome is JobOutcome.PENDING:
+        return HTTPStatus.ACCEPTED
+    return answer.failure.answer.http_status
--- /dev/null
+++ b/rattanloom/core.py
@@ -0,0 +1,222 @@
+"""The entry daemon's story: parse its settings, build it, run it, stop it."""
+
+import signal
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+
+import gevent
+from attrs import define, evolve
+from gevent.event import Event
+
+from rattanloom.admission import Admission
+from rattanloom.callers.api import CallersApi
+from rattanloom.callers.server import serving_http
+from rattanloom.claims import Claims
+from rattanloom.clock import MS_PER_S
+from rattanloom.configuration import Configuration
+from rattanloom.dispatch import Dispatcher
+from rattanloom.environment import Environment
+from rattanloom.jobs import JobService
+from rattanloom.logs import get_log, logging_to
+from rattanloom.metrics import Metrics
+from rattanloom.operators.pages import HostState, OperatorPages
+from rattanloom.peers.protocol import HostLoad
+from rattanloom.peers.service import PeerService
+from rattanloom.platform.client import PlatformClient
+from rattanloom.settings import EntrySettings, SettingsError, load_settings
+from rattanloom.status import ExitStatus
+from rattanloom.targets.directory import TargetDirectory
+from rattanloom.ticket import TicketMint, new_incarnation
+from rattanloom.timeline import EventKind, TimeLine
+from rattanloom.timer import TimerService, running_timers
+
+log = get_log("entry")
+
+
+@define(eq=False)
+class EntryHost:
+    """The parts of one entry host."""
+
+    settings: EntrySettings
+    environment: Environment
+    timers: TimerService
+    time_line: TimeLine
+    metrics: Metrics
+    configuration: Configuration
+    peers: PeerService
+    directory: TargetDirectory
+    admission: Admission
+    jobs: JobService
+    state: HostState
+    pages: OperatorPages
+
+
+def main(settings_path: str, environment: Environment | None = None) -> ExitStatus:
+    """Run one entry host until it is told to stop; return its exit status."""
+    environment = environment or Environment()
+    try:
+        settings = load_settings(settings_path, EntrySettings)
+    except SettingsError as error:
+        print(error, file=environment.stderr)
+        return ExitStatus.SETTINGS
+    stop = Event()
+    with logging_to(environment.stderr, settings.log_level), stop_signals(stop):
+        try:
+            return run(settings, environment, stop)
+        except OSError as error:
+            log.error("Cannot serve: {}; check the addresses in the settings", error)
+            return ExitStatus.ERROR
+
+
+def run(settings: EntrySettings, environment: Environment, stop: Event) -> ExitStatus:
+    """Build the host, serve until ``stop`` is set, then stop gracefully."""
+    with running_timers() as timers, ExitStack() as stack:
+        host = build(settings, environment, timers)
+        stack.enter_context(host.peers.serve(host.jobs))
+        start(host)
+        stack.enter_context(serving(host))
+        host.time_line.record(EventKind.HOST_STARTED, detail=host.pages.incarnation)
+        log.info("Serving callers on {}.", settings.http_address)
+        stop.wait()
+        return stop_gracefully(host)
+
+
+def build(
+    settings: EntrySettings, environment: Environment, timers: TimerService
+) -> EntryHost:
+    """Build the parts of one entry host; nothing runs yet."""
+    metrics = Metrics()
+    time_line = TimeLine(settings.host, environment.clock)
+    incarnation = new_incarnation()
+    platform = PlatformClient(settings.platform_address)
+    mint = TicketMint(
+        settings.zone,
+        settings.host,
+        incarnation,
+        settings.ticket_key.encode(),
+        environment.clock,
+        settings.epoch_ms,
+    )
+    configuration = Configuration(
+        settings, environment, timers, time_line, platform, platform
+    )
+    directory = TargetDirectory(
+        settings,
+        environment,
+        timers,
+        time_line,
+        platform,
+        configuration.rules,
+        metrics,
+    )
+    admission = Admission(
+        environment, time_line, configuration.rules, directory.capacity, metrics
+    )
+
+    def load() -> HostLoad:
+        return evolve(admission.load(), targets=directory.loads())
+
+    peers = PeerService(
+        settings,
+        environment,
+        timers,
+        time_line,
+        incarnation,
+        load,
+        configuration.version,
+        configuration.document,
+        metrics,
+    )
+    dispatcher = Dispatcher(
+        environment, time_line, admission, directory, configuration.rules, metrics
+    )
+    claims = Claims(settings, environment, platform, mint)
+    jobs = JobService(
+        settings,
+        environment,
+        time_line,
+        mint,
+        dispatcher,
+        admission,
+        peers,
+        claims,
+        metrics,
+    )
+    state = HostState()
+    pages = OperatorPages(
+        settings,
+        environment,
+        incarnation,
+        state,
+        configuration,
+        peers,
+        directory,
+        metrics,
+        time_line,
+    )
+    return EntryHost(
+        settings,
+        environment,
+        timers,
+        time_line,
+        metrics,
+        configuration,
+        peers,
+        directory,
+        admission,
+        jobs,
+        state,
+        pages,
+    )
+
+
+def start(host: EntryHost) -> None:
+    """Start the parts that follow the platform and the peers."""
+    host.configuration.start(host.peers)
+    host.directory.start(host.peers)
+    host.admission.start(host.peers, host.timers)
+
+
+@contextmanager
+def serving(host: EntryHost) -> Iterator[None]:
+    """Serve callers, operators and the balancer over HTTP."""
+    settings = host.settings
+    api = CallersApi(host.jobs, settings.body_max_bytes, settings.header_timeout_ms)
+    host.pages.add_to(api.app)
+    with serving_http(
+        settings.http_address,
+        api.app,
+        settings.header_timeout_ms,
+        settings.connections_max,
+    ):
+        yield
+
+
+def stop_gracefully(host: EntryHost) -> ExitStatus:
+    """Leave the balancer, finish what is in flight, and say how it ended."""
+    log.info("Stopping: leaving the balancer.")
+    host.time_line.record(EventKind.HOST_STOPPING)
+    host.state.leaving = True
+    gevent.sleep(host.settings.leave_grace_ms / MS_PER_S)
+    host.peers.announce_leaving()
+    if host.jobs.drain(host.settings.stop_within_ms):
+        log.info("Stopped: every job in flight was answered.")
+        return ExitStatus.OK
+    log.warning(
+        "Stopped with jobs unanswered after {} ms.", host.settings.stop_within_ms
+    )
+    return ExitStatus.STOP_TIMEOUT
+
+
+@contextmanager
+def stop_signals(stop: Event) -> Iterator[None]:
+    """Set ``stop`` on SIGTERM or SIGINT while the block runs."""
+    watchers = [
+        gevent.signal_handler(number, stop.set)
+        for number in (signal.SIGTERM, signal.SIGINT)
+    ]
+    try:
+        yield
+    finally:
+        for watcher in watchers:
+            watcher.cancel()
--- /dev/null
+++ b/rattanloom/operators/pages.py
@@ -0,0 +1,130 @@
+"""Pages that an entry host serves to operators and to the balancer."""
+
+from http import HTTPStatus
+
+from attrs import asdict, define
+from bottle import Bottle, HTTPResponse, request
+
+from rattanloom.callers.api import failure_response, json_response
+from rattanloom.callers.submission import parse_body
+from rattanloom.configuration import Configuration
+from rattanloom.environment import Environment
+from rattanloom.errors import Failure
+from rattanloom.metrics import Metrics
+from rattanloom.peers.protocol import Member
+from rattanloom.peers.service import PeerService
+from rattanloom.resources import own_usage
+from rattanloom.settings import EntrySettings
+from rattanloom.targets.directory import TargetDirectory
+from rattanloom.timeline import TimeLine, event_to_json
+
+PROMETHEUS_TEXT = "text/plain; version=0.0.4"
+
+
+@define
+class HostState:
+    """Whether this host takes new work; the health page tells the balancer."""
+
+    leaving: bool = False
+
+
+@define(frozen=True)
+class BlockedBody:
+    """The body of the test aid that cuts this host off from others."""
+
+    addresses: tuple[str, ...] = ()
+
+
+@define(eq=False)
+class OperatorPages:
+    """Health, metrics, status and time line of one entry host."""
+
+    settings: EntrySettings
+    environment: Environment
+    incarnation: str
+    state: HostState
+    configuration: Configuration
+    peers: PeerService
+    directory: TargetDirectory
+    metrics: Metrics
+    time_line: TimeLine
+
+    def add_to(self, app: Bottle) -> None:
+        """Add the pages to an application."""
+        app.get("/health", callback=self.get_health)
+        app.get("/metrics", callback=self.get_metrics)
+        app.get("/v1/status", callback=self.get_status)
+        app.get("/v1/timeline", callback=self.get_timeline)
+        if self.settings.test_aids:
+            app.post("/v1/test/blocked", callback=self.post_blocked)
+
+    def get_health(self) -> HTTPResponse:
+        """Say whether the balancer should send work here."""
+        word = self._health_word()
+        status = HTTPStatus.OK if word == "ok" else HTTPStatus.SERVICE_UNAVAILABLE
+        return json_response({"health": word}, status)
+
+    def _health_word(self) -> str:
+        if self.state.leaving:
+            return "leaving"
+        if self.configuration.rules() is None:
+            return "no_configuration"
+        return "ok"
+
+    def get_metrics(self) -> HTTPResponse:
+        """Return the metrics as Prometheus text."""
+        usage = own_usage()
+        self.metrics.gauge("memory_bytes", usage.memory_bytes)
+        self.metrics.gauge("processor_seconds", usage.processor_s)
+        self.metrics.gauge("config_version", self.configuration.version())
+        return HTTPResponse(
+            self.metrics.render(), headers={"Content-Type": PROMETHEUS_TEXT}
+        )
+
+    def get_status(self) -> HTTPResponse:
+        """Return this host's view: version in force, members, targets, usage."""
+        return json_response(
+            {
+                "host": self.settings.host,
+                "zone": self.settings.zone,
+                "region": self.settings.region,
+                "incarnation": self.incarnation,
+                "health": self._health_word(),
+                "wall_ms": self.environment.clock.wall_ms(),
+                "config_version": self.configuration.version(),
+                "members": [_member_to_json(m) for m in self.peers.members()],
+                "targets": self.directory.describe(),
+                "capacity": asdict(self.directory.capacity()),
+                "usage": asdict(own_usage()),
+            }
+        )
+
+    def get_timeline(self) -> HTTPResponse:
+        """Return this host's events, filtered by job, task and target."""
+        events = self.time_line.events(
+            job_id=request.query.get("job", ""), target=request.query.get("target", "")
+        )
+        task = request.query.get("task", "")
+        if task:
+            events = [event for event in events if str(event.task) == task]
+        return json_response(
+            {
+                "process": self.settings.host,
+                "wall_ms": self.environment.clock.wall_ms(),
+                "events": [event_to_json(event) for event in events],
+            }
+        )
+
+    def post_blocked(self) -> HTTPResponse:
+        """Replace the set of peer addresses this host is cut off from."""
+        raw = request.environ["wsgi.input"].read(self.settings.body_max_bytes)
+        body = parse_body(raw, BlockedBody)
+        if isinstance(body, Failure):
+            return failure_response(body)
+        self.peers.unblock()
+        self.peers.block(body.addresses)
+        return json_response({"blocked": list(body.addresses)})
+
+
+def _member_to_json(member: Member) -> dict:
+    return asdict(member) | {"state": member.state.value}
--- /dev/null
+++ b/rattanloom/resources.py
@@ -0,0 +1,23 @@
+"""What this process uses of its machine."""
+
+import resource
+from pathlib import Path
+
+from attrs import frozen
+
+PAGE_BYTES = resource.getpagesize()
+
+
+@frozen
+class Usage:
+    """Processor time since the start and resident memory now."""
+
+    processor_s: float
+    memory_bytes: int
+
+
+def own_usage() -> Usage:
+    """Return the usage of this process (source: getrusage and /proc)."""
+    times = resource.getrusage(resource.RUSAGE_SELF)
+    resident_pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return Usage(times.ru_utime + times.ru_stime, resident_pages * PAGE_BYTES)
--- a/rattanloom/settings.py
+++ b/rattanloom/settings.py
@@ -19,6 +19,7 @@
 T = TypeVar("T")
 
 NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
+SHOWN_MAX_CHARS = 60
 ADDRESS_PATTERN = r"[0-9A-Za-z.:\[\]_-]+:\d{1,5}"
 
 
@@ -40,12 +41,26 @@
         wrong_bool = isinstance(value, bool) and kind is not bool
         accepted = (int, float) if kind is float else kind
         if wrong_bool or not isinstance(value, accepted):
-            raise ValueError(f"expected {kind.__name__}, found {json.dumps(value)}")
+            raise ValueError(f"expected {kind.__name__}, found {_shown(value)}")
+        if isinstance(value, str):
+            _check_text(value)
         return kind(value)
 
     return structure
 
 
+def _shown(value: object) -> str:
+    text = json.dumps(value)
+    return text if len(text) <= SHOWN_MAX_CHARS else f"{text[:SHOWN_MAX_CHARS]}..."
+
+
+def _check_text(value: str) -> None:
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise ValueError("text is not valid Unicode") from error
+
+
 CONVERTER = make_converter()
 
 
@@ -115,6 +130,9 @@
     ``http_address`` serves callers and operators, ``peer_address`` (TCP and
     UDP) the other entry hosts. ``ticket_key`` is shared by all entry hosts
     of a deployment. ``epoch_ms`` bounds how long tickets and answers live.
+    A stopping host reports unhealthy for ``leave_grace_ms`` before it refuses
+    new work, so that the balancer takes it out first. ``test_aids`` opens the
+    switches that failure tests use; never set it in service.
     """
 
     host: str = field(validator=is_name)
@@ -130,11 +148,13 @@
         default=1_000_000, validator=in_range(1_000, 16_000_000)
     )
     stop_within_ms: int = field(default=10_000, validator=in_range(0, 600_000))
+    leave_grace_ms: int = field(default=1_000, validator=in_range(0, 60_000))
     header_timeout_ms: int = field(default=5_000, validator=in_range(100, 60_000))
     connections_max: int = field(default=2_000, validator=in_range(1, 100_000))
     config_poll_ms: int = field(default=1_000, validator=in_range(50, 60_000))
     host_list_poll_ms: int = field(default=1_000, validator=in_range(50, 60_000))
     heartbeat_ms: int = field(default=250, validator=in_range(20, 10_000))
+    test_aids: bool = False
     log_level: str = field(
         default="INFO", validator=matches_re("DEBUG|INFO|NOTICE|WARNING|ERROR")
     )
