--- /dev/null
+++ b/experiments/cluster.py
@@ -0,0 +1,399 @@
+"""Starts whole deployments of stand-ins and entry hosts as separate processes.
+
+For the demo, the benchmarks and the failure histories only: no program of
+the product starts another.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from attrs import define, evolve, field, frozen
+from urllib3 import HTTPResponse, PoolManager, Retry, Timeout
+from urllib3.exceptions import HTTPError
+
+from rattanloom.clock import MS_PER_S
+
+LOOPBACK = "127.0.0.1"
+TICKET_KEY = "a key for demonstrations only"
+READY_WITHIN_S = 20.0
+POLL_S = 0.05
+HTTP_TIMEOUT_S = 5.0
+STOP_WITHIN_S = 3.0
+
+STUDIO_ZONES = ("Adum", "Bantama", "Asokwa")
+COOP_ZONES = ("HuronShore", "SuperiorNorth", "MichiganWest")
+
+
+@frozen
+class Shape:
+    """How large a deployment is; counts are per availability zone.
+
+    ``host_settings`` are extra fields for every entry host's settings file,
+    ``worker_options`` extra options for every worker stand-in.
+    """
+
+    zones: tuple[str, ...] = STUDIO_ZONES
+    hosts: int = 2
+    workers: int = 2
+    slots: int = 8
+    connections: int = 64
+    host_settings: dict = field(factory=dict)
+    worker_options: tuple[str, ...] = ()
+
+
+@define(eq=False)
+class Process:
+    """One started process; signals go to it alone, by its id."""
+
+    name: str
+    zone: str
+    command: list[str]
+    address: str
+    log_path: Path
+    peer_address: str = ""
+    popen: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start it, sending its output to its log file."""
+        with self.log_path.open("ab") as output:
+            self.popen = subprocess.Popen(
+                self.command, stdout=output, stderr=output, env=dict(os.environ)
+            )
+
+    @property
+    def running(self) -> bool:
+        """Say whether the process has not ended."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send one signal, if it still runs."""
+        if self.running:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stop it from running until ``thaw``."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it run again."""
+        self.signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask it to stop gracefully."""
+        self.signal(signal.SIGTERM)
+
+    def wait(self, within_s: float) -> int:
+        """Return its exit status once it ended."""
+        return self.popen.wait(within_s)
+
+
+@define(eq=False)
+class Cluster:
+    """A running deployment."""
+
+    shape: Shape
+    folder: Path
+    platform: Process
+    hosts: dict[str, Process]
+    workers: dict[str, Process]
+    http: PoolManager
+
+    def request(
+        self, address: str, method: str, path: str, document: object = None
+    ) -> HTTPResponse:
+        """Send one JSON request to a process."""
+        body = None if document is None else json.dumps(document).encode()
+        return self.http.request(
+            method,
+            f"http://{address}{path}",
+            body=body,
+            headers={"Content-Type": "application/json"},
+        )
+
+    def get_json(self, address: str, path: str) -> dict:
+        """Return the JSON reply of one page."""
+        return json.loads(self.request(address, "GET", path).data)
+
+    def list_targets(self, leaving: Sequence[str] = ()) -> None:
+        """Tell the platform which workers there are, and which are leaving."""
+        document = [
+            {
+                "name": worker.name,
+                "zone": worker.zone,
+                "address": worker.address,
+                "slots": self.shape.slots,
+                "connections": self.shape.connections,
+                "leaving": worker.name in leaving,
+            }
+            for worker in self.workers.values()
+        ]
+        self.request(self.platform.address, "PUT", "/hosts", document)
+
+    def switch_platform(self, **switches: object) -> None:
+        """Set switches of the platform stand-in."""
+        self.request(self.platform.address, "POST", "/switches", switches)
+
+    def switch_worker(self, name: str, **switches: object) -> None:
+        """Set switches of one worker stand-in."""
+        self.request(self.workers[name].address, "POST", "/switches", switches)
+
+    def publish(self, folder: Path, message: str = "set up") -> str:
+        """Publish a folder of rules with the operators' client."""
+        return self.operator("publish", str(folder), "--message", message)
+
+    def operator(self, *arguments: str) -> str:
+        """Run one command of the operators' client and return its output."""
+        command = python_command("rattanloom.operators", *arguments)
+        settings = self.folder / "operator.json"
+        done = subprocess.run(
+            [*command, "--settings", str(settings)],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        if done.returncode != 0:
+            raise RuntimeError(f"operator {arguments}: {done.stdout}{done.stderr}")
+        return done.stdout
+
+    def cut_zone(self, zone: str, platform_too: bool = False) -> None:
+        """Cut one zone's entry hosts off from those of all other zones."""
+        for host in self.hosts.values():
+            far_hosts = [
+                other.peer_address
+                for other in self.hosts.values()
+                if (other.zone == zone) != (host.zone == zone)
+            ]
+            if platform_too and host.zone == zone:
+                far_hosts.append(self.platform.address)
+            self._block(host, far_hosts)
+
+    def heal(self) -> None:
+        """End every cut."""
+        for host in self.hosts.values():
+            self._block(host, [])
+
+    def _block(self, host: Process, addresses: list[str]) -> None:
+        if host.running:
+            document = {"addresses": addresses}
+            self.request(host.address, "POST", "/v1/test/blocked", document)
+
+    def await_ready(self, within_s: float = READY_WITHIN_S) -> None:
+        """Wait until every running entry host reports itself healthy."""
+        running = [host for host in self.hosts.values() if host.running]
+        for host in running:
+            await_page(self.http, host, "/health", within_s)
+
+    def await_version(self, version: int, within_s: float = READY_WITHIN_S) -> float:
+        """Wait until a version is in force everywhere; return how long, in s."""
+        started_s = time.monotonic()
+        for host in self.hosts.values():
+            while host.running and self._version_of(host) < version:
+                if time.monotonic() - started_s > within_s:
+                    raise TimeoutError(f"{host.name} did not reach {version}")
+                time.sleep(POLL_S)
+        return time.monotonic() - started_s
+
+    def _version_of(self, host: Process) -> int:
+        return self.get_json(host.address, "/v1/status")["config_version"]
+
+    def processes(self) -> list[Process]:
+        """Return every process of the deployment."""
+        return [self.platform, *self.workers.values(), *self.hosts.values()]
+
+
+@contextmanager
+def running_cluster(shape: Shape) -> Iterator[Cluster]:
+    """Start a deployment, and end all its processes with the block."""
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(TemporaryDirectory(prefix="rattanloom-")))
+        cluster = _lay_out(shape, folder)
+        stack.callback(_end_all, cluster)
+        for process in cluster.processes()[: -1 * len(cluster.hosts)]:
+            process.start()
+        await_page(cluster.http, cluster.platform, "/counts", READY_WITHIN_S)
+        for worker in cluster.workers.values():
+            await_page(cluster.http, worker, "/v1/worker", READY_WITHIN_S)
+        cluster.list_targets()
+        for host in cluster.hosts.values():
+            host.start()
+        yield cluster
+
+
+def python_command(module: str, *arguments: str) -> list[str]:
+    """Return the command that runs a module with this interpreter."""
+    return [sys.executable, "-m", module, *arguments]
+
+
+def await_page(http: PoolManager, process: Process, path: str, within_s: float) -> None:
+    """Wait until a process answers a page with status 200."""
+    give_up_s = time.monotonic() + within_s
+    while time.monotonic() < give_up_s:
+        try:
+            url = f"http://{process.address}{path}"
+            if http.request("GET", url).status == 200:
+                return
+        except HTTPError:
+            pass
+        if not process.running:
+            break
+        time.sleep(POLL_S)
+    raise TimeoutError(
+        f"{process.name} did not serve {path}: {process.log_path.read_text()[-2000:]}"
+    )
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses whose ports are free for TCP and UDP."""
+    with ExitStack() as stack:
+        addresses = []
+        while len(addresses) < count:
+            tcp = stack.enter_context(socket.socket())
+            udp = stack.enter_context(socket.socket(type=socket.SOCK_DGRAM))
+            tcp.bind((LOOPBACK, 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            addresses.append(f"{LOOPBACK}:{port}")
+        return addresses
+
+
+def _lay_out(shape: Shape, folder: Path) -> Cluster:
+    host_names = _names(shape.zones, "entry", shape.hosts)
+    worker_names = _names(shape.zones, "worker", shape.workers)
+    addresses = iter(free_addresses(1 + 2 * len(host_names) + len(worker_names)))
+    platform_address = next(addresses)
+    platform = Process(
+        "platform",
+        "",
+        python_command("standins.platform", "--address", platform_address),
+        platform_address,
+        folder / "platform.log",
+    )
+    workers = {
+        name: _worker(shape, folder, name, zone, next(addresses))
+        for name, zone in worker_names
+    }
+    hosts = {
+        name: _host(folder, name, zone, next(addresses), next(addresses))
+        for name, zone in host_names
+    }
+    for host in hosts.values():
+        _write_host_settings(shape, folder, host, hosts, platform_address)
+    _write_operator_settings(folder, platform_address, hosts)
+    http = PoolManager(
+        retries=Retry(0, read=False, redirect=False),
+        timeout=Timeout(HTTP_TIMEOUT_S),
+        maxsize=16,
+    )
+    return Cluster(shape, folder, platform, hosts, workers, http)
+
+
+def _names(zones: Sequence[str], role: str, count: int) -> list[tuple[str, str]]:
+    return [
+        (f"{zone.lower()}-{role}-{number}", zone)
+        for zone in zones
+        for number in range(1, count + 1)
+    ]
+
+
+def _worker(shape: Shape, folder: Path, name: str, zone: str, address: str) -> Process:
+    command = python_command(
+        "standins.worker",
+        "--name",
+        name,
+        "--zone",
+        zone,
+        "--address",
+        address,
+        "--slots",
+        str(shape.slots),
+        "--connections",
+        str(shape.connections),
+        *shape.worker_options,
+    )
+    return Process(name, zone, command, address, folder / f"{name}.log")
+
+
+def _host(
+    folder: Path, name: str, zone: str, address: str, peer_address: str
+) -> Process:
+    command = python_command("rattanloom", str(folder / f"{name}.json"))
+    log_path = folder / f"{name}.log"
+    return Process(name, zone, command, address, log_path, peer_address)
+
+
+def _write_host_settings(
+    shape: Shape,
+    folder: Path,
+    host: Process,
+    hosts: dict[str, Process],
+    platform_address: str,
+) -> None:
+    seeds = [
+        {"host": other.name, "zone": other.zone, "address": other.peer_address}
+        for other in hosts.values()
+        if other is not host
+    ]
+    document = {
+        "host": host.name,
+        "zone": host.zone,
+        "http_address": host.address,
+        "peer_address": host.peer_address,
+        "platform_address": platform_address,
+        "ticket_key": TICKET_KEY,
+        "seeds": seeds,
+        "test_aids": True,
+        **shape.host_settings,
+    }
+    (folder / f"{host.name}.json").write_text(json.dumps(document, indent=1))
+
+
+def _write_operator_settings(
+    folder: Path, platform_address: str, hosts: dict[str, Process]
+) -> None:
+    document = {
+        "operator": "demo",
+        "platform_address": platform_address,
+        "entry_addresses": {name: host.address for name, host in hosts.items()},
+    }
+    (folder / "operator.json").write_text(json.dumps(document, indent=1))
+
+
+def _end_all(cluster: Cluster) -> None:
+    started = [process for process in cluster.processes() if process.running]
+    for process in started:
+        process.thaw()
+        process.terminate()
+    give_up_s = time.monotonic() + STOP_WITHIN_S
+    for process in started:
+        try:
+            process.wait(max(0.0, give_up_s - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            process.kill()
+
+
+def with_settings(shape: Shape, **settings: object) -> Shape:
+    """Return the shape with extra fields in every entry host's settings."""
+    return evolve(shape, host_settings={**shape.host_settings, **settings})
+
+
+def wall_ms() -> float:
+    """Return wall-clock milliseconds, for labels in printed reports."""
+    return time.time() * MS_PER_S
