--- /dev/null
+++ b/rattanloom/job_answer.py
@@ -0,0 +1,86 @@
+"""Answers that the job service makes itself, with exact words on the start."""
+
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.job import JobAnswer, JobOutcome
+
+_HOME_ADVICE = {
+    ErrorKind.HOME_GONE: "the process that held this job is gone; it never starts "
+    "again; take a new ticket only if running it twice is harmless",
+    ErrorKind.HOME_UNREACHABLE: "the entry host that holds this job cannot be "
+    "reached; resubmit the same ticket later",
+    ErrorKind.LEAVING: "the entry host that holds this job is leaving; resubmit "
+    "the same ticket to learn its answer",
+}
+
+
+def refused(job_id: str, failure: Failure) -> JobAnswer:
+    """Return a refusal; one that may have run becomes an unknown outcome."""
+    if failure.ran_word is Ran.NOT_RUN:
+        return JobAnswer(job_id, JobOutcome.REFUSED, failure=failure)
+    return JobAnswer(job_id, JobOutcome.UNKNOWN, failure=failure)
+
+
+def home_failed(job_id: str, failure: Failure) -> JobAnswer:
+    """Return the answer where the ticket's home did not answer.
+
+    An earlier submission of the same ticket may have reached the home, so the
+    job may have run even where no byte of this one was handed over.
+    """
+    advice = _HOME_ADVICE.get(failure.kind, "resubmit the same ticket later")
+    told = Failure(
+        failure.kind,
+        f"{failure.reason}; {advice}",
+        failure.retry_after_ms,
+        Ran.MAY_HAVE_RUN,
+    )
+    return JobAnswer(job_id, JobOutcome.UNKNOWN, failure=told)
+
+
+def cancelled_unstarted(job_id: str) -> JobAnswer:
+    """Return the answer to the cancellation of a job that never started."""
+    return refused(
+        job_id,
+        Failure(
+            ErrorKind.CANCELLED,
+            "cancelled before any task started; it never will start",
+            ran=Ran.NOT_RUN,
+        ),
+    )
+
+
+def not_submitted(job_id: str) -> JobAnswer:
+    """Return the answer to a question about a ticket not yet used."""
+    return JobAnswer(
+        job_id,
+        JobOutcome.UNKNOWN,
+        failure=Failure(
+            ErrorKind.NOT_FOUND,
+            "no submission of this ticket was admitted so far; resubmit it, or "
+            "cancel it to make sure that it never runs",
+            ran=Ran.MAY_HAVE_RUN,
+        ),
+    )
+
+
+def waited_in_vain(job_id: str) -> JobAnswer:
+    """Return the answer to a caller whose deadline passed while the job runs."""
+    return JobAnswer(
+        job_id,
+        JobOutcome.UNKNOWN,
+        failure=Failure(
+            ErrorKind.OUTCOME_UNKNOWN,
+            "the deadline passed before the job's end; ask again for its answer",
+        ),
+    )
+
+
+def broken(job_id: str) -> JobAnswer:
+    """Return the answer of a job whose dispatch raised an error."""
+    return JobAnswer(
+        job_id,
+        JobOutcome.UNKNOWN,
+        failure=Failure(
+            ErrorKind.INTERNAL,
+            "the dispatch failed with an internal error; do not resubmit blindly",
+        ),
+    )
--- /dev/null
+++ b/rattanloom/jobs.py
@@ -0,0 +1,291 @@
+"""The job service: decides which process runs a job, and that it runs once.
+
+Only the incarnation that minted a ticket may start its job; every other host
+forwards to it. A caller's own key is bound to a ticket first (``claims``).
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+from attrs import define, evolve, field
+from gevent.event import Event
+
+from rattanloom.claims import Claims
+from rattanloom.clock import MS_PER_S
+from rattanloom.environment import Environment
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.job import Job, JobAnswer, JobOutcome
+from rattanloom.job_answer import (
+    broken,
+    cancelled_unstarted,
+    home_failed,
+    not_submitted,
+    refused,
+    waited_in_vain,
+)
+from rattanloom.job_digest import digest_of
+from rattanloom.ledger import Ledger, RunningJob
+from rattanloom.logs import get_log
+from rattanloom.metrics import Metrics
+from rattanloom.peers.protocol import Peers
+from rattanloom.rules import Rules
+from rattanloom.settings import EntrySettings
+from rattanloom.ticket import Ticket, TicketMint, parse_ticket
+from rattanloom.timeline import EventKind, TimeLine
+
+log = get_log("jobs")
+
+ANSWER_GRACE_MS = 1_000
+CANCEL_WAIT_MS = 2_000
+DRAIN_POLL_MS = 20
+
+
+class Dispatches(Protocol):
+    """What the job service asks of the dispatcher."""
+
+    def run(self, job: Job, deadline_at_ms: float, cancelled: Event) -> JobAnswer:
+        """Run the job's tasks and return its whole answer."""
+
+
+class Admits(Protocol):
+    """What the job service asks of admission."""
+
+    def admit(self, job: Job, deadline_at_ms: float) -> Failure | None:
+        """Return why the job is refused, or None."""
+
+
+def no_rules() -> Rules | None:
+    """Stand for a configuration that is not in force yet."""
+    return None
+
+
+@define(eq=False)
+class JobService:
+    """The jobs of one entry host; implements ``JobRequests``."""
+
+    settings: EntrySettings
+    environment: Environment
+    time_line: TimeLine
+    mint: TicketMint
+    dispatcher: Dispatches
+    admission: Admits
+    peers: Peers
+    claims: Claims
+    metrics: Metrics
+    rules: Callable[[], Rules | None] = no_rules
+    ledger: Ledger = field(factory=Ledger)
+    leaving: bool = False
+
+    def mint_tickets(self, count: int) -> tuple[str, ...]:
+        """Return ``count`` new tickets; none while this host is leaving."""
+        if self.leaving:
+            return ()
+        return tuple(self.mint.mint() for _ in range(count))
+
+    def submit(self, job: Job) -> JobAnswer:
+        """Run the job or join it, wherever its ticket's home is."""
+        arrived_ms = self._now_ms()
+        if not job.job_id:
+            job = evolve(job, job_id=self.mint.mint())
+        ticket = self._parse(job.job_id)
+        if isinstance(ticket, Ticket) and job.key:
+            ticket = self._claim(job)
+        if isinstance(ticket, Failure):
+            return self._answered(refused(job.job_id, ticket))
+        job = evolve(job, job_id=ticket.text)
+        left_ms = job.deadline_ms - (self._now_ms() - arrived_ms)
+        if self.mint.minted(ticket):
+            return self._run_or_join(job, ticket, left_ms)
+        return self._forward(job, ticket, left_ms)
+
+    def ask(self, job_id: str, wait_ms: float) -> JobAnswer:
+        """Return the job's answer, waiting up to ``wait_ms`` for its end."""
+        ticket = self._parse(job_id)
+        if isinstance(ticket, Failure):
+            return refused(job_id, ticket)
+        if self.mint.minted(ticket):
+            return self._ask(ticket, wait_ms)
+        answer = self.peers.ask(ticket.host, ticket.incarnation, job_id, wait_ms)
+        return home_failed(job_id, answer) if isinstance(answer, Failure) else answer
+
+    def cancel(self, job_id: str) -> JobAnswer:
+        """Stop the job; one that has not started never will."""
+        ticket = self._parse(job_id)
+        if isinstance(ticket, Failure):
+            return refused(job_id, ticket)
+        if self.mint.minted(ticket):
+            return self._cancel(ticket)
+        answer = self.peers.cancel(ticket.host, ticket.incarnation, job_id)
+        return home_failed(job_id, answer) if isinstance(answer, Failure) else answer
+
+    def submit_here(self, job: Job) -> JobAnswer:
+        """Admit or join a job that a peer forwarded; its key is claimed."""
+        ticket = self._own(job.job_id)
+        if isinstance(ticket, Failure):
+            return refused(job.job_id, ticket)
+        return self._run_or_join(job, ticket, job.deadline_ms)
+
+    def ask_here(self, job_id: str, wait_ms: float) -> JobAnswer:
+        """Answer a question that a peer forwarded."""
+        ticket = self._own(job_id)
+        if isinstance(ticket, Failure):
+            return refused(job_id, ticket)
+        return self._ask(ticket, wait_ms)
+
+    def cancel_here(self, job_id: str) -> JobAnswer:
+        """Cancel a job on a peer's behalf."""
+        ticket = self._own(job_id)
+        if isinstance(ticket, Failure):
+            return refused(job_id, ticket)
+        return self._cancel(ticket)
+
+    def drain(self, within_ms: float) -> bool:
+        """Refuse new jobs, let the running ones end; say whether all did."""
+        self.leaving = True
+        until_ms = self._now_ms() + within_ms
+        while self.ledger.running and self._now_ms() < until_ms:
+            gevent.sleep(DRAIN_POLL_MS / MS_PER_S)
+        ended = not self.ledger.running
+        for running in list(self.ledger.running.values()):
+            running.cancelled.set()
+        return ended
+
+    def _run_or_join(self, job: Job, ticket: Ticket, left_ms: float) -> JobAnswer:
+        self.time_line.record(EventKind.JOB_RECEIVED, job.job_id)
+        deadline_at_ms = self._now_ms() + left_ms
+        digest = digest_of(job)
+        known = self.ledger.admit(ticket, digest, self.mint.epoch())
+        if isinstance(known, Failure):
+            return self._answered(refused(job.job_id, known))
+        if isinstance(known, JobAnswer):
+            return known
+        if known is not None:
+            self.time_line.record(EventKind.JOB_JOINED, job.job_id)
+            return self._wait(known, left_ms)
+        running = self._start(job, ticket, digest, deadline_at_ms)
+        if isinstance(running, Failure):
+            return self._answered(refused(job.job_id, running))
+        return self._wait(running, left_ms + ANSWER_GRACE_MS)
+
+    def _start(
+        self, job: Job, ticket: Ticket, digest: bytes, deadline_at_ms: float
+    ) -> RunningJob | Failure:
+        if self.leaving:
+            return Failure(
+                ErrorKind.LEAVING, "this entry host is leaving; take a new ticket"
+            )
+        if self._now_ms() >= deadline_at_ms:
+            return _too_late()
+        failure = self.admission.admit(job, deadline_at_ms)
+        if failure is not None:
+            return failure
+        running = self.ledger.start(ticket, digest)
+        if isinstance(running, RunningJob):
+            self.time_line.record(EventKind.JOB_ADMITTED, job.job_id)
+            gevent.spawn(self._run, job, running, deadline_at_ms)
+        return running
+
+    def _run(self, job: Job, running: RunningJob, deadline_at_ms: float) -> None:
+        answer = broken(job.job_id)
+        try:
+            answer = self._dispatch(job, running, deadline_at_ms)
+        finally:
+            self._end(running, answer)
+
+    def _dispatch(
+        self, job: Job, running: RunningJob, deadline_at_ms: float
+    ) -> JobAnswer:
+        if running.cancelled.is_set():
+            return cancelled_unstarted(job.job_id)
+        if self._now_ms() >= deadline_at_ms:
+            return refused(job.job_id, _too_late())
+        return self.dispatcher.run(job, deadline_at_ms, running.cancelled)
+
+    def _end(self, running: RunningJob, answer: JobAnswer) -> None:
+        if _may_start_again(answer) and not running.cancelled.is_set():
+            self.ledger.forget(running, answer)
+        else:
+            self.ledger.end(running, answer, self.mint.epoch(), self._keep_bytes())
+        self._answered(answer)
+
+    def _wait(self, running: RunningJob, wait_ms: float) -> JobAnswer:
+        running.done.wait(max(0.0, wait_ms) / MS_PER_S)
+        return running.answer or waited_in_vain(running.ticket.text)
+
+    def _ask(self, ticket: Ticket, wait_ms: float) -> JobAnswer:
+        running = self.ledger.running.get(ticket.number)
+        if running is not None:
+            running.done.wait(max(0.0, wait_ms) / MS_PER_S)
+            return running.answer or JobAnswer(ticket.text, JobOutcome.PENDING)
+        known = self.ledger.answer(ticket, self.mint.epoch())
+        if isinstance(known, Failure):
+            return refused(ticket.text, known)
+        return known or not_submitted(ticket.text)
+
+    def _cancel(self, ticket: Ticket) -> JobAnswer:
+        self.time_line.record(EventKind.JOB_CANCELLED, ticket.text)
+        running = self.ledger.running.get(ticket.number)
+        if running is not None:
+            running.cancelled.set()
+            return self._ask(ticket, CANCEL_WAIT_MS)
+        known = self.ledger.answer(ticket, self.mint.epoch())
+        if isinstance(known, Failure):
+            return refused(ticket.text, known)
+        if known is None:
+            self.ledger.fence(ticket)
+            return cancelled_unstarted(ticket.text)
+        return known
+
+    def _forward(self, job: Job, ticket: Ticket, left_ms: float) -> JobAnswer:
+        if left_ms < 1:
+            return self._answered(waited_in_vain(job.job_id))
+        self.time_line.record(EventKind.JOB_FORWARDED, job.job_id, target=ticket.host)
+        self.metrics.count("jobs_forwarded")
+        forwarded = evolve(job, deadline_ms=int(left_ms))
+        answer = self.peers.submit(ticket.host, ticket.incarnation, forwarded)
+        if isinstance(answer, Failure):
+            return self._answered(home_failed(job.job_id, answer))
+        return answer
+
+    def _claim(self, job: Job) -> Ticket | Failure:
+        bound = self.claims.claim(job.team, job.key, digest_of(job), job.job_id)
+        return bound if isinstance(bound, Failure) else self._parse(bound)
+
+    def _parse(self, text: str) -> Ticket | Failure:
+        return parse_ticket(text, self.settings.ticket_key.encode())
+
+    def _own(self, text: str) -> Ticket | Failure:
+        ticket = self._parse(text)
+        if isinstance(ticket, Failure) or self.mint.minted(ticket):
+            return ticket
+        return Failure(ErrorKind.HOME_GONE, "this process did not issue the ticket")
+
+    def _answered(self, answer: JobAnswer) -> JobAnswer:
+        kind = answer.failure.kind.value if answer.failure else ""
+        self.time_line.record(
+            EventKind.JOB_ANSWERED, answer.job_id, detail=kind or answer.outcome.value
+        )
+        self.metrics.count("jobs_answered", kind or answer.outcome.value)
+        return answer
+
+    def _keep_bytes(self) -> int:
+        rules = self.rules() or Rules()
+        return rules.deployment.answer_keep_bytes
+
+    def _now_ms(self) -> float:
+        return self.environment.clock.now_ms()
+
+
+def _may_start_again(answer: JobAnswer) -> bool:
+    return answer.outcome is JobOutcome.REFUSED and (
+        answer.failure is not None and answer.failure.ran_word is Ran.NOT_RUN
+    )
+
+
+def _too_late() -> Failure:
+    return Failure(
+        ErrorKind.DEADLINE_PASSED,
+        "the deadline passed before any task started; resubmit with a later one",
+        ran=Ran.NOT_RUN,
+    )
--- /dev/null
+++ b/rattanloom/ledger.py
@@ -0,0 +1,200 @@
+"""The ledger: what one incarnation remembers of the jobs it may start.
+
+A job runs only in the process that minted its ticket, so this memory alone
+decides whether a ticket may start. It is bounded three ways: one byte for each
+ticket used, dropped two epochs after the ticket's; answers by their bytes; and
+running jobs by number. A ticket that is no longer remembered never starts.
+"""
+
+from collections import OrderedDict
+from enum import IntEnum
+
+from attrs import define, field, frozen
+from gevent.event import Event
+
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.job import JobAnswer, JobOutcome
+from rattanloom.ticket import Ticket
+
+CHUNK_TICKETS = 4096
+RUNNING_MAX_JOBS = 20_000
+ANSWER_OVERHEAD_BYTES = 900
+EPOCHS_GOOD = 2
+
+
+class Mark(IntEnum):
+    """What the one byte of a ticket says; all but UNUSED bar another start."""
+
+    UNUSED = 0
+    RUNNING = 1
+    COMPLETE = 2
+    FAILED = 3
+    UNKNOWN = 4
+    CANCELLED = 5
+
+
+_MARK_OF_OUTCOME = {
+    JobOutcome.COMPLETE: Mark.COMPLETE,
+    JobOutcome.FAILED: Mark.FAILED,
+    JobOutcome.REFUSED: Mark.CANCELLED,
+    JobOutcome.UNKNOWN: Mark.UNKNOWN,
+    JobOutcome.PENDING: Mark.UNKNOWN,
+}
+
+_DROPPED: dict[Mark, tuple[Ran, str]] = {
+    Mark.COMPLETE: (
+        Ran.RAN,
+        "the job ran complete, but its answer is no longer kept; do not resubmit",
+    ),
+    Mark.FAILED: (
+        Ran.MAY_HAVE_RUN,
+        "the job failed, but its answer is no longer kept; do not resubmit",
+    ),
+    Mark.UNKNOWN: (
+        Ran.MAY_HAVE_RUN,
+        "the job ended with an unknown outcome and never starts again",
+    ),
+    Mark.CANCELLED: (
+        Ran.NOT_RUN,
+        "the job was cancelled before any task started, and never will start",
+    ),
+}
+
+
+@define(eq=False)
+class RunningJob:
+    """One admitted job: joined by resubmissions until ``done`` is set."""
+
+    ticket: Ticket
+    digest: bytes
+    done: Event = field(factory=Event)
+    cancelled: Event = field(factory=Event)
+    answer: JobAnswer | None = None
+
+
+@frozen
+class KeptAnswer:
+    """An answer kept for callers that come back."""
+
+    answer: JobAnswer
+    digest: bytes
+    ended_epoch: int
+    size_bytes: int
+
+
+@define(eq=False)
+class Ledger:
+    """The jobs of one incarnation, by ticket number."""
+
+    running: dict[int, RunningJob] = field(factory=dict)
+    kept_bytes: int = 0
+    _kept: OrderedDict[int, KeptAnswer] = field(factory=OrderedDict)
+    _marks: dict[int, dict[int, bytearray]] = field(factory=dict)
+
+    def admit(
+        self, ticket: Ticket, digest: bytes, epoch: int
+    ) -> RunningJob | JobAnswer | Failure | None:
+        """Return the ticket's running job or kept answer, or None to start it.
+
+        Failures: KEY_REUSED (other content under this ticket), TICKET_EXPIRED
+        (too old to be remembered, or its answer dropped).
+        """
+        running = self.running.get(ticket.number)
+        known = running or self._kept.get(ticket.number)
+        if known is not None and known.digest not in (digest, b""):
+            return Failure(
+                ErrorKind.KEY_REUSED,
+                "this ticket was used for a job of other content; use a new ticket",
+            )
+        if running is not None:
+            return running
+        return self.answer(ticket, epoch)
+
+    def answer(self, ticket: Ticket, epoch: int) -> JobAnswer | Failure | None:
+        """Return the ended job's answer, or None where none was submitted."""
+        self.reclaim(epoch)
+        kept = self._kept.get(ticket.number)
+        if kept is not None:
+            return kept.answer
+        if ticket.epoch + EPOCHS_GOOD <= epoch:
+            return Failure(
+                ErrorKind.TICKET_EXPIRED,
+                "the ticket is older than its epoch and the next; whether it was "
+                "used is no longer known",
+            )
+        mark = self.mark(ticket)
+        if mark is Mark.UNUSED:
+            return None
+        ran, reason = _DROPPED[mark]
+        return Failure(ErrorKind.TICKET_EXPIRED, reason, ran=ran)
+
+    def start(self, ticket: Ticket, digest: bytes) -> RunningJob | Failure:
+        """Record the ticket as used, before anything of its job starts."""
+        if len(self.running) >= RUNNING_MAX_JOBS:
+            return Failure(
+                ErrorKind.OVERLOADED, "too many jobs are running here; come back"
+            )
+        job = RunningJob(ticket, digest)
+        self.running[ticket.number] = job
+        self._set_mark(ticket, Mark.RUNNING)
+        return job
+
+    def forget(self, job: RunningJob, answer: JobAnswer) -> None:
+        """Take back a job of which nothing started; its ticket is good again."""
+        job.answer = answer
+        self.running.pop(job.ticket.number, None)
+        self._set_mark(job.ticket, Mark.UNUSED)
+        job.done.set()
+
+    def end(
+        self, job: RunningJob, answer: JobAnswer, epoch: int, keep_bytes: int
+    ) -> None:
+        """Keep a job's answer and wake everyone who waits for it."""
+        job.answer = answer
+        self.running.pop(job.ticket.number, None)
+        self._set_mark(job.ticket, _MARK_OF_OUTCOME[answer.outcome])
+        self._keep(job.ticket.number, answer, job.digest, epoch)
+        self._drop_answers_above(keep_bytes)
+        job.done.set()
+
+    def fence(self, ticket: Ticket) -> None:
+        """Bar a ticket that was never started from ever starting."""
+        self._set_mark(ticket, Mark.CANCELLED)
+
+    def mark(self, ticket: Ticket) -> Mark:
+        """Return the mark of a ticket that is not yet forgotten."""
+        chunk = self._marks.get(ticket.epoch, {}).get(ticket.number // CHUNK_TICKETS)
+        if chunk is None:
+            return Mark.UNUSED
+        return Mark(chunk[ticket.number % CHUNK_TICKETS])
+
+    def reclaim(self, epoch: int) -> None:
+        """Drop the marks and answers of epochs that are over."""
+        for old in [e for e in self._marks if e + EPOCHS_GOOD <= epoch]:
+            del self._marks[old]
+        while self._kept:
+            oldest = next(iter(self._kept.values()))
+            if oldest.ended_epoch + EPOCHS_GOOD > epoch:
+                return
+            self._drop_oldest_answer()
+
+    def _set_mark(self, ticket: Ticket, mark: Mark) -> None:
+        chunks = self._marks.setdefault(ticket.epoch, {})
+        position = ticket.number // CHUNK_TICKETS
+        if position not in chunks:
+            chunks[position] = bytearray(CHUNK_TICKETS)
+        chunks[position][ticket.number % CHUNK_TICKETS] = mark
+
+    def _keep(self, number: int, answer: JobAnswer, digest: bytes, epoch: int) -> None:
+        text_bytes = sum(len(text.encode()) for text in answer.outputs)
+        size_bytes = text_bytes + ANSWER_OVERHEAD_BYTES
+        self._kept[number] = KeptAnswer(answer, digest, epoch, size_bytes)
+        self.kept_bytes += size_bytes
+
+    def _drop_answers_above(self, keep_bytes: int) -> None:
+        while self._kept and self.kept_bytes > keep_bytes:
+            self._drop_oldest_answer()
+
+    def _drop_oldest_answer(self) -> None:
+        _, kept = self._kept.popitem(last=False)
+        self.kept_bytes -= kept.size_bytes
