--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -123,7 +123,7 @@
         time_line,
         incarnation,
         load,
-        configuration.version,
+        configuration.held_version,
         configuration.document,
         metrics,
     )
--- /dev/null
+++ b/rattanloom/operators/commands.py
@@ -0,0 +1,285 @@
+"""The commands of the operators' command line."""
+
+from collections.abc import Callable
+from functools import wraps
+from json import dumps
+
+from attrs import define
+
+from rattanloom.configuration_folder import load_folder
+from rattanloom.configuration_publish import (
+    Edit,
+    Publisher,
+    Unchanged,
+)
+from rattanloom.environment import Environment
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.operators.difference import difference_lines
+from rattanloom.operators.edits import (
+    describe_record,
+    drain_edit,
+    folder_edit,
+    undrain_edit,
+)
+from rattanloom.operators.folder_base import read_base, write_base
+from rattanloom.operators.host_table import status_lines
+from rattanloom.operators.hosts import HostPage, fetch_pages
+from rattanloom.operators.settings import OperatorSettings
+from rattanloom.operators.time_line import event_json, event_line, merge_events
+from rattanloom.platform.client import PlatformClient
+from rattanloom.settings import SettingsError, load_settings
+from rattanloom.status import ExitStatus
+
+SETTINGS = "operator.json"
+VERSIONS_SHOWN = 20
+STATUSES = {
+    ErrorKind.CONFLICT: ExitStatus.CONFLICT,
+    ErrorKind.PLATFORM_UNREACHABLE: ExitStatus.UNREACHABLE,
+    ErrorKind.REPLY_LOST: ExitStatus.MAY_HAVE_RUN,
+}
+
+
+class CommandError(Exception):
+    """Ends a command with one failure."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.reason)
+        self.failure = failure
+
+
+def reporting(command: Callable) -> Callable:
+    """Make a command print its failure and set the exit status."""
+
+    @wraps(command)
+    def run(self: "OperatorCommands", *arguments: object, **options: object) -> None:
+        try:
+            self.exit_status = command(self, *arguments, **options) or ExitStatus.OK
+        except SettingsError as error:
+            self.fail(str(error), ExitStatus.SETTINGS)
+        except CommandError as error:
+            status = STATUSES.get(error.failure.kind, ExitStatus.ERROR)
+            self.fail(f"{error.failure.kind.value}: {error.failure.reason}", status)
+
+    return run
+
+
+@define
+class OperatorCommands:
+    """Commands over one environment; ``exit_status`` is the last command's."""
+
+    environment: Environment
+    exit_status: ExitStatus = ExitStatus.OK
+
+    @reporting
+    def check(self, folder: str, settings: str = SETTINGS) -> None:
+        """Check a folder of rules without the platform.
+
+        Args:
+            folder: the folder of JSON files.
+            settings: taken by every command; not read by this one.
+        """
+        _, rules = load_folder(str(folder))
+        self.say(
+            f"{folder} is valid: {len(rules.kinds)} kinds, {len(rules.teams)} teams, "
+            f"{len(rules.targets)} targets"
+        )
+
+    @reporting
+    def show(self, folder: str, settings: str = SETTINGS) -> None:
+        """Print the merged content of a folder as JSON.
+
+        Args:
+            folder: the folder of JSON files.
+            settings: taken by every command; not read by this one.
+        """
+        sections, _ = load_folder(str(folder))
+        self.say(dumps(sections, indent=2, sort_keys=True))
+
+    @reporting
+    def diff(self, folder: str, settings: str = SETTINGS) -> None:
+        """Print what publishing a folder would change.
+
+        Args:
+            folder: the folder of JSON files.
+            settings: the operator's settings file.
+        """
+        folder = str(folder)
+        sections, _ = load_folder(folder)
+        head = _require(open_publisher(settings, self.environment).read_head())
+        lines = difference_lines(head.parts.folder, sections)
+        self.say(f"the folder against version {head.version}:")
+        for line in lines or ["no difference"]:
+            self.say(line)
+        if head.folder_version > read_base(folder):
+            self.say(
+                f"others changed it after the folder's base {read_base(folder)}; "
+                "the command versions names them"
+            )
+        for line in difference_lines({}, head.parts.overrides):
+            self.say(f"stays on top: {line[2:]}")
+
+    @reporting
+    def publish(
+        self,
+        folder: str,
+        message: str,
+        base: int | None = None,
+        settings: str = SETTINGS,
+    ) -> None:
+        """Publish a folder as the next version.
+
+        Args:
+            folder: the folder of JSON files.
+            message: what changes and why, for the other operators.
+            base: the version whose changes the folder contains; by default
+                the one recorded in the folder by the last publish.
+            settings: the operator's settings file.
+        """
+        folder = str(folder)
+        sections, _ = load_folder(folder)
+        base_version = read_base(folder) if base is None else int(base)
+        publisher = open_publisher(settings, self.environment)
+        edit = folder_edit(sections, base_version, publisher)
+        version = self._publish(publisher, edit, str(message))
+        self._record_base(folder, version)
+
+    @reporting
+    def drain(self, target: str, settings: str = SETTINGS) -> None:
+        """Give one target no new work, on top of whatever is published.
+
+        Args:
+            target: the target's name.
+            settings: the operator's settings file.
+        """
+        publisher = open_publisher(settings, self.environment)
+        edit = drain_edit(str(target))
+        self._publish(publisher, edit, f"drain {target}")
+
+    @reporting
+    def undrain(self, target: str, settings: str = SETTINGS) -> None:
+        """Give a drained target work again.
+
+        Args:
+            target: the target's name.
+            settings: the operator's settings file.
+        """
+        publisher = open_publisher(settings, self.environment)
+        edit = undrain_edit(str(target))
+        self._publish(publisher, edit, f"undrain {target}")
+
+    @reporting
+    def versions(self, count: int = VERSIONS_SHOWN, settings: str = SETTINGS) -> None:
+        """Print the newest accepted versions: who published what, and when.
+
+        Args:
+            count: how many versions.
+            settings: the operator's settings file.
+        """
+        publisher = open_publisher(settings, self.environment)
+        head = _require(publisher.read_head())
+        for record in _require(publisher.read_versions(head.version, int(count))):
+            line = describe_record(record)
+            self.say(f"{line} (publication {record.publish_id})")
+
+    @reporting
+    def status(self, settings: str = SETTINGS, json: bool = False) -> ExitStatus:
+        """Print every entry host's health, version in force, members and load.
+
+        Args:
+            settings: the operator's settings file.
+            json: print each host's whole page as one JSON line.
+        """
+        pages = self._fetch_pages(settings, "/v1/status", {})
+        if json:
+            for page in pages:
+                self.say(_page_json(page))
+        else:
+            for line in status_lines(pages):
+                self.say(line)
+        return self._coverage(pages)
+
+    @reporting
+    def timeline(
+        self,
+        job: str = "",
+        task: int | None = None,
+        target: str = "",
+        json: bool = False,
+        settings: str = SETTINGS,
+    ) -> ExitStatus:
+        """Print the events of all entry hosts in one order.
+
+        Args:
+            job: only this job's events.
+            task: only events of the task with this index.
+            target: only this target's events.
+            json: print JSON lines.
+            settings: the operator's settings file.
+        """
+        query = {"job": str(job), "target": str(target)}
+        pages = self._fetch_pages(settings, "/v1/timeline", query)
+        form = event_json if json else event_line
+        for event in merge_events(pages, task):
+            self.say(form(event))
+        return self._coverage(pages)
+
+    def say(self, line: str) -> None:
+        """Print one line of the command's output."""
+        print(line, file=self.environment.stdout)
+
+    def fail(self, line: str, status: ExitStatus) -> None:
+        """Print one line about a failure and set the exit status."""
+        print(line, file=self.environment.stderr)
+        self.exit_status = status
+
+    def _publish(self, publisher: Publisher, edit: Edit, message: str) -> int:
+        outcome = _require(publisher.publish(edit, message))
+        if isinstance(outcome, Unchanged):
+            self.say(f"nothing to change: version {outcome.version} already says so")
+            return outcome.version
+        self.say(f"accepted: version {outcome.record.version}")
+        return outcome.record.version
+
+    def _record_base(self, folder: str, version: int) -> None:
+        try:
+            write_base(folder, version)
+        except OSError as error:
+            self.say(
+                f"the folder cannot record its base ({error.strerror}): "
+                f"publish it next time with --base {version}"
+            )
+
+    def _fetch_pages(self, settings: str, path: str, query: dict) -> list[HostPage]:
+        loaded = load_settings(settings, OperatorSettings)
+        clock = self.environment.clock
+        addresses = loaded.entry_addresses
+        return fetch_pages(addresses, path, query, clock, loaded.timeout_ms)
+
+    def _coverage(self, pages: list[HostPage]) -> ExitStatus:
+        """Say on standard error which hosts are missing from the output."""
+        missing = [page for page in pages if isinstance(page.content, Failure)]
+        for page in missing:
+            reason = page.content.reason
+            print(f"no answer from {page.host}: {reason}", file=self.environment.stderr)
+        everyone = pages and len(missing) == len(pages)
+        return ExitStatus.UNREACHABLE if everyone else ExitStatus.OK
+
+
+def open_publisher(settings_path: str, environment: Environment) -> Publisher:
+    """Return a publisher for the operator that the settings file names."""
+    settings = load_settings(settings_path, OperatorSettings)
+    client = PlatformClient(settings.platform_address, settings.timeout_ms)
+    return Publisher(settings.operator, environment, client, client)
+
+
+def _require(result: object) -> object:
+    if isinstance(result, Failure):
+        raise CommandError(result)
+    return result
+
+
+def _page_json(page: HostPage) -> str:
+    content = page.content
+    if isinstance(content, Failure):
+        content = {"failure": {"kind": content.kind.value, "reason": content.reason}}
+    return dumps({"host": page.host} | content)
--- a/rattanloom/operators/edits.py
+++ b/rattanloom/operators/edits.py
@@ -6,7 +6,6 @@
 
 from rattanloom.clock import MS_PER_S
 from rattanloom.configuration_document import VersionRecord
-from rattanloom.configuration_folder import merge_sections
 from rattanloom.configuration_publish import Edit, HeadState, Parts, Publisher
 from rattanloom.errors import ErrorKind, Failure
 
@@ -16,10 +15,13 @@
 def folder_edit(sections: dict, base_version: int, publisher: Publisher) -> Edit:
     """Return the edit that replaces the folder part.
 
-    It is a conflict if the folder part changed after ``base_version``.
+    It is a conflict if the folder part changed after ``base_version``, unless
+    it changed to the very same content.
     """
 
     def edit(head: HeadState) -> Parts | Failure:
+        if head.parts.folder == sections:
+            return head.parts
         if head.folder_version > base_version:
             return _conflict(head, base_version, publisher)
         if base_version > head.version:
@@ -30,17 +32,37 @@
     return edit
 
 
-def drain_edit(target: str, drain: bool) -> Edit:
-    """Return the edit that sets or ends the drain of one target."""
-    override = {"targets": {target: {"drain": drain}}}
+def drain_edit(target: str) -> Edit:
+    """Return the edit that drains one target, whatever the folder says."""
 
-    def edit(head: HeadState) -> Parts | Failure:
-        parts = head.parts
-        return evolve(parts, overrides=merge_sections(parts.overrides, override))
+    def edit(head: HeadState) -> Parts:
+        return _with_override(head.parts, target, {"drain": True})
+
+    return edit
+
+
+def undrain_edit(target: str) -> Edit:
+    """Return the edit that ends the drain of one target.
+
+    The override is taken away, or set to false where the folder drains it.
+    """
+
+    def edit(head: HeadState) -> Parts:
+        in_folder = head.parts.folder.get("targets", {}).get(target, {})
+        override = {"drain": False} if in_folder.get("drain") else {}
+        return _with_override(head.parts, target, override)
 
     return edit
 
 
+def _with_override(parts: Parts, target: str, override: dict) -> Parts:
+    targets = dict(parts.overrides.get("targets", {}))
+    targets.pop(target, None)
+    if override:
+        targets[target] = override
+    return evolve(parts, overrides={"targets": targets} if targets else {})
+
+
 def describe_record(record: VersionRecord) -> str:
     """Return one line about a published version."""
     at = datetime.fromtimestamp(record.published_wall_ms / MS_PER_S, UTC)
--- /dev/null
+++ b/rattanloom/operators/host_table.py
@@ -0,0 +1,61 @@
+"""The table that ``status`` prints: one line an entry host."""
+
+from collections import Counter
+
+from rattanloom.errors import Failure
+from rattanloom.operators.hosts import HostPage
+
+HEADINGS = ("host", "zone", "health", "config", "members", "slots", "clock")
+GAP = "  "
+
+
+def status_lines(pages: list[HostPage]) -> list[str]:
+    """Return the table's lines, widest cell first aligned."""
+    rows = [HEADINGS, *(_row(page) for page in pages)]
+    widths = [max(len(row[column]) for row in rows) for column in range(len(HEADINGS))]
+    return [_line(row, widths) for row in rows] + _notes(pages)
+
+
+def _line(row: tuple[str, ...], widths: list[int]) -> str:
+    cells = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
+    return GAP.join(cells).rstrip()
+
+
+def _row(page: HostPage) -> tuple[str, ...]:
+    content = page.content
+    if isinstance(content, Failure):
+        return (page.host, "", "unreachable", "", "", "", "")
+    return (
+        page.host,
+        str(content.get("zone", "")),
+        str(content.get("health", "")),
+        str(content.get("config_version", "")),
+        _members(content),
+        _slots(content),
+        f"{page.clock_ahead_ms:+.0f} ms",
+    )
+
+
+def _members(content: dict) -> str:
+    states = Counter(member["state"] for member in content.get("members", ()))
+    return ", ".join(f"{count} {state}" for state, count in sorted(states.items()))
+
+
+def _slots(content: dict) -> str:
+    capacity = content.get("capacity", {})
+    free, share = capacity.get("free_slots", "?"), capacity.get("share_slots", "?")
+    return f"{free} free of {share}"
+
+
+def _notes(pages: list[HostPage]) -> list[str]:
+    lines = []
+    for page in pages:
+        if isinstance(page.content, Failure):
+            lines.append(f"{page.host}: {page.content.reason}")
+            continue
+        config = page.content.get("config", {})
+        if config.get("ground"):
+            lines.append(f"{page.host}: {config['ground']}")
+        if config.get("problem"):
+            lines.append(f"{page.host}: problem: {config['problem']}")
+    return lines
--- /dev/null
+++ b/rattanloom/operators/hosts.py
@@ -0,0 +1,67 @@
+"""Asks all entry hosts for a page at once."""
+
+import json
+from collections.abc import Mapping
+from http import HTTPStatus
+from urllib.parse import urlencode
+
+from attrs import frozen
+from gevent.pool import Pool
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError
+
+from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.errors import ErrorKind, Failure
+
+HOSTS_AT_ONCE = 50
+
+
+@frozen
+class HostPage:
+    """One host's page, or why there is none; times are the operator's clock."""
+
+    host: str
+    content: dict | Failure
+    sent_wall_ms: float
+    received_wall_ms: float
+
+    @property
+    def clock_ahead_ms(self) -> float:
+        """Return how far the host's clock is ahead of the operator's.
+
+        Takes the host's ``wall_ms`` as read half way through the round trip.
+        """
+        middle_ms = (self.sent_wall_ms + self.received_wall_ms) / 2
+        return self.content["wall_ms"] - middle_ms
+
+
+def fetch_pages(
+    addresses: Mapping[str, str],
+    path: str,
+    query: Mapping[str, str],
+    clock: Clock,
+    timeout_ms: float,
+) -> list[HostPage]:
+    """Return every host's page, in the order of their names."""
+    http = PoolManager(timeout=Timeout(timeout_ms / MS_PER_S), retries=False)
+    target = f"{path}?{urlencode(query)}" if query else path
+
+    def fetch(host: str) -> HostPage:
+        sent_ms = clock.wall_ms()
+        content = _get_json(http, f"http://{addresses[host]}{target}")
+        return HostPage(host, content, sent_ms, clock.wall_ms())
+
+    return Pool(HOSTS_AT_ONCE).map(fetch, sorted(addresses))
+
+
+def _get_json(http: PoolManager, url: str) -> dict | Failure:
+    try:
+        reply = http.request("GET", url)
+        content = json.loads(reply.data)
+    except (HTTPError, ValueError) as error:
+        return Failure(ErrorKind.HOME_UNREACHABLE, str(error))
+    if reply.status != HTTPStatus.OK or not isinstance(content, dict):
+        return Failure(ErrorKind.INTERNAL, f"{url} answered status {reply.status}")
+    if not isinstance(content.get("wall_ms"), int | float):
+        return Failure(ErrorKind.INTERNAL, f"{url} does not tell its wall_ms")
+    return content
--- a/rattanloom/operators/pages.py
+++ b/rattanloom/operators/pages.py
@@ -92,6 +92,7 @@
                 "health": self._health_word(),
                 "wall_ms": self.environment.clock.wall_ms(),
                 "config_version": self.configuration.version(),
+                "config": asdict(self.configuration.status()),
                 "members": [_member_to_json(m) for m in self.peers.members()],
                 "targets": self.directory.describe(),
                 "capacity": asdict(self.directory.capacity()),
--- /dev/null
+++ b/rattanloom/operators/time_line.py
@@ -0,0 +1,77 @@
+"""Merges the events of all entry hosts into one ordered time line."""
+
+import json
+from collections.abc import Iterable
+from datetime import UTC, datetime
+
+from attrs import frozen
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.errors import Failure
+from rattanloom.operators.hosts import HostPage
+
+SHOWN_FIELDS = ("job_id", "task", "attempt", "target", "detail")
+TIME_DIGITS = -3
+
+
+@frozen
+class MergedEvent:
+    """One event; ``at_wall_ms`` is corrected to the operator's clock."""
+
+    at_wall_ms: float
+    content: dict
+
+    @property
+    def order(self) -> tuple:
+        """Return the key to sort by: time, then the process's own sequence."""
+        return (self.at_wall_ms, self.content["process"], self.content["sequence"])
+
+
+def merge_events(pages: Iterable[HostPage], task: int | None) -> list[MergedEvent]:
+    """Return the events of all answered pages in order of corrected time.
+
+    Events of one process always keep their own order, also where its clock
+    was set back between them.
+    """
+    merged = []
+    for page in pages:
+        if not isinstance(page.content, Failure):
+            merged += _corrected(page)
+    if task is not None:
+        merged = [event for event in merged if event.content["task"] == task]
+    return sorted(merged, key=_order)
+
+
+def event_line(event: MergedEvent) -> str:
+    """Return an event as one line of text."""
+    content = event.content
+    at = datetime.fromtimestamp(event.at_wall_ms / MS_PER_S, UTC)
+    shown = [
+        f"{name}={content[name]}"
+        for name in SHOWN_FIELDS
+        if content.get(name) not in (None, "")
+    ]
+    words = [f"{at:%H:%M:%S.%f}"[:TIME_DIGITS], content["process"], content["kind"]]
+    return "  ".join([*words, *shown])
+
+
+def event_json(event: MergedEvent) -> str:
+    """Return an event as one JSON line; ``at_wall_ms`` is the corrected time."""
+    return json.dumps(event.content | {"at_wall_ms": event.at_wall_ms})
+
+
+def _corrected(page: HostPage) -> list[MergedEvent]:
+    events = []
+    last_ms = float("-inf")
+    for content in sorted(page.content["events"], key=_sequence):
+        last_ms = max(last_ms, content["wall_ms"] - page.clock_ahead_ms)
+        events.append(MergedEvent(last_ms, content))
+    return events
+
+
+def _sequence(content: dict) -> int:
+    return content["sequence"]
+
+
+def _order(event: MergedEvent) -> tuple:
+    return event.order
