--- a/rattanloom/configuration.py
+++ b/rattanloom/configuration.py
@@ -44,10 +44,11 @@
 class Ground(Enum):
     """Why a version was put in force."""
 
-    HELD_BY_ZONE = "held by the live hosts of the zone"
-    HELD_BY_PEER = "held by a live peer of another zone"
-    WAIT_PASSED = "the wait for the live hosts of the zone passed"
-    ALONE = "no other entry host is in the settings"
+    HELD_BY_PEERS = "held by every live host of the zone and by another zone's"
+    HELD_BY_ZONE = "held by every live host of the zone, no other zone is reachable"
+    HELD_BY_OTHERS = "held by a live host of another zone, none of this zone is live"
+    WAIT_PASSED = "the wait for the live peers to hold it passed"
+    ALONE = "no other entry host is known"
 
 
 @frozen
@@ -188,13 +189,28 @@
             self._fetching_from_peers = False
 
     def _fetch_newest(self) -> None:
-        newest_first = sorted(self._reachable_peers(), key=_told, reverse=True)
-        for member in newest_first:
-            if member.config_version <= self.held_version():
-                return
-            text = self._peers.fetch_config(member.host, member.config_version)
-            document = text if isinstance(text, Failure) else parse_document(text)
-            self._take(document, member.config_version, f"peer {member.host}")
+        """Fetch until no reachable peer tells a newer version that it can give."""
+        while any(self._fetch_from(member) for member in self._newer_peers()):
+            pass
+
+    def _newer_peers(self) -> list[Member]:
+        """Return the peers that tell a newer version, newest first.
+
+        Equals come in random order, so that the first host to hold a version
+        is not asked by all others.
+        """
+        held = self.held_version()
+        peers = [peer for peer in self._reachable_peers() if peer.config_version > held]
+        self.environment.random.shuffle(peers)
+        return sorted(peers, key=_told, reverse=True)
+
+    def _fetch_from(self, member: Member) -> bool:
+        """Fetch a peer's newest document; say whether a newer one is now held."""
+        before = self.held_version()
+        text = self._peers.fetch_config(member.host, member.config_version)
+        document = text if isinstance(text, Failure) else parse_document(text)
+        self._take(document, member.config_version, f"peer {member.host}")
+        return self.held_version() > before
 
     def _take(self, document: Document | Failure, version: int, source: str) -> None:
         """Hold a fetched document if it is usable and newer."""
@@ -229,31 +245,47 @@
         """Return why ``held`` may be put in force now, or None."""
         if self._in_force is None and not self._is_surely_newest(held):
             return None
-        version = held.document.version
         peers = self._live_peers()
-        mates = [peer for peer in peers if peer.zone == self.settings.zone]
-        if mates and all(peer.config_version >= version for peer in mates):
-            return Ground.HELD_BY_ZONE
-        if not mates and any(peer.config_version >= version for peer in peers):
-            return Ground.HELD_BY_PEER
         if not peers and not self._other_seeds():
             return Ground.ALONE
+        ground = self._ground_in_peers(peers, held.document.version)
         waited_ms = self.environment.clock.now_ms() - held.since_ms
-        return Ground.WAIT_PASSED if waited_ms >= self.hold_wait_ms else None
+        if ground is None and waited_ms >= self.hold_wait_ms:
+            return Ground.WAIT_PASSED
+        return ground
+
+    def _ground_in_peers(self, peers: list[Member], version: int) -> Ground | None:
+        """Return the ground that the versions held by live peers give, if any.
+
+        A host that restarts without the platform then finds the version at a
+        peer, also if every host of its zone is replaced at once.
+        """
+        own_zone = self.settings.zone
+        mates = [peer for peer in peers if peer.zone == own_zone]
+        others = [peer for peer in peers if peer.zone != own_zone]
+        if not all(peer.config_version >= version for peer in mates):
+            return None
+        if any(peer.config_version >= version for peer in others):
+            return Ground.HELD_BY_PEERS if mates else Ground.HELD_BY_OTHERS
+        return Ground.HELD_BY_ZONE if mates and not others else None
 
     def _is_surely_newest(self, held: Held) -> bool:
         """Say whether no reachable place can hold a newer version, after a start.
 
-        That is so once the platform has answered, or every seed was heard,
-        or peers had the time of a few heartbeats to tell theirs.
+        That is so once the platform has answered, or every seed has told a
+        version, or the peers had the time of a few heartbeats to tell theirs;
+        a newer version that was told is waited for somewhat longer.
         """
         if self._platform_answered and held.document.version >= self._platform_version:
             return True
-        heard = {peer.host for peer in self._live_peers()}
-        if heard.issuperset(self._other_seeds()):
+        told = {peer.host: peer.config_version for peer in self._live_peers()}
+        told_by = {host for host, version in told.items() if version != NO_VERSION}
+        newer_told = max(told.values(), default=0) > held.document.version
+        if not newer_told and told_by.issuperset(self._other_seeds()):
             return True
         waited_ms = self.environment.clock.now_ms() - self._first_held_at_ms()
-        return waited_ms >= SETTLE_HEARTBEATS * self.settings.heartbeat_ms
+        settle_ms = SETTLE_HEARTBEATS * self.settings.heartbeat_ms
+        return waited_ms >= settle_ms + (self.hold_wait_ms if newer_told else 0)
 
     def _first_held_at_ms(self) -> float:
         return self._waiting[0].since_ms
--- a/rattanloom/configuration_folder.py
+++ b/rattanloom/configuration_folder.py
@@ -130,11 +130,31 @@
         here = (*path, key)
         if value is None:
             _remove(merged, name, below, here)
-        elif isinstance(value, dict):
-            _merge_object(merged, name, below, value, here)
-        else:
-            below[key] = value
-            merged.set_by[here] = name
+        elif key not in below:
+            _set(merged, name, below, here, {} if isinstance(value, dict) else value)
+        if isinstance(value, dict) and isinstance(below[key], dict):
+            _merge_level(merged, name, below[key], value, here)
+        elif value is not None:
+            _replace(merged, name, below, here, value)
+
+
+def _set(
+    merged: MergedFolder, name: str, below: dict, path: FieldPath, value: object
+) -> None:
+    below[path[-1]] = value
+    merged.set_by[path] = name
+
+
+def _replace(
+    merged: MergedFolder, name: str, below: dict, path: FieldPath, value: object
+) -> None:
+    if isinstance(value, dict) != isinstance(below[path[-1]], dict):
+        earlier = merged.file_of(path)
+        raise SettingsError(
+            f"{name}: {_dotted(path)}: expected an object here and in {earlier}, "
+            "or a plain value in both"
+        )
+    _set(merged, name, below, path, value)
 
 
 def _remove(merged: MergedFolder, name: str, below: dict, path: FieldPath) -> None:
@@ -146,21 +166,12 @@
     merged.set_by[path] = name
 
 
-def _merge_object(
-    merged: MergedFolder, name: str, below: dict, value: dict, path: FieldPath
-) -> None:
-    current = below.get(path[-1])
-    if not isinstance(current, dict):
-        current = below[path[-1]] = {}
-        merged.set_by[path] = name
-    _merge_level(merged, name, current, value, path)
-
-
 def _check(merged: MergedFolder) -> Rules:
-    problems = _find_problems(merged)
-    if problems:
-        raise SettingsError("; ".join(problems))
-    return CONVERTER.structure(merged.sections, Rules)
+    try:
+        return CONVERTER.structure(merged.sections, Rules)
+    except (BaseValidationError, ValueError, TypeError, AttributeError) as error:
+        problems = _find_problems(merged) or [f"{UNNAMED_FILE}: {error!r}"]
+        raise SettingsError("; ".join(problems)) from error
 
 
 def _find_problems(merged: MergedFolder) -> list[str]:
@@ -223,7 +234,7 @@
 
 
 def _unknown(shape: type) -> str:
-    return f"is unknown here; known are {', '.join(field_names(shape))}"
+    return f"is unknown here, known are {', '.join(field_names(shape))}"
 
 
 def _problem(merged: MergedFolder, path: FieldPath, reason: str) -> str:
--- a/rattanloom/configuration_publish.py
+++ b/rattanloom/configuration_publish.py
@@ -17,7 +17,6 @@
     RetryCallState,
     Retrying,
     retry_if_result,
-    stop_after_delay,
     wait_random_exponential,
 )
 
@@ -201,8 +200,10 @@
 
     def _retry(self, call: Callable[[], T]) -> T:
         """Call until the result is not transient, or the time is up."""
+        clock = self.environment.clock
+        give_up_at_ms = clock.now_ms() + self.give_up_ms
         retrying = Retrying(
-            stop=stop_after_delay(self.give_up_ms / MS_PER_S),
+            stop=lambda _: clock.now_ms() >= give_up_at_ms,
             wait=wait_random_exponential(
                 self.retry_base_ms / MS_PER_S, RETRY_MAX_MS / MS_PER_S
             ),
--- /dev/null
+++ b/tests/test_config_host.py
@@ -0,0 +1,244 @@
+"""A host's configuration: learned from platform and peers, never going back."""
+
+import gevent
+import pytest
+from attrs import evolve
+from gevent.event import Event
+
+from rattanloom.configuration import SETTLE_HEARTBEATS, Configuration
+from rattanloom.configuration_document import VersionRecord, make_document
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.peers.protocol import Member, MemberState
+from rattanloom.settings import EntrySettings, Seed
+from rattanloom.timeline import EventKind, TimeLine
+from tests.config_fakes import FakePeers, FakePlatform, ManualTimers, make_environment
+
+SETTINGS = EntrySettings(
+    "adum-1",
+    "Adum",
+    "127.0.0.1:1",
+    "127.0.0.1:2",
+    "127.0.0.1:3",
+    "0123456789abcdef",
+    seeds=(Seed("adum-2", "Adum", "x:1"), Seed("asokwa-1", "Asokwa", "x:2")),
+)
+SETTLE_MS = SETTLE_HEARTBEATS * SETTINGS.heartbeat_ms
+
+
+class Host:
+    """One configuration with everything around it."""
+
+    def __init__(self, platform=None, settings=SETTINGS):
+        self.platform = platform or FakePlatform()
+        self.peers = FakePeers()
+        self.timers = ManualTimers()
+        clock = self.platform.clock
+        self.time_line = TimeLine("adum-1", clock)
+        self.configuration = Configuration(
+            settings,
+            make_environment(clock),
+            self.timers,
+            self.time_line,
+            self.platform,
+            self.platform,
+        )
+        self.configuration.start(self.peers)
+        gevent.sleep(0)
+
+    def versions(self):
+        return self.configuration.held_version(), self.configuration.version()
+
+    def pass_ms(self, ms):
+        self.platform.clock.ms += ms
+        self.timers.tick("config hold check")
+
+    def hear(self, *members):
+        self.peers.known = members
+        self.timers.tick("config hold check")
+
+    def poll(self):
+        self.configuration.poll()
+
+
+def member(host, version, zone="Adum", state=MemberState.LIVE):
+    return Member(host, zone, "x:1", "aa", 0, state, version)
+
+
+def document(version, sections=None):
+    record = VersionRecord(version, version, f"id{version}", "ama", "why", 0.0)
+    return make_document(record, sections or {}, {})
+
+
+MATE, OTHER = member("adum-2", 5), member("asokwa-1", 5, "Asokwa")
+
+
+def test_version_is_in_force_only_once_the_zone_and_another_hold_it():
+    host = Host()
+    host.platform.accept(5, {"teams": {"clubs": {}}})
+    host.hear(member("adum-2", 4), member("asokwa-1", 4, "Asokwa"))
+    host.poll()
+    assert host.versions() == (5, 0)
+    assert host.configuration.rules() is None
+    host.hear(MATE, member("asokwa-1", 4, "Asokwa"))
+    assert host.versions() == (5, 0)
+    host.hear(MATE, OTHER)
+    assert host.versions() == (5, 5)
+    assert list(host.configuration.rules().teams) == ["clubs"]
+    events = host.time_line.events()
+    assert [event.kind for event in events] == [EventKind.CONFIG_IN_FORCE]
+    assert "version 5 from the platform" in events[0].detail
+
+
+def test_peer_that_never_holds_it_delays_a_version_only_for_a_bounded_time():
+    host = Host()
+    host.platform.accept(5)
+    host.hear(member("adum-2", 4), OTHER)
+    host.poll()
+    host.pass_ms(host.configuration.hold_wait_ms - 1)
+    assert host.versions() == (5, 0)
+    host.pass_ms(1)
+    assert host.versions() == (5, 5)
+
+
+def test_quick_succession_does_not_put_off_the_earlier_version():
+    host = Host()
+    host.hear(member("adum-2", 4), OTHER)
+    for version in (5, 6, 7):
+        host.platform.accept(version)
+        host.poll()
+        host.pass_ms(host.configuration.hold_wait_ms / 2)
+    assert host.versions() == (7, 6)
+    host.hear(member("adum-2", 7), member("asokwa-1", 7, "Asokwa"))
+    assert host.versions() == (7, 7)
+
+
+def test_change_is_learned_from_a_peer_while_the_platform_is_down():
+    host = Host()
+    host.platform.accept(4)
+    host.hear(member("adum-2", 4), member("asokwa-1", 4, "Asokwa"))
+    host.poll()
+    host.platform.down = True
+    host.peers.documents["adum-2"] = document(5).text
+    host.hear(MATE, OTHER)
+    host.peers.callbacks[0]("adum-2", 5)
+    gevent.sleep(0)
+    assert host.versions() == (5, 5)
+    assert "peer adum-2" in host.configuration.status().ground
+
+
+def test_stalled_platform_does_not_hold_up_what_peers_tell():
+    host = Host()
+    answer = Event()
+    host.platform.read = lambda keys: answer.wait() and ()
+    stalled = gevent.spawn(host.poll)
+    gevent.sleep(0)
+    host.peers.documents["adum-2"] = document(5).text
+    host.hear(MATE, OTHER)
+    host.peers.callbacks[0]("adum-2", 5)
+    gevent.sleep(0)
+    assert host.versions() == (5, 5)
+    answer.set()
+    stalled.join()
+
+
+def test_nothing_older_is_ever_put_in_force():
+    host = Host()
+    host.platform.accept(5)
+    host.hear(MATE, OTHER)
+    host.poll()
+    host.platform.accept(3)
+    host.peers.documents["adum-2"] = document(4).text
+    host.hear(member("adum-2", 6), OTHER)
+    host.poll()
+    host.pass_ms(10 * host.configuration.hold_wait_ms)
+    assert host.versions() == (5, 5)
+
+
+def test_restart_in_an_outage_adopts_the_newest_of_all_peers_not_the_first():
+    host = Host(FakePlatform(down=True, call_ms=0))
+    host.peers.documents = {
+        "adum-2": document(4).text,
+        "asokwa-1": document(5).text,
+    }
+    host.hear(member("adum-2", 4))
+    host.poll()
+    host.pass_ms(SETTLE_MS / 2)
+    assert host.versions() == (4, 0)
+    host.hear(member("adum-2", 4), OTHER)
+    host.poll()
+    assert host.versions() == (5, 0)
+    host.hear(MATE, OTHER)
+    assert host.versions() == (5, 5)
+    assert "platform is unreachable" in host.configuration.status().ground
+
+
+def test_restart_in_an_outage_with_one_reachable_peer_adopts_its_version():
+    host = Host(FakePlatform(down=True))
+    host.peers.documents = {"adum-2": document(4).text}
+    cut_off = member("asokwa-1", 5, "Asokwa", MemberState.CUT_OFF)
+    host.hear(member("adum-2", 4), cut_off)
+    host.poll()
+    assert host.versions() == (4, 0)
+    host.pass_ms(SETTLE_MS)
+    assert host.versions() == (4, 4)
+
+
+def test_host_without_platform_and_peers_has_no_configuration():
+    host = Host(FakePlatform(down=True))
+    host.poll()
+    host.pass_ms(60_000)
+    host.poll()
+    assert host.versions() == (0, 0)
+    assert host.configuration.rules() is None
+    missing = host.configuration.document(1)
+    assert isinstance(missing, Failure)
+    assert missing.kind is ErrorKind.NOT_FOUND
+
+
+def test_lone_host_needs_nobody_else():
+    host = Host(settings=evolve(SETTINGS, seeds=()))
+    host.platform.accept(1)
+    host.poll()
+    assert host.versions() == (1, 1)
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda content: content[:-1],
+        lambda content: content.replace(b"why", b"WHY"),
+        lambda content: b"",
+        lambda content: b"\xff",
+        lambda content: document(9, {"teams": {"clubs": {}}}).text.encode(),
+    ],
+)
+def test_corrupt_object_is_never_in_force_and_a_peer_can_help_out(spoil):
+    host = Host()
+    good = host.platform.accept(5)
+    objects = host.platform.objects
+    for name in objects:
+        objects[name] = spoil(objects[name])
+    host.hear(member("adum-2", 4), OTHER)
+    host.poll()
+    host.pass_ms(10 * host.configuration.hold_wait_ms)
+    assert host.versions() == (0, 0)
+    assert host.configuration.status().problem
+    host.peers.documents["asokwa-1"] = good.text
+    host.poll()
+    host.hear(MATE, OTHER)
+    assert host.versions() == (5, 5)
+    assert host.configuration.status().problem == ""
+
+
+def test_document_that_fails_the_checks_here_is_never_in_force():
+    host = Host()
+    host.platform.accept(5)
+    host.hear(MATE, OTHER)
+    host.poll()
+    newer = document(6).text
+    unknown = newer.replace('"folder":{}', '"folder":{"colours":{}}')
+    host.peers.documents = {"adum-2": unknown, "asokwa-1": unknown}
+    host.hear(member("adum-2", 6), member("asokwa-1", 6, "Asokwa"))
+    host.poll()
+    assert host.versions() == (5, 5)
+    assert "version 6 from peer" in host.configuration.status().problem
