Add the peers part: heartbeats over UDP, forwarding over TCP

Hosts number their heartbeats; a host is alive while its number grows, told by itself or passed on by others. Load and configuration versions ride along. Requests share one TCP connection to each peer; a connection that stops answering pings is replaced, and the home of a job is told to be gone only on the word of the host itself.

--- /dev/null
+++ b/rattanloom/peers/forwarder.py
@@ -0,0 +1,186 @@
+"""Forwards requests to the host that minted a job's ticket."""
+
+from collections.abc import Callable
+
+import gevent
+from attrs import define, field
+from gevent.event import AsyncResult
+
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.logs import get_log
+from rattanloom.metrics import Metrics
+from rattanloom.peers.connection import (
+    ConnectionLostError,
+    PeerConnection,
+    open_connection,
+)
+from rattanloom.peers.frame_stream import FrameTooLargeError
+from rattanloom.peers.link_filter import LinkFilter
+from rattanloom.peers.membership import HEARING, Membership
+from rattanloom.peers.messages import MemberRecord, Reply, Request
+from rattanloom.peers.schema import BadMessageError
+
+log = get_log("peers")
+
+TRIES = 2
+ANY_INCARNATION = ""
+
+
+@define(eq=False)
+class PeerLink:
+    """The connection to one host, and the opening of it under way."""
+
+    connection: PeerConnection | None = None
+    opening: AsyncResult | None = None
+
+
+@define(eq=False)
+class Forwarder:
+    """Sends requests to other entry hosts, over one connection to each.
+
+    A request whose connection is lost is sent once more over a new one: the
+    home of the job joins it to the first by its ticket.
+    """
+
+    membership: Membership
+    seed_address: Callable[[str], str | None]
+    seal_key: bytes
+    link_filter: LinkFilter
+    ping_ms: float
+    on_hello: Callable[[MemberRecord], None]
+    metrics: Metrics
+    _links: dict[str, PeerLink] = field(factory=dict)
+
+    def call(
+        self, host: str, incarnation: str, body: Request, within_ms: float
+    ) -> Reply:
+        """Return the reply of that incarnation of a host, or a failure.
+
+        Waits while the host lives, up to ``within_ms``.
+        """
+        handed_over = False
+        reason = ""
+        for _ in range(TRIES):
+            failure = self._known_failure(host, incarnation)
+            if failure is not None:
+                return self._told(failure, handed_over)
+            connection = self._connect(host, incarnation)
+            if isinstance(connection, Failure):
+                return self._told(connection, handed_over)
+            try:
+                return connection.request(body, within_ms)
+            except FrameTooLargeError as error:
+                return Failure(ErrorKind.TOO_LARGE, f"cannot be forwarded: {error}")
+            except ConnectionLostError as error:
+                handed_over |= error.handed_over
+                reason = f"{host}: {error}; ask again later"
+            except gevent.Timeout:
+                handed_over = True
+                reason = f"{host} did not answer in time; ask again later"
+                break
+        return self._told(Failure(ErrorKind.HOME_UNREACHABLE, reason), handed_over)
+
+    def drop(self, host: str, reason: str) -> None:
+        """Fail the requests that wait on a host, which answer at once."""
+        link = self._links.pop(host, None)
+        if link is not None and link.connection is not None:
+            link.connection.close(reason)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for host in list(self._links):
+            self.drop(host, "this host is stopping")
+
+    def _told(self, failure: Failure, handed_over: bool) -> Failure:
+        self.metrics.count("forwards_failed", failure.kind.value)
+        if failure.kind is not ErrorKind.HOME_UNREACHABLE:
+            return failure
+        ran = Ran.MAY_HAVE_RUN if handed_over else Ran.NOT_RUN
+        return Failure(failure.kind, failure.reason, failure.retry_after_ms, ran)
+
+    def _known_failure(self, host: str, incarnation: str) -> Failure | None:
+        own = self.membership.own
+        if host == own.host and incarnation != own.incarnation:
+            return _gone(host)
+        if self.membership.is_former(host, incarnation):
+            return _gone(host)
+        member = self.membership.get(host)
+        if member is None or not member.proven:
+            return None
+        if member.state not in HEARING:
+            return _unreachable(f"{host} is {member.state.value}; ask again later")
+        return None
+
+    def _connect(self, host: str, incarnation: str) -> PeerConnection | Failure:
+        connection = self._current(host)
+        if connection is None or not _serves(connection, incarnation):
+            connection = self._open_once(host)
+        if isinstance(connection, Failure) or _serves(connection, incarnation):
+            return connection
+        if self.membership.is_former(host, connection.peer.incarnation):
+            return _unreachable(f"{host}: an older process answers at its address")
+        return _gone(host)
+
+    def _current(self, host: str) -> PeerConnection | None:
+        link = self._links.get(host)
+        if link is None or link.connection is None or link.connection.closed:
+            return None
+        return link.connection
+
+    def _open_once(self, host: str) -> PeerConnection | Failure:
+        """Open a connection; callers that come meanwhile share the result."""
+        link = self._links.setdefault(host, PeerLink())
+        if link.opening is not None:
+            return link.opening.get()
+        link.opening = result = AsyncResult()
+        opened: PeerConnection | Failure = _unreachable(f"{host}: opening was stopped")
+        try:
+            opened = self._open(host)
+        finally:
+            link.opening = None
+            result.set(opened)
+        if isinstance(opened, Failure):
+            return opened
+        if link.connection is not None:
+            link.connection.close("replaced by a new connection")
+        link.connection = opened
+        self._links[host] = link
+        return opened
+
+    def _open(self, host: str) -> PeerConnection | Failure:
+        address = self._address(host)
+        if address is None:
+            return _unreachable(f"{host} is not a known entry host")
+        try:
+            connection = open_connection(
+                address,
+                self.membership.own,
+                self.seal_key,
+                self.link_filter,
+                self.ping_ms,
+            )
+        except (OSError, BadMessageError) as error:
+            return _unreachable(f"{host} does not answer at {address}: {error}")
+        self.on_hello(connection.peer)
+        if connection.peer.host != host:
+            connection.close("another host answers")
+            return _unreachable(f"another host answers at {address}, not {host}")
+        connection.start()
+        return connection
+
+    def _address(self, host: str) -> str | None:
+        member = self.membership.get(host)
+        return member.record.address if member else self.seed_address(host)
+
+
+def _serves(connection: PeerConnection, incarnation: str) -> bool:
+    return incarnation in (ANY_INCARNATION, connection.peer.incarnation)
+
+
+def _gone(host: str) -> Failure:
+    reason = f"{host} has restarted; its earlier jobs may have run"
+    return Failure(ErrorKind.HOME_GONE, reason)
+
+
+def _unreachable(reason: str) -> Failure:
+    return Failure(ErrorKind.HOME_UNREACHABLE, reason)
--- /dev/null
+++ b/rattanloom/peers/frame_codec.py
@@ -0,0 +1,155 @@
+"""Wire form of the frames on connections between entry hosts."""
+
+from collections.abc import Callable
+
+from capnp import KjException
+
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.job import Job, JobAnswer, JobOutcome, Task
+from rattanloom.peers.heartbeat_codec import put_record, read_record
+from rattanloom.peers.messages import (
+    Ask,
+    Cancel,
+    Document,
+    FetchConfig,
+    Frame,
+    Hello,
+    Ping,
+    Pong,
+    Submit,
+)
+from rattanloom.peers.schema import SCHEMA, BadMessageError, seal, unseal
+
+NONE = -1
+
+
+def encode_frame(key: bytes, frame: Frame) -> bytes:
+    """Return a sealed frame, without its length."""
+    message = SCHEMA.Frame.new_message()
+    message.requestId = frame.request_id
+    _WRITERS[type(frame.body)](message, frame.body)
+    return seal(key, message.to_bytes())
+
+
+def decode_frame(key: bytes, content: bytes) -> Frame:
+    """Return the frame in ``content``, or raise ``BadMessageError``."""
+    plain = unseal(key, content)
+    try:
+        with SCHEMA.Frame.from_bytes(plain) as message:
+            read = _READERS[message.which()]
+            return Frame(read(message), message.requestId)
+    except (KjException, ValueError, KeyError) as error:
+        raise BadMessageError(str(error)) from error
+
+
+def _put_hello(message: object, hello: Hello) -> None:
+    put_record(message.init("hello"), hello.record)
+
+
+def _put_submit(message: object, submit: Submit) -> None:
+    job = submit.job
+    slot = message.init("submit")
+    slot.jobId = job.job_id
+    slot.team = job.team
+    slot.deadlineMs = int(job.deadline_ms)
+    slot.idempotent = job.idempotent
+    slot.key = job.key
+    tasks = slot.init("tasks", len(job.tasks))
+    for task_slot, task in zip(tasks, job.tasks, strict=True):
+        task_slot.kind = task.kind
+        task_slot.payload = task.payload
+        task_slot.sizeSlots = task.size_slots
+        task_slot.runMs = task.run_ms
+        task_slot.accelerator = task.accelerator
+
+
+def _read_submit(message: object) -> Submit:
+    slot = message.submit
+    tasks = tuple(
+        Task(task.kind, task.payload, task.sizeSlots, task.runMs, task.accelerator)
+        for task in slot.tasks
+    )
+    return Submit(
+        Job(slot.jobId, slot.team, tasks, slot.deadlineMs, slot.idempotent, slot.key)
+    )
+
+
+def _put_ask(message: object, ask: Ask) -> None:
+    slot = message.init("ask")
+    slot.jobId = ask.job_id
+    slot.waitMs = ask.wait_ms
+
+
+def _put_failure(slot: object, failure: Failure) -> None:
+    retry_after_ms = failure.retry_after_ms
+    slot.kind = failure.kind.value
+    slot.reason = failure.reason
+    slot.retryAfterMs = NONE if retry_after_ms is None else int(retry_after_ms)
+    slot.ran = failure.ran.value if failure.ran else ""
+
+
+def _read_failure(slot: object) -> Failure:
+    return Failure(
+        ErrorKind(slot.kind),
+        slot.reason,
+        None if slot.retryAfterMs == NONE else slot.retryAfterMs,
+        Ran(slot.ran) if slot.ran else None,
+    )
+
+
+def _put_answer(message: object, answer: JobAnswer) -> None:
+    slot = message.init("answer")
+    slot.jobId = answer.job_id
+    slot.outcome = answer.outcome.value
+    slot.runMs = answer.run_ms
+    slot.failedTask = NONE if answer.failed_task is None else answer.failed_task
+    if answer.outputs:
+        slot.outputs = list(answer.outputs)
+    if answer.failure is not None:
+        _put_failure(slot.init("failure"), answer.failure)
+
+
+def _read_answer(message: object) -> JobAnswer:
+    slot = message.answer
+    return JobAnswer(
+        slot.jobId,
+        JobOutcome(slot.outcome),
+        tuple(slot.outputs),
+        _read_failure(slot.failure) if slot._has("failure") else None,
+        None if slot.failedTask == NONE else slot.failedTask,
+        slot.runMs,
+    )
+
+
+def _setter(name: str, attribute: str = "") -> Callable[[object, object], None]:
+    def put(message: object, body: object) -> None:
+        setattr(message, name, getattr(body, attribute) if attribute else None)
+
+    return put
+
+
+_WRITERS = {
+    Hello: _put_hello,
+    Ping: _setter("ping"),
+    Pong: _setter("pong"),
+    Submit: _put_submit,
+    Ask: _put_ask,
+    Cancel: _setter("cancel", "job_id"),
+    FetchConfig: _setter("fetchConfig", "version"),
+    JobAnswer: _put_answer,
+    Document: _setter("document", "text"),
+    Failure: lambda message, body: _put_failure(message.init("failure"), body),
+}
+
+_READERS = {
+    "hello": lambda message: Hello(read_record(message.hello)),
+    "ping": lambda message: Ping(),
+    "pong": lambda message: Pong(),
+    "submit": _read_submit,
+    "ask": lambda message: Ask(message.ask.jobId, message.ask.waitMs),
+    "cancel": lambda message: Cancel(message.cancel),
+    "fetchConfig": lambda message: FetchConfig(message.fetchConfig),
+    "answer": _read_answer,
+    "document": lambda message: Document(message.document),
+    "failure": lambda message: _read_failure(message.failure),
+}
--- /dev/null
+++ b/rattanloom/peers/frame_stream.py
@@ -0,0 +1,92 @@
+"""Frames on one TCP connection: a length, then a sealed message."""
+
+import struct
+
+import gevent
+from attrs import define, field
+from gevent.lock import Semaphore
+from gevent.socket import IPPROTO_TCP, TCP_NODELAY, socket
+
+from rattanloom.peers.frame_codec import decode_frame, encode_frame
+from rattanloom.peers.link_filter import LinkFilter
+from rattanloom.peers.messages import Frame
+from rattanloom.peers.schema import BadMessageError
+
+LENGTH = struct.Struct(">I")
+FRAME_MAX_BYTES = 32_000_000
+
+
+class FrameTooLargeError(Exception):
+    """A frame above the size that a peer accepts; nothing was sent."""
+
+
+@define(eq=False)
+class FrameStream:
+    """One connection; any greenlet may write, only one reads.
+
+    ``peer_address`` is the other host's listening address, empty until it
+    has said it.
+    """
+
+    socket: socket
+    seal_key: bytes
+    link_filter: LinkFilter
+    peer_address: str = ""
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    _write_lock: Semaphore = field(factory=Semaphore)
+
+    def __attrs_post_init__(self) -> None:
+        self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+
+    def write(self, frame: Frame) -> None:
+        """Send a frame; raises ``OSError`` where the connection fails."""
+        content = encode_frame(self.seal_key, frame)
+        if len(content) > FRAME_MAX_BYTES:
+            raise FrameTooLargeError(f"{len(content)} bytes")
+        if not self.link_filter.may_send(self.peer_address):
+            return
+        with self._write_lock:
+            self.socket.sendall(LENGTH.pack(len(content)) + content)
+        self.bytes_sent += LENGTH.size + len(content)
+
+    def read(self) -> Frame | None:
+        """Return the next frame, or None at the end of the connection.
+
+        Raises ``OSError`` (also for a time-out between frames) and
+        ``BadMessageError``.
+        """
+        while True:
+            head = self._read_exactly(LENGTH.size)
+            if head is None:
+                return None
+            (size_bytes,) = LENGTH.unpack(head)
+            if size_bytes > FRAME_MAX_BYTES:
+                raise BadMessageError(f"frame of {size_bytes} bytes")
+            content = self._read_exactly(size_bytes)
+            if content is None:
+                return None
+            self.bytes_received += LENGTH.size + size_bytes
+            if self.link_filter.may_hear(self.peer_address):
+                return decode_frame(self.seal_key, content)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.socket.close()
+
+    def _read_exactly(self, size_bytes: int) -> bytes | None:
+        chunks = []
+        missing_bytes = size_bytes
+        while missing_bytes:
+            chunk = self.socket.recv(min(missing_bytes, 65_536))
+            if not chunk:
+                return None
+            chunks.append(chunk)
+            missing_bytes -= len(chunk)
+        return b"".join(chunks)
+
+
+def write_within(stream: FrameStream, frame: Frame, within_s: float) -> None:
+    """Send a frame, or raise ``OSError`` where the other end takes too long."""
+    with gevent.Timeout(within_s, TimeoutError("the peer does not read")):
+        stream.write(frame)
--- /dev/null
+++ b/rattanloom/peers/listener.py
@@ -0,0 +1,159 @@
+"""Serves the requests that other entry hosts forward, over TCP."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from attrs import define, field
+from gevent.pool import Group
+from gevent.server import StreamServer
+from gevent.socket import socket
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.job import JobAnswer, JobOutcome
+from rattanloom.logs import get_log
+from rattanloom.metrics import Metrics
+from rattanloom.peers.addresses import parse_address
+from rattanloom.peers.frame_stream import (
+    FrameStream,
+    FrameTooLargeError,
+    write_within,
+)
+from rattanloom.peers.link_filter import LinkFilter
+from rattanloom.peers.messages import (
+    Ask,
+    Cancel,
+    Document,
+    FetchConfig,
+    Frame,
+    Hello,
+    MemberRecord,
+    Ping,
+    Pong,
+    Reply,
+    Request,
+    Submit,
+)
+from rattanloom.peers.protocol import JobRequests
+from rattanloom.peers.schema import BadMessageError
+
+log = get_log("peers")
+
+CONNECTIONS_MAX = 512
+REQUESTS_MAX = 2_048
+HELLO_WITHIN_MS = 2_000
+IDLE_MS = 120_000
+WRITE_WITHIN_MS = 5_000
+
+
+@define(eq=False)
+class Listener:
+    """Accepts connections; one greenlet reads each, one runs each request.
+
+    A request goes on where its connection is lost: the job it began is not
+    to be cut off, and the other host asks again on a new connection.
+    """
+
+    own: Callable[[], MemberRecord]
+    seal_key: bytes
+    link_filter: LinkFilter
+    config_document: Callable[[int], str | Failure]
+    metrics: Metrics
+    _requests: JobRequests | None = None
+    _streams: set[FrameStream] = field(factory=set)
+    _running: Group = field(factory=Group)
+
+    @contextmanager
+    def running(self, requests: JobRequests) -> Iterator[None]:
+        """Own the listening socket and its connections."""
+        self._requests = requests
+        address = parse_address(self.own().address)
+        connections = Group()
+        server = StreamServer(address, self._serve, spawn=connections.spawn)
+        server.start()
+        try:
+            yield
+        finally:
+            server.stop(timeout=0)
+            connections.kill()
+
+    def _serve(self, connection: socket, _address: tuple) -> None:
+        if len(self._streams) >= CONNECTIONS_MAX:
+            connection.close()
+            return
+        stream = FrameStream(connection, self.seal_key, self.link_filter)
+        self._streams.add(stream)
+        try:
+            self._greet(stream)
+            self._read_all(stream)
+        except BadMessageError as error:
+            self.metrics.count("peer_frames_refused")
+            log.warning("Closed a connection with a bad frame: {}.", error)
+        except OSError:
+            self.metrics.count("peer_connections_lost")
+        finally:
+            self._streams.discard(stream)
+            stream.close()
+
+    def _greet(self, stream: FrameStream) -> None:
+        stream.socket.settimeout(HELLO_WITHIN_MS / MS_PER_S)
+        frame = stream.read()
+        if frame is None or not isinstance(frame.body, Hello):
+            raise BadMessageError("no hello")
+        stream.peer_address = frame.body.record.address
+        if not self.link_filter.may_hear(stream.peer_address):
+            stream.socket.settimeout(IDLE_MS / MS_PER_S)
+            return
+        stream.write(Frame(Hello(self.own())))
+        stream.socket.settimeout(IDLE_MS / MS_PER_S)
+
+    def _read_all(self, stream: FrameStream) -> None:
+        while (frame := stream.read()) is not None:
+            if isinstance(frame.body, Ping):
+                self._reply(stream, Frame(Pong()))
+            elif len(self._running) >= REQUESTS_MAX:
+                self._reply(stream, Frame(_overloaded(frame.body), frame.request_id))
+            else:
+                self._running.spawn(self._run, stream, frame)
+
+    def _run(self, stream: FrameStream, frame: Frame) -> None:
+        try:
+            reply = self._answer(frame.body)
+        except Exception as error:
+            log.error("A forwarded request failed: {!r}.", error)
+            reply = Failure(ErrorKind.INTERNAL, "the home of the job failed")
+        self._reply(stream, Frame(reply, frame.request_id))
+
+    def _reply(self, stream: FrameStream, frame: Frame) -> None:
+        try:
+            write_within(stream, frame, WRITE_WITHIN_MS / MS_PER_S)
+        except FrameTooLargeError as error:
+            reply = Failure(ErrorKind.TOO_LARGE, f"the answer: {error}", ran=Ran.RAN)
+            self._reply(stream, Frame(reply, frame.request_id))
+        except OSError:
+            self.metrics.count("peer_replies_lost")
+            stream.close()
+
+    def _answer(self, body: Request) -> Reply:
+        match body:
+            case Submit(job):
+                return self._requests.submit_here(job)
+            case Ask(job_id, wait_ms):
+                return self._requests.ask_here(job_id, wait_ms)
+            case Cancel(job_id):
+                return self._requests.cancel_here(job_id)
+            case FetchConfig(version):
+                document = self.config_document(version)
+                return document if _failed(document) else Document(document)
+        return Failure(ErrorKind.BAD_REQUEST, "not a request between hosts")
+
+
+def _failed(result: str | Failure) -> bool:
+    return isinstance(result, Failure)
+
+
+def _overloaded(body: Request) -> Reply:
+    failure = Failure(ErrorKind.OVERLOADED, "too many forwarded requests at once")
+    if isinstance(body, Submit):
+        return JobAnswer(body.job.job_id, JobOutcome.REFUSED, failure=failure)
+    return failure
--- /dev/null
+++ b/rattanloom/peers/load_exchange.py
@@ -0,0 +1,178 @@
+"""How load rides on heartbeats: the changed values first, the rest in turn.
+
+Names travel once and numbers stand for them afterwards, so that a heartbeat
+stays within its budget of values whatever the number of teams and targets.
+"""
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from rattanloom.peers.messages import LoadName, LoadPart, TargetPart, TeamPart
+from rattanloom.peers.protocol import HostLoad, TargetLoad, TeamLoad
+
+NAMES_MAX = 4_096
+Name = tuple[bool, str]
+Value = tuple[int, int]
+
+
+@define(eq=False)
+class LoadTeller:
+    """Numbers the names of this host's load and picks what to tell next."""
+
+    load: Callable[[], HostLoad]
+    generation: int = 1
+    _names: list[Name] = field(factory=list)
+    _numbers: dict[Name, int] = field(factory=dict)
+    _values: list[Value] = field(factory=list)
+    _told: list[Value | None] = field(factory=list)
+    _total: HostLoad = field(factory=HostLoad)
+    _turn: int = 0
+
+    def refresh(self) -> None:
+        """Read the host's load anew."""
+        self._total = self.load()
+        values: dict[Name, Value] = {
+            (False, team.team): (team.running_slots, team.queued_slots)
+            for team in self._total.teams
+        }
+        for target in self._total.targets:
+            values[True, target.target] = (target.slots, 0)
+        self._number(values)
+        self._values = [values.get(name, (0, 0)) for name in self._names]
+
+    def changes(self, budget: int) -> LoadPart:
+        """Return up to ``budget`` values: the largest changes, then the rest."""
+        changed = [
+            number
+            for number, value in enumerate(self._values)
+            if self._told[number] != value
+        ]
+        if len(changed) > budget:
+            changed.sort(key=self._change_size, reverse=True)
+        numbers = changed[:budget]
+        spare = min(budget - len(numbers), len(self._names))
+        numbers += [(self._turn + step) % len(self._names) for step in range(spare)]
+        self._turn += spare
+        for number in numbers:
+            self._told[number] = self._values[number]
+        return self._part(numbers)
+
+    def slice(self, start: int, budget: int) -> LoadPart:
+        """Return up to ``budget`` values in turn, from the given turn on."""
+        count = len(self._names)
+        numbers = [(start + step) % count for step in range(min(budget, count))]
+        return self._part(numbers)
+
+    def names(self, start: int, budget: int) -> LoadPart:
+        """Return up to ``budget`` names and values, from number ``start`` on."""
+        numbers = range(start, min(start + budget, len(self._names)))
+        return self._part(numbers, with_names=True)
+
+    @property
+    def name_count(self) -> int:
+        """Return how many names have numbers."""
+        return len(self._names)
+
+    def totals(self) -> LoadPart:
+        """Return the totals alone."""
+        return self._part(())
+
+    def _number(self, values: dict[Name, Value]) -> None:
+        new = [name for name in values if name not in self._numbers]
+        if len(self._names) + len(new) > NAMES_MAX:
+            self.generation += 1
+            self._names.clear()
+            self._numbers.clear()
+            self._told.clear()
+            new = list(values)[:NAMES_MAX]
+        for name in new:
+            self._numbers[name] = len(self._names)
+            self._names.append(name)
+            self._told.append(None)
+
+    def _change_size(self, number: int) -> int:
+        told = self._told[number]
+        if told is None:
+            return NAMES_MAX
+        running, queued = self._values[number]
+        return abs(running - told[0]) + abs(queued - told[1])
+
+    def _part(self, numbers: object, with_names: bool = False) -> LoadPart:
+        teams, targets, names = [], [], []
+        for number in dict.fromkeys(numbers):
+            is_target, name = self._names[number]
+            running, queued = self._values[number]
+            if is_target:
+                targets.append(TargetPart(number, running))
+            else:
+                teams.append(TeamPart(number, running, queued))
+            if with_names:
+                names.append(LoadName(number, is_target, name))
+        return LoadPart(
+            self.generation,
+            self._total.queued_slots,
+            self._total.running_slots,
+            tuple(teams),
+            tuple(targets),
+            tuple(names),
+        )
+
+
+@define(eq=False)
+class LoadView:
+    """The load that one incarnation of a peer told, put together again."""
+
+    generation: int = 0
+    beat: int = -1
+    lacks_names: bool = False
+    _names: dict[int, str] = field(factory=dict)
+    _teams: dict[int, Value] = field(factory=dict)
+    _targets: dict[int, int] = field(factory=dict)
+    _queued_slots: int = 0
+    _running_slots: int = 0
+
+    def merge(self, beat: int, part: LoadPart) -> None:
+        """Take in a part; parts older than the newest one are ignored."""
+        if beat < self.beat or part.generation < self.generation:
+            return
+        if part.generation > self.generation:
+            self._clear(part.generation)
+        self.beat = beat
+        self._queued_slots = part.queued_slots
+        self._running_slots = part.running_slots
+        for name in part.names:
+            if name.number < NAMES_MAX:
+                self._names[name.number] = name.name
+        for team in part.teams:
+            if self._is_named(team.number):
+                self._teams[team.number] = (team.running_slots, team.queued_slots)
+        for target in part.targets:
+            if self._is_named(target.number):
+                self._targets[target.number] = target.slots
+
+    def to_load(self) -> HostLoad:
+        """Return the load as now known; values of zero are left out."""
+        teams = tuple(
+            TeamLoad(self._names[number], *value)
+            for number, value in self._teams.items()
+            if any(value)
+        )
+        targets = tuple(
+            TargetLoad(self._names[number], slots)
+            for number, slots in self._targets.items()
+            if slots
+        )
+        return HostLoad(self._queued_slots, self._running_slots, teams, targets)
+
+    def _is_named(self, number: int) -> bool:
+        if number in self._names:
+            return True
+        self.lacks_names = True
+        return False
+
+    def _clear(self, generation: int) -> None:
+        self.generation = generation
+        self._names.clear()
+        self._teams.clear()
+        self._targets.clear()
--- /dev/null
+++ b/rattanloom/peers/membership.py
@@ -0,0 +1,347 @@
+"""What this host knows of the other entry hosts, and how it learns it.
+
+Every host numbers its heartbeats. A host is alive to us while its number
+grows, whether it tells us itself or another host passes the number on, so
+lost, doubled and reordered messages do not matter: only the greatest number
+counts. Only the monotonic clock decides time-outs.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from attrs import define, field
+
+from rattanloom.logs import get_log
+from rattanloom.peers.messages import Heartbeat, MemberRecord, ToldBeat
+from rattanloom.peers.protocol import Member, MemberState
+
+log = get_log("peers")
+
+NEVER_MS = float("-inf")
+SILENT_AFTER_BEATS = 5
+REMOTE_SILENT_AFTER_BEATS = 16
+REMOTE_BEATS_PER_MEMBER = 0.25
+PAIR_SILENT_AFTER_INTERVALS = 4
+FORGET_SILENT_AFTER_BEATS = 2_400
+FORGET_UNPROVEN_AFTER_BEATS = 64
+FORGET_CUT_OFF_AFTER_BEATS = 28_800
+FORMER_INCARNATIONS_MAX = 32
+FORMER_HOSTS_MAX = 256
+MEMBERS_MAX = 512
+REFUTATIONS_MAX = 3
+INTERVAL_MAX_MS = 600_000
+HEARING = frozenset({MemberState.LIVE, MemberState.LEAVING})
+
+
+@define(eq=False)
+class KnownMember:
+    """One other entry host: its newest incarnation, and when we heard of it.
+
+    ``direct_at_ms`` is when it last told us itself, ``fresh_at_ms`` when its
+    heartbeat number last grew by any way; ``hears_us`` is what it says.
+    ``replaced`` is the incarnation before it, until it tells us itself.
+    """
+
+    record: MemberRecord
+    beat: int = 0
+    direct_beat: int = 0
+    direct_at_ms: float = NEVER_MS
+    fresh_at_ms: float = NEVER_MS
+    interval_ms: float = 0
+    config_version: int = 0
+    leaving: bool = False
+    hears_us: bool = True
+    state: MemberState = MemberState.SILENT
+    learned_at_ms: float = NEVER_MS
+    replaced: str = ""
+
+    @property
+    def proven(self) -> bool:
+        """Say whether this incarnation was ever seen alive."""
+        return self.fresh_at_ms != NEVER_MS
+
+    def to_member(self) -> Member:
+        """Return this member as other parts see it."""
+        record = self.record
+        return Member(
+            record.host,
+            record.zone,
+            record.address,
+            record.incarnation,
+            record.started_wall_ms,
+            self.state,
+            self.config_version,
+        )
+
+
+@define(eq=False)
+class Membership:
+    """The known members, merged from heartbeats.
+
+    ``on_change(member, word)`` is called for each new state, with a short word.
+    """
+
+    own: MemberRecord
+    heartbeat_ms: float
+    on_change: Callable[[KnownMember, str], None]
+    _by_host: dict[str, KnownMember] = field(factory=dict)
+    _newcomers: dict[str, KnownMember] = field(factory=dict)
+    _by_key: dict[int, KnownMember] = field(factory=dict)
+    _former: dict[str, deque[str]] = field(factory=dict)
+    _refuted: dict[str, int] = field(factory=dict)
+
+    def known(self) -> list[KnownMember]:
+        """Return every member that was ever seen alive."""
+        return [member for member in self._by_host.values() if member.proven]
+
+    def learned(self) -> list[KnownMember]:
+        """Return every member, also those that were only introduced."""
+        return list(self._by_host.values())
+
+    def get(self, host: str) -> KnownMember | None:
+        """Return the member of that name."""
+        return self._by_host.get(host)
+
+    def by_key(self, key: int) -> KnownMember | None:
+        """Return the member whose newest incarnation has that key."""
+        return self._by_key.get(key)
+
+    def is_former(self, host: str, incarnation: str) -> bool:
+        """Say whether the host itself has shown a newer incarnation."""
+        return incarnation in self._former.get(host, ())
+
+    def introduce(self, record: MemberRecord, now_ms: float) -> MemberRecord | None:
+        """Learn of a host; it counts as alive only once its number grows.
+
+        Returns the record of a newer incarnation where one is known.
+        """
+        if record.host == self.own.host:
+            self._meet_namesake(record)
+            return None
+        known = self._by_host.get(record.host)
+        if known is None:
+            if len(self._by_host) < MEMBERS_MAX:
+                self._by_host[record.host] = self._newcomer(record, now_ms)
+            return None
+        if record.incarnation == known.record.incarnation:
+            known.record = max(known.record, record, key=_rank)
+            return None
+        if record.rank < known.record.rank:
+            return known.record
+        self._introduce_newer(record, now_ms)
+        return None
+
+    def hear(self, heartbeat: Heartbeat, now_ms: float) -> KnownMember | None:
+        """Merge a heartbeat; return its sender, or None where it is unknown."""
+        sender = self._by_key.get(heartbeat.sender)
+        if sender is not None:
+            self._hear_sender(sender, heartbeat, now_ms)
+        for told in heartbeat.told:
+            self._tell(told, now_ms)
+        return sender
+
+    def _tell(self, told: ToldBeat, now_ms: float) -> None:
+        member = self._by_key.get(told.key)
+        if member is None or told.beat <= member.beat:
+            return
+        seen_before = member.beat > 0
+        member.beat = told.beat
+        if seen_before:
+            member.fresh_at_ms = now_ms
+            member.leaving |= told.leaving
+            self._promote(member)
+
+    def forgive(self, pause_ms: float) -> None:
+        """Leave out a time in which this process itself was paused."""
+        for member in self._by_host.values():
+            member.direct_at_ms += pause_ms
+            member.fresh_at_ms += pause_ms
+            member.learned_at_ms += pause_ms
+
+    def evaluate(self, now_ms: float) -> None:
+        """Set every member's state, and forget those that are long gone."""
+        for member in [*self._by_host.values(), *self._newcomers.values()]:
+            self._forget_if_old(member, now_ms)
+        zones: dict[str, list[KnownMember]] = {}
+        for member in self.known():
+            zones.setdefault(member.record.zone, []).append(member)
+        for zone, members in zones.items():
+            self._evaluate_zone(zone, members, now_ms)
+
+    def is_fresh(self, member: KnownMember, now_ms: float) -> bool:
+        """Say whether somebody heard the member lately."""
+        return now_ms - member.fresh_at_ms <= self._silent_after_ms(member)
+
+    def hears(self, member: KnownMember, now_ms: float) -> bool:
+        """Say whether we hear the member itself, or lately met it."""
+        if member.direct_at_ms == NEVER_MS:
+            return now_ms - member.learned_at_ms <= self._pair_after_ms(member)
+        return now_ms - member.direct_at_ms <= self._pair_after_ms(member)
+
+    def _hear_sender(
+        self, sender: KnownMember, heartbeat: Heartbeat, now_ms: float
+    ) -> None:
+        if heartbeat.beat <= sender.direct_beat:
+            return
+        sender.direct_beat = heartbeat.beat
+        sender.beat = max(sender.beat, heartbeat.beat)
+        sender.direct_at_ms = now_ms
+        sender.fresh_at_ms = now_ms
+        sender.interval_ms = min(heartbeat.interval_ms, INTERVAL_MAX_MS)
+        sender.config_version = max(sender.config_version, heartbeat.config_version)
+        sender.leaving |= heartbeat.leaving
+        sender.hears_us = self.own.key not in heartbeat.unheard
+        self._promote(sender)
+        self._mark_former(sender)
+        if sender.state not in HEARING:
+            self._set_state(sender, self._direct_state(sender))
+
+    def _meet_namesake(self, record: MemberRecord) -> None:
+        """Outrank an earlier incarnation of this host whose clock was ahead."""
+        if record.incarnation == self.own.incarnation or record.rank < self.own.rank:
+            return
+        times = self._refuted.get(record.incarnation, 0)
+        if times >= REFUTATIONS_MAX or len(self._refuted) >= MEMBERS_MAX:
+            return
+        self._refuted[record.incarnation] = times + 1
+        log.warning(
+            "Another incarnation {} of this host is known; outranking it.",
+            record.incarnation,
+        )
+        self.own = MemberRecord(
+            self.own.host,
+            self.own.zone,
+            self.own.address,
+            self.own.incarnation,
+            record.started_wall_ms + 1,
+        )
+
+    def _newcomer(self, record: MemberRecord, now_ms: float) -> KnownMember:
+        member = KnownMember(record, learned_at_ms=now_ms)
+        self._by_key[record.key] = member
+        return member
+
+    def _introduce_newer(self, record: MemberRecord, now_ms: float) -> None:
+        waiting = self._newcomers.get(record.host)
+        if waiting is None:
+            self._newcomers[record.host] = self._newcomer(record, now_ms)
+        elif waiting.record.incarnation == record.incarnation:
+            waiting.record = max(waiting.record, record, key=_rank)
+        elif record.rank > waiting.record.rank:
+            del self._by_key[waiting.record.key]
+            self._newcomers[record.host] = self._newcomer(record, now_ms)
+
+    def _promote(self, member: KnownMember) -> None:
+        """Put a newer incarnation in the older one's place, once seen alive."""
+        host = member.record.host
+        if self._newcomers.get(host) is not member:
+            return
+        del self._newcomers[host]
+        old = self._by_host[host]
+        del self._by_key[old.record.key]
+        member.replaced = old.record.incarnation
+        self._by_host[host] = member
+        self.on_change(member, "restarted")
+
+    def _mark_former(self, member: KnownMember) -> None:
+        """Note that the host itself showed that an incarnation is gone."""
+        if not member.replaced:
+            return
+        host = member.record.host
+        former = self._former.setdefault(host, deque(maxlen=FORMER_INCARNATIONS_MAX))
+        former.append(member.replaced)
+        member.replaced = ""
+        if member.record.incarnation in former:
+            former.remove(member.record.incarnation)
+        if len(self._former) > FORMER_HOSTS_MAX:
+            del self._former[next(iter(self._former))]
+
+    def _forget_if_old(self, member: KnownMember, now_ms: float) -> None:
+        last_ms = max(member.fresh_at_ms, member.learned_at_ms)
+        if now_ms - last_ms <= self._forget_after_beats(member) * self.heartbeat_ms:
+            return
+        host, key = member.record.host, member.record.key
+        holder = self._newcomers if not member.proven else self._by_host
+        if holder.get(host) is not member:
+            holder = self._by_host
+        del holder[host]
+        del self._by_key[key]
+        if member.proven:
+            self.on_change(member, "forgotten")
+
+    def _forget_after_beats(self, member: KnownMember) -> int:
+        if not member.proven:
+            return FORGET_UNPROVEN_AFTER_BEATS
+        if member.state is MemberState.CUT_OFF:
+            return FORGET_CUT_OFF_AFTER_BEATS
+        return FORGET_SILENT_AFTER_BEATS
+
+    def _evaluate_zone(
+        self, zone: str, members: list[KnownMember], now_ms: float
+    ) -> None:
+        fresh = [member for member in members if self.is_fresh(member, now_ms)]
+        whole_zone_fell = not fresh and self._fell_at_once(members)
+        zone_direct_at_ms = max(member.direct_at_ms for member in members)
+        for member in members:
+            if member not in fresh:
+                state = MemberState.CUT_OFF if whole_zone_fell else MemberState.SILENT
+            elif zone == self.own.zone:
+                state = self._near_state(member, now_ms)
+            else:
+                state = self._far_state(member, zone_direct_at_ms, len(members), now_ms)
+            self._set_state(member, state)
+
+    def _near_state(self, member: KnownMember, now_ms: float) -> MemberState:
+        if now_ms - member.direct_at_ms <= self._silent_after_ms(member):
+            return self._direct_state(member)
+        lag_ms = member.fresh_at_ms - member.direct_at_ms
+        if lag_ms > self._silent_after_ms(member):
+            return MemberState.CUT_OFF
+        return MemberState.SILENT
+
+    def _far_state(
+        self,
+        member: KnownMember,
+        zone_direct_at_ms: float,
+        zone_size: int,
+        now_ms: float,
+    ) -> MemberState:
+        pair_after_ms = self._pair_after_ms(member)
+        zone_after_ms = max(pair_after_ms / zone_size, self._silent_after_ms(member))
+        zone_heard = now_ms - zone_direct_at_ms <= zone_after_ms
+        if not zone_heard or not self.hears(member, now_ms):
+            return MemberState.CUT_OFF
+        return self._direct_state(member)
+
+    def _direct_state(self, member: KnownMember) -> MemberState:
+        if not member.hears_us:
+            return MemberState.CUT_OFF
+        return MemberState.LEAVING if member.leaving else MemberState.LIVE
+
+    def _fell_at_once(self, members: Iterable[KnownMember]) -> bool:
+        times = [member.fresh_at_ms for member in members]
+        window_ms = max(self._silent_after_ms(member) for member in members)
+        return len(times) > 1 and max(times) - min(times) <= window_ms
+
+    def _silent_after_ms(self, member: KnownMember) -> float:
+        if member.record.zone == self.own.zone:
+            interval_ms = max(member.interval_ms, self.heartbeat_ms)
+            return SILENT_AFTER_BEATS * interval_ms
+        beats = REMOTE_SILENT_AFTER_BEATS + REMOTE_BEATS_PER_MEMBER * len(self._by_host)
+        return beats * self.heartbeat_ms
+
+    def _pair_after_ms(self, member: KnownMember) -> float:
+        interval_ms = max(member.interval_ms, self.heartbeat_ms)
+        return max(
+            PAIR_SILENT_AFTER_INTERVALS * interval_ms, self._silent_after_ms(member)
+        )
+
+    def _set_state(self, member: KnownMember, state: MemberState) -> None:
+        if member.state is state:
+            return
+        member.state = state
+        self.on_change(member, state.value)
+
+
+def _rank(record: MemberRecord) -> tuple[int, str]:
+    return record.rank
--- /dev/null
+++ b/tests/peer_hosts.py
@@ -0,0 +1,163 @@
+"""Starts several entry hosts' peer services in one process, over real sockets."""
+
+from contextlib import ExitStack, contextmanager
+from random import Random
+
+import gevent
+from attrs import define, field
+from gevent.event import Event
+from gevent.socket import SO_REUSEADDR, SOL_SOCKET, socket
+
+from rattanloom.clock import SystemClock
+from rattanloom.environment import Environment
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.job import JobAnswer, JobOutcome
+from rattanloom.metrics import Metrics
+from rattanloom.peers.protocol import HostLoad, MemberState
+from rattanloom.peers.service import PeerService
+from rattanloom.settings import EntrySettings, Seed
+from rattanloom.ticket import new_incarnation
+from rattanloom.timeline import TimeLine
+from rattanloom.timer import running_timers
+
+HEARTBEAT_MS = 20
+GIVE_UP_S = 20
+KEY = "0123456789abcdef"
+
+
+def free_address():
+    with socket() as probe:
+        probe.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def wait_until(condition):
+    """Wait for a condition; only a fault makes the bound matter."""
+    with gevent.Timeout(GIVE_UP_S, AssertionError(f"never true: {condition}")):
+        while not condition():
+            gevent.sleep(0.005)
+
+
+@define
+class JumpingClock(SystemClock):
+    """The machine's clock, with a wall clock set off by ``ahead_ms``."""
+
+    ahead_ms: float = 0
+
+    def wall_ms(self):
+        return super().wall_ms() + self.ahead_ms
+
+
+@define(eq=False)
+class Home:
+    """Answers forwarded requests; jobs of team ``slow`` wait for ``release``."""
+
+    seen: list = field(factory=list)
+    release: Event = field(factory=Event)
+
+    def submit_here(self, job):
+        self.seen.append(job.job_id)
+        if job.team == "slow":
+            self.release.wait()
+        return JobAnswer(job.job_id, JobOutcome.COMPLETE, (job.job_id,))
+
+    def ask_here(self, job_id, wait_ms):
+        self.seen.append(job_id)
+        return JobAnswer(job_id, JobOutcome.PENDING)
+
+    def cancel_here(self, job_id):
+        failure = Failure(ErrorKind.CANCELLED, "as asked")
+        return JobAnswer(job_id, JobOutcome.FAILED, failure=failure)
+
+
+@define(eq=False)
+class Host:
+    """One running peer service and what a test sets on it."""
+
+    service: PeerService
+    home: Home
+    seed: Seed
+    stack: ExitStack
+    load: HostLoad = HostLoad()
+    version: int = 0
+
+    @property
+    def name(self):
+        return self.seed.host
+
+    @property
+    def incarnation(self):
+        return self.service.incarnation
+
+    def state_of(self, other):
+        for member in self.service.members():
+            if member.host == other.name:
+                return member.state
+        return None
+
+    def sees(self, other, state=MemberState.LIVE):
+        return self.state_of(other) is state
+
+    def stop(self):
+        self.stack.close()
+
+
+@define(eq=False)
+class Hosts:
+    """The hosts of one test."""
+
+    running: list[Host] = field(factory=list)
+
+    def start(self, name, zone="Adum", seeds=(), address=None, ahead_ms=0):
+        address = address or free_address()
+        settings = EntrySettings(
+            host=name,
+            zone=zone,
+            http_address="127.0.0.1:1",
+            peer_address=address,
+            platform_address="127.0.0.1:1",
+            ticket_key=KEY,
+            seeds=tuple(seed.seed for seed in seeds),
+            heartbeat_ms=HEARTBEAT_MS,
+        )
+        stack = ExitStack()
+        timers = stack.enter_context(running_timers())
+        clock = JumpingClock(ahead_ms)
+        service = PeerService(
+            settings,
+            Environment(clock=clock, random=Random(name)),
+            timers,
+            TimeLine(name, clock),
+            new_incarnation(),
+            lambda: host.load,
+            lambda: host.version,
+            lambda version: f"document {host.version}",
+            Metrics(),
+        )
+        host = Host(service, Home(), Seed(name, zone, address), stack)
+        stack.enter_context(service.serve(host.home))
+        self.running.append(host)
+        return host
+
+    def start_zone(self, zone, count, seeds=()):
+        hosts = []
+        for number in range(count):
+            hosts.append(self.start(f"{zone}-{number}", zone, (*seeds, *hosts[:1])))
+        return hosts
+
+    def wait_all_live(self):
+        for host in self.running:
+            for other in self.running:
+                if other is not host:
+                    wait_until(lambda a=host, b=other: a.sees(b))
+
+
+@contextmanager
+def some_hosts():
+    hosts = Hosts()
+    try:
+        yield hosts
+    finally:
+        for host in hosts.running:
+            host.stop()
