Admit whole jobs, queue them fairly and share quotas between hosts

Teams share slots by virtual time charged with learned run times; within a team the order is by equal stretch, so short jobs pass the later tasks of long ones. Quotas are divided by max-min fairness over the loads that ride on heartbeats.

--- /dev/null
+++ b/rattanloom/admission.py
@@ -0,0 +1,338 @@
+"""Admission: which jobs are accepted, and in which order their tasks run.
+
+A job is admitted whole or refused at once, before any of its tasks has
+started. Refusals say when to come back.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+from attrs import define, field
+
+from rattanloom.environment import Environment
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.fair_queue import Entry, FairQueue
+from rattanloom.job import Job, Task
+from rattanloom.metrics import Metrics
+from rattanloom.peers.protocol import HostLoad, Peers, TeamLoad
+from rattanloom.queue import Capacity, QueuedTask
+from rattanloom.quota import PeerView, QuotaShares, view_peers
+from rattanloom.refusals import refusal_by_rules, refusal_by_size
+from rattanloom.rules import Rules, TeamRule
+from rattanloom.run_times import RunTimes
+from rattanloom.shedding import ReturnHints, ServiceRate, drain_ms
+from rattanloom.timeline import TimeLine
+from rattanloom.timer import TimerService
+
+TICK_MS = 20.0
+QUOTA_REFRESH_MS = 100.0
+QUEUE_TASKS_MAX = 20_000
+STRETCH = 4.0
+HOPELESS_FACTOR = 0.5
+
+
+@define(eq=False)
+class RunningTask:
+    """A task that was taken: its entry, and since when it occupies slots."""
+
+    entry: Entry
+    taken_at_ms: float
+
+
+@define(eq=False)
+class Admission:
+    """Admits jobs, queues their tasks and hands them out in fair order.
+
+    ``rules()`` and ``capacity()`` are asked at every decision. A taken task
+    ends in exactly one ``finished`` or ``put_back``.
+    """
+
+    environment: Environment
+    time_line: TimeLine
+    rules: Callable[[], Rules | None]
+    capacity: Callable[[], Capacity]
+    metrics: Metrics
+    run_times: RunTimes = field(factory=RunTimes)
+    _peers: Peers | None = None
+    _queue: FairQueue = field(init=False)
+    _quotas: QuotaShares = field(init=False)
+    _hints: ReturnHints = field(init=False)
+    _rate: ServiceRate = field(factory=ServiceRate)
+    _running: dict[int, RunningTask] = field(factory=dict)
+    _running_slots: dict[str, int] = field(factory=lambda: defaultdict(int))
+    _running_total_slots: int = 0
+    _quota_refreshed_ms: float = float("-inf")
+    _ready_callbacks: list[Callable[[], None]] = field(factory=list)
+    _overdue_callbacks: list[Callable[[QueuedTask], None]] = field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self._queue = FairQueue(self._weight)
+        self._quotas = QuotaShares(self.time_line.process)
+        self._hints = ReturnHints(self.environment.random)
+
+    def start(self, peers: Peers, timers: TimerService) -> None:
+        """Begin to follow the peers' loads and to give up overdue tasks."""
+        self._peers = peers
+        timers.subscribe("admission", TICK_MS, self.tick)
+
+    def on_ready(self, callback: Callable[[], None]) -> None:
+        """Call ``callback()`` whenever ``take`` may have something new.
+
+        That is after tasks were put, slots were released or a quota share
+        grew. The callback must not block.
+        """
+        self._ready_callbacks.append(callback)
+
+    def on_overdue(self, callback: Callable[[QueuedTask], None]) -> None:
+        """Call ``callback(task)`` for a task dropped as hopelessly late.
+
+        The task has left the queue and was not started in this attempt; its
+        job should be answered at once. The callback must not block.
+        """
+        self._overdue_callbacks.append(callback)
+
+    def admit(self, job: Job, deadline_at_ms: float) -> Failure | None:
+        """Return None if the job may be put, or why it is refused.
+
+        A refusal means that nothing of the job was started or queued.
+        """
+        started_ms = self.environment.clock.now_ms()
+        failure = self._refusal(job, deadline_at_ms)
+        if failure is None:
+            self.metrics.count("jobs_admitted")
+        else:
+            self.metrics.count("jobs_refused", failure.kind.value)
+        self.metrics.observe("admit", self.environment.clock.now_ms() - started_ms)
+        return failure
+
+    def put(self, tasks: Iterable[QueuedTask]) -> None:
+        """Queue the tasks of one admitted job."""
+        before_slot_ms = 0.0
+        slots = self._slots()
+        for queued in tasks:
+            run_ms = self.run_times.estimate_ms(queued.task)
+            before_slot_ms += run_ms * queued.task.size_slots
+            ideal_ms = max(run_ms, before_slot_ms / slots)
+            self._queue.put(self._entry(queued, run_ms, STRETCH * ideal_ms))
+        self._tell_ready()
+
+    def put_back(self, queued: QueuedTask) -> None:
+        """Return a taken task that was not started to the front of its team."""
+        running = self._release(queued)
+        if running is None:
+            return
+        run_ms = running.entry.cost_slot_ms / queued.task.size_slots
+        self._queue.put_back(self._entry(queued, run_ms, 0.0))
+        self._tell_ready()
+
+    def take(self, can_place: Callable[[QueuedTask], bool]) -> QueuedTask | None:
+        """Return the next task in fair order that has a place, or None.
+
+        Its slots count as occupied until ``finished`` or ``put_back``.
+        ``can_place`` must not block.
+        """
+        entry = self._queue.take(self._within_quota, can_place)
+        if entry is None:
+            return None
+        now_ms = self.environment.clock.now_ms()
+        self._running[id(entry.queued)] = RunningTask(entry, now_ms)
+        self._running_slots[entry.team] += entry.size_slots
+        self._running_total_slots += entry.size_slots
+        self.metrics.observe("queue_wait", now_ms - entry.queued.queued_at_ms)
+        return entry.queued
+
+    def finished(self, queued: QueuedTask, run_ms: float | None) -> None:
+        """Release a taken task's slots.
+
+        ``run_ms`` is its measured run time, 0 or None where it did not run to
+        its end; only then is nothing learned from it.
+        """
+        running = self._release(queued)
+        if running is None:
+            return
+        held_ms = self.environment.clock.now_ms() - running.taken_at_ms
+        self._queue.correct(running.entry, held_ms * queued.task.size_slots)
+        if run_ms:
+            self.run_times.learn(queued.task, held_ms)
+        self._tell_ready()
+
+    def withdraw(self, job_id: str) -> list[QueuedTask]:
+        """Take a job's waiting tasks out of the queue and return them."""
+        return self._queue.withdraw(job_id)
+
+    def load(self) -> HostLoad:
+        """Return this host's load, by team; the targets are not filled in."""
+        waiting = self._queue.waiting_teams()
+        names = sorted({*waiting, *self._running_slots})
+        return HostLoad(
+            queued_slots=self._queue.slots,
+            running_slots=self._running_total_slots,
+            teams=tuple(
+                TeamLoad(name, self._running_slots.get(name, 0), self._queued(name))
+                for name in names
+            ),
+        )
+
+    def tick(self) -> None:
+        """Give up overdue tasks, sample the load and follow the peers' loads."""
+        now_ms = self.environment.clock.now_ms()
+        self._rate.sample(self._running_total_slots, self._queue.slots)
+        for entry in self._queue.pop_overdue(now_ms):
+            self.metrics.count("tasks_overdue")
+            for callback in self._overdue_callbacks:
+                callback(entry.queued)
+        if now_ms - self._quota_refreshed_ms >= QUOTA_REFRESH_MS:
+            self._quota_refreshed_ms = now_ms
+            self._refresh_quotas(now_ms)
+
+    def _refusal(self, job: Job, deadline_at_ms: float) -> Failure | None:
+        rules = self.rules()
+        if rules is None:
+            return Failure(
+                ErrorKind.NO_CONFIGURATION,
+                "this entry host has no configuration yet; come back later",
+            )
+        return (
+            refusal_by_rules(job, rules)
+            or refusal_by_size(job, self.capacity())
+            or self._refusal_by_queue(job, rules.teams[job.team])
+            or self._refusal_by_time(job, rules.teams[job.team], deadline_at_ms)
+        )
+
+    def _refusal_by_queue(self, job: Job, rule: TeamRule) -> Failure | None:
+        team = self._queue.team(job.team)
+        if team.tasks and team.tasks + len(job.tasks) > rule.queue_max:
+            return self._come_back(
+                job,
+                ErrorKind.QUOTA_EXCEEDED,
+                f"team {job.team} already has {team.tasks} tasks waiting here",
+            )
+        if self._queue.tasks + len(job.tasks) > QUEUE_TASKS_MAX:
+            return self._come_back(
+                job, ErrorKind.OVERLOADED, f"{self._queue.tasks} tasks wait here"
+            )
+        return None
+
+    def _refusal_by_time(
+        self, job: Job, rule: TeamRule, deadline_at_ms: float
+    ) -> Failure | None:
+        left_ms = deadline_at_ms - self.environment.clock.now_ms()
+        longest_ms, work_slot_ms = self._work(job.tasks)
+        slots = self._slots()
+        team_slots = self._team_slots(job.team, rule, slots)
+        ahead_slot_ms = self._queue.work_slot_ms + self._running_left_slot_ms()
+        team_ahead_slot_ms = self._queue.team(job.team).work_slot_ms
+        wait_ms = min(
+            drain_ms(ahead_slot_ms + work_slot_ms, slots),
+            drain_ms(team_ahead_slot_ms + work_slot_ms, team_slots),
+        )
+        quota_wait_ms = self._quota_wait_ms(job.team, rule, work_slot_ms)
+        need_ms = max(longest_ms, wait_ms, quota_wait_ms)
+        if self._queue.tasks:
+            need_ms = max(need_ms, wait_ms + longest_ms)
+        if need_ms <= left_ms:
+            return None
+        kind = ErrorKind.DEADLINE_UNREACHABLE
+        if quota_wait_ms > left_ms >= wait_ms:
+            kind = ErrorKind.QUOTA_EXCEEDED
+        return self._come_back(
+            job, kind, f"needs about {need_ms:.0f} ms and has {left_ms:.0f} ms"
+        )
+
+    def _work(self, tasks: Iterable[Task]) -> tuple[float, float]:
+        longest_ms = work_slot_ms = 0.0
+        for task in tasks:
+            run_ms = self.run_times.estimate_ms(task)
+            longest_ms = max(longest_ms, run_ms)
+            work_slot_ms += run_ms * task.size_slots
+        return longest_ms, work_slot_ms
+
+    def _running_left_slot_ms(self) -> float:
+        if not self._queue.tasks:
+            return 0.0
+        mean_slot_ms = self._queue.work_slot_ms / self._queue.tasks
+        return len(self._running) * mean_slot_ms / 2
+
+    def _team_slots(self, name: str, rule: TeamRule, slots: float) -> float:
+        weights = sum(
+            team.weight
+            for other, team in self._queue.waiting_teams().items()
+            if other != name
+        )
+        return slots * rule.weight / (weights + rule.weight)
+
+    def _quota_wait_ms(self, name: str, rule: TeamRule, work_slot_ms: float) -> float:
+        running_slots = self._running_slots.get(name, 0)
+        share = self._quotas.share(name, rule.quota_slots)
+        slots = max(1, share.allowed_slots)
+        ahead_slot_ms = self._queue.team(name).work_slot_ms
+        if not ahead_slot_ms and running_slots < slots:
+            return 0.0
+        return drain_ms(ahead_slot_ms + work_slot_ms, slots)
+
+    def _come_back(self, job: Job, kind: ErrorKind, reason: str) -> Failure:
+        _, work_slot_ms = self._work(job.tasks)
+        slots = self._slots()
+        hint_ms = self._hints.hint_ms(
+            work_slot_ms,
+            drain_ms(self._queue.work_slot_ms, slots),
+            slots,
+            self.environment.clock.now_ms(),
+        )
+        return Failure(kind, f"{reason}; come back in {hint_ms} ms", hint_ms)
+
+    def _slots(self) -> float:
+        return self._rate.slots(self.capacity().share_slots)
+
+    def _weight(self, team: str) -> float:
+        rule = self._team_rule(team)
+        return float(rule.weight) if rule else 1.0
+
+    def _team_rule(self, team: str) -> TeamRule | None:
+        rules = self.rules()
+        return rules.teams.get(team) if rules else None
+
+    def _within_quota(self, team: str, size_slots: int) -> bool:
+        rule = self._team_rule(team)
+        if rule is None:
+            return True
+        share = self._quotas.share(team, rule.quota_slots)
+        return share.permits(self._running_slots.get(team, 0), size_slots)
+
+    def _entry(self, queued: QueuedTask, run_ms: float, stretch_ms: float) -> Entry:
+        latest_ms = queued.deadline_at_ms - HOPELESS_FACTOR * run_ms
+        tag_ms = min(queued.queued_at_ms + stretch_ms, latest_ms - run_ms)
+        return Entry(queued, tag_ms, run_ms * queued.task.size_slots, latest_ms)
+
+    def _release(self, queued: QueuedTask) -> RunningTask | None:
+        running = self._running.pop(id(queued), None)
+        if running is None:
+            return None
+        entry = running.entry
+        self._running_total_slots -= entry.size_slots
+        self._running_slots[entry.team] -= entry.size_slots
+        if not self._running_slots[entry.team]:
+            del self._running_slots[entry.team]
+        return running
+
+    def _queued(self, team: str) -> int:
+        return self._queue.team(team).slots
+
+    def _refresh_quotas(self, now_ms: float) -> None:
+        if self._peers is None:
+            view = PeerView()
+        else:
+            view = view_peers(self._peers.members(), self._peers.loads())
+        demands = {}
+        for name in {*self._queue.waiting_teams(), *self._running_slots}:
+            rule = self._team_rule(name)
+            if rule is not None:
+                wanted_slots = self._running_slots.get(name, 0) + self._queued(name)
+                demands[name] = (rule.quota_slots, wanted_slots)
+        self._quotas.refresh(view, demands, now_ms)
+        self._tell_ready()
+
+    def _tell_ready(self) -> None:
+        if self._queue.tasks:
+            for callback in self._ready_callbacks:
+                callback()
--- /dev/null
+++ b/rattanloom/quota.py
@@ -0,0 +1,172 @@
+"""Team quotas over all entry hosts, without asking anyone for each request.
+
+Every host works out alone how many slots it may occupy for a team, from the
+loads that ride on its peers' heartbeats:
+
+* its *base share*, the quota divided over all known hosts, is always its own,
+  so that a host or zone that is cut off goes on with what it may use alone;
+* beyond it, unused quota is divided by max-min fairness over the demands told.
+  A larger allowance counts only once it has held for ``SETTLE_MS``, a smaller
+  one at once, so that hosts that start together see each other first;
+* the base shares of hosts that are not heard stay set aside.
+
+With n hosts and quota q, hosts that wake while others hold what they lent
+exceed q by less than q * (n - 1) / n, plus one task a host where the base share
+is below a task's size, until the lent slots' tasks have ended.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from zlib import crc32
+
+from attrs import define, field
+
+from rattanloom.peers.protocol import HostLoad, Member, MemberState
+
+SETTLE_MS = 600.0
+UNHEARD_STATES = (MemberState.SILENT, MemberState.CUT_OFF)
+
+
+@define(eq=False)
+class TeamShare:
+    """What this host may occupy for one team, in slots.
+
+    ``rising_slots`` is the larger allowance that waits to settle and
+    ``others_running_slots`` what the peers said they occupy.
+    """
+
+    quota_slots: int
+    base_slots: int
+    allowed_slots: int
+    rising_slots: int = 0
+    rising_since_ms: float = 0.0
+    others_running_slots: int = 0
+
+    def settle(self, target_slots: int, now_ms: float) -> None:
+        """Move towards ``target_slots``: down at once, up after a while."""
+        if target_slots <= self.allowed_slots:
+            self.allowed_slots = target_slots
+            self.rising_slots = 0
+            return
+        if not self.rising_slots:
+            self.rising_since_ms = now_ms
+            self.rising_slots = target_slots
+        self.rising_slots = min(self.rising_slots, target_slots)
+        if now_ms - self.rising_since_ms >= SETTLE_MS:
+            self.allowed_slots = self.rising_slots
+            self.rising_slots = 0
+
+    def permits(self, running_slots: int, size_slots: int) -> bool:
+        """Return whether a task may start beside ``running_slots`` here."""
+        wanted_slots = running_slots + size_slots
+        if wanted_slots <= self.allowed_slots:
+            return True
+        alone = running_slots == 0
+        return alone and self.others_running_slots + size_slots <= self.quota_slots
+
+
+@define(eq=False)
+class PeerView:
+    """The peers as last told: their demands by team, and who is not heard."""
+
+    hosts: list[str] = field(factory=list)
+    unheard: list[str] = field(factory=list)
+    loads: dict[str, HostLoad] = field(factory=dict)
+    demands: dict[str, dict[str, int]] = field(factory=lambda: defaultdict(dict))
+    running: dict[str, int] = field(factory=lambda: defaultdict(int))
+
+
+def view_peers(members: Iterable[Member], loads: dict[str, HostLoad]) -> PeerView:
+    """Sort what the peers told by team."""
+    view = PeerView(loads=loads)
+    for member in members:
+        if member.state is not MemberState.LEAVING:
+            view.hosts.append(member.host)
+        if member.state in UNHEARD_STATES:
+            view.unheard.append(member.host)
+    for host, load in loads.items():
+        for team in load.teams:
+            view.demands[team.team][host] = team.running_slots + team.queued_slots
+            view.running[team.team] += team.running_slots
+    return view
+
+
+def base_share(team: str, quota_slots: int, host: str, hosts: list[str]) -> int:
+    """Return one host's part of a quota; all hosts' parts add up to it.
+
+    What does not divide evenly goes to hosts that differ from team to team.
+    """
+    everyone = sorted(
+        {host, *hosts}, key=lambda name: (crc32(f"{team}/{name}".encode()), name)
+    )
+    part_slots, rest_slots = divmod(quota_slots, len(everyone))
+    return part_slots + (everyone.index(host) < rest_slots)
+
+
+def fair_part(wanted_slots: int, others: Iterable[int], total_slots: int) -> int:
+    """Return what max-min fairness gives one demand out of ``total_slots``."""
+    left_slots = total_slots
+    demands = sorted(others)
+    for index, demand_slots in enumerate(demands):
+        level_slots = left_slots // (len(demands) - index + 1)
+        if demand_slots >= level_slots:
+            return min(wanted_slots, level_slots)
+        if wanted_slots <= demand_slots:
+            return wanted_slots
+        left_slots -= demand_slots
+    return max(0, min(wanted_slots, left_slots))
+
+
+@define(eq=False)
+class QuotaShares:
+    """The parts of the teams' quotas that this host may use."""
+
+    host: str
+    _view: PeerView = field(factory=PeerView)
+    _shares: dict[str, TeamShare] = field(factory=dict)
+
+    def refresh(
+        self, view: PeerView, demands: dict[str, tuple[int, int]], now_ms: float
+    ) -> None:
+        """Work the shares out anew.
+
+        ``demands`` holds, for each team active here, its quota and the slots
+        it wants here. The shares of other teams are forgotten.
+        """
+        self._view = view
+        shares = self._shares
+        self._shares = {}
+        for team, (quota_slots, wanted_slots) in demands.items():
+            share = shares.get(team)
+            if share is None or share.quota_slots != quota_slots:
+                share = self._new_share(team, quota_slots)
+            self._shares[team] = share
+            self._refresh_team(share, team, wanted_slots, now_ms)
+
+    def share(self, team: str, quota_slots: int) -> TeamShare:
+        """Return a team's share; its base share where it was not active."""
+        share = self._shares.get(team)
+        if share is None or share.quota_slots != quota_slots:
+            share = self._shares[team] = self._new_share(team, quota_slots)
+        return share
+
+    def _new_share(self, team: str, quota_slots: int) -> TeamShare:
+        base_slots = base_share(team, quota_slots, self.host, self._view.hosts)
+        share = TeamShare(quota_slots, base_slots, base_slots)
+        share.others_running_slots = self._view.running.get(team, 0)
+        return share
+
+    def _refresh_team(
+        self, share: TeamShare, team: str, wanted_slots: int, now_ms: float
+    ) -> None:
+        view = self._view
+        quota_slots = share.quota_slots
+        share.base_slots = base_share(team, quota_slots, self.host, view.hosts)
+        share.others_running_slots = view.running.get(team, 0)
+        set_aside_slots = sum(
+            base_share(team, quota_slots, host, [self.host, *view.hosts])
+            for host in view.unheard
+        )
+        others = view.demands.get(team, {}).values()
+        part_slots = fair_part(wanted_slots, others, quota_slots - set_aside_slots)
+        share.settle(max(share.base_slots, part_slots), now_ms)
--- /dev/null
+++ b/rattanloom/run_times.py
@@ -0,0 +1,76 @@
+"""Learned run times: how long tasks of one kind occupy their slots.
+
+Declared run times may be far off. For each kind two predictors compete, the
+mean of what was measured and the declared time scaled by a learned ratio; the
+one with the smaller error so far is used. Memory is one small record a kind.
+"""
+
+from collections import OrderedDict
+
+from attrs import define, field
+
+from rattanloom.job import Task
+
+KINDS_MAX = 256
+GAIN = 0.1
+OUTLIER_FACTOR = 4.0
+SHORTEST_MS = 1.0
+
+
+@define(eq=False)
+class KindRunTime:
+    """The two predictors of one kind, and the mean error of each, in ms."""
+
+    mean_ms: float
+    ratio: float
+    mean_error_ms: float = 0.0
+    ratio_error_ms: float = 0.0
+
+    def estimate_ms(self, declared_ms: float) -> float:
+        """Return the expected occupancy of a task declared that long."""
+        if self.ratio_error_ms < self.mean_error_ms:
+            return max(SHORTEST_MS, declared_ms * self.ratio)
+        return max(SHORTEST_MS, self.mean_ms)
+
+    def learn(self, declared_ms: float, measured_ms: float) -> None:
+        """Move both predictors towards one measurement, outliers clipped."""
+        by_ratio_ms = declared_ms * self.ratio
+        self.mean_error_ms += GAIN * (
+            abs(measured_ms - self.mean_ms) - self.mean_error_ms
+        )
+        self.ratio_error_ms += GAIN * (
+            abs(measured_ms - by_ratio_ms) - self.ratio_error_ms
+        )
+        self.mean_ms += GAIN * (_clip(measured_ms, self.mean_ms) - self.mean_ms)
+        clipped_ms = _clip(measured_ms, by_ratio_ms)
+        self.ratio += GAIN * (clipped_ms / declared_ms - self.ratio)
+
+
+def _clip(value: float, around: float) -> float:
+    return min(max(value, around / OUTLIER_FACTOR), around * OUTLIER_FACTOR)
+
+
+@define(eq=False)
+class RunTimes:
+    """Learned run times by kind; the least recently learned kind is dropped."""
+
+    _kinds: OrderedDict[str, KindRunTime] = field(factory=OrderedDict)
+
+    def estimate_ms(self, task: Task) -> float:
+        """Return how long the task is expected to occupy its slots."""
+        known = self._kinds.get(task.kind)
+        declared_ms = max(SHORTEST_MS, float(task.run_ms))
+        return known.estimate_ms(declared_ms) if known else declared_ms
+
+    def learn(self, task: Task, measured_ms: float) -> None:
+        """Take in how long a task that ran to its end occupied its slots."""
+        declared_ms = max(SHORTEST_MS, float(task.run_ms))
+        measured_ms = max(SHORTEST_MS, measured_ms)
+        known = self._kinds.get(task.kind)
+        if known is None:
+            self._kinds[task.kind] = KindRunTime(measured_ms, measured_ms / declared_ms)
+            if len(self._kinds) > KINDS_MAX:
+                self._kinds.popitem(last=False)
+            return
+        known.learn(declared_ms, measured_ms)
+        self._kinds.move_to_end(task.kind)
