--- a/rattanloom/callers/api.py
+++ b/rattanloom/callers/api.py
@@ -64,7 +64,11 @@
         body = parse_body(raw or b"{}", TicketsBody)
         if isinstance(body, Failure):
             return failure_response(body)
-        return json_response({"tickets": list(self.jobs.mint_tickets(body.count))})
+        tickets = self.jobs.mint_tickets(body.count)
+        if not tickets:
+            leaving = Failure(ErrorKind.LEAVING, "this entry host is leaving")
+            return failure_response(leaving)
+        return json_response({"tickets": list(tickets)})
 
     def post_job(self) -> HTTPResponse:
         """Submit a job, or resubmit one, and wait for its answer."""
--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -141,6 +141,7 @@
         peers,
         claims,
         metrics,
+        configuration.rules,
     )
     state = HostState()
     pages = OperatorPages(
