Bind keys to tickets in shared writes and age claims out without wall clocks

A refused or doubtful claim keeps its ticket good beyond its epochs, so that a write which takes effect late neither blocks nor doubles the key. An unreachable table is told as may-have-run: an earlier submission of the key may have started, which this host cannot know.

--- /dev/null
+++ b/rattanloom/claim_ageing.py
@@ -0,0 +1,114 @@
+"""How claims age out of the platform's table, without trusting a wall clock.
+
+The row ``claim/age`` counts generations. A process raises it by one after it
+saw the same generation for ``GENERATION_MS`` on its own monotonic clock. Each
+batch of claims adds one index row ``claim/i/<generation>/<batch>`` that names
+its claims; both are deleted together ``KEPT_GENERATIONS`` later, found by
+scanning the oldest index rows only.
+"""
+
+from collections.abc import Sequence
+
+from attrs import define, field
+
+from rattanloom.environment import Environment
+from rattanloom.errors import Failure
+from rattanloom.logs import get_log
+from rattanloom.platform.protocol import (
+    ABSENT,
+    Change,
+    Committed,
+    Row,
+    Table,
+)
+from rattanloom.timer import TimerService
+
+log = get_log("claims")
+
+AGE_KEY = "claim/age"
+INDEX_PREFIX = "claim/i/"
+GENERATION_DIGITS = 10
+GENERATION_MS = 3_600_000
+KEPT_GENERATIONS = 24
+POLL_MS = 60_000
+FRESH_MS = 600_000
+DELETED_PER_POLL_BATCHES = 20
+FIRST_VERSION = 1
+SEPARATOR = " "
+
+
+def index_change(generation: int, batch_name: str, keys: Sequence[str]) -> Change:
+    """Return the insert of the index row of one batch of claims."""
+    key = f"{INDEX_PREFIX}{generation:0{GENERATION_DIGITS}d}/{batch_name}"
+    return Change(key, ABSENT, SEPARATOR.join(keys))
+
+
+def generation_of(index_row: Row) -> int:
+    """Return the generation that an index row belongs to."""
+    return int(index_row.key.removeprefix(INDEX_PREFIX).split("/")[0])
+
+
+@define(eq=False)
+class ClaimAgeing:
+    """The generation of claims as last read, and the deletion of old ones."""
+
+    environment: Environment
+    table: Table
+    _row: Row = field(default=Row(AGE_KEY, ABSENT, "0"), init=False)
+    _same_since_ms: float = field(default=0.0, init=False)
+    _read_at_ms: float | None = field(default=None, init=False)
+
+    def start(self, timers: TimerService) -> None:
+        """Poll the generation and delete old claims from now on."""
+        timers.subscribe("claim ageing", POLL_MS, self.poll)
+
+    def generation(self) -> int | Failure:
+        """Return the generation, read again if it was read too long ago."""
+        now_ms = self.environment.clock.now_ms()
+        if self._read_at_ms is None or now_ms - self._read_at_ms > FRESH_MS:
+            failure = self._read()
+            if failure is not None:
+                return failure
+        return int(self._row.value)
+
+    def poll(self) -> None:
+        """Raise the generation if it is due, and delete what is too old."""
+        if self._read() is not None:
+            return
+        self._raise_if_due()
+        self._delete_old()
+
+    def _read(self) -> Failure | None:
+        asked_at_ms = self.environment.clock.now_ms()
+        rows = self.table.read([AGE_KEY])
+        if isinstance(rows, Failure):
+            return rows
+        row = rows[0] if rows else Row(AGE_KEY, ABSENT, "0")
+        if self._read_at_ms is None or row != self._row:
+            self._row = row
+            self._same_since_ms = self.environment.clock.now_ms()
+        self._read_at_ms = asked_at_ms
+        return None
+
+    def _raise_if_due(self) -> None:
+        if self.environment.clock.now_ms() - self._same_since_ms < GENERATION_MS:
+            return
+        raised = str(int(self._row.value) + 1)
+        self.table.transact([Change(AGE_KEY, self._row.version, raised)])
+
+    def _delete_old(self) -> None:
+        index_rows = self.table.scan(INDEX_PREFIX, DELETED_PER_POLL_BATCHES)
+        if isinstance(index_rows, Failure):
+            return
+        for index_row in index_rows:
+            if generation_of(index_row) + KEPT_GENERATIONS >= int(self._row.value):
+                return
+            if not self._delete(index_row):
+                return
+
+    def _delete(self, index_row: Row) -> bool:
+        """Delete a batch whole; its index row bars a second, late deletion."""
+        keys = [index_row.key, *index_row.value.split(SEPARATOR)]
+        changes = [Change(key, FIRST_VERSION, None) for key in keys]
+        deleted = self.table.transact(changes)
+        return isinstance(deleted, Committed)
--- a/rattanloom/claims.py
+++ b/rattanloom/claims.py
@@ -3,16 +3,19 @@
 A row ``claim/k/<hash of team and key>`` is inserted, on condition that it does
 not exist, before anything of the job starts. Its value names the ticket and
 the digest of the job's content; whoever loses the insert reads the winner's
-ticket. Inserts of one host are batched: one write is in flight at a time.
+ticket. Inserts of one host are batched: one write is in flight at a time, and
+the hosts together stay below ``WRITES_PER_S``.
 """
 
-from collections.abc import Sequence
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
 from hashlib import blake2b
 
 import gevent
 from attrs import define, field, frozen
 from gevent.event import AsyncResult
 
+from rattanloom.claim_ageing import ClaimAgeing, index_change
 from rattanloom.clock import MS_PER_S
 from rattanloom.environment import Environment
 from rattanloom.errors import ErrorKind, Failure, Ran
@@ -27,15 +30,18 @@
 )
 from rattanloom.settings import EntrySettings
 from rattanloom.ticket import TicketMint
+from rattanloom.timer import TimerService
 
 log = get_log("claims")
 
 KEY_PREFIX = "claim/k/"
 HASH_BYTES = 16
 BATCH_MAX_CLAIMS = 100
-BATCH_INTERVAL_MS = 50
+WRITES_PER_S = 200
 WAITING_MAX_CLAIMS = 5_000
-WRITE_ATTEMPTS_MAX = 3
+LOST_REPLIES_MAX = 3
+REMEMBERED_MAX_CLAIMS = 4_000
+REMEMBERED_MS = 3_600_000
 SEPARATOR = " "
 
 Outcome = str | Failure
@@ -55,6 +61,12 @@
         return f"{self.ticket}{SEPARATOR}{self.digest}"
 
 
+@frozen
+class _Remembered:
+    row: Row
+    until_ms: float
+
+
 @define(eq=False)
 class _Waiting:
     claim: Claim
@@ -64,10 +76,14 @@
 def row_key_of(team: str, key: str) -> str:
     """Return the table key of a caller's key; teams do not share keys."""
     text = f"{len(team)}:{team}{key}"
-    digest = blake2b(text.encode(errors="replace"), digest_size=HASH_BYTES)
+    digest = blake2b(text.encode(errors="surrogatepass"), digest_size=HASH_BYTES)
     return f"{KEY_PREFIX}{digest.hexdigest()}"
 
 
+def _one_host() -> int:
+    return 1
+
+
 @define(eq=False)
 class Claims:
     """Binds keys to tickets; the claims of one host share its writes."""
@@ -76,22 +92,61 @@
     environment: Environment
     table: Table
     mint: TicketMint
+    hosts: Callable[[], int] = _one_host
+    ageing: ClaimAgeing = field(init=False)
     _waiting: list[_Waiting] = field(factory=list, init=False)
     _writer: gevent.Greenlet | None = field(default=None, init=False)
+    _remembered: OrderedDict[str, _Remembered] = field(factory=OrderedDict, init=False)
+    _batches: int = field(default=0, init=False)
 
-    def claim(self, team: str, key: str, digest: bytes, ticket: str) -> Outcome:
+    def __attrs_post_init__(self) -> None:
+        self.ageing = ClaimAgeing(self.environment, self.table)
+
+    def start(self, timers: TimerService, hosts: Callable[[], int]) -> None:
+        """Begin to age claims out; ``hosts`` counts the live entry hosts."""
+        self.hosts = hosts
+        self.ageing.start(timers)
+
+    def claim(
+        self, team: str, key: str, digest: bytes, ticket: str, within_ms: float
+    ) -> Outcome:
         """Return the ticket bound to the key, whoever bound it.
 
-        Failures: KEY_REUSED, OVERLOADED, PLATFORM_UNREACHABLE.
+        Failures: KEY_REUSED, OVERLOADED, PLATFORM_UNREACHABLE. After the last,
+        the key may still become bound to ``ticket``.
         """
+        claim = Claim(row_key_of(team, key), ticket, digest.hex())
+        remembered = self._remembered_row(claim.row_key)
+        if remembered is not None:
+            return _bound_ticket(remembered, claim)
         if len(self._waiting) >= WAITING_MAX_CLAIMS:
             return Failure(
-                ErrorKind.OVERLOADED, "too many keys wait to be claimed; come back"
+                ErrorKind.OVERLOADED,
+                "too many keys wait to be claimed; resubmit with the same key",
+                ran=Ran.MAY_HAVE_RUN,
             )
-        waiting = _Waiting(Claim(row_key_of(team, key), ticket, digest.hex()))
+        waiting = _Waiting(claim)
         self._waiting.append(waiting)
         self._wake_writer()
-        return waiting.result.get()
+        try:
+            return waiting.result.get(timeout=max(0.0, within_ms) / MS_PER_S)
+        except gevent.Timeout:
+            return _unreachable()
+
+    def _remembered_row(self, row_key: str) -> Row | None:
+        remembered = self._remembered.get(row_key)
+        if remembered is None:
+            return None
+        if remembered.until_ms <= self.environment.clock.now_ms():
+            del self._remembered[row_key]
+            return None
+        return remembered.row
+
+    def _remember(self, row: Row) -> None:
+        until_ms = self.environment.clock.now_ms() + REMEMBERED_MS
+        self._remembered[row.key] = _Remembered(row, until_ms)
+        if len(self._remembered) > REMEMBERED_MAX_CLAIMS:
+            self._remembered.popitem(last=False)
 
     def _wake_writer(self) -> None:
         if self._writer is None or self._writer.dead:
@@ -106,7 +161,8 @@
             finally:
                 _answer_rest(batch)
             spent_ms = self.environment.clock.now_ms() - started_ms
-            gevent.sleep(max(0.0, BATCH_INTERVAL_MS - spent_ms) / MS_PER_S)
+            interval_ms = MS_PER_S * self.hosts() / WRITES_PER_S
+            gevent.sleep(max(0.0, interval_ms - spent_ms) / MS_PER_S)
 
     def _take_batch(self) -> dict[str, list[_Waiting]]:
         taken = self._waiting[:BATCH_MAX_CLAIMS]
@@ -118,25 +174,38 @@
 
     def _settle(self, batch: dict[str, list[_Waiting]]) -> None:
         unsettled = dict(batch)
-        for _ in range(WRITE_ATTEMPTS_MAX + BATCH_MAX_CLAIMS):
-            if not unsettled:
-                return
+        lost_replies = 0
+        while unsettled and lost_replies < LOST_REPLIES_MAX:
             rows = self._insert([held[0].claim for held in unsettled.values()])
             if isinstance(rows, Failure):
                 return
+            lost_replies += not rows
             for row in rows:
-                for waiting in unsettled.pop(row.key, ()):
+                held = unsettled.pop(row.key, ())
+                self._remember(row)
+                for waiting in held:
                     waiting.result.set(_bound_ticket(row, waiting.claim))
 
     def _insert(self, claims: Sequence[Claim]) -> tuple[Row, ...] | Failure:
-        """Insert the claims; return those rows that exist afterwards."""
+        """Insert the claims; return those of their rows that exist afterwards.
+
+        None exists only where the reply was lost and the write without effect.
+        """
+        generation = self.ageing.generation()
+        if isinstance(generation, Failure):
+            return generation
+        self._batches += 1
+        keys = [claim.row_key for claim in claims]
+        batch_name = f"{self.mint.host}.{self.mint.incarnation}.{self._batches}"
         changes = [Change(claim.row_key, ABSENT, claim.value) for claim in claims]
+        changes.append(index_change(generation, batch_name, keys))
         written = self.table.transact(changes)
         if isinstance(written, Committed | Conflicted):
-            return written.rows
+            return tuple(row for row in written.rows if row.key in keys)
         if written.kind is not ErrorKind.REPLY_LOST:
             return written
-        return self.table.read([claim.row_key for claim in claims])
+        log.info("A claim's reply was lost; reading {} keys back.", len(keys))
+        return self.table.read(keys)
 
 
 def _bound_ticket(row: Row, claim: Claim) -> Outcome:
--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -141,6 +141,7 @@
         peers,
         claims,
         metrics,
+        configuration.rules,
     )
     state = HostState()
     pages = OperatorPages(
@@ -175,6 +176,7 @@
     host.configuration.start(host.peers)
     host.directory.start(host.peers)
     host.admission.start(host.peers, host.timers)
+    host.jobs.start(host.timers)
 
 
 @contextmanager
--- a/rattanloom/jobs.py
+++ b/rattanloom/jobs.py
@@ -33,6 +33,7 @@
 from rattanloom.settings import EntrySettings
 from rattanloom.ticket import Ticket, TicketMint, parse_ticket
 from rattanloom.timeline import EventKind, TimeLine
+from rattanloom.timer import TimerService
 
 log = get_log("jobs")
 
@@ -77,6 +78,10 @@
     ledger: Ledger = field(factory=Ledger)
     leaving: bool = False
 
+    def start(self, timers: TimerService) -> None:
+        """Begin to age claims out of the table."""
+        self.claims.start(timers, self._hosts)
+
     def mint_tickets(self, count: int) -> tuple[str, ...]:
         """Return ``count`` new tickets; none while this host is leaving."""
         if self.leaving:
@@ -90,7 +95,7 @@
             job = evolve(job, job_id=self.mint.mint())
         ticket = self._parse(job.job_id)
         if isinstance(ticket, Ticket) and job.key:
-            ticket = self._claim(job)
+            ticket = self._claim(job, ticket)
         if isinstance(ticket, Failure):
             return self._answered(refused(job.job_id, ticket))
         job = evolve(job, job_id=ticket.text)
@@ -165,6 +170,8 @@
             return self._wait(known, left_ms)
         running = self._start(job, ticket, digest, deadline_at_ms)
         if isinstance(running, Failure):
+            if job.key:
+                self.ledger.spare(ticket, self.mint.epoch())
             return self._answered(refused(job.job_id, running))
         return self._wait(running, left_ms + ANSWER_GRACE_MS)
 
@@ -180,7 +187,7 @@
         failure = self.admission.admit(job, deadline_at_ms)
         if failure is not None:
             return failure
-        running = self.ledger.start(ticket, digest)
+        running = self.ledger.start(ticket, digest, bool(job.key))
         if isinstance(running, RunningJob):
             self.time_line.record(EventKind.JOB_ADMITTED, job.job_id)
             gevent.spawn(self._run, job, running, deadline_at_ms)
@@ -205,6 +212,8 @@
     def _end(self, running: RunningJob, answer: JobAnswer) -> None:
         if _may_start_again(answer) and not running.cancelled.is_set():
             self.ledger.forget(running, answer)
+            if running.keyed:
+                self.ledger.spare(running.ticket, self.mint.epoch())
         else:
             self.ledger.end(running, answer, self.mint.epoch(), self._keep_bytes())
         self._answered(answer)
@@ -248,9 +257,22 @@
             return self._answered(home_failed(job.job_id, answer))
         return answer
 
-    def _claim(self, job: Job) -> Ticket | Failure:
-        bound = self.claims.claim(job.team, job.key, digest_of(job), job.job_id)
-        return bound if isinstance(bound, Failure) else self._parse(bound)
+    def _claim(self, job: Job, proposed: Ticket) -> Ticket | Failure:
+        if self.leaving:
+            return Failure(
+                ErrorKind.LEAVING,
+                "this entry host is leaving and claims no keys; resubmit with the "
+                "same key",
+                ran=Ran.MAY_HAVE_RUN,
+            )
+        bound = self.claims.claim(
+            job.team, job.key, digest_of(job), proposed.text, job.deadline_ms
+        )
+        if not isinstance(bound, Failure):
+            return self._parse(bound)
+        if bound.kind is ErrorKind.PLATFORM_UNREACHABLE and self.mint.minted(proposed):
+            self.ledger.spare(proposed, self.mint.epoch())
+        return bound
 
     def _parse(self, text: str) -> Ticket | Failure:
         return parse_ticket(text, self.settings.ticket_key.encode())
@@ -273,6 +295,9 @@
         rules = self.rules() or Rules()
         return rules.deployment.answer_keep_bytes
 
+    def _hosts(self) -> int:
+        return 1 + len(self.peers.members())
+
     def _now_ms(self) -> float:
         return self.environment.clock.now_ms()
 
--- a/rattanloom/ledger.py
+++ b/rattanloom/ledger.py
@@ -20,6 +20,7 @@
 RUNNING_MAX_JOBS = 20_000
 ANSWER_OVERHEAD_BYTES = 900
 EPOCHS_GOOD = 2
+SPARED_MAX_TICKETS = 10_000
 
 
 class Mark(IntEnum):
@@ -36,12 +37,13 @@
 _MARK_OF_OUTCOME = {
     JobOutcome.COMPLETE: Mark.COMPLETE,
     JobOutcome.FAILED: Mark.FAILED,
-    JobOutcome.REFUSED: Mark.CANCELLED,
-    JobOutcome.UNKNOWN: Mark.UNKNOWN,
-    JobOutcome.PENDING: Mark.UNKNOWN,
 }
 
 _DROPPED: dict[Mark, tuple[Ran, str]] = {
+    Mark.RUNNING: (
+        Ran.MAY_HAVE_RUN,
+        "the job was started and never starts again",
+    ),
     Mark.COMPLETE: (
         Ran.RAN,
         "the job ran complete, but its answer is no longer kept; do not resubmit",
@@ -67,6 +69,8 @@
 
     ticket: Ticket
     digest: bytes
+    keyed: bool = False
+    spared: bool = False
     done: Event = field(factory=Event)
     cancelled: Event = field(factory=Event)
     answer: JobAnswer | None = None
@@ -90,6 +94,7 @@
     kept_bytes: int = 0
     _kept: OrderedDict[int, KeptAnswer] = field(factory=OrderedDict)
     _marks: dict[int, dict[int, bytearray]] = field(factory=dict)
+    _spared: OrderedDict[int, None] = field(factory=OrderedDict)
 
     def admit(
         self, ticket: Ticket, digest: bytes, epoch: int
@@ -116,6 +121,8 @@
         kept = self._kept.get(ticket.number)
         if kept is not None:
             return kept.answer
+        if ticket.number in self._spared:
+            return None
         if ticket.epoch + EPOCHS_GOOD <= epoch:
             return Failure(
                 ErrorKind.TICKET_EXPIRED,
@@ -128,13 +135,17 @@
         ran, reason = _DROPPED[mark]
         return Failure(ErrorKind.TICKET_EXPIRED, reason, ran=ran)
 
-    def start(self, ticket: Ticket, digest: bytes) -> RunningJob | Failure:
+    def start(
+        self, ticket: Ticket, digest: bytes, keyed: bool = False
+    ) -> RunningJob | Failure:
         """Record the ticket as used, before anything of its job starts."""
         if len(self.running) >= RUNNING_MAX_JOBS:
             return Failure(
                 ErrorKind.OVERLOADED, "too many jobs are running here; come back"
             )
-        job = RunningJob(ticket, digest)
+        spared = ticket.number in self._spared
+        self._spared.pop(ticket.number, None)
+        job = RunningJob(ticket, digest, keyed, spared)
         self.running[ticket.number] = job
         self._set_mark(ticket, Mark.RUNNING)
         return job
@@ -144,6 +155,8 @@
         job.answer = answer
         self.running.pop(job.ticket.number, None)
         self._set_mark(job.ticket, Mark.UNUSED)
+        if job.spared:
+            self._spared[job.ticket.number] = None
         job.done.set()
 
     def end(
@@ -152,13 +165,26 @@
         """Keep a job's answer and wake everyone who waits for it."""
         job.answer = answer
         self.running.pop(job.ticket.number, None)
-        self._set_mark(job.ticket, _MARK_OF_OUTCOME[answer.outcome])
+        self._set_mark(job.ticket, _mark_of(answer))
         self._keep(job.ticket.number, answer, job.digest, epoch)
         self._drop_answers_above(keep_bytes)
         job.done.set()
 
+    def spare(self, ticket: Ticket, epoch: int) -> None:
+        """Let an unused ticket start later than its epochs.
+
+        For a ticket of which nothing started, while a key is or may be bound
+        to it in the table for much longer than an epoch.
+        """
+        if ticket.number in self.running or self.answer(ticket, epoch) is not None:
+            return
+        self._spared[ticket.number] = None
+        if len(self._spared) > SPARED_MAX_TICKETS:
+            self._spared.popitem(last=False)
+
     def fence(self, ticket: Ticket) -> None:
         """Bar a ticket that was never started from ever starting."""
+        self._spared.pop(ticket.number, None)
         self._set_mark(ticket, Mark.CANCELLED)
 
     def mark(self, ticket: Ticket) -> Mark:
@@ -198,3 +224,9 @@
     def _drop_oldest_answer(self) -> None:
         _, kept = self._kept.popitem(last=False)
         self.kept_bytes -= kept.size_bytes
+
+
+def _mark_of(answer: JobAnswer) -> Mark:
+    if answer.failure is not None and answer.failure.ran_word is Ran.NOT_RUN:
+        return Mark.CANCELLED
+    return _MARK_OF_OUTCOME.get(answer.outcome, Mark.UNKNOWN)
--- a/rattanloom/ticket.py
+++ b/rattanloom/ticket.py
@@ -40,6 +40,8 @@
 
 def parse_ticket(text: str, key: bytes) -> Ticket | Failure:
     """Return the ticket in ``text``, or a BAD_TICKET failure."""
+    if not text.isascii():
+        return Failure(ErrorKind.BAD_TICKET, "ticket has characters that none has")
     if len(text) > TICKET_MAX_CHARS:
         return Failure(ErrorKind.BAD_TICKET, "ticket is too long")
     fields = text.split(SEPARATOR)
--- /dev/null
+++ b/tests/fakes_jobs.py
@@ -0,0 +1,227 @@
+"""Fakes at the job service's interfaces: table, peers, admission, dispatcher."""
+
+import gevent
+from attrs import define, evolve, field
+from gevent.event import Event
+
+from rattanloom.claims import Claims
+from rattanloom.environment import Environment
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.job import Job, JobAnswer, JobOutcome, Task
+from rattanloom.jobs import JobService
+from rattanloom.metrics import Metrics
+from rattanloom.platform.protocol import ABSENT, Committed, Conflicted, Row
+from rattanloom.rules import Rules
+from rattanloom.settings import EntrySettings
+from rattanloom.ticket import TicketMint
+from rattanloom.timeline import TimeLine
+from tests.utils import FakeClock
+
+KEY = "0123456789abcdef0123"
+EPOCH_MS = 60_000
+UNREACHABLE = Failure(ErrorKind.PLATFORM_UNREACHABLE, "down")
+REPLY_LOST = Failure(ErrorKind.REPLY_LOST, "lost")
+OVERLOADED = Failure(ErrorKind.OVERLOADED, "full")
+
+
+@define(eq=False)
+class FakeTable:
+    """A table in memory; ``down`` refuses, ``lose`` loses replies of writes."""
+
+    rows: dict = field(factory=dict)
+    down: bool = False
+    lose: int = 0
+    late: list = field(factory=list)
+    delay_effect: bool = False
+    writes: int = 0
+    gate: Event = field(factory=Event)
+
+    def __attrs_post_init__(self):
+        self.gate.set()
+
+    def read(self, keys):
+        self.gate.wait()
+        if self.down:
+            return UNREACHABLE
+        return tuple(self.rows[key] for key in keys if key in self.rows)
+
+    def scan(self, prefix, limit):
+        if self.down:
+            return UNREACHABLE
+        names = sorted(name for name in self.rows if name.startswith(prefix))
+        return tuple(self.rows[name] for name in names[:limit])
+
+    def transact(self, changes):
+        self.gate.wait()
+        if self.down:
+            return UNREACHABLE
+        self.writes += 1
+        if self.delay_effect:
+            self.late.append(changes)
+            return REPLY_LOST
+        done = self.apply(changes)
+        if self.lose > 0:
+            self.lose -= 1
+            return REPLY_LOST
+        return done
+
+    def apply(self, changes):
+        differing = []
+        for change in changes:
+            row = self.rows.get(change.key, Row(change.key, ABSENT, ""))
+            if row.version != change.expected_version:
+                differing.append(row)
+        if differing:
+            return Conflicted(tuple(differing))
+        for change in changes:
+            if change.value is None:
+                self.rows.pop(change.key, None)
+            else:
+                version = change.expected_version + 1
+                self.rows[change.key] = Row(change.key, version, change.value)
+        return Committed(tuple(self.rows[c.key] for c in changes if c.value))
+
+    def release_late_writes(self):
+        late, self.late = self.late, []
+        for changes in late:
+            self.apply(changes)
+
+
+@define(eq=False)
+class FakeDispatcher:
+    """Starts a job at once and ends it when told, or when cancelled."""
+
+    starts: list = field(factory=list)
+    hold: bool = False
+    refuse: Failure | None = None
+    released: Event = field(factory=Event)
+
+    def run(self, job, deadline_at_ms, cancelled):
+        if self.refuse is not None:
+            return JobAnswer(job.job_id, JobOutcome.REFUSED, failure=self.refuse)
+        self.starts.append((job.job_id, job.key, job.tasks))
+        if self.hold:
+            gevent.wait([self.released, cancelled], count=1)
+        if cancelled.is_set():
+            failure = Failure(ErrorKind.CANCELLED, "stopped")
+            return JobAnswer(job.job_id, JobOutcome.UNKNOWN, failure=failure)
+        outputs = tuple(f"out:{task.payload}" for task in job.tasks)
+        return JobAnswer(job.job_id, JobOutcome.COMPLETE, outputs)
+
+
+@define(eq=False)
+class FakeAdmission:
+    """Refuses with ``failure``; the process may freeze while it decides."""
+
+    clock: FakeClock
+    failure: Failure | None = None
+    frozen_until_ms: float = 0.0
+
+    def admit(self, job, deadline_at_ms):
+        self.clock.ms = max(self.clock.ms, self.frozen_until_ms)
+        return self.failure
+
+
+@define(eq=False)
+class FakePeers:
+    """One host's view of the others, over the cluster's cuts."""
+
+    cluster: object
+    host: str
+
+    def members(self):
+        return ()
+
+    def submit(self, host, incarnation, job):
+        return self._forward(host, incarnation, lambda jobs: jobs.submit_here(job))
+
+    def ask(self, host, incarnation, job_id, wait_ms):
+        return self._forward(
+            host, incarnation, lambda jobs: jobs.ask_here(job_id, wait_ms)
+        )
+
+    def cancel(self, host, incarnation, job_id):
+        return self._forward(host, incarnation, lambda jobs: jobs.cancel_here(job_id))
+
+    def _forward(self, host, incarnation, call):
+        cluster = self.cluster
+        if frozenset((self.host, host)) in cluster.cuts:
+            return Failure(ErrorKind.HOME_UNREACHABLE, "cut", ran=Ran.NOT_RUN)
+        home = cluster.hosts.get(host)
+        if home is None or home.mint.incarnation != incarnation:
+            return Failure(ErrorKind.HOME_GONE, "gone")
+        answer = call(home)
+        alive = cluster.hosts.get(host) is home
+        if not alive or frozenset((self.host, host)) in cluster.cuts:
+            return Failure(ErrorKind.HOME_UNREACHABLE, "connection lost")
+        if cluster.lose_forwarded_replies:
+            return Failure(ErrorKind.HOME_UNREACHABLE, "reply lost")
+        return answer
+
+
+@define(eq=False)
+class FakeCluster:
+    """Several job services in one process, sharing a table and a clock."""
+
+    clock: FakeClock = field(factory=FakeClock)
+    table: FakeTable = field(factory=FakeTable)
+    hosts: dict = field(factory=dict)
+    dispatchers: list = field(factory=list)
+    cuts: set = field(factory=set)
+    lose_forwarded_replies: bool = False
+    rules: Rules = field(factory=Rules)
+    incarnations: int = 0
+    service_class: type = JobService
+
+    def start(self, host):
+        """Start a host, or replace it by a new incarnation."""
+        self.incarnations += 1
+        settings = EntrySettings(
+            host, "z1", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", KEY
+        )
+        environment = Environment(clock=self.clock)
+        mint = TicketMint(
+            "z1", host, f"i{self.incarnations}", KEY.encode(), self.clock, EPOCH_MS
+        )
+        dispatcher = FakeDispatcher()
+        self.dispatchers.append(dispatcher)
+        self.hosts[host] = self.service_class(
+            settings,
+            environment,
+            TimeLine(host, self.clock),
+            mint,
+            dispatcher,
+            FakeAdmission(self.clock),
+            FakePeers(self, host),
+            Claims(settings, environment, self.table, mint, hosts=lambda: 0),
+            Metrics(),
+            lambda: self.rules,
+        )
+        return self.hosts[host]
+
+    def starts(self):
+        """Return every start of a job, on all hosts and incarnations."""
+        return [start for one in self.dispatchers for start in one.starts]
+
+
+def make_job(job_id="", key="", payload="p", deadline_ms=5_000, tasks=1):
+    """Return a small job whose payloads are ``<payload>/<index>``."""
+    payloads = [f"{payload}/{index}" for index in range(tasks)]
+    return Job(
+        job_id,
+        "studio",
+        tuple(Task("proof", each) for each in payloads),
+        deadline_ms,
+        key=key,
+    )
+
+
+def with_deadline(job: Job, deadline_ms: int) -> Job:
+    """Return the job with another deadline."""
+    return evolve(job, deadline_ms=deadline_ms)
+
+
+def settle():
+    """Let every greenlet run until it waits."""
+    for _ in range(20):
+        gevent.sleep(0)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,157 @@
+"""Callers' own keys: bound once, batched, and safe when the table fails."""
+
+import gevent
+import pytest
+
+from rattanloom.claim_ageing import GENERATION_MS, INDEX_PREFIX, KEPT_GENERATIONS
+from rattanloom.claims import KEY_PREFIX
+from rattanloom.errors import ErrorKind, Ran
+from rattanloom.job import JobOutcome
+from tests.fakes_jobs import EPOCH_MS, OVERLOADED, FakeCluster, make_job, settle
+
+
+@pytest.fixture
+def cluster():
+    cluster = FakeCluster()
+    cluster.start("a")
+    cluster.start("b")
+    return cluster
+
+
+def rows(cluster, prefix):
+    return [name for name in cluster.table.rows if name.startswith(prefix)]
+
+
+def test_two_hosts_that_claim_one_key_start_it_once(cluster):
+    racing = [
+        gevent.spawn(cluster.hosts[host].submit, make_job(key="k")) for host in "abab"
+    ]
+    answers = [each.get() for each in racing]
+    assert {answer.outcome for answer in answers} == {JobOutcome.COMPLETE}
+    assert len({answer.job_id for answer in answers}) == 1
+    assert len(cluster.starts()) == 1
+
+
+def test_teams_do_not_share_keys_and_content_is_compared(cluster):
+    cluster.hosts["a"].submit(make_job(key="k"))
+    other = cluster.hosts["b"].submit(make_job(key="k", payload="other"))
+    assert other.failure.kind is ErrorKind.KEY_REUSED
+    assert other.failure.ran_word is Ran.NOT_RUN
+    assert len(cluster.starts()) == 1
+
+
+def test_claims_of_one_host_share_a_write(cluster):
+    callers = [
+        gevent.spawn(cluster.hosts["a"].submit, make_job(key=f"k{n}", payload=f"{n}"))
+        for n in range(80)
+    ]
+    assert {each.get().outcome for each in callers} == {JobOutcome.COMPLETE}
+    assert len(rows(cluster, KEY_PREFIX)) == 80
+    assert cluster.table.writes <= 2
+
+
+def test_a_lost_reply_is_resolved_by_reading_back(cluster):
+    cluster.table.lose = 1
+    answer = cluster.hosts["a"].submit(make_job(key="k"))
+    assert answer.outcome is JobOutcome.COMPLETE
+    assert cluster.hosts["b"].submit(make_job(key="k")) == answer
+    assert len(cluster.starts()) == 1
+
+
+def test_a_write_that_takes_effect_late_neither_doubles_nor_blocks(cluster):
+    cluster.table.delay_effect = True
+    refused = cluster.hosts["a"].submit(make_job(key="k"))
+    assert refused.failure.kind is ErrorKind.PLATFORM_UNREACHABLE
+    assert cluster.starts() == []
+    cluster.table.delay_effect = False
+    cluster.table.release_late_writes()
+    cluster.clock.ms = 20 * EPOCH_MS
+    answer = cluster.hosts["b"].submit(make_job(key="k"))
+    assert answer.outcome is JobOutcome.COMPLETE
+    assert cluster.hosts["a"].submit(make_job(key="k")) == answer
+    assert len(cluster.starts()) == 1
+
+
+def test_an_unreachable_table_starts_nothing_and_never_denies_an_earlier_run(cluster):
+    cluster.hosts["a"].submit(make_job(key="k"))
+    cluster.table.down = True
+    answer = cluster.hosts["b"].submit(make_job(key="k"))
+    assert answer.failure.kind is ErrorKind.PLATFORM_UNREACHABLE
+    assert answer.failure.ran_word is Ran.MAY_HAVE_RUN
+    assert answer.failure.come_back_ms > 0
+    known = cluster.hosts["a"].submit(make_job(key="k"))
+    assert known.outcome is JobOutcome.COMPLETE
+    assert len(cluster.starts()) == 1
+
+
+def test_a_hung_table_holds_no_caller_beyond_the_deadline(cluster):
+    cluster.table.gate.clear()
+    job = make_job(key="k", deadline_ms=20)
+    answer = cluster.hosts["a"].submit(job)
+    assert answer.failure.kind is ErrorKind.PLATFORM_UNREACHABLE
+    cluster.table.gate.set()
+    settle()
+    assert cluster.starts() == []
+    again = cluster.hosts["b"].submit(make_job(key="k"))
+    assert again.outcome is JobOutcome.COMPLETE
+
+
+def test_a_keyed_job_refused_as_not_run_stays_runnable_after_its_epochs(cluster):
+    a = cluster.hosts["a"]
+    a.admission.failure = OVERLOADED
+    assert a.submit(make_job(key="k")).failure.ran_word is Ran.NOT_RUN
+    a.admission.failure = None
+    a.dispatcher.refuse = OVERLOADED
+    cluster.clock.ms = 10 * EPOCH_MS
+    assert a.submit(make_job(key="k")).failure.ran_word is Ran.NOT_RUN
+    a.dispatcher.refuse = None
+    cluster.clock.ms = 20 * EPOCH_MS
+    answer = cluster.hosts["b"].submit(make_job(key="k"))
+    assert answer.outcome is JobOutcome.COMPLETE
+    cluster.clock.ms = 30 * EPOCH_MS
+    late = cluster.hosts["b"].submit(make_job(key="k"))
+    assert late.failure.kind is ErrorKind.TICKET_EXPIRED
+    assert len(cluster.starts()) == 1
+
+
+def test_a_key_whose_home_died_is_never_started_again(cluster):
+    cluster.hosts["a"].submit(make_job(key="k"))
+    cluster.start("a")
+    for host in "ab":
+        answer = cluster.hosts[host].submit(make_job(key="k"))
+        assert answer.failure.kind is ErrorKind.HOME_GONE
+        assert answer.failure.ran_word is Ran.MAY_HAVE_RUN
+    assert len(cluster.starts()) == 1
+
+
+def test_claims_age_out_by_observed_generations_only(cluster, monkeypatch):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.submit(make_job(key="old"))
+    monkeypatch.setattr(type(cluster.clock), "wall_ms", lambda _: 1e15)
+    ageing = b.claims.ageing
+    for generation in range(KEPT_GENERATIONS + 1):
+        ageing.poll()
+        assert rows(cluster, KEY_PREFIX), generation
+        cluster.clock.ms += GENERATION_MS
+        ageing.poll()
+    a.submit(make_job(key="new", payload="new"))
+    b.claims.ageing.poll()
+    assert len(rows(cluster, KEY_PREFIX)) == 1
+    assert len(rows(cluster, INDEX_PREFIX)) == 1
+    assert len(cluster.starts()) == 2
+
+
+def test_a_deletion_that_takes_effect_late_spares_a_newer_claim(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.submit(make_job(key="k"))
+    table = cluster.table
+    index_row = table.scan(INDEX_PREFIX, 1)[0]
+    table.delay_effect = True
+    b.claims.ageing._delete(index_row)
+    table.delay_effect = False
+    b.claims.ageing._delete(index_row)
+    assert rows(cluster, KEY_PREFIX) == []
+    cluster.clock.ms = 2 * GENERATION_MS
+    a.submit(make_job(key="k"))
+    table.release_late_writes()
+    assert len(rows(cluster, KEY_PREFIX)) == 1
--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,294 @@
+"""Where a job runs, and what each caller is told."""
+
+import gevent
+import pytest
+from attrs import evolve
+
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.job import JobOutcome
+from rattanloom.rules import DeploymentRule, Rules
+from rattanloom.ticket import TicketMint
+from tests.fakes_jobs import (
+    EPOCH_MS,
+    OVERLOADED,
+    FakeCluster,
+    make_job,
+    settle,
+    with_deadline,
+)
+from tests.utils import FakeClock
+
+
+@pytest.fixture
+def cluster():
+    cluster = FakeCluster()
+    cluster.start("a")
+    cluster.start("b")
+    return cluster
+
+
+def ticket_of(cluster, host):
+    return cluster.hosts[host].mint_tickets(1)[0]
+
+
+def told(answer):
+    return (answer.outcome, answer.failure.kind, answer.failure.ran_word)
+
+
+def test_a_resubmission_to_another_host_gets_the_first_answer(cluster):
+    job = make_job(ticket_of(cluster, "a"), tasks=3)
+    answer = cluster.hosts["a"].submit(job)
+    assert answer.outputs == ("out:p/0", "out:p/1", "out:p/2")
+    assert cluster.hosts["b"].submit(job) == answer
+    assert cluster.hosts["b"].ask(job.job_id, 0) == answer
+    assert len(cluster.starts()) == 1
+
+
+def test_a_resubmission_joins_the_running_job_and_a_caller_may_leave(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.dispatcher.hold = True
+    job = make_job(ticket_of(cluster, "a"))
+    leaver = gevent.spawn(a.submit, job)
+    settle()
+    joined = gevent.spawn(b.submit, job)
+    settle()
+    leaver.kill()
+    assert b.ask(job.job_id, 0).outcome is JobOutcome.PENDING
+    a.dispatcher.released.set()
+    assert joined.get().outcome is JobOutcome.COMPLETE
+    assert len(cluster.starts()) == 1
+
+
+def test_crossed_submissions_get_their_own_answers(cluster):
+    cluster.hosts["a"].dispatcher.hold = True
+    jobs = [make_job(ticket_of(cluster, "a"), payload=f"c{n}") for n in range(20)]
+    waiting = [
+        gevent.spawn(cluster.hosts["ab"[n % 2]].submit, job)
+        for n, job in enumerate(jobs)
+    ]
+    settle()
+    cluster.hosts["a"].dispatcher.released.set()
+    answers = [each.get() for each in waiting]
+    assert [a.outputs for a in answers] == [(f"out:c{n}/0",) for n in range(20)]
+    assert [a.job_id for a in answers] == [job.job_id for job in jobs]
+
+
+def test_the_same_ticket_with_other_content_is_refused(cluster):
+    job = make_job(ticket_of(cluster, "a"))
+    cluster.hosts["a"].submit(job)
+    other = make_job(job.job_id, payload="other")
+    refused = (JobOutcome.REFUSED, ErrorKind.KEY_REUSED, Ran.NOT_RUN)
+    assert told(cluster.hosts["b"].submit(other)) == refused
+    later = with_deadline(job, 9_000)
+    assert cluster.hosts["b"].submit(later).outcome is JobOutcome.COMPLETE
+
+
+@pytest.mark.parametrize("spoil", [lambda t: t[:-1], lambda t: "x", lambda t: "é" + t])
+def test_spoilt_and_foreign_tickets_are_refused(cluster, spoil):
+    foreign = TicketMint("z1", "a", "i1", b"another deployment", FakeClock(), EPOCH_MS)
+    for text in (spoil(ticket_of(cluster, "a")), foreign.mint(), "\ud800~~~~~"):
+        for ask in (
+            lambda text=text: cluster.hosts["a"].submit(make_job(text)),
+            lambda text=text: cluster.hosts["a"].ask(text, 0),
+            lambda text=text: cluster.hosts["a"].cancel(text),
+        ):
+            expected = (JobOutcome.REFUSED, ErrorKind.BAD_TICKET, Ran.NOT_RUN)
+            assert told(ask()) == expected
+    assert cluster.starts() == []
+
+
+def test_a_ticket_whose_home_is_gone_never_runs_elsewhere(cluster):
+    ticket = ticket_of(cluster, "a")
+    cluster.start("a")
+    for host in ("a", "b"):
+        answer = cluster.hosts[host].submit(make_job(ticket))
+        expected = (JobOutcome.UNKNOWN, ErrorKind.HOME_GONE, Ran.MAY_HAVE_RUN)
+        assert told(answer) == expected
+    assert cluster.starts() == []
+
+
+def test_an_unsent_forward_may_still_have_run_by_an_earlier_one(cluster):
+    job = make_job(ticket_of(cluster, "a"))
+    cluster.hosts["a"].submit(job)
+    cluster.cuts.add(frozenset("ab"))
+    answer = cluster.hosts["b"].submit(job)
+    expected = (JobOutcome.UNKNOWN, ErrorKind.HOME_UNREACHABLE, Ran.MAY_HAVE_RUN)
+    assert told(answer) == expected
+    assert answer.failure.come_back_ms > 0
+
+
+def test_a_cut_off_host_without_platform_serves_its_own_tickets(cluster):
+    cluster.table.down = True
+    cluster.cuts.add(frozenset("ab"))
+    answer = cluster.hosts["b"].submit(make_job(ticket_of(cluster, "b")))
+    assert answer.outcome is JobOutcome.COMPLETE
+
+
+def test_a_refused_ticket_may_be_admitted_later(cluster):
+    a = cluster.hosts["a"]
+    job = make_job(ticket_of(cluster, "a"))
+    a.admission.failure = OVERLOADED
+    assert told(a.submit(job))[2] is Ran.NOT_RUN
+    a.admission.failure = None
+    a.dispatcher.refuse = OVERLOADED
+    assert told(a.submit(job))[2] is Ran.NOT_RUN
+    a.dispatcher.refuse = None
+    assert a.submit(job).outcome is JobOutcome.COMPLETE
+    assert len(cluster.starts()) == 1
+
+
+def test_an_outcome_that_may_have_run_never_starts_again(cluster):
+    a = cluster.hosts["a"]
+    a.dispatcher.refuse = Failure(ErrorKind.OUTCOME_UNKNOWN, "silent worker")
+    job = make_job(ticket_of(cluster, "a"))
+    first = a.submit(job)
+    a.dispatcher.refuse = None
+    assert a.submit(job) == first
+    assert cluster.starts() == []
+
+
+def test_a_dispatch_that_breaks_is_answered_and_never_repeated(cluster):
+    a = cluster.hosts["a"]
+    job = make_job(ticket_of(cluster, "a"))
+    working, a.dispatcher = a.dispatcher, None
+    expected = (JobOutcome.UNKNOWN, ErrorKind.INTERNAL, Ran.MAY_HAVE_RUN)
+    assert told(a.submit(job)) == expected
+    a.dispatcher = working
+    assert told(a.submit(job)) == expected
+    assert cluster.starts() == []
+
+
+def test_a_cancelled_ticket_never_starts_even_if_its_submission_comes_later(cluster):
+    ticket = ticket_of(cluster, "a")
+    expected = (JobOutcome.REFUSED, ErrorKind.CANCELLED, Ran.NOT_RUN)
+    assert told(cluster.hosts["b"].cancel(ticket)) == expected
+    refused = cluster.hosts["b"].submit(make_job(ticket))
+    assert told(refused)[2] is Ran.NOT_RUN
+    assert cluster.starts() == []
+
+
+def test_a_wave_of_cancellations_answers_every_caller(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.dispatcher.hold = True
+    jobs = [make_job(ticket_of(cluster, "a"), payload=str(n)) for n in range(50)]
+    waiting = [gevent.spawn(a.submit, job) for job in jobs]
+    settle()
+    wave = [gevent.spawn(b.cancel, job.job_id) for job in jobs]
+    again = [gevent.spawn(b.submit, job) for job in jobs]
+    kinds = {told(each.get())[1] for each in (*waiting, *wave, *again)}
+    assert kinds == {ErrorKind.CANCELLED}
+    assert len(cluster.starts()) == 50
+    assert a.ledger.running == {}
+
+
+def test_a_job_frozen_past_its_deadline_does_not_start(cluster):
+    a = cluster.hosts["a"]
+    job = make_job(ticket_of(cluster, "a"), deadline_ms=1_000)
+    caller = gevent.spawn(a.submit, job)
+    a.admission.frozen_until_ms = 5_000
+    expected = (JobOutcome.REFUSED, ErrorKind.DEADLINE_PASSED, Ran.NOT_RUN)
+    assert told(caller.get()) == expected
+    assert cluster.starts() == []
+
+
+def test_a_jump_of_the_wall_clock_changes_nothing(cluster, monkeypatch):
+    job = make_job(ticket_of(cluster, "a"))
+    cluster.hosts["a"].submit(job)
+    monkeypatch.setattr(FakeClock, "wall_ms", lambda _: -1e12)
+    assert cluster.hosts["b"].submit(job).outcome is JobOutcome.COMPLETE
+    assert len(cluster.starts()) == 1
+
+
+def test_a_ticket_is_good_in_its_epoch_and_the_next_only(cluster):
+    used, next_epoch, late = cluster.hosts["a"].mint_tickets(3)
+    cluster.hosts["a"].submit(make_job(used))
+    cluster.clock.ms = 1.5 * EPOCH_MS
+    complete = cluster.hosts["b"].submit(make_job(next_epoch))
+    assert complete.outcome is JobOutcome.COMPLETE
+    cluster.clock.ms = 2 * EPOCH_MS
+    for ticket in (used, late):
+        answer = cluster.hosts["b"].submit(make_job(ticket))
+        expected = (JobOutcome.UNKNOWN, ErrorKind.TICKET_EXPIRED, Ran.MAY_HAVE_RUN)
+        assert told(answer) == expected
+    assert cluster.hosts["b"].submit(make_job(next_epoch)) == complete
+    assert len(cluster.starts()) == 2
+
+
+def test_a_running_job_outlives_its_epoch(cluster):
+    a = cluster.hosts["a"]
+    a.dispatcher.hold = True
+    job = make_job(ticket_of(cluster, "a"))
+    first = gevent.spawn(a.submit, job)
+    settle()
+    cluster.clock.ms = 5 * EPOCH_MS
+    joined = gevent.spawn(cluster.hosts["b"].submit, job)
+    settle()
+    a.dispatcher.released.set()
+    assert first.get() == joined.get() == a.ask(job.job_id, 0)
+    cluster.clock.ms = 7 * EPOCH_MS
+    assert told(a.submit(job))[1] is ErrorKind.TICKET_EXPIRED
+    assert len(cluster.starts()) == 1
+
+
+def test_a_dropped_answer_is_told_as_run_and_never_rerun(cluster):
+    cluster.rules = Rules(deployment=DeploymentRule(answer_keep_bytes=0))
+    job = make_job(ticket_of(cluster, "a"))
+    assert cluster.hosts["a"].submit(job).outcome is JobOutcome.COMPLETE
+    expected = (JobOutcome.UNKNOWN, ErrorKind.TICKET_EXPIRED, Ran.RAN)
+    assert told(cluster.hosts["b"].submit(job)) == expected
+    assert len(cluster.starts()) == 1
+
+
+def test_a_draining_host_ends_its_jobs_and_refuses_new_ones(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.dispatcher.hold = True
+    job, unused = (make_job(ticket) for ticket in a.mint_tickets(2))
+    first = gevent.spawn(a.submit, job)
+    settle()
+    drained = gevent.spawn(a.drain, 5_000)
+    settle()
+    expected = (JobOutcome.REFUSED, ErrorKind.LEAVING, Ran.NOT_RUN)
+    assert told(b.submit(unused)) == expected
+    joined = gevent.spawn(b.submit, job)
+    settle()
+    a.dispatcher.released.set()
+    assert first.get() == joined.get()
+    assert drained.get() is True
+    assert a.mint_tickets(1) == ()
+
+
+def test_a_drain_that_runs_out_of_time_says_so_and_answers(cluster):
+    a = cluster.hosts["a"]
+    a.dispatcher.hold = True
+    caller = gevent.spawn(a.submit, make_job(ticket_of(cluster, "a")))
+    settle()
+    assert a.drain(0) is False
+    assert told(caller.get())[2] is Ran.MAY_HAVE_RUN
+
+
+def test_a_caller_with_a_short_deadline_is_told_to_come_back(cluster):
+    a = cluster.hosts["a"]
+    a.dispatcher.hold = True
+    job = make_job(ticket_of(cluster, "a"))
+    gevent.spawn(a.submit, job)
+    settle()
+    answer = a.submit(with_deadline(job, 1))
+    expected = (JobOutcome.UNKNOWN, ErrorKind.OUTCOME_UNKNOWN, Ran.MAY_HAVE_RUN)
+    assert told(answer) == expected
+    a.dispatcher.released.set()
+    assert a.ask(job.job_id, 5_000).outcome is JobOutcome.COMPLETE
+
+
+def test_jobs_differ_in_every_part_of_their_content(cluster):
+    job = make_job(ticket_of(cluster, "a"), tasks=2)
+    cluster.hosts["a"].submit(job)
+    task = job.tasks[0]
+    for other in (
+        evolve(job, team="co-op"),
+        evolve(job, idempotent=False),
+        evolve(job, tasks=job.tasks[:1]),
+        evolve(job, tasks=(evolve(task, size_slots=2), job.tasks[1])),
+        evolve(job, tasks=(evolve(task, kind="p", payload="roofp/0"), job.tasks[1])),
+    ):
+        answer = cluster.hosts["a"].submit(other)
+        assert told(answer)[1] is ErrorKind.KEY_REUSED
