--- /dev/null
+++ b/rattanloom/dispatch.py
@@ -0,0 +1,256 @@
+"""Dispatches the tasks of jobs to workers and gathers whole answers."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+from attrs import define, field
+from gevent.event import Event
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.dispatch_attempt import MESSAGES_PER_EXCHANGE, AttemptRunner
+from rattanloom.dispatch_job import JobRun
+from rattanloom.environment import Environment
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.job import Job, JobAnswer
+from rattanloom.metrics import Metrics
+from rattanloom.queue import QueuedTask
+from rattanloom.retry import RetryBudget, retry_delay_ms
+from rattanloom.rules import KindRule, Rules, TeamRule
+from rattanloom.targets.directory import TargetDirectory
+from rattanloom.targets.protocol import (
+    SURELY_NOT_STARTED,
+    Attempt,
+    AttemptReply,
+    AttemptState,
+    Target,
+)
+from rattanloom.timeline import EventKind, TimeLine
+
+START_WITHIN_MS = 1_000.0
+
+
+class TaskQueue(Protocol):
+    """What the dispatcher asks of the admission queue."""
+
+    def put(self, tasks: list[QueuedTask]) -> None:
+        """Queue the tasks of an admitted job."""
+
+    def put_back(self, task: QueuedTask) -> None:
+        """Queue a taken task again: it did not start."""
+
+    def take(self, can_place: Callable[[QueuedTask], bool]) -> QueuedTask | None:
+        """Return the next task that can be placed."""
+
+    def finished(self, task: QueuedTask, run_ms: float | None) -> None:
+        """Give back what a taken task held; ``run_ms`` None: it did not run."""
+
+    def withdraw(self, job_id: str) -> list[QueuedTask]:
+        """Drop a job's waiting tasks."""
+
+    def on_ready(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` when ``take`` may have something new."""
+
+    def on_overdue(self, callback: Callable[[QueuedTask], None]) -> None:
+        """Call ``callback`` with a task dropped because it cannot end in time."""
+
+
+@define(eq=False)
+class Dispatcher:
+    """Binds waiting tasks to workers only as slots are believed free."""
+
+    environment: Environment
+    time_line: TimeLine
+    admission: TaskQueue
+    directory: TargetDirectory
+    rules: Callable[[], Rules | None]
+    metrics: Metrics
+    budget: RetryBudget = field(factory=RetryBudget)
+    _runner: AttemptRunner = field(init=False)
+    _runs: dict[str, JobRun] = field(factory=dict)
+    _pumping: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self._runner = AttemptRunner(self.environment, self.metrics)
+        self.directory.on_change(self.pump)
+        self.admission.on_ready(self.pump)
+        self.admission.on_overdue(self._give_up)
+
+    def run(self, job: Job, deadline_at_ms: float, cancelled: Event) -> JobAnswer:
+        """Run an admitted job and return its whole answer, by its deadline."""
+        run = JobRun(job, deadline_at_ms, self._now_ms())
+        self._runs[job.job_id] = run
+        try:
+            self.admission.put(self._queued(run))
+            self._wait(run, cancelled)
+        finally:
+            del self._runs[job.job_id]
+            self.admission.withdraw(job.job_id)
+            self._stop_in_flight(run)
+        return run.answer(self._now_ms())
+
+    def pump(self) -> None:
+        """Start every waiting task for which a slot is believed free."""
+        if self._pumping:
+            return
+        self._pumping = True
+        try:
+            while self._start_next():
+                pass
+        finally:
+            self._pumping = False
+
+    def _start_next(self) -> bool:
+        queued = self.admission.take(self._can_place)
+        if queued is None:
+            return False
+        target = self.directory.pick(queued.task)
+        gevent.spawn(self._attempt, queued, target)
+        return True
+
+    def _can_place(self, queued: QueuedTask) -> bool:
+        return self.directory.find(queued.task) is not None
+
+    def _queued(self, run: JobRun) -> list[QueuedTask]:
+        now_ms = self._now_ms()
+        return [
+            QueuedTask(run.job, index, run.deadline_at_ms, now_ms)
+            for index in range(len(run.job.tasks))
+        ]
+
+    def _wait(self, run: JobRun, cancelled: Event) -> None:
+        """Wait for the job's end, its cancellation or its deadline."""
+        left_ms = max(0.0, run.deadline_at_ms - self._now_ms())
+        gevent.wait([run.ended, cancelled], timeout=left_ms / MS_PER_S, count=1)
+        if run.over:
+            return
+        if cancelled.is_set():
+            run.fail(Failure(ErrorKind.CANCELLED, "cancelled by the caller"))
+            return
+        run.fail(Failure(ErrorKind.DEADLINE_PASSED, "the job's deadline passed"))
+
+    def _stop_in_flight(self, run: JobRun) -> None:
+        for attempt, target in run.in_flight.values():
+            gevent.spawn(self._stop, attempt, target)
+
+    def _stop(self, attempt: Attempt, target: Target) -> None:
+        self.metrics.count("messages", "stop", MESSAGES_PER_EXCHANGE)
+        target.stop(attempt.attempt_id)
+        self._record(EventKind.ATTEMPT_STOPPED, attempt, target)
+
+    def _attempt(self, queued: QueuedTask, target: Target) -> None:
+        """Run one attempt of a taken task, and settle what follows from it."""
+        run = self._runs.get(queued.job.job_id)
+        if run is None or run.over:
+            self.directory.release(target, queued.task)
+            self.admission.finished(queued, None)
+            return
+        attempt = self._new_attempt(queued)
+        reply = self._send(run, queued, attempt, target)
+        self.directory.release(target, queued.task)
+        self.directory.note(target, attempt, reply)
+        self._settle(run, queued, reply)
+
+    def _send(
+        self, run: JobRun, queued: QueuedTask, attempt: Attempt, target: Target
+    ) -> AttemptReply | Failure:
+        run.in_flight[attempt.attempt_id] = (attempt, target)
+        run.started_tasks.add(queued.index)
+        if queued.number == 1:
+            self.budget.earn(queued.job.team, self._team_rule(queued))
+        self._record(EventKind.ATTEMPT_SENT, attempt, target)
+        expected_ms = self.directory.estimates.high_ms(queued.task)
+        try:
+            reply = self._runner.run(target, attempt, expected_ms)
+        finally:
+            del run.in_flight[attempt.attempt_id]
+        detail = reply.kind if isinstance(reply, Failure) else reply.state
+        self._record(EventKind.ATTEMPT_ENDED, attempt, target, detail.value)
+        return reply
+
+    def _settle(
+        self,
+        run: JobRun,
+        queued: QueuedTask,
+        reply: AttemptReply | Failure,
+    ) -> None:
+        if _surely_not_started(reply):
+            self.metrics.count("wasted_messages", "refused", MESSAGES_PER_EXCHANGE)
+            run.started_tasks.discard(queued.index)
+            self._send_again(run, queued, reply)
+            return
+        if isinstance(reply, Failure):
+            self.admission.finished(queued, None)
+            run.fail(reply, queued.index)
+            return
+        self.admission.finished(queued, reply.run_ms)
+        if reply.state is AttemptState.DONE:
+            run.complete_task(queued.index, reply.output)
+            return
+        reason = f"task {queued.index} {reply.state.value}: {reply.output}"
+        run.fail(Failure(ErrorKind.TASK_FAILED, reason), queued.index)
+
+    def _send_again(
+        self, run: JobRun, queued: QueuedTask, reply: AttemptReply | Failure
+    ) -> None:
+        """Queue a task again after a delay, within its kind's and team's bounds."""
+        rule = self._kind_rule(queued)
+        spent = queued.number > rule.retries_max
+        if spent or not self.budget.spend(queued.job.team):
+            reason = "retries used up" if spent else "the team's retry budget is used"
+            run.fail(Failure(ErrorKind.NO_TARGETS, reason), queued.index)
+        else:
+            gevent.sleep(retry_delay_ms(rule, queued.number) / MS_PER_S)
+        if run.over:
+            self.admission.finished(queued, None)
+            return
+        queued.number += 1
+        self.admission.put_back(queued)
+
+    def _give_up(self, queued: QueuedTask) -> None:
+        """Answer a job at once, one of whose tasks cannot end in time."""
+        run = self._runs.get(queued.job.job_id)
+        if run is not None:
+            reason = f"task {queued.index} cannot be started in time"
+            run.fail(Failure(ErrorKind.DEADLINE_UNREACHABLE, reason), queued.index)
+
+    def _new_attempt(self, queued: QueuedTask) -> Attempt:
+        task = queued.task
+        left_ms = max(1.0, queued.deadline_at_ms - self._now_ms())
+        return Attempt(
+            attempt_id=f"{queued.job.job_id}.{queued.index}.{queued.number}",
+            job_id=queued.job.job_id,
+            task=queued.index,
+            number=queued.number,
+            kind=task.kind,
+            payload=task.payload,
+            size_slots=task.size_slots,
+            run_ms=task.run_ms,
+            start_within_ms=min(START_WITHIN_MS, left_ms),
+            lease_ms=left_ms,
+            accelerator=task.accelerator,
+        )
+
+    def _kind_rule(self, queued: QueuedTask) -> KindRule:
+        rules = self.rules() or Rules()
+        return rules.kinds.get(queued.task.kind, KindRule())
+
+    def _team_rule(self, queued: QueuedTask) -> TeamRule:
+        rules = self.rules() or Rules()
+        return rules.teams.get(queued.job.team, TeamRule())
+
+    def _record(
+        self, kind: EventKind, attempt: Attempt, target: Target, detail: str = ""
+    ) -> None:
+        self.time_line.record(
+            kind, attempt.job_id, attempt.task, attempt.number, target.name, detail
+        )
+
+    def _now_ms(self) -> float:
+        return self.environment.clock.now_ms()
+
+
+def _surely_not_started(reply: AttemptReply | Failure) -> bool:
+    if isinstance(reply, Failure):
+        return reply.kind is ErrorKind.NO_TARGETS
+    return reply.state in SURELY_NOT_STARTED
--- /dev/null
+++ b/rattanloom/dispatch_job.py
@@ -0,0 +1,83 @@
+"""One job under way: which of its tasks ended, and how the job ended."""
+
+from attrs import define, field
+from gevent.event import Event
+
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.job import Job, JobAnswer, JobOutcome
+from rattanloom.targets.protocol import Attempt, Target
+
+
+@define(eq=False)
+class JobRun:
+    """The state of one job between its admission and its answer.
+
+    ``started_tasks`` are the tasks that may have been started.
+    """
+
+    job: Job
+    deadline_at_ms: float
+    began_ms: float
+    outputs: dict[int, str] = field(factory=dict)
+    started_tasks: set[int] = field(factory=set)
+    in_flight: dict[str, tuple[Attempt, Target]] = field(factory=dict)
+    failure: Failure | None = None
+    failed_task: int | None = None
+    ended: Event = field(factory=Event)
+
+    @property
+    def over(self) -> bool:
+        """Say whether the job's answer is settled."""
+        return self.ended.is_set()
+
+    def complete_task(self, index: int, output: str) -> None:
+        """Keep one task's output; the last one completes the job."""
+        self.outputs[index] = output
+        if len(self.outputs) == len(self.job.tasks):
+            self.ended.set()
+
+    def fail(self, failure: Failure, index: int | None = None) -> None:
+        """Settle the answer as failed; later outcomes change nothing."""
+        if self.over:
+            return
+        self.failure = failure
+        self.failed_task = index
+        self.ended.set()
+
+    def answer(self, now_ms: float) -> JobAnswer:
+        """Return the settled answer."""
+        run_ms = now_ms - self.began_ms
+        if self.failure is None:
+            outputs = tuple(self.outputs[i] for i in range(len(self.job.tasks)))
+            return JobAnswer(
+                self.job.job_id, JobOutcome.COMPLETE, outputs, run_ms=run_ms
+            )
+        failure = self._told()
+        return JobAnswer(
+            self.job.job_id,
+            _outcome(failure),
+            failure=failure,
+            failed_task=self.failed_task,
+            run_ms=run_ms,
+        )
+
+    def _told(self) -> Failure:
+        """Return the failure with the honest word on what may have run."""
+        failure = self.failure
+        if not self.started_tasks:
+            return Failure(
+                failure.kind, failure.reason, failure.retry_after_ms, Ran.NOT_RUN
+            )
+        ran = Ran.RAN if failure.ran_word is Ran.RAN else Ran.MAY_HAVE_RUN
+        kind = failure.kind
+        if failure.answer.ran is Ran.NOT_RUN:
+            kind = ErrorKind.DEADLINE_PASSED
+        return Failure(kind, failure.reason, failure.retry_after_ms, ran)
+
+
+def _outcome(failure: Failure) -> JobOutcome:
+    if failure.ran_word is Ran.NOT_RUN:
+        return JobOutcome.REFUSED
+    if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+        return JobOutcome.UNKNOWN
+    return JobOutcome.FAILED
--- /dev/null
+++ b/rattanloom/targets/client.py
@@ -0,0 +1,143 @@
+"""One worker over HTTP: starts, look-ups, stops and probes of attempts."""
+
+import json
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from attrs import asdict, define, field
+from cattrs import Converter
+from cattrs.errors import BaseValidationError
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.targets.protocol import Attempt, AttemptReply
+
+CONNECT_TIMEOUT_MS = 1_000
+ASK_TIMEOUT_MS = 2_000
+HTTP_OK = 200
+HEADERS = {"Content-Type": "application/json"}
+FRESH_HEADERS = {"Connection": "close"}
+CONVERTER = Converter()
+
+ReplyOrFailure = AttemptReply | Failure
+
+
+@define(eq=False)
+class TargetClient:
+    """Speaks to one worker over kept connections, at most ``connections``.
+
+    A start uses a kept connection where one is idle; look-ups, stops and
+    probes open a fresh one, since a kept one may have gone silent.
+    """
+
+    name: str
+    address: str
+    connections: int
+    _pool: HTTPConnectionPool = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._pool = _new_pool(self.address, self.connections)
+
+    def start(self, attempt: Attempt, patience_ms: float) -> ReplyOrFailure:
+        """Start the attempt and return once it ended or was refused."""
+        path = f"/v1/attempts/{attempt.attempt_id}"
+        body = json.dumps(asdict(attempt))
+        timeout = _timeout(patience_ms)
+        return _exchange(
+            attempt.attempt_id,
+            lambda: self._pool.urlopen(
+                "POST", path, body=body, headers=HEADERS, timeout=timeout, retries=False
+            ),
+        )
+
+    def look_up(self, attempt_id: str, wait_ms: float) -> ReplyOrFailure:
+        """Ask over a fresh connection how the attempt stands."""
+        path = f"/v1/attempts/{attempt_id}?wait_ms={wait_ms:.0f}"
+        return self._ask("GET", path, attempt_id, ASK_TIMEOUT_MS + wait_ms)
+
+    def stop(self, attempt_id: str) -> ReplyOrFailure:
+        """Stop the attempt over a fresh connection, or fence it if not begun."""
+        return self._ask(
+            "DELETE", f"/v1/attempts/{attempt_id}", attempt_id, ASK_TIMEOUT_MS
+        )
+
+    def probe(self) -> ReplyOrFailure:
+        """Ask for the worker's slots without starting anything."""
+        return self._ask("GET", "/v1/worker", "", ASK_TIMEOUT_MS)
+
+    def drop_connections(self) -> None:
+        """Close the idle connections: one of their age was found silent."""
+        self._pool.close()
+        self._pool = _new_pool(self.address, self.connections)
+
+    def close(self) -> None:
+        """Close the idle connections for good."""
+        self._pool.close()
+
+    def _ask(
+        self, method: str, path: str, attempt_id: str, timeout_ms: float
+    ) -> ReplyOrFailure:
+        with _fresh_pool(self.address) as pool:
+            return _exchange(
+                attempt_id,
+                lambda: pool.urlopen(
+                    method,
+                    path,
+                    headers=FRESH_HEADERS,
+                    timeout=_timeout(timeout_ms),
+                    retries=False,
+                ),
+            )
+
+
+def _timeout(read_ms: float) -> Timeout:
+    return Timeout(
+        connect=CONNECT_TIMEOUT_MS / MS_PER_S, read=max(read_ms, 1.0) / MS_PER_S
+    )
+
+
+def _new_pool(address: str, connections: int) -> HTTPConnectionPool:
+    host, _, port = address.rpartition(":")
+    return HTTPConnectionPool(host, int(port), maxsize=connections, block=False)
+
+
+@contextmanager
+def _fresh_pool(address: str) -> Iterator[HTTPConnectionPool]:
+    pool = _new_pool(address, 1)
+    try:
+        yield pool
+    finally:
+        pool.close()
+
+
+def _exchange(attempt_id: str, send: Callable) -> ReplyOrFailure:
+    """Send one request and read its reply, or say what its loss means."""
+    try:
+        reply = send()
+    except (NewConnectionError, ConnectTimeoutError) as error:
+        return Failure(ErrorKind.NO_TARGETS, f"worker cannot be reached: {error}")
+    except (HTTPError, OSError) as error:
+        return _unknown(f"no reply from the worker: {error}")
+    return _decode(attempt_id, reply.status, reply.data)
+
+
+def _decode(attempt_id: str, status: int, body: bytes) -> ReplyOrFailure:
+    if status != HTTP_OK:
+        return _unknown(f"worker answered with HTTP status {status}")
+    try:
+        reply = CONVERTER.structure(json.loads(body), AttemptReply)
+    except (ValueError, KeyError, TypeError, BaseValidationError):
+        return _unknown("worker sent a malformed reply")
+    if reply.attempt_id != attempt_id:
+        return _unknown("worker answered for another attempt")
+    return reply
+
+
+def _unknown(reason: str) -> Failure:
+    return Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
--- a/rattanloom/targets/protocol.py
+++ b/rattanloom/targets/protocol.py
@@ -60,6 +60,8 @@
 
     ``run_ms`` is the measured run time. ``busy_slots`` of ``slots`` are taken
     as the worker sends the reply; ``leaving`` says that it accepts no new work.
+    ``remembers_ms`` is how far back the worker remembers every attempt, bounded
+    by its own start: NEVER_STARTED counts only for attempts sent within it.
     """
 
     attempt_id: str
@@ -69,6 +71,7 @@
     slots: int = 0
     busy_slots: int = 0
     leaving: bool = False
+    remembers_ms: float = 0.0
 
 
 class Target(Protocol):
@@ -80,8 +83,12 @@
 
     name: str
 
-    def start(self, attempt: Attempt) -> AttemptReply | Failure:
-        """Start the attempt and return once it ended or was refused."""
+    def start(self, attempt: Attempt, patience_ms: float) -> AttemptReply | Failure:
+        """Start the attempt and return once it ended or was refused.
+
+        Gives up waiting for the reply after ``patience_ms`` with
+        OUTCOME_UNKNOWN; the attempt itself goes on.
+        """
 
     def look_up(self, attempt_id: str, wait_ms: float) -> AttemptReply | Failure:
         """Ask over a fresh connection how the attempt stands.
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,218 @@
+"""A stand-in for the platform's workers: ``python -m standins.worker --help``."""
+
+if __name__ == "__main__":
+    from gevent import monkey
+
+    monkey.patch_all()
+
+import json
+import os
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import gevent
+from attrs import asdict, define, evolve, field
+from bottle import Bottle, HTTPError, request, response
+from cattrs import Converter
+from fire import Fire
+from gevent.event import Event
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from rattanloom.clock import MS_PER_S, Clock, SystemClock
+from rattanloom.logs import get_log, logging_to
+from rattanloom.status import ExitStatus
+from rattanloom.targets.protocol import Attempt, AttemptReply
+from standins.worker_attempts import AttemptTable, Switches
+
+log = get_log("worker")
+
+CONNECTION = "rattanloom.connection"
+DIE_AFTER_MS = 5.0
+CONVERTER = Converter()
+STRICT_CONVERTER = Converter(forbid_extra_keys=True)
+
+
+class ConnectionHandler(WSGIHandler):
+    """A handler that hands the application its connection."""
+
+    silent: bool = False
+
+    def get_environ(self) -> dict:
+        """Return the WSGI environment with this connection in it."""
+        environ = super().get_environ()
+        environ[CONNECTION] = self
+        return environ
+
+    def handle(self) -> None:
+        """Serve one connection, known to the server while it lasts."""
+        self.server.connections.add(self)
+        try:
+            super().handle()
+        finally:
+            self.server.connections.discard(self)
+
+
+class WorkerServer(WSGIServer):
+    """A server that knows its open connections."""
+
+    handler_class = ConnectionHandler
+
+    def __init__(self, *args: object, **options: object) -> None:
+        """Start with no connection."""
+        super().__init__(*args, **options)
+        self.connections: set[ConnectionHandler] = set()
+
+
+@define(eq=False)
+class Worker:
+    """One stand-in worker; ``on_die`` ends it at once."""
+
+    name: str
+    zone: str
+    slots: int = 8
+    connections: int = 64
+    accelerator: bool = False
+    clock: Clock = field(factory=SystemClock)
+    on_die: Callable[[], None] = lambda: None
+    attempts: AttemptTable = field(init=False)
+    server: WorkerServer | None = None
+    _resumed: Event = field(factory=Event)
+
+    def __attrs_post_init__(self) -> None:
+        self.attempts = AttemptTable(self.clock, self.slots, self.accelerator)
+        self._resumed.set()
+
+    def application(self) -> Bottle:
+        """Return the worker's HTTP interface."""
+        app = Bottle()
+        app.post("/v1/attempts/<attempt_id>", callback=self._start)
+        app.get("/v1/attempts/<attempt_id>", callback=self._look_up)
+        app.delete("/v1/attempts/<attempt_id>", callback=self._stop)
+        app.get("/v1/worker", callback=self._probe)
+        app.get("/v1/starts", callback=self._starts)
+        app.get("/switches", callback=self._switches)
+        app.post("/switches", callback=self._set_switches)
+        return app
+
+    def set_switches(self, document: dict) -> Switches:
+        """Change the named switches; unknown names raise ``Exception``."""
+        merged = {**asdict(self.attempts.switches), **document}
+        switches = STRICT_CONVERTER.structure(merged, Switches)
+        self.attempts.switches = evolve(switches, silent=False)
+        if switches.silent:
+            self._silence_connections()
+        if switches.stall:
+            self._resumed.clear()
+        else:
+            self._resumed.set()
+        if switches.die:
+            gevent.spawn_later(DIE_AFTER_MS / MS_PER_S, self.on_die)
+        return switches
+
+    def _silence_connections(self) -> None:
+        for connection in self.server.connections if self.server else ():
+            connection.silent = True
+
+    def _start(self, attempt_id: str) -> dict:
+        self._receive()
+        attempt = CONVERTER.structure(request.json, Attempt)
+        if attempt.attempt_id != attempt_id:
+            raise HTTPError(400, "the path and the body name different attempts")
+        return self._send(self.attempts.start(attempt))
+
+    def _look_up(self, attempt_id: str) -> dict:
+        self._receive()
+        wait_ms = float(request.query.get("wait_ms", "0"))
+        return self._send(self.attempts.look_up(attempt_id, wait_ms))
+
+    def _stop(self, attempt_id: str) -> dict:
+        self._receive()
+        return self._send(self.attempts.stop(attempt_id))
+
+    def _probe(self) -> dict:
+        self._receive()
+        return self._send(self.attempts.probe())
+
+    def _starts(self) -> str:
+        response.content_type = "application/json"
+        return json.dumps([asdict(start) for start in self.attempts.starts])
+
+    def _switches(self) -> dict:
+        return asdict(self.attempts.switches)
+
+    def _set_switches(self) -> dict:
+        try:
+            return asdict(self.set_switches(request.json))
+        except Exception as error:
+            raise HTTPError(400, f"unknown or malformed switch: {error}") from error
+
+    def _receive(self) -> None:
+        self._hang_if_silent()
+        gevent.sleep(self.attempts.switches.latency_ms / MS_PER_S)
+        self._resumed.wait()
+
+    def _send(self, reply: AttemptReply) -> dict:
+        self._resumed.wait()
+        gevent.sleep(self.attempts.switches.latency_ms / MS_PER_S)
+        self._hang_if_silent()
+        return CONVERTER.unstructure(reply)
+
+    def _hang_if_silent(self) -> None:
+        if request.environ[CONNECTION].silent:
+            Event().wait()
+
+
+@contextmanager
+def serving(worker: Worker, address: str) -> Iterator[WorkerServer]:
+    """Serve a worker on ``address`` (``host:port``) for the block's length."""
+    host, _, port = address.rpartition(":")
+    server = WorkerServer(
+        (host, int(port)),
+        worker.application(),
+        spawn=Pool(worker.connections),
+        log=None,
+        error_log=None,
+    )
+    worker.server = server
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop(timeout=0)
+        worker.attempts.stop_all()
+
+
+def run(
+    name: str,
+    zone: str,
+    address: str,
+    slots: int = 8,
+    connections: int = 64,
+    accelerator: bool = False,
+) -> None:
+    """Run one stand-in worker until it is terminated.
+
+    Args:
+        name: the worker's name, as on the host list.
+        zone: its availability zone.
+        address: the host:port to serve on.
+        slots: how many tasks of size one it runs at once.
+        connections: how many connections it accepts at once.
+        accelerator: whether it has one.
+    """
+    worker = Worker(
+        str(name),
+        str(zone),
+        slots,
+        connections,
+        accelerator,
+        on_die=lambda: os._exit(ExitStatus.ERROR),
+    )
+    with logging_to(), serving(worker, address):
+        log.info("{} serves {} slots on {}", name, slots, address)
+        Event().wait()
+
+
+if __name__ == "__main__":
+    Fire(run)
--- /dev/null
+++ b/standins/worker_attempts.py
@@ -0,0 +1,197 @@
+"""The attempts of the stand-in worker: slots, leases, fences and the start log."""
+
+import json
+from collections import OrderedDict, deque
+
+from attrs import define, field, frozen
+from gevent.event import Event
+
+from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.targets.protocol import Attempt, AttemptReply, AttemptState
+
+ENDED_ATTEMPTS_MAX = 20_000
+STARTS_MAX = 200_000
+
+
+@define
+class Switches:
+    """Faults that tests turn on; see ``POST /switches``.
+
+    ``latency_ms`` is added each way; ``slow_factor`` multiplies run times.
+    """
+
+    refuse: bool = False
+    leaving: bool = False
+    stall: bool = False
+    fail_all: bool = False
+    silent: bool = False
+    die: bool = False
+    slow_factor: float = 1.0
+    latency_ms: float = 0.0
+
+
+@frozen
+class Start:
+    """One line of the start log."""
+
+    attempt_id: str
+    job_id: str
+    task: int
+    number: int
+    wall_ms: float
+
+
+@define(eq=False)
+class _Running:
+    attempt: Attempt
+    started_ms: float
+    stopped: Event = field(factory=Event)
+    ended: Event = field(factory=Event)
+
+
+@define(eq=False)
+class AttemptTable:
+    """Runs attempts in slots and remembers how they ended, up to a bound."""
+
+    clock: Clock
+    slots: int
+    accelerator: bool = False
+    switches: Switches = field(factory=Switches)
+    ended_max: int = ENDED_ATTEMPTS_MAX
+    starts: deque[Start] = field(factory=lambda: deque(maxlen=STARTS_MAX))
+    _running: dict[str, _Running] = field(factory=dict)
+    _ended: OrderedDict[str, tuple[float, AttemptReply]] = field(factory=OrderedDict)
+    _busy_slots: int = 0
+    _remembers_since_ms: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._remembers_since_ms = self.clock.now_ms()
+
+    def start(self, attempt: Attempt) -> AttemptReply:
+        """Run an attempt to its end, or refuse it; a repeat joins the first."""
+        known = self._known(attempt.attempt_id)
+        if known is not None:
+            return known
+        if attempt.attempt_id in self._running:
+            return self.look_up(attempt.attempt_id, attempt.lease_ms)
+        refusal = self._refusal(attempt)
+        if refusal is not None:
+            return self._reply(attempt.attempt_id, refusal)
+        return self._run(attempt)
+
+    def look_up(self, attempt_id: str, wait_ms: float) -> AttemptReply:
+        """Tell how an attempt stands, waiting for its end where it runs."""
+        running = self._running.get(attempt_id)
+        if running is not None and wait_ms > 0:
+            running.ended.wait(wait_ms / MS_PER_S)
+        known = self._known(attempt_id)
+        if known is not None:
+            return known
+        state = AttemptState.RUNNING if running else AttemptState.NOT_SEEN
+        return self._reply(attempt_id, state)
+
+    def stop(self, attempt_id: str) -> AttemptReply:
+        """Stop a running attempt, or fence one that has not arrived."""
+        running = self._running.get(attempt_id)
+        if running is not None:
+            running.stopped.set()
+            running.ended.wait()
+        known = self._known(attempt_id)
+        if known is not None:
+            return known
+        self._remember(self._reply(attempt_id, AttemptState.NEVER_STARTED))
+        return self._known(attempt_id)
+
+    def probe(self) -> AttemptReply:
+        """Tell the worker's slots."""
+        return self._reply("", AttemptState.NOT_SEEN)
+
+    def stop_all(self) -> None:
+        """Stop every running attempt."""
+        for running in tuple(self._running.values()):
+            running.stopped.set()
+
+    def _refusal(self, attempt: Attempt) -> AttemptState | None:
+        if self.switches.leaving:
+            return AttemptState.LEAVING
+        lacking = attempt.accelerator and not self.accelerator
+        full = self._busy_slots + attempt.size_slots > self.slots
+        if self.switches.refuse or lacking or full:
+            return AttemptState.BUSY
+        return None
+
+    def _run(self, attempt: Attempt) -> AttemptReply:
+        running = _Running(attempt, self.clock.now_ms())
+        self._running[attempt.attempt_id] = running
+        self._busy_slots += attempt.size_slots
+        self.starts.append(_start_line(attempt, self.clock.wall_ms()))
+        state, output = AttemptState.STOPPED, "stopped"
+        try:
+            state, output = self._work(running)
+        finally:
+            self._busy_slots -= attempt.size_slots
+            del self._running[attempt.attempt_id]
+            run_ms = self.clock.now_ms() - running.started_ms
+            self._remember(self._reply(attempt.attempt_id, state, output, run_ms))
+            running.ended.set()
+        return self._known(attempt.attempt_id)
+
+    def _work(self, running: _Running) -> tuple[AttemptState, str]:
+        attempt = running.attempt
+        if self.switches.fail_all:
+            return AttemptState.FAILED, "the worker fails everything"
+        script = _script(attempt.payload)
+        length_ms = script.get("ms", attempt.run_ms) * self.switches.slow_factor
+        stopped = running.stopped.wait(min(length_ms, attempt.lease_ms) / MS_PER_S)
+        if stopped:
+            return AttemptState.STOPPED, "stopped on request"
+        if length_ms > attempt.lease_ms:
+            return AttemptState.STOPPED, "stopped at the end of its lease"
+        if script.get("fail"):
+            return AttemptState.FAILED, str(script["fail"])
+        return AttemptState.DONE, str(script.get("answer", ""))
+
+    def _reply(
+        self,
+        attempt_id: str,
+        state: AttemptState,
+        output: str = "",
+        run_ms: float = 0.0,
+    ) -> AttemptReply:
+        return AttemptReply(
+            attempt_id,
+            state,
+            output,
+            run_ms,
+            self.slots,
+            self._busy_slots,
+            self.switches.leaving,
+            self.clock.now_ms() - self._remembers_since_ms,
+        )
+
+    def _known(self, attempt_id: str) -> AttemptReply | None:
+        entry = self._ended.get(attempt_id)
+        if entry is None:
+            return None
+        ended = entry[1]
+        return self._reply(attempt_id, ended.state, ended.output, ended.run_ms)
+
+    def _remember(self, reply: AttemptReply) -> None:
+        self._ended[reply.attempt_id] = (self.clock.now_ms(), reply)
+        if len(self._ended) > self.ended_max:
+            _, (ended_ms, _) = self._ended.popitem(last=False)
+            self._remembers_since_ms = max(self._remembers_since_ms, ended_ms)
+
+
+def _start_line(attempt: Attempt, wall_ms: float) -> Start:
+    return Start(
+        attempt.attempt_id, attempt.job_id, attempt.task, attempt.number, wall_ms
+    )
+
+
+def _script(payload: str) -> dict:
+    try:
+        script = json.loads(payload)
+    except ValueError:
+        return {}
+    return script if isinstance(script, dict) else {}
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,45 @@
+"""Jobs are answered whole, and every task starts at most once."""
+
+from collections import Counter
+
+from gevent.event import Event
+
+from rattanloom.errors import ErrorKind, Ran
+from rattanloom.job import JobOutcome, Task
+from tests.dispatch_utils import job, task, until, worker_bench
+
+
+def test_job_is_answered_whole_and_in_order():
+    with worker_bench(workers=2, slots=2) as bench:
+        answer = bench.run(job(*(task(answer=str(n)) for n in range(12))))
+        assert answer.outcome is JobOutcome.COMPLETE
+        assert answer.outputs == tuple(str(n) for n in range(12))
+        starts = Counter((start.job_id, start.task) for start in bench.starts())
+        assert set(starts.values()) == {1}
+
+
+def test_failing_task_answers_at_once_and_stops_its_siblings():
+    with worker_bench(workers=1, slots=2) as bench:
+        failing = Task("proof", '{"ms": 1, "fail": "bad photograph"}', run_ms=1)
+        answer = bench.run(job(task(ms=60_000), failing, task(), task()), 60_000)
+        assert answer.outcome is JobOutcome.FAILED
+        assert answer.failed_task == 1
+        assert answer.failure.kind is ErrorKind.TASK_FAILED
+        assert "bad photograph" in answer.failure.reason
+        until(lambda: not bench.queue.taken)
+        assert {start.task for start in bench.starts()} == {0, 1}
+
+
+def test_cancelled_job_stops_and_says_whether_it_may_have_run():
+    with worker_bench(workers=1, slots=1) as bench:
+        first_cancel, second_cancel = Event(), Event()
+        first = bench.run_later(job(task(60_000)), 60_000, first_cancel)
+        until(bench.starts)
+        second = bench.run_later(job(task(), job_id="j2"), 60_000, second_cancel)
+        until(lambda: bench.queue.waiting)
+        second_cancel.set()
+        assert second.get().failure.ran_word is Ran.NOT_RUN
+        first_cancel.set()
+        assert first.get().failure.ran_word is Ran.MAY_HAVE_RUN
+        until(lambda: not bench.queue.taken)
+        assert len(bench.starts()) == 1
