--- a/rattanloom/configuration_publish.py
+++ b/rattanloom/configuration_publish.py
@@ -177,9 +177,7 @@
         heads = [parse_head(row.value) for row in rows]
         return [head.record for head in heads if isinstance(head, Head)]
 
-    def _next_document(
-        self, head: HeadState, parts: Parts, message: str
-    ) -> Document:
+    def _next_document(self, head: HeadState, parts: Parts, message: str) -> Document:
         version = head.version + 1
         folder_changed = head.document is None or parts.folder != head.parts.folder
         record = VersionRecord(
@@ -253,8 +251,7 @@
         heads = [parse_head(row.value) for row in rows]
         ours = self.document.record.publish_id
         return any(
-            isinstance(head, Head) and head.record.publish_id == ours
-            for head in heads
+            isinstance(head, Head) and head.record.publish_id == ours for head in heads
         )
 
     def _doubtful(self, failure: Failure) -> Failure:
