Add the comparison of routing policies, and even ownership of workers

A focused model in virtual time; the product's own choose_target is one of the policies. Plain rendezvous hashing gave one of three hosts five of eight workers; spread_owners bounds each host to its share of the slots.

--- /dev/null
+++ b/experiments/routing.py
@@ -0,0 +1,330 @@
+"""Compares ways to choose a worker, on one seeded model in virtual time.
+
+Availability zones of entry hosts that decide alone, workers with slots, and
+peers' loads that arrive with each heartbeat. Run it with
+``python -m experiments.routing --help``. The policy in use is the product's
+own ``choose_target``; the others stand here for comparison.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from math import exp, log
+from random import Random
+
+from attrs import define, field
+from fire import Fire
+
+from rattanloom.job import Task
+from rattanloom.platform.protocol import ListedTarget
+from rattanloom.routing import Placement, choose_target, spread_owners
+from rattanloom.targets.protocol import AttemptReply, AttemptState
+from rattanloom.targets.state import TargetState
+
+HOSTS = 3
+WORKERS = 8
+SLOTS = 8
+HEARTBEAT_MS = 250.0
+ONE_WAY_MS = 0.25
+ZONE_ONE_WAY_MS = 1.0
+SHORT_MS = (50.0, 1_000.0)
+LONG_MS = (2_000.0, 5_000.0)
+LONG_SHARE = 0.03
+JOB_TASKS = (1, 1, 1, 2, 4, 8)
+WARM_UP_MS = 5_000.0
+RETRY_BASE_MS = 10.0
+RETRY_MAX_MS = 1_000.0
+TASK = Task("proof")
+LOADS = (0.5, 0.8, 0.95)
+
+
+def mean_run_ms() -> float:
+    """Return the mean run time of the mix."""
+    low, high = SHORT_MS
+    short_ms = (high - low) / log(high / low)
+    return (1 - LONG_SHARE) * short_ms + LONG_SHARE * sum(LONG_MS) / 2
+
+
+def draw_run_ms(random: Random) -> float:
+    """Draw one run time: log-uniform, with a few long ones."""
+    if random.random() < LONG_SHARE:
+        return random.uniform(*LONG_MS)
+    low, high = (log(bound) for bound in SHORT_MS)
+    return exp(random.uniform(low, high))
+
+
+@define(eq=False)
+class ModelJob:
+    """A job of the model; it ends with its last task."""
+
+    arrived_ms: float
+    ideal_ms: float
+    left: int
+
+
+@define(eq=False)
+class ModelTask:
+    """A task of the model."""
+
+    job: ModelJob
+    run_ms: float
+    tries: int = 0
+
+
+@define(eq=False)
+class Host:
+    """One entry host: its view of the workers and its waiting tasks."""
+
+    name: str
+    zone: str
+    states: list[TargetState]
+    waiting: deque[ModelTask] = field(factory=deque)
+
+
+@define(eq=False)
+class Result:
+    """What a run measured."""
+
+    ratios: list[float] = field(factory=list)
+    tasks: int = 0
+    wasted: int = 0
+
+
+Choose = Callable[["Model", Host], TargetState | None]
+
+
+@define(eq=False)
+class Model:
+    """The zones in virtual time, driven by one heap of timed calls."""
+
+    choose: Choose
+    load: float
+    length_ms: float
+    random: Random
+    zones: int = 1
+    reserve: bool = False
+    now_ms: float = 0.0
+    busy: dict[str, int] = field(factory=dict)
+    hosts: list[Host] = field(factory=list)
+    owners: dict[str, tuple[str, str]] = field(factory=dict)
+    result: Result = field(factory=Result)
+    _heap: list = field(factory=list)
+    _order: count = field(factory=count)
+
+    def run(self) -> Result:
+        """Run the model to its end."""
+        self._build()
+        self._arrive()
+        for number, _ in enumerate(self.hosts):
+            self._at(HEARTBEAT_MS * number / len(self.hosts), self._beat, number)
+        while self._heap and self._heap[0][0] < self.length_ms:
+            self.now_ms, _, call, arguments = heappop(self._heap)
+            call(*arguments)
+        return self.result
+
+    def _build(self) -> None:
+        for number in range(self.zones):
+            self._build_zone(f"zone-{number}")
+        for host in self.hosts:
+            host.states = [
+                TargetState(
+                    ListedTarget(name, zone, "", SLOTS, 64),
+                    None,
+                    owned=owner == host.name,
+                )
+                for name, (zone, owner) in self.owners.items()
+            ]
+
+    def _build_zone(self, zone: str) -> None:
+        names = [f"{zone}-worker-{n}" for n in range(WORKERS)]
+        hosts = [f"{zone}-host-{n}" for n in range(HOSTS)]
+        owners = spread_owners(dict.fromkeys(names, SLOTS), hosts)
+        self.busy |= dict.fromkeys(names, 0)
+        self.owners |= {name: (zone, owners[name]) for name in names}
+        self.hosts += [Host(name, zone, []) for name in hosts]
+
+    def _at(self, after_ms: float, call: Callable, *arguments: object) -> None:
+        entry = (self.now_ms + after_ms, next(self._order), call, arguments)
+        heappush(self._heap, entry)
+
+    def _arrive(self) -> None:
+        runs = [draw_run_ms(self.random) for _ in range(self.random.choice(JOB_TASKS))]
+        job = ModelJob(self.now_ms, max(runs) + 2 * ONE_WAY_MS, len(runs))
+        host = self.random.choice(self.hosts)
+        host.waiting.extend(ModelTask(job, run_ms) for run_ms in runs)
+        self._pump(host)
+        mean_tasks = sum(JOB_TASKS) / len(JOB_TASKS)
+        slots = WORKERS * SLOTS * self.zones
+        gap_ms = mean_run_ms() * mean_tasks / (slots * self.load)
+        self._at(self.random.expovariate(1 / gap_ms), self._arrive)
+
+    def _beat(self, number: int) -> None:
+        """Tell the host's occupied slots to the others."""
+        teller = self.hosts[number]
+        told = [state.own_slots for state in teller.states]
+        self._at(ONE_WAY_MS, self._hear, teller.name, told)
+        self._at(HEARTBEAT_MS, self._beat, number)
+
+    def _hear(self, teller: str, told: list[int]) -> None:
+        others = [host for host in self.hosts if host.name != teller]
+        for host in others:
+            for state, slots in zip(host.states, told, strict=True):
+                state.tell_peer_slots(teller, slots, self.now_ms)
+            self._pump(host)
+
+    def _pump(self, host: Host) -> None:
+        while host.waiting:
+            state = self.choose(self, host)
+            if state is None:
+                return
+            task = host.waiting.popleft()
+            state.own_slots += 1
+            legs = 3 if self.reserve else 1
+            self.result.wasted += 2 * self.reserve * (self.now_ms > WARM_UP_MS)
+            self._at(legs * _one_way_ms(host, state), self._reach, host, state, task)
+
+    def _reach(self, host: Host, state: TargetState, task: ModelTask) -> None:
+        """Start or refuse a task at the worker."""
+        if self.busy[state.name] >= SLOTS:
+            reply = self._reply(state, AttemptState.BUSY)
+            self._at(_one_way_ms(host, state), self._refused, host, state, task, reply)
+            return
+        self.busy[state.name] += 1
+        self._at(task.run_ms, self._end, host, state, task)
+
+    def _end(self, host: Host, state: TargetState, task: ModelTask) -> None:
+        self.busy[state.name] -= 1
+        reply = self._reply(state, AttemptState.DONE)
+        self._at(_one_way_ms(host, state), self._done, host, state, task, reply)
+
+    def _done(self, host: Host, state: TargetState, task: ModelTask, reply) -> None:
+        state.own_slots -= 1
+        state.note_reply(reply, self.now_ms)
+        job = task.job
+        job.left -= 1
+        if job.arrived_ms > WARM_UP_MS:
+            self.result.tasks += 1
+            if not job.left:
+                took_ms = self.now_ms - job.arrived_ms
+                self.result.ratios.append(took_ms / job.ideal_ms)
+        self._pump(host)
+
+    def _refused(self, host: Host, state: TargetState, task: ModelTask, reply) -> None:
+        state.own_slots -= 1
+        state.note_reply(reply, self.now_ms)
+        self.result.wasted += 2 * (self.now_ms > WARM_UP_MS)
+        delay_ms = min(RETRY_BASE_MS * 2**task.tries, RETRY_MAX_MS)
+        task.tries += 1
+        self._at(self.random.uniform(0, delay_ms), self._again, host, task)
+
+    def _again(self, host: Host, task: ModelTask) -> None:
+        host.waiting.appendleft(task)
+        self._pump(host)
+
+    def _reply(self, state: TargetState, answer: AttemptState) -> AttemptReply:
+        busy_slots = self.busy[state.name]
+        return AttemptReply("", answer, slots=SLOTS, busy_slots=busy_slots)
+
+
+def _one_way_ms(host: Host, state: TargetState) -> float:
+    return ONE_WAY_MS if host.zone == state.listed.zone else ZONE_ONE_WAY_MS
+
+
+def random_choice(model: Model, host: Host) -> TargetState:
+    """Choose any worker."""
+    return model.random.choice(host.states)
+
+
+def two_choices(model: Model, host: Host) -> TargetState:
+    """Choose the less loaded of two random workers."""
+    pair = model.random.sample(host.states, 2)
+    return min(pair, key=lambda state: -state.free_slots(model.now_ms))
+
+
+def least_outstanding(model: Model, host: Host) -> TargetState | None:
+    """Choose the worker believed to have most free slots."""
+    best = max(host.states, key=lambda state: state.free_slots(model.now_ms))
+    return best if best.free_slots(model.now_ms) > 0 else None
+
+
+def all_knowing(model: Model, host: Host) -> TargetState | None:
+    """Choose with the workers' true load at hand: a bound, not a policy."""
+    slots = {state.name: 0 for state in host.states}
+    for other in model.hosts:
+        for state in other.states:
+            slots[state.name] += state.own_slots
+    best = min(host.states, key=lambda state: slots[state.name])
+    return best if slots[best.name] < SLOTS else None
+
+
+def slot_shares(model: Model, host: Host) -> TargetState | None:
+    """Choose within this host's fixed share of every worker's slots."""
+    number = model.hosts.index(host)
+    free = [
+        (_share(number, index) - state.own_slots, index)
+        for index, state in enumerate(host.states)
+    ]
+    most, index = max(free)
+    return host.states[index] if most > 0 else None
+
+
+def _share(host: int, worker: int) -> int:
+    if host // HOSTS != worker // WORKERS:
+        return 0
+    extra = (host + worker) % HOSTS < SLOTS % HOSTS
+    return SLOTS // HOSTS + extra
+
+
+def owner_first(margin_slots: int) -> Choose:
+    """Return the product's own choice with a spill margin."""
+
+    def choose(model: Model, host: Host) -> TargetState | None:
+        placement = Placement(host.zone, margin_slots)
+        return choose_target(TASK, host.states, placement, model.now_ms)
+
+    return choose
+
+
+POLICIES: dict[str, tuple[Choose, bool]] = {
+    "all-knowing": (all_knowing, False),
+    "random": (random_choice, False),
+    "two choices": (two_choices, False),
+    "slot shares": (slot_shares, False),
+    "least outstanding": (least_outstanding, False),
+    "reserve first": (least_outstanding, True),
+    "owner first, margin 0": (owner_first(0), False),
+    "owner first, margin 1": (owner_first(1), False),
+    "owner first, margin 2": (owner_first(2), False),
+    "owner first, margin 4": (owner_first(4), False),
+}
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return the value that ``share`` of the values do not exceed."""
+    return sorted(values)[int(share * (len(values) - 1))]
+
+
+def compare(seconds: float = 60, seed: int = 1, only: str = "", zones: int = 3) -> None:
+    """Print response/ideal and wasted messages per task for each policy.
+
+    Args:
+        seconds: virtual seconds of each run.
+        seed: of the arrivals and run times.
+        only: run the policies whose name starts so.
+        zones: how many zones of 3 hosts and 8 workers there are.
+    """
+    print(f"{'policy':24} {'load':>5} {'p50':>6} {'p99':>7} {'wasted/task':>11}")
+    for name, (choose, reserve) in POLICIES.items():
+        if not name.startswith(only):
+            continue
+        for load in LOADS:
+            model = Model(choose, load, seconds * 1_000, Random(seed), zones, reserve)
+            result = model.run()
+            p50, p99 = (quantile(result.ratios, share) for share in (0.5, 0.99))
+            wasted = result.wasted / result.tasks
+            print(f"{name:24} {load:5.0%} {p50:6.3f} {p99:7.3f} {wasted:11.4f}")
+
+
+if __name__ == "__main__":
+    Fire(compare)
--- a/rattanloom/routing.py
+++ b/rattanloom/routing.py
@@ -3,19 +3,48 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
+from attrs import frozen
+
 from rattanloom.job import Task
 from rattanloom.targets.state import TargetState
 
-SPILL_MARGIN_SLOTS = 1
 
+@frozen
+class Placement:
+    """Where this host stands: its zone, and how carefully it spills.
+
+    ``margin_slots`` must stay free on a worker that another host owns.
+    """
+
+    zone: str
+    margin_slots: int = 1
 
-def owner_of(target: str, hosts: Iterable[str]) -> str:
-    """Return which host a worker belongs to first, by rendezvous hashing."""
-    return max(hosts, key=lambda host: _weight(target, host), default="")
+
+def spread_owners(slots: dict[str, int], hosts: Iterable[str]) -> dict[str, str]:
+    """Return which host fills each worker first, in even shares of the slots.
+
+    Workers go by rendezvous hashing to their most preferred host whose share
+    is not yet full, so that a host's coming or going moves few of them.
+    """
+    hosts = sorted(hosts)
+    if not hosts:
+        return {}
+    share = sum(slots.values()) / len(hosts)
+    taken = dict.fromkeys(hosts, 0)
+    owners = {}
+    for target in sorted(slots, key=lambda name: _weight(name, "")):
+        by_preference = sorted(hosts, key=lambda host: _weight(target, host))
+        fitting = [
+            host for host in by_preference if taken[host] + slots[target] <= share
+        ]
+        owner = (fitting or [min(by_preference, key=taken.__getitem__)])[0]
+        taken[owner] += slots[target]
+        owners[target] = owner
+    return owners
 
 
 def choose_target(
-    task: Task, targets: Iterable[TargetState], zone: str, now_ms: float
+    task: Task, targets: Iterable[TargetState], placement: Placement, now_ms: float
 ) -> TargetState | None:
     """Return the best worker with free slots for the task, or None.
 
@@ -25,14 +54,14 @@
     best = None
     best_rank = None
     for target in targets:
-        rank = _rank(task, target, zone, now_ms)
+        rank = _rank(task, target, placement, now_ms)
         if rank is not None and (best_rank is None or rank < best_rank):
             best, best_rank = target, rank
     return best
 
 
 def _rank(
-    task: Task, target: TargetState, zone: str, now_ms: float
+    task: Task, target: TargetState, placement: Placement, now_ms: float
 ) -> tuple[int, float] | None:
     if task.accelerator and not target.listed.accelerator:
         return None
@@ -40,10 +69,10 @@
         return None
     free_slots = target.free_slots(now_ms) - task.size_slots
     if not target.owned:
-        free_slots -= SPILL_MARGIN_SLOTS
+        free_slots -= placement.margin_slots
     if free_slots < 0:
         return None
-    distance = 0 if target.listed.zone == zone else 2
+    distance = 0 if target.listed.zone == placement.zone else 2
     return distance + (not target.owned), -free_slots / target.listed.slots
 
 
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -14,7 +14,7 @@
 from rattanloom.peers.protocol import MemberState, Peers, TargetLoad
 from rattanloom.platform.protocol import HostList, ListedTarget
 from rattanloom.queue import Capacity
-from rattanloom.routing import choose_target, owner_of
+from rattanloom.routing import Placement, choose_target, spread_owners
 from rattanloom.rules import KindRule, Rules, TargetRule
 from rattanloom.settings import EntrySettings
 from rattanloom.targets.client import TargetClient
@@ -75,12 +75,8 @@
 
     def refresh_loads(self) -> None:
         """Take in the peers' loads and the owners that follow from them."""
-        peer_slots = self._peer_slots()
-        hosts = self._live_hosts()
-        for name, state in self._targets.items():
-            state.peer_slots = peer_slots.get(name, 0)
-            owner = owner_of(name, hosts.get(state.listed.zone, ()))
-            state.owned = owner == self.settings.host
+        self._take_loads()
+        self._assign_owners()
         self._changed()
 
     def capacity(self) -> Capacity:
@@ -105,7 +101,8 @@
             for state in self._targets.values()
             if self._open(state) and _matches(state.name, allowed)
         ]
-        return choose_target(task, candidates, self.settings.zone, now_ms)
+        placement = Placement(self.settings.zone)
+        return choose_target(task, candidates, placement, now_ms)
 
     def pick(self, task: Task) -> TargetState | None:
         """Reserve slots for the task; ``release`` gives them back."""
@@ -179,13 +176,31 @@
         hosts = 1 + (len(self._peers.members()) if self._peers else 0)
         return max(CONNECTIONS_MIN, listed.connections // hosts)
 
-    def _peer_slots(self) -> dict[str, int]:
-        slots: dict[str, int] = {}
-        loads = self._peers.loads().values() if self._peers else ()
-        for load in loads:
-            for target in load.targets:
-                slots[target.target] = slots.get(target.target, 0) + target.slots
-        return slots
+    def _take_loads(self) -> None:
+        now_ms = self.environment.clock.now_ms()
+        loads = self._peers.loads() if self._peers else {}
+        told = {
+            (load.target, host): load.slots
+            for host, host_load in loads.items()
+            for load in host_load.targets
+        }
+        for name, state in self._targets.items():
+            for host in state.peer_slots.keys() - loads.keys():
+                del state.peer_slots[host]
+            for host in loads:
+                state.tell_peer_slots(host, told.get((name, host), 0), now_ms)
+
+    def _assign_owners(self) -> None:
+        for zone, hosts in self._live_hosts().items():
+            states = {
+                name: state
+                for name, state in self._targets.items()
+                if state.listed.zone == zone
+            }
+            slots = {name: state.listed.slots for name, state in states.items()}
+            owners = spread_owners(slots, hosts)
+            for name, state in states.items():
+                state.owned = owners[name] == self.settings.host
 
     def _live_hosts(self) -> dict[str, list[str]]:
         hosts = {self.settings.zone: [self.settings.host]}
--- a/rattanloom/targets/state.py
+++ b/rattanloom/targets/state.py
@@ -17,16 +17,16 @@
 class TargetState:
     """One worker: its listing, its connections, its load and its health.
 
-    ``own_slots`` are occupied from here, ``peer_slots`` by other entry hosts
-    as they tell it; ``hint_slots`` is what the worker's own last reply says
-    of slots taken by others, at ``hint_at_ms``.
+    ``own_slots`` are occupied from here, ``peer_slots`` by each other entry
+    host as it last told; ``hint_slots`` is what the worker's own last reply
+    says of slots taken by others, at ``hint_at_ms``.
     """
 
     listed: ListedTarget
     client: TargetClient
     owned: bool = True
     own_slots: int = 0
-    peer_slots: int = 0
+    peer_slots: dict[str, int] = field(factory=dict)
     hint_slots: int = 0
     hint_at_ms: float = float("-inf")
     leaving: bool = False
@@ -64,9 +64,14 @@
 
     def other_slots(self, now_ms: float) -> int:
         """Return the slots that others seem to occupy."""
+        told = sum(self.peer_slots.values())
         if now_ms - self.hint_at_ms > HINT_KEEP_MS:
-            return self.peer_slots
-        return max(self.peer_slots, self.hint_slots)
+            return told
+        return max(told, self.hint_slots)
+
+    def tell_peer_slots(self, host: str, slots: int, now_ms: float) -> None:
+        """Take in the slots that another entry host occupies."""
+        self.peer_slots[host] = slots
 
     def free_slots(self, now_ms: float) -> int:
         """Return the slots believed free."""
