--- a/rattanloom/admission.py
+++ b/rattanloom/admission.py
@@ -67,7 +67,9 @@
 
     def __attrs_post_init__(self) -> None:
         self._queue = FairQueue(self._weight)
-        self._quotas = QuotaShares(self.time_line.process)
+        self._quotas = QuotaShares(
+            self.time_line.process, self.environment.clock.now_ms()
+        )
         self._hints = ReturnHints(self.environment.random)
 
     def start(self, peers: Peers, timers: TimerService) -> None:
--- a/rattanloom/quota.py
+++ b/rattanloom/quota.py
@@ -8,7 +8,9 @@
 * beyond it, unused quota is divided by max-min fairness over the demands told.
   A larger allowance counts only once it has held for ``SETTLE_MS``, a smaller
   one at once, so that hosts that start together see each other first;
-* the base shares of hosts that are not heard stay set aside.
+* the base shares of hosts that are not heard stay set aside;
+* a host that has just started, and may not yet know all others, has no base
+  share for ``SETTLE_MS`` and runs one task of a team at a time.
 
 With n hosts and quota q, hosts that wake while others hold what they lent
 exceed q by less than q * (n - 1) / n, plus one task a host where the base share
@@ -31,35 +33,40 @@
 class TeamShare:
     """What this host may occupy for one team, in slots.
 
-    ``rising_slots`` is the larger allowance that waits to settle and
+    ``part_slots`` is its settled part of what the demands leave,
+    ``rising_slots`` the larger part that waits to settle, and
     ``others_running_slots`` what the peers said they occupy.
     """
 
     quota_slots: int
     base_slots: int
-    allowed_slots: int
+    part_slots: int = 0
     rising_slots: int = 0
     rising_since_ms: float = 0.0
     others_running_slots: int = 0
 
-    def settle(self, target_slots: int, now_ms: float) -> None:
-        """Move towards ``target_slots``: down at once, up after a while."""
-        if target_slots <= self.allowed_slots:
-            self.allowed_slots = target_slots
+    @property
+    def allowed_slots(self) -> int:
+        """Return how many slots may be occupied here."""
+        return max(self.base_slots, self.part_slots)
+
+    def settle(self, part_slots: int, now_ms: float) -> None:
+        """Move to a new part: down at once, up after ``SETTLE_MS``."""
+        if part_slots <= self.part_slots:
+            self.part_slots = part_slots
             self.rising_slots = 0
             return
         if not self.rising_slots:
             self.rising_since_ms = now_ms
-            self.rising_slots = target_slots
-        self.rising_slots = min(self.rising_slots, target_slots)
+            self.rising_slots = part_slots
+        self.rising_slots = min(self.rising_slots, part_slots)
         if now_ms - self.rising_since_ms >= SETTLE_MS:
-            self.allowed_slots = self.rising_slots
+            self.part_slots = self.rising_slots
             self.rising_slots = 0
 
     def permits(self, running_slots: int, size_slots: int) -> bool:
         """Return whether a task may start beside ``running_slots`` here."""
-        wanted_slots = running_slots + size_slots
-        if wanted_slots <= self.allowed_slots:
+        if running_slots + size_slots <= self.allowed_slots:
             return True
         alone = running_slots == 0
         return alone and self.others_running_slots + size_slots <= self.quota_slots
@@ -122,6 +129,8 @@
     """The parts of the teams' quotas that this host may use."""
 
     host: str
+    started_at_ms: float
+    _settled: bool = False
     _view: PeerView = field(factory=PeerView)
     _shares: dict[str, TeamShare] = field(factory=dict)
 
@@ -136,6 +145,7 @@
         self._view = view
         shares = self._shares
         self._shares = {}
+        self._settled = now_ms - self.started_at_ms >= SETTLE_MS
         for team, (quota_slots, wanted_slots) in demands.items():
             share = shares.get(team)
             if share is None or share.quota_slots != quota_slots:
@@ -151,17 +161,22 @@
         return share
 
     def _new_share(self, team: str, quota_slots: int) -> TeamShare:
-        base_slots = base_share(team, quota_slots, self.host, self._view.hosts)
-        share = TeamShare(quota_slots, base_slots, base_slots)
+        base_slots = self._base_slots(team, quota_slots)
+        share = TeamShare(quota_slots, base_slots)
         share.others_running_slots = self._view.running.get(team, 0)
         return share
 
+    def _base_slots(self, team: str, quota_slots: int) -> int:
+        if not self._settled:
+            return 0
+        return base_share(team, quota_slots, self.host, self._view.hosts)
+
     def _refresh_team(
         self, share: TeamShare, team: str, wanted_slots: int, now_ms: float
     ) -> None:
         view = self._view
         quota_slots = share.quota_slots
-        share.base_slots = base_share(team, quota_slots, self.host, view.hosts)
+        share.base_slots = self._base_slots(team, quota_slots)
         share.others_running_slots = view.running.get(team, 0)
         set_aside_slots = sum(
             base_share(team, quota_slots, host, [self.host, *view.hosts])
@@ -169,4 +184,4 @@
         )
         others = view.demands.get(team, {}).values()
         part_slots = fair_part(wanted_slots, others, quota_slots - set_aside_slots)
-        share.settle(max(share.base_slots, part_slots), now_ms)
+        share.settle(part_slots, now_ms)
