--- /dev/null
+++ b/experiments/history.py
@@ -0,0 +1,174 @@
+"""Histories of concurrent runs: what callers, workers and operators saw.
+
+All times are milliseconds on one monotonic clock of the machine that records.
+``submission`` is the caller's own name of what it wants done once: it is in
+every payload, and stays the same when the caller takes another ticket.
+"""
+
+from enum import Enum
+
+from attrs import define, field, frozen
+
+from rattanloom.errors import Ran
+from rattanloom.job import JobOutcome
+
+
+class Action(Enum):
+    """What a caller asked for."""
+
+    SUBMIT = "submit"
+    ASK = "ask"
+    CANCEL = "cancel"
+
+
+@frozen
+class Invoked:
+    """A caller sent a request; ``call`` numbers it.
+
+    ``wanted`` holds the outputs that a complete answer must have.
+    """
+
+    at_ms: float
+    call: int
+    action: Action
+    host: str
+    submission: str
+    job_id: str
+    key: str
+    wanted: tuple[str, ...]
+    idempotent: bool = True
+
+
+@frozen
+class Answered:
+    """The caller got a whole answer to its request."""
+
+    at_ms: float
+    call: int
+    job_id: str
+    outcome: JobOutcome
+    outputs: tuple[str, ...] = ()
+    kind: str = ""
+    ran: Ran | None = None
+
+
+@frozen
+class Unanswered:
+    """The request ended without an answer.
+
+    ``cut_off`` says that the connection had been made and was closed; it is
+    false where none could be made or where the caller gave up.
+    """
+
+    at_ms: float
+    call: int
+    cut_off: bool
+    reason: str = ""
+
+
+@frozen
+class Started:
+    """A worker started one task of a submission."""
+
+    at_ms: float
+    worker: str
+    submission: str
+    task: int
+    attempt_id: str = ""
+
+
+@frozen
+class TargetLeaving:
+    """A worker was marked as leaving."""
+
+    at_ms: float
+    worker: str
+
+
+@frozen
+class HostStopped:
+    """An entry host was told to stop gracefully, and ended."""
+
+    told_at_ms: float
+    ended_at_ms: float
+    host: str
+
+
+@frozen
+class ConfigAccepted:
+    """An operator was told that a configuration is accepted.
+
+    ``marks`` are the changes it contains; every later version contains them.
+    """
+
+    at_ms: float
+    version: int
+    marks: frozenset[str]
+
+
+@frozen
+class ConfigSeen:
+    """A host told the version in force and the changes that it contains.
+
+    Version 0 stands for none in force, as after a start.
+    """
+
+    at_ms: float
+    host: str
+    version: int
+    marks: frozenset[str]
+
+
+@frozen
+class Disturbed:
+    """A host could not be expected to follow the configuration meanwhile."""
+
+    from_ms: float
+    until_ms: float
+    host: str
+
+
+Record = (
+    Invoked
+    | Answered
+    | Unanswered
+    | Started
+    | TargetLeaving
+    | HostStopped
+    | ConfigAccepted
+    | ConfigSeen
+    | Disturbed
+)
+
+
+@frozen
+class Call:
+    """One request with what became of it."""
+
+    invoked: Invoked
+    answered: Answered | None
+    unanswered: Unanswered | None
+
+
+@define(eq=False)
+class History:
+    """The records of one run, in any order."""
+
+    records: list[Record] = field(factory=list)
+
+    def add(self, record: Record) -> None:
+        """Append one record."""
+        self.records.append(record)
+
+    def of(self, *shapes: type) -> list:
+        """Return the records of the given types, in the order of recording."""
+        return [record for record in self.records if isinstance(record, shapes)]
+
+    def calls(self) -> list[Call]:
+        """Return every request with its answer, if any."""
+        answered = {record.call: record for record in self.of(Answered)}
+        unanswered = {record.call: record for record in self.of(Unanswered)}
+        return [
+            Call(each, answered.get(each.call), unanswered.get(each.call))
+            for each in self.of(Invoked)
+        ]
--- a/tests/fakes_jobs.py
+++ b/tests/fakes_jobs.py
@@ -1,5 +1,7 @@
 """Fakes at the job service's interfaces: table, peers, admission, dispatcher."""
 
+from collections.abc import Callable
+
 import gevent
 from attrs import define, evolve, field
 from gevent.event import Event
@@ -91,17 +93,25 @@
 class FakeDispatcher:
     """Starts a job at once and ends it when told, or when cancelled."""
 
+    gate: Event
+    on_start: Callable = field(default=lambda job: None)
     starts: list = field(factory=list)
     hold: bool = False
     refuse: Failure | None = None
+    dead: bool = False
     released: Event = field(factory=Event)
 
     def run(self, job, deadline_at_ms, cancelled):
+        self.gate.wait()
+        if self.dead:
+            Event().wait()
         if self.refuse is not None:
             return JobAnswer(job.job_id, JobOutcome.REFUSED, failure=self.refuse)
         self.starts.append((job.job_id, job.key, job.tasks))
+        self.on_start(job)
         if self.hold:
             gevent.wait([self.released, cancelled], count=1)
+        self.gate.wait()
         if cancelled.is_set():
             failure = Failure(ErrorKind.CANCELLED, "stopped")
             return JobAnswer(job.job_id, JobOutcome.UNKNOWN, failure=failure)
@@ -150,6 +160,10 @@
         home = cluster.hosts.get(host)
         if home is None or home.mint.incarnation != incarnation:
             return Failure(ErrorKind.HOME_GONE, "gone")
+        gate = cluster.gates[host]
+        if not gate.is_set():
+            gevent.spawn(cluster.when_awake, host, call)
+            return Failure(ErrorKind.HOME_UNREACHABLE, "no reply in time")
         answer = call(home)
         alive = cluster.hosts.get(host) is home
         if not alive or frozenset((self.host, host)) in cluster.cuts:
@@ -167,7 +181,9 @@
     table: FakeTable = field(factory=FakeTable)
     hosts: dict = field(factory=dict)
     dispatchers: list = field(factory=list)
+    gates: dict = field(factory=dict)
     cuts: set = field(factory=set)
+    on_start: Callable = field(default=lambda job: None)
     lose_forwarded_replies: bool = False
     rules: Rules = field(factory=Rules)
     incarnations: int = 0
@@ -183,7 +199,11 @@
         mint = TicketMint(
             "z1", host, f"i{self.incarnations}", KEY.encode(), self.clock, EPOCH_MS
         )
-        dispatcher = FakeDispatcher()
+        if host in self.hosts:
+            self.hosts[host].dispatcher.dead = True
+        gate = self.gates[host] = Event()
+        gate.set()
+        dispatcher = FakeDispatcher(gate, self.on_start)
         self.dispatchers.append(dispatcher)
         self.hosts[host] = self.service_class(
             settings,
@@ -199,6 +219,13 @@
         )
         return self.hosts[host]
 
+    def when_awake(self, host, call):
+        """Do what reached a paused process, unless it dies before it wakes."""
+        home, gate = self.hosts[host], self.gates[host]
+        gate.wait()
+        if self.hosts[host] is home:
+            call(home)
+
     def starts(self):
         """Return every start of a job, on all hosts and incarnations."""
         return [start for one in self.dispatchers for start in one.starts]
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,157 @@
+"""The checker accepts a good history and rejects each planted bad one."""
+
+import pytest
+from attrs import evolve
+
+from experiments.history import (
+    Action,
+    Answered,
+    ConfigAccepted,
+    ConfigSeen,
+    Disturbed,
+    History,
+    HostStopped,
+    Invoked,
+    Started,
+    TargetLeaving,
+    Unanswered,
+)
+from experiments.history_checks import PROPERTIES, check
+from rattanloom.errors import Ran
+from rattanloom.job import JobOutcome
+
+OUTPUTS = ("out0", "out1")
+NONE, FIRST, BOTH = frozenset(), frozenset({"x"}), frozenset({"x", "y"})
+
+
+def submit(call, at_ms, submission="s1", job_id="t1", **changes):
+    invoked = Invoked(at_ms, call, Action.SUBMIT, "a", submission, job_id, "", OUTPUTS)
+    return evolve(invoked, **changes)
+
+
+def complete(call, at_ms, job_id="t1", outputs=OUTPUTS):
+    return Answered(at_ms, call, job_id, JobOutcome.COMPLETE, outputs)
+
+
+def refused(call, at_ms, job_id="t1"):
+    return Answered(at_ms, call, job_id, JobOutcome.REFUSED, ran=Ran.NOT_RUN)
+
+
+def starts(at_ms, submission="s1", worker="w1"):
+    return [Started(at_ms, worker, submission, task) for task in (0, 1)]
+
+
+GOOD = [
+    submit(1, 0),
+    *starts(10),
+    complete(1, 20),
+    submit(2, 30, "s2", "t2", idempotent=False),
+    refused(2, 40, "t2"),
+    submit(3, 50, "s2", "t2", idempotent=False),
+    *starts(60, "s2"),
+    complete(3, 70, "t2"),
+    submit(4, 80, "s3", "t3"),
+    Unanswered(90, 4, True),
+    TargetLeaving(100, "w1"),
+    *starts(200, "s3"),
+    HostStopped(1_000, 2_000, "a"),
+    ConfigAccepted(3_000, 1, FIRST),
+    ConfigSeen(3_100, "a", 0, NONE),
+    ConfigSeen(4_000, "a", 1, FIRST),
+    ConfigAccepted(5_000, 2, BOTH),
+    Disturbed(5_000, 60_000, "b"),
+    ConfigSeen(50_000, "b", 1, FIRST),
+    ConfigSeen(50_000, "a", 2, BOTH),
+    ConfigSeen(70_000, "b", 2, BOTH),
+]
+
+BAD = {
+    "a second start": ("every task starts at most once", starts(2_500)),
+    "a part of the outputs": (
+        "an answer is complete or failed",
+        [submit(9, 300), complete(9, 310, outputs=OUTPUTS[:1])],
+    ),
+    "outputs with a failure": (
+        "an answer is complete or failed",
+        [submit(9, 300), Answered(310, 9, "t1", JobOutcome.FAILED, OUTPUTS)],
+    ),
+    "another caller's outputs": (
+        "each caller gets its own whole answer",
+        [submit(9, 300), complete(9, 310, outputs=("out1", "out0"))],
+    ),
+    "another job's answer": (
+        "each caller gets its own whole answer",
+        [submit(9, 300), complete(9, 310, job_id="t7")],
+    ),
+    "complete, then failed": (
+        "each caller gets its own whole answer",
+        [submit(9, 300), Answered(310, 9, "t1", JobOutcome.FAILED)],
+    ),
+    "not run after a start": (
+        "not run means not run",
+        [submit(9, 300), refused(9, 310)],
+    ),
+    "a start after not run": (
+        "not run means not run",
+        [submit(9, 300, "s9"), refused(9, 310), *starts(320, "s9")],
+    ),
+    "a start after a cancellation told not run": (
+        "not run means not run",
+        [
+            submit(9, 300, "s9", "t9"),
+            evolve(submit(8, 290, "s9", "t9"), action=Action.CANCEL),
+            refused(8, 295, "t9"),
+            *starts(320, "s9"),
+        ],
+    ),
+    "a second billing": (
+        "a non-idempotent request runs at most once",
+        starts(2_500, "s2"),
+    ),
+    "complete without a run": (
+        "a non-idempotent request runs at most once",
+        [submit(9, 300, "s9", "t9"), complete(9, 310, "t9")],
+    ),
+    "work for a leaving target": (
+        "a leaving target gets no new work",
+        [submit(9, 300, "s9"), *starts(9_000, "s9")],
+    ),
+    "a request cut off by a stop": (
+        "a planned stop cuts off nothing",
+        [submit(9, 900, "s9"), Unanswered(1_500, 9, True)],
+    ),
+    "a version that goes back": (
+        "a configuration holds and never reverts",
+        [Disturbed(0, 90_000, "a"), ConfigSeen(80_000, "a", 1, FIRST)],
+    ),
+    "a version late somewhere": (
+        "a configuration holds and never reverts",
+        [ConfigSeen(50_000, "c", 1, FIRST)],
+    ),
+    "one version with two contents": (
+        "a configuration holds and never reverts",
+        [ConfigSeen(70_000, "c", 2, FIRST | {"z"})],
+    ),
+    "a lost change": (
+        "a configuration holds and never reverts",
+        [ConfigAccepted(80_000, 3, frozenset({"y"}))],
+    ),
+    "two operators told of one version": (
+        "a configuration holds and never reverts",
+        [ConfigAccepted(80_000, 2, BOTH)],
+    ),
+}
+
+
+def test_a_good_history_has_no_violation():
+    assert not any(check(History(list(GOOD))).values())
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_a_planted_bad_history_is_rejected(name):
+    broken_property, records = BAD[name]
+    assert check(History(GOOD + records))[broken_property]
+
+
+def test_every_property_has_a_planted_bad_history():
+    assert {broken for broken, _ in BAD.values()} == set(PROPERTIES)
