--- a/experiments/demo.py
+++ b/experiments/demo.py
@@ -23,7 +23,7 @@
 from rattanloom.job import Job, JobAnswer, JobOutcome, Task  # noqa: E402
 
 RULES = Path(__file__).parent.parent / "examples" / "rules"
-DEADLINE_MS = 10_000
+DEADLINE_MS = 5_000
 STOP_WITHIN_S = 20
 REFUSE_SWATCH = {"kinds": {"colour_swatch": {"refuse": "the colour desk is closed"}}}
 
@@ -104,9 +104,10 @@
     show(refused)
     demo.expect("the kind is refused, not run", refused.outcome is JobOutcome.REFUSED)
     (demo.rules / "90-closed.json").unlink()
-    demo.cluster.publish(demo.rules, "open the desk")
+    print("      " + demo.cluster.publish(demo.rules, "open the desk").strip())
     demo.cluster.await_version(3)
     swatch = run_job(demo.caller(1, "commissions"), "colour_swatch", [50])
+    show(swatch)
     demo.expect("the kind runs again", swatch.outcome is JobOutcome.COMPLETE)
 
 
@@ -125,7 +126,7 @@
 
 def count_starts(demo: Demo, worker: Process) -> int:
     """Return how many attempts a worker has started."""
-    return len(demo.cluster.get_json(worker.address, "/v1/starts")["starts"])
+    return len(demo.cluster.get_json(worker.address, "/v1/starts"))
 
 
 def kill_host(demo: Demo) -> None:
