Send replies without Nagle's delay

Cause: a reply left as two segments, and the second waited for the caller's delayed acknowledgement. Ruled out: the client (urllib3 sets TCP_NODELAY). Change: accepted sockets get TCP_NODELAY.

--- a/experiments/demo.py
+++ b/experiments/demo.py
@@ -172,7 +172,7 @@
     shape = with_settings(Shape(), log_level="INFO", leave_grace_ms=500)
     with running_cluster(shape) as cluster:
         rules = cluster.folder / "rules"
-        shutil.copytree(RULES, rules)
+        shutil.copytree(RULES, rules, ignore=shutil.ignore_patterns(".*"))
         demo = Demo(cluster, rules)
         publish_first_rules(demo)
         answer = submit_both_kinds(demo)
--- a/rattanloom/callers/server.py
+++ b/rattanloom/callers/server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from socket import IPPROTO_TCP, TCP_NODELAY
 
 import gevent
 from gevent.pool import Pool
@@ -22,6 +23,11 @@
     header_timeout_ms = 5_000
     served_requests = 0
 
+    def handle(self) -> None:
+        """Serve one connection; replies leave at once, without Nagle's delay."""
+        self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        super().handle()
+
     def read_requestline(self) -> str:
         """Read the request line; a first request must come soon."""
         timeout_ms = IDLE_TIMEOUT_MS if self.served_requests else self.header_timeout_ms
