Let the stand-ins send replies without Nagle's delay

Cause: a start's reply waited 40 ms for a delayed acknowledgement, as at the entry host. Change: one handler for all stand-ins sets TCP_NODELAY.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -19,7 +19,7 @@
 from attrs import asdict
 from bottle import Bottle, HTTPResponse, request
 from fire import Fire
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIServer
 
 from rattanloom.clock import MS_PER_S
 from rattanloom.platform.messages import (
@@ -33,6 +33,7 @@
     encode_message,
 )
 from rattanloom.platform.protocol import Conflicted, ListedTarget
+from standins.handler import NoDelayHandler
 from standins.platform_state import PlatformState, RateLimit
 
 SOCKET_KEY = "standin.socket"
@@ -40,7 +41,7 @@
 BODY_MAX_BYTES = 64_000_000
 
 
-class SocketHandler(WSGIHandler):
+class SocketHandler(NoDelayHandler):
     """Gives the application its connection, so that it can drop it."""
 
     def get_environ(self) -> dict:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -17,12 +17,13 @@
 from fire import Fire
 from gevent.event import Event
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIServer
 
 from rattanloom.clock import MS_PER_S, Clock, SystemClock
 from rattanloom.logs import get_log, logging_to
 from rattanloom.status import ExitStatus
 from rattanloom.targets.protocol import Attempt, AttemptReply
+from standins.handler import NoDelayHandler
 from standins.worker_attempts import AttemptTable, Switches
 
 log = get_log("worker")
@@ -33,7 +34,7 @@
 STRICT_CONVERTER = Converter(forbid_extra_keys=True)
 
 
-class ConnectionHandler(WSGIHandler):
+class ConnectionHandler(NoDelayHandler):
     """A handler that hands the application its connection."""
 
     silent: bool = False
