--- a/rattanloom/peers/heartbeats.py
+++ b/rattanloom/peers/heartbeats.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from itertools import count
 
 import gevent
 from attrs import define, evolve, field
@@ -35,6 +36,7 @@
 FAR_SENDS_PER_BEAT = 1
 FAR_INTERVAL_MIN_BEATS = 2
 INTRODUCTIONS_PER_PEER = 3
+RECEIVES_PER_TURN = 32
 JITTER = 0.1
 PAUSE_BEATS = 4
 ASKS_MAX = 16
@@ -106,7 +108,7 @@
         if elapsed_ms > PAUSE_BEATS * self.heartbeat_ms:
             log.warning("This process was paused for {:.0f} ms.", elapsed_ms)
             self.metrics.count("peer_pauses")
-            self.membership.forgive(elapsed_ms)
+            self.membership.forgive(elapsed_ms, now_ms)
         self.beat += 1
         self.membership.evaluate(now_ms)
         self.teller.refresh()
@@ -208,7 +210,7 @@
     def _plain(self, address: str) -> Heartbeat:
         unheard = ()
         receiver = self._member_at(address)
-        if receiver and not self.membership.hears(receiver, self._now_ms()):
+        if receiver is not None and not receiver.heard:
             unheard = (receiver.record.key,)
         return Heartbeat(
             self.membership.own.key,
@@ -244,7 +246,9 @@
         self.bytes_sent += len(datagram)
 
     def _receive_all(self) -> None:
-        while True:
+        for number in count():
+            if number % RECEIVES_PER_TURN == 0:
+                gevent.sleep(0)
             try:
                 datagram, source = self._socket.recvfrom(DATAGRAM_MAX_BYTES)
             except OSError as error:
@@ -252,8 +256,13 @@
                 continue
             self.bytes_received += len(datagram)
             address = format_address(source)
-            if self.link_filter.may_hear(address):
+            if not self.link_filter.may_hear(address):
+                continue
+            try:
                 self._receive(datagram, address)
+            except Exception as error:
+                self.metrics.count("peer_receives_failed", type(error).__name__)
+                log.error("A heartbeat could not be taken in: {!r}.", error)
 
     def _receive(self, datagram: bytes, address: str) -> None:
         try:
--- a/rattanloom/peers/membership.py
+++ b/rattanloom/peers/membership.py
@@ -39,7 +39,8 @@
 
     ``direct_at_ms`` is when it last told us itself, ``fresh_at_ms`` when its
     heartbeat number last grew by any way; ``hears_us`` is what it says.
-    ``replaced`` is the incarnation before it, until it tells us itself.
+    ``heard`` says whether we hear the host itself. ``replaced`` is the
+    incarnation before it, until it tells us itself.
     """
 
     record: MemberRecord
@@ -50,6 +51,7 @@
     interval_ms: float = 0
     config_version: int = 0
     leaving: bool = False
+    heard: bool = True
     hears_us: bool = True
     state: MemberState = MemberState.SILENT
     learned_at_ms: float = NEVER_MS
@@ -151,12 +153,12 @@
             member.leaving |= told.leaving
             self._promote(member)
 
-    def forgive(self, pause_ms: float) -> None:
+    def forgive(self, pause_ms: float, now_ms: float) -> None:
         """Leave out a time in which this process itself was paused."""
         for member in self._by_host.values():
-            member.direct_at_ms += pause_ms
-            member.fresh_at_ms += pause_ms
-            member.learned_at_ms += pause_ms
+            member.direct_at_ms = min(member.direct_at_ms + pause_ms, now_ms)
+            member.fresh_at_ms = min(member.fresh_at_ms + pause_ms, now_ms)
+            member.learned_at_ms = min(member.learned_at_ms + pause_ms, now_ms)
 
     def evaluate(self, now_ms: float) -> None:
         """Set every member's state, and forget those that are long gone."""
@@ -172,12 +174,6 @@
         """Say whether somebody heard the member lately."""
         return now_ms - member.fresh_at_ms <= self._silent_after_ms(member)
 
-    def hears(self, member: KnownMember, now_ms: float) -> bool:
-        """Say whether we hear the member itself, or lately met it."""
-        if member.direct_at_ms == NEVER_MS:
-            return now_ms - member.learned_at_ms <= self._pair_after_ms(member)
-        return now_ms - member.direct_at_ms <= self._pair_after_ms(member)
-
     def _hear_sender(
         self, sender: KnownMember, heartbeat: Heartbeat, now_ms: float
     ) -> None:
@@ -281,37 +277,37 @@
     ) -> None:
         fresh = [member for member in members if self.is_fresh(member, now_ms)]
         whole_zone_fell = not fresh and self._fell_at_once(members)
-        zone_direct_at_ms = max(member.direct_at_ms for member in members)
+        zone_heard = zone == self.own.zone or self._hears_zone(members, now_ms)
         for member in members:
-            if member not in fresh:
-                state = MemberState.CUT_OFF if whole_zone_fell else MemberState.SILENT
-            elif zone == self.own.zone:
-                state = self._near_state(member, now_ms)
+            is_fresh = member in fresh
+            member.heard = is_fresh and zone_heard and self._hears(member, now_ms)
+            if member.heard:
+                state = self._direct_state(member)
+            elif is_fresh or whole_zone_fell:
+                state = MemberState.CUT_OFF
             else:
-                state = self._far_state(member, zone_direct_at_ms, len(members), now_ms)
+                state = MemberState.SILENT
             self._set_state(member, state)
 
-    def _near_state(self, member: KnownMember, now_ms: float) -> MemberState:
-        if now_ms - member.direct_at_ms <= self._silent_after_ms(member):
-            return self._direct_state(member)
-        lag_ms = member.fresh_at_ms - member.direct_at_ms
-        if lag_ms > self._silent_after_ms(member):
-            return MemberState.CUT_OFF
-        return MemberState.SILENT
-
-    def _far_state(
-        self,
-        member: KnownMember,
-        zone_direct_at_ms: float,
-        zone_size: int,
-        now_ms: float,
-    ) -> MemberState:
-        pair_after_ms = self._pair_after_ms(member)
-        zone_after_ms = max(pair_after_ms / zone_size, self._silent_after_ms(member))
-        zone_heard = now_ms - zone_direct_at_ms <= zone_after_ms
-        if not zone_heard or not self.hears(member, now_ms):
-            return MemberState.CUT_OFF
-        return self._direct_state(member)
+    def _hears_zone(self, members: list[KnownMember], now_ms: float) -> bool:
+        """Say whether any host of another zone reaches us."""
+        last_ms = max(max(m.direct_at_ms, m.learned_at_ms) for m in members)
+        share_ms = min(map(self._pair_after_ms, members)) / len(members)
+        after_ms = max(share_ms, self._silent_after_ms(members[0]))
+        return now_ms - last_ms <= after_ms
+
+    def _hears(self, member: KnownMember, now_ms: float) -> bool:
+        """Say whether the host itself reaches us, or was met only lately.
+
+        Where others pass on hardly more than it told us itself, it may have
+        died, or some of its messages were lost: it still counts as heard.
+        """
+        last_ms = member.direct_at_ms
+        if last_ms == NEVER_MS:
+            last_ms = member.learned_at_ms
+        if now_ms - last_ms <= self._pair_after_ms(member):
+            return True
+        return member.fresh_at_ms - last_ms <= self._silent_after_ms(member)
 
     def _direct_state(self, member: KnownMember) -> MemberState:
         if not member.hears_us:
@@ -331,10 +327,10 @@
         return beats * self.heartbeat_ms
 
     def _pair_after_ms(self, member: KnownMember) -> float:
-        interval_ms = max(member.interval_ms, self.heartbeat_ms)
-        return max(
-            PAIR_SILENT_AFTER_INTERVALS * interval_ms, self._silent_after_ms(member)
-        )
+        silent_after_ms = self._silent_after_ms(member)
+        if member.record.zone == self.own.zone:
+            return silent_after_ms
+        return max(PAIR_SILENT_AFTER_INTERVALS * member.interval_ms, silent_after_ms)
 
     def _set_state(self, member: KnownMember, state: MemberState) -> None:
         if member.state is state:
--- a/rattanloom/peers/tidings.py
+++ b/rattanloom/peers/tidings.py
@@ -34,7 +34,7 @@
         return evolve(
             plain,
             told=_told(told),
-            unheard=self._unheard_in_zone(now_ms),
+            unheard=self._unheard_in_zone(),
             load=teller.changes(NEAR_LOAD_VALUES),
         )
 
@@ -68,12 +68,11 @@
             (zone_mates if near else others).append(member)
         return zone_mates, others
 
-    def _unheard_in_zone(self, now_ms: float) -> tuple[int, ...]:
+    def _unheard_in_zone(self) -> tuple[int, ...]:
         keys = [
             member.record.key
             for member in self.membership.known()
-            if member.record.zone == self.membership.own.zone
-            and not self.membership.hears(member, now_ms)
+            if member.record.zone == self.membership.own.zone and not member.heard
         ]
         return tuple(keys[-UNHEARD_MAX:])
 
--- a/tests/peer_hosts.py
+++ b/tests/peer_hosts.py
@@ -1,10 +1,12 @@
 """Starts several entry hosts' peer services in one process, over real sockets."""
 
+import json
+import sys
 from contextlib import ExitStack, contextmanager
 from random import Random
 
 import gevent
-from attrs import define, field
+from attrs import asdict, define, field, frozen
 from gevent.event import Event
 from gevent.socket import SO_REUSEADDR, SOL_SOCKET, socket
 
@@ -13,6 +15,7 @@
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.job import JobAnswer, JobOutcome
 from rattanloom.metrics import Metrics
+from rattanloom.peers.link_filter import LinkFilter
 from rattanloom.peers.protocol import HostLoad, MemberState
 from rattanloom.peers.service import PeerService
 from rattanloom.settings import EntrySettings, Seed
@@ -49,12 +52,24 @@
         return super().wall_ms() + self.ahead_ms
 
 
+@define(eq=False)
+class LossyLinks(LinkFilter):
+    """Loses a share of what arrives."""
+
+    random: Random = field(factory=Random)
+    lost_share: float = 0.0
+
+    def may_hear(self, address):
+        return self.random.random() >= self.lost_share
+
+
 @define(eq=False)
 class Home:
     """Answers forwarded requests; jobs of team ``slow`` wait for ``release``."""
 
     seen: list = field(factory=list)
     release: Event = field(factory=Event)
+    answers_for: str = ""
 
     def submit_here(self, job):
         self.seen.append(job.job_id)
@@ -64,7 +79,7 @@
 
     def ask_here(self, job_id, wait_ms):
         self.seen.append(job_id)
-        return JobAnswer(job_id, JobOutcome.PENDING)
+        return JobAnswer(self.answers_for or job_id, JobOutcome.PENDING)
 
     def cancel_here(self, job_id):
         failure = Failure(ErrorKind.CANCELLED, "as asked")
@@ -92,7 +107,7 @@
 
     def state_of(self, other):
         for member in self.service.members():
-            if member.host == other.name:
+            if member.incarnation == other.incarnation:
                 return member.state
         return None
 
@@ -103,13 +118,43 @@
         self.stack.close()
 
 
+@frozen
+class RemoteHost:
+    """A host that runs as another process."""
+
+    seed: Seed
+    incarnation: str
+
+    @property
+    def name(self):
+        return self.seed.host
+
+
+def child_command(name, zone, address, seeds):
+    """Return the command that runs one host as its own process."""
+    asked = {
+        "name": name,
+        "zone": zone,
+        "address": address,
+        "seeds": [asdict(seed) for seed in seeds],
+        "live_s": GIVE_UP_S,
+    }
+    return [sys.executable, "-m", "tests.peer_child", json.dumps(asked)]
+
+
 @define(eq=False)
 class Hosts:
     """The hosts of one test."""
 
     running: list[Host] = field(factory=list)
 
-    def start(self, name, zone="Adum", seeds=(), address=None, ahead_ms=0):
+    def start(self, name, zone="Adum", seeds=(), address=None, **options):
+        seeds = [host.seed for host in seeds]
+        return self.start_with_seeds(name, zone, seeds, address, **options)
+
+    def start_with_seeds(
+        self, name, zone, seeds, address=None, ahead_ms=0, link_filter=None
+    ):
         address = address or free_address()
         settings = EntrySettings(
             host=name,
@@ -118,7 +163,7 @@
             peer_address=address,
             platform_address="127.0.0.1:1",
             ticket_key=KEY,
-            seeds=tuple(seed.seed for seed in seeds),
+            seeds=tuple(seeds),
             heartbeat_ms=HEARTBEAT_MS,
         )
         stack = ExitStack()
@@ -134,16 +179,18 @@
             lambda: host.version,
             lambda version: f"document {host.version}",
             Metrics(),
+            link_filter or LinkFilter(),
         )
         host = Host(service, Home(), Seed(name, zone, address), stack)
         stack.enter_context(service.serve(host.home))
         self.running.append(host)
         return host
 
-    def start_zone(self, zone, count, seeds=()):
+    def start_zone(self, zone, count, seeds=(), **options):
         hosts = []
         for number in range(count):
-            hosts.append(self.start(f"{zone}-{number}", zone, (*seeds, *hosts[:1])))
+            host = self.start(f"{zone}-{number}", zone, (*seeds, *hosts[:1]), **options)
+            hosts.append(host)
         return hosts
 
     def wait_all_live(self):
--- /dev/null
+++ b/tests/test_peer_cuts.py
@@ -0,0 +1,126 @@
+"""Cuts, pauses and replacements as the membership tells them."""
+
+from random import Random
+
+import pytest
+
+from rattanloom.peers.protocol import MemberState
+from tests.peer_hosts import LossyLinks, some_hosts, wait_until
+
+
+@pytest.fixture
+def hosts():
+    with some_hosts() as hosts:
+        yield hosts
+
+
+def addresses(hosts):
+    return [host.seed.address for host in hosts]
+
+
+def cut(some, others):
+    for host in some:
+        host.service.block(addresses(others))
+    for host in others:
+        host.service.block(addresses(some))
+
+
+def test_host_that_others_still_hear_is_cut_off_and_heals(hosts):
+    one, two, three = hosts.start_zone("Adum", 3)
+    hosts.wait_all_live()
+    cut([one], [two])
+    wait_until(lambda: one.sees(two, MemberState.CUT_OFF))
+    wait_until(lambda: two.sees(one, MemberState.CUT_OFF))
+    assert three.sees(one) and three.sees(two)
+    one.service.unblock()
+    two.service.unblock()
+    hosts.wait_all_live()
+
+
+def test_host_that_does_not_hear_us_is_cut_off_though_we_hear_it(hosts):
+    one, two, _ = hosts.start_zone("Adum", 3)
+    hosts.wait_all_live()
+    two.service.block(addresses([one]), sending=False)
+    wait_until(lambda: one.sees(two, MemberState.CUT_OFF))
+
+
+def test_zone_that_falls_silent_at_once_is_cut_off_on_both_sides(hosts):
+    near = hosts.start_zone("Adum", 2)
+    far = hosts.start_zone("Bantama", 2, near[:1])
+    hosts.wait_all_live()
+    cut(near, far)
+    for host in near:
+        for other in far:
+            wait_until(lambda a=host, b=other: a.sees(b, MemberState.CUT_OFF))
+            wait_until(lambda a=host, b=other: b.sees(a, MemberState.CUT_OFF))
+    assert near[0].sees(near[1])
+    for host in hosts.running:
+        host.service.unblock()
+    hosts.wait_all_live()
+
+
+def test_zone_cut_from_us_alone_is_cut_off_though_a_third_zone_hears_it(hosts):
+    near = hosts.start_zone("Adum", 2)
+    far = hosts.start_zone("Bantama", 2, near[:1])
+    third = hosts.start_zone("Asokwa", 2, near[:1])
+    hosts.wait_all_live()
+    cut(near, far)
+    wait_until(lambda: near[0].sees(far[0], MemberState.CUT_OFF))
+    assert third[0].sees(far[0]) and third[0].sees(near[0])
+
+
+def test_leaving_is_told_and_kept(hosts):
+    one, two = hosts.start_zone("Adum", 2)
+    far = hosts.start("b-0", "Bantama", [one])
+    hosts.wait_all_live()
+    two.service.announce_leaving()
+    wait_until(lambda: one.sees(two, MemberState.LEAVING))
+    wait_until(lambda: far.sees(two, MemberState.LEAVING))
+
+
+def test_host_replaced_under_its_name_at_another_address_is_followed(hosts):
+    one, two, three = hosts.start_zone("Adum", 3)
+    hosts.wait_all_live()
+    two.stop()
+    again = hosts.start("Adum-1", "Adum", [three])
+    wait_until(lambda: one.sees(again))
+    assert again.seed.address in {m.address for m in one.service.members()}
+    assert one.service.ask(again.name, again.incarnation, "j", 0).job_id == "j"
+
+
+def test_dead_hosts_are_forgotten_and_not_brought_back_by_others(hosts, monkeypatch):
+    monkeypatch.setattr("rattanloom.peers.membership.FORGET_SILENT_AFTER_BEATS", 12)
+    one, two, three = hosts.start_zone("Adum", 3)
+    hosts.wait_all_live()
+    three.stop()
+    wait_until(lambda: one.state_of(three) is None and two.state_of(three) is None)
+    for _ in range(20):
+        wait_until(one.service.heartbeats._tick.wait)
+        assert one.state_of(three) is None
+
+
+def test_hosts_that_lose_a_fifth_of_their_datagrams_stay_live(hosts):
+    links = LossyLinks(random=Random(7))
+    near = hosts.start_zone("Adum", 3, link_filter=links)
+    hosts.start_zone("Bantama", 2, near[:1], link_filter=links)
+    hosts.wait_all_live()
+    before = [list(h.service.metrics.counters.items()) for h in hosts.running]
+    links.lost_share = 0.2
+    for _ in range(50):
+        wait_until(near[0].service.heartbeats._tick.wait)
+    after = [list(h.service.metrics.counters.items()) for h in hosts.running]
+    assert after == before
+
+
+def test_garbage_is_counted_and_changes_nothing(hosts):
+    one, two = hosts.start_zone("Adum", 2)
+    hosts.wait_all_live()
+    random = one.service.environment.random
+    udp = two.service.heartbeats._socket
+    target = ("127.0.0.1", int(one.seed.address.rsplit(":", 1)[1]))
+    for size in range(500):
+        udp.sendto(random.randbytes(size * 4), target)
+    counters = one.service.metrics.counters
+    wait_until(lambda: counters["peer_datagrams_refused", ""] > 100)
+    assert one.sees(two)
+    assert len(one.service.membership.learned()) == 1
--- a/tests/test_peer_membership_live.py
+++ b/tests/test_peer_membership_live.py
@@ -41,7 +41,7 @@
     one, two = hosts.start_zone("Adum", 2)
     hosts.wait_all_live()
     two.stop()
-    again = hosts.start("Adum-1", "Adum", [one], two.seed.address, -3_600_000)
+    again = hosts.start("Adum-1", "Adum", [one], two.seed.address, ahead_ms=-3_600_000)
     wait_until(lambda: one.service.membership.is_former(two.name, two.incarnation))
     assert one.sees(again)
 
