--- a/experiments/history.py
+++ b/experiments/history.py
@@ -1,11 +1,12 @@
 """Histories of concurrent runs: what callers, workers and operators saw.
 
-All times are milliseconds on one monotonic clock of the machine that records.
+All times are milliseconds on the one clock of the machine that records.
 ``submission`` is the caller's own name of what it wants done once: it is in
 every payload, and stays the same when the caller takes another ticket.
 """
 
 from enum import Enum
+from math import inf
 
 from attrs import define, field, frozen
 
@@ -79,10 +80,11 @@
 
 @frozen
 class TargetLeaving:
-    """A worker was marked as leaving."""
+    """A worker was marked as leaving, and is listed again from ``until_ms``."""
 
     at_ms: float
     worker: str
+    until_ms: float = inf
 
 
 @frozen
@@ -96,27 +98,28 @@
 
 @frozen
 class ConfigAccepted:
-    """An operator was told that a configuration is accepted.
-
-    ``marks`` are the changes it contains; every later version contains them.
-    """
+    """An operator was told that a change is accepted, as that version."""
 
     at_ms: float
     version: int
-    marks: frozenset[str]
+    change: str
 
 
 @frozen
-class ConfigSeen:
-    """A host told the version in force and the changes that it contains.
+class ConfigStored:
+    """What the platform keeps as a version: the changes in its content."""
 
-    Version 0 stands for none in force, as after a start.
-    """
+    version: int
+    changes: frozenset[str]
+
+
+@frozen
+class ConfigSeen:
+    """A host told the version in force; 0 stands for none, as after a start."""
 
     at_ms: float
     host: str
     version: int
-    marks: frozenset[str]
 
 
 @frozen
@@ -136,6 +139,7 @@
     | TargetLeaving
     | HostStopped
     | ConfigAccepted
+    | ConfigStored
     | ConfigSeen
     | Disturbed
 )
--- a/experiments/history_checks.py
+++ b/experiments/history_checks.py
@@ -11,6 +11,7 @@
     Call,
     ConfigAccepted,
     ConfigSeen,
+    ConfigStored,
     Disturbed,
     History,
     HostStopped,
@@ -125,12 +126,12 @@
 
 def leaving_gets_no_work(history: History) -> Violations:
     """A target that is leaving receives no new work after a few seconds."""
-    leaving = {record.worker: record.at_ms for record in history.of(TargetLeaving)}
-    for start in history.of(Started):
-        since_ms = leaving.get(start.worker)
-        if since_ms is not None and start.at_ms > since_ms + LEAVING_GRACE_MS:
-            late_ms = start.at_ms - since_ms
-            yield f"{start.worker} started a task {late_ms:.0f} ms after leaving"
+    for leaving in history.of(TargetLeaving):
+        for start in history.of(Started):
+            late_ms = start.at_ms - leaving.at_ms
+            meant = start.worker == leaving.worker and start.at_ms < leaving.until_ms
+            if meant and late_ms > LEAVING_GRACE_MS:
+                yield f"{start.worker} started a task {late_ms:.0f} ms after leaving"
 
 
 def planned_stop_cuts_nothing(history: History) -> Violations:
@@ -149,8 +150,7 @@
 
 def config_holds(history: History) -> Violations:
     """A configuration, once accepted, is in force everywhere and never reverts."""
-    yield from _same_version_same_content(history)
-    yield from _accepted_marks_stay(history)
+    yield from _accepted_changes_stay(history)
     highest: dict[str, int] = {}
     for seen in sorted(history.of(ConfigSeen), key=lambda record: record.at_ms):
         if seen.version and seen.version < highest.get(seen.host, 0):
@@ -163,25 +163,18 @@
                 yield f"{seen.host} has {seen.version}, not {accepted.version}"
 
 
-def _same_version_same_content(history: History) -> Violations:
-    contents: dict[int, set[frozenset[str]]] = defaultdict(set)
-    for record in history.of(ConfigAccepted, ConfigSeen):
-        contents[record.version].add(record.marks)
-    for version, marks in contents.items():
-        if version and len(marks) > 1:
-            yield f"version {version} has {len(marks)} contents"
-    accepted = Counter(record.version for record in history.of(ConfigAccepted))
-    for version, count in accepted.items():
+def _accepted_changes_stay(history: History) -> Violations:
+    accepted = history.of(ConfigAccepted)
+    for version, count in Counter(record.version for record in accepted).items():
         if count > 1:
             yield f"version {version} was accepted {count} times"
-
-
-def _accepted_marks_stay(history: History) -> Violations:
-    accepted = history.of(ConfigAccepted)
-    for record in history.of(ConfigAccepted, ConfigSeen):
-        for earlier in accepted:
-            if earlier.version < record.version and not earlier.marks <= record.marks:
-                yield f"version {record.version} lost a change of {earlier.version}"
+    stored = {record.version: record.changes for record in history.of(ConfigStored)}
+    for record in accepted:
+        if record.version not in stored:
+            yield f"accepted version {record.version} is not stored"
+        for version, changes in stored.items():
+            if version >= record.version and record.change not in changes:
+                yield f"version {version} lacks a change accepted as {record.version}"
 
 
 def _was_disturbed(
--- /dev/null
+++ b/experiments/history_recorder.py
@@ -0,0 +1,177 @@
+"""Records a history while callers and faults work on a running deployment."""
+
+import json
+import time
+
+import gevent
+from attrs import define, field
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+
+from experiments.cluster import Cluster, Process
+from experiments.history import (
+    Action,
+    Answered,
+    ConfigSeen,
+    History,
+    Invoked,
+    Started,
+    Unanswered,
+)
+from rattanloom.callers.submission import answer_from_json, failure_from_json
+from rattanloom.clock import MS_PER_S
+from rattanloom.errors import Ran
+from rattanloom.job import JobAnswer, JobOutcome
+
+CONNECT_TIMEOUT_MS = 500
+PAGE_TIMEOUT_MS = 300
+POLL_MS = 100
+HEADERS = {"Content-Type": "application/json", "Connection": "close"}
+
+
+def now_ms() -> float:
+    """Return the time on the clock that the workers' start logs use."""
+    return time.time() * MS_PER_S
+
+
+@define(eq=False)
+class Recorder:
+    """The history being recorded, and the hosts that the balancer offers."""
+
+    cluster: Cluster
+    name: str
+    history: History = field(factory=History)
+    offered: list[str] = field(factory=list)
+    calls: int = 0
+    http: PoolManager = field(factory=lambda: PoolManager(retries=False, maxsize=64))
+    saved_starts: list[dict] = field(factory=list)
+
+    def call(
+        self, invoked: Invoked, path: str, document: object, timeout_ms: float
+    ) -> JobAnswer | None:
+        """Send one recorded request; None if no answer came in time."""
+        self.history.add(invoked)
+        method = _METHODS[invoked.action]
+        address = self.cluster.hosts[invoked.host].address
+        try:
+            body = self.request(method, address, path, document, timeout_ms)
+            answer = _to_answer(invoked.job_id, body)
+        except (ConnectTimeoutError, NewConnectionError, ReadTimeoutError) as error:
+            self._unanswered(invoked, False, error)
+            return None
+        except (HTTPError, ValueError) as error:
+            self._unanswered(invoked, True, error)
+            return None
+        self.history.add(_answered(invoked, answer))
+        return answer
+
+    def request(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        document: object,
+        timeout_ms: float,
+    ) -> dict:
+        """Send one request over a connection of its own; return its JSON reply."""
+        reply = self.http.request(
+            method,
+            f"http://{address}{path}",
+            body=None if document is None else json.dumps(document).encode(),
+            headers=HEADERS,
+            timeout=Timeout(
+                connect=CONNECT_TIMEOUT_MS / MS_PER_S, read=timeout_ms / MS_PER_S
+            ),
+        )
+        return json.loads(reply.data)
+
+    def next_call(self) -> int:
+        """Return the number of the next request."""
+        self.calls += 1
+        return self.calls
+
+    def watch(self) -> None:
+        """Follow every host's health and version, as a balancer does."""
+        self.offered = list(self.cluster.hosts)
+        gevent.joinall(
+            [
+                gevent.spawn(self._watch_host, host)
+                for host in self.cluster.hosts.values()
+            ]
+        )
+
+    def _watch_host(self, host: Process) -> None:
+        while True:
+            gevent.sleep(POLL_MS / MS_PER_S)
+            asked_at_ms = now_ms()
+            try:
+                page = self.request(
+                    "GET", host.address, "/v1/status", None, PAGE_TIMEOUT_MS
+                )
+            except (HTTPError, ValueError):
+                page = {"health": "unreachable"}
+            self._offer(host.name, page["health"] == "ok")
+            if "config_version" in page:
+                version = page["config_version"]
+                self.history.add(ConfigSeen(asked_at_ms, host.name, version))
+
+    def _offer(self, name: str, healthy: bool) -> None:
+        if healthy and name not in self.offered:
+            self.offered.append(name)
+        if not healthy and name in self.offered:
+            self.offered.remove(name)
+
+    def save_starts(self, worker: Process) -> None:
+        """Read a worker's start log before the worker is killed."""
+        lines = self.request("GET", worker.address, "/v1/starts", None, 5_000)
+        self.saved_starts += [{**line, "worker": worker.name} for line in lines]
+
+    def collect_starts(self) -> None:
+        """Add every start of this history, as the workers saw them."""
+        for worker in self.cluster.workers.values():
+            self.save_starts(worker)
+        for line in self.saved_starts:
+            submission, _, task = line["tag"].rpartition("/")
+            if submission.startswith(f"{self.name}-"):
+                self.history.add(
+                    Started(
+                        line["wall_ms"],
+                        line["worker"],
+                        submission,
+                        int(task),
+                        line["attempt_id"],
+                    )
+                )
+
+    def _unanswered(self, invoked: Invoked, cut_off: bool, error: Exception) -> None:
+        self.history.add(Unanswered(now_ms(), invoked.call, cut_off, repr(error)))
+
+
+_METHODS = {Action.SUBMIT: "POST", Action.ASK: "GET", Action.CANCEL: "DELETE"}
+
+
+def _to_answer(job_id: str, body: dict) -> JobAnswer:
+    if "outcome" in body:
+        return answer_from_json(body)
+    failure = failure_from_json(body["failure"])
+    refused = failure.ran_word is Ran.NOT_RUN
+    outcome = JobOutcome.REFUSED if refused else JobOutcome.UNKNOWN
+    return JobAnswer(job_id, outcome, failure=failure)
+
+
+def _answered(invoked: Invoked, answer: JobAnswer) -> Answered:
+    failure = answer.failure
+    return Answered(
+        now_ms(),
+        invoked.call,
+        answer.job_id,
+        answer.outcome,
+        answer.outputs,
+        "" if failure is None else failure.kind.value,
+        None if failure is None else failure.ran_word,
+    )
--- a/standins/worker_attempts.py
+++ b/standins/worker_attempts.py
@@ -32,13 +32,14 @@
 
 @frozen
 class Start:
-    """One line of the start log."""
+    """One line of the start log; ``tag`` is the caller's, from the payload."""
 
     attempt_id: str
     job_id: str
     task: int
     number: int
     wall_ms: float
+    tag: str = ""
 
 
 @define(eq=False)
@@ -185,7 +186,12 @@
 
 def _start_line(attempt: Attempt, wall_ms: float) -> Start:
     return Start(
-        attempt.attempt_id, attempt.job_id, attempt.task, attempt.number, wall_ms
+        attempt.attempt_id,
+        attempt.job_id,
+        attempt.task,
+        attempt.number,
+        wall_ms,
+        str(_script(attempt.payload).get("tag", "")),
     )
 
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -8,6 +8,7 @@
     Answered,
     ConfigAccepted,
     ConfigSeen,
+    ConfigStored,
     Disturbed,
     History,
     HostStopped,
@@ -21,7 +22,7 @@
 from rattanloom.job import JobOutcome
 
 OUTPUTS = ("out0", "out1")
-NONE, FIRST, BOTH = frozenset(), frozenset({"x"}), frozenset({"x", "y"})
+FIRST, BOTH = frozenset({"x"}), frozenset({"x", "y"})
 
 
 def submit(call, at_ms, submission="s1", job_id="t1", **changes):
@@ -52,17 +53,21 @@
     complete(3, 70, "t2"),
     submit(4, 80, "s3", "t3"),
     Unanswered(90, 4, True),
-    TargetLeaving(100, "w1"),
+    TargetLeaving(100, "w1", until_ms=10_000),
     *starts(200, "s3"),
+    submit(5, 10_100, "s4", "t4"),
+    *starts(10_200, "s4"),
     HostStopped(1_000, 2_000, "a"),
-    ConfigAccepted(3_000, 1, FIRST),
-    ConfigSeen(3_100, "a", 0, NONE),
-    ConfigSeen(4_000, "a", 1, FIRST),
-    ConfigAccepted(5_000, 2, BOTH),
+    ConfigAccepted(3_000, 1, "x"),
+    ConfigSeen(3_100, "a", 0),
+    ConfigSeen(4_000, "a", 1),
+    ConfigAccepted(5_000, 2, "y"),
     Disturbed(5_000, 60_000, "b"),
-    ConfigSeen(50_000, "b", 1, FIRST),
-    ConfigSeen(50_000, "a", 2, BOTH),
-    ConfigSeen(70_000, "b", 2, BOTH),
+    ConfigSeen(50_000, "b", 1),
+    ConfigSeen(50_000, "a", 2),
+    ConfigSeen(70_000, "b", 2),
+    ConfigStored(1, FIRST),
+    ConfigStored(2, BOTH),
 ]
 
 BAD = {
@@ -122,23 +127,23 @@
     ),
     "a version that goes back": (
         "a configuration holds and never reverts",
-        [Disturbed(0, 90_000, "a"), ConfigSeen(80_000, "a", 1, FIRST)],
+        [Disturbed(0, 90_000, "a"), ConfigSeen(80_000, "a", 1)],
     ),
     "a version late somewhere": (
         "a configuration holds and never reverts",
-        [ConfigSeen(50_000, "c", 1, FIRST)],
+        [ConfigSeen(50_000, "c", 1)],
     ),
-    "one version with two contents": (
+    "a change lost in a later version": (
         "a configuration holds and never reverts",
-        [ConfigSeen(70_000, "c", 2, FIRST | {"z"})],
+        [ConfigStored(3, frozenset({"y"}))],
     ),
-    "a lost change": (
+    "an accepted version that is not stored": (
         "a configuration holds and never reverts",
-        [ConfigAccepted(80_000, 3, frozenset({"y"}))],
+        [ConfigAccepted(80_000, 3, "z")],
     ),
     "two operators told of one version": (
         "a configuration holds and never reverts",
-        [ConfigAccepted(80_000, 2, BOTH)],
+        [ConfigAccepted(80_000, 2, "y")],
     ),
 }
 
