--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -154,6 +154,7 @@
         directory,
         metrics,
         time_line,
+        platform,
     )
     return EntryHost(
         settings,
--- a/rattanloom/operators/commands.py
+++ b/rattanloom/operators/commands.py
@@ -269,7 +269,9 @@
     """Return a publisher for the operator that the settings file names."""
     settings = load_settings(settings_path, OperatorSettings)
     client = PlatformClient(settings.platform_address, settings.timeout_ms)
-    return Publisher(settings.operator, environment, client, client)
+    return Publisher(
+        settings.operator, environment, client, client, settings.publish_within_ms
+    )
 
 
 def _require(result: object) -> object:
--- a/rattanloom/operators/pages.py
+++ b/rattanloom/operators/pages.py
@@ -13,6 +13,7 @@
 from rattanloom.metrics import Metrics
 from rattanloom.peers.protocol import Member
 from rattanloom.peers.service import PeerService
+from rattanloom.platform.client import PlatformClient
 from rattanloom.resources import own_usage
 from rattanloom.settings import EntrySettings
 from rattanloom.targets.directory import TargetDirectory
@@ -48,6 +49,7 @@
     directory: TargetDirectory
     metrics: Metrics
     time_line: TimeLine
+    platform: PlatformClient
 
     def add_to(self, app: Bottle) -> None:
         """Add the pages to an application."""
@@ -117,13 +119,14 @@
         )
 
     def post_blocked(self) -> HTTPResponse:
-        """Replace the set of peer addresses this host is cut off from."""
+        """Replace the set of peer and platform addresses this host is cut off from."""
         raw = request.environ["wsgi.input"].read(self.settings.body_max_bytes)
         body = parse_body(raw, BlockedBody)
         if isinstance(body, Failure):
             return failure_response(body)
         self.peers.unblock()
         self.peers.block(body.addresses)
+        self.platform.block(body.addresses)
         return json_response({"blocked": list(body.addresses)})
 
 
--- a/rattanloom/operators/settings.py
+++ b/rattanloom/operators/settings.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen
 from attrs.validators import deep_mapping
 
+from rattanloom.configuration_publish import GIVE_UP_MS
 from rattanloom.settings import in_range, is_address, is_name
 
 
@@ -11,6 +12,7 @@
     """Who the operator is, and where the platform and the entry hosts are.
 
     ``entry_addresses`` maps each entry host's name to its HTTP address.
+    Calls to the platform are sent again until ``publish_within_ms`` passed.
     """
 
     operator: str = field(validator=is_name)
@@ -18,4 +20,5 @@
     entry_addresses: dict[str, str] = field(
         factory=dict, validator=deep_mapping(is_name, is_address)
     )
+    publish_within_ms: int = field(default=GIVE_UP_MS, validator=in_range(0, 600_000))
     timeout_ms: int = field(default=1_000, validator=in_range(10, 60_000))
--- a/rattanloom/platform/client.py
+++ b/rattanloom/platform/client.py
@@ -1,10 +1,11 @@
 """HTTP client of the platform's table, object store and host list."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import quote
 
+import gevent
 from attrs import define, field, frozen
 from gevent import Timeout as GeventTimeout
 from urllib3 import HTTPConnectionPool, Timeout
@@ -64,6 +65,7 @@
     address: str
     timeout_ms: float = 1000
     _pool: HTTPConnectionPool = field(init=False)
+    _blocked: bool = field(init=False, default=False)
 
     def __attrs_post_init__(self) -> None:
         host, _, port = self.address.rpartition(":")
@@ -124,6 +126,13 @@
         decoded = _decode(reply, HostsReply)
         return decoded if isinstance(decoded, Failure) else decoded.targets
 
+    def block(self, addresses: Collection[str]) -> None:
+        """Cut the platform off if it is among ``addresses``, else mend the cut.
+
+        An aid for tests and proofs: connecting times out as across a cut.
+        """
+        self._blocked = self.address in addresses
+
     def close(self) -> None:
         """Close the idle connections."""
         self._pool.close()
@@ -151,6 +160,9 @@
         return _reply_lost(f"the platform answered status {reply.status}")
 
     def _request(self, method: str, path: str, body: bytes | None) -> Reply | Failure:
+        if self._blocked:
+            gevent.sleep(self.timeout_ms / MS_PER_S)
+            return _unreachable(f"{self.address} is cut off")
         bound_s = TOTAL_TIMEOUT_FACTOR * self.timeout_ms / MS_PER_S
         bound = GeventTimeout.start_new(bound_s)
         try:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -95,3 +95,12 @@
         assert kind_of(insert(client)) is ErrorKind.REPLY_LOST
         state.switch({"stall": False})
         assert isinstance(insert(client, "b"), Committed)
+
+
+def test_cut_off_platform_is_unreachable_until_the_cut_is_mended():
+    with platform(timeout_ms=TIMEOUT_MS) as (state, client):
+        client.block([client.address])
+        assert kind_of(insert(client)) is ErrorKind.PLATFORM_UNREACHABLE
+        assert not state.table.rows
+        client.block([])
+        assert isinstance(insert(client), Committed)
