--- a/tests/config_fakes.py
+++ b/tests/config_fakes.py
@@ -119,7 +119,7 @@
     return Environment(clock=clock, random=Random(1))
 
 
-@define(eq=False)
+@define(eq=False, slots=False)
 class FakePeers:
     """Peers whose members and documents tests set by hand."""
 
