Give each admission of a ticket attempt identifiers of its own

Cause: a ticket refused not-run may be admitted again by the same process, and numbered its attempts from 1 again; a worker that had fenced the first attempt refused the second, and a task taken from the queue by the first run could be looked up as part of the second. Ruled out: a counter kept with the ticket, which would outlive the run. Change: runs are numbered per process, the number is part of the attempt identifier, and a taken task carries its own run. The new test fails on the revision before and passes now.

--- a/rattanloom/dispatch.py
+++ b/rattanloom/dispatch.py
@@ -1,6 +1,7 @@
 """Dispatches the tasks of jobs to workers and gathers whole answers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import count
 from typing import Protocol
 
 import gevent
@@ -68,6 +69,7 @@
     budget: RetryBudget = field(factory=RetryBudget)
     _runner: AttemptRunner = field(init=False)
     _runs: dict[str, JobRun] = field(factory=dict)
+    _run_numbers: Iterator[int] = field(factory=lambda: count(1))
     _pumping: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -78,7 +80,7 @@
 
     def run(self, job: Job, deadline_at_ms: float, cancelled: Event) -> JobAnswer:
         """Run an admitted job and return its whole answer, by its deadline."""
-        run = JobRun(job, deadline_at_ms, self._now_ms())
+        run = JobRun(job, deadline_at_ms, self._now_ms(), next(self._run_numbers))
         self._runs[job.job_id] = run
         try:
             self.admission.put(self._queued(run))
@@ -105,7 +107,8 @@
         if queued is None:
             return False
         target = self.directory.pick(queued.task)
-        gevent.spawn(self._attempt, queued, target)
+        run = self._runs.get(queued.job.job_id)
+        gevent.spawn(self._attempt, run, queued, target)
         return True
 
     def _can_place(self, queued: QueuedTask) -> bool:
@@ -138,14 +141,17 @@
         target.stop(attempt.attempt_id)
         self._record(EventKind.ATTEMPT_STOPPED, attempt, target)
 
-    def _attempt(self, queued: QueuedTask, target: Target) -> None:
-        """Run one attempt of a taken task, and settle what follows from it."""
-        run = self._runs.get(queued.job.job_id)
+    def _attempt(self, run: JobRun | None, queued: QueuedTask, target: Target) -> None:
+        """Run one attempt of a taken task, and settle what follows from it.
+
+        ``run`` is the one that queued the task: a refused ticket may have been
+        admitted again since.
+        """
         if run is None or run.over:
             self.directory.release(target, queued.task)
             self.admission.finished(queued, None)
             return
-        attempt = self._new_attempt(queued)
+        attempt = self._new_attempt(run, queued)
         reply = self._send(run, queued, attempt, target)
         self.directory.release(target, queued.task)
         self.directory.note(target, attempt, reply)
@@ -214,11 +220,11 @@
             reason = f"task {queued.index} cannot be started in time"
             run.fail(Failure(ErrorKind.DEADLINE_UNREACHABLE, reason), queued.index)
 
-    def _new_attempt(self, queued: QueuedTask) -> Attempt:
+    def _new_attempt(self, run: JobRun, queued: QueuedTask) -> Attempt:
         task = queued.task
         left_ms = max(1.0, queued.deadline_at_ms - self._now_ms())
         return Attempt(
-            attempt_id=f"{queued.job.job_id}.{queued.index}.{queued.number}",
+            attempt_id=run.attempt_id(queued.index, queued.number),
             job_id=queued.job.job_id,
             task=queued.index,
             number=queued.number,
--- a/rattanloom/dispatch_job.py
+++ b/rattanloom/dispatch_job.py
@@ -12,12 +12,14 @@
 class JobRun:
     """The state of one job between its admission and its answer.
 
-    ``started_tasks`` are the tasks that may have been started.
+    ``number`` tells apart the runs of one process: a ticket that was refused
+    may be admitted again. ``started_tasks`` may have been started.
     """
 
     job: Job
     deadline_at_ms: float
     began_ms: float
+    number: int = 1
     outputs: dict[int, str] = field(factory=dict)
     started_tasks: set[int] = field(factory=set)
     in_flight: dict[str, tuple[Attempt, Target]] = field(factory=dict)
@@ -30,6 +32,10 @@
         """Say whether the job's answer is settled."""
         return self.ended.is_set()
 
+    def attempt_id(self, index: int, attempt: int) -> str:
+        """Return an identifier that no other attempt of this process has."""
+        return f"{self.job.job_id}.{index}.{self.number}.{attempt}"
+
     def complete_task(self, index: int, output: str) -> None:
         """Keep one task's output; the last one completes the job."""
         self.outputs[index] = output
--- a/rattanloom/targets/protocol.py
+++ b/rattanloom/targets/protocol.py
@@ -36,8 +36,8 @@
 class Attempt:
     """One try to run one task on one worker.
 
-    ``attempt_id`` is ``<job id>.<task index>.<attempt number>`` and is never
-    used for a second start. The worker refuses to start it later than
+    ``attempt_id`` is ``<job id>.<task index>.<run>.<attempt number>`` and is
+    never used for a second start. The worker refuses to start it later than
     ``start_within_ms`` after receipt, and stops it once ``lease_ms`` passed.
     """
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,6 +6,7 @@
 
 from rattanloom.errors import ErrorKind, Ran
 from rattanloom.job import JobOutcome, Task
+from rattanloom.rules import KindRule, Rules
 from tests.dispatch_utils import job, task, until, worker_bench
 
 
@@ -43,3 +44,19 @@
         assert first.get().failure.ran_word is Ran.MAY_HAVE_RUN
         until(lambda: not bench.queue.taken)
         assert len(bench.starts()) == 1
+
+
+def test_ticket_admitted_again_after_a_refusal_uses_new_attempt_identifiers():
+    with worker_bench(workers=1, slots=1) as bench:
+        busy = bench.run_later(job(task(60_000), job_id="busy"), 60_000)
+        until(bench.starts)
+        refused = bench.run(job(task()), deadline_ms=1)
+        assert refused.outcome is JobOutcome.REFUSED
+        worker = next(iter(bench.workers.values()))
+        worker.attempts.stop("j1.0.1")
+        worker.attempts.stop("j1.0.1.1")
+        worker.attempts.stop("busy.0.1.1")
+        worker.attempts.stop("busy.0.1")
+        busy.get()
+        bench.rules = Rules(kinds={"proof": KindRule(retries_max=0)})
+        assert bench.run(job(task())).outcome is JobOutcome.COMPLETE
