Report a host healthy only once it knows its quota shares

Cause: a host that has just started runs one task of a team at a time for 600 ms, until it has heard its peers; the balancer sent work there at once, and a job of three tasks ran one after the other. Ruled out: a base share from the seeds, which would let hosts that start together exceed quotas. Change: the health page says starting until then.

--- a/rattanloom/operators/pages.py
+++ b/rattanloom/operators/pages.py
@@ -2,7 +2,7 @@
 
 from http import HTTPStatus
 
-from attrs import asdict, define
+from attrs import asdict, define, field
 from bottle import Bottle, HTTPResponse, request
 
 from rattanloom.callers.api import failure_response, json_response
@@ -13,6 +13,7 @@
 from rattanloom.metrics import Metrics
 from rattanloom.peers.protocol import Member
 from rattanloom.peers.service import PeerService
+from rattanloom.quota import SETTLE_MS
 from rattanloom.resources import own_usage
 from rattanloom.settings import EntrySettings
 from rattanloom.targets.directory import TargetDirectory
@@ -48,6 +49,10 @@
     directory: TargetDirectory
     metrics: Metrics
     time_line: TimeLine
+    started_ms: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.started_ms = self.environment.clock.now_ms()
 
     def add_to(self, app: Bottle) -> None:
         """Add the pages to an application."""
@@ -59,7 +64,11 @@
             app.post("/v1/test/blocked", callback=self.post_blocked)
 
     def get_health(self) -> HTTPResponse:
-        """Say whether the balancer should send work here."""
+        """Say whether the balancer should send work here.
+
+        A host reports itself as starting until it has heard its peers and
+        knows its shares of the quotas.
+        """
         word = self._health_word()
         status = HTTPStatus.OK if word == "ok" else HTTPStatus.SERVICE_UNAVAILABLE
         return json_response({"health": word}, status)
@@ -69,6 +78,8 @@
             return "leaving"
         if self.configuration.rules() is None:
             return "no_configuration"
+        if self.environment.clock.now_ms() - self.started_ms < SETTLE_MS:
+            return "starting"
         return "ok"
 
     def get_metrics(self) -> HTTPResponse:
