--- /dev/null
+++ b/experiments/control_cost.py
@@ -0,0 +1,318 @@
+"""Measures what one daemon spends on control: processor, bytes and memory.
+
+One host runs in its own process and is measured; the others run a few to a
+process. ``python -m experiments.control_cost run`` prints a table, slopes
+fitted by least squares, and one JSON object as its last line.
+"""
+
+from gevent import monkey
+
+if __name__ == "__main__":
+    monkey.patch_all()
+
+import json
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+from random import Random
+from resource import getpagesize
+from subprocess import PIPE, Popen
+from time import monotonic, process_time
+
+import fire
+import gevent
+from attrs import asdict, define, field, frozen
+
+from rattanloom.environment import Environment
+from rattanloom.metrics import Metrics
+from rattanloom.peers.protocol import HostLoad, MemberState, TargetLoad, TeamLoad
+from rattanloom.peers.service import PeerService
+from rattanloom.settings import CONVERTER, EntrySettings, Seed
+from rattanloom.ticket import new_incarnation
+from rattanloom.timeline import TimeLine
+from rattanloom.timer import running_timers
+
+ZONES = 7
+FIRST_PORT = 21_100
+WARM_UP_S = 3
+MEASURE_S = 8
+CHILD_PROCESSES = 3
+DOCUMENT_BYTES = 20_000
+CHANGED_SHARE = 0.5
+SLOTS_PER_NAME_MAX = 4
+IP_UDP_HEADER_BYTES = 28
+IP_TCP_HEADER_BYTES = 52
+BYTES_PER_MB = 1_000_000
+PERCENT = 100
+
+
+@frozen
+class Case:
+    """One size to measure."""
+
+    hosts: int = 40
+    teams: int = 130
+    targets: int = 134
+    changes_per_min: int = 0
+
+
+@frozen
+class Cost:
+    """What the measured daemon spent, per second where a rate."""
+
+    core_percent: float
+    sent_bytes_s: float
+    received_bytes_s: float
+    wire_bytes_s: float
+    datagrams_s: float
+    memory_mb: float
+    live_hosts: int
+    load_share_known: float
+    changes_in_force_ms_max: float
+
+
+SERIES: dict[str, tuple[Case, ...]] = {
+    "hosts": tuple(Case(hosts=n) for n in (4, 8, 16, 40)),
+    "teams": tuple(Case(teams=n) for n in (0, 30, 65, 130)),
+    "targets": tuple(Case(targets=n) for n in (0, 34, 67, 134)),
+    "changes_per_min": tuple(Case(changes_per_min=n) for n in (0, 30, 60, 120)),
+}
+
+
+@define(eq=False)
+class MovingLoad:
+    """A load of which a share of the values changes at every reading."""
+
+    case: Case
+    random: Random
+    values: dict[str, int] = field(factory=dict)
+
+    def read(self) -> HostLoad:
+        """Return the load as it is now."""
+        teams = [f"team-{number:03}" for number in range(self.case.teams)]
+        targets = [f"worker-{number:03}" for number in range(self.case.targets)]
+        for name in (*teams, *targets):
+            if name not in self.values or self.random.random() < CHANGED_SHARE:
+                self.values[name] = self.random.randint(0, SLOTS_PER_NAME_MAX)
+        return HostLoad(
+            sum(self.values[name] for name in teams),
+            sum(self.values[name] for name in targets),
+            tuple(TeamLoad(name, self.values[name], 1) for name in teams),
+            tuple(TargetLoad(name, self.values[name]) for name in targets),
+        )
+
+
+class NoRequests:
+    """Stands where a host's jobs would be; nothing is forwarded here."""
+
+
+@define(eq=False)
+class Daemon:
+    """One host's peers part, with a configuration that follows its peers'."""
+
+    service: PeerService
+    version: int = 0
+    lags_ms: list[float] = field(factory=list)
+
+    def follow(self, host: str, version: int) -> None:
+        """Fetch a newer configuration from the peer that told of it."""
+        document = self.service.fetch_config(host, version)
+        if isinstance(document, str):
+            told = json.loads(document)
+            self.version = told["version"]
+            lag_ms = self.service.environment.clock.now_ms() - told["at_ms"]
+            self.lags_ms.append(lag_ms)
+
+
+def _seed(number: int) -> Seed:
+    address = f"127.0.0.1:{FIRST_PORT + number}"
+    return Seed(f"entry-{number:02}", f"zone-{number % ZONES}", address)
+
+
+def _start(number: int, case: Case, stack: ExitStack) -> Daemon:
+    seed = _seed(number)
+    settings = EntrySettings(
+        host=seed.host,
+        zone=seed.zone,
+        http_address="127.0.0.1:1",
+        peer_address=seed.address,
+        platform_address="127.0.0.1:1",
+        ticket_key="0123456789abcdef",
+        seeds=tuple(_seed(other) for other in range(min(case.hosts, ZONES))),
+    )
+    random = Random(number)
+    environment = Environment(random=random)
+    published = {"at_ms": 0.0}
+
+    def document(_version: int) -> str:
+        filler = "x" * DOCUMENT_BYTES
+        told = {"version": daemon.version, "at_ms": published["at_ms"], "body": filler}
+        return json.dumps(told)
+
+    service = PeerService(
+        settings,
+        environment,
+        stack.enter_context(running_timers()),
+        TimeLine(seed.host, environment.clock),
+        new_incarnation(),
+        MovingLoad(case, random).read,
+        lambda: daemon.version,
+        document,
+        Metrics(),
+    )
+    daemon = Daemon(service)
+    service.on_config_version(daemon.follow)
+    stack.enter_context(service.serve(NoRequests()))
+    if number == 1 and case.changes_per_min:
+        gevent.spawn(_publish, daemon, published, case.changes_per_min)
+    return daemon
+
+
+def _publish(daemon: Daemon, published: dict, changes_per_min: int) -> None:
+    while True:
+        gevent.sleep(60 / changes_per_min)
+        published["at_ms"] = daemon.service.environment.clock.now_ms()
+        daemon.version += 1
+
+
+def serve(numbers: list[int], case: dict) -> None:
+    """Run the hosts of the given numbers until standard input closes."""
+    with ExitStack() as stack:
+        for number in numbers:
+            _start(number, CONVERTER.structure(case, Case), stack)
+        gevent.get_hub().threadpool.apply(sys.stdin.read)
+
+
+def measure(case: dict) -> None:
+    """Run host 0 and print what it spends as one JSON object."""
+    shape = CONVERTER.structure(case, Case)
+    with ExitStack() as stack:
+        daemon = _start(0, shape, stack)
+        gevent.sleep(WARM_UP_S)
+        cost = _measure(daemon, shape)
+    print(json.dumps(asdict(cost)))
+
+
+def _measure(daemon: Daemon, case: Case) -> Cost:
+    beats = daemon.service.heartbeats
+    daemon.lags_ms.clear()
+    before = (
+        process_time(),
+        monotonic(),
+        beats.bytes_sent,
+        beats.bytes_received,
+        beats.datagrams,
+        _connection_bytes(daemon),
+    )
+    gevent.sleep(MEASURE_S)
+    core_s, wall_s, sent, received, datagrams, connections = (
+        after - earlier
+        for after, earlier in zip(
+            (
+                process_time(),
+                monotonic(),
+                beats.bytes_sent,
+                beats.bytes_received,
+                beats.datagrams,
+                _connection_bytes(daemon),
+            ),
+            before,
+            strict=True,
+        )
+    )
+    headers = datagrams * IP_UDP_HEADER_BYTES
+    members = daemon.service.members()
+    live = [member for member in members if member.state is MemberState.LIVE]
+    return Cost(
+        round(PERCENT * core_s / wall_s, 3),
+        round(sent / wall_s),
+        round(received / wall_s),
+        round((sent + received + headers + connections) / wall_s),
+        round(datagrams / wall_s, 1),
+        round(_memory_mb(), 1),
+        len(live) + 1,
+        _known_share(daemon, case),
+        round(max(daemon.lags_ms, default=0)),
+    )
+
+
+def _connection_bytes(daemon: Daemon) -> int:
+    return daemon.service.forwarder.bytes_moved()
+
+
+def _known_share(daemon: Daemon, case: Case) -> float:
+    """Return the share of its zone's load values that the host knows."""
+    zone = daemon.service.settings.zone
+    mates = {m.host for m in daemon.service.members() if m.zone == zone}
+    loads = [load for host, load in daemon.service.loads().items() if host in mates]
+    total = len(mates) * (case.teams + case.targets)
+    known = sum(len(load.teams) + len(load.targets) for load in loads)
+    return round(known / total, 2) if total else 1.0
+
+
+def _memory_mb() -> float:
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * getpagesize() / BYTES_PER_MB
+
+
+def run(series: str = "") -> None:
+    """Measure one series, or all, and print table, slopes and JSON."""
+    summary = {}
+    for name in [series] if series else SERIES:
+        rows = [(case, _run_case(case)) for case in SERIES[name]]
+        _print_table(name, rows)
+        summary[name] = {
+            "rows": [asdict(case) | asdict(cost) for case, cost in rows],
+            "slopes": _slopes(name, rows),
+        }
+    print(json.dumps(summary))
+
+
+def _run_case(case: Case) -> Cost:
+    text = json.dumps(asdict(case))
+    command = [sys.executable, "-m", "experiments.control_cost"]
+    with ExitStack() as stack:
+        for first in range(1, CHILD_PROCESSES + 1):
+            numbers = list(range(first, case.hosts, CHILD_PROCESSES))
+            arguments = [*command, "serve", json.dumps(numbers), text]
+            child = stack.enter_context(Popen(arguments, stdin=PIPE))
+            stack.callback(child.kill)
+        with Popen([*command, "measure", text], stdout=PIPE, text=True) as measured:
+            output, _ = measured.communicate()
+    return CONVERTER.structure(json.loads(output), Cost)
+
+
+def _slopes(name: str, rows: list[tuple[Case, Cost]]) -> dict[str, list[float]]:
+    """Return intercept and slope of each cost against the series' size."""
+    sizes = [getattr(case, name) for case, _ in rows]
+    return {
+        cost: _fit(sizes, [getattr(row, cost) for _, row in rows])
+        for cost in ("core_percent", "wire_bytes_s", "memory_mb")
+    }
+
+
+def _fit(sizes: list[float], values: list[float]) -> list[float]:
+    count = len(sizes)
+    mean_x, mean_y = sum(sizes) / count, sum(values) / count
+    spread = sum((x - mean_x) ** 2 for x in sizes)
+    pairs = zip(sizes, values, strict=True)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in pairs) / spread
+    return [round(mean_y - slope * mean_x, 4), round(slope, 5)]
+
+
+def _print_table(name: str, rows: list[tuple[Case, Cost]]) -> None:
+    columns = list(asdict(rows[0][1]))
+    print(" ".join([f"{name:>16}", *columns]))
+    for case, cost in rows:
+        values = [
+            f"{value:>{len(key)}}"
+            for key, value in zip(columns, asdict(cost).values(), strict=True)
+        ]
+        print(" ".join([f"{getattr(case, name):>16}", *values]))
+    for cost, (intercept, slope) in _slopes(name, rows).items():
+        print(f"{cost} = {intercept:g} + {slope:g} x {name}")
+    print(flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire({"run": run, "serve": serve, "measure": measure})
--- a/rattanloom/peers/forwarder.py
+++ b/rattanloom/peers/forwarder.py
@@ -91,6 +91,13 @@
         for host in list(self._links):
             self.drop(host, "this host is stopping")
 
+    def bytes_moved(self) -> int:
+        """Return the bytes sent and received on the open connections."""
+        streams = [
+            link.connection.stream for link in self._links.values() if link.connection
+        ]
+        return sum(stream.bytes_sent + stream.bytes_received for stream in streams)
+
     def _told(self, failure: Failure, handed_over: bool) -> Failure:
         self.metrics.count("forwards_failed", failure.kind.value)
         if failure.kind is not ErrorKind.HOME_UNREACHABLE:
--- a/rattanloom/peers/heartbeats.py
+++ b/rattanloom/peers/heartbeats.py
@@ -63,6 +63,7 @@
     beat: int = 1
     bytes_sent: int = 0
     bytes_received: int = 0
+    datagrams: int = 0
     views: dict[int, LoadView] = field(factory=dict)
     _tidings: Tidings = field(init=False)
     _socket: socket | None = None
@@ -244,6 +245,7 @@
             self.metrics.count("peer_sends_failed", type(error).__name__)
             return
         self.bytes_sent += len(datagram)
+        self.datagrams += 1
 
     def _receive_all(self) -> None:
         for number in count():
@@ -255,6 +257,7 @@
                 self.metrics.count("peer_receives_failed", type(error).__name__)
                 continue
             self.bytes_received += len(datagram)
+            self.datagrams += 1
             address = format_address(source)
             if not self.link_filter.may_hear(address):
                 continue
--- /dev/null
+++ b/tests/test_peer_merging.py
@@ -0,0 +1,178 @@
+"""What is merged depends on what was told, not on order or repetition."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rattanloom.peers.load_exchange import LoadTeller, LoadView
+from rattanloom.peers.membership import Membership
+from rattanloom.peers.messages import Heartbeat, MemberRecord, ToldBeat
+from rattanloom.peers.protocol import HostLoad, MemberState, TargetLoad, TeamLoad
+
+OWN = MemberRecord("own", "Adum", "127.0.0.1:1", "own-1", 100)
+HEARTBEAT_MS = 100
+STEPS = settings(deadline=None, derandomize=True, max_examples=200)
+
+
+def record(host, number, zone="Adum"):
+    address = f"127.0.0.1:{1000 + number}"
+    return MemberRecord(host, zone, address, f"{host}-{number}", 100 + number)
+
+
+def new_membership(changes=None):
+    def note(member, word):
+        if changes is not None:
+            changes.append((member.record.host, word))
+
+    return Membership(OWN, HEARTBEAT_MS, note)
+
+
+def hear(membership, sender, beat, now_ms, told=()):
+    membership.introduce(sender, now_ms)
+    membership.hear(Heartbeat(sender.key, beat, HEARTBEAT_MS, told=told), now_ms)
+
+
+MESSAGES = [
+    (record(host, number), beat)
+    for host in ("a", "b")
+    for number in (1, 2)
+    for beat in (1, 2, 3)
+]
+
+
+@given(st.permutations(MESSAGES), st.lists(st.sampled_from(MESSAGES), max_size=6))
+@STEPS
+def test_order_and_repetition_of_heartbeats_do_not_matter(order, again):
+    membership = new_membership()
+    for sender, beat in [*order, *again]:
+        hear(membership, sender, beat, now_ms=0)
+    membership.evaluate(0)
+    seen = {m.record.host: m for m in membership.known()}
+    assert {host: m.record.incarnation for host, m in seen.items()} == {
+        "a": "a-2",
+        "b": "b-2",
+    }
+    assert all(m.state is MemberState.LIVE for m in seen.values())
+    assert all(m.direct_beat == 3 for m in seen.values())
+
+
+@given(st.lists(st.sampled_from(MESSAGES[:3]), max_size=8))
+@STEPS
+def test_old_heartbeats_do_not_keep_a_silent_host_alive(old):
+    membership = new_membership()
+    for beat in (1, 2, 3):
+        hear(membership, MESSAGES[0][0], beat, now_ms=0)
+    late_ms = 6 * HEARTBEAT_MS
+    for sender, beat in old:
+        hear(membership, sender, beat, late_ms)
+    membership.evaluate(late_ms)
+    assert membership.get("a").state is MemberState.SILENT
+
+
+def test_introduced_host_counts_only_once_its_number_grows():
+    membership = new_membership()
+    far = record("b", 1, "Bantama")
+    membership.introduce(far, 0)
+    near = record("a", 1)
+    hear(membership, near, 1, 0, (ToldBeat(far.key, 50),))
+    assert [m.record.host for m in membership.known()] == ["a"]
+    hear(membership, near, 2, 0, (ToldBeat(far.key, 51),))
+    assert len(membership.known()) == 2
+
+
+def test_third_party_does_not_make_an_incarnation_former():
+    membership = new_membership()
+    old, new, other = record("a", 1), record("a", 2), record("b", 1)
+    hear(membership, old, 1, 0)
+    membership.introduce(new, 0)
+    assert membership.get("a").record is old
+    hear(membership, other, 1, 0, (ToldBeat(new.key, 1),))
+    hear(membership, other, 2, 0, (ToldBeat(new.key, 2),))
+    assert membership.get("a").record is new
+    assert not membership.is_former("a", old.incarnation)
+    hear(membership, new, 3, 0)
+    assert membership.is_former("a", old.incarnation)
+
+
+def test_restarted_host_whose_clock_jumped_back_outranks_its_past():
+    membership = new_membership()
+    past = MemberRecord("own", "Adum", "127.0.0.1:1", "own-0", 9_000)
+    membership.introduce(past, 0)
+    assert membership.own.rank > past.rank
+    assert membership.own.incarnation == OWN.incarnation
+
+
+def test_two_live_processes_of_one_name_stop_outranking_each_other():
+    first, second = new_membership(), new_membership()
+    second.own = MemberRecord("own", "Adum", "127.0.0.1:2", "own-2", 200)
+    ranks = []
+    for _ in range(20):
+        first.introduce(second.own, 0)
+        second.introduce(first.own, 0)
+        ranks.append((first.own.rank, second.own.rank))
+    assert ranks[-1] == ranks[-2]
+    assert second.own.rank > first.own.rank
+
+
+def test_pause_of_this_process_makes_nobody_silent_nor_lives_on_as_credit():
+    changes = []
+    membership = new_membership(changes)
+    sender = record("a", 1)
+    hear(membership, sender, 1, 0)
+    membership.evaluate(0)
+    membership.forgive(60_000, 60_000)
+    membership.evaluate(60_000)
+    assert changes == [("a", "live")]
+    hear(membership, sender, 2, 60_000)
+    membership.forgive(60_000, 60_000)
+    membership.evaluate(60_000 + 6 * HEARTBEAT_MS)
+    assert changes[-1] == ("a", "silent")
+
+
+LOADS = st.builds(
+    lambda teams, targets: HostLoad(
+        sum(teams),
+        sum(targets),
+        tuple(TeamLoad(f"team-{i}", n, 1) for i, n in enumerate(teams) if n),
+        tuple(TargetLoad(f"worker-{i}", n) for i, n in enumerate(targets) if n),
+    ),
+    st.lists(st.integers(0, 9), max_size=30),
+    st.lists(st.integers(0, 9), max_size=30),
+)
+
+
+@given(st.lists(st.tuples(LOADS, st.booleans(), st.booleans()), min_size=1))
+@STEPS
+def test_load_is_whole_again_after_losses_and_repetition(steps):
+    now = {"load": HostLoad()}
+    teller, view = LoadTeller(lambda: now["load"]), LoadView()
+    parts = []
+    for beat, (load, lost, repeated) in enumerate(steps):
+        now["load"] = load
+        teller.refresh()
+        parts.append((beat, teller.changes(10)))
+        if not lost:
+            view.merge(*parts[-1])
+        if repeated:
+            view.merge(*parts[beat // 2])
+    beat = len(steps)
+    view.merge(beat, teller.names(0, teller.name_count))
+    for step in range(12):
+        teller.refresh()
+        view.merge(beat + step, teller.changes(10))
+    seen = view.to_load()
+    assert set(seen.teams) == set(now["load"].teams)
+    assert set(seen.targets) == set(now["load"].targets)
+    assert seen.queued_slots == now["load"].queued_slots
+
+
+def test_load_names_are_bounded_and_start_over(monkeypatch):
+    monkeypatch.setattr("rattanloom.peers.load_exchange.NAMES_MAX", 8)
+    loads = [HostLoad(targets=(TargetLoad(f"w{i}", 1),)) for i in range(20)]
+    view = LoadView()
+    teller = LoadTeller(HostLoad)
+    for beat, load in enumerate(loads):
+        teller.load = lambda load=load: load
+        teller.refresh()
+        view.merge(beat, teller.names(0, teller.name_count))
+        assert teller.name_count <= 8
+        assert view.to_load() == load
