--- a/rattanloom/settings.py
+++ b/rattanloom/settings.py
@@ -7,11 +7,12 @@
 import json
 from collections.abc import Callable
 from pathlib import Path
-from typing import TypeVar
+from typing import TypeVar, get_args, get_origin
 
 from attrs import Attribute, field, fields, frozen
 from attrs.validators import and_, ge, instance_of, le, matches_re
 from cattrs import Converter, transform_error
+from cattrs.cols import homogenous_tuple_structure_factory
 from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError
 from cattrs.strategies import configure_union_passthrough
 from cattrs.v import format_exception
@@ -19,6 +20,7 @@
 T = TypeVar("T")
 
 NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
+SHOWN_MAX_CHARS = 60
 ADDRESS_PATTERN = r"[0-9A-Za-z.:\[\]_-]+:\d{1,5}"
 
 
@@ -32,20 +34,50 @@
     configure_union_passthrough(str | int | float | bool | None, converter)
     for kind in (int, float, str, bool):
         converter.register_structure_hook(kind, _exact(kind))
+    converter.register_structure_hook_factory(_is_tuple_of_one_kind, _only_from_list)
     return converter
 
 
+def _is_tuple_of_one_kind(shape: type) -> bool:
+    return get_origin(shape) is tuple and get_args(shape)[-1:] == (Ellipsis,)
+
+
+def _only_from_list(shape: type, converter: Converter) -> Callable:
+    structure_items = homogenous_tuple_structure_factory(shape, converter)
+
+    def structure(value: object, _: type) -> object:
+        if not isinstance(value, list | tuple):
+            raise ValueError(f"expected a list, found {json.dumps(value)}")
+        return structure_items(value, shape)
+
+    return structure
+
+
 def _exact(kind: type) -> Callable[[object, type], object]:
     def structure(value: object, _: type) -> object:
         wrong_bool = isinstance(value, bool) and kind is not bool
         accepted = (int, float) if kind is float else kind
         if wrong_bool or not isinstance(value, accepted):
-            raise ValueError(f"expected {kind.__name__}, found {json.dumps(value)}")
+            raise ValueError(f"expected {kind.__name__}, found {_shown(value)}")
+        if isinstance(value, str):
+            _check_text(value)
         return kind(value)
 
     return structure
 
 
+def _shown(value: object) -> str:
+    text = json.dumps(value)
+    return text if len(text) <= SHOWN_MAX_CHARS else f"{text[:SHOWN_MAX_CHARS]}..."
+
+
+def _check_text(value: str) -> None:
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise ValueError("text is not valid Unicode") from error
+
+
 CONVERTER = make_converter()
 
 
@@ -115,6 +147,9 @@
     ``http_address`` serves callers and operators, ``peer_address`` (TCP and
     UDP) the other entry hosts. ``ticket_key`` is shared by all entry hosts
     of a deployment. ``epoch_ms`` bounds how long tickets and answers live.
+    A stopping host reports unhealthy for ``leave_grace_ms`` before it refuses
+    new work, so that the balancer takes it out first. ``test_aids`` opens the
+    switches that failure tests use; never set it in service.
     """
 
     host: str = field(validator=is_name)
@@ -130,11 +165,13 @@
         default=1_000_000, validator=in_range(1_000, 16_000_000)
     )
     stop_within_ms: int = field(default=10_000, validator=in_range(0, 600_000))
+    leave_grace_ms: int = field(default=1_000, validator=in_range(0, 60_000))
     header_timeout_ms: int = field(default=5_000, validator=in_range(100, 60_000))
     connections_max: int = field(default=2_000, validator=in_range(1, 100_000))
     config_poll_ms: int = field(default=1_000, validator=in_range(50, 60_000))
     host_list_poll_ms: int = field(default=1_000, validator=in_range(50, 60_000))
     heartbeat_ms: int = field(default=250, validator=in_range(20, 10_000))
+    test_aids: bool = False
     log_level: str = field(
         default="INFO", validator=matches_re("DEBUG|INFO|NOTICE|WARNING|ERROR")
     )
