Answer forwarded requests before a stop, and age claims out

Cause: a stopping host waited for the jobs of its own ledger only; a request it had forwarded was cut off when its server closed. Claims were never started, so none aged out and each host took the whole write budget. A peer's listener that was full told a resubmission of a running job refused, not run. Ruled out: counting in the job service, which returns before the reply is written. Change: the server counts requests until their replies are written and the stop waits for none within stop_within_ms; questions wait at most half of that; the core starts the claims with the number of live hosts; a full listener answers unknown.

--- a/rattanloom/callers/api.py
+++ b/rattanloom/callers/api.py
@@ -42,11 +42,15 @@
 
 @define(eq=False)
 class CallersApi:
-    """Routes of the callers' interface, over one job service."""
+    """Routes of the callers' interface, over one job service.
+
+    A question waits at most ``wait_max_ms``, so that it cannot hold up a stop.
+    """
 
     jobs: JobService
     body_max_bytes: int
     body_timeout_ms: float
+    wait_max_ms: float = WAIT_MAX_MS
     app: Bottle = field(factory=Bottle)
 
     def __attrs_post_init__(self) -> None:
@@ -86,7 +90,7 @@
             return failure_response(
                 Failure(ErrorKind.BAD_REQUEST, "wait_ms must be a number")
             )
-        wait_ms = min(max(wait_ms, 0.0), WAIT_MAX_MS)
+        wait_ms = min(max(wait_ms, 0.0), self.wait_max_ms)
         return answer_response(self.jobs.ask(job_id, wait_ms))
 
     def delete_job(self, job_id: str) -> HTTPResponse:
--- a/rattanloom/callers/server.py
+++ b/rattanloom/callers/server.py
@@ -5,6 +5,7 @@
 from socket import IPPROTO_TCP, TCP_NODELAY
 
 import gevent
+from attrs import define
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -15,12 +16,37 @@
 
 IDLE_TIMEOUT_MS = 75_000
 BACKLOG = 1024
+IN_FLIGHT_POLL_MS = 10
+
+
+@define(eq=False)
+class InFlight:
+    """Counts the requests whose replies are not written yet."""
+
+    count: int = 0
+
+    @contextmanager
+    def one(self) -> Iterator[None]:
+        """Count one request while the block runs."""
+        self.count += 1
+        try:
+            yield
+        finally:
+            self.count -= 1
+
+    def wait_until_none(self, within_ms: float) -> bool:
+        """Wait until no request is in flight; say whether that came in time."""
+        with gevent.Timeout(within_ms / MS_PER_S, False):
+            while self.count:
+                gevent.sleep(IN_FLIGHT_POLL_MS / MS_PER_S)
+        return not self.count
 
 
 class BoundedHandler(WSGIHandler):
     """Closes connections that idle too long or send their request too slowly."""
 
     header_timeout_ms = 5_000
+    in_flight: "InFlight"
     served_requests = 0
 
     def handle(self) -> None:
@@ -49,6 +75,11 @@
         except gevent.Timeout:
             return None
 
+    def handle_one_response(self) -> None:
+        """Answer one request, counted until its reply is written."""
+        with self.in_flight.one():
+            super().handle_one_response()
+
     def log_error(self, message: str, *args: object) -> None:
         """Log malformed requests shortly."""
         log.debug("Malformed request: {}", message % args if args else message)
@@ -60,12 +91,12 @@
     application: Callable,
     header_timeout_ms: float,
     connections_max: int,
+    in_flight: InFlight,
 ) -> Iterator[WSGIServer]:
     """Serve a WSGI application on ``address`` until the block ends."""
     host, _, port = address.rpartition(":")
-    handler = type(
-        "Handler", (BoundedHandler,), {"header_timeout_ms": header_timeout_ms}
-    )
+    bounds = {"header_timeout_ms": header_timeout_ms, "in_flight": in_flight}
+    handler = type("Handler", (BoundedHandler,), bounds)
     server = WSGIServer(
         (host, int(port)),
         application,
--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -5,12 +5,12 @@
 from contextlib import ExitStack, contextmanager
 
 import gevent
-from attrs import define, evolve
+from attrs import define, evolve, field
 from gevent.event import Event
 
 from rattanloom.admission import Admission
 from rattanloom.callers.api import CallersApi
-from rattanloom.callers.server import serving_http
+from rattanloom.callers.server import InFlight, serving_http
 from rattanloom.claims import Claims
 from rattanloom.clock import MS_PER_S
 from rattanloom.configuration import Configuration
@@ -21,7 +21,7 @@
 from rattanloom.logs import get_log, logging_to
 from rattanloom.metrics import Metrics
 from rattanloom.operators.pages import HostState, OperatorPages
-from rattanloom.peers.protocol import HostLoad
+from rattanloom.peers.protocol import HostLoad, MemberState
 from rattanloom.peers.service import PeerService
 from rattanloom.platform.client import PlatformClient
 from rattanloom.settings import EntrySettings, SettingsError, load_settings
@@ -47,9 +47,11 @@
     peers: PeerService
     directory: TargetDirectory
     admission: Admission
+    claims: Claims
     jobs: JobService
     state: HostState
     pages: OperatorPages
+    in_flight: InFlight = field(factory=InFlight)
 
 
 def main(settings_path: str, environment: Environment | None = None) -> ExitStatus:
@@ -169,6 +171,7 @@
         peers,
         directory,
         admission,
+        claims,
         jobs,
         state,
         pages,
@@ -178,42 +181,63 @@
 def start(host: EntryHost) -> None:
     """Start the parts that follow the platform and the peers."""
     host.configuration.start(host.peers)
+    host.claims.start(host.timers, lambda: live_hosts(host.peers))
     host.directory.start(host.peers)
     host.admission.start(host.peers, host.timers)
     host.jobs.start(host.timers)
 
 
+def live_hosts(peers: PeerService) -> int:
+    """Return how many entry hosts share the platform's writes, this one too."""
+    live = [m for m in peers.members() if m.state is MemberState.LIVE]
+    return 1 + len(live)
+
+
 @contextmanager
 def serving(host: EntryHost) -> Iterator[None]:
     """Serve callers, operators and the balancer over HTTP."""
     settings = host.settings
-    api = CallersApi(host.jobs, settings.body_max_bytes, settings.header_timeout_ms)
+    api = CallersApi(
+        host.jobs,
+        settings.body_max_bytes,
+        settings.header_timeout_ms,
+        wait_max_ms=settings.stop_within_ms / 2,
+    )
     host.pages.add_to(api.app)
     with serving_http(
         settings.http_address,
         api.app,
         settings.header_timeout_ms,
         settings.connections_max,
+        host.in_flight,
     ):
         yield
 
 
 def stop_gracefully(host: EntryHost) -> ExitStatus:
     """Leave the balancer, finish what is in flight, and say how it ended."""
+    settings = host.settings
     log.info("Stopping: leaving the balancer.")
     host.time_line.record(EventKind.HOST_STOPPING)
     host.state.leaving = True
-    gevent.sleep(host.settings.leave_grace_ms / MS_PER_S)
+    gevent.sleep(settings.leave_grace_ms / MS_PER_S)
     host.peers.announce_leaving()
-    if host.jobs.drain(host.settings.stop_within_ms):
-        log.info("Stopped: every job in flight was answered.")
+    if answer_all(host):
+        log.info("Stopped: every request in flight was answered.")
         return ExitStatus.OK
-    log.warning(
-        "Stopped with jobs unanswered after {} ms.", host.settings.stop_within_ms
-    )
+    log.warning("Stopped unanswered requests after {} ms.", settings.stop_within_ms)
     return ExitStatus.STOP_TIMEOUT
 
 
+def answer_all(host: EntryHost) -> bool:
+    """Wait for the jobs of this host, then for requests forwarded to others."""
+    clock = host.environment.clock
+    until_ms = clock.now_ms() + host.settings.stop_within_ms
+    jobs_ended = host.jobs.drain(host.settings.stop_within_ms)
+    left_ms = max(0.0, until_ms - clock.now_ms())
+    return host.in_flight.wait_until_none(left_ms) and jobs_ended
+
+
 @contextmanager
 def stop_signals(stop: Event) -> Iterator[None]:
     """Set ``stop`` on SIGTERM or SIGINT while the block runs."""
--- a/rattanloom/peers/listener.py
+++ b/rattanloom/peers/listener.py
@@ -44,6 +44,7 @@
 HELLO_WITHIN_MS = 2_000
 IDLE_MS = 120_000
 WRITE_WITHIN_MS = 5_000
+LAST_REPLIES_WITHIN_MS = 1_000
 
 
 @define(eq=False)
@@ -74,6 +75,7 @@
         try:
             yield
         finally:
+            self._running.join(LAST_REPLIES_WITHIN_MS / MS_PER_S)
             server.stop(timeout=0)
             connections.kill()
 
@@ -153,7 +155,15 @@
 
 
 def _overloaded(body: Request) -> Reply:
-    failure = Failure(ErrorKind.OVERLOADED, "too many forwarded requests at once")
+    """Return the reply to a request that was not looked at.
+
+    A submission turned away here may repeat one that already runs.
+    """
+    failure = Failure(
+        ErrorKind.OVERLOADED,
+        "too many forwarded requests at once",
+        ran=Ran.MAY_HAVE_RUN,
+    )
     if isinstance(body, Submit):
-        return JobAnswer(body.job.job_id, JobOutcome.REFUSED, failure=failure)
+        return JobAnswer(body.job.job_id, JobOutcome.UNKNOWN, failure=failure)
     return failure
--- a/tests/test_callers_api.py
+++ b/tests/test_callers_api.py
@@ -11,7 +11,7 @@
 from urllib3 import HTTPConnectionPool
 
 from rattanloom.callers.api import CallersApi
-from rattanloom.callers.server import serving_http
+from rattanloom.callers.server import InFlight, serving_http
 from rattanloom.errors import ANSWERS, ErrorKind, Failure
 from rattanloom.job import JobAnswer, JobOutcome
 from rattanloom.resources import own_usage
@@ -50,7 +50,8 @@
 @contextmanager
 def serving():
     api = CallersApi(EchoJobs(), BODY_MAX_BYTES, HEADER_TIMEOUT_MS)
-    with serving_http("127.0.0.1:0", api.app, HEADER_TIMEOUT_MS, 100) as server:
+    bounds = (HEADER_TIMEOUT_MS, 100, InFlight())
+    with serving_http("127.0.0.1:0", api.app, *bounds) as server:
         yield server.server_port
 
 
--- /dev/null
+++ b/tests/test_entry_host.py
@@ -0,0 +1,74 @@
+"""Whole entry hosts as separate processes, over stand-ins."""
+
+import json
+import shutil
+from pathlib import Path
+
+import gevent
+import pytest
+
+from experiments.cluster import Shape, running_cluster, with_settings
+from rattanloom.callers.client import Dispatcher
+from rattanloom.job import JobOutcome, Task
+
+RULES = Path(__file__).parent.parent / "examples" / "rules"
+STOP_WITHIN_S = 15
+SHAPE = with_settings(
+    Shape(zones=("Adum", "Bantama"), hosts=1, workers=1), leave_grace_ms=0
+)
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    with running_cluster(SHAPE) as running:
+        rules = running.folder / "rules"
+        shutil.copytree(RULES, rules, ignore=shutil.ignore_patterns(".*"))
+        running.publish(rules)
+        running.await_ready()
+        yield running
+
+
+def caller(cluster, name):
+    return Dispatcher((cluster.hosts[name].address,), "commissions")
+
+
+def proof(run_ms, answer="done"):
+    script = json.dumps({"ms": run_ms, "answer": answer})
+    return Task("proof_crop", script, run_ms=run_ms)
+
+
+def starts(cluster, job_id):
+    return [
+        start
+        for worker in cluster.workers.values()
+        for start in cluster.get_json(worker.address, "/v1/starts")
+        if start["job_id"] == job_id
+    ]
+
+
+def until(condition, within_s=10):
+    with gevent.Timeout(within_s):
+        while not condition():
+            gevent.sleep(0.02)
+
+
+def test_resubmission_through_another_host_joins_the_running_job(cluster):
+    home, other = caller(cluster, "adum-entry-1"), caller(cluster, "bantama-entry-1")
+    job = home.new_job((proof(600), proof(600)), 5_000)
+    first = gevent.spawn(home.submit, job)
+    until(lambda: len(starts(cluster, job.job_id)) == 2)
+    second = other.submit(job)
+    assert second.outcome is JobOutcome.COMPLETE
+    assert second == first.get()
+    assert len(starts(cluster, job.job_id)) == 2
+
+
+def test_stopping_host_answers_requests_that_it_forwarded(cluster):
+    home, leaving = caller(cluster, "adum-entry-1"), caller(cluster, "bantama-entry-1")
+    job = home.new_job((proof(1_500),), 5_000)
+    forwarded = gevent.spawn(leaving.submit, job)
+    until(lambda: starts(cluster, job.job_id))
+    process = cluster.hosts["bantama-entry-1"]
+    process.terminate()
+    assert forwarded.get().outcome is JobOutcome.COMPLETE
+    assert process.wait(STOP_WITHIN_S) == 0
