--- a/experiments/history_callers.py
+++ b/experiments/history_callers.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import gevent
-from attrs import define, field
+from attrs import define, field, frozen
 from urllib3.exceptions import HTTPError
 
 from experiments.history import Action, Invoked
@@ -42,6 +42,7 @@
     wanted: tuple[str, ...]
     begun_ms: float
     whole_ms: float | None = None
+    complete: bool = False
     ended: bool = False
 
 
@@ -142,6 +143,7 @@
             return
         if answer.outcome in WHOLE:
             work.whole_ms = now_ms()
+            work.complete = answer.outcome is JobOutcome.COMPLETE
             work.ended = True
             return
         if answer.failure.kind in HOPELESS:
@@ -176,14 +178,25 @@
         return host if self.random.random() < 0.5 else self._pick_host()
 
 
-def answered_share(works: list[Work], from_ms: float, until_ms: float) -> float | None:
-    """Return the share of work begun in a span answered whole in its deadline."""
+@frozen
+class Shares:
+    """What part of the work begun in a span was answered in its deadline.
+
+    ``whole`` counts complete and failed answers, ``complete`` complete ones.
+    """
+
+    whole: float
+    complete: float
+
+
+def shares_of(works: list[Work], from_ms: float, until_ms: float) -> Shares:
+    """Return the shares for the work begun between two times."""
     begun = [work for work in works if from_ms <= work.begun_ms < until_ms]
-    if not begun:
-        return None
     whole = [
         work
         for work in begun
         if work.whole_ms is not None and work.whole_ms - work.begun_ms <= DEADLINE_MS
     ]
-    return len(whole) / len(begun)
+    complete = [work for work in whole if work.complete]
+    count = max(1, len(begun))
+    return Shares(len(whole) / count, len(complete) / count)
