--- a/rattanloom/peers/forwarder.py
+++ b/rattanloom/peers/forwarder.py
@@ -7,6 +7,7 @@
 from gevent.event import AsyncResult
 
 from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.link_filter import LinkFilter
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
 from rattanloom.peers.connection import (
@@ -15,7 +16,6 @@
     open_connection,
 )
 from rattanloom.peers.frame_stream import FrameTooLargeError
-from rattanloom.peers.link_filter import LinkFilter
 from rattanloom.peers.membership import HEARING, Membership
 from rattanloom.peers.messages import MemberRecord, Reply, Request
 from rattanloom.peers.schema import BadMessageError
@@ -91,6 +91,13 @@
         for host in list(self._links):
             self.drop(host, "this host is stopping")
 
+    def bytes_moved(self) -> int:
+        """Return the bytes sent and received on the open connections."""
+        streams = [
+            link.connection.stream for link in self._links.values() if link.connection
+        ]
+        return sum(stream.bytes_sent + stream.bytes_received for stream in streams)
+
     def _told(self, failure: Failure, handed_over: bool) -> Failure:
         self.metrics.count("forwards_failed", failure.kind.value)
         if failure.kind is not ErrorKind.HOME_UNREACHABLE:
--- a/rattanloom/peers/heartbeats.py
+++ b/rattanloom/peers/heartbeats.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from itertools import count
 
 import gevent
 from attrs import define, evolve, field
@@ -15,11 +16,11 @@
 
 from rattanloom.clock import MS_PER_S
 from rattanloom.environment import Environment
+from rattanloom.link_filter import LinkFilter
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
 from rattanloom.peers.addresses import format_address, parse_address
 from rattanloom.peers.heartbeat_codec import decode_heartbeat, encode_heartbeat
-from rattanloom.peers.link_filter import LinkFilter
 from rattanloom.peers.load_exchange import LoadTeller, LoadView
 from rattanloom.peers.membership import KnownMember, Membership
 from rattanloom.peers.messages import Heartbeat, LoadPart, MemberRecord
@@ -35,6 +36,7 @@
 FAR_SENDS_PER_BEAT = 1
 FAR_INTERVAL_MIN_BEATS = 2
 INTRODUCTIONS_PER_PEER = 3
+RECEIVES_PER_TURN = 32
 JITTER = 0.1
 PAUSE_BEATS = 4
 ASKS_MAX = 16
@@ -61,6 +63,7 @@
     beat: int = 1
     bytes_sent: int = 0
     bytes_received: int = 0
+    datagrams: int = 0
     views: dict[int, LoadView] = field(factory=dict)
     _tidings: Tidings = field(init=False)
     _socket: socket | None = None
@@ -106,7 +109,7 @@
         if elapsed_ms > PAUSE_BEATS * self.heartbeat_ms:
             log.warning("This process was paused for {:.0f} ms.", elapsed_ms)
             self.metrics.count("peer_pauses")
-            self.membership.forgive(elapsed_ms)
+            self.membership.forgive(elapsed_ms, now_ms)
         self.beat += 1
         self.membership.evaluate(now_ms)
         self.teller.refresh()
@@ -208,7 +211,7 @@
     def _plain(self, address: str) -> Heartbeat:
         unheard = ()
         receiver = self._member_at(address)
-        if receiver and not self.membership.hears(receiver, self._now_ms()):
+        if receiver is not None and not receiver.heard:
             unheard = (receiver.record.key,)
         return Heartbeat(
             self.membership.own.key,
@@ -242,18 +245,27 @@
             self.metrics.count("peer_sends_failed", type(error).__name__)
             return
         self.bytes_sent += len(datagram)
+        self.datagrams += 1
 
     def _receive_all(self) -> None:
-        while True:
+        for number in count():
+            if number % RECEIVES_PER_TURN == 0:
+                gevent.sleep(0)
             try:
                 datagram, source = self._socket.recvfrom(DATAGRAM_MAX_BYTES)
             except OSError as error:
                 self.metrics.count("peer_receives_failed", type(error).__name__)
                 continue
             self.bytes_received += len(datagram)
+            self.datagrams += 1
             address = format_address(source)
-            if self.link_filter.may_hear(address):
+            if not self.link_filter.may_hear(address):
+                continue
+            try:
                 self._receive(datagram, address)
+            except Exception as error:
+                self.metrics.count("peer_receives_failed", type(error).__name__)
+                log.error("A heartbeat could not be taken in: {!r}.", error)
 
     def _receive(self, datagram: bytes, address: str) -> None:
         try:
