--- a/experiments/routing.py
+++ b/experiments/routing.py
@@ -6,26 +6,25 @@
 own ``choose_target``; the others stand here for comparison.
 """
 
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
 from math import exp, log
 from random import Random
 
-from attrs import define, field
+from attrs import define, field, frozen
 from fire import Fire
 
 from rattanloom.job import Task
 from rattanloom.platform.protocol import ListedTarget
-from rattanloom.routing import Placement, choose_target, spread_owners
+from rattanloom.routing import choose_target, spread_owners
 from rattanloom.targets.protocol import AttemptReply, AttemptState
 from rattanloom.targets.state import TargetState
 
 HOSTS = 3
 WORKERS = 8
 SLOTS = 8
-HEARTBEAT_MS = 250.0
 ONE_WAY_MS = 0.25
 ZONE_ONE_WAY_MS = 1.0
 SHORT_MS = (50.0, 1_000.0)
@@ -70,6 +69,7 @@
     job: ModelJob
     run_ms: float
     tries: int = 0
+    waits: bool = False
 
 
 @define(eq=False)
@@ -98,14 +98,15 @@
 class Model:
     """The zones in virtual time, driven by one heap of timed calls."""
 
-    choose: Choose
+    policy: "Policy"
     load: float
     length_ms: float
     random: Random
-    zones: int = 1
-    reserve: bool = False
+    zones: int
+    heartbeat_ms: float
     now_ms: float = 0.0
     busy: dict[str, int] = field(factory=dict)
+    lines: dict[str, deque] = field(factory=lambda: defaultdict(deque))
     hosts: list[Host] = field(factory=list)
     owners: dict[str, tuple[str, str]] = field(factory=dict)
     result: Result = field(factory=Result)
@@ -117,7 +118,7 @@
         self._build()
         self._arrive()
         for number, _ in enumerate(self.hosts):
-            self._at(HEARTBEAT_MS * number / len(self.hosts), self._beat, number)
+            self._at(self.heartbeat_ms * number / len(self.hosts), self._beat, number)
         while self._heap and self._heap[0][0] < self.length_ms:
             self.now_ms, _, call, arguments = heappop(self._heap)
             call(*arguments)
@@ -164,7 +165,7 @@
         teller = self.hosts[number]
         told = [state.own_slots for state in teller.states]
         self._at(ONE_WAY_MS, self._hear, teller.name, told)
-        self._at(HEARTBEAT_MS, self._beat, number)
+        self._at(self.heartbeat_ms, self._beat, number)
 
     def _hear(self, teller: str, told: list[int]) -> None:
         others = [host for host in self.hosts if host.name != teller]
@@ -175,26 +176,40 @@
 
     def _pump(self, host: Host) -> None:
         while host.waiting:
-            state = self.choose(self, host)
+            state = self.policy.choose(self, host)
             if state is None:
                 return
             task = host.waiting.popleft()
             state.own_slots += 1
-            legs = 3 if self.reserve else 1
-            self.result.wasted += 2 * self.reserve * (self.now_ms > WARM_UP_MS)
+            legs = 3 if self.policy.reserve else 1
+            self.result.wasted += 2 * self.policy.reserve * (self.now_ms > WARM_UP_MS)
             self._at(legs * _one_way_ms(host, state), self._reach, host, state, task)
 
     def _reach(self, host: Host, state: TargetState, task: ModelTask) -> None:
-        """Start or refuse a task at the worker."""
-        if self.busy[state.name] >= SLOTS:
+        """Start a task at the worker, or hold it for a while for a slot."""
+        if self.busy[state.name] < SLOTS:
+            self._start(host, state, task)
+            return
+        task.waits = True
+        self.lines[state.name].append((host, state, task))
+        self._at(self.policy.start_within_ms, self._expire, host, state, task)
+
+    def _expire(self, host: Host, state: TargetState, task: ModelTask) -> None:
+        if task.waits:
+            task.waits = False
+            self.lines[state.name].remove((host, state, task))
             reply = self._reply(state, AttemptState.BUSY)
             self._at(_one_way_ms(host, state), self._refused, host, state, task, reply)
-            return
+
+    def _start(self, host: Host, state: TargetState, task: ModelTask) -> None:
+        task.waits = False
         self.busy[state.name] += 1
         self._at(task.run_ms, self._end, host, state, task)
 
     def _end(self, host: Host, state: TargetState, task: ModelTask) -> None:
         self.busy[state.name] -= 1
+        if self.lines[state.name]:
+            self._start(*self.lines[state.name].popleft())
         reply = self._reply(state, AttemptState.DONE)
         self._at(_one_way_ms(host, state), self._done, host, state, task, reply)
 
@@ -223,7 +238,7 @@
         self._pump(host)
 
     def _reply(self, state: TargetState, answer: AttemptState) -> AttemptReply:
-        busy_slots = self.busy[state.name]
+        busy_slots = self.busy[state.name] + len(self.lines[state.name])
         return AttemptReply("", answer, slots=SLOTS, busy_slots=busy_slots)
 
 
@@ -276,27 +291,32 @@
     return SLOTS // HOSTS + extra
 
 
-def owner_first(margin_slots: int) -> Choose:
-    """Return the product's own choice with a spill margin."""
-
-    def choose(model: Model, host: Host) -> TargetState | None:
-        placement = Placement(host.zone, margin_slots)
-        return choose_target(TASK, host.states, placement, model.now_ms)
+def owner_first(model: Model, host: Host) -> TargetState | None:
+    """Choose as the product does."""
+    return choose_target(TASK, host.states, host.zone, model.now_ms)
 
-    return choose
 
+@frozen
+class Policy:
+    """How to choose, whether to reserve first, how long a worker may hold."""
 
-POLICIES: dict[str, tuple[Choose, bool]] = {
-    "all-knowing": (all_knowing, False),
-    "random": (random_choice, False),
-    "two choices": (two_choices, False),
-    "slot shares": (slot_shares, False),
-    "least outstanding": (least_outstanding, False),
-    "reserve first": (least_outstanding, True),
-    "owner first, margin 0": (owner_first(0), False),
-    "owner first, margin 1": (owner_first(1), False),
-    "owner first, margin 2": (owner_first(2), False),
-    "owner first, margin 4": (owner_first(4), False),
+    choose: Choose
+    reserve: bool = False
+    start_within_ms: float = 0.0
+
+
+POLICIES: dict[str, Policy] = {
+    "all-knowing": Policy(all_knowing),
+    "random": Policy(random_choice),
+    "two choices": Policy(two_choices),
+    "slot shares": Policy(slot_shares),
+    "least outstanding": Policy(least_outstanding),
+    "reserve first": Policy(least_outstanding, reserve=True),
+    "owner first": Policy(owner_first),
+    "owner first, hold 50": Policy(owner_first, start_within_ms=50),
+    "owner first, hold 100": Policy(owner_first, start_within_ms=100),
+    "owner first, hold 250": Policy(owner_first, start_within_ms=250),
+    "owner first, hold 500": Policy(owner_first, start_within_ms=500),
 }
 
 
@@ -305,22 +325,54 @@
     return sorted(values)[int(share * (len(values) - 1))]
 
 
-def compare(seconds: float = 60, seed: int = 1, only: str = "", zones: int = 3) -> None:
+@frozen
+class Plan:
+    """The size of each measurement."""
+
+    seconds: float
+    seeds: int
+    zones: int
+    heartbeat_ms: float
+
+
+def measure(policy: Policy, load: float, plan: Plan) -> Result:
+    """Run one policy at one load over several seeds."""
+    total = Result()
+    for seed in range(plan.seeds):
+        length_ms = plan.seconds * 1_000
+        model = Model(
+            policy, load, length_ms, Random(seed), plan.zones, plan.heartbeat_ms
+        )
+        result = model.run()
+        total.ratios += result.ratios
+        total.tasks += result.tasks
+        total.wasted += result.wasted
+    return total
+
+
+def compare(
+    seconds: float = 60,
+    seeds: int = 3,
+    only: str = "",
+    zones: int = 3,
+    heartbeat_ms: float = 250,
+) -> None:
     """Print response/ideal and wasted messages per task for each policy.
 
     Args:
         seconds: virtual seconds of each run.
-        seed: of the arrivals and run times.
+        seeds: how many seeded runs each figure covers.
         only: run the policies whose name starts so.
         zones: how many zones of 3 hosts and 8 workers there are.
+        heartbeat_ms: how often a host tells its load.
     """
+    plan = Plan(seconds, seeds, zones, heartbeat_ms)
     print(f"{'policy':24} {'load':>5} {'p50':>6} {'p99':>7} {'wasted/task':>11}")
-    for name, (choose, reserve) in POLICIES.items():
+    for name, policy in POLICIES.items():
         if not name.startswith(only):
             continue
         for load in LOADS:
-            model = Model(choose, load, seconds * 1_000, Random(seed), zones, reserve)
-            result = model.run()
+            result = measure(policy, load, plan)
             p50, p99 = (quantile(result.ratios, share) for share in (0.5, 0.99))
             wasted = result.wasted / result.tasks
             print(f"{name:24} {load:5.0%} {p50:6.3f} {p99:7.3f} {wasted:11.4f}")
--- a/rattanloom/routing.py
+++ b/rattanloom/routing.py
@@ -3,23 +3,10 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from attrs import frozen
-
 from rattanloom.job import Task
 from rattanloom.targets.state import TargetState
 
 
-@frozen
-class Placement:
-    """Where this host stands: its zone, and how carefully it spills.
-
-    ``margin_slots`` must stay free on a worker that another host owns.
-    """
-
-    zone: str
-    margin_slots: int = 1
-
-
 def spread_owners(slots: dict[str, int], hosts: Iterable[str]) -> dict[str, str]:
     """Return which host fills each worker first, in even shares of the slots.
 
@@ -44,7 +31,7 @@
 
 
 def choose_target(
-    task: Task, targets: Iterable[TargetState], placement: Placement, now_ms: float
+    task: Task, targets: Iterable[TargetState], zone: str, now_ms: float
 ) -> TargetState | None:
     """Return the best worker with free slots for the task, or None.
 
@@ -54,25 +41,23 @@
     best = None
     best_rank = None
     for target in targets:
-        rank = _rank(task, target, placement, now_ms)
+        rank = _rank(task, target, zone, now_ms)
         if rank is not None and (best_rank is None or rank < best_rank):
             best, best_rank = target, rank
     return best
 
 
 def _rank(
-    task: Task, target: TargetState, placement: Placement, now_ms: float
+    task: Task, target: TargetState, zone: str, now_ms: float
 ) -> tuple[int, float] | None:
     if task.accelerator and not target.listed.accelerator:
         return None
     if not target.usable(now_ms):
         return None
     free_slots = target.free_slots(now_ms) - task.size_slots
-    if not target.owned:
-        free_slots -= placement.margin_slots
     if free_slots < 0:
         return None
-    distance = 0 if target.listed.zone == placement.zone else 2
+    distance = 0 if target.listed.zone == zone else 2
     return distance + (not target.owned), -free_slots / target.listed.slots
 
 
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -14,7 +14,7 @@
 from rattanloom.peers.protocol import MemberState, Peers, TargetLoad
 from rattanloom.platform.protocol import HostList, ListedTarget
 from rattanloom.queue import Capacity
-from rattanloom.routing import Placement, choose_target, spread_owners
+from rattanloom.routing import choose_target, spread_owners
 from rattanloom.rules import KindRule, Rules, TargetRule
 from rattanloom.settings import EntrySettings
 from rattanloom.targets.client import TargetClient
@@ -101,8 +101,7 @@
             for state in self._targets.values()
             if self._open(state) and _matches(state.name, allowed)
         ]
-        placement = Placement(self.settings.zone)
-        return choose_target(task, candidates, placement, now_ms)
+        return choose_target(task, candidates, self.settings.zone, now_ms)
 
     def pick(self, task: Task) -> TargetState | None:
         """Reserve slots for the task; ``release`` gives them back."""
--- a/rattanloom/targets/protocol.py
+++ b/rattanloom/targets/protocol.py
@@ -14,6 +14,7 @@
     DONE and FAILED carry an output. BUSY and LEAVING mean that the worker did
     not start the attempt and never will. NEVER_STARTED answers a stop of an
     attempt that had not begun; from then on the worker refuses to start it.
+    RUNNING covers an attempt that the worker still holds for a slot.
     NOT_SEEN answers a look-up of an attempt the worker does not know.
     """
 
@@ -37,8 +38,9 @@
     """One try to run one task on one worker.
 
     ``attempt_id`` is ``<job id>.<task index>.<attempt number>`` and is never
-    used for a second start. The worker refuses to start it later than
-    ``start_within_ms`` after receipt, and stops it once ``lease_ms`` passed.
+    used for a second start. Where no slot is free the worker holds it, and
+    answers BUSY once ``start_within_ms`` passed since its receipt. It stops
+    the attempt once ``lease_ms`` passed since its start.
     """
 
     attempt_id: str
@@ -59,7 +61,8 @@
     """A worker's answer about one attempt, with its own state riding on it.
 
     ``run_ms`` is the measured run time. ``busy_slots`` of ``slots`` are taken
-    as the worker sends the reply; ``leaving`` says that it accepts no new work.
+    as the worker sends the reply, or waited for by attempts that it holds;
+    ``leaving`` says that it accepts no new work.
     ``remembers_ms`` is how far back the worker remembers every attempt, bounded
     by its own start: NEVER_STARTED counts only for attempts sent within it.
     """
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -9,6 +9,7 @@
 import os
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from socket import SHUT_RDWR
 
 import gevent
 from attrs import asdict, define, evolve, field
@@ -115,11 +116,18 @@
             connection.silent = True
 
     def _start(self, attempt_id: str) -> dict:
+        received_ms = self.clock.now_ms()
         self._receive()
+        if self.attempts.switches.close_before:
+            _close_connection()
+            return {}
         attempt = CONVERTER.structure(request.json, Attempt)
         if attempt.attempt_id != attempt_id:
             raise HTTPError(400, "the path and the body name different attempts")
-        return self._send(self.attempts.start(attempt))
+        reply = self.attempts.start(attempt, received_ms)
+        if self.attempts.switches.close_after:
+            _close_connection()
+        return self._send(reply)
 
     def _look_up(self, attempt_id: str) -> dict:
         self._receive()
@@ -163,6 +171,11 @@
             Event().wait()
 
 
+def _close_connection() -> None:
+    """Close the connection under the request that it carries."""
+    request.environ[CONNECTION].socket.shutdown(SHUT_RDWR)
+
+
 @contextmanager
 def serving(worker: Worker, address: str) -> Iterator[WorkerServer]:
     """Serve a worker on ``address`` (``host:port``) for the block's length."""
--- a/standins/worker_attempts.py
+++ b/standins/worker_attempts.py
@@ -11,6 +11,7 @@
 
 ENDED_ATTEMPTS_MAX = 20_000
 STARTS_MAX = 200_000
+START_WITHIN_LEAST_MS = 10.0
 
 
 @define
@@ -18,6 +19,8 @@
     """Faults that tests turn on; see ``POST /switches``.
 
     ``latency_ms`` is added each way; ``slow_factor`` multiplies run times.
+    ``close_before`` and ``close_after`` close the connection under a request,
+    before the attempt starts or after it ended.
     """
 
     refuse: bool = False
@@ -26,6 +29,8 @@
     fail_all: bool = False
     silent: bool = False
     die: bool = False
+    close_before: bool = False
+    close_after: bool = False
     slow_factor: float = 1.0
     latency_ms: float = 0.0
 
@@ -41,6 +46,16 @@
     wall_ms: float
 
 
+@define(eq=False)
+class _Held:
+    """An attempt that waits for slots until ``settled`` is set."""
+
+    attempt: Attempt
+    has_slots: bool = False
+    stopped: bool = False
+    settled: Event = field(factory=Event)
+
+
 @define(eq=False)
 class _Running:
     attempt: Attempt
@@ -61,22 +76,31 @@
     starts: deque[Start] = field(factory=lambda: deque(maxlen=STARTS_MAX))
     _running: dict[str, _Running] = field(factory=dict)
     _ended: OrderedDict[str, tuple[float, AttemptReply]] = field(factory=OrderedDict)
+    _held: dict[str, _Held] = field(factory=dict)
     _busy_slots: int = 0
     _remembers_since_ms: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._remembers_since_ms = self.clock.now_ms()
 
-    def start(self, attempt: Attempt) -> AttemptReply:
-        """Run an attempt to its end, or refuse it; a repeat joins the first."""
-        known = self._known(attempt.attempt_id)
+    def start(self, attempt: Attempt, received_ms: float) -> AttemptReply:
+        """Run an attempt to its end, or refuse it; a repeat joins the first.
+
+        Where no slot is free the attempt is held until ``start_within_ms``
+        after its receipt.
+        """
+        attempt_id = attempt.attempt_id
+        if attempt_id in self._running or attempt_id in self._held:
+            return self.look_up(attempt_id, attempt.lease_ms)
+        known = self._known(attempt_id)
         if known is not None:
             return known
-        if attempt.attempt_id in self._running:
-            return self.look_up(attempt.attempt_id, attempt.lease_ms)
         refusal = self._refusal(attempt)
         if refusal is not None:
-            return self._reply(attempt.attempt_id, refusal)
+            return self._reply(attempt_id, refusal)
+        if not self._await_slots(attempt, received_ms):
+            fenced = self._known(attempt_id)
+            return fenced or self._reply(attempt_id, AttemptState.BUSY)
         return self._run(attempt)
 
     def look_up(self, attempt_id: str, wait_ms: float) -> AttemptReply:
@@ -87,7 +111,8 @@
         known = self._known(attempt_id)
         if known is not None:
             return known
-        state = AttemptState.RUNNING if running else AttemptState.NOT_SEEN
+        here = running is not None or attempt_id in self._held
+        state = AttemptState.RUNNING if here else AttemptState.NOT_SEEN
         return self._reply(attempt_id, state)
 
     def stop(self, attempt_id: str) -> AttemptReply:
@@ -100,6 +125,10 @@
         if known is not None:
             return known
         self._remember(self._reply(attempt_id, AttemptState.NEVER_STARTED))
+        held = self._held.get(attempt_id)
+        if held is not None:
+            held.stopped = True
+            held.settled.set()
         return self._known(attempt_id)
 
     def probe(self) -> AttemptReply:
@@ -115,21 +144,49 @@
         if self.switches.leaving:
             return AttemptState.LEAVING
         lacking = attempt.accelerator and not self.accelerator
-        full = self._busy_slots + attempt.size_slots > self.slots
-        if self.switches.refuse or lacking or full:
+        if self.switches.refuse or lacking or attempt.size_slots > self.slots:
             return AttemptState.BUSY
         return None
 
+    def _await_slots(self, attempt: Attempt, received_ms: float) -> bool:
+        """Occupy the attempt's slots, waiting for them within its bound."""
+        within_ms = max(attempt.start_within_ms, START_WITHIN_LEAST_MS)
+        left_ms = received_ms + within_ms - self.clock.now_ms()
+        if left_ms < 0:
+            return False
+        if not self._waiting() and self._fits(attempt):
+            self._busy_slots += attempt.size_slots
+            return True
+        held = _Held(attempt)
+        self._held[attempt.attempt_id] = held
+        held.settled.wait(left_ms / MS_PER_S)
+        del self._held[attempt.attempt_id]
+        if held.has_slots and held.stopped:
+            self._release_slots(attempt)
+        return held.has_slots and not held.stopped
+
+    def _release_slots(self, attempt: Attempt) -> None:
+        """Give back slots, to the held attempts in the order of their arrival."""
+        self._busy_slots -= attempt.size_slots
+        for held in self._waiting():
+            if not self._fits(held.attempt):
+                return
+            self._busy_slots += held.attempt.size_slots
+            held.has_slots = True
+            held.settled.set()
+
+    def _fits(self, attempt: Attempt) -> bool:
+        return self._busy_slots + attempt.size_slots <= self.slots
+
     def _run(self, attempt: Attempt) -> AttemptReply:
         running = _Running(attempt, self.clock.now_ms())
         self._running[attempt.attempt_id] = running
-        self._busy_slots += attempt.size_slots
         self.starts.append(_start_line(attempt, self.clock.wall_ms()))
         state, output = AttemptState.STOPPED, "stopped"
         try:
             state, output = self._work(running)
         finally:
-            self._busy_slots -= attempt.size_slots
+            self._release_slots(attempt)
             del self._running[attempt.attempt_id]
             run_ms = self.clock.now_ms() - running.started_ms
             self._remember(self._reply(attempt.attempt_id, state, output, run_ms))
@@ -164,11 +221,19 @@
             output,
             run_ms,
             self.slots,
-            self._busy_slots,
+            self._busy_slots + self._held_slots(),
             self.switches.leaving,
             self.clock.now_ms() - self._remembers_since_ms,
         )
 
+    def _held_slots(self) -> int:
+        return sum(held.attempt.size_slots for held in self._waiting())
+
+    def _waiting(self) -> list[_Held]:
+        return [
+            held for held in self._held.values() if not (held.has_slots or held.stopped)
+        ]
+
     def _known(self, attempt_id: str) -> AttemptReply | None:
         entry = self._ended.get(attempt_id)
         if entry is None:
