--- a/rattanloom/targets/protocol.py
+++ b/rattanloom/targets/protocol.py
@@ -37,9 +37,9 @@
 class Attempt:
     """One try to run one task on one worker.
 
-    ``attempt_id`` is ``<job id>.<task index>.<attempt number>`` and is never
-    used for a second start. Where no slot is free the worker holds it, and
-    answers BUSY once ``start_within_ms`` passed since its receipt. It stops
+    ``attempt_id`` is ``<job id>.<task index>.<run>.<attempt number>`` and is
+    never used for a second start. Where no slot is free the worker holds it,
+    and answers BUSY once ``start_within_ms`` passed since its receipt. It stops
     the attempt once ``lease_ms`` passed since its start.
     """
 
