--- /dev/null
+++ b/experiments/baselines.py
@@ -0,0 +1,102 @@
+"""Baseline: every caller routes its tasks to random workers, with plain retries.
+
+It has no entry hosts, so that it spares one hop, and no queue: a busy worker is
+answered by another random one after a fixed delay, until the deadline.
+"""
+
+import json
+from random import Random
+from time import monotonic
+from uuid import uuid4
+
+import gevent
+from attrs import define, field
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import HTTPError
+
+from experiments.mixes import DrawnJob, DrawnTask
+from rattanloom.clock import MS_PER_S
+
+CONNECTIONS_PER_TARGET = 64
+RETRY_DELAY_MS = 20.0
+TIMEOUT_SLACK_S = 2.0
+MESSAGES_PER_EXCHANGE = 2
+DONE = "done"
+BUSY_STATES = ("busy", "leaving", "never_started")
+
+
+@define(eq=False)
+class RandomRouting:
+    """Sends tasks straight to workers and counts the messages."""
+
+    addresses: tuple[str, ...]
+    random: Random
+    messages: int = 0
+    wasted_messages: int = 0
+    _pools: dict[str, HTTPConnectionPool] = field(factory=dict)
+
+    def run(self, job: DrawnJob) -> str:
+        """Run all tasks at once; return the job's outcome as a label."""
+        job_id = uuid4().hex
+        until_s = monotonic() + job.deadline_ms / MS_PER_S
+        greenlets = [
+            gevent.spawn(self._run_task, job_id, index, task, until_s)
+            for index, task in enumerate(job.tasks)
+        ]
+        gevent.joinall(greenlets)
+        states = {greenlet.value for greenlet in greenlets}
+        if states == {DONE}:
+            return "complete"
+        return "failed:" + ",".join(sorted(states - {DONE}))
+
+    def _run_task(
+        self, job_id: str, index: int, task: DrawnTask, until_s: float
+    ) -> str:
+        number = 0
+        while monotonic() < until_s:
+            number += 1
+            if number > 1:
+                self.wasted_messages += MESSAGES_PER_EXCHANGE
+            state = self._try(f"{job_id}.{index}.{number}", task, until_s)
+            if state not in BUSY_STATES:
+                return state
+            gevent.sleep(RETRY_DELAY_MS / MS_PER_S)
+        return "deadline"
+
+    def _try(self, attempt_id: str, task: DrawnTask, until_s: float) -> str:
+        self.messages += MESSAGES_PER_EXCHANGE
+        left_ms = max(1.0, (until_s - monotonic()) * MS_PER_S)
+        job_id, index, number = attempt_id.split(".")
+        document = {
+            "attempt_id": attempt_id,
+            "job_id": job_id,
+            "task": int(index),
+            "number": int(number),
+            "kind": task.kind,
+            "payload": json.dumps({"ms": task.true_ms}),
+            "size_slots": 1,
+            "run_ms": task.declared_ms,
+            "start_within_ms": left_ms,
+            "lease_ms": left_ms,
+        }
+        try:
+            reply = self._pool().urlopen(
+                "POST",
+                f"/v1/attempts/{attempt_id}",
+                body=json.dumps(document).encode(),
+                headers={"Content-Type": "application/json"},
+                retries=False,
+                timeout=Timeout(left_ms / MS_PER_S + TIMEOUT_SLACK_S),
+            )
+            return json.loads(reply.data).get("state", "error")
+        except (HTTPError, ValueError):
+            return "lost"
+
+    def _pool(self) -> HTTPConnectionPool:
+        address = self.random.choice(self.addresses)
+        pool = self._pools.get(address)
+        if pool is None:
+            host, _, port = address.rpartition(":")
+            pool = HTTPConnectionPool(host, int(port), maxsize=CONNECTIONS_PER_TARGET)
+            self._pools[address] = pool
+        return pool
--- /dev/null
+++ b/experiments/load.py
@@ -0,0 +1,338 @@
+"""An open-loop load generator over the callers' HTTP interface.
+
+``python -m experiments.load PLAN`` runs one generator process from a JSON plan
+(see ``Plan``) and prints its ``Result`` as JSON. ``run_load`` runs several.
+Arrivals keep their planned times whatever the answers; a response counts from
+its planned arrival. The one-way latency to the callers is added on both ways.
+"""
+
+if __name__ == "__main__":
+    from gevent import monkey
+
+    monkey.patch_all()
+
+import json
+import subprocess
+import sys
+from collections import Counter, deque
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from time import monotonic
+
+import gevent
+from attrs import asdict, define, evolve, field, frozen
+from cattrs import structure
+from hdrh.histogram import HdrHistogram
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import HTTPError
+
+from experiments.baselines import RandomRouting
+from experiments.mixes import MIXES, DrawnJob, Mix
+from rattanloom.clock import MS_PER_S
+
+RATIO_SCALE = 1000
+RATIO_MAX = 10_000 * RATIO_SCALE
+DIGITS = 3
+LATENCY_US_MAX = 600_000_000
+US_PER_MS = 1000
+TICKET_BATCH = 200
+POOL_CONNECTIONS = 256
+REQUEST_SLACK_S = 5.0
+IMPATIENCE_MS = 500
+DEAD_PAUSE_MS = 1_000.0
+WARM_UP_MS = 1_000.0
+REFUSED = "refused"
+COMPLETE = "complete"
+
+
+@frozen
+class Plan:
+    """What one generator process does.
+
+    ``work_slots`` is the offered work in busy slots, of ``slots`` in all.
+    With ``targets`` it routes tasks to workers itself (the baseline). At
+    ``cancel_at_ms`` it cancels ``cancel_share`` of the jobs under way.
+    """
+
+    mix: str
+    seed: int
+    work_slots: float
+    slots: int
+    start_at_s: float
+    duration_ms: float
+    hosts: tuple[str, ...]
+    targets: tuple[str, ...] = ()
+    cancel_at_ms: float = 0.0
+    cancel_share: float = 0.0
+
+
+@define(eq=False)
+class Result:
+    """What one or more generators saw.
+
+    ``ratios`` holds response time over ideal (in thousandths) of the complete
+    jobs, ``refusals_us`` the time of refusals beyond the callers' latencies.
+    ``good_slot_ms`` is the true work of jobs answered complete, within their
+    deadline, inside the measured window of ``window_ms``.
+    """
+
+    ratios: str = ""
+    refusals_us: str = ""
+    outcomes: dict[str, int] = field(factory=Counter)
+    good_slot_ms: float = 0.0
+    window_ms: float = 0.0
+    jobs: int = 0
+    tasks: int = 0
+    late: int = 0
+    messages: int = 0
+    wasted_messages: int = 0
+
+
+def ideal_ms(job: DrawnJob, mix: Mix, slots: int) -> float:
+    """Return the best possible response time of a job; see docs/MEASURES.md."""
+    path_ms = 2 * (mix.client_one_way_ms + mix.zone_one_way_ms)
+    return path_ms + max(job.longest_ms, job.work_slot_ms / slots)
+
+
+@define(eq=False)
+class Host:
+    """One entry host as a caller reaches it, with tickets fetched ahead."""
+
+    address: str
+    pool: HTTPConnectionPool
+    tickets: deque[str] = field(factory=deque)
+    dead_until_s: float = 0.0
+
+    def send(self, method: str, path: str, body: bytes, timeout_s: float) -> dict:
+        """Send one request and return the JSON reply."""
+        reply = self.pool.urlopen(
+            method,
+            path,
+            body=body,
+            headers={"Content-Type": "application/json"},
+            retries=False,
+            timeout=Timeout(timeout_s),
+        )
+        return json.loads(reply.data)
+
+    def ticket(self) -> str:
+        """Return a ticket that this host minted."""
+        if not self.tickets:
+            body = json.dumps({"count": TICKET_BATCH}).encode()
+            reply = self.send("POST", "/v1/tickets", body, REQUEST_SLACK_S)
+            self.tickets.extend(reply.get("tickets", ()))
+        return self.tickets.popleft()
+
+
+def _pool(address: str) -> HTTPConnectionPool:
+    host, _, port = address.rpartition(":")
+    return HTTPConnectionPool(host, int(port), maxsize=POOL_CONNECTIONS)
+
+
+@define(eq=False)
+class Generator:
+    """Sends the jobs of one plan and records what comes back."""
+
+    plan: Plan
+    mix: Mix = field(init=False)
+    random: Random = field(init=False)
+    hosts: list[Host] = field(init=False)
+    baseline: RandomRouting | None = None
+    result: Result = field(factory=Result)
+    under_way: dict[str, Host] = field(factory=dict)
+    _ratios: HdrHistogram = field(factory=lambda: HdrHistogram(1, RATIO_MAX, DIGITS))
+    _refusals: HdrHistogram = field(
+        factory=lambda: HdrHistogram(1, LATENCY_US_MAX, DIGITS)
+    )
+    _next_host: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        plan = self.plan
+        self.mix = MIXES[plan.mix]
+        self.random = Random(plan.seed)
+        self.hosts = [Host(address, _pool(address)) for address in plan.hosts]
+        self.random.shuffle(self.hosts)
+        if plan.targets:
+            self.baseline = RandomRouting(plan.targets, Random(plan.seed + 1))
+
+    def run(self) -> Result:
+        """Send every job at its time and wait for all answers."""
+        plan = self.plan
+        arrivals = self.mix.arrivals(self.random, plan.work_slots, plan.duration_ms)
+        if plan.cancel_at_ms:
+            gevent.spawn_later(self._until_s(plan.cancel_at_ms), self._cancel_wave)
+        greenlets = []
+        for at_ms, job in arrivals:
+            gevent.sleep(max(0.0, self._until_s(at_ms)))
+            greenlets.append(gevent.spawn(self._one, at_ms, job))
+        gevent.joinall(greenlets)
+        self.result.ratios = self._ratios.encode().decode()
+        self.result.refusals_us = self._refusals.encode().decode()
+        self.result.window_ms = plan.duration_ms - WARM_UP_MS
+        if self.baseline is not None:
+            self.result.messages = self.baseline.messages
+            self.result.wasted_messages = self.baseline.wasted_messages
+        return self.result
+
+    def _until_s(self, at_ms: float) -> float:
+        return self.plan.start_at_s + at_ms / MS_PER_S - monotonic()
+
+    def _one(self, at_ms: float, job: DrawnJob) -> None:
+        client_s = self.mix.client_one_way_ms / MS_PER_S
+        gevent.sleep(client_s)
+        sent_s = monotonic()
+        outcome = self._submit(job)
+        answered_s = monotonic()
+        gevent.sleep(client_s)
+        self._record(at_ms, job, outcome, (answered_s - sent_s) * MS_PER_S)
+
+    def _record(
+        self, at_ms: float, job: DrawnJob, outcome: str, answer_ms: float
+    ) -> None:
+        result = self.result
+        ended_ms = -self._until_s(0.0) * MS_PER_S
+        response_ms = ended_ms - at_ms
+        result.jobs += 1
+        result.outcomes[outcome] += 1
+        if outcome.startswith(REFUSED):
+            self._refusals.record_value(max(1, int(answer_ms * US_PER_MS)))
+        if outcome != COMPLETE:
+            return
+        result.tasks += len(job.tasks)
+        ratio = response_ms / ideal_ms(job, self.mix, self.plan.slots)
+        if at_ms >= WARM_UP_MS:
+            self._ratios.record_value(max(1, int(ratio * RATIO_SCALE)))
+        if response_ms > job.deadline_ms:
+            result.late += 1
+        elif WARM_UP_MS <= ended_ms < self.plan.duration_ms:
+            result.good_slot_ms += job.work_slot_ms
+
+    def _submit(self, job: DrawnJob) -> str:
+        """Return the outcome of one job as a label."""
+        if self.baseline is not None:
+            return self.baseline.run(job)
+        host = self._pick_host()
+        try:
+            ticket = host.ticket()
+        except (HTTPError, IndexError, ValueError):
+            host.dead_until_s = monotonic() + DEAD_PAUSE_MS / MS_PER_S
+            return self._submit_elsewhere(job, host)
+        return self._send(host, ticket, job)
+
+    def _submit_elsewhere(self, job: DrawnJob, host: Host) -> str:
+        if all(other.dead_until_s > monotonic() for other in self.hosts):
+            return "no_host"
+        return self._submit(job)
+
+    def _send(self, host: Host, ticket: str, job: DrawnJob) -> str:
+        body = job.body(ticket)
+        timeout_s = job.deadline_ms / MS_PER_S + REQUEST_SLACK_S
+        if job.impatient:
+            gevent.spawn_later(
+                IMPATIENCE_MS / MS_PER_S, self._send_again, host, ticket, body
+            )
+        self.under_way[ticket] = host
+        try:
+            return _label(host.send("POST", "/v1/jobs", body, timeout_s))
+        except (HTTPError, ValueError) as error:
+            host.dead_until_s = monotonic() + DEAD_PAUSE_MS / MS_PER_S
+            return f"lost:{type(error).__name__}"
+        finally:
+            del self.under_way[ticket]
+
+    def _send_again(self, host: Host, ticket: str, body: bytes) -> None:
+        """Resubmit through another host, as impatient callers do."""
+        if ticket not in self.under_way:
+            return
+        other = self._pick_host()
+        self.result.outcomes["resubmitted"] += 1
+        try:
+            other.send("POST", "/v1/jobs", body, REQUEST_SLACK_S)
+        except (HTTPError, ValueError):
+            self.result.outcomes["resubmission_lost"] += 1
+
+    def _cancel_wave(self) -> None:
+        tickets = list(self.under_way.items())
+        count = int(len(tickets) * self.plan.cancel_share)
+        for ticket, host in self.random.sample(tickets, count):
+            gevent.spawn(self._cancel, host, ticket)
+
+    def _cancel(self, host: Host, ticket: str) -> None:
+        try:
+            host.send("DELETE", f"/v1/jobs/{ticket}", b"", REQUEST_SLACK_S)
+        except (HTTPError, ValueError):
+            self.result.outcomes["cancel_lost"] += 1
+
+    def _pick_host(self) -> Host:
+        """Return the next host in turn that is not known to be dead."""
+        for _ in self.hosts:
+            host = self.hosts[self._next_host % len(self.hosts)]
+            self._next_host += 1
+            if host.dead_until_s <= monotonic():
+                break
+        return host
+
+
+def _label(answer: dict) -> str:
+    outcome = answer.get("outcome", REFUSED)
+    failure = answer.get("failure") or answer.get("error") or {}
+    kind = failure.get("kind", "")
+    return f"{outcome}:{kind}" if kind else outcome
+
+
+def run_load(plan: Plan, processes: int = 3, lead_s: float = 1.5) -> Result:
+    """Run a plan, split over generator processes, and return the sum."""
+    results = []
+    with TemporaryDirectory(prefix="rattanloom-load-") as folder:
+        children = []
+        for number in range(processes):
+            part = evolve(
+                plan,
+                seed=plan.seed * 1000 + number,
+                work_slots=plan.work_slots / processes,
+                start_at_s=monotonic() + lead_s,
+            )
+            path = Path(folder) / f"{number}.json"
+            path.write_text(json.dumps(asdict(part)))
+            command = [sys.executable, "-m", "experiments.load", str(path)]
+            children.append(subprocess.Popen(command, stdout=subprocess.PIPE))
+        for child in children:
+            output, _ = child.communicate()
+            results.append(structure(json.loads(output), Result))
+    return add_results(results)
+
+
+def add_results(results: list[Result]) -> Result:
+    """Return the sum of several generators' results."""
+    total = Result(window_ms=results[0].window_ms)
+    ratios = HdrHistogram(1, RATIO_MAX, DIGITS)
+    refusals = HdrHistogram(1, LATENCY_US_MAX, DIGITS)
+    for result in results:
+        ratios.decode_and_add(result.ratios)
+        refusals.decode_and_add(result.refusals_us)
+        total.outcomes = dict(Counter(total.outcomes) + Counter(result.outcomes))
+        total.good_slot_ms += result.good_slot_ms
+        total.jobs += result.jobs
+        total.tasks += result.tasks
+        total.late += result.late
+        total.messages += result.messages
+        total.wasted_messages += result.wasted_messages
+    total.ratios = ratios.encode().decode()
+    total.refusals_us = refusals.encode().decode()
+    return total
+
+
+def percentile(encoded: str, percent: float) -> float:
+    """Return a percentile of an encoded histogram, in its own unit."""
+    return HdrHistogram.decode(encoded).get_value_at_percentile(percent)
+
+
+def main(plan_path: str) -> None:
+    """Run one generator and print its result."""
+    plan = structure(json.loads(Path(plan_path).read_text()), Plan)
+    print(json.dumps(asdict(Generator(plan).run())))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- /dev/null
+++ b/experiments/mixes.py
@@ -0,0 +1,183 @@
+"""The job mixes of both deployments, drawn from a seeded random generator."""
+
+import json
+from collections.abc import Callable, Iterator
+from random import Random
+
+from attrs import field, frozen
+
+from rattanloom.clock import MS_PER_S
+
+DECLARED_FACTORS = (0.3, 1.0, 1.0, 3.0)
+WEEKEND_SHARE = 0.01
+WEEKEND_TASKS = (60, 210)
+BURST_SHARE = 0.05
+BURST_JOBS = 5
+DRAWS_FOR_MEAN = 20_000
+
+
+@frozen
+class DrawnTask:
+    """One task: its true run time, and the declared one, which is often wrong."""
+
+    kind: str
+    true_ms: int
+    declared_ms: int
+
+
+@frozen
+class DrawnJob:
+    """One job of a mix."""
+
+    team: str
+    tasks: tuple[DrawnTask, ...]
+    deadline_ms: int
+    idempotent: bool = True
+    impatient: bool = False
+
+    @property
+    def work_slot_ms(self) -> int:
+        """Return the true work of all tasks."""
+        return sum(task.true_ms for task in self.tasks)
+
+    @property
+    def longest_ms(self) -> int:
+        """Return the true run time of the longest task."""
+        return max(task.true_ms for task in self.tasks)
+
+    def body(self, job_id: str) -> bytes:
+        """Return the submission as JSON."""
+        tasks = [
+            {
+                "kind": task.kind,
+                "payload": json.dumps({"ms": task.true_ms}),
+                "run_ms": task.declared_ms,
+            }
+            for task in self.tasks
+        ]
+        document = {
+            "job_id": job_id,
+            "team": self.team,
+            "tasks": tasks,
+            "deadline_ms": self.deadline_ms,
+            "idempotent": self.idempotent,
+        }
+        return json.dumps(document).encode()
+
+
+@frozen
+class Mix:
+    """A deployment's jobs; latencies are one way, in milliseconds."""
+
+    name: str
+    draw: Callable[[Random], DrawnJob]
+    client_one_way_ms: float
+    zone_one_way_ms: float
+    zones: tuple[str, ...]
+    teams: tuple[str, ...]
+    kinds: tuple[str, ...]
+    response_weight: float
+    burst_share: float = 0.0
+    _mean_slot_ms: list[float] = field(factory=list)
+
+    def mean_work_slot_ms(self) -> float:
+        """Return the mean true work of one job."""
+        if not self._mean_slot_ms:
+            random = Random(0)
+            total = sum(self.draw(random).work_slot_ms for _ in range(DRAWS_FOR_MEAN))
+            self._mean_slot_ms.append(total / DRAWS_FOR_MEAN)
+        return self._mean_slot_ms[0]
+
+    def arrivals(
+        self, random: Random, work_slots: float, duration_ms: float
+    ) -> Iterator[tuple[float, DrawnJob]]:
+        """Yield arrival times and jobs that keep ``work_slots`` slots busy.
+
+        Arrivals are a Poisson process; a burst brings several jobs at once.
+        """
+        batch = 1 + self.burst_share * (BURST_JOBS - 1)
+        gap_ms = self.mean_work_slot_ms() * batch / work_slots
+        at_ms = random.expovariate(1 / gap_ms)
+        while at_ms < duration_ms:
+            burst = random.random() < self.burst_share
+            for _ in range(BURST_JOBS if burst else 1):
+                yield at_ms, self.draw(random)
+            at_ms += random.expovariate(1 / gap_ms)
+
+    def rules(self) -> dict:
+        """Return a rules document for the deployment."""
+        team = {"quota_slots": 100_000, "queue_max": 10_000}
+        return {
+            "kinds": {kind: {} for kind in self.kinds},
+            "teams": dict.fromkeys(self.teams, team),
+            "deployment": {
+                "response_weight": self.response_weight,
+                "message_weight": 1 - self.response_weight,
+            },
+        }
+
+
+def _task(random: Random, kind: str, low_ms: int, high_ms: int) -> DrawnTask:
+    true_ms = random.randint(low_ms, high_ms)
+    declared_ms = max(1, int(true_ms * random.choice(DECLARED_FACTORS)))
+    return DrawnTask(kind, true_ms, declared_ms)
+
+
+def draw_studio_job(random: Random) -> DrawnJob:
+    """Draw a job of the commissions desk."""
+    team = random.choice(STUDIO_TEAMS)
+    which = random.random()
+    if which < 0.6:
+        tasks = [_task(random, "proof_crop", 50, 200)] * random.randint(1, 4)
+        return DrawnJob(team, tuple(tasks), 2 * MS_PER_S)
+    if which < 0.8:
+        count = random.randint(1, 2)
+        tasks = [_task(random, "preview", 200, 1000) for _ in range(count)]
+        return DrawnJob(team, tuple(tasks), 4 * MS_PER_S)
+    tasks = [_task(random, "swatch", 50, 50) for _ in range(random.randint(1, 12))]
+    return DrawnJob(team, tuple(tasks), 2 * MS_PER_S)
+
+
+def draw_coop_job(random: Random) -> DrawnJob:
+    """Draw a job of the booking service; phones are impatient."""
+    team = random.choice(COOP_TEAMS)
+    if random.random() < WEEKEND_SHARE:
+        count = random.randint(*WEEKEND_TASKS)
+        tasks = [_task(random, "hold", 50, 300) for _ in range(count)]
+        return DrawnJob(team, tuple(tasks), 20 * MS_PER_S, idempotent=False)
+    kind = random.choice(("hold", "check", "confirm"))
+    tasks = [_task(random, kind, 50, 300) for _ in range(random.choice((1, 1, 1, 3)))]
+    return DrawnJob(
+        team,
+        tuple(tasks),
+        4 * MS_PER_S,
+        idempotent=kind == "check",
+        impatient=random.random() < 0.1,
+    )
+
+
+STUDIO_TEAMS = ("desk", "kennels", "families")
+COOP_TEAMS = ("members", "organisers", "wardens")
+
+STUDIO = Mix(
+    "studio",
+    draw_studio_job,
+    client_one_way_ms=1.0,
+    zone_one_way_ms=1.0,
+    zones=("Adum", "Bantama", "Asokwa"),
+    teams=STUDIO_TEAMS,
+    kinds=("proof_crop", "preview", "swatch"),
+    response_weight=0.8,
+)
+COOP = Mix(
+    "coop",
+    draw_coop_job,
+    client_one_way_ms=3.0,
+    zone_one_way_ms=1.5,
+    zones=("HuronShore", "SuperiorNorth", "MichiganWest"),
+    teams=COOP_TEAMS,
+    kinds=("hold", "check", "confirm"),
+    response_weight=0.2,
+    burst_share=BURST_SHARE,
+)
+MIXES = {mix.name: mix for mix in (STUDIO, COOP)}
