Measure the service rate by work that ended well

Counting held slots overstated the rate where attempts were turned away and waited to be sent again.

--- a/rattanloom/admission.py
+++ b/rattanloom/admission.py
@@ -163,7 +163,8 @@
         used_slot_ms = held_ms * queued.task.size_slots
         self._queue.correct(running.entry, used_slot_ms)
         if run_ms:
-            self.run_times.learn(queued.task, held_ms)
+            self._rate.done(run_ms * queued.task.size_slots)
+            self.run_times.learn(queued.task, run_ms)
         self._tell_ready()
 
     def withdraw(self, job_id: str) -> list[QueuedTask]:
@@ -186,7 +187,7 @@
     def tick(self) -> None:
         """Give up overdue tasks, sample the load and follow the peers' loads."""
         now_ms = self.environment.clock.now_ms()
-        self._rate.sample(self._running_total_slots, self._queue.slots)
+        self._rate.sample(now_ms, self._queue.tasks > 0)
         for entry in self._queue.pop_overdue(now_ms):
             self.metrics.count("tasks_overdue")
             for callback in self._overdue_callbacks:
@@ -295,7 +296,8 @@
         return Failure(kind, f"{reason}; come back in {hint_ms} ms", hint_ms)
 
     def _slots(self) -> float:
-        return self._rate.slots(self.capacity().share_slots)
+        now_ms = self.environment.clock.now_ms()
+        return self._rate.slots(self.capacity().share_slots, now_ms)
 
     def _weight(self, team: str) -> float:
         rule = self._team_rule(team)
--- a/rattanloom/run_times.py
+++ b/rattanloom/run_times.py
@@ -1,4 +1,4 @@
-"""Learned run times: how long tasks of one kind occupy their slots.
+"""Learned run times: how long tasks of one kind run.
 
 Declared run times may be far off. For each kind two predictors compete, the
 mean of what was measured and the declared time scaled by a learned ratio; the
@@ -28,7 +28,7 @@
     samples: int = 1
 
     def estimate_ms(self, declared_ms: float) -> float:
-        """Return the expected occupancy of a task declared that long."""
+        """Return the expected run time of a task declared that long."""
         if self.ratio_error_ms < self.mean_error_ms:
             return max(SHORTEST_MS, declared_ms * self.ratio)
         return max(SHORTEST_MS, self.mean_ms)
@@ -58,13 +58,13 @@
     _kinds: OrderedDict[str, KindRunTime] = field(factory=OrderedDict)
 
     def estimate_ms(self, task: Task) -> float:
-        """Return how long the task is expected to occupy its slots."""
+        """Return how long the task is expected to run."""
         known = self._kinds.get(task.kind)
         declared_ms = max(SHORTEST_MS, float(task.run_ms))
         return known.estimate_ms(declared_ms) if known else declared_ms
 
     def learn(self, task: Task, measured_ms: float) -> None:
-        """Take in how long a task that ran to its end occupied its slots."""
+        """Take in how long a task ran that ran to its end."""
         declared_ms = max(SHORTEST_MS, float(task.run_ms))
         measured_ms = max(SHORTEST_MS, measured_ms)
         known = self._kinds.get(task.kind)
--- a/rattanloom/shedding.py
+++ b/rattanloom/shedding.py
@@ -5,12 +5,14 @@
 the refused work to fit in what the slots can do.
 """
 
+from math import exp
 from random import Random
 
 from attrs import define
 
 SAFETY_FACTOR = 1.25
-SATURATION_GAIN = 0.05
+RATE_WINDOW_MS = 1_000.0
+TRUST_AFTER_MS = 1_000.0
 REFUSED_HALF_LIFE_MS = 1_000.0
 RETURN_LEAST_MS = 100.0
 RETURN_MOST_MS = 30_000.0
@@ -18,24 +20,48 @@
 
 @define(eq=False)
 class ServiceRate:
-    """How many slots this host really keeps busy while tasks wait."""
-
-    measured_slots: float = 0.0
-
-    def sample(self, running_slots: int, queued_slots: int) -> None:
-        """Take in one regular sample; without a queue it says nothing."""
-        if not queued_slots:
-            self.measured_slots = 0.0
-            return
-        if not self.measured_slots:
-            self.measured_slots = float(running_slots)
-            return
-        step_slots = SATURATION_GAIN * (running_slots - self.measured_slots)
-        self.measured_slots += step_slots
-
-    def slots(self, share_slots: int) -> float:
-        """Return the slots to count on, given this host's part of all slots."""
-        return max(1.0, self.measured_slots or float(share_slots))
+    """How much work this host really gets done while tasks wait.
+
+    ``useful_slots`` is the mean number of slots whose work ended well. Slots
+    held by attempts that were turned away, or that wait to be sent again, do
+    not count.
+    """
+
+    useful_slots: float = 0.0
+    _done_slot_ms: float = 0.0
+    _sampled_ms: float | None = None
+    _waiting_since_ms: float | None = None
+
+    def done(self, work_slot_ms: float) -> None:
+        """Take in the work of a task that ended well."""
+        self._done_slot_ms += work_slot_ms
+
+    def sample(self, now_ms: float, tasks_wait: bool) -> None:
+        """Take in the time since the last sample."""
+        if not tasks_wait:
+            self._waiting_since_ms = None
+        elif self._waiting_since_ms is None:
+            self._waiting_since_ms = now_ms
+        if self._sampled_ms is not None and now_ms > self._sampled_ms:
+            self._take_in(now_ms - self._sampled_ms)
+        self._sampled_ms = now_ms
+
+    def slots(self, share_slots: int, now_ms: float) -> float:
+        """Return the slots to count on, given this host's part of all slots.
+
+        What was measured counts only once tasks have waited for a while:
+        before, slots may have been idle for want of tasks.
+        """
+        since_ms = self._waiting_since_ms
+        if since_ms is not None and now_ms - since_ms >= TRUST_AFTER_MS:
+            return max(1.0, self.useful_slots)
+        return max(1.0, float(share_slots), self.useful_slots)
+
+    def _take_in(self, passed_ms: float) -> None:
+        recent_slots = self._done_slot_ms / passed_ms
+        weight = 1 - exp(-passed_ms / RATE_WINDOW_MS)
+        self.useful_slots += weight * (recent_slots - self.useful_slots)
+        self._done_slot_ms = 0.0
 
 
 def drain_ms(work_slot_ms: float, slots: float) -> float:
