--- a/rattanloom/peers/heartbeats.py
+++ b/rattanloom/peers/heartbeats.py
@@ -16,11 +16,11 @@
 
 from rattanloom.clock import MS_PER_S
 from rattanloom.environment import Environment
+from rattanloom.link_filter import LinkFilter
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
 from rattanloom.peers.addresses import format_address, parse_address
 from rattanloom.peers.heartbeat_codec import decode_heartbeat, encode_heartbeat
-from rattanloom.peers.link_filter import LinkFilter
 from rattanloom.peers.load_exchange import LoadTeller, LoadView
 from rattanloom.peers.membership import KnownMember, Membership
 from rattanloom.peers.messages import Heartbeat, LoadPart, MemberRecord
@@ -63,6 +63,7 @@
     beat: int = 1
     bytes_sent: int = 0
     bytes_received: int = 0
+    datagrams: int = 0
     views: dict[int, LoadView] = field(factory=dict)
     _tidings: Tidings = field(init=False)
     _socket: socket | None = None
@@ -244,6 +245,7 @@
             self.metrics.count("peer_sends_failed", type(error).__name__)
             return
         self.bytes_sent += len(datagram)
+        self.datagrams += 1
 
     def _receive_all(self) -> None:
         for number in count():
@@ -255,6 +257,7 @@
                 self.metrics.count("peer_receives_failed", type(error).__name__)
                 continue
             self.bytes_received += len(datagram)
+            self.datagrams += 1
             address = format_address(source)
             if not self.link_filter.may_hear(address):
                 continue
