Keep a stopped process's ledger as an object that others can read

Weighed: a hand-over to a peer (a replica of ours, which the users rule out); rows in the table (one write for each answer); one object for each stop. Change: the codec and the reader of sealed ledgers; not wired in yet. Ledger.start refuses a ticket that is already running.

--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -21,7 +21,7 @@
 from rattanloom.logs import get_log, logging_to
 from rattanloom.metrics import Metrics
 from rattanloom.operators.pages import HostState, OperatorPages
-from rattanloom.peers.protocol import HostLoad, MemberState
+from rattanloom.peers.protocol import HostLoad
 from rattanloom.peers.service import PeerService
 from rattanloom.platform.client import PlatformClient
 from rattanloom.settings import EntrySettings, SettingsError, load_settings
@@ -47,7 +47,6 @@
     peers: PeerService
     directory: TargetDirectory
     admission: Admission
-    claims: Claims
     jobs: JobService
     state: HostState
     pages: OperatorPages
@@ -171,7 +170,6 @@
         peers,
         directory,
         admission,
-        claims,
         jobs,
         state,
         pages,
@@ -181,18 +179,12 @@
 def start(host: EntryHost) -> None:
     """Start the parts that follow the platform and the peers."""
     host.configuration.start(host.peers)
-    host.claims.start(host.timers, lambda: live_hosts(host.peers))
+    host.jobs.start(host.timers)
     host.directory.start(host.peers)
     host.admission.start(host.peers, host.timers)
     host.jobs.start(host.timers)
 
 
-def live_hosts(peers: PeerService) -> int:
-    """Return how many entry hosts share the platform's writes, this one too."""
-    live = [m for m in peers.members() if m.state is MemberState.LIVE]
-    return 1 + len(live)
-
-
 @contextmanager
 def serving(host: EntryHost) -> Iterator[None]:
     """Serve callers, operators and the balancer over HTTP."""
--- a/rattanloom/ledger.py
+++ b/rattanloom/ledger.py
@@ -86,6 +86,18 @@
     size_bytes: int
 
 
+@frozen
+class LedgerState:
+    """What a ledger says of the jobs that ended, for another process to read.
+
+    ``marks`` holds an epoch, the position of a chunk and its marks;
+    ``answers`` a ticket number and its kept answer, oldest first.
+    """
+
+    marks: tuple[tuple[int, int, bytes], ...]
+    answers: tuple[tuple[int, KeptAnswer], ...]
+
+
 @define(eq=False)
 class Ledger:
     """The jobs of one incarnation, by ticket number."""
@@ -143,6 +155,10 @@
             return Failure(
                 ErrorKind.OVERLOADED, "too many jobs are running here; come back"
             )
+        if ticket.number in self.running:
+            return Failure(
+                ErrorKind.INTERNAL, "the job was started by a request beside this one"
+            )
         spared = ticket.number in self._spared
         self._spared.pop(ticket.number, None)
         job = RunningJob(ticket, digest, keyed, spared)
@@ -204,6 +220,31 @@
                 return
             self._drop_oldest_answer()
 
+    def state(self, answers_max_bytes: int) -> LedgerState:
+        """Return what is kept, with the newest answers up to so many bytes."""
+        marks = tuple(
+            (epoch, position, bytes(chunk))
+            for epoch, chunks in self._marks.items()
+            for position, chunk in chunks.items()
+        )
+        answers = []
+        left_bytes = answers_max_bytes
+        for number, kept in reversed(self._kept.items()):
+            left_bytes -= kept.size_bytes
+            if left_bytes < 0:
+                break
+            answers.append((number, kept))
+        return LedgerState(marks, tuple(reversed(answers)))
+
+    @classmethod
+    def restore(cls, state: LedgerState) -> "Ledger":
+        """Return a ledger that says what ``state`` says."""
+        ledger = cls()
+        for epoch, position, chunk in state.marks:
+            ledger._marks.setdefault(epoch, {})[position] = bytearray(chunk)
+        ledger._kept.update(state.answers)
+        return ledger
+
     def _set_mark(self, ticket: Ticket, mark: Mark) -> None:
         chunks = self._marks.setdefault(ticket.epoch, {})
         position = ticket.number // CHUNK_TICKETS
--- /dev/null
+++ b/tests/test_sealed_ledger.py
@@ -0,0 +1,101 @@
+"""A stopped process leaves a ledger from which others answer its callers."""
+
+from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.job import JobAnswer, JobOutcome
+from rattanloom.ledger import Ledger
+from rattanloom.sealed_ledger import SealedLedgers
+from rattanloom.ticket import TicketMint, parse_ticket
+from tests.utils import FakeClock
+
+KEY = b"0123456789abcdef"
+KEEP_BYTES = 1_000_000
+
+
+class FakeObjects:
+    """An object store in memory that counts its reads."""
+
+    def __init__(self):
+        self.contents = {}
+        self.reads = 0
+        self.down = False
+
+    def put(self, name, content):
+        self.contents[name] = content
+
+    def get(self, name):
+        self.reads += 1
+        if self.down or name not in self.contents:
+            return Failure(ErrorKind.NOT_FOUND, "no such object")
+        return self.contents[name]
+
+
+def stopped_process(clock):
+    """Return the mint and ledger of a process with one ended job, its ticket."""
+    mint = TicketMint("Adum", "adum-1", "aa00", KEY, clock, epoch_ms=1000)
+    ledger = Ledger()
+    ticket = parse_ticket(mint.mint(), KEY)
+    running = ledger.start(ticket, b"digest")
+    answer = JobAnswer(ticket.text, JobOutcome.COMPLETE, ("proof",), run_ms=3.0)
+    ledger.end(running, answer, mint.epoch(), KEEP_BYTES)
+    return mint, ledger, ticket, answer
+
+
+def test_resubmission_to_a_stopped_process_gets_its_whole_answer():
+    clock, objects = FakeClock(), FakeObjects()
+    mint, ledger, ticket, answer = stopped_process(clock)
+    SealedLedgers(objects, clock).seal(ledger, mint)
+    sealed = SealedLedgers(objects, clock).find(ticket)
+    assert sealed.admit(ticket, b"digest") == answer
+    assert sealed.answer(ticket) == answer
+    assert sealed.admit(ticket, b"another").kind is ErrorKind.KEY_REUSED
+
+
+def test_unused_ticket_of_a_stopped_process_is_surely_not_run():
+    clock, objects = FakeClock(), FakeObjects()
+    mint, ledger, *_ = stopped_process(clock)
+    unused = parse_ticket(mint.mint(), KEY)
+    SealedLedgers(objects, clock).seal(ledger, mint)
+    refusal = SealedLedgers(objects, clock).find(unused).answer(unused)
+    assert refusal.ran_word is Ran.NOT_RUN
+
+
+def test_ticket_too_old_at_the_stop_may_have_run():
+    clock, objects = FakeClock(), FakeObjects()
+    mint, ledger, ticket, _ = stopped_process(clock)
+    clock.ms = 2_000
+    SealedLedgers(objects, clock).seal(ledger, mint)
+    refusal = SealedLedgers(objects, clock).find(ticket).answer(ticket)
+    assert refusal.kind is ErrorKind.TICKET_EXPIRED
+    assert refusal.ran_word is Ran.MAY_HAVE_RUN
+
+
+def test_job_still_running_at_the_stop_may_have_run():
+    clock, objects = FakeClock(), FakeObjects()
+    mint, ledger, *_ = stopped_process(clock)
+    running = parse_ticket(mint.mint(), KEY)
+    ledger.start(running, b"digest")
+    SealedLedgers(objects, clock).seal(ledger, mint)
+    refusal = SealedLedgers(objects, clock).find(running).answer(running)
+    assert refusal.ran_word is Ran.MAY_HAVE_RUN
+
+
+def test_crashed_process_leaves_nothing_and_costs_few_reads():
+    clock, objects = FakeClock(), FakeObjects()
+    *_, ticket, _ = stopped_process(clock)
+    ledgers = SealedLedgers(objects, clock)
+    assert all(ledgers.find(ticket) is None for _ in range(100))
+    assert objects.reads == 1
+
+
+def test_corrupt_ledger_is_as_good_as_none():
+    clock, objects = FakeClock(), FakeObjects()
+    *_, ticket, _ = stopped_process(clock)
+    objects.contents["ledger/adum-1/aa00"] = b'{"epoch": 1}'
+    assert SealedLedgers(objects, clock).find(ticket) is None
+
+
+def test_job_cannot_be_started_beside_itself():
+    *_, ledger, ticket, _ = stopped_process(FakeClock())
+    ledger = Ledger()
+    ledger.start(ticket, b"digest")
+    assert isinstance(ledger.start(ticket, b"digest"), Failure)
