--- a/rattanloom/peers/heartbeat_codec.py
+++ b/rattanloom/peers/heartbeat_codec.py
@@ -105,24 +105,22 @@
         message.intervalMs,
         message.configVersion,
         message.leaving,
-        tuple(ToldBeat(told.key, told.beat, told.leaving) for told in message.told),
+        tuple([ToldBeat(told.key, told.beat, told.leaving) for told in message.told]),
         tuple(message.unheard),
         tuple(message.asks),
-        tuple(read_record(slot) for slot in message.introductions),
+        tuple([read_record(slot) for slot in message.introductions]),
         _read_load(message.load),
     )
 
 
 def _read_load(part: object) -> LoadPart:
-    teams = zip(
-        part.teamNumbers, part.teamRunningSlots, part.teamQueuedSlots, strict=True
-    )
-    targets = zip(part.targetNumbers, part.targetSlots, strict=True)
+    teams = map(TeamPart, part.teamNumbers, part.teamRunningSlots, part.teamQueuedSlots)
+    targets = map(TargetPart, part.targetNumbers, part.targetSlots)
     return LoadPart(
         part.generation,
         part.queuedSlots,
         part.runningSlots,
-        tuple(TeamPart(*team) for team in teams),
-        tuple(TargetPart(*target) for target in targets),
-        tuple(LoadName(name.number, name.isTarget, name.name) for name in part.names),
+        tuple(teams),
+        tuple(targets),
+        tuple([LoadName(name.number, name.isTarget, name.name) for name in part.names]),
     )
--- a/rattanloom/peers/membership.py
+++ b/rattanloom/peers/membership.py
@@ -39,8 +39,8 @@
 
     ``direct_at_ms`` is when it last told us itself, ``fresh_at_ms`` when its
     heartbeat number last grew by any way; ``hears_us`` is what it says.
-    ``heard`` says whether we hear the host itself. ``replaced`` is the
-    incarnation before it, until it tells us itself.
+    ``fresh`` says whether anybody lately heard the host, ``heard`` whether
+    we do. ``replaced`` is the incarnation before it, until it tells us itself.
     """
 
     record: MemberRecord
@@ -51,6 +51,7 @@
     interval_ms: float = 0
     config_version: int = 0
     leaving: bool = False
+    fresh: bool = True
     heard: bool = True
     hears_us: bool = True
     state: MemberState = MemberState.SILENT
@@ -170,10 +171,6 @@
         for zone, members in zones.items():
             self._evaluate_zone(zone, members, now_ms)
 
-    def is_fresh(self, member: KnownMember, now_ms: float) -> bool:
-        """Say whether somebody heard the member lately."""
-        return now_ms - member.fresh_at_ms <= self._silent_after_ms(member)
-
     def _hear_sender(
         self, sender: KnownMember, heartbeat: Heartbeat, now_ms: float
     ) -> None:
@@ -275,19 +272,22 @@
     def _evaluate_zone(
         self, zone: str, members: list[KnownMember], now_ms: float
     ) -> None:
-        fresh = [member for member in members if self.is_fresh(member, now_ms)]
-        whole_zone_fell = not fresh and self._fell_at_once(members)
+        for member in members:
+            silence_ms = now_ms - member.fresh_at_ms
+            member.fresh = silence_ms <= self._silent_after_ms(member)
+        any_fresh = any(member.fresh for member in members)
+        whole_zone_fell = not any_fresh and self._fell_at_once(members)
         zone_heard = zone == self.own.zone or self._hears_zone(members, now_ms)
         for member in members:
-            is_fresh = member in fresh
-            member.heard = is_fresh and zone_heard and self._hears(member, now_ms)
-            if member.heard:
-                state = self._direct_state(member)
-            elif is_fresh or whole_zone_fell:
-                state = MemberState.CUT_OFF
-            else:
-                state = MemberState.SILENT
-            self._set_state(member, state)
+            member.heard = member.fresh and zone_heard and self._hears(member, now_ms)
+            self._set_state(member, self._state(member, whole_zone_fell))
+
+    def _state(self, member: KnownMember, whole_zone_fell: bool) -> MemberState:
+        if member.heard:
+            return self._direct_state(member)
+        if member.fresh or whole_zone_fell:
+            return MemberState.CUT_OFF
+        return MemberState.SILENT
 
     def _hears_zone(self, members: list[KnownMember], now_ms: float) -> bool:
         """Say whether any host of another zone reaches us."""
--- a/rattanloom/peers/messages.py
+++ b/rattanloom/peers/messages.py
@@ -1,5 +1,6 @@
 """The typed messages between entry hosts; ``peers.capnp`` has their wire form."""
 
+from functools import lru_cache
 from hashlib import blake2b
 
 from attrs import frozen
@@ -8,8 +9,10 @@
 from rattanloom.job import Job, JobAnswer
 
 KEY_BYTES = 6
+KEYS_CACHED = 2_048
 
 
+@lru_cache(maxsize=KEYS_CACHED)
 def member_key(incarnation: str) -> int:
     """Return the short number that stands for an incarnation in heartbeats."""
     digest = blake2b(incarnation.encode(), digest_size=KEY_BYTES).digest()
--- a/rattanloom/peers/service.py
+++ b/rattanloom/peers/service.py
@@ -11,6 +11,7 @@
 from rattanloom.job import Job, JobAnswer
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
+from rattanloom.peers.destinations import Destinations
 from rattanloom.peers.forwarder import ANY_INCARNATION, Forwarder
 from rattanloom.peers.heartbeats import Heartbeats
 from rattanloom.peers.link_filter import LinkFilter
@@ -73,9 +74,8 @@
             self.environment,
             self.membership,
             LoadTeller(self.load),
-            settings.seeds,
+            Destinations(self.membership, settings.seeds),
             key,
-            settings.heartbeat_ms,
             self.config_version,
             self._on_newer_config,
             self.link_filter,
