Bound lost replies, failing, silent, refusing and slow workers, with tests

Cause: a worker that answers busy while it has free slots was chosen again and again; a restarted worker would have been believed that it never started a task; a task in a zone that was cut off waited for connect timeouts. Change: refused workers pause, growing with each refusal; unreachable ones wait for a probe; failing ones are quarantined when tasks of that kind run elsewhere; stragglers are a last resort; held-back resends wait for the team's budget instead of failing the job.

--- a/experiments/routing.py
+++ b/experiments/routing.py
@@ -18,7 +18,7 @@
 
 from rattanloom.job import Task
 from rattanloom.platform.protocol import ListedTarget
-from rattanloom.routing import choose_target, spread_owners
+from rattanloom.routing import Tiers, choose_target, make_tiers, spread_owners
 from rattanloom.targets.protocol import AttemptReply, AttemptState
 from rattanloom.targets.state import TargetState
 
@@ -79,6 +79,7 @@
     name: str
     zone: str
     states: list[TargetState]
+    tiers: Tiers = Tiers()
     waiting: deque[ModelTask] = field(factory=deque)
 
 
@@ -136,6 +137,7 @@
                 )
                 for name, (zone, owner) in self.owners.items()
             ]
+            host.tiers = make_tiers(host.states, host.zone)
 
     def _build_zone(self, zone: str) -> None:
         names = [f"{zone}-worker-{n}" for n in range(WORKERS)]
@@ -171,7 +173,7 @@
         others = [host for host in self.hosts if host.name != teller]
         for host in others:
             for state, slots in zip(host.states, told, strict=True):
-                state.tell_peer_slots(teller, slots, self.now_ms)
+                state.tell_peer_slots(teller, slots)
             self._pump(host)
 
     def _pump(self, host: Host) -> None:
@@ -293,7 +295,7 @@
 
 def owner_first(model: Model, host: Host) -> TargetState | None:
     """Choose as the product does."""
-    return choose_target(TASK, host.states, host.zone, model.now_ms)
+    return choose_target(TASK, host.tiers, model.now_ms)
 
 
 @frozen
--- a/rattanloom/dispatch.py
+++ b/rattanloom/dispatch.py
@@ -14,9 +14,11 @@
 from rattanloom.environment import Environment
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.job import Job, JobAnswer
+from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
 from rattanloom.queue import QueuedTask
 from rattanloom.retry import RetryBudget, retry_delay_ms
+from rattanloom.routing import hold_ms
 from rattanloom.rules import KindRule, Rules, TeamRule
 from rattanloom.targets.directory import TargetDirectory
 from rattanloom.targets.protocol import (
@@ -28,7 +30,10 @@
 )
 from rattanloom.timeline import EventKind, TimeLine
 
-START_WITHIN_MS = 1_000.0
+log = get_log("dispatch")
+
+NO_RULES = Rules()
+BUDGET_PAUSE_MS = 250.0
 
 
 class TaskQueue(Protocol):
@@ -73,7 +78,9 @@
     _pumping: bool = False
 
     def __attrs_post_init__(self) -> None:
-        self._runner = AttemptRunner(self.environment, self.metrics)
+        self._runner = AttemptRunner(
+            self.environment, self.metrics, self.directory.note_silent
+        )
         self.directory.on_change(self.pump)
         self.admission.on_ready(self.pump)
         self.admission.on_overdue(self._give_up)
@@ -81,6 +88,8 @@
     def run(self, job: Job, deadline_at_ms: float, cancelled: Event) -> JobAnswer:
         """Run an admitted job and return its whole answer, by its deadline."""
         run = JobRun(job, deadline_at_ms, self._now_ms(), next(self._run_numbers))
+        if self._refused(run):
+            return run.answer(self._now_ms())
         self._runs[job.job_id] = run
         try:
             self.admission.put(self._queued(run))
@@ -91,6 +100,15 @@
             self._stop_in_flight(run)
         return run.answer(self._now_ms())
 
+    def _refused(self, run: JobRun) -> bool:
+        """Settle at once a job that no worker could ever run."""
+        for index, task in enumerate(run.job.tasks):
+            failure = self.directory.never_runnable(task)
+            if failure is not None:
+                run.fail(failure, index)
+                return True
+        return False
+
     def pump(self) -> None:
         """Start every waiting task for which a slot is believed free."""
         if self._pumping:
@@ -154,7 +172,7 @@
         attempt = self._new_attempt(run, queued)
         reply = self._send(run, queued, attempt, target)
         self.directory.release(target, queued.task)
-        self.directory.note(target, attempt, reply)
+        self.directory.note(target, queued.task, queued.job.job_id, reply)
         self._settle(run, queued, reply)
 
     def _send(
@@ -163,11 +181,14 @@
         run.in_flight[attempt.attempt_id] = (attempt, target)
         run.started_tasks.add(queued.index)
         if queued.number == 1:
-            self.budget.earn(queued.job.team, self._team_rule(queued))
+            self._earn_retry(queued)
         self._record(EventKind.ATTEMPT_SENT, attempt, target)
         expected_ms = self.directory.estimates.high_ms(queued.task)
         try:
             reply = self._runner.run(target, attempt, expected_ms)
+        except Exception as error:
+            log.error("Attempt {} broke off: {!r}", attempt.attempt_id, error)
+            reply = Failure(ErrorKind.INTERNAL, f"the attempt broke off: {error!r}")
         finally:
             del run.in_flight[attempt.attempt_id]
         detail = reply.kind if isinstance(reply, Failure) else reply.state
@@ -201,18 +222,24 @@
     ) -> None:
         """Queue a task again after a delay, within its kind's and team's bounds."""
         rule = self._kind_rule(queued)
-        spent = queued.number > rule.retries_max
-        if spent or not self.budget.spend(queued.job.team):
-            reason = "retries used up" if spent else "the team's retry budget is used"
+        if queued.number > rule.retries_max:
+            reason = f"task {queued.index} could not be started: {_refusal(reply)}"
             run.fail(Failure(ErrorKind.NO_TARGETS, reason), queued.index)
         else:
             gevent.sleep(retry_delay_ms(rule, queued.number) / MS_PER_S)
+            self._await_budget(run, queued.job.team)
         if run.over:
             self.admission.finished(queued, None)
             return
         queued.number += 1
         self.admission.put_back(queued)
 
+    def _await_budget(self, run: JobRun, team: str) -> None:
+        """Hold a resend back until the team's retry budget allows it."""
+        while not run.over and not self.budget.spend(team, self._now_ms()):
+            self.metrics.count("retries_held_back")
+            gevent.sleep(BUDGET_PAUSE_MS / MS_PER_S)
+
     def _give_up(self, queued: QueuedTask) -> None:
         """Answer a job at once, one of whose tasks cannot end in time."""
         run = self._runs.get(queued.job.job_id)
@@ -232,18 +259,21 @@
             payload=task.payload,
             size_slots=task.size_slots,
             run_ms=task.run_ms,
-            start_within_ms=min(START_WITHIN_MS, left_ms),
+            start_within_ms=min(hold_ms(self._rules().deployment), left_ms),
             lease_ms=left_ms,
             accelerator=task.accelerator,
         )
 
     def _kind_rule(self, queued: QueuedTask) -> KindRule:
-        rules = self.rules() or Rules()
-        return rules.kinds.get(queued.task.kind, KindRule())
+        return self._rules().kinds.get(queued.task.kind, KindRule())
 
-    def _team_rule(self, queued: QueuedTask) -> TeamRule:
-        rules = self.rules() or Rules()
-        return rules.teams.get(queued.job.team, TeamRule())
+    def _earn_retry(self, queued: QueuedTask) -> None:
+        team = queued.job.team
+        rule = self._rules().teams.get(team, TeamRule())
+        self.budget.earn(team, rule, self._now_ms())
+
+    def _rules(self) -> Rules:
+        return self.rules() or NO_RULES
 
     def _record(
         self, kind: EventKind, attempt: Attempt, target: Target, detail: str = ""
@@ -256,6 +286,10 @@
         return self.environment.clock.now_ms()
 
 
+def _refusal(reply: AttemptReply | Failure) -> str:
+    return reply.reason if isinstance(reply, Failure) else reply.state.value
+
+
 def _surely_not_started(reply: AttemptReply | Failure) -> bool:
     if isinstance(reply, Failure):
         return reply.kind is ErrorKind.NO_TARGETS
--- a/rattanloom/dispatch_attempt.py
+++ b/rattanloom/dispatch_attempt.py
@@ -1,5 +1,7 @@
 """One attempt on one worker, followed until its outcome is as sure as can be."""
 
+from collections.abc import Callable
+
 import gevent
 from attrs import frozen
 
@@ -10,10 +12,16 @@
 from rattanloom.targets.protocol import Attempt, AttemptReply, AttemptState, Target
 
 SLACK_MS = 500.0
+LOOK_UP_WAIT_MS = 2_000.0
 LOOK_UP_TRIES = 3
 LOOK_UP_PAUSE_MS = 200.0
 MESSAGES_PER_EXCHANGE = 2
 
+_FORGOTTEN = Failure(
+    ErrorKind.OUTCOME_UNKNOWN,
+    "the worker was restarted, or forgot, since the attempt was sent",
+)
+
 
 @frozen
 class AttemptRunner:
@@ -21,55 +29,56 @@
 
     environment: Environment
     metrics: Metrics
+    on_silent: Callable[[Target, str], None]
 
     def run(
         self, target: Target, attempt: Attempt, expected_ms: float
     ) -> AttemptReply | Failure:
-        """Run an attempt to an outcome.
+        """Run an attempt, expected to run that long, to an outcome.
 
         Returns a reply that ended or surely did not start the attempt, a
         NO_TARGETS failure (surely not started) or an OUTCOME_UNKNOWN one.
         """
         sent_ms = self.environment.clock.now_ms()
-        patience_ms = min(expected_ms + SLACK_MS, attempt.lease_ms + SLACK_MS)
+        run_ms = min(expected_ms, attempt.lease_ms)
+        patience_ms = attempt.start_within_ms + run_ms + SLACK_MS
         self.metrics.count("messages", "start", MESSAGES_PER_EXCHANGE)
         reply = target.start(attempt, patience_ms)
         if isinstance(reply, Failure) and reply.kind is ErrorKind.OUTCOME_UNKNOWN:
-            return self._resolve(target, attempt, sent_ms, patience_ms, reply)
+            return self._resolve(target, attempt, sent_ms, reply)
         if isinstance(reply, AttemptReply):
             return self._checked(reply, sent_ms)
         return reply
 
     def _resolve(
-        self,
-        target: Target,
-        attempt: Attempt,
-        sent_ms: float,
-        wait_ms: float,
-        failure: Failure,
+        self, target: Target, attempt: Attempt, sent_ms: float, failure: Failure
     ) -> AttemptReply | Failure:
         """Ask over fresh connections until the outcome is known or hopeless."""
         tries = 0
+        wait_ms = 0.0
         while tries < LOOK_UP_TRIES and self._within_lease(attempt, sent_ms):
-            self.metrics.count("messages", "look_up", MESSAGES_PER_EXCHANGE)
-            self.metrics.count("wasted_messages", "look_up", MESSAGES_PER_EXCHANGE)
+            self._count("look_up")
             reply = target.look_up(attempt.attempt_id, wait_ms)
             if isinstance(reply, Failure):
                 tries += 1
                 failure = reply
+                self.on_silent(target, reply.reason)
                 gevent.sleep(LOOK_UP_PAUSE_MS / MS_PER_S)
             elif reply.state is AttemptState.NOT_SEEN:
-                return self._fence(target, attempt, sent_ms)
+                return self._fence(target, attempt, sent_ms, reply)
             elif reply.state is not AttemptState.RUNNING:
                 return self._checked(reply, sent_ms)
+            else:
+                wait_ms = LOOK_UP_WAIT_MS
         return Failure(ErrorKind.OUTCOME_UNKNOWN, failure.reason)
 
     def _fence(
-        self, target: Target, attempt: Attempt, sent_ms: float
+        self, target: Target, attempt: Attempt, sent_ms: float, reply: AttemptReply
     ) -> AttemptReply | Failure:
         """Stop an attempt that the worker has not seen, so that it never starts."""
-        self.metrics.count("messages", "stop", MESSAGES_PER_EXCHANGE)
-        self.metrics.count("wasted_messages", "stop", MESSAGES_PER_EXCHANGE)
+        if not self._remembers(reply, sent_ms):
+            return _FORGOTTEN
+        self._count("stop")
         reply = target.stop(attempt.attempt_id)
         if isinstance(reply, Failure):
             return Failure(ErrorKind.OUTCOME_UNKNOWN, reply.reason)
@@ -77,16 +86,19 @@
 
     def _checked(self, reply: AttemptReply, sent_ms: float) -> AttemptReply | Failure:
         """Distrust NEVER_STARTED from a worker that may have forgotten a start."""
-        if reply.state is not AttemptState.NEVER_STARTED:
-            return reply
-        elapsed_ms = self.environment.clock.now_ms() - sent_ms
-        if reply.remembers_ms >= elapsed_ms:
-            return reply
-        return Failure(
-            ErrorKind.OUTCOME_UNKNOWN,
-            "the worker was restarted, or forgot, since the attempt was sent",
-        )
+        doubtful = reply.state is AttemptState.NEVER_STARTED
+        if doubtful and not self._remembers(reply, sent_ms):
+            return _FORGOTTEN
+        return reply
+
+    def _remembers(self, reply: AttemptReply, sent_ms: float) -> bool:
+        """Say whether the worker remembers everything since the attempt was sent."""
+        return reply.remembers_ms >= self.environment.clock.now_ms() - sent_ms
 
     def _within_lease(self, attempt: Attempt, sent_ms: float) -> bool:
         elapsed_ms = self.environment.clock.now_ms() - sent_ms
         return elapsed_ms <= attempt.lease_ms + SLACK_MS
+
+    def _count(self, name: str) -> None:
+        self.metrics.count("messages", name, MESSAGES_PER_EXCHANGE)
+        self.metrics.count("wasted_messages", name, MESSAGES_PER_EXCHANGE)
--- a/rattanloom/dispatch_job.py
+++ b/rattanloom/dispatch_job.py
@@ -7,6 +7,10 @@
 from rattanloom.job import Job, JobAnswer, JobOutcome
 from rattanloom.targets.protocol import Attempt, Target
 
+UNKNOWN_KINDS = frozenset({ErrorKind.OUTCOME_UNKNOWN, ErrorKind.INTERNAL})
+KIND_NEVER_STARTED = {ErrorKind.DEADLINE_PASSED: ErrorKind.DEADLINE_UNREACHABLE}
+KIND_ONCE_STARTED = {ErrorKind.DEADLINE_UNREACHABLE: ErrorKind.DEADLINE_PASSED}
+
 
 @define(eq=False)
 class JobRun:
@@ -71,19 +75,18 @@
         """Return the failure with the honest word on what may have run."""
         failure = self.failure
         if not self.started_tasks:
-            return Failure(
-                failure.kind, failure.reason, failure.retry_after_ms, Ran.NOT_RUN
-            )
+            kind = KIND_NEVER_STARTED.get(failure.kind, failure.kind)
+            return Failure(kind, failure.reason, failure.retry_after_ms, Ran.NOT_RUN)
         ran = Ran.RAN if failure.ran_word is Ran.RAN else Ran.MAY_HAVE_RUN
         kind = failure.kind
         if failure.answer.ran is Ran.NOT_RUN:
-            kind = ErrorKind.DEADLINE_PASSED
+            kind = KIND_ONCE_STARTED.get(kind, ErrorKind.TASK_FAILED)
         return Failure(kind, failure.reason, failure.retry_after_ms, ran)
 
 
 def _outcome(failure: Failure) -> JobOutcome:
     if failure.ran_word is Ran.NOT_RUN:
         return JobOutcome.REFUSED
-    if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+    if failure.kind in UNKNOWN_KINDS:
         return JobOutcome.UNKNOWN
     return JobOutcome.FAILED
--- a/rattanloom/estimates.py
+++ b/rattanloom/estimates.py
@@ -1,62 +1,47 @@
-"""Learned run times per kind, and how slow each worker is against them."""
+"""How long an attempt is expected to run, and which run time is unusual."""
 
 from collections import OrderedDict
 
 from attrs import define, field
 
 from rattanloom.job import Task
+from rattanloom.run_times import KINDS_MAX, RunTimes
 
-KINDS_MAX = 1_000
-MEAN_GAIN = 0.1
-DEVIATION_GAIN = 0.1
+GAIN = 0.1
 DEVIATIONS = 4.0
-UNKNOWN_KIND_FACTOR = 2.0
-
-
-@define
-class KindEstimate:
-    """The running mean and mean deviation of one kind's run time."""
-
-    mean_ms: float
-    deviation_ms: float
-
-    def learn(self, run_ms: float) -> None:
-        """Take in one measured run time."""
-        error_ms = run_ms - self.mean_ms
-        self.mean_ms += MEAN_GAIN * error_ms
-        self.deviation_ms += DEVIATION_GAIN * (abs(error_ms) - self.deviation_ms)
-
-    @property
-    def high_ms(self) -> float:
-        """Return a run time that few tasks of the kind exceed."""
-        return self.mean_ms + DEVIATIONS * self.deviation_ms
+UNKNOWN_KIND_DEVIATION = 0.5
 
 
 @define(eq=False)
 class RunTimeEstimates:
-    """The estimates of the kinds seen last, bounded in number."""
-
-    _kinds: OrderedDict[str, KindEstimate] = field(factory=OrderedDict)
-
-    def learn(self, kind: str, run_ms: float) -> None:
-        """Take in one measured run time of a kind."""
-        estimate = self._kinds.get(kind)
-        if estimate is None:
-            self._kinds[kind] = KindEstimate(run_ms, run_ms / 2)
-        else:
-            estimate.learn(run_ms)
-        self._kinds.move_to_end(kind)
-        if len(self._kinds) > KINDS_MAX:
-            self._kinds.popitem(last=False)
-
-    def mean_ms(self, task: Task) -> float:
-        """Return the expected run time: learned, or else as declared."""
-        estimate = self._kinds.get(task.kind)
-        return float(task.run_ms) if estimate is None else estimate.mean_ms
+    """Run times on the workers by kind, with their relative deviation."""
+
+    _run_times: RunTimes = field(factory=RunTimes)
+    _deviations: OrderedDict[str, float] = field(factory=OrderedDict)
+
+    def learn(self, task: Task, run_ms: float) -> float | None:
+        """Take in a measured run time.
+
+        Returns it as a multiple of what was expected, None where the kind was
+        not known.
+        """
+        expected_ms = self._run_times.estimate_ms(task)
+        self._run_times.learn(task, run_ms)
+        if task.kind not in self._deviations:
+            self._keep(task.kind, UNKNOWN_KIND_DEVIATION)
+            return None
+        ratio = run_ms / expected_ms
+        deviation = self._deviations[task.kind]
+        self._keep(task.kind, deviation + GAIN * (abs(ratio - 1) - deviation))
+        return ratio
 
     def high_ms(self, task: Task) -> float:
         """Return a run time that the task hardly exceeds."""
-        estimate = self._kinds.get(task.kind)
-        if estimate is None:
-            return task.run_ms * UNKNOWN_KIND_FACTOR
-        return estimate.high_ms
+        deviation = self._deviations.get(task.kind, UNKNOWN_KIND_DEVIATION)
+        return self._run_times.estimate_ms(task) * (1 + DEVIATIONS * deviation)
+
+    def _keep(self, kind: str, deviation: float) -> None:
+        self._deviations[kind] = deviation
+        self._deviations.move_to_end(kind)
+        if len(self._deviations) > KINDS_MAX:
+            self._deviations.popitem(last=False)
--- a/rattanloom/retry.py
+++ b/rattanloom/retry.py
@@ -1,5 +1,7 @@
 """When an attempt that surely did not start may be sent again."""
 
+from collections import OrderedDict
+
 from attrs import define, field
 from tenacity import RetryCallState, wait_random_exponential
 
@@ -7,38 +9,55 @@
 from rattanloom.rules import KindRule, TeamRule
 
 DELAY_MAX_MS = 1_000
-BUDGET_FLOOR = 10.0
-BUDGET_MAX = 200.0
+CREDITS_AT_FIRST = 10.0
+CREDITS_MAX = 200.0
+CREDITS_PER_S = 1.0
 TEAMS_MAX = 1_000
 
 
+@define
+class Credits:
+    """The resends that one team may still make, as of ``at_ms``."""
+
+    left: float
+    at_ms: float
+
+    def add(self, credits: float, now_ms: float) -> None:
+        """Add credits, and those that time has earned."""
+        credits += CREDITS_PER_S * (now_ms - self.at_ms) / MS_PER_S
+        self.left = min(self.left + credits, CREDITS_MAX)
+        self.at_ms = now_ms
+
+
 @define(eq=False)
 class RetryBudget:
     """Bounds each team's resends to a share of its first attempts.
 
-    Every first attempt earns ``retry_budget_percent`` of a resend, up to
-    ``BUDGET_MAX``; a team starts with ``BUDGET_FLOOR`` resends.
+    Every first attempt earns ``retry_budget_percent`` of a resend, and every
+    second ``CREDITS_PER_S``, so that a lone task is not held back for good.
     """
 
-    _credits: dict[str, float] = field(factory=dict)
+    _teams: OrderedDict[str, Credits] = field(factory=OrderedDict)
 
-    def earn(self, team: str, rule: TeamRule) -> None:
+    def earn(self, team: str, rule: TeamRule, now_ms: float) -> None:
         """Count one first attempt of a team."""
-        credit = self._credit(team) + rule.retry_budget_percent / 100
-        self._credits[team] = min(credit, BUDGET_MAX)
+        self._credits(team, now_ms).add(rule.retry_budget_percent / 100, now_ms)
 
-    def spend(self, team: str) -> bool:
+    def spend(self, team: str, now_ms: float) -> bool:
         """Take one resend from the team's budget; False where none is left."""
-        credit = self._credit(team)
-        if credit < 1:
+        credits = self._credits(team, now_ms)
+        credits.add(0, now_ms)
+        if credits.left < 1:
             return False
-        self._credits[team] = credit - 1
+        credits.left -= 1
         return True
 
-    def _credit(self, team: str) -> float:
-        if team not in self._credits and len(self._credits) >= TEAMS_MAX:
-            self._credits.pop(next(iter(self._credits)))
-        return self._credits.setdefault(team, BUDGET_FLOOR)
+    def _credits(self, team: str, now_ms: float) -> Credits:
+        credits = self._teams.setdefault(team, Credits(CREDITS_AT_FIRST, now_ms))
+        self._teams.move_to_end(team)
+        if len(self._teams) > TEAMS_MAX:
+            self._teams.popitem(last=False)
+        return credits
 
 
 def retry_delay_ms(rule: KindRule, number: int) -> float:
--- a/rattanloom/routing.py
+++ b/rattanloom/routing.py
@@ -1,11 +1,41 @@
 """Chooses the worker for a task among those that an entry host knows."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from hashlib import blake2b
 
+from attrs import frozen
+
 from rattanloom.job import Task
+from rattanloom.rules import DeploymentRule
 from rattanloom.targets.state import TargetState
 
+HOLD_LEAST_MS = 50.0
+HOLD_MOST_MS = 500.0
+
+
+@frozen
+class Tiers:
+    """The workers that a host may use, nearest first.
+
+    A host fills the workers that it ``owned`` by ``spread_owners``, then those
+    of its ``zone`` with slots known to be free, then those of other zones.
+    """
+
+    owned: tuple[TargetState, ...] = ()
+    zone: tuple[TargetState, ...] = ()
+    far: tuple[TargetState, ...] = ()
+
+
+def make_tiers(targets: Iterable[TargetState], zone: str) -> Tiers:
+    """Sort workers into the tiers of a host of ``zone``."""
+    targets = tuple(targets)
+    near = [target for target in targets if target.listed.zone == zone]
+    return Tiers(
+        owned=tuple(target for target in near if target.owned),
+        zone=tuple(target for target in near if not target.owned),
+        far=tuple(target for target in targets if target.listed.zone != zone),
+    )
+
 
 def spread_owners(slots: dict[str, int], hosts: Iterable[str]) -> dict[str, str]:
     """Return which host fills each worker first, in even shares of the slots.
@@ -30,35 +60,50 @@
     return owners
 
 
-def choose_target(
-    task: Task, targets: Iterable[TargetState], zone: str, now_ms: float
-) -> TargetState | None:
+def choose_target(task: Task, tiers: Tiers, now_ms: float) -> TargetState | None:
     """Return the best worker with free slots for the task, or None.
 
-    A host fills its own workers first, then those of its zone with slots
-    known to be free, then those of other zones.
+    Workers known to be slow are used only where no other has free slots.
     """
-    best = None
-    best_rank = None
+    slowest = None
+    for tier in (tiers.owned, tiers.zone, tiers.far):
+        best, best_slow = _most_free(task, tier, now_ms)
+        if best is not None:
+            return best
+        slowest = slowest or best_slow
+    return slowest
+
+
+def hold_ms(rule: DeploymentRule) -> float:
+    """Return how long a worker may hold an attempt for a slot.
+
+    Holding longer saves the messages of refusals; being refused sooner lets
+    the task run elsewhere.
+    """
+    weights = rule.response_weight + rule.message_weight
+    message_share = rule.message_weight / weights if weights else 0.5
+    return HOLD_LEAST_MS + message_share * (HOLD_MOST_MS - HOLD_LEAST_MS)
+
+
+def _most_free(
+    task: Task, targets: Sequence[TargetState], now_ms: float
+) -> tuple[TargetState | None, TargetState | None]:
+    """Return the worker with most free slots, and the slow one with most."""
+    best = slow = None
+    best_share = slow_share = -1.0
     for target in targets:
-        rank = _rank(task, target, zone, now_ms)
-        if rank is not None and (best_rank is None or rank < best_rank):
-            best, best_rank = target, rank
-    return best
-
-
-def _rank(
-    task: Task, target: TargetState, zone: str, now_ms: float
-) -> tuple[int, float] | None:
-    if task.accelerator and not target.listed.accelerator:
-        return None
-    if not target.usable(now_ms):
-        return None
-    free_slots = target.free_slots(now_ms) - task.size_slots
-    if free_slots < 0:
-        return None
-    distance = 0 if target.listed.zone == zone else 2
-    return distance + (not target.owned), -free_slots / target.listed.slots
+        free_slots = target.free_slots(now_ms) - task.size_slots
+        if free_slots < 0 or not target.usable(now_ms):
+            continue
+        if task.accelerator and not target.listed.accelerator:
+            continue
+        share = free_slots / target.listed.slots
+        if target.health.is_slow(now_ms):
+            if share > slow_share:
+                slow, slow_share = target, share
+        elif share > best_share:
+            best, best_share = target, share
+    return best, slow
 
 
 def _weight(target: str, host: str) -> bytes:
--- /dev/null
+++ b/rattanloom/targets/blame.py
@@ -0,0 +1,48 @@
+"""Tells a worker that fails its tasks from tasks that fail everywhere."""
+
+from collections import OrderedDict
+from math import ceil, log
+
+from attrs import define, field
+
+KINDS_MAX = 256
+TARGETS_PER_KIND_MAX = 8
+GAIN = 0.2
+SOUND_SHARE = 0.5
+CHANCE = 1e-4
+LEAST_FAILED_JOBS = 3
+SURE_SHARE = 0.99
+
+
+@define(eq=False)
+class KindOutcomes:
+    """The share of tasks that ended well, by kind and by worker used last."""
+
+    _kinds: OrderedDict[str, OrderedDict[str, float]] = field(factory=OrderedDict)
+
+    def note(self, kind: str, target: str, done: bool) -> None:
+        """Take in the outcome of one task."""
+        shares = self._kinds.setdefault(kind, OrderedDict())
+        self._kinds.move_to_end(kind)
+        if len(self._kinds) > KINDS_MAX:
+            self._kinds.popitem(last=False)
+        share = shares.get(target, float(done))
+        shares[target] = share + GAIN * (done - share)
+        shares.move_to_end(target)
+        if len(shares) > TARGETS_PER_KIND_MAX:
+            shares.popitem(last=False)
+
+    def jobs_to_blame(self, kind: str, target: str) -> int | None:
+        """Return how many jobs failing in a row speak against the worker.
+
+        None: the kind fails on other workers too, or ran on no other.
+        """
+        shares = self._kinds.get(kind, {})
+        others = [share for name, share in shares.items() if name != target]
+        if not others:
+            return None
+        share = sum(others) / len(others)
+        if share < SOUND_SHARE:
+            return None
+        failing = 1 - min(share, SURE_SHARE)
+        return max(LEAST_FAILED_JOBS, ceil(log(CHANCE) / log(failing)))
--- a/rattanloom/targets/client.py
+++ b/rattanloom/targets/client.py
@@ -8,7 +8,7 @@
 from attrs import asdict, define, field
 from cattrs import Converter
 from cattrs.errors import BaseValidationError
-from urllib3 import HTTPConnectionPool, Timeout
+from urllib3 import Timeout
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -18,6 +18,7 @@
 from rattanloom.clock import MS_PER_S
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.link_filter import LinkFilter
+from rattanloom.targets.connections import AgeingPool
 from rattanloom.targets.protocol import Attempt, AttemptReply
 
 CONNECT_TIMEOUT_MS = 1_000
@@ -42,22 +43,25 @@
     address: str
     connections: int
     link_filter: LinkFilter = field(factory=LinkFilter)
-    _pool: HTTPConnectionPool = field(init=False)
+    _pool: AgeingPool = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._pool = _new_pool(self.address, self.connections)
+        self._pool = AgeingPool(self.address, self.connections)
 
     def start(self, attempt: Attempt, patience_ms: float) -> ReplyOrFailure:
         """Start the attempt and return once it ended or was refused."""
         path = f"/v1/attempts/{attempt.attempt_id}"
         body = json.dumps(asdict(attempt))
         timeout = _timeout(patience_ms)
-        return self._exchange(
+        reply = self._exchange(
             attempt.attempt_id,
             lambda: self._pool.urlopen(
                 "POST", path, body=body, headers=HEADERS, timeout=timeout, retries=False
             ),
         )
+        if isinstance(reply, Failure):
+            self.drop_connections()
+        return reply
 
     def look_up(self, attempt_id: str, wait_ms: float) -> ReplyOrFailure:
         """Ask over a fresh connection how the attempt stands."""
@@ -74,10 +78,13 @@
         """Ask for the worker's slots without starting anything."""
         return self._ask("GET", "/v1/worker", "", ASK_TIMEOUT_MS)
 
+    def close_idle(self) -> None:
+        """Close the connections that were idle for long."""
+        self._pool.close_idle()
+
     def drop_connections(self) -> None:
-        """Close the idle connections: one of their age was found silent."""
-        self._pool.close()
-        self._pool = _new_pool(self.address, self.connections)
+        """Close every idle connection: one of their age may have gone silent."""
+        self._pool.close_idle(idle_s=0)
 
     def close(self) -> None:
         """Close the idle connections for good."""
@@ -114,14 +121,9 @@
     )
 
 
-def _new_pool(address: str, connections: int) -> HTTPConnectionPool:
-    host, _, port = address.rpartition(":")
-    return HTTPConnectionPool(host, int(port), maxsize=connections, block=False)
-
-
 @contextmanager
-def _fresh_pool(address: str) -> Iterator[HTTPConnectionPool]:
-    pool = _new_pool(address, 1)
+def _fresh_pool(address: str) -> Iterator[AgeingPool]:
+    pool = AgeingPool(address, 1)
     try:
         yield pool
     finally:
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -1,32 +1,36 @@
 """The workers that an entry host may use, and what it knows of each."""
 
 from collections.abc import Callable
-from fnmatch import fnmatchcase
 
-from attrs import define, evolve, field
+import gevent
+from attrs import define, field
 
+from rattanloom.clock import MS_PER_S
 from rattanloom.environment import Environment
-from rattanloom.errors import Failure
+from rattanloom.errors import ErrorKind, Failure
 from rattanloom.estimates import RunTimeEstimates
 from rattanloom.job import Task
 from rattanloom.link_filter import LinkFilter
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
-from rattanloom.peers.protocol import MemberState, Peers, TargetLoad
+from rattanloom.peers.protocol import Peers, TargetLoad
 from rattanloom.platform.protocol import HostList, ListedTarget
 from rattanloom.queue import Capacity
-from rattanloom.routing import choose_target, spread_owners
-from rattanloom.rules import KindRule, Rules, TargetRule
+from rattanloom.routing import Tiers, choose_target
+from rattanloom.rules import Rules, TargetRule
 from rattanloom.settings import EntrySettings
+from rattanloom.targets.blame import KindOutcomes
 from rattanloom.targets.client import TargetClient
-from rattanloom.targets.protocol import Attempt, AttemptReply, AttemptState
+from rattanloom.targets.fleet import Fleet
+from rattanloom.targets.protocol import AttemptReply, AttemptState
 from rattanloom.targets.state import TargetState
 from rattanloom.timeline import EventKind, TimeLine
 from rattanloom.timer import TimerService
 
 log = get_log("targets")
 
-CONNECTIONS_MIN = 2
+PROBE_MESSAGES = 2
+TIMER_SLACK_MS = 5.0
 
 
 @define(eq=False)
@@ -41,21 +45,23 @@
     rules: Callable[[], Rules | None]
     metrics: Metrics
     estimates: RunTimeEstimates = field(factory=RunTimeEstimates)
+    outcomes: KindOutcomes = field(factory=KindOutcomes)
     link_filter: LinkFilter = field(factory=LinkFilter)
-    _peers: Peers | None = None
-    _targets: dict[str, TargetState] = field(factory=dict)
+    _fleet: Fleet = field(init=False)
+    _rules_applied: Rules | None = None
     _watchers: list[Callable[[], None]] = field(factory=list)
 
+    def __attrs_post_init__(self) -> None:
+        self._fleet = Fleet(self.settings.host, self.settings.zone)
+
     def start(self, peers: Peers) -> None:
         """Begin to follow the host list and the peers' loads."""
-        self._peers = peers
+        self._fleet.peers = peers
         self.refresh_list()
         self.timers.subscribe(
             "host list", self.settings.host_list_poll_ms, self.refresh_list
         )
-        self.timers.subscribe(
-            "target loads", self.settings.heartbeat_ms, self.refresh_loads
-        )
+        self.timers.subscribe("target loads", self.settings.heartbeat_ms, self.refresh)
 
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` when slots may have become usable."""
@@ -67,161 +73,185 @@
         if isinstance(listed, Failure):
             self.metrics.count("host_list_failures", listed.kind.value)
             return
-        names = {target.name for target in listed}
-        for name in [name for name in self._targets if name not in names]:
-            self._targets.pop(name).client.close()
+        for name in self._fleet.targets.keys() - {target.name for target in listed}:
+            self._fleet.remove(name)
             self._tell(name, "no longer listed")
         for target in listed:
             self._take_listed(target)
-        self.refresh_loads()
+        for state in self._states():
+            state.client.close_idle()
+        self.refresh()
 
-    def refresh_loads(self) -> None:
-        """Take in the peers' loads and the owners that follow from them."""
-        self._take_loads()
-        self._assign_owners()
+    def refresh(self) -> None:
+        """Take in the peers' loads and the rules, and probe where due."""
+        self._apply_rules()
+        for state in self._fleet.refresh():
+            self.note_silent(state, "its zone was cut off")
+        now_ms = self._now_ms()
+        for state in self._states():
+            if state.health.probe_due(now_ms):
+                gevent.spawn(self._probe, state)
         self._changed()
 
     def capacity(self) -> Capacity:
-        """Return the slots on usable workers, as now known."""
-        now_ms = self.environment.clock.now_ms()
-        usable = [state for state in self._targets.values() if self._open(state)]
-        owned = [state for state in usable if state.owned]
+        """Return the slots on usable workers, as now known.
+
+        The largest worker and accelerators count while they are listed, so
+        that a task too large for the moment is not refused for good.
+        """
+        now_ms = self._now_ms()
+        self._apply_rules()
+        listed = [state.listed for state in self._states()]
+        open_states = [state for state in self._states() if not state.closed]
         return Capacity(
-            total_slots=sum(state.listed.slots for state in usable),
-            share_slots=sum(state.listed.slots for state in owned),
-            free_slots=sum(max(0, state.free_slots(now_ms)) for state in usable),
-            largest_slots=max((state.listed.slots for state in usable), default=0),
-            has_accelerator=any(state.listed.accelerator for state in usable),
+            total_slots=sum(state.listed.slots for state in open_states),
+            share_slots=self._fleet.share_slots(),
+            free_slots=sum(max(0, state.free_slots(now_ms)) for state in open_states),
+            largest_slots=max((target.slots for target in listed), default=0),
+            has_accelerator=any(target.accelerator for target in listed),
         )
 
-    def find(self, task: Task) -> TargetState | None:
-        """Return the worker that the task would go to now, if any."""
-        now_ms = self.environment.clock.now_ms()
-        allowed = self._kind_rule(task.kind).targets
-        candidates = [
+    def never_runnable(self, task: Task) -> Failure | None:
+        """Return why no listed worker could ever run the task, if so."""
+        fitting = [
             state
-            for state in self._targets.values()
-            if self._open(state) and _matches(state.name, allowed)
+            for state in self._fleet.allowed(self._patterns(task.kind))
+            if state.listed.slots >= task.size_slots
+            and (state.listed.accelerator or not task.accelerator)
         ]
-        return choose_target(task, candidates, self.settings.zone, now_ms)
+        if fitting or not self._fleet.targets:
+            return None
+        return Failure(
+            ErrorKind.NEVER_RUNNABLE,
+            f"no worker allowed for kind {task.kind} has {task.size_slots} slots"
+            f"{' and an accelerator' if task.accelerator else ''}; "
+            "change the task, or the kind's targets in the rules",
+        )
+
+    def find(self, task: Task) -> TargetState | None:
+        """Return the worker that the task would go to now, if any."""
+        self._apply_rules()
+        tiers = self._tiers(task.kind)
+        return choose_target(task, tiers, self._now_ms())
 
     def pick(self, task: Task) -> TargetState | None:
         """Reserve slots for the task; ``release`` gives them back."""
         state = self.find(task)
         if state is not None:
-            state.own_slots += task.size_slots
+            state.occupy(task.size_slots)
         return state
 
     def release(self, state: TargetState, task: Task) -> None:
         """Give back the slots that ``pick`` reserved."""
-        state.own_slots -= task.size_slots
+        state.release(task.size_slots)
 
     def note(
-        self, state: TargetState, attempt: Attempt, reply: AttemptReply | Failure
+        self,
+        state: TargetState,
+        task: Task,
+        job_id: str,
+        reply: AttemptReply | Failure,
     ) -> None:
         """Learn from the end of an attempt; call it after ``release``."""
-        now_ms = self.environment.clock.now_ms()
         if isinstance(reply, Failure):
-            state.note_unreachable(now_ms)
-            self._tell(state.name, reply.reason)
+            self.note_silent(state, reply.reason)
             return
-        was_leaving = state.leaving
-        state.note_reply(reply, now_ms)
-        if state.leaving and not was_leaving:
-            self._tell(state.name, "says that it is leaving")
+        self._note_state(state, reply)
         if reply.state is AttemptState.DONE:
-            state.note_success()
-            self.estimates.learn(attempt.kind, reply.run_ms)
+            self._note_done(state, task, reply)
         elif reply.state is AttemptState.FAILED:
-            state.note_task_failure(attempt.job_id, now_ms)
+            self._note_failed(state, task, job_id)
+
+    def note_silent(self, state: TargetState, reason: str) -> None:
+        """Give a worker that cannot be reached nothing until it answers."""
+        if not state.health.unreachable:
+            self._tell(state.name, f"unreachable: {reason}")
+        state.health.note_unreachable(self._now_ms())
 
     def loads(self) -> tuple[TargetLoad, ...]:
         """Return the slots that this host occupies on each worker."""
         return tuple(
-            TargetLoad(name, state.own_slots)
-            for name, state in self._targets.items()
+            TargetLoad(state.name, state.own_slots)
+            for state in self._states()
             if state.own_slots
         )
 
     def describe(self) -> list[dict]:
         """Return each worker's state for operators, ready for JSON."""
-        now_ms = self.environment.clock.now_ms()
-        return [
-            {
-                "name": state.name,
-                "zone": state.listed.zone,
-                "address": state.listed.address,
-                "slots": state.listed.slots,
-                "own_slots": state.own_slots,
-                "other_slots": state.other_slots(now_ms),
-                "owned": state.owned,
-                "usable": self._open(state) and state.usable(now_ms),
-                "leaving": state.leaving or state.listed.leaving,
-                "drained": self._drained(state.name),
-            }
-            for state in self._targets.values()
-        ]
+        now_ms = self._now_ms()
+        self._apply_rules()
+        return [_describe(state, now_ms) for state in self._states()]
+
+    def _states(self) -> list[TargetState]:
+        return list(self._fleet.targets.values())
+
+    def _note_state(self, state: TargetState, reply: AttemptReply) -> None:
+        was_leaving = state.leaving
+        state.note_reply(reply, self._now_ms())
+        if state.leaving and not was_leaving:
+            self._tell(state.name, "says that it is leaving")
+        if reply.state is AttemptState.BUSY:
+            wait_ms = state.refused_until_ms - self._now_ms() + TIMER_SLACK_MS
+            gevent.spawn_later(wait_ms / MS_PER_S, self._changed)
+
+    def _note_done(self, state: TargetState, task: Task, reply: AttemptReply) -> None:
+        state.health.note_success()
+        self.outcomes.note(task.kind, state.name, done=True)
+        ratio = self.estimates.learn(task, reply.run_ms)
+        if ratio is not None:
+            state.health.note_speed(ratio, self._now_ms())
+
+    def _note_failed(self, state: TargetState, task: Task, job_id: str) -> None:
+        self.outcomes.note(task.kind, state.name, done=False)
+        jobs = self.outcomes.jobs_to_blame(task.kind, state.name)
+        if jobs is None:
+            return
+        if state.health.note_failure(job_id, jobs, self._now_ms()):
+            self.metrics.count("targets_quarantined")
+            self._tell(state.name, "quarantined: it fails tasks that run elsewhere")
+
+    def _probe(self, state: TargetState) -> None:
+        self.metrics.count("messages", "probe", PROBE_MESSAGES)
+        self.metrics.count("wasted_messages", "probe", PROBE_MESSAGES)
+        state.health.note_probe(False, self._now_ms())
+        reply = state.probe()
+        if isinstance(reply, Failure):
+            return
+        state.health.note_probe(True, self._now_ms())
+        self._note_state(state, reply)
+        self._tell(state.name, "reachable again")
+        self._changed()
 
     def _take_listed(self, listed: ListedTarget) -> None:
-        state = self._targets.get(listed.name)
+        state = self._fleet.targets.get(listed.name)
         if state is not None and state.listed.address == listed.address:
             if listed.leaving and not state.listed.leaving:
                 self._tell(listed.name, "listed as leaving")
-            state.listed = evolve(listed)
+            state.listed = listed
             return
         client = TargetClient(
-            listed.name, listed.address, self._share(listed), self.link_filter
+            listed.name, listed.address, listed.slots, self.link_filter
         )
-        self._targets[listed.name] = TargetState(listed, client)
+        self._fleet.add(TargetState(listed, client))
         self._tell(listed.name, "listed")
 
-    def _share(self, listed: ListedTarget) -> int:
-        hosts = 1 + (len(self._peers.members()) if self._peers else 0)
-        return max(CONNECTIONS_MIN, listed.connections // hosts)
-
-    def _take_loads(self) -> None:
-        now_ms = self.environment.clock.now_ms()
-        loads = self._peers.loads() if self._peers else {}
-        told = {
-            (load.target, host): load.slots
-            for host, host_load in loads.items()
-            for load in host_load.targets
-        }
-        for name, state in self._targets.items():
-            for host in state.peer_slots.keys() - loads.keys():
-                del state.peer_slots[host]
-            for host in loads:
-                state.tell_peer_slots(host, told.get((name, host), 0), now_ms)
-
-    def _assign_owners(self) -> None:
-        for zone, hosts in self._live_hosts().items():
-            states = {
-                name: state
-                for name, state in self._targets.items()
-                if state.listed.zone == zone
-            }
-            slots = {name: state.listed.slots for name, state in states.items()}
-            owners = spread_owners(slots, hosts)
-            for name, state in states.items():
-                state.owned = owners[name] == self.settings.host
-
-    def _live_hosts(self) -> dict[str, list[str]]:
-        hosts = {self.settings.zone: [self.settings.host]}
-        for member in self._peers.members() if self._peers else ():
-            if member.state is MemberState.LIVE:
-                hosts.setdefault(member.zone, []).append(member.host)
-        return hosts
-
-    def _open(self, state: TargetState) -> bool:
-        return not (state.leaving or state.listed.leaving or self._drained(state.name))
-
-    def _drained(self, name: str) -> bool:
+    def _apply_rules(self) -> None:
         rules = self.rules()
-        return rules is not None and rules.targets.get(name, TargetRule()).drain
+        if rules is self._rules_applied:
+            return
+        self._rules_applied = rules
+        self._fleet.forget_tiers()
+        for state in self._states():
+            rule = rules.targets.get(state.name, TargetRule()) if rules else None
+            state.drained = rule is not None and rule.drain
 
-    def _kind_rule(self, kind: str) -> KindRule:
-        rules = self.rules()
-        return KindRule() if rules is None else rules.kinds.get(kind, KindRule())
+    def _tiers(self, kind: str) -> Tiers:
+        return self._fleet.tiers(self._patterns(kind))
+
+    def _patterns(self, kind: str) -> tuple[str, ...]:
+        rules = self._rules_applied
+        rule = rules.kinds.get(kind) if rules else None
+        return rule.targets if rule else ()
 
     def _tell(self, name: str, detail: str) -> None:
         log.info("worker {}: {}", name, detail)
@@ -231,6 +261,24 @@
         for callback in self._watchers:
             callback()
 
+    def _now_ms(self) -> float:
+        return self.environment.clock.now_ms()
+
 
-def _matches(name: str, patterns: tuple[str, ...]) -> bool:
-    return not patterns or any(fnmatchcase(name, pattern) for pattern in patterns)
+def _describe(state: TargetState, now_ms: float) -> dict:
+    return {
+        "name": state.name,
+        "zone": state.listed.zone,
+        "address": state.listed.address,
+        "slots": state.listed.slots,
+        "own_slots": state.own_slots,
+        "other_slots": state.other_slots(now_ms),
+        "owned": state.owned,
+        "connections": state.connections,
+        "usable": state.usable(now_ms),
+        "leaving": state.leaving or state.listed.leaving,
+        "drained": state.drained,
+        "unreachable": state.health.unreachable,
+        "on_trial": state.health.on_trial,
+        "slowness": round(state.health.slowness(now_ms), 2),
+    }
--- /dev/null
+++ b/rattanloom/targets/fleet.py
@@ -0,0 +1,139 @@
+"""The known workers, sorted by whose they are to fill and what rules allow."""
+
+from fnmatch import fnmatchcase
+from math import ceil
+
+from attrs import define, field
+
+from rattanloom.peers.protocol import Member, MemberState, Peers
+from rattanloom.routing import Tiers, make_tiers, spread_owners
+from rattanloom.targets.state import TargetState
+
+RESERVED_CONNECTIONS_SHARE = 0.125
+HERE = frozenset({MemberState.LIVE, MemberState.LEAVING})
+
+
+@define(eq=False)
+class Fleet:
+    """Workers by name, with the shares of them that entry hosts take.
+
+    Each worker is owned by one live entry host of its zone, which may use all
+    of its slots and as many connections; the other hosts share the rest of
+    the worker's connection limit evenly.
+    """
+
+    host: str
+    zone: str
+    peers: Peers | None = None
+    targets: dict[str, TargetState] = field(factory=dict)
+    _cut_off_zones: frozenset[str] = frozenset()
+    _hosts: int = 1
+    _hosts_here: int = 1
+    _tiers: dict[tuple[str, ...], Tiers] = field(factory=dict)
+
+    def add(self, state: TargetState) -> None:
+        """Begin to use a worker, in place of any of the same name."""
+        self.remove(state.name)
+        self.targets[state.name] = state
+
+    def remove(self, name: str) -> None:
+        """Forget a worker; attempts under way on it end as they end."""
+        state = self.targets.pop(name, None)
+        if state is not None:
+            state.client.close()
+        self.forget_tiers()
+
+    def refresh(self) -> list[TargetState]:
+        """Take in the peers' loads and states.
+
+        Returns the workers of zones that have just been cut off: none of
+        their entry hosts can be heard any more.
+        """
+        members = self.peers.members() if self.peers else ()
+        self._hosts = 1 + sum(member.state in HERE for member in members)
+        self._take_loads()
+        self._assign_owners(members)
+        self.forget_tiers()
+        return self._newly_cut_off(members)
+
+    def forget_tiers(self) -> None:
+        """Sort the workers anew at the next use."""
+        self._tiers.clear()
+
+    def tiers(self, patterns: tuple[str, ...]) -> Tiers:
+        """Return the open workers whose names match, by tier."""
+        tiers = self._tiers.get(patterns)
+        if tiers is None:
+            states = [state for state in self.allowed(patterns) if not state.closed]
+            tiers = self._tiers[patterns] = make_tiers(states, self.zone)
+        return tiers
+
+    def allowed(self, patterns: tuple[str, ...]) -> list[TargetState]:
+        """Return the workers whose names match any pattern, or all for none."""
+        return [
+            state for state in self.targets.values() if _matches(state.name, patterns)
+        ]
+
+    def share_slots(self) -> int:
+        """Return this host's even part of the open slots of its zone."""
+        slots = sum(
+            state.listed.slots
+            for state in self.targets.values()
+            if state.listed.zone == self.zone and not state.closed
+        )
+        return ceil(slots / self._hosts_here)
+
+    def _newly_cut_off(self, members: tuple[Member, ...]) -> list[TargetState]:
+        before = self._cut_off_zones
+        self._cut_off_zones = _cut_off_zones(members) - {self.zone}
+        new = self._cut_off_zones - before
+        return [state for state in self.targets.values() if state.listed.zone in new]
+
+    def _take_loads(self) -> None:
+        loads = self.peers.loads() if self.peers else {}
+        for state in self.targets.values():
+            state.peer_slots.clear()
+        for host, load in loads.items():
+            for told in load.targets:
+                state = self.targets.get(told.target)
+                if state is not None:
+                    state.tell_peer_slots(host, told.slots)
+
+    def _assign_owners(self, members: tuple[Member, ...]) -> None:
+        hosts = [member for member in members if member.state is MemberState.LIVE]
+        for zone in {state.listed.zone for state in self.targets.values()}:
+            names = [member.host for member in hosts if member.zone == zone]
+            if zone == self.zone:
+                names.append(self.host)
+                self._hosts_here = len(names)
+            self._assign_zone(zone, names)
+
+    def _assign_zone(self, zone: str, hosts: list[str]) -> None:
+        states = [state for state in self.targets.values() if state.listed.zone == zone]
+        slots = {state.name: state.listed.slots for state in states if not state.closed}
+        owners = spread_owners(slots, hosts)
+        for state in states:
+            state.owned = owners.get(state.name) == self.host
+            state.connections = self._connections(state)
+
+    def _connections(self, state: TargetState) -> int:
+        """Return this host's share of a worker's connections.
+
+        Some are left for look-ups, stops and probes, which use fresh ones.
+        """
+        listed = state.listed
+        if state.owned:
+            return min(listed.slots, listed.connections)
+        reserved = listed.slots + int(listed.connections * RESERVED_CONNECTIONS_SHARE)
+        others = max(1, self._hosts - 1)
+        return max(1, (listed.connections - reserved) // others)
+
+
+def _matches(name: str, patterns: tuple[str, ...]) -> bool:
+    return not patterns or any(fnmatchcase(name, pattern) for pattern in patterns)
+
+
+def _cut_off_zones(members: tuple[Member, ...]) -> frozenset[str]:
+    """Return the zones none of whose entry hosts can be heard."""
+    heard = {member.zone for member in members if member.state in HERE}
+    return frozenset(member.zone for member in members) - heard
--- a/tests/dispatch_utils.py
+++ b/tests/dispatch_utils.py
@@ -3,6 +3,7 @@
 from collections import deque
 from contextlib import ExitStack, contextmanager
 from random import Random
+from socket import SHUT_RDWR
 
 import gevent
 from attrs import define, field
@@ -79,8 +80,36 @@
     dispatcher: Dispatcher
     metrics: Metrics
     listed: list
+    servers: dict = field(factory=dict)
+    stack: ExitStack = None
     rules: Rules = Rules()
 
+    def kill(self, name):
+        """End a worker with all its connections, as a crash does."""
+        self.servers[name].close()
+        for connection in tuple(self.servers[name].connections):
+            connection.socket.shutdown(SHUT_RDWR)
+
+    def restart(self, name):
+        """Kill a worker and serve a new one at its address."""
+        self.kill(name)
+        old = self.workers[name]
+        self.workers[name] = Worker(name, old.zone, old.slots)
+        address = next(item.address for item in self.listed if item.name == name)
+        serving_again = serving(self.workers[name], address)
+        self.servers[name] = self.stack.enter_context(serving_again)
+
+    def state(self, name):
+        """Return what the directory knows of a worker."""
+        return self.directory._fleet.targets[name]
+
+    def usable(self, name):
+        return self.state(name).usable(self.dispatcher.environment.clock.now_ms())
+
+    def sound(self, name):
+        """Say whether a worker is usable and not on trial."""
+        return self.usable(name) and not self.state(name).health.on_trial
+
     def run(self, job, deadline_ms=5_000, cancelled=None):
         now_ms = self.dispatcher.environment.clock.now_ms()
         return self.dispatcher.run(job, now_ms + deadline_ms, cancelled or Event())
@@ -134,14 +163,19 @@
     """Serve workers in-process, with a dispatcher that uses them."""
     with ExitStack() as stack:
         running = {}
+        servers = {}
         listed = []
         for number in range(workers):
             worker = Worker(f"w{number}", "Adum", slots)
             server = stack.enter_context(serving(worker, "127.0.0.1:0"))
             running[worker.name] = worker
+            servers[worker.name] = server
             address = f"127.0.0.1:{server.server_port}"
             listed.append(ListedTarget(worker.name, "Adum", address, slots, 64))
-        yield stack.enter_context(bench_over(running, listed))
+        bench = stack.enter_context(bench_over(running, listed))
+        bench.servers = servers
+        bench.stack = stack
+        yield bench
 
 
 @contextmanager
