--- a/experiments/bench.py
+++ b/experiments/bench.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import os
 import re
 import time
 from collections.abc import Callable, Iterator
@@ -16,7 +17,7 @@
 from attrs import asdict, define, field, frozen
 from fire import Fire
 
-from experiments.cluster import Cluster, Shape, running_cluster
+from experiments.cluster import Cluster, Process, Shape, running_cluster
 from experiments.load import (
     RATIO_SCALE,
     US_PER_MS,
@@ -39,6 +40,7 @@
 SETTLE_S = 0.7
 PEAK_LOAD = 0.95
 OVERLOAD = 3.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 MESSAGE = re.compile(r"^rattanloom_(\w+?)_total(?:\{reason=\"(\w+)\"\})? (\S+)$", re.M)
 
 TARGETS = {
@@ -92,6 +94,8 @@
     refusal_p99_ms: float
     outcomes: dict[str, int] = field(factory=dict)
     host_cpu_ms_per_job: float = 0.0
+    host_cores: float = 0.0
+    worker_cores: float = 0.0
 
 
 @define(eq=False)
@@ -112,6 +116,8 @@
         """Run one scenario and keep its row."""
         plan = self.plan(scenario, baseline, seed)
         before = self.counters()
+        host_cpu_ms, worker_cpu_ms = self.cpu_ms()
+        started_s = time.monotonic()
         with self.fault(scenario.fault, baseline):
             result = run_load(plan, GENERATORS, LEAD_S)
         if baseline:
@@ -119,6 +125,12 @@
         else:
             messages = wasted_messages(before, self.counters())
         row = make_row(self.mix, scenario, baseline, result, messages, self.slots)
+        host_after_ms, worker_after_ms = self.cpu_ms()
+        passed_ms = (time.monotonic() - started_s) * MS_PER_S
+        used_ms = max(0.0, host_after_ms - host_cpu_ms)
+        row.host_cpu_ms_per_job = round(used_ms / max(1, row.jobs), 2)
+        row.host_cores = round(used_ms / passed_ms, 2)
+        row.worker_cores = round((worker_after_ms - worker_cpu_ms) / passed_ms, 2)
         self.rows.append(row)
         time.sleep(SETTLE_S)
         return row
@@ -140,6 +152,13 @@
             cancel_share=CANCEL_SHARE if wave else 0.0,
         )
 
+    def cpu_ms(self) -> tuple[float, float]:
+        """Return the processor time used by the hosts and by the workers."""
+        hosts, workers = self.cluster.hosts, self.cluster.workers
+        return sum(map(process_cpu_ms, hosts.values())), sum(
+            map(process_cpu_ms, workers.values())
+        )
+
     def counters(self) -> dict[tuple[str, str], float]:
         """Return the sum of all hosts' counters."""
         total: dict[tuple[str, str], float] = {}
@@ -200,6 +219,15 @@
         }[name]
 
 
+def process_cpu_ms(process: Process) -> float:
+    """Return the processor time that a running process has used so far."""
+    if not process.running:
+        return 0.0
+    stat = Path(f"/proc/{process.popen.pid}/stat").read_text()
+    user_ticks, system_ticks = stat.rpartition(")")[2].split()[11:13]
+    return (int(user_ticks) + int(system_ticks)) * MS_PER_S / TICKS_PER_S
+
+
 def wasted_messages(
     before: dict[tuple[str, str], float], after: dict[tuple[str, str], float]
 ) -> float:
@@ -277,7 +305,8 @@
         f"p50 {row.p50:6.3f} p99 {row.p99:7.3f} wasted {row.wasted_per_task:7.4f} "
         f"goodput {row.goodput_share:5.3f} complete {row.complete_share:6.4f} "
         f"refusal ms {row.refusal_p50_ms:5.1f}/{row.refusal_p99_ms:5.1f} "
-        f"jobs {row.jobs} tasks {row.tasks} {refusals}",
+        f"jobs {row.jobs} tasks {row.tasks} "
+        f"cores {row.host_cores}+{row.worker_cores} {refusals}",
         flush=True,
     )
 
