--- a/rattanloom/dispatch_job.py
+++ b/rattanloom/dispatch_job.py
@@ -7,17 +7,23 @@
 from rattanloom.job import Job, JobAnswer, JobOutcome
 from rattanloom.targets.protocol import Attempt, Target
 
+UNKNOWN_KINDS = frozenset({ErrorKind.OUTCOME_UNKNOWN, ErrorKind.INTERNAL})
+KIND_NEVER_STARTED = {ErrorKind.DEADLINE_PASSED: ErrorKind.DEADLINE_UNREACHABLE}
+KIND_ONCE_STARTED = {ErrorKind.DEADLINE_UNREACHABLE: ErrorKind.DEADLINE_PASSED}
+
 
 @define(eq=False)
 class JobRun:
     """The state of one job between its admission and its answer.
 
-    ``started_tasks`` are the tasks that may have been started.
+    ``number`` tells apart the runs of one process: a ticket that was refused
+    may be admitted again. ``started_tasks`` may have been started.
     """
 
     job: Job
     deadline_at_ms: float
     began_ms: float
+    number: int = 1
     outputs: dict[int, str] = field(factory=dict)
     started_tasks: set[int] = field(factory=set)
     in_flight: dict[str, tuple[Attempt, Target]] = field(factory=dict)
@@ -30,6 +36,10 @@
         """Say whether the job's answer is settled."""
         return self.ended.is_set()
 
+    def attempt_id(self, index: int, attempt: int) -> str:
+        """Return an identifier that no other attempt of this process has."""
+        return f"{self.job.job_id}.{index}.{self.number}.{attempt}"
+
     def complete_task(self, index: int, output: str) -> None:
         """Keep one task's output; the last one completes the job."""
         self.outputs[index] = output
@@ -65,19 +75,18 @@
         """Return the failure with the honest word on what may have run."""
         failure = self.failure
         if not self.started_tasks:
-            return Failure(
-                failure.kind, failure.reason, failure.retry_after_ms, Ran.NOT_RUN
-            )
+            kind = KIND_NEVER_STARTED.get(failure.kind, failure.kind)
+            return Failure(kind, failure.reason, failure.retry_after_ms, Ran.NOT_RUN)
         ran = Ran.RAN if failure.ran_word is Ran.RAN else Ran.MAY_HAVE_RUN
         kind = failure.kind
         if failure.answer.ran is Ran.NOT_RUN:
-            kind = ErrorKind.DEADLINE_PASSED
+            kind = KIND_ONCE_STARTED.get(kind, ErrorKind.TASK_FAILED)
         return Failure(kind, failure.reason, failure.retry_after_ms, ran)
 
 
 def _outcome(failure: Failure) -> JobOutcome:
     if failure.ran_word is Ran.NOT_RUN:
         return JobOutcome.REFUSED
-    if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+    if failure.kind in UNKNOWN_KINDS:
         return JobOutcome.UNKNOWN
     return JobOutcome.FAILED
--- a/rattanloom/platform/client.py
+++ b/rattanloom/platform/client.py
@@ -1,6 +1,6 @@
 """HTTP client of the platform's table, object store and host list."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import quote
@@ -18,6 +18,7 @@
 
 from rattanloom.clock import MS_PER_S
 from rattanloom.errors import ErrorKind, Failure
+from rattanloom.link_filter import LinkFilter
 from rattanloom.platform.messages import (
     HostsReply,
     MessageError,
@@ -64,8 +65,8 @@
 
     address: str
     timeout_ms: float = 1000
+    link_filter: LinkFilter = field(factory=LinkFilter)
     _pool: HTTPConnectionPool = field(init=False)
-    _blocked: bool = field(init=False, default=False)
 
     def __attrs_post_init__(self) -> None:
         host, _, port = self.address.rpartition(":")
@@ -126,13 +127,6 @@
         decoded = _decode(reply, HostsReply)
         return decoded if isinstance(decoded, Failure) else decoded.targets
 
-    def block(self, addresses: Collection[str]) -> None:
-        """Cut the platform off if it is among ``addresses``, else mend the cut.
-
-        An aid for tests and proofs: connecting times out as across a cut.
-        """
-        self._blocked = self.address in addresses
-
     def close(self) -> None:
         """Close the idle connections."""
         self._pool.close()
@@ -160,9 +154,17 @@
         return _reply_lost(f"the platform answered status {reply.status}")
 
     def _request(self, method: str, path: str, body: bytes | None) -> Reply | Failure:
-        if self._blocked:
+        if not self.link_filter.may_send(self.address):
             gevent.sleep(self.timeout_ms / MS_PER_S)
             return _unreachable(f"{self.address} is cut off")
+        reply = self._request_linked(method, path, body)
+        if not self.link_filter.may_hear(self.address):
+            return _reply_lost(f"{self.address} was cut off before it replied")
+        return reply
+
+    def _request_linked(
+        self, method: str, path: str, body: bytes | None
+    ) -> Reply | Failure:
         bound_s = TOTAL_TIMEOUT_FACTOR * self.timeout_ms / MS_PER_S
         bound = GeventTimeout.start_new(bound_s)
         try:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -99,8 +99,8 @@
 
 def test_cut_off_platform_is_unreachable_until_the_cut_is_mended():
     with platform(timeout_ms=TIMEOUT_MS) as (state, client):
-        client.block([client.address])
+        client.link_filter.block([client.address])
         assert kind_of(insert(client)) is ErrorKind.PLATFORM_UNREACHABLE
         assert not state.table.rows
-        client.block([])
+        client.link_filter.unblock()
         assert isinstance(insert(client), Committed)
