--- /dev/null
+++ b/experiments/config_propagation.py
@@ -0,0 +1,233 @@
+"""Measures how long an accepted change takes to be in force everywhere.
+
+``python -m experiments.config_propagation run --hosts 9 --zones 3`` runs the
+configuration and peer parts of that many entry hosts in one process, over
+real sockets, against the platform stand-in. It prints one JSON object: times
+from acceptance until in force, for each host and for the last one, and reads
+of the platform. ``--hint`` tells each host to look, as the operators'
+client does. ``--outage`` takes the platform down right after each
+acceptance, once ``--after-ms`` have passed, and counts changes that no host
+had learned.
+"""
+
+from gevent import monkey
+
+if __name__ == "__main__":
+    monkey.patch_all()
+
+import json
+import sys
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from time import process_time
+
+import gevent
+from attrs import define, field
+from fire import Fire
+from hdrh.histogram import HdrHistogram
+
+from experiments.cluster import free_addresses
+from rattanloom.clock import MS_PER_S
+from rattanloom.configuration import Configuration
+from rattanloom.configuration_publish import Accepted, Publisher
+from rattanloom.environment import Environment
+from rattanloom.metrics import Metrics
+from rattanloom.operators.edits import folder_edit
+from rattanloom.peers.protocol import HostLoad
+from rattanloom.peers.service import PeerService
+from rattanloom.platform.client import PlatformClient
+from rattanloom.settings import EntrySettings, Seed
+from rattanloom.ticket import new_incarnation
+from rattanloom.timeline import TimeLine
+from rattanloom.timer import running_timers
+from standins.platform import serving
+from standins.platform_state import PlatformState
+
+LOOPBACK_ANY = "127.0.0.1:0"
+TICKET_KEY = "a key for measurements only"
+WARM_UP_S = 4
+WATCH_S = 0.01
+IN_FORCE_WITHIN_MS = 4_000
+GIVE_UP_MS = 8_000
+HISTOGRAM_MAX_MS = 60_000
+TEAMS, DRAINS = 130, 100
+BETWEEN_CHANGES_S = (0.0, 1.0)
+
+
+@define(eq=False)
+class Deployment:
+    """The configurations of all hosts, and the platform behind them."""
+
+    state: PlatformState
+    publisher: Publisher
+    environment: Environment
+    hosts: list[Configuration] = field(factory=list)
+
+    def publish(self, number: int) -> int:
+        """Publish one more change of realistic size; return its version."""
+        teams = {f"team{n}": {"quota_slots": n + number} for n in range(TEAMS)}
+        targets = {f"worker{n}": {"drain": True} for n in range(DRAINS)}
+        sections = {"teams": teams, "targets": targets}
+        edit = folder_edit(sections, number, self.publisher)
+        outcome = self.publisher.publish(edit, f"change {number}")
+        assert isinstance(outcome, Accepted), outcome
+        return outcome.record.version
+
+
+@define(eq=False)
+class Figures:
+    """Times in milliseconds from acceptance until in force."""
+
+    each: HdrHistogram = field(factory=lambda: HdrHistogram(1, HISTOGRAM_MAX_MS, 3))
+    last: HdrHistogram = field(factory=lambda: HdrHistogram(1, HISTOGRAM_MAX_MS, 3))
+    learned_by_nobody: int = 0
+    late: int = 0
+
+
+@contextmanager
+def running_deployment(hosts: int, zones: int) -> Iterator[Deployment]:
+    """Run the configuration and peer parts of ``hosts`` entry hosts."""
+    with ExitStack() as stack:
+        state = PlatformState()
+        server = stack.enter_context(serving(state, LOOPBACK_ANY))
+        address = f"127.0.0.1:{server.server_port}"
+        environment = Environment()
+        client = PlatformClient(address)
+        publisher = Publisher("bench", environment, client, client)
+        deployment = Deployment(state, publisher, environment)
+        seeds = tuple(
+            Seed(f"host{number}", f"zone{number % zones}", peer_address)
+            for number, peer_address in enumerate(free_addresses(hosts))
+        )
+        for seed in seeds:
+            deployment.hosts.append(_start_host(stack, seed, seeds, address))
+        yield deployment
+
+
+def _start_host(
+    stack: ExitStack, own: Seed, seeds: tuple[Seed, ...], platform_address: str
+) -> Configuration:
+    settings = EntrySettings(
+        own.host,
+        own.zone,
+        LOOPBACK_ANY,
+        own.address,
+        platform_address,
+        TICKET_KEY,
+        seeds,
+    )
+    environment = Environment()
+    timers = stack.enter_context(running_timers())
+    time_line = TimeLine(own.host, environment.clock)
+    client = PlatformClient(platform_address)
+    configuration = Configuration(
+        settings, environment, timers, time_line, client, client
+    )
+    peers = PeerService(
+        settings,
+        environment,
+        timers,
+        time_line,
+        new_incarnation(),
+        HostLoad,
+        configuration.held_version,
+        configuration.document,
+        Metrics(),
+    )
+    stack.enter_context(peers.serve(None))
+    configuration.start(peers)
+    return configuration
+
+
+def _watch(deployment: Deployment, version: int, figures: Figures) -> None:
+    """Wait until a version is in force everywhere, noting when at each host."""
+    clock = deployment.environment.clock
+    accepted_at_ms = clock.now_ms()
+    waiting = list(deployment.hosts)
+    elapsed_ms = 0.0
+    while waiting and elapsed_ms < GIVE_UP_MS:
+        gevent.sleep(WATCH_S)
+        elapsed_ms = clock.now_ms() - accepted_at_ms
+        for host in [host for host in waiting if host.version() >= version]:
+            figures.each.record_value(max(1, round(elapsed_ms)))
+            waiting.remove(host)
+    figures.late += elapsed_ms > IN_FORCE_WITHIN_MS
+    if len(waiting) == len(deployment.hosts):
+        figures.learned_by_nobody += 1
+    else:
+        figures.last.record_value(max(1, round(elapsed_ms)))
+
+
+def _change(
+    deployment: Deployment,
+    number: int,
+    outage: bool,
+    after_ms: float,
+    hint: bool,
+    out: Figures,
+) -> None:
+    random = deployment.environment.random
+    gevent.sleep(random.uniform(*BETWEEN_CHANGES_S))
+    version = deployment.publish(number)
+    for host in deployment.hosts if hint else ():
+        host.look_now()
+    if outage:
+        gevent.sleep(after_ms / MS_PER_S)
+        deployment.state.switch({"down": True})
+    _watch(deployment, version, out)
+    deployment.state.switch({"down": False})
+
+
+def _idle_reads_s(deployment: Deployment, seconds: float) -> float:
+    before = deployment.state.counts.reads
+    gevent.sleep(seconds)
+    return (deployment.state.counts.reads - before) / seconds
+
+
+def run(
+    hosts: int = 9,
+    zones: int = 3,
+    changes: int = 15,
+    outage: bool = False,
+    after_ms: float = 0,
+    hint: bool = False,
+    idle_s: float = 5,
+) -> None:
+    """Publish ``changes`` changes and print the figures as JSON."""
+    with running_deployment(hosts, zones) as deployment:
+        deployment.publish(0)
+        gevent.sleep(WARM_UP_S)
+        idle_reads_s = _idle_reads_s(deployment, idle_s)
+        figures = Figures()
+        before, cpu_before_s = deployment.state.counts.reads, process_time()
+        started_ms = deployment.environment.clock.now_ms()
+        for number in range(1, changes + 1):
+            _change(deployment, number, outage, after_ms, hint, figures)
+        busy_s = (deployment.environment.clock.now_ms() - started_ms) / MS_PER_S
+        reads = deployment.state.counts.reads - before
+        document = deployment.hosts[0].document(0)
+        print(
+            json.dumps(
+                {
+                    "hosts": hosts,
+                    "zones": zones,
+                    "changes": changes,
+                    "hint": hint,
+                    "outage_after_ms": after_ms if outage else None,
+                    "document_bytes": len(document),
+                    "host_p50_ms": figures.each.get_value_at_percentile(50),
+                    "host_p99_ms": figures.each.get_value_at_percentile(99),
+                    "last_p50_ms": figures.last.get_value_at_percentile(50),
+                    "last_p99_ms": figures.last.get_value_at_percentile(99),
+                    "late_changes": figures.late,
+                    "learned_by_nobody": figures.learned_by_nobody,
+                    "idle_reads_per_s_per_host": round(idle_reads_s / hosts, 3),
+                    "reads_per_s_per_host": round(reads / busy_s / hosts, 3),
+                    "core_share": round((process_time() - cpu_before_s) / busy_s, 2),
+                }
+            )
+        )
+
+
+if __name__ == "__main__":
+    sys.exit(Fire({"run": run}))
--- a/rattanloom/configuration.py
+++ b/rattanloom/configuration.py
@@ -34,10 +34,10 @@
 log = get_log("config")
 
 NO_VERSION = 0
+NEVER_MS = float("-inf")
 HOLD_CHECK_MS = 50
 HOLD_WAIT_MS = 1_500
 SETTLE_HEARTBEATS = 6
-POLL_JITTER = 0.1
 REACHABLE = frozenset({MemberState.LIVE, MemberState.LEAVING})
 
 
@@ -91,6 +91,7 @@
     _in_force: Document | None = field(init=False, default=None)
     _newest: Document | None = field(init=False, default=None)
     _waiting: list[Held] = field(init=False, factory=list)
+    _hinted_at_ms: float = field(init=False, default=NEVER_MS)
     _hold_check: Subscription | None = field(init=False, default=None)
     _fetching_from_peers: bool = field(init=False, default=False)
     _platform_version: int = field(init=False, default=NO_VERSION)
@@ -103,9 +104,7 @@
         """Begin to learn versions from the platform and from ``peers``."""
         self._peers = peers
         peers.on_config_version(self._on_peer_version)
-        gevent.spawn(self.poll)
-        interval_ms = self.settings.config_poll_ms
-        self.timers.subscribe("config poll", interval_ms, self._poll_with_jitter)
+        gevent.spawn(self._start_polling)
 
     def rules(self) -> Rules | None:
         """Return the rules in force, or None while there are none."""
@@ -144,10 +143,26 @@
             self._fetch_object(head)
         self._learn_from_peers()
 
-    def _poll_with_jitter(self) -> None:
-        jitter = self.environment.random.random() * POLL_JITTER
-        gevent.sleep(jitter * self.settings.config_poll_ms / MS_PER_S)
+    def look_now(self) -> None:
+        """Poll at once, on a hint from outside that there is a newer version.
+
+        At most one hint in each poll interval counts, so that hints at most
+        double the reads of the platform.
+        """
+        now_ms = self.environment.clock.now_ms()
+        if now_ms - self._hinted_at_ms >= self.settings.config_poll_ms:
+            self._hinted_at_ms = now_ms
+            gevent.spawn(self.poll)
+
+    def _start_polling(self) -> None:
+        """Poll now, then at intervals whose phase differs between hosts.
+
+        Hosts that start together would otherwise all look at the same time.
+        """
         self.poll()
+        interval_ms = self.settings.config_poll_ms
+        gevent.sleep(self.environment.random.random() * interval_ms / MS_PER_S)
+        self.timers.subscribe("config poll", interval_ms, self.poll)
 
     def _read_head(self) -> Head | None:
         rows = self.table.read([HEAD_KEY])
--- a/rattanloom/operators/commands.py
+++ b/rattanloom/operators/commands.py
@@ -4,7 +4,7 @@
 from functools import wraps
 from json import dumps
 
-from attrs import define
+from attrs import define, frozen
 
 from rattanloom.configuration_folder import load_folder
 from rattanloom.configuration_publish import (
@@ -22,6 +22,7 @@
     undrain_edit,
 )
 from rattanloom.operators.folder_base import read_base, write_base
+from rattanloom.operators.follow import await_in_force, hint_hosts
 from rattanloom.operators.host_table import status_lines
 from rattanloom.operators.hosts import HostPage, fetch_pages
 from rattanloom.operators.settings import OperatorSettings
@@ -39,6 +40,14 @@
 }
 
 
+@frozen
+class Desk:
+    """One operator's settings, and the publisher made from them."""
+
+    settings: OperatorSettings
+    publisher: Publisher
+
+
 class CommandError(Exception):
     """Ends a command with one failure."""
 
@@ -105,7 +114,7 @@
         """
         folder = str(folder)
         sections, _ = load_folder(folder)
-        head = _require(open_publisher(settings, self.environment).read_head())
+        head = _require(open_desk(settings, self.environment).publisher.read_head())
         lines = difference_lines(head.parts.folder, sections)
         self.say(f"the folder against version {head.version}:")
         for line in lines or ["no difference"]:
@@ -124,8 +133,9 @@
         folder: str,
         message: str,
         base: int | None = None,
+        wait_ms: float = 0,
         settings: str = SETTINGS,
-    ) -> None:
+    ) -> ExitStatus:
         """Publish a folder as the next version.
 
         Args:
@@ -133,39 +143,47 @@
             message: what changes and why, for the other operators.
             base: the version whose changes the folder contains; by default
                 the one recorded in the folder by the last publish.
+            wait_ms: how long to wait for the change to be in force everywhere.
             settings: the operator's settings file.
         """
         folder = str(folder)
         sections, _ = load_folder(folder)
         base_version = read_base(folder) if base is None else int(base)
-        publisher = open_publisher(settings, self.environment)
-        edit = folder_edit(sections, base_version, publisher)
-        version = self._publish(publisher, edit, str(message))
+        desk = open_desk(settings, self.environment)
+        edit = folder_edit(sections, base_version, desk.publisher)
+        version = self._publish(desk, edit, str(message))
         self._record_base(folder, version)
+        return self._follow(desk, version, wait_ms)
 
     @reporting
-    def drain(self, target: str, settings: str = SETTINGS) -> None:
+    def drain(
+        self, target: str, wait_ms: float = 0, settings: str = SETTINGS
+    ) -> ExitStatus:
         """Give one target no new work, on top of whatever is published.
 
         Args:
             target: the target's name.
+            wait_ms: how long to wait for the change to be in force everywhere.
             settings: the operator's settings file.
         """
-        publisher = open_publisher(settings, self.environment)
-        edit = drain_edit(str(target))
-        self._publish(publisher, edit, f"drain {target}")
+        desk = open_desk(settings, self.environment)
+        version = self._publish(desk, drain_edit(str(target)), f"drain {target}")
+        return self._follow(desk, version, wait_ms)
 
     @reporting
-    def undrain(self, target: str, settings: str = SETTINGS) -> None:
+    def undrain(
+        self, target: str, wait_ms: float = 0, settings: str = SETTINGS
+    ) -> ExitStatus:
         """Give a drained target work again.
 
         Args:
             target: the target's name.
+            wait_ms: how long to wait for the change to be in force everywhere.
             settings: the operator's settings file.
         """
-        publisher = open_publisher(settings, self.environment)
-        edit = undrain_edit(str(target))
-        self._publish(publisher, edit, f"undrain {target}")
+        desk = open_desk(settings, self.environment)
+        version = self._publish(desk, undrain_edit(str(target)), f"undrain {target}")
+        return self._follow(desk, version, wait_ms)
 
     @reporting
     def versions(self, count: int = VERSIONS_SHOWN, settings: str = SETTINGS) -> None:
@@ -175,7 +193,7 @@
             count: how many versions.
             settings: the operator's settings file.
         """
-        publisher = open_publisher(settings, self.environment)
+        publisher = open_desk(settings, self.environment).publisher
         head = _require(publisher.read_head())
         for record in _require(publisher.read_versions(head.version, int(count))):
             line = describe_record(record)
@@ -232,14 +250,30 @@
         print(line, file=self.environment.stderr)
         self.exit_status = status
 
-    def _publish(self, publisher: Publisher, edit: Edit, message: str) -> int:
-        outcome = _require(publisher.publish(edit, message))
+    def _publish(self, desk: Desk, edit: Edit, message: str) -> int:
+        outcome = _require(desk.publisher.publish(edit, message))
         if isinstance(outcome, Unchanged):
             self.say(f"nothing to change: version {outcome.version} already says so")
             return outcome.version
         self.say(f"accepted: version {outcome.record.version}")
+        hint_hosts(desk.settings.entry_addresses)
         return outcome.record.version
 
+    def _follow(self, desk: Desk, version: int, wait_ms: float) -> ExitStatus:
+        """Say where the version is in force, if asked to wait for that."""
+        if not wait_ms:
+            return ExitStatus.OK
+        addresses = desk.settings.entry_addresses
+        clock, timeout_ms = self.environment.clock, desk.settings.timeout_ms
+        outcome = await_in_force(addresses, version, wait_ms, clock, timeout_ms)
+        self.say(
+            f"in force on {len(outcome.hosts)} of {len(addresses)} entry hosts "
+            f"after {outcome.took_ms:.0f} ms"
+        )
+        for host in outcome.missing:
+            self.say(f"not yet in force on {host}; see the command status")
+        return ExitStatus.ERROR if outcome.missing else ExitStatus.OK
+
     def _record_base(self, folder: str, version: int) -> None:
         try:
             write_base(folder, version)
@@ -265,13 +299,13 @@
         return ExitStatus.UNREACHABLE if everyone else ExitStatus.OK
 
 
-def open_publisher(settings_path: str, environment: Environment) -> Publisher:
-    """Return a publisher for the operator that the settings file names."""
+def open_desk(settings_path: str, environment: Environment) -> Desk:
+    """Return the desk of the operator that the settings file names."""
     settings = load_settings(settings_path, OperatorSettings)
     client = PlatformClient(settings.platform_address, settings.timeout_ms)
-    return Publisher(
-        settings.operator, environment, client, client, settings.publish_within_ms
-    )
+    give_up_ms = settings.publish_within_ms
+    publisher = Publisher(settings.operator, environment, client, client, give_up_ms)
+    return Desk(settings, publisher)
 
 
 def _require(result: object) -> object:
--- a/rattanloom/operators/pages.py
+++ b/rattanloom/operators/pages.py
@@ -60,6 +60,7 @@
         app.get("/metrics", callback=self.get_metrics)
         app.get("/v1/status", callback=self.get_status)
         app.get("/v1/timeline", callback=self.get_timeline)
+        app.post("/v1/config/look", callback=self.post_config_look)
         if self.settings.test_aids:
             app.post("/v1/test/blocked", callback=self.post_blocked)
 
@@ -127,6 +128,12 @@
             }
         )
 
+    def post_config_look(self) -> HTTPResponse:
+        """Take a hint that the platform has a newer configuration."""
+        self.configuration.look_now()
+        version = self.configuration.version()
+        return json_response({"config_version": version}, HTTPStatus.ACCEPTED)
+
     def post_blocked(self) -> HTTPResponse:
         """Replace the set of peer addresses this host is cut off from."""
         raw = request.environ["wsgi.input"].read(self.settings.body_max_bytes)
--- a/tests/test_config_host.py
+++ b/tests/test_config_host.py
@@ -242,3 +242,14 @@
     host.poll()
     assert host.versions() == (5, 5)
     assert "version 6 from peer" in host.configuration.status().problem
+
+
+def test_hints_cause_at_most_one_poll_in_each_interval():
+    host = Host(settings=evolve(SETTINGS, seeds=()))
+    reads = []
+    host.platform.read = lambda keys: reads.append(keys) or ()
+    for _ in range(50):
+        host.configuration.look_now()
+        gevent.sleep(0)
+        host.pass_ms(SETTINGS.config_poll_ms / 10)
+    assert len(reads) == 5
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -78,6 +78,7 @@
             ],
         }
     )
+    app.post("/v1/config/look")(lambda: status["hints"].append(process) or {})
     app.get("/v1/status")(lambda: {"wall_ms": NOW_MS + ahead_ms, **status})
     server = WSGIServer("127.0.0.1:0", app, log=None)
     server.start()
@@ -219,3 +220,23 @@
     assert "problem: object is corrupt" in text
     assert "unreachable" in text
     assert desk.run("status")[0] is ExitStatus.UNREACHABLE
+
+
+def test_publish_hints_the_hosts_and_tells_where_the_change_is_in_force(tmp_path):
+    hints = []
+    with (
+        platform() as (_, address),
+        entry_host("a", 0, config_version=1, hints=hints) as fresh,
+        entry_host("b", 0, config_version=0, hints=hints) as stale,
+    ):
+        desk = Desk(tmp_path, "ama", address, {"a": fresh})
+        status, text = desk.publish(wait_ms=1)
+        assert (status, hints) == (ExitStatus.OK, ["a"])
+        assert "in force on 1 of 1" in text
+        hosts = {"a": fresh, "b": stale, "gone": "127.0.0.1:1"}
+        desk = Desk(tmp_path, "esi", address, hosts)
+        desk.write("10.json", RULES)
+        status, text = desk.publish(base=1, wait_ms=-1)
+        assert status is ExitStatus.ERROR
+        assert "in force on 0 of 3" in text
+        assert sorted(hints) == ["a", "a", "b"]
