--- a/rattanloom/configuration.py
+++ b/rattanloom/configuration.py
@@ -7,8 +7,6 @@
 that it had in force. Neither step ever goes to an older version.
 """
 
-from enum import Enum
-
 import gevent
 from attrs import define, field, frozen
 
@@ -21,6 +19,7 @@
     parse_document,
     parse_head,
 )
+from rattanloom.configuration_ground import NO_VERSION, Ground, Surroundings
 from rattanloom.environment import Environment
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.logs import get_log
@@ -33,7 +32,6 @@
 
 log = get_log("config")
 
-NO_VERSION = 0
 NEVER_MS = float("-inf")
 HOLD_CHECK_MS = 50
 HOLD_WAIT_MS = 1_500
@@ -41,16 +39,6 @@
 REACHABLE = frozenset({MemberState.LIVE, MemberState.LEAVING})
 
 
-class Ground(Enum):
-    """Why a version was put in force."""
-
-    HELD_BY_PEERS = "held by every live host of the zone and by another zone's"
-    HELD_BY_ZONE = "held by every live host of the zone, no other zone is reachable"
-    HELD_BY_OTHERS = "held by a live host of another zone, none of this zone is live"
-    WAIT_PASSED = "the wait for the live peers to hold it passed"
-    ALONE = "no other entry host is known"
-
-
 @frozen
 class ConfigStatus:
     """What the configuration says of itself, for status pages.
@@ -258,45 +246,27 @@
 
     def _ground_for(self, held: Held) -> Ground | None:
         """Return why ``held`` may be put in force now, or None."""
-        if self._in_force is None and not self._is_surely_newest(held):
+        around = self._surroundings()
+        if self._in_force is None and not self._is_surely_newest(held, around):
             return None
-        peers = self._live_peers()
-        if not peers and not self._other_seeds():
-            return Ground.ALONE
-        ground = self._ground_in_peers(peers, held.document.version)
+        ground = around.ground_for(held.document.version)
         waited_ms = self.environment.clock.now_ms() - held.since_ms
         if ground is None and waited_ms >= self.hold_wait_ms:
             return Ground.WAIT_PASSED
         return ground
 
-    def _ground_in_peers(self, peers: list[Member], version: int) -> Ground | None:
-        """Return the ground that the versions held by live peers give, if any.
-
-        A host that restarts without the platform then finds the version at a
-        peer, also if every host of its zone is replaced at once.
-        """
-        own_zone = self.settings.zone
-        mates = [peer for peer in peers if peer.zone == own_zone]
-        others = [peer for peer in peers if peer.zone != own_zone]
-        if not all(peer.config_version >= version for peer in mates):
-            return None
-        if any(peer.config_version >= version for peer in others):
-            return Ground.HELD_BY_PEERS if mates else Ground.HELD_BY_OTHERS
-        return Ground.HELD_BY_ZONE if mates and not others else None
-
-    def _is_surely_newest(self, held: Held) -> bool:
+    def _is_surely_newest(self, held: Held, around: Surroundings) -> bool:
         """Say whether no reachable place can hold a newer version, after a start.
 
         That is so once the platform has answered, or every seed has told a
         version, or the peers had the time of a few heartbeats to tell theirs;
         a newer version that was told is waited for somewhat longer.
         """
-        if self._platform_answered and held.document.version >= self._platform_version:
+        version = held.document.version
+        if self._platform_answered and version >= self._platform_version:
             return True
-        told = {peer.host: peer.config_version for peer in self._live_peers()}
-        told_by = {host for host, version in told.items() if version != NO_VERSION}
-        newer_told = max(told.values(), default=0) > held.document.version
-        if not newer_told and told_by.issuperset(self._other_seeds()):
+        newer_told = around.newest_told() > version
+        if around.every_seed_told() and not newer_told:
             return True
         waited_ms = self.environment.clock.now_ms() - self._first_held_at_ms()
         settle_ms = SETTLE_HEARTBEATS * self.settings.heartbeat_ms
@@ -322,16 +292,15 @@
     def _reachable_peers(self) -> list[Member]:
         return [peer for peer in self._members() if peer.state in REACHABLE]
 
-    def _live_peers(self) -> list[Member]:
-        return [peer for peer in self._members() if peer.state is MemberState.LIVE]
+    def _surroundings(self) -> Surroundings:
+        live = [peer for peer in self._members() if peer.state is MemberState.LIVE]
+        names = {seed.host for seed in self.settings.seeds}
+        others = frozenset(names - {self.settings.host})
+        return Surroundings(self.settings.zone, tuple(live), others)
 
     def _members(self) -> tuple[Member, ...]:
         return () if self._peers is None else self._peers.members()
 
-    def _other_seeds(self) -> set[str]:
-        own = self.settings.host
-        return {seed.host for seed in self.settings.seeds if seed.host != own}
-
     def _note_problem(self, problem: str) -> None:
         if problem != self._problem:
             log.warning("{}", problem)
