Take in heartbeats twice a beat and send those between zones in turn

Cause: at 40 hosts most of the processor time was the cost of waking up, once for each datagram received and each timer of a peer. Change: the socket is drained twice a beat, and peers of other zones are woken by the beat, in turn, within a budget of five sends a beat. Ruled out: sending the same datagram to several hosts of other zones, which would leave each with gaps in the load. A heartbeat may now be taken in half a beat later.

--- a/rattanloom/peers/destinations.py
+++ b/rattanloom/peers/destinations.py
@@ -5,8 +5,8 @@
 from rattanloom.peers.membership import KnownMember, Membership
 from rattanloom.settings import Seed
 
+SENDS_PER_BEAT = 5
 NEAR_SENDS_PER_BEAT = 3
-FAR_SENDS_PER_BEAT = 3
 FAR_INTERVAL_MIN_BEATS = 2
 
 
@@ -19,6 +19,9 @@
     zones: dict[str, str] = field(factory=dict)
     near_beats: int = 1
     far_beats: float = FAR_INTERVAL_MIN_BEATS
+    _far: list[str] = field(factory=list)
+    _far_turn: int = 0
+    _far_share: float = 0
     _members: dict[str, KnownMember] = field(factory=dict)
 
     def refresh(self) -> None:
@@ -37,7 +40,18 @@
         near_count = sum(zone == own.zone for zone in zones.values())
         far_count = len(zones) - near_count
         self.near_beats = max(1, -(-near_count // NEAR_SENDS_PER_BEAT))
-        self.far_beats = max(far_count / FAR_SENDS_PER_BEAT, FAR_INTERVAL_MIN_BEATS)
+        far_per_beat = SENDS_PER_BEAT - near_count / self.near_beats
+        self.far_beats = max(far_count / far_per_beat, FAR_INTERVAL_MIN_BEATS)
+        self._far = [address for address in zones if not self.is_near(address)]
+
+    def next_far(self) -> list[str]:
+        """Return the addresses in other zones whose turn it is in this beat."""
+        self._far_share += len(self._far) / self.far_beats
+        due = int(self._far_share)
+        self._far_share -= due
+        turns = range(self._far_turn, self._far_turn + due)
+        self._far_turn += due
+        return [self._far[turn % len(self._far)] for turn in turns]
 
     def is_near(self, address: str) -> bool:
         """Say whether the address belongs to a host of this zone."""
--- a/rattanloom/peers/heartbeats.py
+++ b/rattanloom/peers/heartbeats.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from itertools import count
 
 import gevent
 from attrs import define, evolve, field
@@ -33,10 +32,11 @@
 log = get_log("peers")
 
 DATAGRAM_MAX_BYTES = 4_096
-RECEIVES_PER_TURN = 32
+RECEIVES_PER_TURN = 64
+RECEIVES_PER_BEAT = 2
 INTRODUCTIONS_PER_PEER = 3
-JITTER = 0.1
 PAUSE_BEATS = 4
+FORGOTTEN_AFTER_BEATS = 240
 NAMES_PER_DATAGRAM = 24
 
 
@@ -62,6 +62,7 @@
     _tidings: Tidings = field(init=False)
     _socket: socket | None = None
     _tick: Event = field(factory=Event)
+    _far_turns: dict[str, Event] = field(factory=dict)
     _last_tick_ms: float = 0
     _near_heartbeat: Heartbeat | None = None
     _near_datagram: bytes = b""
@@ -76,6 +77,7 @@
         """Own the socket and the greenlets while the host serves."""
         interval_ms = self.membership.heartbeat_ms
         with socket(AF_INET, SOCK_DGRAM) as udp_socket:
+            udp_socket.setblocking(False)
             udp_socket.bind(parse_address(self.membership.own.address))
             self._socket = udp_socket
             self._last_tick_ms = self._now_ms()
@@ -102,6 +104,9 @@
         self._send_asks()
         if self.beat % self.destinations.near_beats == 0:
             self._on_near_beat(now_ms)
+        for address in self.destinations.next_far():
+            if address in self._far_turns:
+                self._far_turns[address].set()
 
     def _on_near_beat(self, now_ms: float) -> None:
         self.membership.evaluate(now_ms)
@@ -148,13 +153,16 @@
             else:
                 self._send_far(address, turn, introductions > 0)
                 turn += 1
-                self._sleep_about(self.destinations.interval_ms(address))
+                self._await_turn(address)
             introductions -= 1
         self._peers.pop(address, None)
 
-    def _sleep_about(self, interval_ms: float) -> None:
-        jitter = self.environment.random.uniform(1 - JITTER, 1 + JITTER)
-        gevent.sleep(interval_ms * jitter / MS_PER_S)
+    def _await_turn(self, address: str) -> None:
+        turn = self._far_turns[address] = Event()
+        try:
+            turn.wait(FORGOTTEN_AFTER_BEATS * self.membership.heartbeat_ms / MS_PER_S)
+        finally:
+            del self._far_turns[address]
 
     def _send_near(self, address: str, introduce: bool) -> None:
         """Send what all hosts of this zone are told; it is encoded once."""
@@ -210,24 +218,35 @@
         self.datagrams += 1
 
     def _receive_all(self) -> None:
-        for number in count():
-            if number % RECEIVES_PER_TURN == 0:
-                gevent.sleep(0)
+        """Take in what has arrived a few times a beat: each wake-up costs."""
+        interval_s = self.membership.heartbeat_ms / RECEIVES_PER_BEAT / MS_PER_S
+        while True:
+            waiting = self._receive_some()
+            gevent.sleep(0 if waiting else interval_s)
+
+    def _receive_some(self) -> bool:
+        """Take in a bounded number of datagrams; say whether more may wait."""
+        for _ in range(RECEIVES_PER_TURN):
             try:
                 datagram, source = self._socket.recvfrom(DATAGRAM_MAX_BYTES)
+            except BlockingIOError:
+                return False
             except OSError as error:
                 self.metrics.count("peer_receives_failed", type(error).__name__)
                 continue
             self.bytes_received += len(datagram)
             self.datagrams += 1
             address = format_address(source)
-            if not self.link_filter.may_hear(address):
-                continue
-            try:
-                self._receive(datagram, address)
-            except Exception as error:
-                self.metrics.count("peer_receives_failed", type(error).__name__)
-                log.error("A heartbeat could not be taken in: {!r}.", error)
+            if self.link_filter.may_hear(address):
+                self._receive_safely(datagram, address)
+        return True
+
+    def _receive_safely(self, datagram: bytes, address: str) -> None:
+        try:
+            self._receive(datagram, address)
+        except Exception as error:
+            self.metrics.count("peer_receives_failed", type(error).__name__)
+            log.error("A heartbeat could not be taken in: {!r}.", error)
 
     def _receive(self, datagram: bytes, address: str) -> None:
         try:
