--- a/rattanloom/run_times.py
+++ b/rattanloom/run_times.py
@@ -1,4 +1,4 @@
-"""Learned run times: how long tasks of one kind occupy their slots.
+"""Learned run times: how long tasks of one kind run.
 
 Declared run times may be far off. For each kind two predictors compete, the
 mean of what was measured and the declared time scaled by a learned ratio; the
@@ -12,7 +12,7 @@
 from rattanloom.job import Task
 
 KINDS_MAX = 256
-GAIN = 0.1
+GAIN_LEAST = 0.02
 OUTLIER_FACTOR = 4.0
 SHORTEST_MS = 1.0
 
@@ -25,25 +25,26 @@
     ratio: float
     mean_error_ms: float = 0.0
     ratio_error_ms: float = 0.0
+    samples: int = 1
 
     def estimate_ms(self, declared_ms: float) -> float:
-        """Return the expected occupancy of a task declared that long."""
+        """Return the expected run time of a task declared that long."""
         if self.ratio_error_ms < self.mean_error_ms:
             return max(SHORTEST_MS, declared_ms * self.ratio)
         return max(SHORTEST_MS, self.mean_ms)
 
     def learn(self, declared_ms: float, measured_ms: float) -> None:
         """Move both predictors towards one measurement, outliers clipped."""
+        self.samples += 1
+        gain = max(GAIN_LEAST, 1 / self.samples)
         by_ratio_ms = declared_ms * self.ratio
-        self.mean_error_ms += GAIN * (
-            abs(measured_ms - self.mean_ms) - self.mean_error_ms
-        )
-        self.ratio_error_ms += GAIN * (
-            abs(measured_ms - by_ratio_ms) - self.ratio_error_ms
-        )
-        self.mean_ms += GAIN * (_clip(measured_ms, self.mean_ms) - self.mean_ms)
+        mean_miss_ms = abs(measured_ms - self.mean_ms)
+        ratio_miss_ms = abs(measured_ms - by_ratio_ms)
+        self.mean_error_ms += gain * (mean_miss_ms - self.mean_error_ms)
+        self.ratio_error_ms += gain * (ratio_miss_ms - self.ratio_error_ms)
+        self.mean_ms += gain * (_clip(measured_ms, self.mean_ms) - self.mean_ms)
         clipped_ms = _clip(measured_ms, by_ratio_ms)
-        self.ratio += GAIN * (clipped_ms / declared_ms - self.ratio)
+        self.ratio += gain * (clipped_ms / declared_ms - self.ratio)
 
 
 def _clip(value: float, around: float) -> float:
@@ -57,13 +58,13 @@
     _kinds: OrderedDict[str, KindRunTime] = field(factory=OrderedDict)
 
     def estimate_ms(self, task: Task) -> float:
-        """Return how long the task is expected to occupy its slots."""
+        """Return how long the task is expected to run."""
         known = self._kinds.get(task.kind)
         declared_ms = max(SHORTEST_MS, float(task.run_ms))
         return known.estimate_ms(declared_ms) if known else declared_ms
 
     def learn(self, task: Task, measured_ms: float) -> None:
-        """Take in how long a task that ran to its end occupied its slots."""
+        """Take in how long a task ran that ran to its end."""
         declared_ms = max(SHORTEST_MS, float(task.run_ms))
         measured_ms = max(SHORTEST_MS, measured_ms)
         known = self._kinds.get(task.kind)
