--- a/rattanloom/peers/heartbeats.py
+++ b/rattanloom/peers/heartbeats.py
@@ -37,7 +37,6 @@
 INTRODUCTIONS_PER_PEER = 3
 PAUSE_BEATS = 1
 FORGOTTEN_AFTER_BEATS = 240
-NAMES_PER_DATAGRAM = 24
 
 
 @define(eq=False)
@@ -307,6 +306,5 @@
     def _tell_names(self, address: str) -> None:
         if not self._asks.may_answer_names(address, self.beat):
             return
-        for start in range(0, self.teller.name_count, NAMES_PER_DATAGRAM):
-            part = self.teller.names(start, NAMES_PER_DATAGRAM)
+        for part in self.teller.name_parts():
             self._send(address, evolve(self._plain(address), load=part))
--- a/rattanloom/peers/load_exchange.py
+++ b/rattanloom/peers/load_exchange.py
@@ -4,7 +4,7 @@
 stays within its budget of values whatever the number of teams and targets.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from attrs import define, field
 
@@ -12,6 +12,8 @@
 from rattanloom.peers.protocol import HostLoad, TargetLoad, TeamLoad
 
 NAMES_MAX = 4_096
+NAMES_PART_BYTES = 1_000
+NAME_OVERHEAD_BYTES = 16
 Name = tuple[bool, str]
 Value = tuple[int, int]
 
@@ -64,10 +66,17 @@
         numbers = [(start + step) % count for step in range(min(budget, count))]
         return self._part(numbers)
 
-    def names(self, start: int, budget: int) -> LoadPart:
-        """Return up to ``budget`` names and values, from number ``start`` on."""
-        numbers = range(start, min(start + budget, len(self._names)))
-        return self._part(numbers, with_names=True)
+    def name_parts(self) -> Iterator[LoadPart]:
+        """Yield all names with their values, each part within a datagram."""
+        numbers: list[int] = []
+        size_bytes = 0
+        for number, (_, name) in enumerate(self._names):
+            size_bytes += len(name) + NAME_OVERHEAD_BYTES
+            if size_bytes > NAMES_PART_BYTES:
+                yield self._part(numbers, with_names=True)
+                numbers, size_bytes = [], len(name) + NAME_OVERHEAD_BYTES
+            numbers.append(number)
+        yield self._part(numbers, with_names=True)
 
     @property
     def name_count(self) -> int:
--- a/tests/test_peer_merging.py
+++ b/tests/test_peer_merging.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from rattanloom.peers.heartbeat_codec import encode_heartbeat
 from rattanloom.peers.load_exchange import LoadTeller, LoadView
 from rattanloom.peers.membership import Membership
 from rattanloom.peers.messages import Heartbeat, MemberRecord, ToldBeat
@@ -14,6 +15,7 @@
 
 OWN = MemberRecord("own", "Adum", "127.0.0.1:1", "own-1", 100)
 HEARTBEAT_MS = 100
+ETHERNET_PAYLOAD_BYTES = 1_472
 STEPS = settings(deadline=None, derandomize=True, max_examples=200)
 
 
@@ -201,7 +203,8 @@
         if repeated:
             view.merge(*parts[beat // 2])
     beat = len(steps)
-    view.merge(beat, teller.names(0, teller.name_count))
+    for part in teller.name_parts():
+        view.merge(beat, part)
     for step in range(12):
         teller.refresh()
         view.merge(beat + step, teller.changes(10))
@@ -219,6 +222,20 @@
     for beat, load in enumerate(loads):
         teller.load = lambda load=load: load
         teller.refresh()
-        view.merge(beat, teller.names(0, teller.name_count))
+        for part in teller.name_parts():
+            view.merge(beat, part)
         assert teller.name_count <= 8
         assert view.to_load() == load
+
+
+def test_names_of_any_length_fit_a_datagram():
+    longest = "x" * 59
+    teams = tuple(TeamLoad(f"{longest}{i:04}", 9, 9) for i in range(300))
+    teller = LoadTeller(lambda: HostLoad(teams=teams))
+    teller.refresh()
+    view = LoadView()
+    for beat, part in enumerate(teller.name_parts()):
+        heartbeat = Heartbeat(2**48 - 1, beat, HEARTBEAT_MS, load=part)
+        assert len(encode_heartbeat(b"key", heartbeat)) <= ETHERNET_PAYLOAD_BYTES
+        view.merge(beat, part)
+    assert set(view.to_load().teams) == set(teams)
