--- a/rattanloom/dispatch.py
+++ b/rattanloom/dispatch.py
@@ -28,6 +28,7 @@
     AttemptState,
     Target,
 )
+from rattanloom.targets.state import TargetState
 from rattanloom.timeline import EventKind, TimeLine
 
 log = get_log("dispatch")
@@ -102,8 +103,11 @@
 
     def _refused(self, run: JobRun) -> bool:
         """Settle at once a job that no worker could ever run."""
+        shapes = {}
         for index, task in enumerate(run.job.tasks):
-            failure = self.directory.never_runnable(task)
+            shapes.setdefault((task.kind, task.size_slots, task.accelerator), index)
+        for index in shapes.values():
+            failure = self.directory.never_runnable(run.job.tasks[index])
             if failure is not None:
                 run.fail(failure, index)
                 return True
@@ -121,17 +125,23 @@
             self._pumping = False
 
     def _start_next(self) -> bool:
-        queued = self.admission.take(self._can_place)
+        places: dict[int, TargetState] = {}
+
+        def can_place(queued: QueuedTask) -> bool:
+            target = self.directory.find(queued.task)
+            if target is not None:
+                places[id(queued)] = target
+            return target is not None
+
+        queued = self.admission.take(can_place)
         if queued is None:
             return False
-        target = self.directory.pick(queued.task)
+        target = places[id(queued)]
+        self.directory.reserve(target, queued.task)
         run = self._runs.get(queued.job.job_id)
         gevent.spawn(self._attempt, run, queued, target)
         return True
 
-    def _can_place(self, queued: QueuedTask) -> bool:
-        return self.directory.find(queued.task) is not None
-
     def _queued(self, run: JobRun) -> list[QueuedTask]:
         now_ms = self._now_ms()
         return [
--- a/rattanloom/targets/client.py
+++ b/rattanloom/targets/client.py
@@ -8,7 +8,7 @@
 from attrs import asdict, define, field
 from cattrs import Converter
 from cattrs.errors import BaseValidationError
-from urllib3 import Timeout
+from urllib3 import Retry, Timeout
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -26,6 +26,7 @@
 HTTP_OK = 200
 HEADERS = {"Content-Type": "application/json"}
 FRESH_HEADERS = {"Connection": "close"}
+NO_RETRIES = Retry(total=False, redirect=0)
 CONVERTER = Converter()
 
 ReplyOrFailure = AttemptReply | Failure
@@ -51,12 +52,17 @@
     def start(self, attempt: Attempt, patience_ms: float) -> ReplyOrFailure:
         """Start the attempt and return once it ended or was refused."""
         path = f"/v1/attempts/{attempt.attempt_id}"
-        body = json.dumps(asdict(attempt))
+        body = json.dumps(asdict(attempt, recurse=False))
         timeout = _timeout(patience_ms)
         reply = self._exchange(
             attempt.attempt_id,
             lambda: self._pool.urlopen(
-                "POST", path, body=body, headers=HEADERS, timeout=timeout, retries=False
+                "POST",
+                path,
+                body=body,
+                headers=HEADERS,
+                timeout=timeout,
+                retries=NO_RETRIES,
             ),
         )
         if isinstance(reply, Failure):
@@ -101,7 +107,7 @@
                     path,
                     headers=FRESH_HEADERS,
                     timeout=_timeout(timeout_ms),
-                    retries=False,
+                    retries=NO_RETRIES,
                 ),
             )
 
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -135,14 +135,18 @@
         return choose_target(task, tiers, self._now_ms())
 
     def pick(self, task: Task) -> TargetState | None:
-        """Reserve slots for the task; ``release`` gives them back."""
+        """Find a worker and reserve its slots; ``release`` gives them back."""
         state = self.find(task)
         if state is not None:
-            state.occupy(task.size_slots)
+            self.reserve(state, task)
         return state
 
+    def reserve(self, state: TargetState, task: Task) -> None:
+        """Reserve slots for the task; ``release`` gives them back."""
+        state.occupy(task.size_slots)
+
     def release(self, state: TargetState, task: Task) -> None:
-        """Give back the slots that ``pick`` reserved."""
+        """Give back the slots that ``pick`` or ``reserve`` took."""
         state.release(task.size_slots)
 
     def note(
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,175 @@
+"""Who fills which worker first, and which worker a task goes to."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rattanloom.estimates import RunTimeEstimates
+from rattanloom.job import Task
+from rattanloom.peers.protocol import HostLoad, Member, MemberState, TargetLoad
+from rattanloom.platform.protocol import ListedTarget
+from rattanloom.retry import RetryBudget
+from rattanloom.routing import choose_target, hold_ms, make_tiers, spread_owners
+from rattanloom.rules import DeploymentRule, TeamRule
+from rattanloom.targets.fleet import Fleet
+from rattanloom.targets.health import TargetHealth
+from rattanloom.targets.protocol import AttemptReply, AttemptState
+from rattanloom.targets.state import TargetState
+
+NAMES = st.text("abcdefgh0123", min_size=1, max_size=4)
+
+
+def state(name, zone="Adum", slots=8, connections=64, **fields):
+    listed = ListedTarget(name, zone, "127.0.0.1:1", slots, connections)
+    return TargetState(listed, None, **fields)
+
+
+def chosen(states, task=None, now_ms=1_000_000.0):
+    target = choose_target(task or Task("k"), make_tiers(states, "Adum"), now_ms)
+    return target and target.name
+
+
+def member(host, zone, state=MemberState.LIVE):
+    return Member(host, zone, "127.0.0.1:1", "i", 0, state)
+
+
+class Peers:
+    """Peers as a test sets them."""
+
+    def __init__(self, members, loads=None):
+        self._members = members
+        self._loads = loads or {}
+
+    def members(self):
+        return self._members
+
+    def loads(self):
+        return self._loads
+
+
+@given(st.sets(NAMES, min_size=1, max_size=40), st.sets(NAMES, min_size=1, max_size=9))
+def test_owners_share_the_slots_evenly(targets, hosts):
+    owners = spread_owners(dict.fromkeys(targets, 8), hosts)
+    counts = [list(owners.values()).count(host) for host in hosts]
+    assert set(owners) == targets
+    assert max(counts) - min(counts) <= 1
+
+
+@given(st.sets(NAMES, min_size=8, max_size=40), st.sets(NAMES, min_size=3, max_size=9))
+def test_lost_host_moves_few_workers_of_the_others(targets, hosts):
+    slots = dict.fromkeys(targets, 8)
+    before = spread_owners(slots, hosts)
+    lost = sorted(hosts)[0]
+    after = spread_owners(slots, hosts - {lost})
+    moved = [name for name in targets if before[name] not in (lost, after[name])]
+    assert len(moved) <= len(targets) / 2 + 1
+
+
+def test_own_workers_come_first_then_the_zone_then_others():
+    owned, near = state("w1"), state("w2", owned=False)
+    far = state("w3", "Bantama", owned=False)
+    states = [far, near, owned]
+    assert chosen(states) == "w1"
+    owned.own_slots = 8
+    assert chosen(states) == "w2"
+    near.peer_slots = {"h": 5, "i": 3}
+    assert chosen(states) == "w3"
+    far.leaving = True
+    assert chosen(states) is None
+
+
+def test_slow_workers_are_a_last_resort_and_come_back_with_time():
+    slow, far = state("w1"), state("w2", "Bantama", owned=False)
+    for _ in range(30):
+        slow.health.note_speed(4.0, 1_000_000.0)
+    assert chosen([slow, far]) == "w2"
+    far.own_slots = 8
+    assert chosen([slow, far]) == "w1"
+    far.own_slots = 0
+    assert chosen([slow, far], now_ms=1_100_000.0) == "w1"
+
+
+def test_refused_worker_pauses_longer_with_each_refusal_in_a_row():
+    target = state("w1")
+    busy = AttemptReply("a", AttemptState.BUSY, slots=8)
+    pauses = []
+    for _ in range(3):
+        target.note_reply(busy, 1_000.0)
+        pauses.append(target.refused_until_ms - 1_000.0)
+    assert pauses == sorted(set(pauses))
+    target.note_reply(AttemptReply("a", AttemptState.DONE, slots=8), 2_000.0)
+    target.note_reply(busy, 2_000.0)
+    assert target.refused_until_ms - 2_000.0 == pauses[0]
+
+
+def test_quarantine_grows_and_lets_one_task_at_a_time_try():
+    health = TargetHealth()
+    assert not health.note_failure("j1", 2, 0.0)
+    assert not health.note_failure("j1", 2, 0.0)
+    assert health.note_failure("j2", 2, 0.0)
+    first_ms = health.blocked_until_ms
+    assert not health.accepts(first_ms - 1, 0)
+    assert health.accepts(first_ms, 0)
+    assert not health.accepts(first_ms, 1)
+    assert health.note_failure("j3", 2, first_ms)
+    assert health.blocked_until_ms - first_ms > first_ms
+    health.note_success()
+    assert health.accepts(health.blocked_until_ms, 5)
+
+
+def test_worker_connections_are_never_promised_twice():
+    hosts = [f"h{n}" for n in range(9)]
+    promised = {f"w{n}": 0 for n in range(8)}
+    for host in hosts:
+        others = [member(name, "Adum") for name in hosts if name != host]
+        fleet = Fleet(host, "Adum", Peers(tuple(others)))
+        fleet.targets = {name: state(name) for name in promised}
+        fleet.refresh()
+        for name, target in fleet.targets.items():
+            promised[name] += target.connections
+    assert all(40 <= connections <= 56 for connections in promised.values())
+
+
+def test_loads_of_silent_hosts_are_forgotten_and_cut_off_zones_told_once():
+    load = HostLoad(targets=(TargetLoad("w1", 3), TargetLoad("gone", 1)))
+    peers = Peers((member("b1", "Bantama"),), {"b1": load})
+    fleet = Fleet("a1", "Adum", peers)
+    fleet.targets = {"w1": state("w1"), "w2": state("w2", "Bantama")}
+    assert fleet.refresh() == []
+    assert fleet.targets["w1"].peer_slots == {"b1": 3}
+    fleet.peers = Peers((member("b1", "Bantama", MemberState.CUT_OFF),))
+    assert fleet.refresh() == [fleet.targets["w2"]]
+    assert fleet.targets["w1"].peer_slots == {}
+    assert fleet.refresh() == []
+
+
+def test_weights_pick_how_long_a_worker_may_hold_an_attempt():
+    weights = [(1, 0), (0.7, 0.3), (0.5, 0.5), (0.3, 0.7), (0, 1)]
+    holds = [hold_ms(DeploymentRule(*pair)) for pair in weights]
+    assert holds == sorted(set(holds))
+    assert hold_ms(DeploymentRule(0, 0)) == hold_ms(DeploymentRule(0.5, 0.5))
+
+
+def test_retry_budget_bounds_resends_to_a_share_of_first_attempts():
+    budget = RetryBudget()
+    rule = TeamRule(retry_budget_percent=10)
+    while budget.spend("desk", 0.0):
+        pass
+    for _ in range(100):
+        budget.earn("desk", rule, 0.0)
+    resends = sum(budget.spend("desk", 0.0) for _ in range(100))
+    assert 9 <= resends <= 10
+    assert not budget.spend("desk", 0.0)
+    assert budget.spend("desk", 1_500.0)
+    assert budget.spend("other", 0.0)
+
+
+def test_run_times_are_learned_where_the_declared_ones_are_far_off():
+    estimates = RunTimeEstimates()
+    task = Task("k", run_ms=10_000)
+    assert estimates.learn(task, 100) is None
+    for _ in range(50):
+        estimates.learn(task, 100)
+    assert 100 <= estimates.high_ms(task) < 300
+    for number in range(2_000):
+        estimates.learn(Task(f"k{number}"), 50)
+    assert len(estimates._deviations) <= 256
--- /dev/null
+++ b/tests/test_target_client.py
@@ -0,0 +1,104 @@
+"""What a lost or wrong reply from a worker is taken to mean."""
+
+import json
+from contextlib import contextmanager
+from socket import create_server
+
+import gevent
+import pytest
+
+from rattanloom.errors import ErrorKind
+from rattanloom.targets.client import TargetClient
+from rattanloom.targets.protocol import Attempt, AttemptState
+from standins.worker import Worker, serving
+from tests.dispatch_utils import until
+
+PATIENCE_MS = 2_000.0
+
+
+def attempt(number=1):
+    return Attempt(
+        f"j.0.1.{number}", "j", 0, number, "k", '{"ms": 1}', 1, 1, 100, 5_000
+    )
+
+
+def reply_body(**changes):
+    return json.dumps({"attempt_id": "j.0.1.1", "state": "done", **changes}).encode()
+
+
+@contextmanager
+def raw_worker(answer):
+    """Accept connections; ``answer(socket)`` serves each after its request."""
+    with create_server(("127.0.0.1", 0)) as listener:
+
+        def accept():
+            while True:
+                connection, _ = listener.accept()
+                connection.recv(65_536)
+                answer(connection)
+
+        server = gevent.spawn(accept)
+        host, port = listener.getsockname()
+        client = TargetClient("w", f"{host}:{port}", 4)
+        try:
+            yield client
+        finally:
+            client.close()
+            server.kill()
+
+
+def http_answer(body, status="200 OK"):
+    def answer(connection):
+        head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n"
+        connection.sendall(head.encode() + body)
+
+    return answer
+
+
+def test_refused_connection_means_surely_not_started():
+    with create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+    client = TargetClient("w", f"{host}:{port}", 4)
+    assert client.start(attempt(), PATIENCE_MS).kind is ErrorKind.NO_TARGETS
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        lambda connection: connection.close(),
+        http_answer(reply_body(attempt_id="j.0.1.2")),
+        http_answer(reply_body(state="finished")),
+        http_answer(b'{"attempt_id": "j.0.1.1"}'),
+        http_answer(b"[]"),
+        http_answer(b"done"),
+        http_answer(reply_body(), status="500 Oops"),
+        http_answer(reply_body()[:-1], status="302 Found"),
+    ],
+    ids=["closed", "other", "state", "short", "list", "text", "error", "redirect"],
+)
+def test_closed_wrong_or_malformed_reply_leaves_the_outcome_unknown(answer):
+    with raw_worker(answer) as client:
+        failure = client.start(attempt(), PATIENCE_MS)
+        assert failure.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+def test_silent_reply_is_given_up_after_the_patience_alone():
+    with raw_worker(lambda connection: gevent.sleep(60)) as client:
+        failure = client.start(attempt(), 20)
+        assert failure.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+def test_idle_connection_is_kept_until_it_aged():
+    worker = Worker("w", "Adum")
+    with serving(worker, "127.0.0.1:0") as server:
+        client = TargetClient("w", f"127.0.0.1:{server.server_port}", 4)
+        for number in range(3):
+            reply = client.start(attempt(number), PATIENCE_MS)
+            assert reply.state is AttemptState.DONE
+        assert len(server.connections) == 1
+        client.close_idle()
+        assert client.start(attempt(4), PATIENCE_MS).state is AttemptState.DONE
+        assert len(server.connections) == 1
+        client.drop_connections()
+        until(lambda: not server.connections)
+        assert client.start(attempt(5), PATIENCE_MS).state is AttemptState.DONE
