--- a/rattanloom/platform/client.py
+++ b/rattanloom/platform/client.py
@@ -5,6 +5,7 @@
 from typing import TypeVar
 from urllib.parse import quote
 
+import gevent
 from attrs import define, field, frozen
 from gevent import Timeout as GeventTimeout
 from urllib3 import HTTPConnectionPool, Timeout
@@ -154,6 +155,7 @@
 
     def _request(self, method: str, path: str, body: bytes | None) -> Reply | Failure:
         if not self.link_filter.may_send(self.address):
+            gevent.sleep(self.timeout_ms / MS_PER_S)
             return _unreachable(f"{self.address} is cut off")
         reply = self._request_linked(method, path, body)
         if not self.link_filter.may_hear(self.address):
