--- a/experiments/bench.py
+++ b/experiments/bench.py
@@ -29,7 +29,7 @@
 from experiments.mixes import MIXES, Mix
 from rattanloom.clock import MS_PER_S
 
-GENERATORS = 3
+GENERATORS = 5
 HOSTS_PER_ZONE = 3
 WORKERS_PER_ZONE = 8
 SLOTS = 8
@@ -95,6 +95,7 @@
     outcomes: dict[str, int] = field(factory=dict)
     host_cpu_ms_per_job: float = 0.0
     host_cores: float = 0.0
+    lag_p99_ms: float = 0.0
     worker_cores: float = 0.0
 
 
@@ -267,6 +268,7 @@
         complete_share=round(complete / max(1, result.jobs), 4),
         refusal_p50_ms=round(percentile(result.refusals_us, 50) / US_PER_MS, 1),
         refusal_p99_ms=round(percentile(result.refusals_us, 99) / US_PER_MS, 1),
+        lag_p99_ms=round(percentile(result.lags_us, 99) / US_PER_MS, 1),
         outcomes=dict(sorted(result.outcomes.items())),
     )
 
@@ -306,7 +308,7 @@
         f"goodput {row.goodput_share:5.3f} complete {row.complete_share:6.4f} "
         f"refusal ms {row.refusal_p50_ms:5.1f}/{row.refusal_p99_ms:5.1f} "
         f"jobs {row.jobs} tasks {row.tasks} "
-        f"cores {row.host_cores}+{row.worker_cores} {refusals}",
+        f"lag {row.lag_p99_ms} cores {row.host_cores}+{row.worker_cores} {refusals}",
         flush=True,
     )
 
--- a/experiments/load.py
+++ b/experiments/load.py
@@ -72,13 +72,15 @@
     """What one or more generators saw.
 
     ``ratios`` holds response time over ideal (in thousandths) of the complete
-    jobs, ``refusals_us`` the time of refusals beyond the callers' latencies.
+    jobs, ``refusals_us`` the time of refusals beyond the callers' latencies, and
+    ``lags_us`` how late the generators themselves sent the jobs.
     ``good_slot_ms`` is the true work of jobs answered complete, within their
     deadline, inside the measured window of ``window_ms``.
     """
 
     ratios: str = ""
     refusals_us: str = ""
+    lags_us: str = ""
     outcomes: dict[str, int] = field(factory=Counter)
     good_slot_ms: float = 0.0
     window_ms: float = 0.0
@@ -145,6 +147,7 @@
     _refusals: HdrHistogram = field(
         factory=lambda: HdrHistogram(1, LATENCY_US_MAX, DIGITS)
     )
+    _lags: HdrHistogram = field(factory=lambda: HdrHistogram(1, LATENCY_US_MAX, DIGITS))
     _next_host: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -169,6 +172,7 @@
         gevent.joinall(greenlets)
         self.result.ratios = self._ratios.encode().decode()
         self.result.refusals_us = self._refusals.encode().decode()
+        self.result.lags_us = self._lags.encode().decode()
         self.result.window_ms = plan.duration_ms - WARM_UP_MS
         if self.baseline is not None:
             self.result.messages = self.baseline.messages
@@ -179,6 +183,8 @@
         return self.plan.start_at_s + at_ms / MS_PER_S - monotonic()
 
     def _one(self, at_ms: float, job: DrawnJob) -> None:
+        lag_us = -self._until_s(at_ms) * MS_PER_S * US_PER_MS
+        self._lags.record_value(max(1, int(lag_us)))
         client_s = self.mix.client_one_way_ms / MS_PER_S
         gevent.sleep(client_s)
         sent_s = monotonic()
@@ -308,9 +314,11 @@
     total = Result(window_ms=results[0].window_ms)
     ratios = HdrHistogram(1, RATIO_MAX, DIGITS)
     refusals = HdrHistogram(1, LATENCY_US_MAX, DIGITS)
+    lags = HdrHistogram(1, LATENCY_US_MAX, DIGITS)
     for result in results:
         ratios.decode_and_add(result.ratios)
         refusals.decode_and_add(result.refusals_us)
+        lags.decode_and_add(result.lags_us)
         total.outcomes = dict(Counter(total.outcomes) + Counter(result.outcomes))
         total.good_slot_ms += result.good_slot_ms
         total.jobs += result.jobs
@@ -320,6 +328,7 @@
         total.wasted_messages += result.wasted_messages
     total.ratios = ratios.encode().decode()
     total.refusals_us = refusals.encode().decode()
+    total.lags_us = lags.encode().decode()
     return total
 
 
--- a/rattanloom/admission.py
+++ b/rattanloom/admission.py
@@ -26,6 +26,7 @@
 
 TICK_MS = 20.0
 QUOTA_REFRESH_MS = 100.0
+CAPACITY_KEEP_MS = 100.0
 QUEUE_TASKS_MAX = 20_000
 STRETCH = 4.0
 URGENCY = 2.0
@@ -44,7 +45,8 @@
 class Admission:
     """Admits jobs, queues their tasks and hands them out in fair order.
 
-    ``rules()`` and ``capacity()`` are asked at every decision. A taken task
+    ``rules()`` is asked at every decision, ``capacity()`` at most once in
+    ``CAPACITY_KEEP_MS``: it looks at every worker. A taken task
     ends in exactly one ``finished`` or ``put_back``.
     """
 
@@ -59,6 +61,8 @@
     _quotas: QuotaShares = field(init=False)
     _hints: ReturnHints = field(init=False)
     _rate: ServiceRate = field(factory=ServiceRate)
+    _known_capacity: Capacity | None = None
+    _capacity_at_ms: float = float("-inf")
     _running: dict[int, RunningTask] = field(factory=dict)
     _running_slots: dict[str, int] = field(factory=lambda: defaultdict(int))
     _running_total_slots: int = 0
@@ -205,7 +209,7 @@
             )
         return (
             refusal_by_rules(job, rules)
-            or refusal_by_size(job, self.capacity())
+            or refusal_by_size(job, self._capacity())
             or self._refusal_by_queue(job, rules.teams[job.team])
             or self._refusal_by_time(job, rules.teams[job.team], deadline_at_ms)
         )
@@ -297,7 +301,15 @@
 
     def _slots(self) -> float:
         now_ms = self.environment.clock.now_ms()
-        return self._rate.slots(self.capacity().share_slots, now_ms)
+        return self._rate.slots(self._capacity().share_slots, now_ms)
+
+    def _capacity(self) -> Capacity:
+        """Return the capacity, worked out again only every so often."""
+        now_ms = self.environment.clock.now_ms()
+        if now_ms - self._capacity_at_ms >= CAPACITY_KEEP_MS:
+            self._known_capacity = self.capacity()
+            self._capacity_at_ms = now_ms
+        return self._known_capacity
 
     def _weight(self, team: str) -> float:
         rule = self._team_rule(team)
