Keep spilled tasks off workers whose owner has tasks waiting

At 3 times the capacity every host saw slots of others' workers as free in loads up to a heartbeat old and sent tasks that the workers then held: a task of 110 ms took 230 ms, and 0.46 messages a task were wasted. A worker is now left to its owner while that says it has tasks waiting. A job's wait is now predicted from the work that its place in the queue puts before it, so that a large job does not get short ones refused.

--- a/rattanloom/admission.py
+++ b/rattanloom/admission.py
@@ -20,7 +20,7 @@
 from rattanloom.refusals import refusal_by_rules, refusal_by_size
 from rattanloom.rules import Rules, TeamRule
 from rattanloom.run_times import RunTimes
-from rattanloom.shedding import ReturnHints, ServiceRate, drain_ms
+from rattanloom.shedding import ReturnHints, ServiceRate
 from rattanloom.timeline import TimeLine
 from rattanloom.timer import TimerService
 
@@ -30,7 +30,9 @@
 QUEUE_TASKS_MAX = 20_000
 STRETCH = 4.0
 URGENCY = 2.0
-HOPELESS_FACTOR = 0.5
+WAIT_MARGIN = 2.0
+WORK_MARGIN = 1.25
+HOPELESS_FACTOR = 1.0
 
 
 @define(eq=False)
@@ -236,15 +238,16 @@
         slots = self._slots()
         team_slots = self._team_slots(job.team, rule, slots)
         ahead_slot_ms = self._queue.work_slot_ms + self._running_left_slot_ms()
-        team_ahead_slot_ms = self._team_ahead_slot_ms(job.team)
+        ideal_ms = max(longest_ms, work_slot_ms / slots)
+        tag_ms = min(deadline_at_ms - left_ms + STRETCH * ideal_ms, deadline_at_ms)
+        team_ahead_slot_ms = self._queue.team(job.team).work_before_slot_ms(tag_ms)
         wait_ms = min(
-            drain_ms(ahead_slot_ms + work_slot_ms, slots),
-            drain_ms(team_ahead_slot_ms + work_slot_ms, team_slots),
+            WAIT_MARGIN * ahead_slot_ms / slots,
+            WAIT_MARGIN * team_ahead_slot_ms / team_slots,
         )
         quota_wait_ms = self._quota_wait_ms(job.team, rule, work_slot_ms)
-        need_ms = max(longest_ms, wait_ms, quota_wait_ms)
-        if self._queue.tasks:
-            need_ms = max(need_ms, wait_ms + longest_ms)
+        own_ms = max(longest_ms, WORK_MARGIN * work_slot_ms / slots)
+        need_ms = max(wait_ms + own_ms, quota_wait_ms)
         if need_ms <= left_ms:
             return None
         kind = ErrorKind.DEADLINE_UNREACHABLE
@@ -283,7 +286,7 @@
         ahead_slot_ms = self._team_ahead_slot_ms(name)
         if not ahead_slot_ms and running_slots < slots:
             return 0.0
-        return drain_ms(ahead_slot_ms + work_slot_ms, slots)
+        return WORK_MARGIN * (ahead_slot_ms + work_slot_ms) / slots
 
     def _team_ahead_slot_ms(self, name: str) -> float:
         return self._queue.team(name).work_slot_ms
@@ -293,7 +296,7 @@
         slots = self._slots()
         hint_ms = self._hints.hint_ms(
             work_slot_ms,
-            drain_ms(self._queue.work_slot_ms, slots),
+            self._queue.work_slot_ms / slots,
             slots,
             self.environment.clock.now_ms(),
         )
--- a/rattanloom/fair_queue.py
+++ b/rattanloom/fair_queue.py
@@ -18,6 +18,9 @@
 from rattanloom.queue import QueuedTask
 
 COMPACT_MIN_ENTRIES = 64
+TAG_STEP_MS = 250.0
+FIRST_TAG_MS = -1e12
+LEAST_WORK_SLOT_MS = 0.001
 
 
 @frozen
@@ -58,6 +61,11 @@
         """Return the slots that the task occupies."""
         return self.queued.task.size_slots
 
+    @property
+    def tag_step(self) -> int:
+        """Return the tag rounded down, in steps of ``TAG_STEP_MS``."""
+        return tag_step(self.tag_ms)
+
     @property
     def signature(self) -> Signature:
         """Return what decides where the task can be placed."""
@@ -67,6 +75,11 @@
         )
 
 
+def tag_step(tag_ms: float) -> int:
+    """Return a tag rounded down, in steps of ``TAG_STEP_MS``."""
+    return int(max(tag_ms, FIRST_TAG_MS) // TAG_STEP_MS)
+
+
 @define(eq=False)
 class TeamQueue:
     """The waiting tasks of one team, one heap for each signature."""
@@ -76,6 +89,7 @@
     tasks: int = 0
     slots: int = 0
     work_slot_ms: float = 0.0
+    work_by_tag: dict[int, float] = field(factory=dict)
     heaps: dict[Signature, list[Entry]] = field(factory=dict)
     removed: int = 0
 
@@ -92,6 +106,15 @@
         if self.removed > self.tasks + COMPACT_MIN_ENTRIES:
             self._compact()
 
+    def work_before_slot_ms(self, tag_ms: float) -> float:
+        """Return the work that is served before or with a tag, in steps."""
+        last_step = tag_step(tag_ms)
+        return sum(
+            work_slot_ms
+            for step, work_slot_ms in self.work_by_tag.items()
+            if step <= last_step
+        )
+
     def heads(self) -> list[Entry]:
         """Return the first waiting entry of each signature, in order."""
         heads = []
@@ -110,8 +133,18 @@
         self.tasks += sign
         self.slots += sign * entry.size_slots
         self.work_slot_ms += sign * entry.cost_slot_ms
+        self._add_by_tag(entry, sign)
         if not self.tasks:
             self.work_slot_ms = 0.0
+            self.work_by_tag.clear()
+
+    def _add_by_tag(self, entry: Entry, sign: int) -> None:
+        step = entry.tag_step
+        left_slot_ms = self.work_by_tag.get(step, 0.0) + sign * entry.cost_slot_ms
+        if left_slot_ms < LEAST_WORK_SLOT_MS:
+            self.work_by_tag.pop(step, None)
+        else:
+            self.work_by_tag[step] = left_slot_ms
 
     def _compact(self) -> None:
         for signature, heap in list(self.heaps.items()):
--- a/rattanloom/shedding.py
+++ b/rattanloom/shedding.py
@@ -10,9 +10,8 @@
 
 from attrs import define
 
-SAFETY_FACTOR = 1.25
-RATE_WINDOW_MS = 1_000.0
-TRUST_AFTER_MS = 1_000.0
+RATE_WINDOW_MS = 500.0
+TRUST_AFTER_MS = 500.0
 REFUSED_HALF_LIFE_MS = 1_000.0
 RETURN_LEAST_MS = 100.0
 RETURN_MOST_MS = 30_000.0
@@ -64,11 +63,6 @@
         self._done_slot_ms = 0.0
 
 
-def drain_ms(work_slot_ms: float, slots: float) -> float:
-    """Return how long ``slots`` slots need for the work, with a margin."""
-    return SAFETY_FACTOR * work_slot_ms / max(slots, 0.001)
-
-
 @define(eq=False)
 class ReturnHints:
     """Chooses when refused jobs should come back."""
--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -27,6 +27,7 @@
     peers: Peers | None = None
     targets: dict[str, TargetState] = field(factory=dict)
     _cut_off_zones: frozenset[str] = frozenset()
+    _waiting_hosts: frozenset[str] = frozenset()
     _hosts: int = 1
     _hosts_here: int = 1
     _tiers: dict[tuple[str, ...], Tiers] = field(factory=dict)
@@ -91,6 +92,9 @@
 
     def _take_loads(self) -> None:
         loads = self.peers.loads() if self.peers else {}
+        self._waiting_hosts = frozenset(
+            host for host, load in loads.items() if load.queued_slots
+        )
         for state in self.targets.values():
             state.peer_slots.clear()
         for host, load in loads.items():
@@ -113,7 +117,9 @@
         slots = {state.name: state.listed.slots for state in states if not state.closed}
         owners = spread_owners(slots, hosts)
         for state in states:
-            state.owned = owners.get(state.name) == self.host
+            owner = owners.get(state.name, "")
+            state.owned = owner == self.host
+            state.contended = owner in self._waiting_hosts
             state.connections = self._connections(state)
 
     def _connections(self, state: TargetState) -> int:
--- a/rattanloom/targets/state.py
+++ b/rattanloom/targets/state.py
@@ -29,6 +29,7 @@
     client: TargetClient | None
     connections: int = 0
     owned: bool = True
+    contended: bool = False
     drained: bool = False
     leaving: bool = False
     own_slots: int = 0
@@ -71,7 +72,7 @@
 
     def usable(self, now_ms: float) -> bool:
         """Say whether the worker may get new work now."""
-        if self.closed or self.own_attempts >= self.connections:
+        if self.closed or self.contended or self.own_attempts >= self.connections:
             return False
         if now_ms < self.refused_until_ms:
             return False
