Let a planned stop wait for the requests it forwarded to other hosts

Change: requests in flight are counted; at the end of the stop's time their callers are told to resubmit elsewhere, and asks are answered as soon as the stop begins.

--- a/rattanloom/job_answer.py
+++ b/rattanloom/job_answer.py
@@ -8,8 +8,7 @@
     "again; take a new ticket only if running it twice is harmless",
     ErrorKind.HOME_UNREACHABLE: "the entry host that holds this job cannot be "
     "reached; resubmit the same ticket later",
-    ErrorKind.LEAVING: "the entry host that holds this job is leaving; resubmit "
-    "the same ticket to learn its answer",
+    ErrorKind.LEAVING: "resubmit the same ticket to another entry host",
 }
 
 
--- a/rattanloom/jobs.py
+++ b/rattanloom/jobs.py
@@ -25,6 +25,7 @@
     waited_in_vain,
 )
 from rattanloom.job_digest import digest_of
+from rattanloom.job_requests import RequestsInFlight
 from rattanloom.ledger import Ledger, RunningJob
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
@@ -39,7 +40,7 @@
 
 ANSWER_GRACE_MS = 1_000
 CANCEL_WAIT_MS = 2_000
-DRAIN_POLL_MS = 20
+LAST_ANSWERS_MS = 500
 
 
 class Dispatches(Protocol):
@@ -76,7 +77,7 @@
     metrics: Metrics
     rules: Callable[[], Rules | None] = no_rules
     ledger: Ledger = field(factory=Ledger)
-    leaving: bool = False
+    requests: RequestsInFlight = field(factory=RequestsInFlight)
 
     def start(self, timers: TimerService) -> None:
         """Begin to age claims out of the table."""
@@ -84,12 +85,16 @@
 
     def mint_tickets(self, count: int) -> tuple[str, ...]:
         """Return ``count`` new tickets; none while this host is leaving."""
-        if self.leaving:
+        if self.requests.leaving.is_set():
             return ()
         return tuple(self.mint.mint() for _ in range(count))
 
     def submit(self, job: Job) -> JobAnswer:
         """Run the job or join it, wherever its ticket's home is."""
+        with self.requests.counted():
+            return self._submit(job)
+
+    def _submit(self, job: Job) -> JobAnswer:
         arrived_ms = self._now_ms()
         if not job.job_id:
             job = evolve(job, job_id=self.mint.mint())
@@ -109,53 +114,79 @@
         ticket = self._parse(job_id)
         if isinstance(ticket, Failure):
             return refused(job_id, ticket)
-        if self.mint.minted(ticket):
-            return self._ask(ticket, wait_ms)
-        answer = self.peers.ask(ticket.host, ticket.incarnation, job_id, wait_ms)
-        return home_failed(job_id, answer) if isinstance(answer, Failure) else answer
+        with self.requests.counted():
+            if self.mint.minted(ticket):
+                return self._ask(ticket, wait_ms)
+            host, incarnation = ticket.host, ticket.incarnation
+            return self._forwarded(
+                job_id,
+                lambda: self.peers.ask(host, incarnation, job_id, wait_ms),
+                self.requests.leaving,
+            )
 
     def cancel(self, job_id: str) -> JobAnswer:
         """Stop the job; one that has not started never will."""
         ticket = self._parse(job_id)
         if isinstance(ticket, Failure):
             return refused(job_id, ticket)
-        if self.mint.minted(ticket):
-            return self._cancel(ticket)
-        answer = self.peers.cancel(ticket.host, ticket.incarnation, job_id)
-        return home_failed(job_id, answer) if isinstance(answer, Failure) else answer
+        with self.requests.counted():
+            if self.mint.minted(ticket):
+                return self._cancel(ticket)
+            host, incarnation = ticket.host, ticket.incarnation
+            return self._forwarded(
+                job_id,
+                lambda: self.peers.cancel(host, incarnation, job_id),
+                self.requests.overdue,
+            )
 
     def submit_here(self, job: Job) -> JobAnswer:
         """Admit or join a job that a peer forwarded; its key is claimed."""
         ticket = self._own(job.job_id)
         if isinstance(ticket, Failure):
             return refused(job.job_id, ticket)
-        return self._run_or_join(job, ticket, job.deadline_ms)
+        with self.requests.counted():
+            return self._run_or_join(job, ticket, job.deadline_ms)
 
     def ask_here(self, job_id: str, wait_ms: float) -> JobAnswer:
         """Answer a question that a peer forwarded."""
         ticket = self._own(job_id)
         if isinstance(ticket, Failure):
             return refused(job_id, ticket)
-        return self._ask(ticket, wait_ms)
+        with self.requests.counted():
+            return self._ask(ticket, wait_ms)
 
     def cancel_here(self, job_id: str) -> JobAnswer:
         """Cancel a job on a peer's behalf."""
         ticket = self._own(job_id)
         if isinstance(ticket, Failure):
             return refused(job_id, ticket)
-        return self._cancel(ticket)
+        with self.requests.counted():
+            return self._cancel(ticket)
 
     def drain(self, within_ms: float) -> bool:
-        """Refuse new jobs, let the running ones end; say whether all did."""
-        self.leaving = True
-        until_ms = self._now_ms() + within_ms
-        while self.ledger.running and self._now_ms() < until_ms:
-            gevent.sleep(DRAIN_POLL_MS / MS_PER_S)
-        ended = not self.ledger.running
-        for running in list(self.ledger.running.values()):
-            running.cancelled.set()
+        """Refuse new jobs, and answer every request in flight.
+
+        Returns True if all jobs and requests ended within the time. Otherwise
+        it cancels the rest, and tells their callers that they may have run.
+        """
+        self.requests.leaving.set()
+        ended = self.requests.await_idle(self._has_jobs, within_ms)
+        if not ended:
+            self.requests.overdue.set()
+            for running in list(self.ledger.running.values()):
+                running.cancelled.set()
+            self.requests.await_idle(self._has_jobs, LAST_ANSWERS_MS)
         return ended
 
+    def _has_jobs(self) -> bool:
+        return bool(self.ledger.running)
+
+    def _forwarded(
+        self, job_id: str, call: Callable[[], JobAnswer | Failure], give_up: Event
+    ) -> JobAnswer:
+        answer = self.requests.from_home(call, give_up)
+        return home_failed(job_id, answer) if isinstance(answer, Failure) else answer
+
     def _run_or_join(self, job: Job, ticket: Ticket, left_ms: float) -> JobAnswer:
         self.time_line.record(EventKind.JOB_RECEIVED, job.job_id)
         deadline_at_ms = self._now_ms() + left_ms
@@ -178,7 +209,7 @@
     def _start(
         self, job: Job, ticket: Ticket, digest: bytes, deadline_at_ms: float
     ) -> RunningJob | Failure:
-        if self.leaving:
+        if self.requests.leaving.is_set():
             return Failure(
                 ErrorKind.LEAVING, "this entry host is leaving; take a new ticket"
             )
@@ -252,13 +283,16 @@
         self.time_line.record(EventKind.JOB_FORWARDED, job.job_id, target=ticket.host)
         self.metrics.count("jobs_forwarded")
         forwarded = evolve(job, deadline_ms=int(left_ms))
-        answer = self.peers.submit(ticket.host, ticket.incarnation, forwarded)
-        if isinstance(answer, Failure):
-            return self._answered(home_failed(job.job_id, answer))
-        return answer
+        host, incarnation = ticket.host, ticket.incarnation
+        answer = self._forwarded(
+            job.job_id,
+            lambda: self.peers.submit(host, incarnation, forwarded),
+            self.requests.overdue,
+        )
+        return self._answered(answer)
 
     def _claim(self, job: Job, proposed: Ticket) -> Ticket | Failure:
-        if self.leaving:
+        if self.requests.leaving.is_set():
             return Failure(
                 ErrorKind.LEAVING,
                 "this entry host is leaving and claims no keys; resubmit with the "
--- a/tests/jobs_run.py
+++ b/tests/jobs_run.py
@@ -210,7 +210,9 @@
 
     def drain(self, number):
         """A host refuses new jobs."""
-        self.cluster.hosts[pick(HOSTS, number)].drain(0)
+        host = pick(HOSTS, number)
+        draining = gevent.spawn(self.cluster.hosts[host].drain, 0)
+        self.greenlets.setdefault(host, []).append(draining)
 
     def cut(self, number):
         """Two hosts are cut off from each other."""
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -292,3 +292,39 @@
     ):
         answer = cluster.hosts["a"].submit(other)
         assert told(answer)[1] is ErrorKind.KEY_REUSED
+
+
+def test_a_drain_waits_for_the_requests_it_forwarded(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.dispatcher.hold = True
+    caller = gevent.spawn(b.submit, make_job(ticket_of(cluster, "a")))
+    settle()
+    drained = gevent.spawn(b.drain, 5_000)
+    gevent.sleep(0.05)
+    assert not drained.ready()
+    a.dispatcher.released.set()
+    assert caller.get().outcome is JobOutcome.COMPLETE
+    assert drained.get() is True
+
+
+def test_a_drain_that_runs_out_of_time_answers_what_it_forwarded(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.dispatcher.hold = True
+    caller = gevent.spawn(b.submit, make_job(ticket_of(cluster, "a")))
+    settle()
+    assert b.drain(0) is False
+    expected = (JobOutcome.UNKNOWN, ErrorKind.LEAVING, Ran.MAY_HAVE_RUN)
+    assert told(caller.get(timeout=1)) == expected
+
+
+def test_a_drain_is_not_held_up_by_callers_who_ask(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.dispatcher.hold = True
+    job = make_job(ticket_of(cluster, "a"))
+    gevent.spawn(a.submit, job)
+    settle()
+    asking = gevent.spawn(b.ask, job.job_id, 60_000)
+    settle()
+    assert b.drain(1_000) is True
+    assert told(asking.get(timeout=1))[2] is Ran.MAY_HAVE_RUN
+    assert len(cluster.starts()) == 1
