Answer from the ledgers that stopped hosts leave behind

Change: a stopping host writes one object after its last start; the others read it once, within 300 ms, when the home does not answer. Without the wiring in the core the new test is red (unknown in place of the whole answer); with it the answer and the sure not_run come back. Cost: one object write for each planned stop, one read per incarnation asked for and every 2 s where there is none.

--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -24,6 +24,7 @@
 from rattanloom.peers.protocol import HostLoad
 from rattanloom.peers.service import PeerService
 from rattanloom.platform.client import PlatformClient
+from rattanloom.sealed_ledger import SealedLedgers
 from rattanloom.settings import EntrySettings, SettingsError, load_settings
 from rattanloom.status import ExitStatus
 from rattanloom.targets.directory import TargetDirectory
@@ -147,6 +148,7 @@
         claims,
         metrics,
         configuration.rules,
+        SealedLedgers(platform, environment.clock),
     )
     state = HostState()
     pages = OperatorPages(
@@ -214,13 +216,22 @@
     host.state.leaving = True
     gevent.sleep(settings.leave_grace_ms / MS_PER_S)
     host.peers.announce_leaving()
-    if answer_all(host):
+    answered = answer_all(host)
+    leave_ledger(host)
+    if answered:
         log.info("Stopped: every request in flight was answered.")
         return ExitStatus.OK
     log.warning("Stopped unanswered requests after {} ms.", settings.stop_within_ms)
     return ExitStatus.STOP_TIMEOUT
 
 
+def leave_ledger(host: EntryHost) -> None:
+    """Leave this process's ledger for callers that come back later."""
+    failure = host.jobs.seal()
+    if failure is not None:
+        log.warning("The ledger is not left behind: {}.", failure.reason)
+
+
 def answer_all(host: EntryHost) -> bool:
     """Wait for the jobs of this host, then for requests forwarded to others."""
     clock = host.environment.clock
--- a/rattanloom/jobs.py
+++ b/rattanloom/jobs.py
@@ -31,6 +31,7 @@
 from rattanloom.metrics import Metrics
 from rattanloom.peers.protocol import Peers
 from rattanloom.rules import Rules
+from rattanloom.sealed_ledger import NoLedgers, StoppedLedgers
 from rattanloom.settings import EntrySettings
 from rattanloom.ticket import Ticket, TicketMint, parse_ticket
 from rattanloom.timeline import EventKind, TimeLine
@@ -76,6 +77,7 @@
     claims: Claims
     metrics: Metrics
     rules: Callable[[], Rules | None] = no_rules
+    stopped_ledgers: StoppedLedgers = field(factory=NoLedgers)
     ledger: Ledger = field(factory=Ledger)
     requests: RequestsInFlight = field(factory=RequestsInFlight)
 
@@ -119,7 +121,7 @@
                 return self._ask(ticket, wait_ms)
             host, incarnation = ticket.host, ticket.incarnation
             return self._forwarded(
-                job_id,
+                ticket,
                 lambda: self.peers.ask(host, incarnation, job_id, wait_ms),
                 self.requests.leaving,
             )
@@ -134,7 +136,7 @@
                 return self._cancel(ticket)
             host, incarnation = ticket.host, ticket.incarnation
             return self._forwarded(
-                job_id,
+                ticket,
                 lambda: self.peers.cancel(host, incarnation, job_id),
                 self.requests.overdue,
             )
@@ -181,11 +183,33 @@
     def _has_jobs(self) -> bool:
         return bool(self.ledger.running)
 
+    def seal(self) -> None | Failure:
+        """Leave the ledger to other hosts; call it once ``drain`` has ended."""
+        return self.stopped_ledgers.seal(self.ledger, self.mint)
+
     def _forwarded(
-        self, job_id: str, call: Callable[[], JobAnswer | Failure], give_up: Event
+        self,
+        ticket: Ticket,
+        call: Callable[[], JobAnswer | Failure],
+        give_up: Event,
+        digest: bytes | None = None,
     ) -> JobAnswer:
         answer = self.requests.from_home(call, give_up)
-        return home_failed(job_id, answer) if isinstance(answer, Failure) else answer
+        if isinstance(answer, Failure):
+            return self._without_home(ticket, answer, digest)
+        return answer
+
+    def _without_home(
+        self, ticket: Ticket, failure: Failure, digest: bytes | None
+    ) -> JobAnswer:
+        """Answer from what a stopped home left behind, or say what is unknown."""
+        sealed = self.stopped_ledgers.find(ticket)
+        if sealed is None:
+            return home_failed(ticket.text, failure)
+        known = (
+            sealed.answer(ticket) if digest is None else sealed.admit(ticket, digest)
+        )
+        return refused(ticket.text, known) if isinstance(known, Failure) else known
 
     def _run_or_join(self, job: Job, ticket: Ticket, left_ms: float) -> JobAnswer:
         self.time_line.record(EventKind.JOB_RECEIVED, job.job_id)
@@ -285,9 +309,10 @@
         forwarded = evolve(job, deadline_ms=int(left_ms))
         host, incarnation = ticket.host, ticket.incarnation
         answer = self._forwarded(
-            job.job_id,
+            ticket,
             lambda: self.peers.submit(host, incarnation, forwarded),
             self.requests.overdue,
+            digest_of(job),
         )
         return self._answered(answer)
 
--- a/rattanloom/sealed_ledger.py
+++ b/rattanloom/sealed_ledger.py
@@ -11,11 +11,14 @@
 import json
 from base64 import b64decode, b64encode
 from collections import OrderedDict
+from typing import Protocol
 
+import gevent
 from attrs import define, field, frozen
+from gevent.event import AsyncResult
 
 from rattanloom.callers.submission import answer_from_json, answer_to_json
-from rattanloom.clock import Clock
+from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.errors import ErrorKind, Failure, Ran
 from rattanloom.job import JobAnswer
 from rattanloom.ledger import KeptAnswer, Ledger, LedgerState
@@ -28,6 +31,7 @@
 PREFIX = "ledger"
 READ_MAX_LEDGERS = 8
 ABSENT_FOR_MS = 2_000
+READ_WITHIN_MS = 300
 SEALED_ANSWERS_MAX_BYTES = 4_000_000
 
 
@@ -49,18 +53,41 @@
         return _never_used() if known is None else known
 
 
+class StoppedLedgers(Protocol):
+    """What the job service asks of the ledgers of stopped processes."""
+
+    def seal(self, ledger: Ledger, mint: TicketMint) -> None | Failure:
+        """Leave this process's ledger for others."""
+
+    def find(self, ticket: Ticket) -> SealedLedger | None:
+        """Return the ledger that the ticket's process left, if any."""
+
+
+class NoLedgers:
+    """Leaves no ledger and finds none."""
+
+    def seal(self, ledger: Ledger, mint: TicketMint) -> None | Failure:
+        """Leave nothing."""
+
+    def find(self, ticket: Ticket) -> SealedLedger | None:
+        """Find nothing."""
+        return None
+
+
 @define(eq=False)
 class SealedLedgers:
     """Writes this process's sealed ledger and reads those of others.
 
     A ledger that was found is kept, one that was not is asked for again after
-    ``ABSENT_FOR_MS``, so that a crashed host's callers cost few reads.
+    ``ABSENT_FOR_MS``, so that a crashed host's callers cost few reads. A read
+    takes at most ``READ_WITHIN_MS``: an outage must not hold up an answer.
     """
 
     objects: ObjectStore
     clock: Clock
     _read: OrderedDict[str, SealedLedger] = field(factory=OrderedDict)
     _absent_until_ms: OrderedDict[str, float] = field(factory=OrderedDict)
+    _fetching: dict[str, AsyncResult] = field(factory=dict)
 
     def seal(self, ledger: Ledger, mint: TicketMint) -> None | Failure:
         """Write the ledger of this process; it must not start anything after."""
@@ -72,15 +99,26 @@
         name = _name(ticket.host, ticket.incarnation)
         if name in self._read:
             return self._read[name]
-        now_ms = self.clock.now_ms()
-        if self._absent_until_ms.get(name, now_ms) > now_ms:
+        if self._absent_until_ms.get(name, 0.0) > self.clock.now_ms():
             return None
-        sealed = self._fetch(name)
-        if sealed is None:
-            _remember(self._absent_until_ms, name, now_ms + ABSENT_FOR_MS)
-        else:
-            _remember(self._read, name, sealed)
-        return sealed
+        if name not in self._fetching:
+            self._fetching[name] = AsyncResult()
+            gevent.spawn(self._fetch_once, name)
+        return self._fetching[name].get()
+
+    def _fetch_once(self, name: str) -> None:
+        """Fetch one ledger for all who ask for it meanwhile."""
+        sealed = None
+        try:
+            with gevent.Timeout(READ_WITHIN_MS / MS_PER_S, False):
+                sealed = self._fetch(name)
+        finally:
+            if sealed is None:
+                until_ms = self.clock.now_ms() + ABSENT_FOR_MS
+                _remember(self._absent_until_ms, name, until_ms)
+            else:
+                _remember(self._read, name, sealed)
+            self._fetching.pop(name).set(sealed)
 
     def _fetch(self, name: str) -> SealedLedger | None:
         content = self.objects.get(name)
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -9,6 +9,7 @@
 
 from experiments.cluster import Shape, running_cluster, with_settings
 from rattanloom.callers.client import Dispatcher
+from rattanloom.errors import Ran
 from rattanloom.job import JobOutcome, Task
 
 RULES = Path(__file__).parent.parent / "examples" / "rules"
@@ -72,3 +73,21 @@
     process.terminate()
     assert forwarded.get().outcome is JobOutcome.COMPLETE
     assert process.wait(STOP_WITHIN_S) == 0
+
+
+def test_stopped_host_leaves_its_answers_and_unused_tickets_to_the_others(cluster):
+    process = cluster.hosts["bantama-entry-1"]
+    process.start()
+    cluster.await_ready()
+    stopped, other = caller(cluster, process.name), caller(cluster, "adum-entry-1")
+    done = stopped.new_job((proof(20, "crop"),), 5_000)
+    unused = stopped.new_job((proof(20),), 5_000)
+    first = stopped.submit(done)
+    process.terminate()
+    assert process.wait(STOP_WITHIN_S) == 0
+    assert other.submit(done) == first
+    refusal = other.submit(unused)
+    assert refusal.outcome is JobOutcome.REFUSED
+    assert refusal.failure.ran_word is Ran.NOT_RUN
+    assert len(starts(cluster, done.job_id)) == 1
+    assert not starts(cluster, unused.job_id)
