--- a/rattanloom/jobs.py
+++ b/rattanloom/jobs.py
@@ -25,11 +25,13 @@
     waited_in_vain,
 )
 from rattanloom.job_digest import digest_of
+from rattanloom.job_requests import RequestsInFlight
 from rattanloom.ledger import Ledger, RunningJob
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
 from rattanloom.peers.protocol import Peers
 from rattanloom.rules import Rules
+from rattanloom.sealed_ledger import NoLedgers, StoppedLedgers
 from rattanloom.settings import EntrySettings
 from rattanloom.ticket import Ticket, TicketMint, parse_ticket
 from rattanloom.timeline import EventKind, TimeLine
@@ -39,7 +41,7 @@
 
 ANSWER_GRACE_MS = 1_000
 CANCEL_WAIT_MS = 2_000
-DRAIN_POLL_MS = 20
+LAST_ANSWERS_MS = 500
 
 
 class Dispatches(Protocol):
@@ -75,8 +77,9 @@
     claims: Claims
     metrics: Metrics
     rules: Callable[[], Rules | None] = no_rules
+    stopped_ledgers: StoppedLedgers = field(factory=NoLedgers)
     ledger: Ledger = field(factory=Ledger)
-    leaving: bool = False
+    requests: RequestsInFlight = field(factory=RequestsInFlight)
 
     def start(self, timers: TimerService) -> None:
         """Begin to age claims out of the table."""
@@ -84,12 +87,16 @@
 
     def mint_tickets(self, count: int) -> tuple[str, ...]:
         """Return ``count`` new tickets; none while this host is leaving."""
-        if self.leaving:
+        if self.requests.leaving.is_set():
             return ()
         return tuple(self.mint.mint() for _ in range(count))
 
     def submit(self, job: Job) -> JobAnswer:
         """Run the job or join it, wherever its ticket's home is."""
+        with self.requests.counted():
+            return self._submit(job)
+
+    def _submit(self, job: Job) -> JobAnswer:
         arrived_ms = self._now_ms()
         if not job.job_id:
             job = evolve(job, job_id=self.mint.mint())
@@ -109,53 +116,101 @@
         ticket = self._parse(job_id)
         if isinstance(ticket, Failure):
             return refused(job_id, ticket)
-        if self.mint.minted(ticket):
-            return self._ask(ticket, wait_ms)
-        answer = self.peers.ask(ticket.host, ticket.incarnation, job_id, wait_ms)
-        return home_failed(job_id, answer) if isinstance(answer, Failure) else answer
+        with self.requests.counted():
+            if self.mint.minted(ticket):
+                return self._ask(ticket, wait_ms)
+            host, incarnation = ticket.host, ticket.incarnation
+            return self._forwarded(
+                ticket,
+                lambda: self.peers.ask(host, incarnation, job_id, wait_ms),
+                self.requests.leaving,
+            )
 
     def cancel(self, job_id: str) -> JobAnswer:
         """Stop the job; one that has not started never will."""
         ticket = self._parse(job_id)
         if isinstance(ticket, Failure):
             return refused(job_id, ticket)
-        if self.mint.minted(ticket):
-            return self._cancel(ticket)
-        answer = self.peers.cancel(ticket.host, ticket.incarnation, job_id)
-        return home_failed(job_id, answer) if isinstance(answer, Failure) else answer
+        with self.requests.counted():
+            if self.mint.minted(ticket):
+                return self._cancel(ticket)
+            host, incarnation = ticket.host, ticket.incarnation
+            return self._forwarded(
+                ticket,
+                lambda: self.peers.cancel(host, incarnation, job_id),
+                self.requests.overdue,
+            )
 
     def submit_here(self, job: Job) -> JobAnswer:
         """Admit or join a job that a peer forwarded; its key is claimed."""
         ticket = self._own(job.job_id)
         if isinstance(ticket, Failure):
             return refused(job.job_id, ticket)
-        return self._run_or_join(job, ticket, job.deadline_ms)
+        with self.requests.counted():
+            return self._run_or_join(job, ticket, job.deadline_ms)
 
     def ask_here(self, job_id: str, wait_ms: float) -> JobAnswer:
         """Answer a question that a peer forwarded."""
         ticket = self._own(job_id)
         if isinstance(ticket, Failure):
             return refused(job_id, ticket)
-        return self._ask(ticket, wait_ms)
+        with self.requests.counted():
+            return self._ask(ticket, wait_ms)
 
     def cancel_here(self, job_id: str) -> JobAnswer:
         """Cancel a job on a peer's behalf."""
         ticket = self._own(job_id)
         if isinstance(ticket, Failure):
             return refused(job_id, ticket)
-        return self._cancel(ticket)
+        with self.requests.counted():
+            return self._cancel(ticket)
 
     def drain(self, within_ms: float) -> bool:
-        """Refuse new jobs, let the running ones end; say whether all did."""
-        self.leaving = True
-        until_ms = self._now_ms() + within_ms
-        while self.ledger.running and self._now_ms() < until_ms:
-            gevent.sleep(DRAIN_POLL_MS / MS_PER_S)
-        ended = not self.ledger.running
-        for running in list(self.ledger.running.values()):
-            running.cancelled.set()
+        """Refuse new jobs, and answer every request in flight.
+
+        Returns True if all jobs and requests ended within the time. Otherwise
+        it cancels the rest, and tells their callers that they may have run.
+        """
+        self.requests.leaving.set()
+        ended = self.requests.await_idle(self._has_jobs, within_ms)
+        if not ended:
+            self.requests.overdue.set()
+            for running in list(self.ledger.running.values()):
+                running.cancelled.set()
+            self.requests.await_idle(self._has_jobs, LAST_ANSWERS_MS)
         return ended
 
+    def _has_jobs(self) -> bool:
+        return bool(self.ledger.running)
+
+    def seal(self) -> None | Failure:
+        """Leave the ledger to other hosts; call it once ``drain`` has ended."""
+        return self.stopped_ledgers.seal(self.ledger, self.mint)
+
+    def _forwarded(
+        self,
+        ticket: Ticket,
+        call: Callable[[], JobAnswer | Failure],
+        give_up: Event,
+        digest: bytes | None = None,
+    ) -> JobAnswer:
+        answer = self.requests.from_home(call, give_up)
+        if isinstance(answer, Failure):
+            return self._without_home(ticket, answer, digest)
+        return answer
+
+    def _without_home(
+        self, ticket: Ticket, failure: Failure, digest: bytes | None
+    ) -> JobAnswer:
+        """Answer from what a stopped home left behind, or say what is unknown."""
+        sealed = self.stopped_ledgers.find(ticket)
+        if sealed is None:
+            return home_failed(ticket.text, failure)
+        known = (
+            sealed.answer(ticket) if digest is None else sealed.admit(ticket, digest)
+        )
+        return refused(ticket.text, known) if isinstance(known, Failure) else known
+
     def _run_or_join(self, job: Job, ticket: Ticket, left_ms: float) -> JobAnswer:
         self.time_line.record(EventKind.JOB_RECEIVED, job.job_id)
         deadline_at_ms = self._now_ms() + left_ms
@@ -178,7 +233,7 @@
     def _start(
         self, job: Job, ticket: Ticket, digest: bytes, deadline_at_ms: float
     ) -> RunningJob | Failure:
-        if self.leaving:
+        if self.requests.leaving.is_set():
             return Failure(
                 ErrorKind.LEAVING, "this entry host is leaving; take a new ticket"
             )
@@ -252,13 +307,17 @@
         self.time_line.record(EventKind.JOB_FORWARDED, job.job_id, target=ticket.host)
         self.metrics.count("jobs_forwarded")
         forwarded = evolve(job, deadline_ms=int(left_ms))
-        answer = self.peers.submit(ticket.host, ticket.incarnation, forwarded)
-        if isinstance(answer, Failure):
-            return self._answered(home_failed(job.job_id, answer))
-        return answer
+        host, incarnation = ticket.host, ticket.incarnation
+        answer = self._forwarded(
+            ticket,
+            lambda: self.peers.submit(host, incarnation, forwarded),
+            self.requests.overdue,
+            digest_of(job),
+        )
+        return self._answered(answer)
 
     def _claim(self, job: Job, proposed: Ticket) -> Ticket | Failure:
-        if self.leaving:
+        if self.requests.leaving.is_set():
             return Failure(
                 ErrorKind.LEAVING,
                 "this entry host is leaving and claims no keys; resubmit with the "
