--- a/rattanloom/configuration_publish.py
+++ b/rattanloom/configuration_publish.py
@@ -7,7 +7,7 @@
 then names the publication that won.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from secrets import token_hex
 from typing import TypeVar
 
@@ -110,7 +110,11 @@
 
 @define(eq=False)
 class Publisher:
-    """Publishes one operator's changes."""
+    """Publishes one operator's changes.
+
+    ``copies`` returns document texts that the entry hosts hold, for the case
+    that the object store has lost or spoilt the head's document.
+    """
 
     operator: str
     environment: Environment
@@ -118,6 +122,7 @@
     objects: ObjectStore
     give_up_ms: float = GIVE_UP_MS
     retry_base_ms: float = RETRY_BASE_MS
+    copies: Callable[[], Iterable[str]] = tuple
 
     def publish(self, edit: Edit, message: str) -> Accepted | Unchanged | Failure:
         """Publish what ``edit`` makes of the head, until accepted or refused.
@@ -158,12 +163,26 @@
 
     def fetch_document(self, head: Head) -> Document | Failure:
         """Return the document that a head or version row names."""
-        content = self._retry(lambda: self.objects.get(object_name(head.digest)))
+        document = self._read_object(head)
+        if isinstance(document, Document) or _is_transient(document):
+            return document
+        for text in self.copies():
+            copy = parse_document(text)
+            if isinstance(copy, Document) and copy.digest == head.digest:
+                return copy
+        reason = f"{document.reason}; no entry host gave a copy either"
+        return Failure(ErrorKind.INTERNAL, reason)
+
+    def _read_object(self, head: Head) -> Document | Failure:
+        name = object_name(head.digest)
+        content = self._retry(lambda: self.objects.get(name))
         if isinstance(content, Failure):
             return content
         document = parse_document(content.decode(errors="replace"))
-        if isinstance(document, Document) and document.digest != head.digest:
-            return Failure(ErrorKind.INTERNAL, f"object {head.digest} is another's")
+        if isinstance(document, Failure):
+            return Failure(document.kind, f"object {name}: {document.reason}")
+        if document.digest != head.digest:
+            return Failure(ErrorKind.INTERNAL, f"object {name} is another document")
         return document
 
     def read_versions(self, newest: int, count: int) -> list[VersionRecord] | Failure:
--- a/rattanloom/operators/commands.py
+++ b/rattanloom/operators/commands.py
@@ -1,7 +1,7 @@
 """The commands of the operators' command line."""
 
 from collections.abc import Callable
-from functools import wraps
+from functools import partial, wraps
 from json import dumps
 
 from attrs import define, frozen
@@ -24,7 +24,7 @@
 from rattanloom.operators.folder_base import read_base, write_base
 from rattanloom.operators.follow import await_in_force, hint_hosts
 from rattanloom.operators.host_table import status_lines
-from rattanloom.operators.hosts import HostPage, fetch_pages
+from rattanloom.operators.hosts import HostPage, fetch_documents, fetch_pages
 from rattanloom.operators.settings import OperatorSettings
 from rattanloom.operators.time_line import event_json, event_line, merge_events
 from rattanloom.platform.client import PlatformClient
@@ -303,8 +303,15 @@
     """Return the desk of the operator that the settings file names."""
     settings = load_settings(settings_path, OperatorSettings)
     client = PlatformClient(settings.platform_address, settings.timeout_ms)
-    give_up_ms = settings.publish_within_ms
-    publisher = Publisher(settings.operator, environment, client, client, give_up_ms)
+    addresses = tuple(settings.entry_addresses.values())
+    publisher = Publisher(
+        settings.operator,
+        environment,
+        client,
+        client,
+        settings.publish_within_ms,
+        copies=partial(fetch_documents, addresses, settings.timeout_ms),
+    )
     return Desk(settings, publisher)
 
 
--- a/rattanloom/operators/hosts.py
+++ b/rattanloom/operators/hosts.py
@@ -1,7 +1,7 @@
 """Asks all entry hosts for a page at once."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from http import HTTPStatus
 from urllib.parse import urlencode
 
@@ -54,6 +54,18 @@
     return Pool(HOSTS_AT_ONCE).map(fetch, sorted(addresses))
 
 
+def fetch_documents(addresses: Iterable[str], timeout_ms: float) -> Iterator[str]:
+    """Yield the configuration documents that entry hosts hold, one by one."""
+    http = PoolManager(timeout=Timeout(timeout_ms / MS_PER_S), retries=False)
+    for address in addresses:
+        try:
+            reply = http.request("GET", f"http://{address}/v1/config")
+        except HTTPError:
+            continue
+        if reply.status == HTTPStatus.OK:
+            yield reply.data.decode(errors="replace")
+
+
 def _get_json(http: PoolManager, url: str) -> dict | Failure:
     try:
         reply = http.request("GET", url)
--- a/rattanloom/operators/pages.py
+++ b/rattanloom/operators/pages.py
@@ -5,7 +5,7 @@
 from attrs import asdict, define, field
 from bottle import Bottle, HTTPResponse, request
 
-from rattanloom.callers.api import failure_response, json_response
+from rattanloom.callers.api import JSON, failure_response, json_response
 from rattanloom.callers.submission import parse_body
 from rattanloom.configuration import Configuration
 from rattanloom.environment import Environment
@@ -60,6 +60,7 @@
         app.get("/metrics", callback=self.get_metrics)
         app.get("/v1/status", callback=self.get_status)
         app.get("/v1/timeline", callback=self.get_timeline)
+        app.get("/v1/config", callback=self.get_config)
         app.post("/v1/config/look", callback=self.post_config_look)
         if self.settings.test_aids:
             app.post("/v1/test/blocked", callback=self.post_blocked)
@@ -128,6 +129,13 @@
             }
         )
 
+    def get_config(self) -> HTTPResponse:
+        """Return the newest configuration document that this host holds."""
+        document = self.configuration.document(0)
+        if isinstance(document, Failure):
+            return failure_response(document)
+        return HTTPResponse(document, headers={"Content-Type": JSON})
+
     def post_config_look(self) -> HTTPResponse:
         """Take a hint that the platform has a newer configuration."""
         self.configuration.look_now()
--- a/tests/test_config_publish.py
+++ b/tests/test_config_publish.py
@@ -1,5 +1,6 @@
 """Publishing: accepted changes are never lost or reverted, refused ones never in."""
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -104,6 +105,24 @@
     assert publish(platform, FOLDER, 0) == Unchanged(1)
 
 
+@pytest.mark.parametrize("spoil", [lambda _: b"spoilt", None])
+def test_lost_object_is_made_good_from_a_copy_that_a_host_holds(spoil):
+    platform = FakePlatform()
+    publish(platform, FOLDER, 0)
+    (name, content), *_ = platform.objects.items()
+    del platform.objects[name]
+    if spoil:
+        platform.objects[name] = spoil(content)
+    client = publisher(platform)
+    failure = client.publish(drain_edit("w1"), "drain")
+    assert failure.kind is ErrorKind.INTERNAL
+    assert "no entry host gave a copy" in failure.reason
+    assert len(records(platform)) == 1
+    client.copies = lambda: ["no document", content.decode()]
+    assert isinstance(client.publish(drain_edit("w1"), "drain"), Accepted)
+    assert client.read_head().document.folder == FOLDER
+
+
 class RacingOperators(RuleBasedStateMachine):
     """Operators publish over a platform that loses, delays and refuses."""
 
