--- a/rattanloom/operators/host_table.py
+++ b/rattanloom/operators/host_table.py
@@ -43,8 +43,8 @@
 
 def _slots(content: dict) -> str:
     capacity = content.get("capacity", {})
-    free, share = capacity.get("free_slots", "?"), capacity.get("share_slots", "?")
-    return f"{free} free of {share}"
+    free, total = capacity.get("free_slots", "?"), capacity.get("total_slots", "?")
+    return f"{free} free of {total}"
 
 
 def _notes(pages: list[HostPage]) -> list[str]:
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -207,7 +207,7 @@
         "health": "ok",
         "config_version": 12,
         "members": members,
-        "capacity": {"free_slots": 3, "share_slots": 8},
+        "capacity": {"free_slots": 3, "share_slots": 4, "total_slots": 8},
         "config": {"ground": "from the platform", "problem": "object is corrupt"},
     }
     with entry_host("a", 250, **page) as address:
