--- /dev/null
+++ b/experiments/daemon_cost.py
@@ -0,0 +1,115 @@
+"""Measures what whole entry daemons spend when no job runs.
+
+Starts real daemons over several zones with a platform stand-in, whose host
+list names workers that nobody serves, and reads each daemon's processor time
+and memory from the system. ``python -m experiments.daemon_cost``; the last
+line is one JSON object.
+"""
+
+from gevent import monkey
+
+if __name__ == "__main__":
+    monkey.patch_all()
+
+import json
+import os
+import time
+from pathlib import Path
+from resource import getpagesize
+from statistics import mean
+
+import fire
+
+from experiments.cluster import Cluster, Process, Shape, running_cluster
+
+BYTES_PER_MB = 1_000_000
+PERCENT = 100
+CPU_FIELDS = slice(13, 15)
+READY_WITHIN_S = 50.0
+
+
+def measure(
+    zones: int = 7,
+    hosts: int = 6,
+    workers: int = 940,
+    teams: int = 130,
+    measure_s: float = 8.0,
+    settle_s: float = 15.0,
+) -> None:
+    """Start ``zones`` x ``hosts`` daemons and print what each spends."""
+    names = tuple(f"Zone{number}" for number in range(zones))
+    with running_cluster(Shape(zones=names, hosts=hosts, workers=0)) as cluster:
+        _list_workers(cluster, names, workers)
+        _publish_teams(cluster, teams)
+        cluster.await_ready(READY_WITHIN_S)
+        time.sleep(settle_s)
+        daemons = list(cluster.hosts.values())
+        before = [_core_s(daemon) for daemon in daemons]
+        counts = cluster.get_json(cluster.platform.address, "/counts")
+        started_s = time.monotonic()
+        time.sleep(measure_s)
+        elapsed_s = time.monotonic() - started_s
+        after = [_core_s(daemon) for daemon in daemons]
+        counts_after = cluster.get_json(cluster.platform.address, "/counts")
+        spent = [end - start for start, end in zip(before, after, strict=True)]
+        percents = [PERCENT * core_s / elapsed_s for core_s in spent]
+        memory = [_memory_mb(daemon) for daemon in daemons]
+    summary = {
+        "daemons": len(daemons),
+        "workers": workers,
+        "teams": teams,
+        "core_percent_mean": round(mean(percents), 2),
+        "core_percent_max": round(max(percents), 2),
+        "memory_mb_mean": round(mean(memory), 1),
+        "memory_mb_max": round(max(memory), 1),
+        "platform_counts_s": _rates(counts, counts_after, elapsed_s),
+    }
+    for name, value in summary.items():
+        print(f"{name}: {value}")
+    print(json.dumps(summary))
+
+
+def _list_workers(cluster: Cluster, zones: tuple[str, ...], count: int) -> None:
+    document = [
+        {
+            "name": f"worker-{number:03}",
+            "zone": zones[number % len(zones)],
+            "address": "127.0.0.1:9",
+            "slots": 8,
+            "connections": 64,
+            "leaving": False,
+        }
+        for number in range(count)
+    ]
+    cluster.request(cluster.platform.address, "PUT", "/hosts", document)
+
+
+def _publish_teams(cluster: Cluster, count: int) -> None:
+    folder = cluster.folder / "rules"
+    folder.mkdir()
+    teams = {f"team-{number:03}": {"quota_slots": 64} for number in range(count)}
+    (folder / "10-teams.json").write_text(json.dumps({"teams": teams}))
+    cluster.publish(folder)
+
+
+def _core_s(daemon: Process) -> float:
+    text = Path(f"/proc/{daemon.popen.pid}/stat").read_text()
+    ticks = text.rsplit(")", 1)[1].split()[CPU_FIELDS.start - 2 : CPU_FIELDS.stop - 2]
+    return sum(map(int, ticks)) / os.sysconf("SC_CLK_TCK")
+
+
+def _memory_mb(daemon: Process) -> float:
+    pages = int(Path(f"/proc/{daemon.popen.pid}/statm").read_text().split()[1])
+    return pages * getpagesize() / BYTES_PER_MB
+
+
+def _rates(before: dict, after: dict, elapsed_s: float) -> dict:
+    return {
+        name: round((value - before.get(name, 0)) / elapsed_s, 1)
+        for name, value in after.items()
+        if isinstance(value, int)
+    }
+
+
+if __name__ == "__main__":
+    fire.Fire(measure)
