--- /dev/null
+++ b/experiments/directory_cost.py
@@ -0,0 +1,104 @@
+"""Measures what following workers and peers' loads costs one entry host.
+
+Run it with ``python -m experiments.directory_cost --help``.
+"""
+
+import json
+from collections.abc import Callable
+from functools import partial
+from time import process_time
+from tracemalloc import get_traced_memory, start, stop
+
+from fire import Fire
+
+from rattanloom.job import Task
+from rattanloom.peers.protocol import HostLoad, Member, MemberState, TargetLoad
+from rattanloom.platform.protocol import ListedTarget
+from rattanloom.routing import choose_target
+from rattanloom.targets.client import TargetClient
+from rattanloom.targets.fleet import Fleet
+from rattanloom.targets.state import TargetState
+
+SIZES = ((24, 9, 3), (120, 15, 3), (470, 28, 7), (940, 40, 7))
+SLOTS = 8
+ROUNDS = 40
+HEARTBEATS_PER_S = 4
+TASK = Task("proof")
+
+
+class Peers:
+    """Peers that all tell the same kind of load."""
+
+    def __init__(self, members: tuple[Member, ...], targets: list[str]) -> None:
+        """Let each member occupy slots on its part of the workers."""
+        self._members = members
+        self._loads = {
+            member.host: HostLoad(
+                targets=tuple(
+                    TargetLoad(name, 5) for name in targets[number :: len(members)]
+                )
+            )
+            for number, member in enumerate(members)
+        }
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the other entry hosts."""
+        return self._members
+
+    def loads(self) -> dict[str, HostLoad]:
+        """Return their loads."""
+        return self._loads
+
+
+def build(workers: int, hosts: int, zones: int) -> Fleet:
+    """Return a fleet of that size, as one entry host sees it."""
+    names = [f"worker-{number}" for number in range(workers)]
+    members = tuple(
+        Member(f"host-{n}", f"zone-{n % zones}", "", "i", 0, MemberState.LIVE)
+        for n in range(1, hosts)
+    )
+    fleet = Fleet("host-0", "zone-0", Peers(members, names))
+    for number, name in enumerate(names):
+        listed = ListedTarget(name, f"zone-{number % zones}", "10.0.0.1:1", SLOTS, 64)
+        fleet.add(TargetState(listed, TargetClient(name, listed.address, SLOTS)))
+    return fleet
+
+
+def find(fleet: Fleet) -> TargetState | None:
+    """Choose a worker, as for every start."""
+    return choose_target(TASK, fleet.tiers(()), 0.0)
+
+
+def seconds_each(call: Callable, rounds: int = ROUNDS) -> float:
+    """Return the processor seconds of one call."""
+    call()
+    began = process_time()
+    for _ in range(rounds):
+        call()
+    return (process_time() - began) / rounds
+
+
+def measure() -> None:
+    """Print the cost at each size, as JSON lines."""
+    for workers, hosts, zones in SIZES:
+        start()
+        before, _ = get_traced_memory()
+        fleet = build(workers, hosts, zones)
+        fleet.refresh()
+        after, _ = get_traced_memory()
+        stop()
+        refresh_s = seconds_each(fleet.refresh)
+        find_s = seconds_each(partial(find, fleet))
+        figures = {
+            "workers": workers,
+            "hosts": hosts,
+            "refresh_ms": round(refresh_s * 1_000, 3),
+            "core_percent": round(refresh_s * HEARTBEATS_PER_S * 100, 3),
+            "find_us": round(find_s * 1_000_000, 1),
+            "memory_kb": round((after - before) / 1_000),
+        }
+        print(json.dumps(figures))
+
+
+if __name__ == "__main__":
+    Fire(measure)
--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -29,18 +29,22 @@
     _cut_off_zones: frozenset[str] = frozenset()
     _hosts: int = 1
     _hosts_here: int = 1
+    _listings: int = 0
+    _assigned: tuple = ()
     _tiers: dict[tuple[str, ...], Tiers] = field(factory=dict)
 
     def add(self, state: TargetState) -> None:
         """Begin to use a worker, in place of any of the same name."""
         self.remove(state.name)
         self.targets[state.name] = state
+        self._listings += 1
 
     def remove(self, name: str) -> None:
         """Forget a worker; attempts under way on it end as they end."""
         state = self.targets.pop(name, None)
         if state is not None:
             state.client.close()
+        self._listings += 1
         self.forget_tiers()
 
     def refresh(self) -> list[TargetState]:
@@ -53,7 +57,6 @@
         self._hosts = 1 + sum(member.state in HERE for member in members)
         self._take_loads()
         self._assign_owners(members)
-        self.forget_tiers()
         return self._newly_cut_off(members)
 
     def forget_tiers(self) -> None:
@@ -61,11 +64,11 @@
         self._tiers.clear()
 
     def tiers(self, patterns: tuple[str, ...]) -> Tiers:
-        """Return the open workers whose names match, by tier."""
+        """Return the workers whose names match, by tier."""
         tiers = self._tiers.get(patterns)
         if tiers is None:
-            states = [state for state in self.allowed(patterns) if not state.closed]
-            tiers = self._tiers[patterns] = make_tiers(states, self.zone)
+            tiers = make_tiers(self.allowed(patterns), self.zone)
+            self._tiers[patterns] = tiers
         return tiers
 
     def allowed(self, patterns: tuple[str, ...]) -> list[TargetState]:
@@ -100,13 +103,21 @@
                     state.tell_peer_slots(host, told.slots)
 
     def _assign_owners(self, members: tuple[Member, ...]) -> None:
-        hosts = [member for member in members if member.state is MemberState.LIVE]
+        """Spread the workers over the live hosts of their zones, if any changed."""
+        hosts = [(self.zone, self.host)] + [
+            (member.zone, member.host)
+            for member in members
+            if member.state is MemberState.LIVE
+        ]
+        closed = [state.name for state in self.targets.values() if state.closed]
+        basis = (self._listings, self._hosts, tuple(hosts), tuple(closed))
+        if basis == self._assigned:
+            return
+        self._assigned = basis
+        self._hosts_here = sum(zone == self.zone for zone, _ in hosts)
         for zone in {state.listed.zone for state in self.targets.values()}:
-            names = [member.host for member in hosts if member.zone == zone]
-            if zone == self.zone:
-                names.append(self.host)
-                self._hosts_here = len(names)
-            self._assign_zone(zone, names)
+            self._assign_zone(zone, [host for place, host in hosts if place == zone])
+        self.forget_tiers()
 
     def _assign_zone(self, zone: str, hosts: list[str]) -> None:
         states = [state for state in self.targets.values() if state.listed.zone == zone]
