--- a/rattanloom/configuration.py
+++ b/rattanloom/configuration.py
@@ -294,7 +294,11 @@
         self._in_force = document
         platform = "answers" if self._platform_reachable else "is unreachable"
         self._ground = f"from {held.source}, {ground.value}; the platform {platform}"
-        detail = f"version {document.version} {self._ground}"
+        record = document.record
+        detail = (
+            f"version {record.version} by {record.operator} ({record.message}) "
+            f"{self._ground}"
+        )
         self.time_line.record(EventKind.CONFIG_IN_FORCE, detail=detail)
         log.info("version {} is in force: {}", document.version, self._ground)
 
--- a/tests/test_config_host.py
+++ b/tests/test_config_host.py
@@ -90,7 +90,7 @@
     assert list(host.configuration.rules().teams) == ["clubs"]
     events = host.time_line.events()
     assert [event.kind for event in events] == [EventKind.CONFIG_IN_FORCE]
-    assert "version 5 from the platform" in events[0].detail
+    assert "version 5 by ama (why) from the platform" in events[0].detail
 
 
 def test_peer_that_never_holds_it_delays_a_version_only_for_a_bounded_time():
