--- a/experiments/config_propagation.py
+++ b/experiments/config_propagation.py
@@ -17,6 +17,7 @@
 
 import json
 import sys
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from time import process_time
@@ -81,6 +82,7 @@
     each: HdrHistogram = field(factory=lambda: HdrHistogram(1, HISTOGRAM_MAX_MS, 3))
     last: HdrHistogram = field(factory=lambda: HdrHistogram(1, HISTOGRAM_MAX_MS, 3))
     learned_by_nobody: int = 0
+    grounds: Counter = field(factory=Counter)
     late: int = 0
 
 
@@ -150,6 +152,7 @@
         elapsed_ms = clock.now_ms() - accepted_at_ms
         for host in [host for host in waiting if host.version() >= version]:
             figures.each.record_value(max(1, round(elapsed_ms)))
+            figures.grounds[host.ground().name] += 1
             waiting.remove(host)
     figures.late += elapsed_ms > IN_FORCE_WITHIN_MS
     if len(waiting) == len(deployment.hosts):
@@ -219,6 +222,7 @@
                     "host_p99_ms": figures.each.get_value_at_percentile(99),
                     "last_p50_ms": figures.last.get_value_at_percentile(50),
                     "last_p99_ms": figures.last.get_value_at_percentile(99),
+                    "grounds": dict(figures.grounds),
                     "late_changes": figures.late,
                     "learned_by_nobody": figures.learned_by_nobody,
                     "idle_reads_per_s_per_host": round(idle_reads_s / hosts, 3),
--- a/rattanloom/configuration.py
+++ b/rattanloom/configuration.py
@@ -87,7 +87,8 @@
     _platform_version: int = field(init=False, default=NO_VERSION)
     _platform_answered: bool = field(init=False, default=False)
     _platform_reachable: bool = field(init=False, default=False)
-    _ground: str = field(init=False, default="")
+    _ground: Ground | None = field(init=False, default=None)
+    _ground_text: str = field(init=False, default="")
     _problem: str = field(init=False, default="")
 
     def start(self, peers: Peers) -> None:
@@ -108,6 +109,10 @@
         """Return the newest version held here; peers are told this one."""
         return _version_of(self._newest)
 
+    def ground(self) -> Ground | None:
+        """Return on what ground the version in force was put in force."""
+        return self._ground
+
     def document(self, version: int) -> str | Failure:
         """Return the text of the newest held document, if ``version`` or newer."""
         if self._newest is None or self._newest.version < version:
@@ -122,7 +127,7 @@
             self.held_version(),
             self._platform_version,
             self._platform_reachable,
-            self._ground,
+            self._ground_text,
             self._problem,
         )
 
@@ -293,14 +298,17 @@
         ]
         self._in_force = document
         platform = "answers" if self._platform_reachable else "is unreachable"
-        self._ground = f"from {held.source}, {ground.value}; the platform {platform}"
+        self._ground = ground
+        self._ground_text = (
+            f"from {held.source}, {ground.value}; the platform {platform}"
+        )
         record = document.record
         detail = (
             f"version {record.version} by {record.operator} ({record.message}) "
-            f"{self._ground}"
+            f"{self._ground_text}"
         )
         self.time_line.record(EventKind.CONFIG_IN_FORCE, detail=detail)
-        log.info("version {} is in force: {}", document.version, self._ground)
+        log.info("version {} is in force: {}", document.version, self._ground_text)
 
     def _reachable_peers(self) -> list[Member]:
         return [peer for peer in self._members() if peer.state in REACHABLE]
