Tell peers a newly held version at once

Ruled out: asking a far peer for its document as evidence (costs a document). Change: one small heartbeat to every peer on each newly held version.

--- a/rattanloom/configuration.py
+++ b/rattanloom/configuration.py
@@ -241,6 +241,7 @@
         now_ms = self.environment.clock.now_ms()
         self._waiting.append(Held(document, now_ms, source))
         log.info("holds version {} from {}", document.version, source)
+        self._peers.announce_config()
         self.consider()
         if self._waiting and self._hold_check is None:
             self._hold_check = self.timers.subscribe(
--- a/rattanloom/peers/protocol.py
+++ b/rattanloom/peers/protocol.py
@@ -112,5 +112,8 @@
     def fetch_config(self, host: str, version: int) -> str | Failure:
         """Return a peer's configuration document of that version or newer."""
 
+    def announce_config(self) -> None:
+        """Tell every peer at once which configuration version is held here."""
+
     def announce_leaving(self) -> None:
         """Tell every peer that this host takes no new work."""
--- a/rattanloom/peers/service.py
+++ b/rattanloom/peers/service.py
@@ -155,6 +155,10 @@
             return reply.text
         return reply if isinstance(reply, Failure) else _foreign(host)
 
+    def announce_config(self) -> None:
+        """Tell every peer at once which configuration version is held here."""
+        self.heartbeats.announce()
+
     def announce_leaving(self) -> None:
         """Tell every peer that this host takes no new work."""
         self.heartbeats.leaving = True
--- a/tests/config_fakes.py
+++ b/tests/config_fakes.py
@@ -126,10 +126,14 @@
     known: tuple = ()
     documents: dict = field(factory=dict)
     callbacks: list = field(factory=list)
+    announced: int = 0
 
     def members(self):
         return self.known
 
+    def announce_config(self):
+        self.announced += 1
+
     def on_config_version(self, callback):
         self.callbacks.append(callback)
 
--- a/tests/test_config_host.py
+++ b/tests/test_config_host.py
@@ -82,6 +82,7 @@
     host.hear(member("adum-2", 4), member("asokwa-1", 4, "Asokwa"))
     host.poll()
     assert host.versions() == (5, 0)
+    assert host.peers.announced == 1
     assert host.configuration.rules() is None
     host.hear(MATE, member("asokwa-1", 4, "Asokwa"))
     assert host.versions() == (5, 0)
