End waits for a home by its connection alone; describe the membership

A wait under way ended when the membership saw the home as silent. Pings notice a dead connection sooner (about 5 beats at most), and a home whose heartbeats are lost but which answers pings still runs the job: under load the rule could only end waits that were sound. Removing it leaves every forwarding test as it was, the bounds included. A test for the rule that a zone which only others hear is cut off was missing; it fails without that rule.

--- /dev/null
+++ b/experiments/forward_cost.py
@@ -0,0 +1,125 @@
+"""Measures what forwarding a job to its home costs, in processor time and ms.
+
+Two hosts run in two processes; one forwards jobs of several sizes to the
+other. ``python -m experiments.forward_cost run``; the last line is JSON.
+"""
+
+from gevent import monkey
+
+if __name__ == "__main__":
+    monkey.patch_all()
+
+import json
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from subprocess import PIPE, Popen
+from time import monotonic, process_time
+
+import fire
+import gevent
+from gevent.pool import Pool
+
+from rattanloom.environment import Environment
+from rattanloom.job import Job, JobAnswer, JobOutcome, Task
+from rattanloom.metrics import Metrics
+from rattanloom.peers.protocol import HostLoad
+from rattanloom.peers.service import PeerService
+from rattanloom.settings import EntrySettings, Seed
+from rattanloom.timeline import TimeLine
+from rattanloom.timer import running_timers
+
+ADDRESSES = ("127.0.0.1:21910", "127.0.0.1:21911")
+PAYLOAD = "x" * 200
+TASK_COUNTS = (1, 10, 50, 210)
+FORWARDS = 1_000
+AT_ONCE = 20
+MS_PER_S = 1_000
+
+
+class Home:
+    """Answers each job at once with its tasks' payloads."""
+
+    def submit_here(self, job: Job) -> JobAnswer:
+        """Return a whole answer."""
+        outputs = tuple(task.payload for task in job.tasks)
+        return JobAnswer(job.job_id, JobOutcome.COMPLETE, outputs)
+
+
+@contextmanager
+def _host(number: int) -> Iterator[PeerService]:
+    settings = EntrySettings(
+        host=f"entry-{number}",
+        zone="Adum",
+        http_address="127.0.0.1:1",
+        peer_address=ADDRESSES[number],
+        platform_address="127.0.0.1:1",
+        ticket_key="0123456789abcdef",
+        seeds=(Seed(f"entry-{1 - number}", "Adum", ADDRESSES[1 - number]),),
+    )
+    environment = Environment()
+    with running_timers() as timers:
+        service = PeerService(
+            settings,
+            environment,
+            timers,
+            TimeLine(settings.host, environment.clock),
+            f"incarnation-{number}",
+            HostLoad,
+            lambda: 0,
+            lambda version: "",
+            Metrics(),
+        )
+        with service.serve(Home()):
+            yield service
+
+
+def serve() -> None:
+    """Run the home until standard input closes."""
+    with _host(1):
+        gevent.get_hub().threadpool.apply(sys.stdin.read)
+
+
+def run() -> None:
+    """Measure every size, and print a table and one JSON object."""
+    rows = []
+    command = [sys.executable, "-m", "experiments.forward_cost", "serve"]
+    with Popen(command, stdin=PIPE) as home, _host(0) as service:
+        while not service.members():
+            gevent.sleep(0.1)
+        for tasks in TASK_COUNTS:
+            rows.append(_measure(service, tasks))
+            print(rows[-1])
+        home.stdin.close()
+    print(json.dumps(rows))
+
+
+def _measure(service: PeerService, tasks: int) -> dict[str, float]:
+    job = Job("job", "desk", (Task("crop", PAYLOAD),) * tasks, 10_000)
+    latencies_ms = []
+
+    def forward(_: int) -> None:
+        started_s = monotonic()
+        answer = service.submit("entry-1", "incarnation-1", job)
+        if len(answer.outputs) != tasks:
+            raise RuntimeError(f"not answered whole: {answer}")
+        latencies_ms.append((monotonic() - started_s) * MS_PER_S)
+
+    forward(0)
+    latencies_ms.clear()
+    for number in range(FORWARDS // 10):
+        forward(number)
+    alone_ms = sorted(latencies_ms)
+    started_s = process_time()
+    for _ in Pool(AT_ONCE).imap_unordered(forward, range(FORWARDS)):
+        pass
+    core_ms = (process_time() - started_s) * MS_PER_S / FORWARDS
+    return {
+        "tasks": tasks,
+        "asker_core_ms": round(core_ms, 3),
+        "alone_p50_ms": round(alone_ms[FORWARDS // 20], 3),
+    }
+
+
+if __name__ == "__main__":
+    fire.Fire({"run": run, "serve": serve})
--- a/rattanloom/peers/forwarder.py
+++ b/rattanloom/peers/forwarder.py
@@ -80,16 +80,12 @@
                 break
         return self._told(Failure(ErrorKind.HOME_UNREACHABLE, reason), handed_over)
 
-    def drop(self, host: str, reason: str) -> None:
-        """Fail the requests that wait on a host, which answer at once."""
-        link = self._links.pop(host, None)
-        if link is not None and link.connection is not None:
-            link.connection.close(reason)
-
     def close(self) -> None:
         """Close every connection."""
-        for host in list(self._links):
-            self.drop(host, "this host is stopping")
+        for link in self._links.values():
+            if link.connection is not None:
+                link.connection.close("this host is stopping")
+        self._links.clear()
 
     def bytes_moved(self) -> int:
         """Return the bytes sent and received on the open connections."""
--- a/rattanloom/peers/service.py
+++ b/rattanloom/peers/service.py
@@ -183,8 +183,6 @@
         log.info("Host {} of zone {} is {}.", record.host, record.zone, word)
         self.time_line.record(EventKind.MEMBER_CHANGED, detail=detail)
         self.metrics.count("member_changes", word)
-        if member.state not in HEARING:
-            self.forwarder.drop(record.host, f"the host is {word}")
 
     def _on_newer_config(self, host: str, version: int) -> None:
         if self._telling_config:
--- a/tests/test_peer_merging.py
+++ b/tests/test_peer_merging.py
@@ -85,6 +85,26 @@
     assert len(membership.known()) == 2
 
 
+def test_zone_that_only_others_hear_is_cut_off_before_each_pair_could_tell():
+    membership = new_membership()
+    third = record("c", 9, "Asokwa")
+    far = [record(f"b{number}", number, "Bantama") for number in range(6)]
+    for sender in far:
+        membership.introduce(sender, 0)
+        membership.hear(Heartbeat(sender.key, 1, 100 * HEARTBEAT_MS), 0)
+    for beat in range(1, 30):
+        told = tuple(ToldBeat(sender.key, beat) for sender in far)
+        hear(membership, third, beat, beat * HEARTBEAT_MS, told)
+        membership.evaluate(beat * HEARTBEAT_MS)
+    assert {membership.get(b.host).state for b in far} == {MemberState.LIVE}
+    for beat in range(30, 90):
+        told = tuple(ToldBeat(sender.key, beat) for sender in far)
+        hear(membership, third, beat, beat * HEARTBEAT_MS, told)
+        membership.evaluate(beat * HEARTBEAT_MS)
+    assert {membership.get(b.host).state for b in far} == {MemberState.CUT_OFF}
+    assert membership.get("c").state is MemberState.LIVE
+
+
 def test_third_party_does_not_make_an_incarnation_former():
     membership = new_membership()
     old, new, other = record("a", 1), record("a", 2), record("b", 1)
