Take the host list apart only when it has changed

Cause: a daemon at rest spent 9.28% of a core with 940 listed workers and 42 entry hosts; a profile showed the list, structured anew at every poll. Ruled out: polling less often, as a leaving worker must be noticed within seconds. Change: the client keeps the last body and its decoded list, and the directory passes over a list that is the same object.

--- a/rattanloom/platform/client.py
+++ b/rattanloom/platform/client.py
@@ -67,6 +67,8 @@
     timeout_ms: float = 1000
     link_filter: LinkFilter = field(factory=LinkFilter)
     _pool: HTTPConnectionPool = field(init=False)
+    _hosts_body: bytes | None = None
+    _hosts: tuple[ListedTarget, ...] = ()
 
     def __attrs_post_init__(self) -> None:
         host, _, port = self.address.rpartition(":")
@@ -120,12 +122,20 @@
         return reply if isinstance(reply, Failure) else reply.body
 
     def listed_targets(self) -> tuple[ListedTarget, ...] | Failure:
-        """Return the workers as the platform last knew them."""
+        """Return the workers as the platform last knew them.
+
+        A list that has not changed is the same object as before.
+        """
         reply = self._fetch("GET", "/hosts")
         if isinstance(reply, Failure):
             return reply
+        if reply.body == self._hosts_body:
+            return self._hosts
         decoded = _decode(reply, HostsReply)
-        return decoded if isinstance(decoded, Failure) else decoded.targets
+        if isinstance(decoded, Failure):
+            return decoded
+        self._hosts_body, self._hosts = reply.body, decoded.targets
+        return self._hosts
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -48,6 +48,7 @@
     outcomes: KindOutcomes = field(factory=KindOutcomes)
     link_filter: LinkFilter = field(factory=LinkFilter)
     _fleet: Fleet = field(init=False)
+    _listed: tuple[ListedTarget, ...] = ()
     _rules_applied: Rules | None = None
     _watchers: list[Callable[[], None]] = field(factory=list)
 
@@ -73,14 +74,19 @@
         if isinstance(listed, Failure):
             self.metrics.count("host_list_failures", listed.kind.value)
             return
+        if listed is not self._listed:
+            self._listed = listed
+            self._take_list(listed)
+        for state in self._states():
+            state.client.close_idle()
+        self.refresh()
+
+    def _take_list(self, listed: tuple[ListedTarget, ...]) -> None:
         for name in self._fleet.targets.keys() - {target.name for target in listed}:
             self._fleet.remove(name)
             self._tell(name, "no longer listed")
         for target in listed:
             self._take_listed(target)
-        for state in self._states():
-            state.client.close_idle()
-        self.refresh()
 
     def refresh(self) -> None:
         """Take in the peers' loads and the rules, and probe where due."""
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -3,6 +3,7 @@
 from contextlib import contextmanager
 
 import pytest
+from attrs import evolve
 
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.platform.client import PlatformClient
@@ -57,7 +58,11 @@
         assert kind_of(client.get("none")) is ErrorKind.NOT_FOUND
         target = ListedTarget("w1", "Adum", "127.0.0.1:1", 8, 64)
         state.hosts.replace((target,), 0)
-        assert client.listed_targets() == (target,)
+        listed = client.listed_targets()
+        assert listed == (target,)
+        assert client.listed_targets() is listed
+        state.hosts.replace((evolve(target, leaving=True),), 0)
+        assert client.listed_targets()[0].leaving
 
 
 def test_write_whose_reply_is_lost_is_told_as_lost_and_did_apply():
