Put a peer's load together once for each part merged

Cause: admission reads all peers' loads ten times a second and the directory four, and each reading built every team's and target's value anew: by the slope of one view (130 teams, 134 targets) this grows with hosts times readings. Change: the load is built when a part was merged since, at most twice a second for a host of the zone.

--- a/rattanloom/peers/load_exchange.py
+++ b/rattanloom/peers/load_exchange.py
@@ -140,11 +140,13 @@
     _targets: dict[int, int] = field(factory=dict)
     _queued_slots: int = 0
     _running_slots: int = 0
+    _load: HostLoad | None = None
 
     def merge(self, beat: int, part: LoadPart) -> None:
         """Take in a part; parts older than the newest one are ignored."""
         if beat < self.beat or part.generation < self.generation:
             return
+        self._load = None
         if part.generation > self.generation:
             self._clear(part.generation)
         self.beat = beat
@@ -161,7 +163,15 @@
                 self._targets[target.number] = target.slots
 
     def to_load(self) -> HostLoad:
-        """Return the load as now known; values of zero are left out."""
+        """Return the load as now known; values of zero are left out.
+
+        The same object is returned until a part is merged.
+        """
+        if self._load is None:
+            self._load = self._make_load()
+        return self._load
+
+    def _make_load(self) -> HostLoad:
         teams = tuple(
             TeamLoad(self._names[number], *value)
             for number, value in self._teams.items()
