--- /dev/null
+++ b/experiments/ledger_memory.py
@@ -0,0 +1,80 @@
+"""Measures what the ledger holds in memory; see "At most once" in DESIGN.md."""
+
+import gc
+import json
+import tracemalloc
+
+from attrs import frozen
+from fire import Fire
+
+from rattanloom.job import JobAnswer, JobOutcome
+from rattanloom.ledger import Ledger
+from rattanloom.ticket import Ticket
+
+KEY_BYTES = 16
+OUTPUT_CHARS = 20
+NEVER_DROP_BYTES = 1 << 40
+
+
+@frozen
+class Memory:
+    """The ledger's memory after a number of jobs, and per job."""
+
+    jobs: int
+    total_bytes: int
+    per_job_bytes: float
+
+
+def fill(jobs: int, keep_bytes: int, epochs: int = 1, tasks: int = 1) -> Memory:
+    """Run ``jobs`` through a ledger, over some epochs, and measure it."""
+    gc.collect()
+    tracemalloc.start()
+    ledger = Ledger()
+    for number in range(jobs):
+        epoch = number * epochs // jobs
+        text = f"Adum~adum-entry-1~0123456789ab~{epoch}~{number}~0123456789abcdef0123"
+        ticket = Ticket("Adum", "adum-entry-1", "0123456789ab", epoch, number, text)
+        running = ledger.start(ticket, number.to_bytes(KEY_BYTES, "big"))
+        outputs = tuple(f"{number:0{OUTPUT_CHARS}d}" for _ in range(tasks))
+        answer = JobAnswer(text, JobOutcome.COMPLETE, outputs)
+        ledger.end(running, answer, epoch, keep_bytes)
+        ledger.reclaim(epoch)
+    del ticket, running, answer
+    gc.collect()
+    total_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return Memory(jobs, total_bytes, round(total_bytes / jobs, 2))
+
+
+def main(jobs_per_s: int = 500, epoch_ms: int = 60_000) -> None:
+    """Print one JSON line for each measurement.
+
+    Args:
+        jobs_per_s: jobs that one entry host admits in a second.
+        epoch_ms: the length of an epoch.
+    """
+    per_epoch = jobs_per_s * epoch_ms // 1000
+    lines = {
+        "kept answers, 1 task": fill(per_epoch, NEVER_DROP_BYTES),
+        "kept answers, 40 tasks": fill(per_epoch // 10, NEVER_DROP_BYTES, tasks=40),
+        "marks of 2 epochs": fill(2 * per_epoch, 0, epochs=2),
+        "marks after 20 epochs": fill(20 * per_epoch, 0, epochs=20),
+        "8 MB of answers and marks of 2 epochs": fill(
+            2 * per_epoch, 8_000_000, epochs=2
+        ),
+    }
+    for name, memory in lines.items():
+        print(
+            json.dumps(
+                {
+                    "what": name,
+                    "jobs": memory.jobs,
+                    "total_bytes": memory.total_bytes,
+                    "per_job_bytes": memory.per_job_bytes,
+                }
+            )
+        )
+
+
+if __name__ == "__main__":
+    Fire(main)
