--- a/rattanloom/configuration.py
+++ b/rattanloom/configuration.py
@@ -7,8 +7,6 @@
 that it had in force. Neither step ever goes to an older version.
 """
 
-from enum import Enum
-
 import gevent
 from attrs import define, field, frozen
 
@@ -21,6 +19,7 @@
     parse_document,
     parse_head,
 )
+from rattanloom.configuration_ground import NO_VERSION, Ground, Surroundings
 from rattanloom.environment import Environment
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.logs import get_log
@@ -33,24 +32,14 @@
 
 log = get_log("config")
 
-NO_VERSION = 0
+NEVER_MS = float("-inf")
 HOLD_CHECK_MS = 50
 HOLD_WAIT_MS = 1_500
 SETTLE_HEARTBEATS = 6
-POLL_JITTER = 0.1
+FETCHES_PER_ROUND = 3
 REACHABLE = frozenset({MemberState.LIVE, MemberState.LEAVING})
 
 
-class Ground(Enum):
-    """Why a version was put in force."""
-
-    HELD_BY_PEERS = "held by every live host of the zone and by another zone's"
-    HELD_BY_ZONE = "held by every live host of the zone, no other zone is reachable"
-    HELD_BY_OTHERS = "held by a live host of another zone, none of this zone is live"
-    WAIT_PASSED = "the wait for the live peers to hold it passed"
-    ALONE = "no other entry host is known"
-
-
 @frozen
 class ConfigStatus:
     """What the configuration says of itself, for status pages.
@@ -91,7 +80,9 @@
     _in_force: Document | None = field(init=False, default=None)
     _newest: Document | None = field(init=False, default=None)
     _waiting: list[Held] = field(init=False, factory=list)
+    _hinted_at_ms: float = field(init=False, default=NEVER_MS)
     _hold_check: Subscription | None = field(init=False, default=None)
+    _fetch_again_at_ms: float = field(init=False, default=NEVER_MS)
     _fetching_from_peers: bool = field(init=False, default=False)
     _platform_version: int = field(init=False, default=NO_VERSION)
     _platform_answered: bool = field(init=False, default=False)
@@ -103,9 +94,7 @@
         """Begin to learn versions from the platform and from ``peers``."""
         self._peers = peers
         peers.on_config_version(self._on_peer_version)
-        gevent.spawn(self.poll)
-        interval_ms = self.settings.config_poll_ms
-        self.timers.subscribe("config poll", interval_ms, self._poll_with_jitter)
+        gevent.spawn(self._start_polling)
 
     def rules(self) -> Rules | None:
         """Return the rules in force, or None while there are none."""
@@ -144,10 +133,26 @@
             self._fetch_object(head)
         self._learn_from_peers()
 
-    def _poll_with_jitter(self) -> None:
-        jitter = self.environment.random.random() * POLL_JITTER
-        gevent.sleep(jitter * self.settings.config_poll_ms / MS_PER_S)
+    def look_now(self) -> None:
+        """Poll at once, on a hint from outside that there is a newer version.
+
+        At most one hint in each poll interval counts, so that hints at most
+        double the reads of the platform.
+        """
+        now_ms = self.environment.clock.now_ms()
+        if now_ms - self._hinted_at_ms >= self.settings.config_poll_ms:
+            self._hinted_at_ms = now_ms
+            gevent.spawn(self.poll)
+
+    def _start_polling(self) -> None:
+        """Poll now, then at intervals whose phase differs between hosts.
+
+        Hosts that start together would otherwise all look at the same time.
+        """
         self.poll()
+        interval_ms = self.settings.config_poll_ms
+        gevent.sleep(self.environment.random.random() * interval_ms / MS_PER_S)
+        self.timers.subscribe("config poll", interval_ms, self.poll)
 
     def _read_head(self) -> Head | None:
         rows = self.table.read([HEAD_KEY])
@@ -180,21 +185,28 @@
         gevent.spawn(self._learn_from_peers)
 
     def _learn_from_peers(self) -> None:
-        if self._fetching_from_peers:
+        """Fetch what peers tell; after a round in vain, wait for a poll's time.
+
+        A document that is refused here would else be fetched at every heartbeat.
+        """
+        now_ms = self.environment.clock.now_ms()
+        if self._fetching_from_peers or now_ms < self._fetch_again_at_ms:
             return
         self._fetching_from_peers = True
         try:
             self._fetch_newest()
         finally:
             self._fetching_from_peers = False
+        if self._newer_peers():
+            self._fetch_again_at_ms = now_ms + self.settings.config_poll_ms
 
     def _fetch_newest(self) -> None:
         """Fetch until no reachable peer tells a newer version that it can give."""
-        while any(self._fetch_from(member) for member in self._newer_peers()):
+        while any(self._fetch_from(peer) for peer in self._newer_peers()):
             pass
 
     def _newer_peers(self) -> list[Member]:
-        """Return the peers that tell a newer version, newest first.
+        """Return a few peers that tell a newer version, newest first.
 
         Equals come in random order, so that the first host to hold a version
         is not asked by all others.
@@ -202,7 +214,7 @@
         held = self.held_version()
         peers = [peer for peer in self._reachable_peers() if peer.config_version > held]
         self.environment.random.shuffle(peers)
-        return sorted(peers, key=_told, reverse=True)
+        return sorted(peers, key=_told, reverse=True)[:FETCHES_PER_ROUND]
 
     def _fetch_from(self, member: Member) -> bool:
         """Fetch a peer's newest document; say whether a newer one is now held."""
@@ -243,45 +255,27 @@
 
     def _ground_for(self, held: Held) -> Ground | None:
         """Return why ``held`` may be put in force now, or None."""
-        if self._in_force is None and not self._is_surely_newest(held):
+        around = self._surroundings()
+        if self._in_force is None and not self._is_surely_newest(held, around):
             return None
-        peers = self._live_peers()
-        if not peers and not self._other_seeds():
-            return Ground.ALONE
-        ground = self._ground_in_peers(peers, held.document.version)
+        ground = around.ground_for(held.document.version)
         waited_ms = self.environment.clock.now_ms() - held.since_ms
         if ground is None and waited_ms >= self.hold_wait_ms:
             return Ground.WAIT_PASSED
         return ground
 
-    def _ground_in_peers(self, peers: list[Member], version: int) -> Ground | None:
-        """Return the ground that the versions held by live peers give, if any.
-
-        A host that restarts without the platform then finds the version at a
-        peer, also if every host of its zone is replaced at once.
-        """
-        own_zone = self.settings.zone
-        mates = [peer for peer in peers if peer.zone == own_zone]
-        others = [peer for peer in peers if peer.zone != own_zone]
-        if not all(peer.config_version >= version for peer in mates):
-            return None
-        if any(peer.config_version >= version for peer in others):
-            return Ground.HELD_BY_PEERS if mates else Ground.HELD_BY_OTHERS
-        return Ground.HELD_BY_ZONE if mates and not others else None
-
-    def _is_surely_newest(self, held: Held) -> bool:
+    def _is_surely_newest(self, held: Held, around: Surroundings) -> bool:
         """Say whether no reachable place can hold a newer version, after a start.
 
         That is so once the platform has answered, or every seed has told a
         version, or the peers had the time of a few heartbeats to tell theirs;
         a newer version that was told is waited for somewhat longer.
         """
-        if self._platform_answered and held.document.version >= self._platform_version:
+        version = held.document.version
+        if self._platform_answered and version >= self._platform_version:
             return True
-        told = {peer.host: peer.config_version for peer in self._live_peers()}
-        told_by = {host for host, version in told.items() if version != NO_VERSION}
-        newer_told = max(told.values(), default=0) > held.document.version
-        if not newer_told and told_by.issuperset(self._other_seeds()):
+        newer_told = around.newest_told() > version
+        if around.every_seed_told() and not newer_told:
             return True
         waited_ms = self.environment.clock.now_ms() - self._first_held_at_ms()
         settle_ms = SETTLE_HEARTBEATS * self.settings.heartbeat_ms
@@ -307,16 +301,15 @@
     def _reachable_peers(self) -> list[Member]:
         return [peer for peer in self._members() if peer.state in REACHABLE]
 
-    def _live_peers(self) -> list[Member]:
-        return [peer for peer in self._members() if peer.state is MemberState.LIVE]
+    def _surroundings(self) -> Surroundings:
+        live = [peer for peer in self._members() if peer.state is MemberState.LIVE]
+        names = {seed.host for seed in self.settings.seeds}
+        others = frozenset(names - {self.settings.host})
+        return Surroundings(self.settings.zone, tuple(live), others)
 
     def _members(self) -> tuple[Member, ...]:
         return () if self._peers is None else self._peers.members()
 
-    def _other_seeds(self) -> set[str]:
-        own = self.settings.host
-        return {seed.host for seed in self.settings.seeds if seed.host != own}
-
     def _note_problem(self, problem: str) -> None:
         if problem != self._problem:
             log.warning("{}", problem)
