--- a/rattanloom/targets/client.py
+++ b/rattanloom/targets/client.py
@@ -44,10 +44,7 @@
     address: str
     connections: int
     link_filter: LinkFilter = field(factory=LinkFilter)
-    _pool: AgeingPool = field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self._pool = AgeingPool(self.address, self.connections)
+    _pool: AgeingPool | None = None
 
     def start(self, attempt: Attempt, patience_ms: float) -> ReplyOrFailure:
         """Start the attempt and return once it ended or was refused."""
@@ -56,7 +53,7 @@
         timeout = _timeout(patience_ms)
         reply = self._exchange(
             attempt.attempt_id,
-            lambda: self._pool.urlopen(
+            lambda: self._kept_pool().urlopen(
                 "POST",
                 path,
                 body=body,
@@ -86,15 +83,24 @@
 
     def close_idle(self) -> None:
         """Close the connections that were idle for long."""
-        self._pool.close_idle()
+        if self._pool is not None:
+            self._pool.close_idle()
 
     def drop_connections(self) -> None:
         """Close every idle connection: one of their age may have gone silent."""
-        self._pool.close_idle(idle_s=0)
+        if self._pool is not None:
+            self._pool.close_idle(idle_s=0)
 
     def close(self) -> None:
         """Close the idle connections for good."""
-        self._pool.close()
+        if self._pool is not None:
+            self._pool.close()
+
+    def _kept_pool(self) -> AgeingPool:
+        """Return the pool, made at its first use: most workers are never used."""
+        if self._pool is None:
+            self._pool = AgeingPool(self.address, self.connections)
+        return self._pool
 
     def _ask(
         self, method: str, path: str, attempt_id: str, timeout_ms: float
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -231,7 +231,7 @@
         if state is not None and state.listed.address == listed.address:
             if listed.leaving and not state.listed.leaving:
                 self._tell(listed.name, "listed as leaving")
-            state.listed = listed
+            self._fleet.list_again(state, listed)
             return
         client = TargetClient(
             listed.name, listed.address, listed.slots, self.link_filter
--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from rattanloom.peers.protocol import Member, MemberState, Peers
+from rattanloom.platform.protocol import ListedTarget
 from rattanloom.routing import Tiers, make_tiers, spread_owners
 from rattanloom.targets.state import TargetState
 
@@ -39,6 +40,13 @@
         self.targets[state.name] = state
         self._listings += 1
 
+    def list_again(self, state: TargetState, listed: ListedTarget) -> None:
+        """Take in what the host list now says of a known worker."""
+        if state.listed != listed:
+            state.listed = listed
+            self._listings += 1
+            self.forget_tiers()
+
     def remove(self, name: str) -> None:
         """Forget a worker; attempts under way on it end as they end."""
         state = self.targets.pop(name, None)
