--- a/rattanloom/dispatch_attempt.py
+++ b/rattanloom/dispatch_attempt.py
@@ -30,6 +30,7 @@
     environment: Environment
     metrics: Metrics
     on_silent: Callable[[Target, str], None]
+    look_up_pause_ms: float = LOOK_UP_PAUSE_MS
 
     def run(
         self, target: Target, attempt: Attempt, expected_ms: float
@@ -63,7 +64,7 @@
                 tries += 1
                 failure = reply
                 self.on_silent(target, reply.reason)
-                gevent.sleep(LOOK_UP_PAUSE_MS / MS_PER_S)
+                gevent.sleep(self.look_up_pause_ms / MS_PER_S)
             elif reply.state is AttemptState.NOT_SEEN:
                 return self._fence(target, attempt, sent_ms, reply)
             elif reply.state is not AttemptState.RUNNING:
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -113,6 +113,7 @@
 
     def never_runnable(self, task: Task) -> Failure | None:
         """Return why no listed worker could ever run the task, if so."""
+        self._apply_rules()
         fitting = [
             state
             for state in self._fleet.allowed(self._patterns(task.kind))
--- a/tests/dispatch_utils.py
+++ b/tests/dispatch_utils.py
@@ -70,7 +70,7 @@
             callback()
 
 
-@define(eq=False)
+@define(eq=False, slots=False)
 class Bench:
     """A dispatcher over stand-in workers that a test can reach into."""
 
@@ -126,6 +126,7 @@
         ]
 
     def listed_targets(self):
+        """Return the host list, as the platform would."""
         return tuple(self.listed)
 
 
--- a/tests/test_dispatch_failures.py
+++ b/tests/test_dispatch_failures.py
@@ -6,7 +6,7 @@
 import pytest
 from attrs import evolve
 
-from rattanloom.errors import ErrorKind, Ran
+from rattanloom.errors import ErrorKind, Failure, Ran
 from rattanloom.job import JobOutcome, Task
 from rattanloom.rules import DeploymentRule, KindRule, Rules, TargetRule
 from tests.dispatch_utils import job, task, until, worker_bench
@@ -188,3 +188,22 @@
         until(lambda: not bench.queue.taken, 20)
         assert not bench.state("w0").own_slots
         assert not bench.starts()
+
+
+def test_kind_runs_only_on_the_workers_that_its_rule_allows():
+    with worker_bench(workers=3) as bench:
+        bench.rules = Rules(kinds={"proof": KindRule(targets=("w1", "x*"))})
+        answer = bench.run(job(*(task() for _ in range(8))))
+        assert answer.outcome is JobOutcome.COMPLETE
+        assert len(bench.workers["w1"].attempts.starts) == 8
+        bench.rules = Rules(kinds={"proof": KindRule(targets=("x*",))})
+        answer = bench.run(job(task(), job_id="j2"))
+        assert answer.failure.kind is ErrorKind.NEVER_RUNNABLE
+
+
+def test_outage_of_the_host_list_keeps_the_last_known_workers():
+    with worker_bench(workers=1) as bench:
+        outage = Failure(ErrorKind.PLATFORM_UNREACHABLE, "down")
+        bench.listed_targets = lambda: outage
+        bench.directory.refresh_list()
+        assert bench.run(job(task())).outcome is JobOutcome.COMPLETE
