--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -6,6 +6,7 @@
 
 from rattanloom.errors import ErrorKind, Failure, Ran
 from rattanloom.job import JobOutcome
+from rattanloom.job_digest import digest_of
 from rattanloom.rules import DeploymentRule, Rules
 from rattanloom.ticket import TicketMint
 from tests.fakes_jobs import (
@@ -292,3 +293,71 @@
     ):
         answer = cluster.hosts["a"].submit(other)
         assert told(answer)[1] is ErrorKind.KEY_REUSED
+
+
+def test_a_drain_waits_for_the_requests_it_forwarded(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.dispatcher.hold = True
+    caller = gevent.spawn(b.submit, make_job(ticket_of(cluster, "a")))
+    settle()
+    drained = gevent.spawn(b.drain, 5_000)
+    gevent.sleep(0.05)
+    assert not drained.ready()
+    a.dispatcher.released.set()
+    assert caller.get().outcome is JobOutcome.COMPLETE
+    assert drained.get() is True
+
+
+def test_a_drain_that_runs_out_of_time_answers_what_it_forwarded(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.dispatcher.hold = True
+    caller = gevent.spawn(b.submit, make_job(ticket_of(cluster, "a")))
+    settle()
+    assert b.drain(0) is False
+    expected = (JobOutcome.UNKNOWN, ErrorKind.LEAVING, Ran.MAY_HAVE_RUN)
+    assert told(caller.get(timeout=1)) == expected
+
+
+def test_a_drain_is_not_held_up_by_callers_who_ask(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.dispatcher.hold = True
+    job = make_job(ticket_of(cluster, "a"))
+    gevent.spawn(a.submit, job)
+    settle()
+    asking = gevent.spawn(b.ask, job.job_id, 60_000)
+    settle()
+    assert b.drain(1_000) is True
+    assert told(asking.get(timeout=1))[2] is Ran.MAY_HAVE_RUN
+    assert len(cluster.starts()) == 1
+
+
+def test_a_stopped_host_answers_through_the_ledger_it_left(cluster):
+    job, unused = make_job(ticket_of(cluster, "a")), make_job(ticket_of(cluster, "a"))
+    answer = cluster.hosts["a"].submit(job)
+    cluster.stop("a")
+    assert cluster.hosts["b"].submit(job) == answer
+    assert cluster.hosts["b"].ask(job.job_id, 0) == answer
+    refusal = cluster.hosts["b"].submit(unused)
+    assert told(refusal) == (JobOutcome.REFUSED, ErrorKind.HOME_GONE, Ran.NOT_RUN)
+    assert len(cluster.starts()) == 1
+
+
+@pytest.mark.parametrize("lost_replies", [0, 1])
+def test_a_key_whose_host_stopped_before_the_start_runs_once(cluster, lost_replies):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.admission.failure = OVERLOADED
+    assert a.submit(make_job(key="k")).outcome is JobOutcome.REFUSED
+    cluster.start("c")
+    cluster.hosts["c"].claims.claim(
+        "studio", "k", digest_of(make_job(key="k")), "", 5_000
+    )
+    cluster.stop("a")
+    cluster.table.lose = lost_replies
+    racing = [
+        gevent.spawn(host.submit, make_job(key="k"))
+        for host in (b, cluster.hosts["c"], b)
+    ]
+    answers = {each.get() for each in racing}
+    assert {answer.outcome for answer in answers} == {JobOutcome.COMPLETE}
+    assert len({answer.job_id for answer in answers}) == 1
+    assert len(cluster.starts()) == 1
--- a/tests/test_peer_merging.py
+++ b/tests/test_peer_merging.py
@@ -1,15 +1,21 @@
 """What is merged depends on what was told, not on order or repetition."""
 
+from random import Random
+
+from attrs import define, field
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from rattanloom.peers.heartbeat_codec import encode_heartbeat
 from rattanloom.peers.load_exchange import LoadTeller, LoadView
 from rattanloom.peers.membership import Membership
 from rattanloom.peers.messages import Heartbeat, MemberRecord, ToldBeat
 from rattanloom.peers.protocol import HostLoad, MemberState, TargetLoad, TeamLoad
+from rattanloom.peers.tidings import Tidings
 
 OWN = MemberRecord("own", "Adum", "127.0.0.1:1", "own-1", 100)
 HEARTBEAT_MS = 100
+ETHERNET_PAYLOAD_BYTES = 1_472
 STEPS = settings(deadline=None, derandomize=True, max_examples=200)
 
 
@@ -128,6 +134,48 @@
     assert changes[-1] == ("a", "silent")
 
 
+@define(eq=False, slots=False)
+class LoneHost:
+    """One host's membership and what it tells, without sockets."""
+
+    record: MemberRecord
+    changes: list = field(factory=list)
+
+    def __attrs_post_init__(self):
+        self.membership = Membership(self.record, HEARTBEAT_MS, self.note)
+        self.tidings = Tidings(self.membership, LoadTeller(HostLoad))
+
+    def note(self, member, word):
+        self.changes.append((member.record.host, word))
+
+    def step(self, beat, now_ms):
+        self.membership.evaluate(now_ms)
+        self.tidings.refresh()
+        return self.tidings.near(Heartbeat(self.record.key, beat, HEARTBEAT_MS))
+
+
+def run_zone(hosts, beats, lost_share, random):
+    """Let the hosts of one zone beat, losing a share of what they send."""
+    for beat in beats:
+        now_ms = beat * HEARTBEAT_MS
+        told = [host.step(beat, now_ms) for host in hosts]
+        for sender, heartbeat in zip(hosts, told, strict=True):
+            for host in hosts:
+                if host is not sender and random.random() >= lost_share:
+                    host.membership.introduce(sender.record, now_ms)
+                    host.membership.hear(heartbeat, now_ms)
+
+
+def test_hosts_that_lose_a_fifth_of_their_datagrams_stay_live():
+    hosts = [LoneHost(record(f"h{number}", number)) for number in range(5)]
+    run_zone(hosts, range(1, 10), 0.0, Random(1))
+    before = [list(host.changes) for host in hosts]
+    run_zone(hosts, range(10, 1_000), 0.2, Random(1))
+    assert [host.changes for host in hosts] == before
+    run_zone(hosts[1:], range(1_000, 1_020), 0.2, Random(1))
+    assert all(host.changes[-1] == ("h0", "silent") for host in hosts[1:])
+
+
 LOADS = st.builds(
     lambda teams, targets: HostLoad(
         sum(teams),
@@ -155,7 +203,8 @@
         if repeated:
             view.merge(*parts[beat // 2])
     beat = len(steps)
-    view.merge(beat, teller.names(0, teller.name_count))
+    for part in teller.name_parts():
+        view.merge(beat, part)
     for step in range(12):
         teller.refresh()
         view.merge(beat + step, teller.changes(10))
@@ -173,6 +222,20 @@
     for beat, load in enumerate(loads):
         teller.load = lambda load=load: load
         teller.refresh()
-        view.merge(beat, teller.names(0, teller.name_count))
+        for part in teller.name_parts():
+            view.merge(beat, part)
         assert teller.name_count <= 8
         assert view.to_load() == load
+
+
+def test_names_of_any_length_fit_a_datagram():
+    longest = "x" * 59
+    teams = tuple(TeamLoad(f"{longest}{i:04}", 9, 9) for i in range(300))
+    teller = LoadTeller(lambda: HostLoad(teams=teams))
+    teller.refresh()
+    view = LoadView()
+    for beat, part in enumerate(teller.name_parts()):
+        heartbeat = Heartbeat(2**48 - 1, beat, HEARTBEAT_MS, load=part)
+        assert len(encode_heartbeat(b"key", heartbeat)) <= ETHERNET_PAYLOAD_BYTES
+        view.merge(beat, part)
+    assert set(view.to_load().teams) == set(teams)
