Take in peers' loads as they arrive, not at the next heartbeat

Cause: loads were read once a heartbeat, on top of the heartbeat's own interval, so that what a host believed of others was up to half a second old; the routing model shows refusals falling with that age (hold 250 ms at 80% load: 0.037 wasted messages a task at 250 ms, 0.013 at 100 ms). Loads are now looked at every 50 ms and taken in only where they changed; LoadView keeps its HostLoad until then. python -m experiments.directory_cost at 940 workers and 40 hosts: 0.007 ms a look, 0.1% of a core in all.

--- a/experiments/directory_cost.py
+++ b/experiments/directory_cost.py
@@ -23,6 +23,7 @@
 SLOTS = 8
 ROUNDS = 40
 HEARTBEATS_PER_S = 4
+LOADS_PER_S = 20
 TASK = Task("proof")
 
 
@@ -88,12 +89,16 @@
         after, _ = get_traced_memory()
         stop()
         refresh_s = seconds_each(fleet.refresh)
+        loads_s = seconds_each(fleet.take_loads)
         find_s = seconds_each(partial(find, fleet))
         figures = {
             "workers": workers,
             "hosts": hosts,
             "refresh_ms": round(refresh_s * 1_000, 3),
-            "core_percent": round(refresh_s * HEARTBEATS_PER_S * 100, 3),
+            "loads_ms": round(loads_s * 1_000, 3),
+            "core_percent": round(
+                100 * (refresh_s * HEARTBEATS_PER_S + loads_s * LOADS_PER_S), 3
+            ),
             "find_us": round(find_s * 1_000_000, 1),
             "memory_kb": round((after - before) / 1_000),
         }
--- a/rattanloom/peers/load_exchange.py
+++ b/rattanloom/peers/load_exchange.py
@@ -140,6 +140,7 @@
     _targets: dict[int, int] = field(factory=dict)
     _queued_slots: int = 0
     _running_slots: int = 0
+    _load: HostLoad | None = None
 
     def merge(self, beat: int, part: LoadPart) -> None:
         """Take in a part; parts older than the newest one are ignored."""
@@ -148,6 +149,7 @@
         if part.generation > self.generation:
             self._clear(part.generation)
         self.beat = beat
+        self._load = None
         self._queued_slots = part.queued_slots
         self._running_slots = part.running_slots
         for name in part.names:
@@ -161,7 +163,15 @@
                 self._targets[target.number] = target.slots
 
     def to_load(self) -> HostLoad:
-        """Return the load as now known; values of zero are left out."""
+        """Return the load as now known; the same object until it changes.
+
+        Values of zero are left out.
+        """
+        if self._load is None:
+            self._load = self._make_load()
+        return self._load
+
+    def _make_load(self) -> HostLoad:
         teams = tuple(
             TeamLoad(self._names[number], *value)
             for number, value in self._teams.items()
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -31,6 +31,7 @@
 
 PROBE_MESSAGES = 2
 TIMER_SLACK_MS = 5.0
+LOADS_MS = 50.0
 
 
 @define(eq=False)
@@ -61,7 +62,8 @@
         self.timers.subscribe(
             "host list", self.settings.host_list_poll_ms, self.refresh_list
         )
-        self.timers.subscribe("target loads", self.settings.heartbeat_ms, self.refresh)
+        self.timers.subscribe("targets", self.settings.heartbeat_ms, self.refresh)
+        self.timers.subscribe("target loads", LOADS_MS, self.refresh_loads)
 
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` when slots may have become usable."""
@@ -82,6 +84,11 @@
             state.client.close_idle()
         self.refresh()
 
+    def refresh_loads(self) -> None:
+        """Take in what peers told since the last call."""
+        if self._fleet.take_loads():
+            self._changed()
+
     def refresh(self) -> None:
         """Take in the peers' loads and the rules, and probe where due."""
         self._apply_rules()
--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from rattanloom.peers.protocol import Member, MemberState, Peers
+from rattanloom.peers.protocol import HostLoad, Member, MemberState, Peers
 from rattanloom.platform.protocol import ListedTarget
 from rattanloom.routing import Tiers, make_tiers, spread_owners
 from rattanloom.targets.state import TargetState
@@ -31,6 +31,7 @@
     _waiting_hosts: frozenset[str] = frozenset()
     _hosts: int = 1
     _hosts_here: int = 1
+    _loads: dict[str, HostLoad] = field(factory=dict)
     _listings: int = 0
     _assigned: tuple = ()
     _tiers: dict[tuple[str, ...], Tiers] = field(factory=dict)
@@ -39,6 +40,7 @@
         """Begin to use a worker, in place of any of the same name."""
         self.remove(state.name)
         self.targets[state.name] = state
+        self._loads = {}
         self._listings += 1
 
     def list_again(self, state: TargetState, listed: ListedTarget) -> None:
@@ -64,7 +66,7 @@
         """
         members = self.peers.members() if self.peers else ()
         self._hosts = 1 + sum(member.state in HERE for member in members)
-        self._take_loads()
+        self.take_loads()
         self._assign_owners(members)
         return self._newly_cut_off(members)
 
@@ -101,18 +103,31 @@
         new = self._cut_off_zones - before
         return [state for state in self.targets.values() if state.listed.zone in new]
 
-    def _take_loads(self) -> None:
+    def take_loads(self) -> bool:
+        """Take in the loads that changed; return whether any did."""
         loads = self.peers.loads() if self.peers else {}
-        self._waiting_hosts = frozenset(
-            host for host, load in loads.items() if load.queued_slots
-        )
-        for state in self.targets.values():
-            state.peer_slots.clear()
-        for host, load in loads.items():
-            for told in load.targets:
-                state = self.targets.get(told.target)
-                if state is not None:
-                    state.tell_peer_slots(host, told.slots)
+        changed = [host for host in loads if loads[host] is not self._loads.get(host)]
+        gone = self._loads.keys() - loads.keys()
+        for host in (*changed, *gone):
+            self._forget_load(host)
+        for host in changed:
+            self._take_load(host, loads[host])
+        self._loads = loads
+        return bool(changed or gone)
+
+    def _take_load(self, host: str, load: HostLoad) -> None:
+        for told in load.targets:
+            state = self.targets.get(told.target)
+            if state is not None:
+                state.tell_peer_slots(host, told.slots)
+
+    def _forget_load(self, host: str) -> None:
+        """Forget what a host told before."""
+        load = self._loads.get(host, HostLoad())
+        for told in load.targets:
+            state = self.targets.get(told.target)
+            if state is not None:
+                state.peer_slots.pop(host, None)
 
     def _assign_owners(self, members: tuple[Member, ...]) -> None:
         """Spread the workers over the live hosts of their zones, if any changed."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -43,7 +43,7 @@
         return self._members
 
     def loads(self):
-        return self._loads
+        return dict(self._loads)
 
 
 @given(st.sets(NAMES, min_size=1, max_size=40), st.sets(NAMES, min_size=1, max_size=9))
@@ -136,9 +136,14 @@
     fleet.targets = {"w1": state("w1"), "w2": state("w2", "Bantama")}
     assert fleet.refresh() == []
     assert fleet.targets["w1"].peer_slots == {"b1": 3}
+    assert not fleet.take_loads()
+    peers._loads["b1"] = HostLoad(targets=(TargetLoad("w2", 1),))
+    assert fleet.take_loads()
+    assert fleet.targets["w1"].peer_slots == {}
+    assert fleet.targets["w2"].peer_slots == {"b1": 1}
     fleet.peers = Peers((member("b1", "Bantama", MemberState.CUT_OFF),))
     assert fleet.refresh() == [fleet.targets["w2"]]
-    assert fleet.targets["w1"].peer_slots == {}
+    assert fleet.targets["w2"].peer_slots == {}
     assert fleet.refresh() == []
 
 
