Believe a worker's own last reply before what peers told

Cause: the larger of the two was believed, so that slots which a reply had shown free stayed unused, at 95% load most of all. Ruled out: keeping replies for 100 ms only, or correcting them by what peers tell later (more refusals). A refused worker now also comes back with its next task that ends well, and pauses 50 ms at first.

--- a/rattanloom/targets/state.py
+++ b/rattanloom/targets/state.py
@@ -8,8 +8,8 @@
 from rattanloom.targets.health import TargetHealth
 from rattanloom.targets.protocol import Attempt, AttemptReply, AttemptState
 
-HINT_KEEP_MS = 300.0
-REFUSED_MS = 100.0
+HINT_KEEP_MS = 1_000.0
+REFUSED_MS = 50.0
 REFUSED_MAX_MS = 3_000.0
 
 
@@ -19,10 +19,11 @@
 
     ``own_slots`` are occupied from here by ``own_attempts``, ``peer_slots`` by
     each other entry host as it last told; ``hint_slots`` is what the worker's
-    own last reply says of slots taken by others, at ``hint_at_ms``.
+    own last reply says of slots taken by others, at ``hint_at_ms``; it is exact
+    and counts before what peers told until it is old.
     After a refusal as busy it gets nothing until ``refused_until_ms``, longer
-    with each refusal in a row. ``connections`` is this host's share of the
-    worker's limit.
+    with each refusal in a row, or until a task ends well on it. ``connections``
+    is this host's share of the worker's limit.
     """
 
     listed: ListedTarget
@@ -80,10 +81,9 @@
 
     def other_slots(self, now_ms: float) -> int:
         """Return the slots that others seem to occupy."""
-        told = sum(self.peer_slots.values())
         if now_ms - self.hint_at_ms > HINT_KEEP_MS:
-            return told
-        return max(told, self.hint_slots)
+            return sum(self.peer_slots.values())
+        return self.hint_slots
 
     def free_slots(self, now_ms: float) -> int:
         """Return the slots believed free; below 0 where attempts are held."""
@@ -113,3 +113,4 @@
             self.refused_ms = min(self.refused_ms * 2, REFUSED_MAX_MS)
         elif reply.state is AttemptState.DONE:
             self.refused_ms = REFUSED_MS
+            self.refused_until_ms = 0.0
