--- a/rattanloom/routing.py
+++ b/rattanloom/routing.py
@@ -9,7 +9,7 @@
 from rattanloom.rules import DeploymentRule
 from rattanloom.targets.state import TargetState
 
-HOLD_LEAST_MS = 50.0
+HOLD_LEAST_MS = 0.0
 HOLD_MOST_MS = 500.0
 
 
