--- /dev/null
+++ b/experiments/routing_model.py
@@ -0,0 +1,251 @@
+"""A model of entry hosts and workers in virtual time, for routing decisions.
+
+Availability zones of entry hosts that decide alone, workers with slots that hold
+attempts for a while, and peers' loads that arrive with each heartbeat.
+"""
+
+from collections import defaultdict, deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from math import exp, log
+from random import Random
+
+from attrs import define, field, frozen
+
+from rattanloom.platform.protocol import ListedTarget
+from rattanloom.routing import Tiers, make_tiers, spread_owners
+from rattanloom.targets.protocol import AttemptReply, AttemptState
+from rattanloom.targets.state import TargetState
+
+HOSTS = 3
+WORKERS = 8
+SLOTS = 8
+ONE_WAY_MS = 0.25
+ZONE_ONE_WAY_MS = 1.0
+SHORT_MS = (50.0, 1_000.0)
+LONG_MS = (2_000.0, 5_000.0)
+LONG_SHARE = 0.03
+JOB_TASKS = (1, 1, 1, 2, 4, 8)
+WARM_UP_MS = 5_000.0
+RETRY_BASE_MS = 10.0
+RETRY_MAX_MS = 1_000.0
+
+
+def mean_run_ms() -> float:
+    """Return the mean run time of the mix."""
+    low, high = SHORT_MS
+    short_ms = (high - low) / log(high / low)
+    return (1 - LONG_SHARE) * short_ms + LONG_SHARE * sum(LONG_MS) / 2
+
+
+def draw_run_ms(random: Random) -> float:
+    """Draw one run time: log-uniform, with a few long ones."""
+    if random.random() < LONG_SHARE:
+        return random.uniform(*LONG_MS)
+    low, high = (log(bound) for bound in SHORT_MS)
+    return exp(random.uniform(low, high))
+
+
+@define(eq=False)
+class ModelJob:
+    """A job of the model; it ends with its last task."""
+
+    arrived_ms: float
+    ideal_ms: float
+    left: int
+
+
+@define(eq=False)
+class ModelTask:
+    """A task of the model."""
+
+    job: ModelJob
+    run_ms: float
+    tries: int = 0
+    waits: bool = False
+
+
+@define(eq=False)
+class Host:
+    """One entry host: its view of the workers and its waiting tasks."""
+
+    name: str
+    zone: str
+    states: list[TargetState]
+    tiers: Tiers = Tiers()
+    waiting: deque[ModelTask] = field(factory=deque)
+
+
+@define(eq=False)
+class Result:
+    """What a run measured."""
+
+    ratios: list[float] = field(factory=list)
+    tasks: int = 0
+    wasted: int = 0
+
+
+Choose = Callable[["Model", Host], TargetState | None]
+
+
+@frozen
+class Policy:
+    """How to choose, whether to reserve first, how long a worker may hold."""
+
+    choose: Choose
+    reserve: bool = False
+    start_within_ms: float = 0.0
+
+
+@define(eq=False)
+class Model:
+    """The zones in virtual time, driven by one heap of timed calls."""
+
+    policy: Policy
+    load: float
+    length_ms: float
+    random: Random
+    zones: int
+    heartbeat_ms: float
+    now_ms: float = 0.0
+    busy: dict[str, int] = field(factory=dict)
+    lines: dict[str, deque] = field(factory=lambda: defaultdict(deque))
+    hosts: list[Host] = field(factory=list)
+    owners: dict[str, tuple[str, str]] = field(factory=dict)
+    result: Result = field(factory=Result)
+    _heap: list = field(factory=list)
+    _order: count = field(factory=count)
+
+    def run(self) -> Result:
+        """Run the model to its end."""
+        self._build()
+        self._arrive()
+        for number, _ in enumerate(self.hosts):
+            self._at(self.heartbeat_ms * number / len(self.hosts), self._beat, number)
+        while self._heap and self._heap[0][0] < self.length_ms:
+            self.now_ms, _, call, arguments = heappop(self._heap)
+            call(*arguments)
+        return self.result
+
+    def _build(self) -> None:
+        for number in range(self.zones):
+            self._build_zone(f"zone-{number}")
+        for host in self.hosts:
+            host.states = [
+                TargetState(
+                    ListedTarget(name, zone, "", SLOTS, 64),
+                    None,
+                    owned=owner == host.name,
+                )
+                for name, (zone, owner) in self.owners.items()
+            ]
+            host.tiers = make_tiers(host.states, host.zone)
+
+    def _build_zone(self, zone: str) -> None:
+        names = [f"{zone}-worker-{n}" for n in range(WORKERS)]
+        hosts = [f"{zone}-host-{n}" for n in range(HOSTS)]
+        owners = spread_owners(dict.fromkeys(names, SLOTS), hosts)
+        self.busy |= dict.fromkeys(names, 0)
+        self.owners |= {name: (zone, owners[name]) for name in names}
+        self.hosts += [Host(name, zone, []) for name in hosts]
+
+    def _at(self, after_ms: float, call: Callable, *arguments: object) -> None:
+        entry = (self.now_ms + after_ms, next(self._order), call, arguments)
+        heappush(self._heap, entry)
+
+    def _arrive(self) -> None:
+        runs = [draw_run_ms(self.random) for _ in range(self.random.choice(JOB_TASKS))]
+        job = ModelJob(self.now_ms, max(runs) + 2 * ONE_WAY_MS, len(runs))
+        host = self.random.choice(self.hosts)
+        host.waiting.extend(ModelTask(job, run_ms) for run_ms in runs)
+        self._pump(host)
+        mean_tasks = sum(JOB_TASKS) / len(JOB_TASKS)
+        slots = WORKERS * SLOTS * self.zones
+        gap_ms = mean_run_ms() * mean_tasks / (slots * self.load)
+        self._at(self.random.expovariate(1 / gap_ms), self._arrive)
+
+    def _beat(self, number: int) -> None:
+        """Tell the host's occupied slots to the others."""
+        teller = self.hosts[number]
+        told = [state.own_slots for state in teller.states]
+        self._at(ONE_WAY_MS, self._hear, teller.name, told)
+        self._at(self.heartbeat_ms, self._beat, number)
+
+    def _hear(self, teller: str, told: list[int]) -> None:
+        others = [host for host in self.hosts if host.name != teller]
+        for host in others:
+            for state, slots in zip(host.states, told, strict=True):
+                state.tell_peer_slots(teller, slots)
+            self._pump(host)
+
+    def _pump(self, host: Host) -> None:
+        while host.waiting:
+            state = self.policy.choose(self, host)
+            if state is None:
+                return
+            task = host.waiting.popleft()
+            state.own_slots += 1
+            legs = 3 if self.policy.reserve else 1
+            self.result.wasted += 2 * self.policy.reserve * (self.now_ms > WARM_UP_MS)
+            self._at(legs * _one_way_ms(host, state), self._reach, host, state, task)
+
+    def _reach(self, host: Host, state: TargetState, task: ModelTask) -> None:
+        """Start a task at the worker, or hold it for a while for a slot."""
+        if self.busy[state.name] < SLOTS:
+            self._start(host, state, task)
+            return
+        task.waits = True
+        self.lines[state.name].append((host, state, task))
+        self._at(self.policy.start_within_ms, self._expire, host, state, task)
+
+    def _expire(self, host: Host, state: TargetState, task: ModelTask) -> None:
+        if task.waits:
+            task.waits = False
+            self.lines[state.name].remove((host, state, task))
+            reply = self._reply(state, AttemptState.BUSY)
+            self._at(_one_way_ms(host, state), self._refused, host, state, task, reply)
+
+    def _start(self, host: Host, state: TargetState, task: ModelTask) -> None:
+        task.waits = False
+        self.busy[state.name] += 1
+        self._at(task.run_ms, self._end, host, state, task)
+
+    def _end(self, host: Host, state: TargetState, task: ModelTask) -> None:
+        self.busy[state.name] -= 1
+        if self.lines[state.name]:
+            self._start(*self.lines[state.name].popleft())
+        reply = self._reply(state, AttemptState.DONE)
+        self._at(_one_way_ms(host, state), self._done, host, state, task, reply)
+
+    def _done(self, host: Host, state: TargetState, task: ModelTask, reply) -> None:
+        state.own_slots -= 1
+        state.note_reply(reply, self.now_ms)
+        job = task.job
+        job.left -= 1
+        if job.arrived_ms > WARM_UP_MS:
+            self.result.tasks += 1
+            if not job.left:
+                took_ms = self.now_ms - job.arrived_ms
+                self.result.ratios.append(took_ms / job.ideal_ms)
+        self._pump(host)
+
+    def _refused(self, host: Host, state: TargetState, task: ModelTask, reply) -> None:
+        state.own_slots -= 1
+        state.note_reply(reply, self.now_ms)
+        self.result.wasted += 2 * (self.now_ms > WARM_UP_MS)
+        delay_ms = min(RETRY_BASE_MS * 2**task.tries, RETRY_MAX_MS)
+        task.tries += 1
+        self._at(self.random.uniform(0, delay_ms), self._again, host, task)
+
+    def _again(self, host: Host, task: ModelTask) -> None:
+        host.waiting.appendleft(task)
+        self._pump(host)
+
+    def _reply(self, state: TargetState, answer: AttemptState) -> AttemptReply:
+        busy_slots = self.busy[state.name] + len(self.lines[state.name])
+        return AttemptReply("", answer, slots=SLOTS, busy_slots=busy_slots)
+
+
+def _one_way_ms(host: Host, state: TargetState) -> float:
+    return ONE_WAY_MS if host.zone == state.listed.zone else ZONE_ONE_WAY_MS
