--- a/rattanloom/peers/load_exchange.py
+++ b/rattanloom/peers/load_exchange.py
@@ -150,6 +150,7 @@
         if part.generation > self.generation:
             self._clear(part.generation)
         self.beat = beat
+        self._load = None
         self._queued_slots = part.queued_slots
         self._running_slots = part.running_slots
         for name in part.names:
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -31,6 +31,7 @@
 
 PROBE_MESSAGES = 2
 TIMER_SLACK_MS = 5.0
+LOADS_MS = 50.0
 
 
 @define(eq=False)
@@ -62,7 +63,8 @@
         self.timers.subscribe(
             "host list", self.settings.host_list_poll_ms, self.refresh_list
         )
-        self.timers.subscribe("target loads", self.settings.heartbeat_ms, self.refresh)
+        self.timers.subscribe("targets", self.settings.heartbeat_ms, self.refresh)
+        self.timers.subscribe("target loads", LOADS_MS, self.refresh_loads)
 
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` when slots may have become usable."""
@@ -88,6 +90,11 @@
         for target in listed:
             self._take_listed(target)
 
+    def refresh_loads(self) -> None:
+        """Take in what peers told since the last call."""
+        if self._fleet.take_loads():
+            self._changed()
+
     def refresh(self) -> None:
         """Take in the peers' loads and the rules, and probe where due."""
         self._apply_rules()
@@ -119,6 +126,7 @@
 
     def never_runnable(self, task: Task) -> Failure | None:
         """Return why no listed worker could ever run the task, if so."""
+        self._apply_rules()
         fitting = [
             state
             for state in self._fleet.allowed(self._patterns(task.kind))
@@ -237,7 +245,7 @@
         if state is not None and state.listed.address == listed.address:
             if listed.leaving and not state.listed.leaving:
                 self._tell(listed.name, "listed as leaving")
-            state.listed = listed
+            self._fleet.list_again(state, listed)
             return
         client = TargetClient(
             listed.name, listed.address, listed.slots, self.link_filter
