--- a/rattanloom/configuration.py
+++ b/rattanloom/configuration.py
@@ -92,10 +92,18 @@
     _problem: str = field(init=False, default="")
 
     def start(self, peers: Peers) -> None:
-        """Begin to learn versions from the platform and from ``peers``."""
+        """Begin to learn versions from the platform and from ``peers``.
+
+        Polls start at a random phase: hosts that start together would
+        otherwise all look at the same time.
+        """
         self._peers = peers
         peers.on_config_version(self._on_peer_version)
-        gevent.spawn(self._start_polling)
+        gevent.spawn(self.poll)
+        interval_ms = self.settings.config_poll_ms
+        phase_s = self.environment.random.random() * interval_ms / MS_PER_S
+        subscribe = self.timers.subscribe
+        gevent.spawn_later(phase_s, subscribe, "config poll", interval_ms, self.poll)
 
     def rules(self) -> Rules | None:
         """Return the rules in force, or None while there are none."""
@@ -149,16 +157,6 @@
             self._hinted_at_ms = now_ms
             gevent.spawn(self.poll)
 
-    def _start_polling(self) -> None:
-        """Poll now, then at intervals whose phase differs between hosts.
-
-        Hosts that start together would otherwise all look at the same time.
-        """
-        self.poll()
-        interval_ms = self.settings.config_poll_ms
-        gevent.sleep(self.environment.random.random() * interval_ms / MS_PER_S)
-        self.timers.subscribe("config poll", interval_ms, self.poll)
-
     def _read_head(self) -> Head | None:
         rows = self.table.read([HEAD_KEY])
         self._platform_reachable = not isinstance(rows, Failure)
