Let hosts spill unless the owner has as much waiting as running

Leaving a worker to its owner whenever that had any task waiting divided the slots between hosts at ordinary load too.

--- a/experiments/load.py
+++ b/experiments/load.py
@@ -75,7 +75,8 @@
     jobs, ``refusals_us`` the time of refusals beyond the callers' latencies, and
     ``lags_us`` how late the generators themselves sent the jobs.
     ``good_slot_ms`` is the true work of jobs answered complete, within their
-    deadline, inside the measured window of ``window_ms``.
+    deadline, inside the measured window of ``window_ms``; ``offered_slot_ms``
+    that of the jobs that arrived in it.
     """
 
     ratios: str = ""
@@ -83,6 +84,7 @@
     lags_us: str = ""
     outcomes: dict[str, int] = field(factory=Counter)
     good_slot_ms: float = 0.0
+    offered_slot_ms: float = 0.0
     window_ms: float = 0.0
     jobs: int = 0
     tasks: int = 0
@@ -201,6 +203,8 @@
         response_ms = ended_ms - at_ms
         result.jobs += 1
         result.outcomes[outcome] += 1
+        if at_ms >= WARM_UP_MS:
+            result.offered_slot_ms += job.work_slot_ms
         if outcome.startswith(REFUSED):
             self._refusals.record_value(max(1, int(answer_ms * US_PER_MS)))
         if outcome != COMPLETE:
@@ -321,6 +325,7 @@
         lags.decode_and_add(result.lags_us)
         total.outcomes = dict(Counter(total.outcomes) + Counter(result.outcomes))
         total.good_slot_ms += result.good_slot_ms
+        total.offered_slot_ms += result.offered_slot_ms
         total.jobs += result.jobs
         total.tasks += result.tasks
         total.late += result.late
--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from rattanloom.peers.protocol import Member, MemberState, Peers
+from rattanloom.peers.protocol import HostLoad, Member, MemberState, Peers
 from rattanloom.routing import Tiers, make_tiers, spread_owners
 from rattanloom.targets.state import TargetState
 
@@ -27,7 +27,7 @@
     peers: Peers | None = None
     targets: dict[str, TargetState] = field(factory=dict)
     _cut_off_zones: frozenset[str] = frozenset()
-    _waiting_hosts: frozenset[str] = frozenset()
+    _overloaded_hosts: frozenset[str] = frozenset()
     _hosts: int = 1
     _hosts_here: int = 1
     _tiers: dict[tuple[str, ...], Tiers] = field(factory=dict)
@@ -92,8 +92,8 @@
 
     def _take_loads(self) -> None:
         loads = self.peers.loads() if self.peers else {}
-        self._waiting_hosts = frozenset(
-            host for host, load in loads.items() if load.queued_slots
+        self._overloaded_hosts = frozenset(
+            host for host, load in loads.items() if is_overloaded(load)
         )
         for state in self.targets.values():
             state.peer_slots.clear()
@@ -119,7 +119,7 @@
         for state in states:
             owner = owners.get(state.name, "")
             state.owned = owner == self.host
-            state.contended = owner in self._waiting_hosts
+            state.contended = owner in self._overloaded_hosts
             state.connections = self._connections(state)
 
     def _connections(self, state: TargetState) -> int:
@@ -135,6 +135,14 @@
         return max(1, (listed.connections - reserved) // others)
 
 
+def is_overloaded(load: HostLoad) -> bool:
+    """Say whether a host has as much waiting as it has running.
+
+    Its workers then have no slot to spare, whatever older loads say.
+    """
+    return load.queued_slots > 0 and load.queued_slots >= load.running_slots
+
+
 def _matches(name: str, patterns: tuple[str, ...]) -> bool:
     return not patterns or any(fnmatchcase(name, pattern) for pattern in patterns)
 
