--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -28,10 +28,11 @@
     peers: Peers | None = None
     targets: dict[str, TargetState] = field(factory=dict)
     _cut_off_zones: frozenset[str] = frozenset()
-    _waiting_hosts: frozenset[str] = frozenset()
+    _overloaded_hosts: frozenset[str] = frozenset()
     _hosts: int = 1
     _hosts_here: int = 1
     _loads: dict[str, HostLoad] = field(factory=dict)
+    _owners: dict[str, str] = field(factory=dict)
     _listings: int = 0
     _assigned: tuple = ()
     _tiers: dict[tuple[str, ...], Tiers] = field(factory=dict)
@@ -52,6 +53,7 @@
 
     def remove(self, name: str) -> None:
         """Forget a worker; attempts under way on it end as they end."""
+        self._owners.pop(name, None)
         state = self.targets.pop(name, None)
         if state is not None:
             state.client.close()
@@ -113,8 +115,20 @@
         for host in changed:
             self._take_load(host, loads[host])
         self._loads = loads
+        self._mark_contended()
         return bool(changed or gone)
 
+    def _mark_contended(self) -> None:
+        """Leave the workers of overloaded hosts to their owners."""
+        overloaded = frozenset(
+            host for host, load in self._loads.items() if is_overloaded(load)
+        )
+        if overloaded == self._overloaded_hosts:
+            return
+        self._overloaded_hosts = overloaded
+        for state in self.targets.values():
+            state.contended = self._owners.get(state.name) in overloaded
+
     def _take_load(self, host: str, load: HostLoad) -> None:
         for told in load.targets:
             state = self.targets.get(told.target)
@@ -153,7 +167,8 @@
         for state in states:
             owner = owners.get(state.name, "")
             state.owned = owner == self.host
-            state.contended = owner in self._waiting_hosts
+            state.contended = owner in self._overloaded_hosts
+            self._owners[state.name] = owner
             state.connections = self._connections(state)
 
     def _connections(self, state: TargetState) -> int:
@@ -169,6 +184,14 @@
         return max(1, (listed.connections - reserved) // others)
 
 
+def is_overloaded(load: HostLoad) -> bool:
+    """Say whether a host has as much waiting as it has running.
+
+    Its workers then have no slot to spare, whatever older loads say.
+    """
+    return load.queued_slots > 0 and load.queued_slots >= load.running_slots
+
+
 def _matches(name: str, patterns: tuple[str, ...]) -> bool:
     return not patterns or any(fnmatchcase(name, pattern) for pattern in patterns)
 
