Draw the hosts that other zones are told of, instead of taking turns

The receivers in other zones take turns and so did the hosts told of; with four of each, the third zone told a receiver of the same host every time. Ruled out: a turn for each receiver, which is more state for the same coverage. Hosts of the own zone all get the same heartbeat; turns stay.

--- a/rattanloom/peers/heartbeats.py
+++ b/rattanloom/peers/heartbeats.py
@@ -69,7 +69,7 @@
     _peers: dict[str, Greenlet] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self._tidings = Tidings(self.membership, self.teller)
+        self._tidings = Tidings(self.membership, self.teller, self.environment.random)
 
     @contextmanager
     def running(self, timers: TimerService) -> Iterator[None]:
--- a/rattanloom/peers/tidings.py
+++ b/rattanloom/peers/tidings.py
@@ -1,5 +1,7 @@
 """Chooses what a heartbeat tells of other hosts and of the load."""
 
+from random import Random
+
 from attrs import define, evolve, field
 
 from rattanloom.peers.load_exchange import LoadTeller
@@ -17,10 +19,15 @@
 
 @define(eq=False)
 class Tidings:
-    """Picks, in turn, the hosts to tell of; keeps each heartbeat small."""
+    """Picks the hosts to tell of; keeps each heartbeat small.
+
+    A zone is told in turn. Receivers in other zones take turns themselves, so
+    for them the hosts are drawn: two turns in step would leave gaps.
+    """
 
     membership: Membership
     teller: LoadTeller
+    random: Random
     _zone_turn: int = 0
     _others_turn: int = 0
     _zone_mates: list[KnownMember] = field(factory=list)
@@ -38,7 +45,7 @@
         """Return the heartbeat for every host of this zone."""
         return evolve(
             plain,
-            told=self._told(NEAR_TOLD_OF_ZONE, NEAR_TOLD_OF_OTHERS),
+            told=_told(self._next_zone_mates() + self._next_others()),
             unheard=self._unheard_in_zone(),
             load=self.teller.changes(NEAR_LOAD_VALUES),
         )
@@ -47,16 +54,25 @@
         """Return the ``turn``-th heartbeat for one host of another zone."""
         return evolve(
             plain,
-            told=self._told(FAR_TOLD_OF_ZONE, FAR_TOLD_OF_OTHERS),
+            told=_told(
+                self._draw(self._zone_mates, FAR_TOLD_OF_ZONE)
+                + self._draw(self._others, FAR_TOLD_OF_OTHERS)
+            ),
             load=self.teller.slice(turn * FAR_LOAD_VALUES, FAR_LOAD_VALUES),
         )
 
-    def _told(self, zone_count: int, others_count: int) -> tuple[ToldBeat, ...]:
-        chosen = _in_turn(self._zone_mates, self._zone_turn, zone_count)
-        chosen += _in_turn(self._others, self._others_turn, others_count)
-        self._zone_turn += zone_count
-        self._others_turn += others_count
-        return tuple(ToldBeat(m.record.key, m.beat, m.leaving) for m in chosen)
+    def _next_zone_mates(self) -> list[KnownMember]:
+        mates = _in_turn(self._zone_mates, self._zone_turn, NEAR_TOLD_OF_ZONE)
+        self._zone_turn += NEAR_TOLD_OF_ZONE
+        return mates
+
+    def _next_others(self) -> list[KnownMember]:
+        others = _in_turn(self._others, self._others_turn, NEAR_TOLD_OF_OTHERS)
+        self._others_turn += NEAR_TOLD_OF_OTHERS
+        return others
+
+    def _draw(self, members: list[KnownMember], count: int) -> list[KnownMember]:
+        return self.random.sample(members, min(count, len(members)))
 
     def _unheard_in_zone(self) -> tuple[int, ...]:
         keys = [
@@ -70,3 +86,7 @@
 def _in_turn(members: list[KnownMember], turn: int, count: int) -> list[KnownMember]:
     size = len(members)
     return [members[(turn + step) % size] for step in range(min(count, size))]
+
+
+def _told(members: list[KnownMember]) -> tuple[ToldBeat, ...]:
+    return tuple(ToldBeat(m.record.key, m.beat, m.leaving) for m in members)
--- a/tests/test_peer_merging.py
+++ b/tests/test_peer_merging.py
@@ -163,7 +163,7 @@
 
     def __attrs_post_init__(self):
         self.membership = Membership(self.record, HEARTBEAT_MS, self.note)
-        self.tidings = Tidings(self.membership, LoadTeller(HostLoad))
+        self.tidings = Tidings(self.membership, LoadTeller(HostLoad), Random(1))
 
     def note(self, member, word):
         self.changes.append((member.record.host, word))
@@ -234,6 +234,21 @@
     assert seen.queued_slots == now["load"].queued_slots
 
 
+def test_every_receiver_of_another_zone_is_told_of_every_host_in_time():
+    host = LoneHost(OWN)
+    members = [record("mate", 1)]
+    members += [record(f"b{number}", number, "Bantama") for number in range(4)]
+    for member in members:
+        hear(host.membership, member, 1, 0)
+    told = [set() for _ in range(4)]
+    for beat in range(60):
+        host.step(beat, 0)
+        for receiver in range(2 * (beat % 2), 2 * (beat % 2) + 2):
+            heartbeat = host.tidings.far(Heartbeat(OWN.key, beat, 40), 0)
+            told[receiver] |= {entry.key for entry in heartbeat.told}
+    assert told == [{member.key for member in members}] * 4
+
+
 def test_load_names_are_bounded_and_start_over(monkeypatch):
     monkeypatch.setattr("rattanloom.peers.load_exchange.NAMES_MAX", 8)
     loads = [HostLoad(targets=(TargetLoad(f"w{i}", 1),)) for i in range(20)]
