--- a/rattanloom/ledger.py
+++ b/rattanloom/ledger.py
@@ -18,7 +18,8 @@
 
 CHUNK_TICKETS = 4096
 RUNNING_MAX_JOBS = 20_000
-ANSWER_OVERHEAD_BYTES = 900
+ANSWER_OVERHEAD_BYTES = 700
+TEXT_OVERHEAD_BYTES = 60
 EPOCHS_GOOD = 2
 SPARED_MAX_TICKETS = 10_000
 
@@ -253,7 +254,7 @@
         chunks[position][ticket.number % CHUNK_TICKETS] = mark
 
     def _keep(self, number: int, answer: JobAnswer, digest: bytes, epoch: int) -> None:
-        text_bytes = sum(len(text.encode()) for text in answer.outputs)
+        text_bytes = sum(map(_size_of, answer.outputs))
         size_bytes = text_bytes + ANSWER_OVERHEAD_BYTES
         self._kept[number] = KeptAnswer(answer, digest, epoch, size_bytes)
         self.kept_bytes += size_bytes
@@ -267,6 +268,10 @@
         self.kept_bytes -= kept.size_bytes
 
 
+def _size_of(text: str) -> int:
+    return len(text.encode(errors="surrogatepass")) + TEXT_OVERHEAD_BYTES
+
+
 def _mark_of(answer: JobAnswer) -> Mark:
     if answer.failure is not None and answer.failure.ran_word is Ran.NOT_RUN:
         return Mark.CANCELLED
--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -5,7 +5,8 @@
 
 from attrs import define, field
 
-from rattanloom.peers.protocol import Member, MemberState, Peers
+from rattanloom.peers.protocol import HostLoad, Member, MemberState, Peers
+from rattanloom.platform.protocol import ListedTarget
 from rattanloom.routing import Tiers, make_tiers, spread_owners
 from rattanloom.targets.state import TargetState
 
@@ -27,9 +28,11 @@
     peers: Peers | None = None
     targets: dict[str, TargetState] = field(factory=dict)
     _cut_off_zones: frozenset[str] = frozenset()
-    _waiting_hosts: frozenset[str] = frozenset()
+    _overloaded_hosts: frozenset[str] = frozenset()
     _hosts: int = 1
     _hosts_here: int = 1
+    _loads: dict[str, HostLoad] = field(factory=dict)
+    _owners: dict[str, str] = field(factory=dict)
     _listings: int = 0
     _assigned: tuple = ()
     _tiers: dict[tuple[str, ...], Tiers] = field(factory=dict)
@@ -38,10 +41,19 @@
         """Begin to use a worker, in place of any of the same name."""
         self.remove(state.name)
         self.targets[state.name] = state
+        self._loads = {}
         self._listings += 1
 
+    def list_again(self, state: TargetState, listed: ListedTarget) -> None:
+        """Take in what the host list now says of a known worker."""
+        if state.listed != listed:
+            state.listed = listed
+            self._listings += 1
+            self.forget_tiers()
+
     def remove(self, name: str) -> None:
         """Forget a worker; attempts under way on it end as they end."""
+        self._owners.pop(name, None)
         state = self.targets.pop(name, None)
         if state is not None:
             state.client.close()
@@ -56,7 +68,7 @@
         """
         members = self.peers.members() if self.peers else ()
         self._hosts = 1 + sum(member.state in HERE for member in members)
-        self._take_loads()
+        self.take_loads()
         self._assign_owners(members)
         return self._newly_cut_off(members)
 
@@ -93,18 +105,43 @@
         new = self._cut_off_zones - before
         return [state for state in self.targets.values() if state.listed.zone in new]
 
-    def _take_loads(self) -> None:
+    def take_loads(self) -> bool:
+        """Take in the loads that changed; return whether any did."""
         loads = self.peers.loads() if self.peers else {}
-        self._waiting_hosts = frozenset(
-            host for host, load in loads.items() if load.queued_slots
+        changed = [host for host in loads if loads[host] is not self._loads.get(host)]
+        gone = self._loads.keys() - loads.keys()
+        for host in (*changed, *gone):
+            self._forget_load(host)
+        for host in changed:
+            self._take_load(host, loads[host])
+        self._loads = loads
+        self._mark_contended()
+        return bool(changed or gone)
+
+    def _mark_contended(self) -> None:
+        """Leave the workers of overloaded hosts to their owners."""
+        overloaded = frozenset(
+            host for host, load in self._loads.items() if is_overloaded(load)
         )
+        if overloaded == self._overloaded_hosts:
+            return
+        self._overloaded_hosts = overloaded
         for state in self.targets.values():
-            state.peer_slots.clear()
-        for host, load in loads.items():
-            for told in load.targets:
-                state = self.targets.get(told.target)
-                if state is not None:
-                    state.tell_peer_slots(host, told.slots)
+            state.contended = self._owners.get(state.name) in overloaded
+
+    def _take_load(self, host: str, load: HostLoad) -> None:
+        for told in load.targets:
+            state = self.targets.get(told.target)
+            if state is not None:
+                state.tell_peer_slots(host, told.slots)
+
+    def _forget_load(self, host: str) -> None:
+        """Forget what a host told before."""
+        load = self._loads.get(host, HostLoad())
+        for told in load.targets:
+            state = self.targets.get(told.target)
+            if state is not None:
+                state.peer_slots.pop(host, None)
 
     def _assign_owners(self, members: tuple[Member, ...]) -> None:
         """Spread the workers over the live hosts of their zones, if any changed."""
@@ -130,7 +167,8 @@
         for state in states:
             owner = owners.get(state.name, "")
             state.owned = owner == self.host
-            state.contended = owner in self._waiting_hosts
+            state.contended = owner in self._overloaded_hosts
+            self._owners[state.name] = owner
             state.connections = self._connections(state)
 
     def _connections(self, state: TargetState) -> int:
@@ -146,6 +184,14 @@
         return max(1, (listed.connections - reserved) // others)
 
 
+def is_overloaded(load: HostLoad) -> bool:
+    """Say whether a host has as much waiting as it has running.
+
+    Its workers then have no slot to spare, whatever older loads say.
+    """
+    return load.queued_slots > 0 and load.queued_slots >= load.running_slots
+
+
 def _matches(name: str, patterns: tuple[str, ...]) -> bool:
     return not patterns or any(fnmatchcase(name, pattern) for pattern in patterns)
 
