Age out keys that were bound anew by their new binding

Cause: the clean-up expected every claim in its first version, so one key that was bound anew made each deletion of its batch conflict and stopped the ageing of all later claims. Change: an index row names the version of its claims, and a new binding adds an index row of its own. The test was red before.

--- a/rattanloom/claim_ageing.py
+++ b/rattanloom/claim_ageing.py
@@ -37,10 +37,12 @@
 SEPARATOR = " "
 
 
-def index_change(generation: int, batch_name: str, keys: Sequence[str]) -> Change:
-    """Return the insert of the index row of one batch of claims."""
+def index_change(
+    generation: int, batch_name: str, keys: Sequence[str], version: int
+) -> Change:
+    """Return the insert of the index row of claims written as ``version``."""
     key = f"{INDEX_PREFIX}{generation:0{GENERATION_DIGITS}d}/{batch_name}"
-    return Change(key, ABSENT, SEPARATOR.join(keys))
+    return Change(key, ABSENT, SEPARATOR.join([str(version), *keys]))
 
 
 def generation_of(index_row: Row) -> int:
@@ -107,8 +109,18 @@
                 return
 
     def _delete(self, index_row: Row) -> bool:
-        """Delete a batch whole; its index row bars a second, late deletion."""
-        keys = [index_row.key, *index_row.value.split(SEPARATOR)]
-        changes = [Change(key, FIRST_VERSION, None) for key in keys]
-        deleted = self.table.transact(changes)
-        return isinstance(deleted, Committed)
+        """Delete a batch whole; its index row bars a second, late deletion.
+
+        Claims that were bound anew stay: a later index row names them.
+        """
+        version, *keys = index_row.value.split(SEPARATOR)
+        rows = self.table.read(keys)
+        if isinstance(rows, Failure):
+            return False
+        changes = [
+            Change(row.key, row.version, None)
+            for row in rows
+            if row.version == int(version)
+        ]
+        changes.append(Change(index_row.key, index_row.version, None))
+        return isinstance(self.table.transact(changes), Committed)
--- a/rattanloom/claims.py
+++ b/rattanloom/claims.py
@@ -15,7 +15,7 @@
 from attrs import define, field, frozen
 from gevent.event import AsyncResult
 
-from rattanloom.claim_ageing import ClaimAgeing, index_change
+from rattanloom.claim_ageing import FIRST_VERSION, ClaimAgeing, index_change
 from rattanloom.clock import MS_PER_S
 from rattanloom.environment import Environment
 from rattanloom.errors import ErrorKind, Failure, Ran
@@ -145,16 +145,32 @@
         claim = Claim(old.row_key, ticket, old.digest)
         row = self._current_row(old.row_key)
         if isinstance(row, Row) and row.value == old.value:
-            change = Change(row.key, row.version, claim.value)
-            written = self.table.transact([change])
-            row = (
-                self._current_row(old.row_key) if _unsure(written) else written.rows[0]
-            )
+            row = self._replace(row, claim)
         if isinstance(row, Failure):
             return _unreachable()
         self._remember(row)
         return _bound_ticket(row, claim)
 
+    def _replace(self, row: Row, claim: Claim) -> Row | Failure:
+        """Change a claim's row on condition of its version; return it as it is."""
+        generation = self.ageing.generation()
+        if isinstance(generation, Failure):
+            return generation
+        written = self.table.transact(
+            [
+                Change(row.key, row.version, claim.value),
+                self._index(generation, [row.key], row.version + 1),
+            ]
+        )
+        if isinstance(written, Committed | Conflicted):
+            return written.rows[0]
+        return self._current_row(row.key)
+
+    def _index(self, generation: int, keys: Sequence[str], version: int) -> Change:
+        self._batches += 1
+        name = f"{self.mint.host}.{self.mint.incarnation}.{self._batches}"
+        return index_change(generation, name, keys, version)
+
     def _current_row(self, row_key: str) -> Row | Failure:
         rows = self.table.read([row_key])
         if isinstance(rows, Failure):
@@ -222,11 +238,9 @@
         generation = self.ageing.generation()
         if isinstance(generation, Failure):
             return generation
-        self._batches += 1
         keys = [claim.row_key for claim in claims]
-        batch_name = f"{self.mint.host}.{self.mint.incarnation}.{self._batches}"
         changes = [Change(claim.row_key, ABSENT, claim.value) for claim in claims]
-        changes.append(index_change(generation, batch_name, keys))
+        changes.append(self._index(generation, keys, FIRST_VERSION))
         written = self.table.transact(changes)
         if isinstance(written, Committed | Conflicted):
             return tuple(row for row in written.rows if row.key in keys)
@@ -246,10 +260,6 @@
     return ticket
 
 
-def _unsure(written: Committed | Conflicted | Failure) -> bool:
-    return isinstance(written, Failure)
-
-
 def _answer_rest(batch: dict[str, list[_Waiting]]) -> None:
     for held in batch.values():
         for waiting in held:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,6 +7,7 @@
 from rattanloom.claims import KEY_PREFIX
 from rattanloom.errors import ErrorKind, Ran
 from rattanloom.job import JobOutcome
+from rattanloom.job_digest import digest_of
 from tests.fakes_jobs import EPOCH_MS, OVERLOADED, FakeCluster, make_job, settle
 
 
@@ -155,3 +156,31 @@
     a.submit(make_job(key="k"))
     table.release_late_writes()
     assert len(rows(cluster, KEY_PREFIX)) == 1
+
+
+def test_a_key_that_was_bound_anew_ages_out_by_its_new_binding(cluster):
+    a = cluster.hosts["a"]
+    a.submit(make_job(key="k"))
+    a.submit(make_job(key="other", payload="other"))
+    digest = digest_of(make_job(key="k"))
+    old = a.claims.claim("studio", "k", digest, "unused", 1_000)
+    ageing = a.claims.ageing
+    for _ in range(KEPT_GENERATIONS):
+        ageing.poll()
+        cluster.clock.ms += GENERATION_MS
+        ageing.poll()
+    ticket = a.mint_tickets(1)[0]
+    assert a.claims.rebind("studio", "k", digest, old, ticket) == ticket
+    for kept in (1, 0):
+        ageing.poll()
+        cluster.clock.ms += GENERATION_MS
+        ageing.poll()
+        ageing.poll()
+        assert len(rows(cluster, KEY_PREFIX)) == 1, kept
+    for _ in range(KEPT_GENERATIONS):
+        ageing.poll()
+        cluster.clock.ms += GENERATION_MS
+        ageing.poll()
+    ageing.poll()
+    assert rows(cluster, KEY_PREFIX) == []
+    assert rows(cluster, INDEX_PREFIX) == []
