--- a/rattanloom/peers/service.py
+++ b/rattanloom/peers/service.py
@@ -36,7 +36,7 @@
 
 GRACE_MS = 5_000
 CANCEL_WITHIN_MS = 10_000
-FETCH_WITHIN_MS = 5_000
+FETCH_WITHIN_MS = 1_000
 
 
 @define(eq=False)
@@ -183,8 +183,6 @@
         log.info("Host {} of zone {} is {}.", record.host, record.zone, word)
         self.time_line.record(EventKind.MEMBER_CHANGED, detail=detail)
         self.metrics.count("member_changes", word)
-        if member.state not in HEARING:
-            self.forwarder.drop(record.host, f"the host is {word}")
 
     def _on_newer_config(self, host: str, version: int) -> None:
         if self._telling_config:
--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -6,6 +6,10 @@
 from attrs import define, field
 
 from rattanloom.peers.protocol import HostLoad, Member, MemberState, Peers
+<<<<<<< HEAD
+=======
+from rattanloom.platform.protocol import ListedTarget
+>>>>>>> main
 from rattanloom.routing import Tiers, make_tiers, spread_owners
 from rattanloom.targets.state import TargetState
 
@@ -30,18 +34,31 @@
     _overloaded_hosts: frozenset[str] = frozenset()
     _hosts: int = 1
     _hosts_here: int = 1
+    _loads: dict[str, HostLoad] = field(factory=dict)
+    _listings: int = 0
+    _assigned: tuple = ()
     _tiers: dict[tuple[str, ...], Tiers] = field(factory=dict)
 
     def add(self, state: TargetState) -> None:
         """Begin to use a worker, in place of any of the same name."""
         self.remove(state.name)
         self.targets[state.name] = state
+        self._loads = {}
+        self._listings += 1
+
+    def list_again(self, state: TargetState, listed: ListedTarget) -> None:
+        """Take in what the host list now says of a known worker."""
+        if state.listed != listed:
+            state.listed = listed
+            self._listings += 1
+            self.forget_tiers()
 
     def remove(self, name: str) -> None:
         """Forget a worker; attempts under way on it end as they end."""
         state = self.targets.pop(name, None)
         if state is not None:
             state.client.close()
+        self._listings += 1
         self.forget_tiers()
 
     def refresh(self) -> list[TargetState]:
@@ -52,9 +69,8 @@
         """
         members = self.peers.members() if self.peers else ()
         self._hosts = 1 + sum(member.state in HERE for member in members)
-        self._take_loads()
+        self.take_loads()
         self._assign_owners(members)
-        self.forget_tiers()
         return self._newly_cut_off(members)
 
     def forget_tiers(self) -> None:
@@ -62,11 +78,11 @@
         self._tiers.clear()
 
     def tiers(self, patterns: tuple[str, ...]) -> Tiers:
-        """Return the open workers whose names match, by tier."""
+        """Return the workers whose names match, by tier."""
         tiers = self._tiers.get(patterns)
         if tiers is None:
-            states = [state for state in self.allowed(patterns) if not state.closed]
-            tiers = self._tiers[patterns] = make_tiers(states, self.zone)
+            tiers = make_tiers(self.allowed(patterns), self.zone)
+            self._tiers[patterns] = tiers
         return tiers
 
     def allowed(self, patterns: tuple[str, ...]) -> list[TargetState]:
@@ -90,8 +106,10 @@
         new = self._cut_off_zones - before
         return [state for state in self.targets.values() if state.listed.zone in new]
 
-    def _take_loads(self) -> None:
+    def take_loads(self) -> bool:
+        """Take in the loads that changed; return whether any did."""
         loads = self.peers.loads() if self.peers else {}
+<<<<<<< HEAD
         self._overloaded_hosts = frozenset(
             host for host, load in loads.items() if is_overloaded(load)
         )
@@ -102,15 +120,47 @@
                 state = self.targets.get(told.target)
                 if state is not None:
                     state.tell_peer_slots(host, told.slots)
+=======
+        changed = [host for host in loads if loads[host] is not self._loads.get(host)]
+        gone = self._loads.keys() - loads.keys()
+        for host in (*changed, *gone):
+            self._forget_load(host)
+        for host in changed:
+            self._take_load(host, loads[host])
+        self._loads = loads
+        return bool(changed or gone)
+
+    def _take_load(self, host: str, load: HostLoad) -> None:
+        for told in load.targets:
+            state = self.targets.get(told.target)
+            if state is not None:
+                state.tell_peer_slots(host, told.slots)
+
+    def _forget_load(self, host: str) -> None:
+        """Forget what a host told before."""
+        load = self._loads.get(host, HostLoad())
+        for told in load.targets:
+            state = self.targets.get(told.target)
+            if state is not None:
+                state.peer_slots.pop(host, None)
+>>>>>>> main
 
     def _assign_owners(self, members: tuple[Member, ...]) -> None:
-        hosts = [member for member in members if member.state is MemberState.LIVE]
+        """Spread the workers over the live hosts of their zones, if any changed."""
+        hosts = [(self.zone, self.host)] + [
+            (member.zone, member.host)
+            for member in members
+            if member.state is MemberState.LIVE
+        ]
+        closed = [state.name for state in self.targets.values() if state.closed]
+        basis = (self._listings, self._hosts, tuple(hosts), tuple(closed))
+        if basis == self._assigned:
+            return
+        self._assigned = basis
+        self._hosts_here = sum(zone == self.zone for zone, _ in hosts)
         for zone in {state.listed.zone for state in self.targets.values()}:
-            names = [member.host for member in hosts if member.zone == zone]
-            if zone == self.zone:
-                names.append(self.host)
-                self._hosts_here = len(names)
-            self._assign_zone(zone, names)
+            self._assign_zone(zone, [host for place, host in hosts if place == zone])
+        self.forget_tiers()
 
     def _assign_zone(self, zone: str, hosts: list[str]) -> None:
         states = [state for state in self.targets.values() if state.listed.zone == zone]
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,84 @@
+"""The load generator's arithmetic: arrivals, ideals, sums and verdicts."""
+
+from random import Random
+
+import pytest
+
+from experiments.bench import TARGETS, missed, wasted_messages
+from experiments.load import Generator, Plan, add_results, ideal_ms, percentile
+from experiments.mixes import MIXES, DrawnJob, DrawnTask
+
+
+@pytest.mark.parametrize("name", sorted(MIXES))
+def test_arrivals_offer_the_planned_work(name):
+    mix = MIXES[name]
+    arrivals = list(mix.arrivals(Random(1), 100, 600_000))
+    times = [at_ms for at_ms, _ in arrivals]
+    assert times == sorted(times)
+    offered = sum(job.work_slot_ms for _, job in arrivals) / 600_000
+    assert offered == pytest.approx(100, rel=0.1)
+
+
+def test_the_same_seed_draws_the_same_load():
+    mix = MIXES["coop"]
+    draws = [list(mix.arrivals(Random(4), 50, 5_000)) for _ in range(2)]
+    assert draws[0] == draws[1]
+
+
+def test_ideal_is_the_longest_task_or_the_work_over_all_slots():
+    mix = MIXES["studio"]
+    path_ms = 2 * (1 + 1)
+    short = DrawnJob("desk", (DrawnTask("swatch", 50, 9),) * 3, 1000)
+    large = DrawnJob("desk", (DrawnTask("swatch", 50, 9),) * 210, 1000)
+    assert ideal_ms(short, mix, 100) == path_ms + 50
+    assert ideal_ms(large, mix, 100) == path_ms + 105
+
+
+def record(seed, ratio, outcome="complete"):
+    plan = Plan("studio", seed, 1, 1, 0.0, 10_000, ("127.0.0.1:1",))
+    generator = Generator(plan)
+    job = DrawnJob("desk", (DrawnTask("swatch", 96, 9),), 1000)
+    generator._record(1500, 1500 + 100 * ratio, job, outcome, 3.0)
+    generator.result.ratios = generator._ratios.encode().decode()
+    generator.result.refusals_us = generator._refusals.encode().decode()
+    generator.result.lags_us = generator._lags.encode().decode()
+    return generator.result
+
+
+def test_results_of_several_generators_add_up():
+    total = add_results(
+        [record(1, 1.0), record(2, 2.0), record(3, 99.0, "refused:overloaded")]
+    )
+    assert total.jobs == 3
+    assert total.outcomes == {"complete": 2, "refused:overloaded": 1}
+    assert total.good_slot_ms == 2 * 96
+    assert total.offered_slot_ms == 3 * 96
+    assert percentile(total.ratios, 100) == pytest.approx(2000, rel=0.01)
+    assert percentile(total.refusals_us, 50) == pytest.approx(3000, rel=0.01)
+
+
+def test_an_answer_after_the_deadline_is_no_goodput():
+    result = record(1, 50.0)
+    assert result.late == 1
+    assert result.good_slot_ms == 0
+
+
+def test_wasted_messages_are_all_beyond_one_start_and_reply():
+    before = {("messages", "start"): 10, ("messages", "stop"): 2}
+    after = {
+        ("messages", "start"): 30,
+        ("messages", "stop"): 6,
+        ("wasted_messages", "refused"): 4,
+        ("wasted_messages", "look_up"): 2,
+        ("wasted_messages", "probe"): 8,
+        ("jobs_forwarded", ""): 3,
+    }
+    assert wasted_messages(before, after) == 4 + 4 + 2 + 8 + 2 * 3
+
+
+def test_missed_targets_are_named():
+    met = {name: value for name, value in TARGETS.items()}
+    assert missed(met) == []
+    worse = {name: value * 1.1 for name, value in met.items()}
+    worse["goodput_overload_over_peak"] = 0.5
+    assert sorted(missed(worse)) == sorted(TARGETS)
