--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -6,10 +6,7 @@
 from attrs import define, field
 
 from rattanloom.peers.protocol import HostLoad, Member, MemberState, Peers
-<<<<<<< HEAD
-=======
 from rattanloom.platform.protocol import ListedTarget
->>>>>>> main
 from rattanloom.routing import Tiers, make_tiers, spread_owners
 from rattanloom.targets.state import TargetState
 
@@ -31,7 +28,6 @@
     peers: Peers | None = None
     targets: dict[str, TargetState] = field(factory=dict)
     _cut_off_zones: frozenset[str] = frozenset()
-    _overloaded_hosts: frozenset[str] = frozenset()
     _hosts: int = 1
     _hosts_here: int = 1
     _loads: dict[str, HostLoad] = field(factory=dict)
@@ -109,18 +105,6 @@
     def take_loads(self) -> bool:
         """Take in the loads that changed; return whether any did."""
         loads = self.peers.loads() if self.peers else {}
-<<<<<<< HEAD
-        self._overloaded_hosts = frozenset(
-            host for host, load in loads.items() if is_overloaded(load)
-        )
-        for state in self.targets.values():
-            state.peer_slots.clear()
-        for host, load in loads.items():
-            for told in load.targets:
-                state = self.targets.get(told.target)
-                if state is not None:
-                    state.tell_peer_slots(host, told.slots)
-=======
         changed = [host for host in loads if loads[host] is not self._loads.get(host)]
         gone = self._loads.keys() - loads.keys()
         for host in (*changed, *gone):
@@ -128,8 +112,16 @@
         for host in changed:
             self._take_load(host, loads[host])
         self._loads = loads
+        if changed or gone:
+            self._mark_contended()
         return bool(changed or gone)
 
+    def _mark_contended(self) -> None:
+        """Leave the workers of overloaded hosts to them."""
+        overloaded = {host for host, load in self._loads.items() if is_overloaded(load)}
+        for state in self.targets.values():
+            state.contended = state.owner in overloaded
+
     def _take_load(self, host: str, load: HostLoad) -> None:
         for told in load.targets:
             state = self.targets.get(told.target)
@@ -143,7 +135,6 @@
             state = self.targets.get(told.target)
             if state is not None:
                 state.peer_slots.pop(host, None)
->>>>>>> main
 
     def _assign_owners(self, members: tuple[Member, ...]) -> None:
         """Spread the workers over the live hosts of their zones, if any changed."""
@@ -160,6 +151,7 @@
         self._hosts_here = sum(zone == self.zone for zone, _ in hosts)
         for zone in {state.listed.zone for state in self.targets.values()}:
             self._assign_zone(zone, [host for place, host in hosts if place == zone])
+        self._mark_contended()
         self.forget_tiers()
 
     def _assign_zone(self, zone: str, hosts: list[str]) -> None:
@@ -167,9 +159,8 @@
         slots = {state.name: state.listed.slots for state in states if not state.closed}
         owners = spread_owners(slots, hosts)
         for state in states:
-            owner = owners.get(state.name, "")
-            state.owned = owner == self.host
-            state.contended = owner in self._overloaded_hosts
+            state.owner = owners.get(state.name, "")
+            state.owned = state.owner == self.host
             state.connections = self._connections(state)
 
     def _connections(self, state: TargetState) -> int:
--- a/rattanloom/targets/state.py
+++ b/rattanloom/targets/state.py
@@ -30,6 +30,7 @@
     client: TargetClient | None
     connections: int = 0
     owned: bool = True
+    owner: str = ""
     contended: bool = False
     drained: bool = False
     leaving: bool = False
