--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -7,6 +7,7 @@
 
 from rattanloom.peers.protocol import HostLoad, Member, MemberState, Peers
 from rattanloom.platform.protocol import ListedTarget
+from rattanloom.routing import Tiers, make_tiers, spread_owners
 from rattanloom.targets.state import TargetState
 
 RESERVED_CONNECTIONS_SHARE = 0.125
@@ -65,6 +66,7 @@
         members = self.peers.members() if self.peers else ()
         self._hosts = 1 + sum(member.state in HERE for member in members)
         self.take_loads()
+        self._assign_owners(members)
         return self._newly_cut_off(members)
 
     def forget_tiers(self) -> None:
@@ -134,6 +136,7 @@
             if state is not None:
                 state.peer_slots.pop(host, None)
 
+    def _assign_owners(self, members: tuple[Member, ...]) -> None:
         """Spread the workers over the live hosts of their zones, if any changed."""
         hosts = [(self.zone, self.host)] + [
             (member.zone, member.host)
@@ -154,6 +157,7 @@
     def _assign_zone(self, zone: str, hosts: list[str]) -> None:
         states = [state for state in self.targets.values() if state.listed.zone == zone]
         slots = {state.name: state.listed.slots for state in states if not state.closed}
+        owners = spread_owners(slots, hosts)
         for state in states:
             state.owner = owners.get(state.name, "")
             state.owned = state.owner == self.host
