--- a/tests/jobs_run.py
+++ b/tests/jobs_run.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 import gevent
-from attrs import define, field
+from attrs import define, evolve, field
 
 from experiments.history import Action, Answered, History, Invoked, Started, Unanswered
 from rattanloom.errors import ErrorKind, Ran
@@ -113,7 +113,7 @@
         if action is Action.CANCEL:
             return service.cancel(caller.job_id)
         job = make_job(caller.job_id, caller.key, caller.submission, DEADLINE_MS, TASKS)
-        return service.submit(job)
+        return service.submit(evolve(job, idempotent=False))
 
     def _record(self, number, caller, action, answer):
         failure = answer.failure
--- /dev/null
+++ b/tests/test_history_processes.py
@@ -0,0 +1,98 @@
+"""Pairs of failures over real processes, each with one certain verdict."""
+
+import shutil
+import signal
+from pathlib import Path
+
+import gevent
+import pytest
+from attrs import evolve
+
+from experiments.cluster import Shape, running_cluster, with_settings
+from rattanloom.callers.client import Dispatcher
+from rattanloom.errors import ErrorKind, Ran
+from rattanloom.job import JobOutcome, Task
+
+RULES = Path(__file__).parent.parent / "examples" / "rules"
+DEADLINE_MS = 8_000
+SHORT = Task("proof_crop", '{"ms": 5, "answer": "short"}', run_ms=5)
+LONG = Task("proof_crop", '{"ms": 1500, "answer": "long"}', run_ms=1500)
+
+
+@pytest.fixture
+def cluster():
+    shape = Shape(zones=("Adum", "Bantama"), hosts=1, workers=1)
+    with running_cluster(with_settings(shape, log_level="WARNING")) as cluster:
+        rules = cluster.folder / "rules"
+        shutil.copytree(RULES, rules)
+        cluster.publish(rules)
+        cluster.await_ready()
+        yield cluster
+
+
+def caller_at(cluster, number):
+    address = list(cluster.hosts.values())[number].address
+    return Dispatcher((address,), "commissions")
+
+
+def starts(cluster):
+    pages = [
+        cluster.get_json(worker.address, "/v1/starts")
+        for worker in cluster.workers.values()
+    ]
+    return [start["job_id"] for page in pages for start in page]
+
+
+def await_start(cluster, job_id):
+    with gevent.Timeout(DEADLINE_MS / 1000):
+        while job_id not in starts(cluster):
+            gevent.sleep(0.02)
+
+
+def test_cut_off_zone_without_platform_serves_and_its_dead_host_runs_nothing_twice(
+    cluster,
+):
+    near, far = caller_at(cluster, 0), caller_at(cluster, 1)
+    cluster.switch_platform(down=True)
+    cluster.cut_zone("Adum", platform_too=True)
+    jobs = [near.new_job((SHORT, SHORT), DEADLINE_MS) for _ in range(10)]
+    answers = [near.submit(job) for job in jobs]
+    assert {answer.outputs for answer in answers} == {("short", "short")}
+    crossing = far.submit(evolve(jobs[0], deadline_ms=500))
+    assert crossing.outcome is JobOutcome.UNKNOWN
+    assert crossing.failure.ran_word is Ran.MAY_HAVE_RUN
+    cluster.heal()
+
+    host = next(iter(cluster.hosts.values()))
+    running = near.new_job((LONG,), DEADLINE_MS)
+    gevent.spawn(near.submit, running)
+    await_start(cluster, running.job_id)
+    host.kill()
+    host.start()
+    cluster.await_ready()
+    for caller in (far, caller_at(cluster, 0)):
+        answer = caller.submit(running)
+        assert answer.failure.kind in (
+            ErrorKind.HOME_GONE,
+            ErrorKind.HOME_UNREACHABLE,
+        )
+        assert answer.failure.ran_word is Ran.MAY_HAVE_RUN
+    assert starts(cluster).count(running.job_id) == 1
+
+
+def test_paused_owner_that_wakes_starts_a_resubmitted_job_once(cluster):
+    near, far = caller_at(cluster, 0), caller_at(cluster, 1)
+    owner = next(iter(cluster.hosts.values()))
+    job = near.new_job((SHORT,), DEADLINE_MS)
+    owner.signal(signal.SIGSTOP)
+    waiting = gevent.spawn(near.submit, job)
+    gevent.sleep(0)
+    crossing = far.submit(evolve(job, deadline_ms=1_000))
+    assert crossing.failure.ran_word is Ran.MAY_HAVE_RUN
+    assert starts(cluster) == []
+    owner.signal(signal.SIGCONT)
+    assert waiting.get().outcome is JobOutcome.COMPLETE
+    with gevent.Timeout(DEADLINE_MS / 1000):
+        while far.submit(job).outcome is not JobOutcome.COMPLETE:
+            gevent.sleep(0.1)
+    assert starts(cluster) == [job.job_id]
