--- a/experiments/bench.py
+++ b/experiments/bench.py
@@ -242,6 +242,7 @@
     return (
         grown("wasted_messages", "refused")
         + grown("wasted_messages", "look_up")
+        + grown("wasted_messages", "probe")
         + grown("messages", "stop")
         + 2 * grown("jobs_forwarded")
     )
--- a/experiments/load.py
+++ b/experiments/load.py
@@ -193,13 +193,18 @@
         outcome = self._submit(job)
         answered_s = monotonic()
         gevent.sleep(client_s)
-        self._record(at_ms, job, outcome, (answered_s - sent_s) * MS_PER_S)
+        ended_ms = -self._until_s(0.0) * MS_PER_S
+        self._record(at_ms, ended_ms, job, outcome, (answered_s - sent_s) * MS_PER_S)
 
     def _record(
-        self, at_ms: float, job: DrawnJob, outcome: str, answer_ms: float
+        self,
+        at_ms: float,
+        ended_ms: float,
+        job: DrawnJob,
+        outcome: str,
+        answer_ms: float,
     ) -> None:
         result = self.result
-        ended_ms = -self._until_s(0.0) * MS_PER_S
         response_ms = ended_ms - at_ms
         result.jobs += 1
         result.outcomes[outcome] += 1
