--- /dev/null
+++ b/experiments/report.py
@@ -0,0 +1,93 @@
+"""Tables of bench runs in Markdown: ``python -m experiments.report FILE...``.
+
+Each file holds the output of ``python -m experiments.bench``. With ``--plot``
+the response time against the wasted messages is drawn as well.
+"""
+
+import json
+from pathlib import Path
+
+from fire import Fire
+
+COLUMNS = (
+    ("scenario", "scenario"),
+    ("system", "system"),
+    ("p50", "p50"),
+    ("p99", "p99"),
+    ("wasted_per_task", "wasted a task"),
+    ("goodput_share", "goodput"),
+    ("offered_share", "offered"),
+    ("complete_share", "complete"),
+    ("refusal_p50_ms", "refusal p50, ms"),
+    ("refusal_p99_ms", "p99, ms"),
+    ("lag_p99_ms", "generator lag p99, ms"),
+)
+MARKERS = {"rattanloom": "o", "random": "x"}
+
+
+def read_rows(paths: tuple[str, ...]) -> list[dict]:
+    """Return the rows of the last line of each file."""
+    rows = []
+    for path in paths:
+        last_line = Path(path).read_text().strip().splitlines()[-1]
+        rows += json.loads(last_line)["rows"]
+    return rows
+
+
+def table(rows: list[dict], deployment: str) -> str:
+    """Return one deployment's rows as a Markdown table."""
+    heads = [head for _, head in COLUMNS] + ["refused and failed jobs"]
+    lines = ["| " + " | ".join(heads) + " |", "|---" * len(heads) + "|"]
+    for row in rows:
+        if row["deployment"] == deployment:
+            cells = [str(row[name]) for name, _ in COLUMNS] + [_endings(row)]
+            lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def _endings(row: dict) -> str:
+    endings = {
+        label: count
+        for label, count in row["outcomes"].items()
+        if label not in ("complete", "resubmitted")
+    }
+    return ", ".join(f"{label} {count}" for label, count in endings.items())
+
+
+def draw(rows: list[dict], path: str) -> None:
+    """Draw p99 of response over ideal against wasted messages per task."""
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots()
+    for row in rows:
+        axes.scatter(
+            row["wasted_per_task"], row["p99"], marker=MARKERS[row["system"]], c="k"
+        )
+        axes.annotate(
+            f"{row['deployment']} {row['scenario']}",
+            (row["wasted_per_task"], row["p99"]),
+            fontsize=6,
+        )
+    axes.set_xlabel("wasted messages per task")
+    axes.set_ylabel("response over ideal, p99")
+    axes.set_xscale("symlog", linthresh=0.01)
+    axes.set_yscale("log")
+    figure.savefig(path, dpi=150)
+
+
+def main(*paths: str, plot: str = "") -> None:
+    """Print the tables of bench outputs, and draw the plot if asked.
+
+    Args:
+        paths: files with the bench's output.
+        plot: path of an image to write.
+    """
+    rows = read_rows(paths)
+    for deployment in dict.fromkeys(row["deployment"] for row in rows):
+        print(f"### {deployment}\n\n{table(rows, deployment)}\n")
+    if plot:
+        draw(rows, plot)
+
+
+if __name__ == "__main__":
+    Fire(main)
