Replace the ticket key in rounds, with no ticket refused

Cause: the one key could only be changed by stopping every host at once. Ruled out: keys from the configuration, which a host needs the key to learn from its peers. Change: a keyring signs with one key and accepts others; tickets and the messages between hosts use it, each for its own purpose. The test walks through the rounds of a replacement; tickets signed before the change of a round are accepted after it and the other way round.

--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -17,6 +17,7 @@
 from rattanloom.dispatch import Dispatcher
 from rattanloom.environment import Environment
 from rattanloom.jobs import JobService
+from rattanloom.keys import make_keyring
 from rattanloom.link_filter import LinkFilter
 from rattanloom.logs import get_log, logging_to
 from rattanloom.metrics import Metrics
@@ -97,7 +98,7 @@
         settings.zone,
         settings.host,
         incarnation,
-        settings.ticket_key.encode(),
+        make_keyring(settings.ticket_key, settings.accepted_keys),
         environment.clock,
         settings.epoch_ms,
     )
--- a/rattanloom/jobs.py
+++ b/rattanloom/jobs.py
@@ -349,7 +349,7 @@
         return bound
 
     def _parse(self, text: str) -> Ticket | Failure:
-        return parse_ticket(text, self.settings.ticket_key.encode())
+        return parse_ticket(text, self.mint.keys)
 
     def _own(self, text: str) -> Ticket | Failure:
         ticket = self._parse(text)
--- a/rattanloom/peers/connection.py
+++ b/rattanloom/peers/connection.py
@@ -10,6 +10,7 @@
 from gevent.socket import create_connection, wait_read
 
 from rattanloom.clock import MS_PER_S
+from rattanloom.keys import Keyring
 from rattanloom.link_filter import LinkFilter
 from rattanloom.logs import get_log
 from rattanloom.peers.addresses import parse_address
@@ -157,7 +158,7 @@
 def open_connection(
     address: str,
     own: MemberRecord,
-    seal_key: bytes,
+    seal_key: Keyring,
     link_filter: LinkFilter,
     ping_ms: float,
 ) -> PeerConnection:
--- a/rattanloom/peers/forwarder.py
+++ b/rattanloom/peers/forwarder.py
@@ -7,6 +7,7 @@
 from gevent.event import AsyncResult
 
 from rattanloom.errors import ErrorKind, Failure, Ran
+from rattanloom.keys import Keyring
 from rattanloom.link_filter import LinkFilter
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
@@ -43,7 +44,7 @@
 
     membership: Membership
     seed_address: Callable[[str], str | None]
-    seal_key: bytes
+    seal_key: Keyring
     link_filter: LinkFilter
     ping_ms: float
     on_hello: Callable[[MemberRecord], None]
--- a/rattanloom/peers/frame_codec.py
+++ b/rattanloom/peers/frame_codec.py
@@ -6,6 +6,7 @@
 
 from rattanloom.errors import ErrorKind, Failure, Ran
 from rattanloom.job import Job, JobAnswer, JobOutcome, Task
+from rattanloom.keys import Keyring
 from rattanloom.peers.heartbeat_codec import put_record, read_record
 from rattanloom.peers.messages import (
     Ask,
@@ -29,7 +30,7 @@
 NONE = -1
 
 
-def encode_frame(key: bytes, frame: Frame) -> bytes:
+def encode_frame(key: Keyring, frame: Frame) -> bytes:
     """Return a sealed frame, without its length, or raise ``UnsendableError``."""
     message = SCHEMA.Frame.new_message()
     message.requestId = frame.request_id
@@ -41,7 +42,7 @@
     return seal(key, message.to_bytes())
 
 
-def decode_frame(key: bytes, content: bytes) -> Frame:
+def decode_frame(key: Keyring, content: bytes) -> Frame:
     """Return the frame in ``content``, or raise ``BadMessageError``."""
     plain = unseal(key, content)
     try:
--- a/rattanloom/peers/frame_stream.py
+++ b/rattanloom/peers/frame_stream.py
@@ -7,6 +7,7 @@
 from gevent.lock import Semaphore
 from gevent.socket import IPPROTO_TCP, TCP_NODELAY, socket
 
+from rattanloom.keys import Keyring
 from rattanloom.link_filter import LinkFilter
 from rattanloom.peers.frame_codec import decode_frame, encode_frame
 from rattanloom.peers.messages import Frame
@@ -25,7 +26,7 @@
     """
 
     socket: socket
-    seal_key: bytes
+    seal_key: Keyring
     link_filter: LinkFilter
     peer_address: str = ""
     bytes_sent: int = 0
--- a/rattanloom/peers/heartbeat_codec.py
+++ b/rattanloom/peers/heartbeat_codec.py
@@ -4,6 +4,7 @@
 
 from capnp import KjException
 
+from rattanloom.keys import Keyring
 from rattanloom.peers.messages import (
     Heartbeat,
     LoadName,
@@ -18,7 +19,7 @@
 SLOTS_WIRE_MAX = 0xFFFF
 
 
-def encode_heartbeat(key: bytes, heartbeat: Heartbeat) -> bytes:
+def encode_heartbeat(key: Keyring, heartbeat: Heartbeat) -> bytes:
     """Return the datagram of a heartbeat."""
     message = SCHEMA.Heartbeat.new_message()
     message.sender = heartbeat.sender
@@ -39,7 +40,7 @@
     return seal(key, message.to_bytes_packed())
 
 
-def decode_heartbeat(key: bytes, datagram: bytes) -> Heartbeat:
+def decode_heartbeat(key: Keyring, datagram: bytes) -> Heartbeat:
     """Return the heartbeat in a datagram, or raise ``BadMessageError``."""
     content = unseal(key, datagram)
     try:
--- a/rattanloom/peers/heartbeats.py
+++ b/rattanloom/peers/heartbeats.py
@@ -15,6 +15,7 @@
 
 from rattanloom.clock import MS_PER_S
 from rattanloom.environment import Environment
+from rattanloom.keys import Keyring
 from rattanloom.link_filter import LinkFilter
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
@@ -47,7 +48,7 @@
     membership: Membership
     teller: LoadTeller
     destinations: Destinations
-    seal_key: bytes
+    seal_key: Keyring
     config_version: Callable[[], int]
     on_newer_config: Callable[[str, int], None]
     link_filter: LinkFilter
--- a/rattanloom/peers/listener.py
+++ b/rattanloom/peers/listener.py
@@ -11,6 +11,7 @@
 from rattanloom.clock import MS_PER_S
 from rattanloom.errors import ErrorKind, Failure, Ran
 from rattanloom.job import JobAnswer, JobOutcome
+from rattanloom.keys import Keyring
 from rattanloom.link_filter import LinkFilter
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
@@ -55,7 +56,7 @@
     """
 
     own: Callable[[], MemberRecord]
-    seal_key: bytes
+    seal_key: Keyring
     link_filter: LinkFilter
     config_document: Callable[[int], str | Failure]
     metrics: Metrics
--- a/rattanloom/peers/service.py
+++ b/rattanloom/peers/service.py
@@ -9,6 +9,7 @@
 from rattanloom.environment import Environment
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.job import Job, JobAnswer
+from rattanloom.keys import make_keyring
 from rattanloom.link_filter import LinkFilter
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
@@ -27,7 +28,7 @@
     Submit,
 )
 from rattanloom.peers.protocol import HostLoad, JobRequests, Member
-from rattanloom.peers.schema import seal_key
+from rattanloom.peers.schema import SEAL_PURPOSE
 from rattanloom.settings import EntrySettings
 from rattanloom.timeline import EventKind, TimeLine
 from rattanloom.timer import TimerService
@@ -61,7 +62,9 @@
     _telling_config: bool = False
 
     def __attrs_post_init__(self) -> None:
-        settings, key = self.settings, seal_key(self.settings.ticket_key)
+        settings = self.settings
+        keys = make_keyring(settings.ticket_key, settings.accepted_keys)
+        key = keys.for_purpose(SEAL_PURPOSE)
         own = MemberRecord(
             settings.host,
             settings.zone,
--- a/rattanloom/settings.py
+++ b/rattanloom/settings.py
@@ -10,7 +10,15 @@
 from typing import TypeVar, get_args, get_origin
 
 from attrs import Attribute, field, fields, frozen
-from attrs.validators import and_, ge, instance_of, le, matches_re
+from attrs.validators import (
+    and_,
+    deep_iterable,
+    ge,
+    instance_of,
+    le,
+    matches_re,
+    max_len,
+)
 from cattrs import Converter, transform_error
 from cattrs.cols import homogenous_tuple_structure_factory
 from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError
@@ -21,6 +29,7 @@
 
 NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
 SHOWN_MAX_CHARS = 60
+ACCEPTED_KEYS_MAX = 4
 ADDRESS_PATTERN = r"[0-9A-Za-z.:\[\]_-]+:\d{1,5}"
 
 
@@ -122,6 +131,7 @@
     return and_(ge(low), le(high))
 
 
+is_key = matches_re(r"[ -~]{16,64}")
 is_name = and_(instance_of(str), matches_re(NAME_PATTERN))
 is_address = and_(instance_of(str), matches_re(ADDRESS_PATTERN))
 
@@ -146,7 +156,8 @@
 
     ``http_address`` serves callers and operators, ``peer_address`` (TCP and
     UDP) the other entry hosts. ``ticket_key`` is shared by all entry hosts
-    of a deployment. ``epoch_ms`` bounds how long tickets and answers live.
+    of a deployment and signs; ``accepted_keys`` are accepted beside it while
+    it is being replaced. ``epoch_ms`` bounds how long tickets and answers live.
     A stopping host reports unhealthy for ``leave_grace_ms`` before it refuses
     new work, so that the balancer takes it out first. ``test_aids`` opens the
     switches that failure tests use; never set it in service.
@@ -157,7 +168,10 @@
     http_address: str = field(validator=is_address)
     peer_address: str = field(validator=is_address)
     platform_address: str = field(validator=is_address)
-    ticket_key: str = field(validator=matches_re(r".{16,64}"))
+    ticket_key: str = field(validator=is_key)
+    accepted_keys: tuple[str, ...] = field(
+        default=(), validator=deep_iterable(is_key, max_len(ACCEPTED_KEYS_MAX))
+    )
     seeds: tuple[Seed, ...] = ()
     region: str = field(default="home", validator=is_name)
     epoch_ms: int = field(default=60_000, validator=in_range(100, 3_600_000))
--- a/rattanloom/ticket.py
+++ b/rattanloom/ticket.py
@@ -5,14 +5,13 @@
 which remembers the job. Text form: ``zone~host~incarnation~epoch~number~mac``.
 """
 
-import hmac
-from hashlib import blake2b
 from secrets import token_hex
 
 from attrs import define, field, frozen
 
 from rattanloom.clock import Clock
 from rattanloom.errors import ErrorKind, Failure
+from rattanloom.keys import Keyring
 
 SEPARATOR = "~"
 MAC_BYTES = 10
@@ -38,7 +37,7 @@
     return token_hex(INCARNATION_BYTES)
 
 
-def parse_ticket(text: str, key: bytes) -> Ticket | Failure:
+def parse_ticket(text: str, keys: Keyring) -> Ticket | Failure:
     """Return the ticket in ``text``, or a BAD_TICKET failure."""
     if not text.isascii():
         return Failure(ErrorKind.BAD_TICKET, "ticket has characters that none has")
@@ -48,7 +47,7 @@
     if len(fields) != FIELDS:
         return Failure(ErrorKind.BAD_TICKET, "ticket is truncated or malformed")
     body, mac = text.rsplit(SEPARATOR, 1)
-    if not hmac.compare_digest(_mac(body, key).encode(), mac.encode()):
+    if not _is_signed(body, mac, keys):
         return Failure(ErrorKind.BAD_TICKET, "ticket was not issued here")
     zone, host, incarnation, epoch, number, _ = fields
     return Ticket(zone, host, incarnation, int(epoch), int(number), text)
@@ -65,7 +64,7 @@
     zone: str
     host: str
     incarnation: str
-    key: bytes
+    keys: Keyring
     clock: Clock
     epoch_ms: float
     _started_ms: float = field(init=False)
@@ -90,12 +89,16 @@
                 str(self._next_number),
             )
         )
-        return f"{body}{SEPARATOR}{_mac(body, self.key)}"
+        return f"{body}{SEPARATOR}{self.keys.sign(body.encode(), MAC_BYTES).hex()}"
 
     def minted(self, ticket: Ticket) -> bool:
         """Say whether this incarnation minted ``ticket``."""
         return (ticket.host, ticket.incarnation) == (self.host, self.incarnation)
 
 
-def _mac(body: str, key: bytes) -> str:
-    return blake2b(body.encode(), key=key, digest_size=MAC_BYTES).hexdigest()
+def _is_signed(body: str, mac: str, keys: Keyring) -> bool:
+    try:
+        signature = bytes.fromhex(mac)
+    except ValueError:
+        return False
+    return len(signature) == MAC_BYTES and keys.verify(body.encode(), signature)
--- a/tests/fakes_jobs.py
+++ b/tests/fakes_jobs.py
@@ -11,6 +11,7 @@
 from rattanloom.errors import ErrorKind, Failure, Ran
 from rattanloom.job import Job, JobAnswer, JobOutcome, Task
 from rattanloom.jobs import JobService
+from rattanloom.keys import Keyring
 from rattanloom.metrics import Metrics
 from rattanloom.platform.protocol import ABSENT, Committed, Conflicted, Row
 from rattanloom.rules import Rules
@@ -199,7 +200,12 @@
         )
         environment = Environment(clock=self.clock)
         mint = TicketMint(
-            "z1", host, f"i{self.incarnations}", KEY.encode(), self.clock, EPOCH_MS
+            "z1",
+            host,
+            f"i{self.incarnations}",
+            Keyring(KEY.encode()),
+            self.clock,
+            EPOCH_MS,
         )
         if host in self.hosts:
             self.hosts[host].dispatcher.dead = True
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -7,6 +7,7 @@
 from rattanloom.errors import ErrorKind, Failure, Ran
 from rattanloom.job import JobOutcome
 from rattanloom.job_digest import digest_of
+from rattanloom.keys import Keyring
 from rattanloom.rules import DeploymentRule, Rules
 from rattanloom.ticket import TicketMint
 from tests.fakes_jobs import (
@@ -86,7 +87,9 @@
 
 @pytest.mark.parametrize("spoil", [lambda t: t[:-1], lambda t: "x", lambda t: "é" + t])
 def test_spoilt_and_foreign_tickets_are_refused(cluster, spoil):
-    foreign = TicketMint("z1", "a", "i1", b"another deployment", FakeClock(), EPOCH_MS)
+    foreign = TicketMint(
+        "z1", "a", "i1", Keyring(b"another deployment"), FakeClock(), EPOCH_MS
+    )
     for text in (spoil(ticket_of(cluster, "a")), foreign.mint(), "\ud800~~~~~"):
         for ask in (
             lambda text=text: cluster.hosts["a"].submit(make_job(text)),
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -6,6 +6,7 @@
 
 from rattanloom.errors import ErrorKind, Failure, Ran
 from rattanloom.job import Job, JobAnswer, JobOutcome, Task
+from rattanloom.keys import Keyring
 from rattanloom.peers.frame_codec import decode_frame, encode_frame
 from rattanloom.peers.heartbeat_codec import decode_heartbeat, encode_heartbeat
 from rattanloom.peers.messages import (
@@ -26,9 +27,9 @@
     TeamPart,
     ToldBeat,
 )
-from rattanloom.peers.schema import BadMessageError, seal, seal_key
+from rattanloom.peers.schema import BadMessageError, seal
 
-KEY = seal_key("0123456789abcdef")
+KEY = Keyring(b"0123456789abcdef")
 TEXT = st.text(st.characters(exclude_categories=["Cs"]))
 OPAQUE = TEXT | st.lists(st.sampled_from("a\0\ud800é"), max_size=9).map("".join)
 U16, U32, U48 = (st.integers(0, 2**bits - 1) for bits in (16, 32, 48))
--- a/tests/test_peer_merging.py
+++ b/tests/test_peer_merging.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from rattanloom.keys import Keyring
 from rattanloom.peers.heartbeat_codec import encode_heartbeat
 from rattanloom.peers.load_exchange import LoadTeller, LoadView
 from rattanloom.peers.membership import Membership
@@ -271,6 +272,8 @@
     view = LoadView()
     for beat, part in enumerate(teller.name_parts()):
         heartbeat = Heartbeat(2**48 - 1, beat, HEARTBEAT_MS, load=part)
-        assert len(encode_heartbeat(b"key", heartbeat)) <= ETHERNET_PAYLOAD_BYTES
+        assert (
+            len(encode_heartbeat(Keyring(b"key"), heartbeat)) <= ETHERNET_PAYLOAD_BYTES
+        )
         view.merge(beat, part)
     assert set(view.to_load().teams) == set(teams)
--- a/tests/test_sealed_ledger.py
+++ b/tests/test_sealed_ledger.py
@@ -2,12 +2,13 @@
 
 from rattanloom.errors import ErrorKind, Failure, Ran
 from rattanloom.job import JobAnswer, JobOutcome
+from rattanloom.keys import Keyring
 from rattanloom.ledger import Ledger
 from rattanloom.sealed_ledger import SealedLedgers
 from rattanloom.ticket import TicketMint, parse_ticket
 from tests.utils import FakeClock, FakeObjects
 
-KEY = b"0123456789abcdef"
+KEY = Keyring(b"0123456789abcdef")
 KEEP_BYTES = 1_000_000
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -36,6 +36,8 @@
         ({"epoch_ms": True}, ["epoch_ms", "expected int"]),
         ({"color": "blue"}, ["color"]),
         ({"ticket_key": "short"}, ["ticket_key"]),
+        ({"ticket_key": "ключ" * 10}, ["ticket_key"]),
+        ({"accepted_keys": ["short"]}, ["accepted_keys"]),
         ({"seeds": [{"host": "a", "zone": 3, "address": "x:1"}]}, ["seeds", "zone"]),
     ],
 )
--- a/tests/test_ticket.py
+++ b/tests/test_ticket.py
@@ -1,10 +1,11 @@
 """Tickets name their minting process and cannot be forged."""
 
 from rattanloom.errors import ErrorKind, Failure
+from rattanloom.keys import Keyring
 from rattanloom.ticket import TicketMint, parse_ticket
 from tests.utils import FakeClock
 
-KEY = b"0123456789abcdef"
+KEY = Keyring(b"0123456789abcdef")
 
 
 def mint(clock):
@@ -28,4 +29,32 @@
         failure = parse_ticket(bad, KEY)
         assert isinstance(failure, Failure)
         assert failure.kind is ErrorKind.BAD_TICKET
-    assert isinstance(parse_ticket(text, b"another key 0000"), Failure)
+    assert isinstance(parse_ticket(text, Keyring(b"another key 0000")), Failure)
+
+
+def test_key_is_replaced_without_refusing_a_ticket():
+    old_key, new_key = b"the first key 0000", b"the second key 000"
+    steps = [
+        Keyring(old_key),
+        Keyring(old_key, (new_key,)),
+        Keyring(new_key, (old_key,)),
+        Keyring(new_key),
+    ]
+    for before, after in zip(steps, steps[1:], strict=False):
+        signers = (before, after)
+        texts = [
+            TicketMint("Adum", "adum-1", "aa00", keys, FakeClock(), 1000).mint()
+            for keys in signers
+        ]
+        accepted = [
+            not isinstance(parse_ticket(text, keys), Failure)
+            for text in texts
+            for keys in signers
+        ]
+        assert all(accepted)
+
+
+def test_signature_for_one_purpose_is_not_taken_for_another():
+    keys = Keyring(b"0123456789abcdef")
+    signature = keys.for_purpose(b"peers").sign(b"content", 8)
+    assert not keys.verify(b"content", signature)
