--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -28,11 +28,9 @@
     peers: Peers | None = None
     targets: dict[str, TargetState] = field(factory=dict)
     _cut_off_zones: frozenset[str] = frozenset()
-    _overloaded_hosts: frozenset[str] = frozenset()
     _hosts: int = 1
     _hosts_here: int = 1
     _loads: dict[str, HostLoad] = field(factory=dict)
-    _owners: dict[str, str] = field(factory=dict)
     _listings: int = 0
     _assigned: tuple = ()
     _tiers: dict[tuple[str, ...], Tiers] = field(factory=dict)
@@ -53,7 +51,6 @@
 
     def remove(self, name: str) -> None:
         """Forget a worker; attempts under way on it end as they end."""
-        self._owners.pop(name, None)
         state = self.targets.pop(name, None)
         if state is not None:
             state.client.close()
@@ -115,19 +112,15 @@
         for host in changed:
             self._take_load(host, loads[host])
         self._loads = loads
-        self._mark_contended()
+        if changed or gone:
+            self._mark_contended()
         return bool(changed or gone)
 
     def _mark_contended(self) -> None:
-        """Leave the workers of overloaded hosts to their owners."""
-        overloaded = frozenset(
-            host for host, load in self._loads.items() if is_overloaded(load)
-        )
-        if overloaded == self._overloaded_hosts:
-            return
-        self._overloaded_hosts = overloaded
+        """Leave the workers of overloaded hosts to them."""
+        overloaded = {host for host, load in self._loads.items() if is_overloaded(load)}
         for state in self.targets.values():
-            state.contended = self._owners.get(state.name) in overloaded
+            state.contended = state.owner in overloaded
 
     def _take_load(self, host: str, load: HostLoad) -> None:
         for told in load.targets:
@@ -158,6 +151,7 @@
         self._hosts_here = sum(zone == self.zone for zone, _ in hosts)
         for zone in {state.listed.zone for state in self.targets.values()}:
             self._assign_zone(zone, [host for place, host in hosts if place == zone])
+        self._mark_contended()
         self.forget_tiers()
 
     def _assign_zone(self, zone: str, hosts: list[str]) -> None:
@@ -165,10 +159,8 @@
         slots = {state.name: state.listed.slots for state in states if not state.closed}
         owners = spread_owners(slots, hosts)
         for state in states:
-            owner = owners.get(state.name, "")
-            state.owned = owner == self.host
-            state.contended = owner in self._overloaded_hosts
-            self._owners[state.name] = owner
+            state.owner = owners.get(state.name, "")
+            state.owned = state.owner == self.host
             state.connections = self._connections(state)
 
     def _connections(self, state: TargetState) -> int:
