--- a/rattanloom/peers/load_exchange.py
+++ b/rattanloom/peers/load_exchange.py
@@ -146,6 +146,7 @@
         """Take in a part; parts older than the newest one are ignored."""
         if beat < self.beat or part.generation < self.generation:
             return
+        self._load = None
         if part.generation > self.generation:
             self._clear(part.generation)
         self.beat = beat
@@ -163,9 +164,9 @@
                 self._targets[target.number] = target.slots
 
     def to_load(self) -> HostLoad:
-        """Return the load as now known; the same object until it changes.
+        """Return the load as now known; values of zero are left out.
 
-        Values of zero are left out.
+        The same object is returned until a part is merged.
         """
         if self._load is None:
             self._load = self._make_load()
--- a/rattanloom/peers/service.py
+++ b/rattanloom/peers/service.py
@@ -155,6 +155,10 @@
             return reply.text
         return reply if isinstance(reply, Failure) else _foreign(host)
 
+    def announce_config(self) -> None:
+        """Tell every peer at once which configuration version is held here."""
+        self.heartbeats.announce()
+
     def announce_leaving(self) -> None:
         """Tell every peer that this host takes no new work."""
         self.heartbeats.leaving = True
@@ -183,8 +187,6 @@
         log.info("Host {} of zone {} is {}.", record.host, record.zone, word)
         self.time_line.record(EventKind.MEMBER_CHANGED, detail=detail)
         self.metrics.count("member_changes", word)
-        if member.state not in HEARING:
-            self.forwarder.drop(record.host, f"the host is {word}")
 
     def _on_newer_config(self, host: str, version: int) -> None:
         if self._telling_config:
--- a/tests/test_config_host.py
+++ b/tests/test_config_host.py
@@ -82,6 +82,7 @@
     host.hear(member("adum-2", 4), member("asokwa-1", 4, "Asokwa"))
     host.poll()
     assert host.versions() == (5, 0)
+    assert host.peers.announced == 1
     assert host.configuration.rules() is None
     host.hear(MATE, member("asokwa-1", 4, "Asokwa"))
     assert host.versions() == (5, 0)
@@ -90,7 +91,7 @@
     assert list(host.configuration.rules().teams) == ["clubs"]
     events = host.time_line.events()
     assert [event.kind for event in events] == [EventKind.CONFIG_IN_FORCE]
-    assert "version 5 from the platform" in events[0].detail
+    assert "version 5 by ama (why) from the platform" in events[0].detail
 
 
 def test_peer_that_never_holds_it_delays_a_version_only_for_a_bounded_time():
