--- a/rattanloom/settings.py
+++ b/rattanloom/settings.py
@@ -169,10 +169,10 @@
     peer_address: str = field(validator=is_address)
     platform_address: str = field(validator=is_address)
     ticket_key: str = field(validator=is_key)
+    seeds: tuple[Seed, ...] = ()
     accepted_keys: tuple[str, ...] = field(
         default=(), validator=deep_iterable(is_key, max_len(ACCEPTED_KEYS_MAX))
     )
-    seeds: tuple[Seed, ...] = ()
     region: str = field(default="home", validator=is_name)
     epoch_ms: int = field(default=60_000, validator=in_range(100, 3_600_000))
     body_max_bytes: int = field(
