--- a/experiments/prove.py
+++ b/experiments/prove.py
@@ -78,7 +78,7 @@
     starts: int = 0
     requests: int = 0
     shares: dict[str, list[Shares]] = field(factory=dict)
-    undisturbed: list[Shares] = field(factory=list)
+    before: list[Shares] = field(factory=list)
 
 
 def run_history(
@@ -111,7 +111,7 @@
     count(totals, schedule, recorder)
     shares = shares_of(works, from_ms, until_ms)
     totals.shares.setdefault(" + ".join(schedule.names), []).append(shares)
-    totals.undisturbed.append(shares_of(works, begun_ms, from_ms))
+    totals.before.append(shares_of(works, begun_ms, from_ms))
     return check(recorder.history)
 
 
@@ -154,14 +154,14 @@
     for kind, number in totals.refusals.most_common():
         print(f"told {kind}: {number}")
     during = mean_of([share for each in totals.shares.values() for share in each])
-    undisturbed = mean_of(totals.undisturbed)
+    before = mean_of(totals.before)
     document = {
         "histories": totals.histories,
         "faults": sum(totals.faults.values()),
         "violations": sum(totals.violations.values()),
         "answered_share": round(during.whole, 4),
         "complete_share": round(during.complete, 4),
-        "answered_share_undisturbed": round(undisturbed.whole, 4),
+        "answered_share_before": round(before.whole, 4),
         "requests": totals.requests,
         "starts": totals.starts,
     }
--- a/rattanloom/jobs.py
+++ b/rattanloom/jobs.py
@@ -19,12 +19,12 @@
 from rattanloom.job_answer import (
     broken,
     cancelled_unstarted,
-    home_failed,
     not_submitted,
     refused,
     waited_in_vain,
 )
 from rattanloom.job_digest import digest_of
+from rattanloom.job_homes import OtherHomes
 from rattanloom.job_requests import RequestsInFlight
 from rattanloom.ledger import Ledger, RunningJob
 from rattanloom.logs import get_log
@@ -80,6 +80,10 @@
     stopped_ledgers: StoppedLedgers = field(factory=NoLedgers)
     ledger: Ledger = field(factory=Ledger)
     requests: RequestsInFlight = field(factory=RequestsInFlight)
+    homes: OtherHomes = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.homes = OtherHomes(self.peers, self.stopped_ledgers, self.requests)
 
     def start(self, timers: TimerService) -> None:
         """Begin to age claims out of the table."""
@@ -134,12 +138,7 @@
         with self.requests.counted():
             if self.mint.minted(ticket):
                 return self._ask(ticket, wait_ms)
-            host, incarnation = ticket.host, ticket.incarnation
-            return self._forwarded(
-                ticket,
-                lambda: self.peers.ask(host, incarnation, job_id, wait_ms),
-                self.requests.leaving,
-            )
+            return self.homes.ask(ticket, wait_ms)
 
     def cancel(self, job_id: str) -> JobAnswer:
         """Stop the job; one that has not started never will."""
@@ -149,12 +148,7 @@
         with self.requests.counted():
             if self.mint.minted(ticket):
                 return self._cancel(ticket)
-            host, incarnation = ticket.host, ticket.incarnation
-            return self._forwarded(
-                ticket,
-                lambda: self.peers.cancel(host, incarnation, job_id),
-                self.requests.overdue,
-            )
+            return self.homes.cancel(ticket)
 
     def submit_here(self, job: Job) -> JobAnswer:
         """Admit or join a job that a peer forwarded; its key is claimed."""
@@ -202,30 +196,6 @@
         """Leave the ledger to other hosts; call it once ``drain`` has ended."""
         return self.stopped_ledgers.seal(self.ledger, self.mint)
 
-    def _forwarded(
-        self,
-        ticket: Ticket,
-        call: Callable[[], JobAnswer | Failure],
-        give_up: Event,
-        digest: bytes | None = None,
-    ) -> JobAnswer:
-        answer = self.requests.from_home(call, give_up)
-        if isinstance(answer, Failure):
-            return self._without_home(ticket, answer, digest)
-        return answer
-
-    def _without_home(
-        self, ticket: Ticket, failure: Failure, digest: bytes | None
-    ) -> JobAnswer:
-        """Answer from what a stopped home left behind, or say what is unknown."""
-        sealed = self.stopped_ledgers.find(ticket)
-        if sealed is None:
-            return home_failed(ticket.text, failure)
-        known = (
-            sealed.answer(ticket) if digest is None else sealed.admit(ticket, digest)
-        )
-        return refused(ticket.text, known) if isinstance(known, Failure) else known
-
     def _run_or_join(self, job: Job, ticket: Ticket, left_ms: float) -> JobAnswer:
         self.time_line.record(EventKind.JOB_RECEIVED, job.job_id)
         deadline_at_ms = self._now_ms() + left_ms
@@ -322,14 +292,7 @@
         self.time_line.record(EventKind.JOB_FORWARDED, job.job_id, target=ticket.host)
         self.metrics.count("jobs_forwarded")
         forwarded = evolve(job, deadline_ms=int(left_ms))
-        host, incarnation = ticket.host, ticket.incarnation
-        answer = self._forwarded(
-            ticket,
-            lambda: self.peers.submit(host, incarnation, forwarded),
-            self.requests.overdue,
-            digest_of(job),
-        )
-        return self._answered(answer)
+        return self._answered(self.homes.submit(ticket, forwarded))
 
     def _claim(self, job: Job, proposed: Ticket) -> Ticket | Failure:
         if self.requests.leaving.is_set():
