--- a/tests/admission_utils.py
+++ b/tests/admission_utils.py
@@ -77,7 +77,7 @@
     def submit(self, job_id, team="desk", tasks=1, kind="crop", **options):
         """Admit and put a job now; return the refusal, if any."""
         deadline_ms = options.pop("deadline_ms", 10_000)
-        task = Task(kind, "", **options)
+        task = Task(kind, **options)
         job = Job(job_id, team, (task,) * tasks, deadline_ms)
         now_ms = self.clock.now_ms()
         failure = self.admission.admit(job, now_ms + deadline_ms)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -62,6 +62,21 @@
     assert used["heavy"] / used["light"] == pytest.approx(3, rel=0.15)
 
 
+def test_a_team_whose_tasks_run_longer_than_estimated_gets_no_larger_share():
+    teams = {name: TeamRule(quota_slots=1000) for name in ("honest", "longer")}
+    bench = Bench(slots=12, rules=make_rules(**teams))
+    for number in range(40):
+        for team, payload in (("honest", "100"), ("longer", "400")):
+            bench.submit(
+                f"{team}{number}", team, 20, payload=payload, deadline_ms=60_000
+            )
+    bench.run(6_000, true_ms=lambda task: int(task.payload))
+    used = {"honest": 0, "longer": 0}
+    for queued in bench.started:
+        used[queued.job.team] += int(queued.task.payload)
+    assert used["longer"] / used["honest"] == pytest.approx(1, rel=0.2)
+
+
 def test_a_large_job_does_not_hold_up_short_ones_and_still_ends():
     bench = Bench(slots=8)
     bench.submit("weekend", tasks=210, run_ms=200, deadline_ms=30_000)
