--- a/rattanloom/admission.py
+++ b/rattanloom/admission.py
@@ -12,10 +12,11 @@
 from rattanloom.environment import Environment
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.fair_queue import Entry, FairQueue
-from rattanloom.job import Job, Task
+from rattanloom.job import Job
 from rattanloom.metrics import Metrics
 from rattanloom.peers.protocol import HostLoad, Peers, TeamLoad
 from rattanloom.queue import Capacity, QueuedTask
+from rattanloom.queue_order import STRETCH, make_entries, make_entry
 from rattanloom.quota import PeerView, QuotaShares, view_peers
 from rattanloom.refusals import refusal_by_rules, refusal_by_size
 from rattanloom.rules import Rules, TeamRule
@@ -28,11 +29,8 @@
 QUOTA_REFRESH_MS = 100.0
 CAPACITY_KEEP_MS = 100.0
 QUEUE_TASKS_MAX = 20_000
-STRETCH = 4.0
-URGENCY = 2.0
 WAIT_MARGIN = 2.0
 WORK_MARGIN = 1.25
-HOPELESS_FACTOR = 1.0
 
 
 @define(eq=False)
@@ -116,18 +114,7 @@
 
     def put(self, tasks: Iterable[QueuedTask]) -> None:
         """Queue the tasks of one admitted job."""
-        tasks = list(tasks)
-        slots = self._slots()
-        _, left_slot_ms = self._work(queued.task for queued in tasks)
-        before_slot_ms = 0.0
-        for queued in tasks:
-            run_ms = self.run_times.estimate_ms(queued.task)
-            after_ms = URGENCY * left_slot_ms / slots
-            before_slot_ms += run_ms * queued.task.size_slots
-            left_slot_ms -= run_ms * queued.task.size_slots
-            ideal_ms = max(run_ms, before_slot_ms / slots)
-            entry = self._entry(queued, run_ms, STRETCH * ideal_ms)
-            entry.tag_ms = min(entry.tag_ms, entry.latest_start_ms - after_ms)
+        for entry in make_entries(list(tasks), self.run_times, self._slots()):
             self._queue.put(entry)
         self._tell_ready()
 
@@ -137,7 +124,7 @@
         if running is None:
             return
         run_ms = running.entry.cost_slot_ms / queued.task.size_slots
-        self._queue.put_back(self._entry(queued, run_ms, 0.0))
+        self._queue.put_back(make_entry(queued, run_ms, 0.0))
         self._tell_ready()
 
     def take(self, can_place: Callable[[QueuedTask], bool]) -> QueuedTask | None:
@@ -234,7 +221,7 @@
         self, job: Job, rule: TeamRule, deadline_at_ms: float
     ) -> Failure | None:
         left_ms = deadline_at_ms - self.environment.clock.now_ms()
-        longest_ms, work_slot_ms = self._work(job.tasks)
+        longest_ms, work_slot_ms = self.run_times.work(job.tasks)
         slots = self._slots()
         team_slots = self._team_slots(job.team, rule, slots)
         ahead_slot_ms = self._queue.work_slot_ms + self._running_left_slot_ms()
@@ -257,14 +244,6 @@
             job, kind, f"needs about {need_ms:.0f} ms and has {left_ms:.0f} ms"
         )
 
-    def _work(self, tasks: Iterable[Task]) -> tuple[float, float]:
-        longest_ms = work_slot_ms = 0.0
-        for task in tasks:
-            run_ms = self.run_times.estimate_ms(task)
-            longest_ms = max(longest_ms, run_ms)
-            work_slot_ms += run_ms * task.size_slots
-        return longest_ms, work_slot_ms
-
     def _running_left_slot_ms(self) -> float:
         if not self._queue.tasks:
             return 0.0
@@ -292,7 +271,7 @@
         return self._queue.team(name).work_slot_ms
 
     def _come_back(self, job: Job, kind: ErrorKind, reason: str) -> Failure:
-        _, work_slot_ms = self._work(job.tasks)
+        _, work_slot_ms = self.run_times.work(job.tasks)
         slots = self._slots()
         hint_ms = self._hints.hint_ms(
             work_slot_ms,
@@ -329,11 +308,6 @@
         share = self._quotas.share(team, rule.quota_slots)
         return share.permits(self._running_slots.get(team, 0), size_slots)
 
-    def _entry(self, queued: QueuedTask, run_ms: float, stretch_ms: float) -> Entry:
-        latest_ms = queued.deadline_at_ms - HOPELESS_FACTOR * run_ms
-        tag_ms = min(queued.queued_at_ms + stretch_ms, latest_ms - run_ms)
-        return Entry(queued, tag_ms, run_ms * queued.task.size_slots, latest_ms)
-
     def _release(self, queued: QueuedTask) -> RunningTask | None:
         running = self._running.pop(id(queued), None)
         if running is None:
--- a/rattanloom/run_times.py
+++ b/rattanloom/run_times.py
@@ -6,6 +6,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 from attrs import define, field
 
@@ -63,6 +64,15 @@
         declared_ms = max(SHORTEST_MS, float(task.run_ms))
         return known.estimate_ms(declared_ms) if known else declared_ms
 
+    def work(self, tasks: Iterable[Task]) -> tuple[float, float]:
+        """Return the longest expected run time, and all work in slot-ms."""
+        longest_ms = work_slot_ms = 0.0
+        for task in tasks:
+            run_ms = self.estimate_ms(task)
+            longest_ms = max(longest_ms, run_ms)
+            work_slot_ms += run_ms * task.size_slots
+        return longest_ms, work_slot_ms
+
     def learn(self, task: Task, measured_ms: float) -> None:
         """Take in how long a task ran that ran to its end."""
         declared_ms = max(SHORTEST_MS, float(task.run_ms))
