--- a/experiments/bench.py
+++ b/experiments/bench.py
@@ -14,18 +14,23 @@
 from pathlib import Path
 from threading import Timer
 
-from attrs import asdict, define, field, frozen
+from attrs import asdict, define, field
 from fire import Fire
 
-from experiments.cluster import Cluster, Process, Shape, running_cluster
-from experiments.load import (
-    RATIO_SCALE,
-    US_PER_MS,
-    Plan,
-    Result,
-    percentile,
-    run_load,
+from experiments.bench_rows import (
+    BASELINE_FAULTS,
+    SCENARIOS,
+    TARGETS,
+    Row,
+    Scenario,
+    headline,
+    make_row,
+    missed,
+    tell,
+    wasted_messages,
 )
+from experiments.cluster import Cluster, Process, Shape, running_cluster
+from experiments.load import Plan, run_load
 from experiments.mixes import MIXES, Mix
 from rattanloom.clock import MS_PER_S
 
@@ -38,70 +43,9 @@
 STRAGGLER_FACTOR = 10.0
 CANCEL_SHARE = 0.6
 SETTLE_S = 0.5
-PEAK_LOAD = 0.95
-OVERLOAD = 3.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 MESSAGE = re.compile(r"^rattanloom_(\w+?)_total(?:\{reason=\"(\w+)\"\})? (\S+)$", re.M)
 
-TARGETS = {
-    "p50_at_80": 1.05,
-    "p99_at_80": 1.5,
-    "wasted_at_80": 0.02,
-    "wasted_under_fault": 0.1,
-    "goodput_overload_over_peak": 0.95,
-    "refusal_ms": 20.0,
-}
-
-
-@frozen
-class Scenario:
-    """One run: offered work over capacity, and what is broken meanwhile."""
-
-    name: str
-    load: float
-    fault: str = ""
-
-
-SCENARIOS = (
-    Scenario("load 50%", 0.5),
-    Scenario("load 80%", 0.8),
-    Scenario("load 95%", PEAK_LOAD),
-    Scenario("load 300%", OVERLOAD),
-    Scenario("a worker fails everything", 0.8, "fail_worker"),
-    Scenario("a straggler", 0.8, "straggler"),
-    Scenario("an entry host killed", 0.8, "kill_host"),
-    Scenario("a zone cut off", 0.8, "cut_zone"),
-    Scenario("platform down", 0.8, "platform_down"),
-    Scenario("cancellation wave", 0.8, "cancel_wave"),
-)
-
-
-BASELINE_FAULTS = ("", "fail_worker", "straggler")
-
-
-@define
-class Row:
-    """The figures of one run; times over ideal are ratios."""
-
-    deployment: str
-    scenario: str
-    system: str
-    jobs: int
-    tasks: int
-    p50: float
-    p99: float
-    wasted_per_task: float
-    goodput_share: float
-    offered_share: float
-    complete_share: float
-    refusal_p50_ms: float
-    refusal_p99_ms: float
-    outcomes: dict[str, int] = field(factory=dict)
-    host_cpu_ms_per_job: float = 0.0
-    host_cores: float = 0.0
-    lag_p99_ms: float = 0.0
-    worker_cores: float = 0.0
-
 
 @define(eq=False)
 class Bench:
@@ -231,52 +175,6 @@
     return (int(user_ticks) + int(system_ticks)) * MS_PER_S / TICKS_PER_S
 
 
-def wasted_messages(
-    before: dict[tuple[str, str], float], after: dict[tuple[str, str], float]
-) -> float:
-    """Return the wasted messages between two readings; see docs/MEASURES.md."""
-
-    def grown(name: str, label: str = "") -> float:
-        return max(0.0, after.get((name, label), 0) - before.get((name, label), 0))
-
-    return (
-        grown("wasted_messages", "refused")
-        + grown("wasted_messages", "look_up")
-        + grown("wasted_messages", "probe")
-        + grown("messages", "stop")
-        + 2 * grown("jobs_forwarded")
-    )
-
-
-def make_row(
-    mix: Mix,
-    scenario: Scenario,
-    baseline: bool,
-    result: Result,
-    messages: float,
-    slots: int,
-) -> Row:
-    """Return the figures of one run."""
-    complete = result.outcomes.get("complete", 0)
-    return Row(
-        deployment=mix.name,
-        scenario=scenario.name,
-        system="random" if baseline else "rattanloom",
-        jobs=result.jobs,
-        tasks=result.tasks,
-        p50=round(percentile(result.ratios, 50) / RATIO_SCALE, 3),
-        p99=round(percentile(result.ratios, 99) / RATIO_SCALE, 3),
-        wasted_per_task=round(messages / max(1, result.tasks), 4),
-        goodput_share=round(result.good_slot_ms / (slots * result.window_ms), 3),
-        offered_share=round(result.offered_slot_ms / (slots * result.window_ms), 3),
-        complete_share=round(complete / max(1, result.jobs), 4),
-        refusal_p50_ms=round(percentile(result.refusals_us, 50) / US_PER_MS, 1),
-        refusal_p99_ms=round(percentile(result.refusals_us, 99) / US_PER_MS, 1),
-        lag_p99_ms=round(percentile(result.lags_us, 99) / US_PER_MS, 1),
-        outcomes=dict(sorted(result.outcomes.items())),
-    )
-
-
 @contextmanager
 def deployed(mix: Mix, workers_per_zone: int) -> Iterator[Cluster]:
     """Run one deployment with its rules in force and its latencies added."""
@@ -299,67 +197,6 @@
         yield cluster
 
 
-def tell(row: Row) -> None:
-    """Print one row for people."""
-    refusals = {
-        label: count
-        for label, count in row.outcomes.items()
-        if label not in ("complete", "resubmitted")
-    }
-    print(
-        f"{row.deployment:7} {row.scenario:26} {row.system:11} "
-        f"p50 {row.p50:6.3f} p99 {row.p99:7.3f} wasted {row.wasted_per_task:7.4f} "
-        f"goodput {row.goodput_share:5.3f} of {row.offered_share:5.3f} "
-        f"complete {row.complete_share:6.4f} "
-        f"refusal ms {row.refusal_p50_ms:5.1f}/{row.refusal_p99_ms:5.1f} "
-        f"jobs {row.jobs} tasks {row.tasks} "
-        f"lag {row.lag_p99_ms} cores {row.host_cores}+{row.worker_cores} {refusals}",
-        flush=True,
-    )
-
-
-def find(rows: list[Row], deployment: str, name: str, system: str) -> Row | None:
-    """Return the row of one scenario."""
-    for row in rows:
-        if (row.deployment, row.scenario, row.system) == (deployment, name, system):
-            return row
-    return None
-
-
-def headline(rows: list[Row], deployment: str, system: str) -> dict[str, float]:
-    """Return the figures that have targets, of one deployment."""
-    ordinary = find(rows, deployment, "load 80%", system)
-    peak = find(rows, deployment, "load 95%", system)
-    overload = find(rows, deployment, "load 300%", system)
-    names = [scenario.name for scenario in SCENARIOS if scenario.fault]
-    faults = [find(rows, deployment, name, system) for name in names]
-    faults = [row for row in faults if row is not None]
-    figures = {}
-    if ordinary:
-        figures["p50_at_80"] = ordinary.p50
-        figures["p99_at_80"] = ordinary.p99
-        figures["wasted_at_80"] = ordinary.wasted_per_task
-    if faults:
-        figures["wasted_under_fault"] = max(row.wasted_per_task for row in faults)
-    if peak and overload:
-        peak_share = max(peak.goodput_share, 0.001)
-        share = overload.goodput_share / peak_share
-        figures["goodput_overload_over_peak"] = round(share, 3)
-        figures["refusal_ms"] = overload.refusal_p99_ms
-    return figures
-
-
-def missed(figures: dict[str, float]) -> list[str]:
-    """Return the names of the figures that miss their targets."""
-    names = []
-    for name, value in figures.items():
-        at_least = name.startswith("goodput")
-        met = value >= TARGETS[name] if at_least else value <= TARGETS[name]
-        if not met:
-            names.append(name)
-    return names
-
-
 def main(
     seconds: float = 4.5,
     workers: int = WORKERS_PER_ZONE,
--- a/experiments/load.py
+++ b/experiments/load.py
@@ -14,7 +14,7 @@
 import json
 import subprocess
 import sys
-from collections import Counter, deque
+from collections import deque
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
@@ -28,14 +28,18 @@
 from urllib3.exceptions import HTTPError
 
 from experiments.baselines import RandomRouting
+from experiments.load_results import (
+    DIGITS,
+    LATENCY_US_MAX,
+    RATIO_MAX,
+    RATIO_SCALE,
+    US_PER_MS,
+    Result,
+    add_results,
+)
 from experiments.mixes import MIXES, DrawnJob, Mix
 from rattanloom.clock import MS_PER_S
 
-RATIO_SCALE = 1000
-RATIO_MAX = 10_000 * RATIO_SCALE
-DIGITS = 3
-LATENCY_US_MAX = 600_000_000
-US_PER_MS = 1000
 TICKET_BATCH = 200
 POOL_CONNECTIONS = 256
 REQUEST_SLACK_S = 5.0
@@ -67,32 +71,6 @@
     cancel_share: float = 0.0
 
 
-@define(eq=False)
-class Result:
-    """What one or more generators saw.
-
-    ``ratios`` holds response time over ideal (in thousandths) of the complete
-    jobs, ``refusals_us`` the time of refusals beyond the callers' latencies, and
-    ``lags_us`` how late the generators themselves sent the jobs.
-    ``good_slot_ms`` is the true work of jobs answered complete, within their
-    deadline, inside the measured window of ``window_ms``; ``offered_slot_ms``
-    that of the jobs that arrived in it.
-    """
-
-    ratios: str = ""
-    refusals_us: str = ""
-    lags_us: str = ""
-    outcomes: dict[str, int] = field(factory=Counter)
-    good_slot_ms: float = 0.0
-    offered_slot_ms: float = 0.0
-    window_ms: float = 0.0
-    jobs: int = 0
-    tasks: int = 0
-    late: int = 0
-    messages: int = 0
-    wasted_messages: int = 0
-
-
 def ideal_ms(job: DrawnJob, mix: Mix, slots: int) -> float:
     """Return the best possible response time of a job; see docs/MEASURES.md."""
     path_ms = 2 * (mix.client_one_way_ms + mix.zone_one_way_ms)
@@ -318,35 +296,6 @@
     return add_results(results)
 
 
-def add_results(results: list[Result]) -> Result:
-    """Return the sum of several generators' results."""
-    total = Result(window_ms=results[0].window_ms)
-    ratios = HdrHistogram(1, RATIO_MAX, DIGITS)
-    refusals = HdrHistogram(1, LATENCY_US_MAX, DIGITS)
-    lags = HdrHistogram(1, LATENCY_US_MAX, DIGITS)
-    for result in results:
-        ratios.decode_and_add(result.ratios)
-        refusals.decode_and_add(result.refusals_us)
-        lags.decode_and_add(result.lags_us)
-        total.outcomes = dict(Counter(total.outcomes) + Counter(result.outcomes))
-        total.good_slot_ms += result.good_slot_ms
-        total.offered_slot_ms += result.offered_slot_ms
-        total.jobs += result.jobs
-        total.tasks += result.tasks
-        total.late += result.late
-        total.messages += result.messages
-        total.wasted_messages += result.wasted_messages
-    total.ratios = ratios.encode().decode()
-    total.refusals_us = refusals.encode().decode()
-    total.lags_us = lags.encode().decode()
-    return total
-
-
-def percentile(encoded: str, percent: float) -> float:
-    """Return a percentile of an encoded histogram, in its own unit."""
-    return HdrHistogram.decode(encoded).get_value_at_percentile(percent)
-
-
 def main(plan_path: str) -> None:
     """Run one generator and print its result."""
     plan = structure(json.loads(Path(plan_path).read_text()), Plan)
--- /dev/null
+++ b/experiments/load_results.py
@@ -0,0 +1,67 @@
+"""What load generators saw, and the sum of several of them."""
+
+from collections import Counter
+
+from attrs import define, field
+from hdrh.histogram import HdrHistogram
+
+RATIO_SCALE = 1000
+RATIO_MAX = 10_000 * RATIO_SCALE
+DIGITS = 3
+LATENCY_US_MAX = 600_000_000
+US_PER_MS = 1000
+
+
+@define(eq=False)
+class Result:
+    """What one or more generators saw.
+
+    ``ratios`` holds response time over ideal (in thousandths) of the complete
+    jobs, ``refusals_us`` the time of refusals beyond the callers' latencies, and
+    ``lags_us`` how late the generators themselves sent the jobs.
+    ``good_slot_ms`` is the true work of jobs answered complete, within their
+    deadline, inside the measured window of ``window_ms``; ``offered_slot_ms``
+    that of the jobs that arrived in it.
+    """
+
+    ratios: str = ""
+    refusals_us: str = ""
+    lags_us: str = ""
+    outcomes: dict[str, int] = field(factory=Counter)
+    good_slot_ms: float = 0.0
+    offered_slot_ms: float = 0.0
+    window_ms: float = 0.0
+    jobs: int = 0
+    tasks: int = 0
+    late: int = 0
+    messages: int = 0
+    wasted_messages: int = 0
+
+
+def add_results(results: list[Result]) -> Result:
+    """Return the sum of several generators' results."""
+    total = Result(window_ms=results[0].window_ms)
+    ratios = HdrHistogram(1, RATIO_MAX, DIGITS)
+    refusals = HdrHistogram(1, LATENCY_US_MAX, DIGITS)
+    lags = HdrHistogram(1, LATENCY_US_MAX, DIGITS)
+    for result in results:
+        ratios.decode_and_add(result.ratios)
+        refusals.decode_and_add(result.refusals_us)
+        lags.decode_and_add(result.lags_us)
+        total.outcomes = dict(Counter(total.outcomes) + Counter(result.outcomes))
+        total.good_slot_ms += result.good_slot_ms
+        total.offered_slot_ms += result.offered_slot_ms
+        total.jobs += result.jobs
+        total.tasks += result.tasks
+        total.late += result.late
+        total.messages += result.messages
+        total.wasted_messages += result.wasted_messages
+    total.ratios = ratios.encode().decode()
+    total.refusals_us = refusals.encode().decode()
+    total.lags_us = lags.encode().decode()
+    return total
+
+
+def percentile(encoded: str, percent: float) -> float:
+    """Return a percentile of an encoded histogram, in its own unit."""
+    return HdrHistogram.decode(encoded).get_value_at_percentile(percent)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from experiments.bench import TARGETS, missed, wasted_messages
-from experiments.load import Generator, Plan, add_results, ideal_ms, percentile
+from experiments.bench_rows import TARGETS, missed, wasted_messages
+from experiments.load import Generator, Plan, ideal_ms
+from experiments.load_results import add_results, percentile
 from experiments.mixes import MIXES, DrawnJob, DrawnTask
 
 
