--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -28,7 +28,6 @@
     peers: Peers | None = None
     targets: dict[str, TargetState] = field(factory=dict)
     _cut_off_zones: frozenset[str] = frozenset()
-    _waiting_hosts: frozenset[str] = frozenset()
     _hosts: int = 1
     _hosts_here: int = 1
     _loads: dict[str, HostLoad] = field(factory=dict)
@@ -113,8 +112,16 @@
         for host in changed:
             self._take_load(host, loads[host])
         self._loads = loads
+        if changed or gone:
+            self._mark_contended()
         return bool(changed or gone)
 
+    def _mark_contended(self) -> None:
+        """Leave the workers of overloaded hosts to them."""
+        overloaded = {host for host, load in self._loads.items() if is_overloaded(load)}
+        for state in self.targets.values():
+            state.contended = state.owner in overloaded
+
     def _take_load(self, host: str, load: HostLoad) -> None:
         for told in load.targets:
             state = self.targets.get(told.target)
@@ -144,6 +151,7 @@
         self._hosts_here = sum(zone == self.zone for zone, _ in hosts)
         for zone in {state.listed.zone for state in self.targets.values()}:
             self._assign_zone(zone, [host for place, host in hosts if place == zone])
+        self._mark_contended()
         self.forget_tiers()
 
     def _assign_zone(self, zone: str, hosts: list[str]) -> None:
@@ -151,9 +159,8 @@
         slots = {state.name: state.listed.slots for state in states if not state.closed}
         owners = spread_owners(slots, hosts)
         for state in states:
-            owner = owners.get(state.name, "")
-            state.owned = owner == self.host
-            state.contended = owner in self._waiting_hosts
+            state.owner = owners.get(state.name, "")
+            state.owned = state.owner == self.host
             state.connections = self._connections(state)
 
     def _connections(self, state: TargetState) -> int:
@@ -169,6 +176,14 @@
         return max(1, (listed.connections - reserved) // others)
 
 
+def is_overloaded(load: HostLoad) -> bool:
+    """Say whether a host has as much waiting as it has running.
+
+    Its workers then have no slot to spare, whatever older loads say.
+    """
+    return load.queued_slots > 0 and load.queued_slots >= load.running_slots
+
+
 def _matches(name: str, patterns: tuple[str, ...]) -> bool:
     return not patterns or any(fnmatchcase(name, pattern) for pattern in patterns)
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,52 @@
+"""Which workers a host leaves to the entry hosts that own them."""
+
+from attrs import define, field
+
+from rattanloom.peers.protocol import HostLoad, Member, MemberState
+from rattanloom.platform.protocol import ListedTarget
+from rattanloom.targets.fleet import Fleet
+from rattanloom.targets.state import TargetState
+
+WORKERS = 4
+
+
+@define
+class OnePeer:
+    """A view of one other live host, whose load the test sets."""
+
+    load: HostLoad = field(factory=HostLoad)
+
+    def members(self):
+        return (Member("b", "Adum", "127.0.0.1:2", "i", 1, MemberState.LIVE),)
+
+    def loads(self):
+        return {"b": self.load}
+
+
+class NoClient:
+    """A worker's client that is never used."""
+
+    def close(self):
+        pass
+
+
+def contended(fleet):
+    return {state.name for state in fleet.targets.values() if state.contended}
+
+
+def test_workers_of_an_overloaded_host_are_left_to_it_while_it_is_overloaded():
+    peers = OnePeer()
+    fleet = Fleet("a", "Adum", peers)
+    for number in range(WORKERS):
+        listed = ListedTarget(f"w{number}", "Adum", "127.0.0.1:3", 8, 64)
+        fleet.add(TargetState(listed, NoClient()))
+    fleet.refresh()
+    foreign = {state.name for state in fleet.targets.values() if not state.owned}
+    assert len(foreign) == WORKERS / 2
+    assert contended(fleet) == set()
+    peers.load = HostLoad(queued_slots=20, running_slots=16)
+    fleet.take_loads()
+    assert contended(fleet) == foreign
+    peers.load = HostLoad(queued_slots=0, running_slots=16)
+    fleet.take_loads()
+    assert contended(fleet) == set()
