Tell the whole load to other zones while their hosts are few

Cause: between zones a heartbeat carried 12 values and went out every two beats at today's sizes, so 27 values took 1.5 s to come round, longer than the quotas' settling time. Change: 30 values where each far host is sent to every two beats; larger deployments keep 12.

--- a/rattanloom/peers/destinations.py
+++ b/rattanloom/peers/destinations.py
@@ -44,6 +44,11 @@
         self.far_beats = max(far_count / far_per_beat, FAR_INTERVAL_MIN_BEATS)
         self._far = [address for address in zones if not self.is_near(address)]
 
+    @property
+    def sends_far_often(self) -> bool:
+        """Say whether hosts of other zones are few enough to send to often."""
+        return self.far_beats <= FAR_INTERVAL_MIN_BEATS
+
     def next_far(self) -> list[str]:
         """Return the addresses in other zones whose turn it is in this beat."""
         self._far_share += len(self._far) / self.far_beats
--- a/rattanloom/peers/heartbeats.py
+++ b/rattanloom/peers/heartbeats.py
@@ -176,7 +176,8 @@
 
     def _send_far(self, address: str, turn: int, introduce: bool) -> None:
         plain = self._plain(address)
-        heartbeat = self._tidings.far(plain, turn)
+        often = self.destinations.sends_far_often
+        heartbeat = self._tidings.far(plain, turn, often)
         self._send(address, self._introducing(heartbeat) if introduce else heartbeat)
 
     def _plain(self, address: str) -> Heartbeat:
--- a/rattanloom/peers/tidings.py
+++ b/rattanloom/peers/tidings.py
@@ -13,6 +13,7 @@
 FAR_TOLD_OF_ZONE = 3
 FAR_TOLD_OF_OTHERS = 1
 NEAR_LOAD_VALUES = 30
+FAR_LOAD_VALUES_OFTEN = 30
 FAR_LOAD_VALUES = 12
 UNHEARD_MAX = 8
 
@@ -50,15 +51,19 @@
             load=self.teller.changes(NEAR_LOAD_VALUES),
         )
 
-    def far(self, plain: Heartbeat, turn: int) -> Heartbeat:
-        """Return the ``turn``-th heartbeat for one host of another zone."""
+    def far(self, plain: Heartbeat, turn: int, often: bool = False) -> Heartbeat:
+        """Return the ``turn``-th heartbeat for one host of another zone.
+
+        Where there are few such hosts, each is sent to ``often``, and more.
+        """
+        values = FAR_LOAD_VALUES_OFTEN if often else FAR_LOAD_VALUES
         return evolve(
             plain,
             told=_told(
                 self._draw(self._zone_mates, FAR_TOLD_OF_ZONE)
                 + self._draw(self._others, FAR_TOLD_OF_OTHERS)
             ),
-            load=self.teller.slice(turn * FAR_LOAD_VALUES, FAR_LOAD_VALUES),
+            load=self.teller.slice(turn * values, values),
         )
 
     def _next_zone_mates(self) -> list[KnownMember]:
