--- a/rattanloom/jobs.py
+++ b/rattanloom/jobs.py
@@ -5,11 +5,9 @@
 """
 
 from collections.abc import Callable
-from typing import Protocol
 
 import gevent
 from attrs import define, evolve, field
-from gevent.event import Event
 
 from rattanloom.claims import Claims
 from rattanloom.clock import MS_PER_S
@@ -25,6 +23,7 @@
 )
 from rattanloom.job_digest import digest_of
 from rattanloom.job_homes import OtherHomes
+from rattanloom.job_parts import Admits, Dispatches
 from rattanloom.job_requests import RequestsInFlight
 from rattanloom.ledger import Ledger, RunningJob
 from rattanloom.logs import get_log
@@ -44,20 +43,6 @@
 LAST_ANSWERS_MS = 500
 
 
-class Dispatches(Protocol):
-    """What the job service asks of the dispatcher."""
-
-    def run(self, job: Job, deadline_at_ms: float, cancelled: Event) -> JobAnswer:
-        """Run the job's tasks and return its whole answer."""
-
-
-class Admits(Protocol):
-    """What the job service asks of admission."""
-
-    def admit(self, job: Job, deadline_at_ms: float) -> Failure | None:
-        """Return why the job is refused, or None."""
-
-
 def no_rules() -> Rules | None:
     """Stand for a configuration that is not in force yet."""
     return None
