--- a/tests/test_config_deployment.py
+++ b/tests/test_config_deployment.py
@@ -16,7 +16,9 @@
 
 ZONES = {"a1": "A", "a2": "A", "b1": "B", "b2": "B"}
 SEEDS = tuple(Seed(host, zone, "x:1") for host, zone in ZONES.items())
-SETTINGS = EntrySettings("a1", "A", "x:1", "x:2", "x:3", "0123456789abcdef", SEEDS)
+SETTINGS = EntrySettings(
+    "a1", "A", "x:1", "x:2", "x:3", "0123456789abcdef", seeds=SEEDS
+)
 BEAT_MS = SETTINGS.heartbeat_ms
 POLL_BEATS = SETTINGS.config_poll_ms // BEAT_MS
 SILENT_BEATS = 5
