Let a larger part of a quota settle for 2 s

Loads of hosts in other zones arrive up to about 1.5 s late at 9 hosts, so a part that settles in 0.6 s could be taken by two zones at once.

--- a/rattanloom/quota.py
+++ b/rattanloom/quota.py
@@ -10,11 +10,12 @@
   one at once, so that hosts that start together see each other first;
 * the base shares of hosts that are not heard stay set aside;
 * a host that has just started, and may not yet know all others, has no base
-  share for ``SETTLE_MS`` and runs one task of a team at a time.
+  share for ``JOIN_MS`` and runs one task of a team at a time.
 
 With n hosts and quota q, hosts that wake while others hold what they lent
 exceed q by less than q * (n - 1) / n, plus one task a host where the base share
-is below a task's size, until the lent slots' tasks have ended.
+is below a task's size, until the lent slots' tasks have ended. This holds while
+loads arrive within ``SETTLE_MS``; until they do, each host may use the whole quota.
 """
 
 from collections import defaultdict
@@ -25,7 +26,8 @@
 
 from rattanloom.peers.protocol import HostLoad, Member, MemberState
 
-SETTLE_MS = 600.0
+JOIN_MS = 600.0
+SETTLE_MS = 2_000.0
 UNHEARD_STATES = (MemberState.SILENT, MemberState.CUT_OFF)
 
 
@@ -145,7 +147,7 @@
         self._view = view
         shares = self._shares
         self._shares = {}
-        self._settled = now_ms - self.started_at_ms >= SETTLE_MS
+        self._settled = now_ms - self.started_at_ms >= JOIN_MS
         for team, (quota_slots, wanted_slots) in demands.items():
             share = shares.get(team)
             if share is None or share.quota_slots != quota_slots:
