Keep a ticket good to which a late write may bind a key

Cause: where the write that binds a key anew takes effect after it was read back, the key names a ticket that its minter no longer takes after two epochs, and is answered ticket_expired until the claim ages out. Change: that ticket is spared, like those of first claims. The new test is red before and green after.

--- a/rattanloom/jobs.py
+++ b/rattanloom/jobs.py
@@ -104,9 +104,14 @@
         return answer
 
     def _rebind(self, job: Job, void: Ticket, left_ms: float) -> JobAnswer:
-        """Run a key's job under a new ticket: the old one's home has stopped."""
+        """Run a key's job under a new ticket: the old one's home has stopped.
+
+        The new ticket is kept good where the write may still take effect later.
+        """
         fresh = self.mint.mint()
         bound = self.claims.rebind(job.team, job.key, digest_of(job), void.text, fresh)
+        if bound != fresh:
+            self.ledger.spare(self._parse(fresh), self.mint.epoch())
         ticket = bound if isinstance(bound, Failure) else self._parse(bound)
         if isinstance(ticket, Failure):
             return self._answered(refused(job.job_id, ticket))
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -364,3 +364,20 @@
     assert {answer.outcome for answer in answers} == {JobOutcome.COMPLETE}
     assert len({answer.job_id for answer in answers}) == 1
     assert len(cluster.starts()) == 1
+
+
+def test_a_key_bound_anew_by_a_late_write_still_runs_once(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.admission.failure = OVERLOADED
+    assert a.submit(make_job(key="k")).outcome is JobOutcome.REFUSED
+    cluster.stop("a")
+    cluster.table.delay_effect = True
+    assert b.submit(make_job(key="k")).outcome is not JobOutcome.COMPLETE
+    cluster.table.delay_effect = False
+    cluster.clock.ms += 3 * EPOCH_MS
+    cluster.table.release_late_writes()
+    cluster.start("c")
+    answer = cluster.hosts["c"].submit(make_job(key="k"))
+    assert answer.outcome is JobOutcome.COMPLETE
+    assert b.submit(make_job(key="k")) == answer
+    assert len(cluster.starts()) == 1
