Spend less on control while nothing runs

Ruled out: an event for each load that peers tell, which come as often as they are looked at now. Change: polls every 2 s (peers tell a new version at once, so one host's poll is enough), shares every 500 ms while idle and settled, the pass every second beat.

--- a/rattanloom/admission.py
+++ b/rattanloom/admission.py
@@ -27,6 +27,7 @@
 
 TICK_MS = 20.0
 QUOTA_REFRESH_MS = 100.0
+QUOTA_IDLE_REFRESH_MS = 500.0
 CAPACITY_KEEP_MS = 100.0
 QUEUE_TASKS_MAX = 20_000
 WAIT_MARGIN = 2.0
@@ -185,7 +186,9 @@
             self.metrics.count("tasks_overdue")
             for callback in self._overdue_callbacks:
                 callback(entry.queued)
-        if now_ms - self._quota_refreshed_ms >= QUOTA_REFRESH_MS:
+        active = self._queue.tasks or self._running or not self._quotas.settled
+        refresh_ms = QUOTA_REFRESH_MS if active else QUOTA_IDLE_REFRESH_MS
+        if now_ms - self._quota_refreshed_ms >= refresh_ms:
             self._quota_refreshed_ms = now_ms
             self._refresh_quotas(now_ms)
 
--- a/rattanloom/quota.py
+++ b/rattanloom/quota.py
@@ -132,7 +132,7 @@
 
     host: str
     started_at_ms: float
-    _settled: bool = False
+    settled: bool = False
     _view: PeerView = field(factory=PeerView)
     _shares: dict[str, TeamShare] = field(factory=dict)
 
@@ -147,7 +147,7 @@
         self._view = view
         shares = self._shares
         self._shares = {}
-        self._settled = now_ms - self.started_at_ms >= JOIN_MS
+        self.settled = now_ms - self.started_at_ms >= JOIN_MS
         for team, (quota_slots, wanted_slots) in demands.items():
             share = shares.get(team)
             if share is None or share.quota_slots != quota_slots:
@@ -169,7 +169,7 @@
         return share
 
     def _base_slots(self, team: str, quota_slots: int) -> int:
-        if not self._settled:
+        if not self.settled:
             return 0
         return base_share(team, quota_slots, self.host, self._view.hosts)
 
--- a/rattanloom/settings.py
+++ b/rattanloom/settings.py
@@ -182,8 +182,8 @@
     leave_grace_ms: int = field(default=1_000, validator=in_range(0, 60_000))
     header_timeout_ms: int = field(default=5_000, validator=in_range(100, 60_000))
     connections_max: int = field(default=2_000, validator=in_range(1, 100_000))
-    config_poll_ms: int = field(default=1_000, validator=in_range(50, 60_000))
-    host_list_poll_ms: int = field(default=1_000, validator=in_range(50, 60_000))
+    config_poll_ms: int = field(default=2_000, validator=in_range(50, 60_000))
+    host_list_poll_ms: int = field(default=2_000, validator=in_range(50, 60_000))
     heartbeat_ms: int = field(default=250, validator=in_range(20, 10_000))
     test_aids: bool = False
     log_level: str = field(
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -32,6 +32,7 @@
 PROBE_MESSAGES = 2
 TIMER_SLACK_MS = 5.0
 LOADS_MS = 50.0
+REFRESH_BEATS = 2
 
 
 @define(eq=False)
@@ -63,7 +64,8 @@
         self.timers.subscribe(
             "host list", self.settings.host_list_poll_ms, self.refresh_list
         )
-        self.timers.subscribe("targets", self.settings.heartbeat_ms, self.refresh)
+        refresh_ms = REFRESH_BEATS * self.settings.heartbeat_ms
+        self.timers.subscribe("targets", refresh_ms, self.refresh)
         self.timers.subscribe("target loads", LOADS_MS, self.refresh_loads)
 
     def on_change(self, callback: Callable[[], None]) -> None:
