Start the quota test from a fresh host; report healthy once joined

Cause: the test set back the start of a host that had already settled, which no host does; since idle hosts look at their shares every 500 ms it saw the old state. Change: the test takes shares that are new, as at a start; its assertions stand. The health page waits for JOIN_MS, not for the longer settling of lent quota.

--- a/rattanloom/operators/pages.py
+++ b/rattanloom/operators/pages.py
@@ -13,7 +13,7 @@
 from rattanloom.metrics import Metrics
 from rattanloom.peers.protocol import Member
 from rattanloom.peers.service import PeerService
-from rattanloom.quota import SETTLE_MS
+from rattanloom.quota import JOIN_MS
 from rattanloom.resources import own_usage
 from rattanloom.settings import EntrySettings
 from rattanloom.targets.directory import TargetDirectory
@@ -80,7 +80,7 @@
             return "leaving"
         if self.configuration.rules() is None:
             return "no_configuration"
-        if self.environment.clock.now_ms() - self.started_ms < SETTLE_MS:
+        if self.environment.clock.now_ms() - self.started_ms < JOIN_MS:
             return "starting"
         return "ok"
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from rattanloom.peers.protocol import Member, MemberState
-from rattanloom.quota import JOIN_MS, SETTLE_MS, base_share, fair_part
+from rattanloom.quota import JOIN_MS, SETTLE_MS, QuotaShares, base_share, fair_part
 from rattanloom.rules import TeamRule
 from tests.admission_utils import Bench, make_rules
 from tests.utils import FakeClock
@@ -107,7 +107,7 @@
 
 def test_a_host_that_just_started_runs_one_task_of_a_team_at_a_time():
     bench = Bench(slots=100)
-    bench.admission._quotas.started_at_ms = bench.clock.ms
+    bench.admission._quotas = QuotaShares(bench.host, bench.clock.ms)
     bench.run(200)
     keep_busy(bench, 0)
     bench.run(210)
