Wait a little before spilling, and send a few attempts ahead to own workers

Cause: at 80% load three tasks in five went to workers of other hosts, on loads as old as the last heartbeat, and were held there: 15 ms on the mean from sending to start, 53 ms at p90. Own workers were full of others' tasks in turn, and a slot that ended stood empty for the way to its host and back. Change: a task waits up to 15 ms (zone) and 45 ms (other zones), by the message weight, before it spills; a host sends up to 1/8 more than the slots of its own workers before the zone's, and 3/8 before other zones', where they hold attempts for 90 ms or more; the connection shares count them.

--- a/experiments/routing.py
+++ b/experiments/routing.py
@@ -19,10 +19,18 @@
     Result,
 )
 from rattanloom.job import Task
-from rattanloom.routing import choose_target
+from rattanloom.routing import (
+    AHEAD_HOLD_MS,
+    AHEAD_MOST_SHARE,
+    AHEAD_SHARE,
+    AT_ONCE,
+    Spill,
+    choose_target,
+)
 from rattanloom.targets.state import TargetState
 
 TASK = Task("proof")
+AHEAD = Spill(ahead_share=AHEAD_SHARE, ahead_most_share=AHEAD_MOST_SHARE)
 LOADS = (0.5, 0.8, 0.95)
 
 
@@ -73,7 +81,8 @@
 
 def owner_first(model: Model, host: Host) -> TargetState | None:
     """Choose as the product does."""
-    return choose_target(TASK, host.tiers, model.now_ms)
+    spill = AHEAD if model.policy.start_within_ms >= AHEAD_HOLD_MS else AT_ONCE
+    return choose_target(TASK, host.tiers, model.now_ms, spill=spill)
 
 
 POLICIES: dict[str, Policy] = {
--- a/rattanloom/dispatch.py
+++ b/rattanloom/dispatch.py
@@ -35,6 +35,7 @@
 
 NO_RULES = Rules()
 BUDGET_PAUSE_MS = 250.0
+PUMP_AGAIN_MS = 5.0
 
 
 class TaskQueue(Protocol):
@@ -77,6 +78,7 @@
     _runs: dict[str, JobRun] = field(factory=dict)
     _run_numbers: Iterator[int] = field(factory=lambda: count(1))
     _pumping: bool = False
+    _pump_due: bool = False
 
     def __attrs_post_init__(self) -> None:
         self._runner = AttemptRunner(
@@ -126,15 +128,22 @@
 
     def _start_next(self) -> bool:
         places: dict[int, TargetState] = {}
+        passed_over: list[QueuedTask] = []
+        now_ms = self._now_ms()
 
         def can_place(queued: QueuedTask) -> bool:
-            target = self.directory.find(queued.task)
-            if target is not None:
-                places[id(queued)] = target
-            return target is not None
+            waited_ms = now_ms - queued.queued_at_ms
+            target = self.directory.find(queued.task, waited_ms)
+            if target is None:
+                passed_over.append(queued)
+                return False
+            places[id(queued)] = target
+            return True
 
         queued = self.admission.take(can_place)
         if queued is None:
+            if passed_over:
+                self._pump_soon()
             return False
         target = places[id(queued)]
         self.directory.reserve(target, queued.task)
@@ -142,6 +151,17 @@
         gevent.spawn(self._attempt, run, queued, target)
         return True
 
+    def _pump_soon(self) -> None:
+        """Look again soon: a waiting task may go further away by then."""
+        if self._pump_due:
+            return
+        self._pump_due = True
+        gevent.spawn_later(PUMP_AGAIN_MS / MS_PER_S, self._pump_again)
+
+    def _pump_again(self) -> None:
+        self._pump_due = False
+        self.pump()
+
     def _queued(self, run: JobRun) -> list[QueuedTask]:
         now_ms = self._now_ms()
         return [
--- a/rattanloom/routing.py
+++ b/rattanloom/routing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 from hashlib import blake2b
+from math import inf
 
 from attrs import frozen
 
@@ -11,6 +12,43 @@
 
 HOLD_LEAST_MS = 0.0
 HOLD_MOST_MS = 500.0
+AHEAD_HOLD_MS = 90.0
+AHEAD_SHARE = 0.125
+AHEAD_MOST_SHARE = 0.375
+ZONE_WAIT_MOST_MS = 15.0
+FAR_WAIT_MOST_MS = 45.0
+
+
+@frozen
+class Spill:
+    """When a task goes to workers of other hosts.
+
+    It waits ``zone_ms`` before it goes to those of its zone, and ``far_ms``
+    before it goes to those of other zones. ``ahead_share`` is how much more
+    than its slots a worker of the host's own is sent before the zone's are
+    tried, as a share of them, and ``ahead_most_share`` before other zones' are.
+    """
+
+    zone_ms: float = 0.0
+    far_ms: float = 0.0
+    ahead_share: float = 0.0
+    ahead_most_share: float = 0.0
+
+
+AT_ONCE = Spill()
+
+
+@frozen
+class Step:
+    """Workers that a task may go to once it has waited ``wait_ms``.
+
+    ``ahead_share`` is how much more than its slots a worker may be sent, as a
+    share of them.
+    """
+
+    targets: Sequence[TargetState]
+    wait_ms: float
+    ahead_share: float
 
 
 @frozen
@@ -60,40 +98,86 @@
     return owners
 
 
-def choose_target(task: Task, tiers: Tiers, now_ms: float) -> TargetState | None:
+def choose_target(
+    task: Task,
+    tiers: Tiers,
+    now_ms: float,
+    waited_ms: float = inf,
+    spill: Spill = AT_ONCE,
+) -> TargetState | None:
     """Return the best worker with free slots for the task, or None.
 
-    Workers known to be slow are used only where no other has free slots.
+    Workers known to be slow are used only where no other has free slots. A
+    step is passed over for the next only once the task has ``waited_ms`` long
+    enough for it, or where no nearer step has a worker at all.
     """
     slowest = None
-    for tier in (tiers.owned, tiers.zone, tiers.far):
-        best, best_slow = _most_free(task, tier, now_ms)
+    nearer = False
+    for step in _steps(tiers, spill):
+        if nearer and waited_ms < step.wait_ms:
+            return None
+        nearer = nearer or bool(step.targets)
+        best, best_slow = _most_free(task, step, now_ms)
         if best is not None:
             return best
         slowest = slowest or best_slow
     return slowest
 
 
+def _steps(tiers: Tiers, spill: Spill) -> tuple[Step, ...]:
+    """Return where a task may go, in order.
+
+    A host sends a few attempts ahead to workers of its own: a slot that ends
+    there is taken again at once, without the way to the host and back.
+    """
+    return (
+        Step(tiers.owned, 0.0, 0.0),
+        Step(tiers.owned, 0.0, spill.ahead_share),
+        Step(tiers.zone, spill.zone_ms, 0.0),
+        Step(tiers.owned, spill.zone_ms, spill.ahead_most_share),
+        Step(tiers.far, spill.far_ms, 0.0),
+    )
+
+
 def hold_ms(rule: DeploymentRule) -> float:
     """Return how long a worker may hold an attempt for a slot.
 
     Holding longer saves the messages of refusals; being refused sooner lets
     the task run elsewhere.
     """
+    return HOLD_LEAST_MS + _message_share(rule) * (HOLD_MOST_MS - HOLD_LEAST_MS)
+
+
+def make_spill(rule: DeploymentRule) -> Spill:
+    """Return when tasks spill, by the deployment's weights.
+
+    A slot of this host's own is known to be free; what is believed of others'
+    is as old as their last heartbeat, and a worker that is full after all
+    costs a wait there or the messages of a refusal. Attempts are sent ahead
+    only to workers that hold them long enough for a slot to end.
+    """
+    share = _message_share(rule)
+    zone_ms, far_ms = share * ZONE_WAIT_MOST_MS, share * FAR_WAIT_MOST_MS
+    if hold_ms(rule) < AHEAD_HOLD_MS:
+        return Spill(zone_ms, far_ms)
+    return Spill(zone_ms, far_ms, AHEAD_SHARE, AHEAD_MOST_SHARE)
+
+
+def _message_share(rule: DeploymentRule) -> float:
     weights = rule.response_weight + rule.message_weight
-    message_share = rule.message_weight / weights if weights else 0.5
-    return HOLD_LEAST_MS + message_share * (HOLD_MOST_MS - HOLD_LEAST_MS)
+    return rule.message_weight / weights if weights else 0.5
 
 
 def _most_free(
-    task: Task, targets: Sequence[TargetState], now_ms: float
+    task: Task, step: Step, now_ms: float
 ) -> tuple[TargetState | None, TargetState | None]:
     """Return the worker with most free slots, and the slow one with most."""
     best = slow = None
-    best_share = slow_share = -1.0
-    for target in targets:
+    best_share = slow_share = -inf
+    for target in step.targets:
         free_slots = target.free_slots(now_ms) - task.size_slots
-        if free_slots < 0 or not target.usable(now_ms):
+        ahead_slots = int(step.ahead_share * target.listed.slots)
+        if free_slots + ahead_slots < 0 or not target.usable(now_ms):
             continue
         if task.accelerator and not target.listed.accelerator:
             continue
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -1,6 +1,7 @@
 """The workers that an entry host may use, and what it knows of each."""
 
 from collections.abc import Callable
+from math import inf
 
 import gevent
 from attrs import define, field
@@ -16,7 +17,7 @@
 from rattanloom.peers.protocol import Peers, TargetLoad
 from rattanloom.platform.protocol import HostList, ListedTarget
 from rattanloom.queue import Capacity
-from rattanloom.routing import Tiers, choose_target
+from rattanloom.routing import AT_ONCE, Spill, Tiers, choose_target, make_spill
 from rattanloom.rules import Rules, TargetRule
 from rattanloom.settings import EntrySettings
 from rattanloom.targets.blame import KindOutcomes
@@ -50,6 +51,7 @@
     outcomes: KindOutcomes = field(factory=KindOutcomes)
     link_filter: LinkFilter = field(factory=LinkFilter)
     _fleet: Fleet = field(init=False)
+    _spill: Spill = AT_ONCE
     _listed: tuple[ListedTarget, ...] = ()
     _rules_applied: Rules | None = None
     _watchers: list[Callable[[], None]] = field(factory=list)
@@ -144,11 +146,11 @@
             "change the task, or the kind's targets in the rules",
         )
 
-    def find(self, task: Task) -> TargetState | None:
-        """Return the worker that the task would go to now, if any."""
+    def find(self, task: Task, waited_ms: float = inf) -> TargetState | None:
+        """Return the worker for a task that has waited so long, if any."""
         self._apply_rules()
         tiers = self._tiers(task.kind)
-        return choose_target(task, tiers, self._now_ms())
+        return choose_target(task, tiers, self._now_ms(), waited_ms, self._spill)
 
     def pick(self, task: Task) -> TargetState | None:
         """Find a worker and reserve its slots; ``release`` gives them back."""
@@ -260,6 +262,7 @@
         if rules is self._rules_applied:
             return
         self._rules_applied = rules
+        self._spill = make_spill(rules.deployment) if rules else AT_ONCE
         self._fleet.forget_tiers()
         for state in self._states():
             rule = rules.targets.get(state.name, TargetRule()) if rules else None
--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -7,7 +7,7 @@
 
 from rattanloom.peers.protocol import HostLoad, Member, MemberState, Peers
 from rattanloom.platform.protocol import ListedTarget
-from rattanloom.routing import Tiers, make_tiers, spread_owners
+from rattanloom.routing import AHEAD_MOST_SHARE, Tiers, make_tiers, spread_owners
 from rattanloom.targets.state import TargetState
 
 RESERVED_CONNECTIONS_SHARE = 0.125
@@ -169,9 +169,10 @@
         Some are left for look-ups, stops and probes, which use fresh ones.
         """
         listed = state.listed
+        owned = listed.slots + int(AHEAD_MOST_SHARE * listed.slots)
         if state.owned:
-            return min(listed.slots, listed.connections)
-        reserved = listed.slots + int(listed.connections * RESERVED_CONNECTIONS_SHARE)
+            return min(owned, listed.connections)
+        reserved = owned + int(listed.connections * RESERVED_CONNECTIONS_SHARE)
         others = max(1, self._hosts - 1)
         return max(1, (listed.connections - reserved) // others)
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,7 +8,14 @@
 from rattanloom.peers.protocol import HostLoad, Member, MemberState, TargetLoad
 from rattanloom.platform.protocol import ListedTarget
 from rattanloom.retry import RetryBudget
-from rattanloom.routing import choose_target, hold_ms, make_tiers, spread_owners
+from rattanloom.routing import (
+    Spill,
+    choose_target,
+    hold_ms,
+    make_spill,
+    make_tiers,
+    spread_owners,
+)
 from rattanloom.rules import DeploymentRule, TeamRule
 from rattanloom.targets.fleet import Fleet
 from rattanloom.targets.health import TargetHealth
@@ -77,6 +84,45 @@
     assert chosen(states) is None
 
 
+def test_task_spills_further_the_longer_it_has_waited():
+    owned, near = state("w1"), state("w2", owned=False)
+    far = state("w3", "Bantama", owned=False)
+    tiers, spill = make_tiers([far, near, owned], "Adum"), Spill(5, 15)
+
+    def chosen_after(waited_ms):
+        target = choose_target(Task("k"), tiers, 0, waited_ms, spill)
+        return target and target.name
+
+    owned.own_slots = 8
+    assert chosen_after(4) is None
+    assert chosen_after(5) == "w2"
+    near.peer_slots = {"h": 8}
+    assert chosen_after(14) is None
+    assert chosen_after(15) == "w3"
+
+
+def test_attempts_are_sent_ahead_to_own_workers_that_hold_them_long_enough():
+    owned, near = state("w1"), state("w2", owned=False)
+    far = state("w3", "Bantama", owned=False)
+    tiers = make_tiers([far, near, owned], "Adum")
+    holding = make_spill(DeploymentRule(response_weight=0.7, message_weight=0.3))
+
+    def chosen_at(own_slots, spill):
+        owned.own_slots = own_slots
+        return choose_target(Task("k"), tiers, 0, 1_000, spill).name
+
+    assert [chosen_at(slots, holding) for slots in (8, 9)] == ["w1", "w2"]
+    near.peer_slots = {"h": 8}
+    assert [chosen_at(slots, holding) for slots in (10, 11)] == ["w1", "w3"]
+    refusing = make_spill(DeploymentRule(response_weight=1, message_weight=0))
+    assert chosen_at(8, refusing) == "w3"
+
+
+def test_host_without_workers_of_its_own_does_not_wait():
+    tiers = make_tiers([state("w3", "Bantama", owned=False)], "Adum")
+    assert choose_target(Task("k"), tiers, 0, 0, Spill(5, 15)).name == "w3"
+
+
 def test_slow_workers_are_a_last_resort_and_come_back_with_time():
     slow, far = state("w1"), state("w2", "Bantama", owned=False)
     for _ in range(30):
