Give a host started in an outage the list of workers from its peers

Ruled out: workers in the configuration (they come and go more often) and in the heartbeats (120 KB at the size to come). Change: a host that never had a list asks the live peers, its zone's first, over the connections that carry forwarded jobs. The test over processes is red without the wiring in the core and green with it.

--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -133,6 +133,7 @@
         configuration.document,
         metrics,
         links,
+        directory.list_document,
     )
     dispatcher = Dispatcher(
         environment, time_line, admission, directory, configuration.rules, metrics
--- a/rattanloom/peers/frame_codec.py
+++ b/rattanloom/peers/frame_codec.py
@@ -13,11 +13,13 @@
     Cancel,
     Document,
     FetchConfig,
+    FetchTargets,
     Frame,
     Hello,
     Ping,
     Pong,
     Submit,
+    TargetList,
 )
 from rattanloom.peers.schema import (
     SCHEMA,
@@ -143,6 +145,10 @@
     message.document = _to_data(document.text)
 
 
+def _put_targets(message: object, targets: TargetList) -> None:
+    message.targets = _to_data(targets.text)
+
+
 def _to_data(text: str) -> bytes:
     return text.encode(errors="surrogatepass")
 
@@ -168,6 +174,8 @@
     FetchConfig: _setter("fetchConfig", "version"),
     JobAnswer: _put_answer,
     Document: _put_document,
+    FetchTargets: _setter("fetchTargets"),
+    TargetList: _put_targets,
     Failure: lambda message, body: _put_failure(message.init("failure"), body),
 }
 
@@ -181,5 +189,7 @@
     "fetchConfig": lambda message: FetchConfig(message.fetchConfig),
     "answer": _read_answer,
     "document": lambda message: Document(_to_text(message.document)),
+    "fetchTargets": lambda message: FetchTargets(),
+    "targets": lambda message: TargetList(_to_text(message.targets)),
     "failure": lambda message: _read_failure(message.failure),
 }
--- a/rattanloom/peers/listener.py
+++ b/rattanloom/peers/listener.py
@@ -25,6 +25,7 @@
     Cancel,
     Document,
     FetchConfig,
+    FetchTargets,
     Frame,
     Hello,
     MemberRecord,
@@ -33,6 +34,7 @@
     Reply,
     Request,
     Submit,
+    TargetList,
 )
 from rattanloom.peers.protocol import JobRequests
 from rattanloom.peers.schema import BadMessageError, UnsendableError
@@ -59,6 +61,7 @@
     seal_key: Keyring
     link_filter: LinkFilter
     config_document: Callable[[int], str | Failure]
+    target_list: Callable[[], str | Failure]
     metrics: Metrics
     _requests: JobRequests | None = None
     _streams: set[FrameStream] = field(factory=set)
@@ -148,6 +151,9 @@
             case FetchConfig(version):
                 document = self.config_document(version)
                 return document if _failed(document) else Document(document)
+            case FetchTargets():
+                targets = self.target_list()
+                return targets if _failed(targets) else TargetList(targets)
         return Failure(ErrorKind.BAD_REQUEST, "not a request between hosts")
 
 
--- a/rattanloom/peers/messages.py
+++ b/rattanloom/peers/messages.py
@@ -168,8 +168,20 @@
     text: str
 
 
-Request = Submit | Ask | Cancel | FetchConfig
-Reply = JobAnswer | Document | Failure
+@frozen
+class FetchTargets:
+    """Asks for the workers that the platform last listed."""
+
+
+@frozen
+class TargetList:
+    """The workers that the platform last listed, as the platform told them."""
+
+    text: str
+
+
+Request = Submit | Ask | Cancel | FetchConfig | FetchTargets
+Reply = JobAnswer | Document | TargetList | Failure
 
 
 @frozen
--- a/rattanloom/peers/peers.capnp
+++ b/rattanloom/peers/peers.capnp
@@ -102,5 +102,7 @@
     answer @8 :JobAnswer;
     document @9 :Data;
     failure @10 :Failure;
+    fetchTargets @11 :Void;
+    targets @12 :Data;
   }
 }
--- a/rattanloom/peers/protocol.py
+++ b/rattanloom/peers/protocol.py
@@ -112,6 +112,9 @@
     def fetch_config(self, host: str, version: int) -> str | Failure:
         """Return a peer's configuration document of that version or newer."""
 
+    def fetch_targets(self, host: str) -> str | Failure:
+        """Return the workers that the platform last listed to a peer, as JSON."""
+
     def announce_config(self) -> None:
         """Tell every peer at once which configuration version is held here."""
 
--- a/rattanloom/peers/service.py
+++ b/rattanloom/peers/service.py
@@ -24,8 +24,10 @@
     Cancel,
     Document,
     FetchConfig,
+    FetchTargets,
     MemberRecord,
     Submit,
+    TargetList,
 )
 from rattanloom.peers.protocol import HostLoad, JobRequests, Member
 from rattanloom.peers.schema import SEAL_PURPOSE
@@ -40,6 +42,11 @@
 FETCH_WITHIN_MS = 1_000
 
 
+def no_targets() -> Failure:
+    """Stand for a host that has no list of workers to tell."""
+    return Failure(ErrorKind.NOT_FOUND, "no list of workers here")
+
+
 @define(eq=False)
 class PeerService:
     """Implements ``Peers`` over UDP heartbeats and TCP connections."""
@@ -54,6 +61,7 @@
     config_document: Callable[[int], str | Failure]
     metrics: Metrics
     link_filter: LinkFilter = field(factory=LinkFilter)
+    target_list: Callable[[], str | Failure] = no_targets
     membership: Membership = field(init=False)
     heartbeats: Heartbeats = field(init=False)
     forwarder: Forwarder = field(init=False)
@@ -98,6 +106,7 @@
             key,
             self.link_filter,
             self.config_document,
+            self.target_list,
             self.metrics,
         )
 
@@ -158,6 +167,14 @@
             return reply.text
         return reply if isinstance(reply, Failure) else _foreign(host)
 
+    def fetch_targets(self, host: str) -> str | Failure:
+        """Return the workers that the platform last listed to a peer, as JSON."""
+        body = FetchTargets()
+        reply = self.forwarder.call(host, ANY_INCARNATION, body, FETCH_WITHIN_MS)
+        if isinstance(reply, TargetList):
+            return reply.text
+        return reply if isinstance(reply, Failure) else _foreign(host)
+
     def announce_config(self) -> None:
         """Tell every peer at once which configuration version is held here."""
         self.heartbeats.announce()
--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -15,6 +15,12 @@
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
 from rattanloom.peers.protocol import Peers, TargetLoad
+from rattanloom.platform.messages import (
+    HostsReply,
+    MessageError,
+    decode_message,
+    encode_message,
+)
 from rattanloom.platform.protocol import HostList, ListedTarget
 from rattanloom.queue import Capacity
 from rattanloom.routing import AT_ONCE, Spill, Tiers, choose_target, make_spill
@@ -79,6 +85,8 @@
         listed = self.host_list.listed_targets()
         if isinstance(listed, Failure):
             self.metrics.count("host_list_failures", listed.kind.value)
+            listed = self._listed or self._list_of_a_peer()
+        if not listed and not self._listed:
             return
         if listed is not self._listed:
             self._listed = listed
@@ -87,6 +95,30 @@
             state.client.close_idle()
         self.refresh()
 
+    def list_document(self) -> str | Failure:
+        """Return the last known list for a peer that cannot read it."""
+        if not self._listed:
+            return Failure(ErrorKind.NOT_FOUND, "no list of workers here")
+        return encode_message(HostsReply(self._listed)).decode()
+
+    def _list_of_a_peer(self) -> tuple[ListedTarget, ...]:
+        """Return what a live peer last read, for a host started in an outage.
+
+        The list may be old: workers that left since refuse by themselves.
+        """
+        for host in self._fleet.live_peers():
+            text = self._fleet.peers.fetch_targets(host)
+            if isinstance(text, Failure):
+                continue
+            try:
+                reply = decode_message(text.encode(), HostsReply)
+            except MessageError as error:
+                log.warning("host {} told a bad list of workers: {}", host, error)
+                continue
+            log.info("took the list of {} workers from {}", len(reply.targets), host)
+            return reply.targets
+        return ()
+
     def _take_list(self, listed: tuple[ListedTarget, ...]) -> None:
         for name in self._fleet.targets.keys() - {target.name for target in listed}:
             self._fleet.remove(name)
--- a/rattanloom/targets/fleet.py
+++ b/rattanloom/targets/fleet.py
@@ -69,6 +69,13 @@
         self._assign_owners(members)
         return self._newly_cut_off(members)
 
+    def live_peers(self) -> list[str]:
+        """Return the live peers' names, those of this zone first."""
+        members = self.peers.members() if self.peers else ()
+        live = [member for member in members if member.state is MemberState.LIVE]
+        live.sort(key=lambda member: (member.zone != self.zone, member.host))
+        return [member.host for member in live]
+
     def forget_tiers(self) -> None:
         """Sort the workers anew at the next use."""
         self._tiers.clear()
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -91,3 +91,19 @@
     assert refusal.failure.ran_word is Ran.NOT_RUN
     assert len(starts(cluster, done.job_id)) == 1
     assert not starts(cluster, unused.job_id)
+
+
+def test_host_replaced_while_the_platform_is_down_serves_on_what_peers_know(cluster):
+    process = cluster.hosts["bantama-entry-1"]
+    if not process.running:
+        process.start()
+        cluster.await_ready()
+    cluster.switch_platform(down=True)
+    process.kill()
+    process.start()
+    cluster.await_ready()
+    replaced = caller(cluster, process.name)
+    until(lambda: cluster.get_json(process.address, "/v1/status")["targets"])
+    answer = replaced.submit(replaced.new_job((proof(20, "crop"),), 5_000))
+    cluster.switch_platform(down=False)
+    assert answer.outputs == ("crop",)
