--- a/rattanloom/operators/commands.py
+++ b/rattanloom/operators/commands.py
@@ -41,7 +41,7 @@
 
 
 @frozen
-class Desk:
+class Session:
     """One operator's settings, and the publisher made from them."""
 
     settings: OperatorSettings
@@ -114,7 +114,7 @@
         """
         folder = str(folder)
         sections, _ = load_folder(folder)
-        head = _require(open_desk(settings, self.environment).publisher.read_head())
+        head = _require(open_session(settings, self.environment).publisher.read_head())
         lines = difference_lines(head.parts.folder, sections)
         self.say(f"the folder against version {head.version}:")
         for line in lines or ["no difference"]:
@@ -149,11 +149,11 @@
         folder = str(folder)
         sections, _ = load_folder(folder)
         base_version = read_base(folder) if base is None else int(base)
-        desk = open_desk(settings, self.environment)
-        edit = folder_edit(sections, base_version, desk.publisher)
-        version = self._publish(desk, edit, str(message))
+        session = open_session(settings, self.environment)
+        edit = folder_edit(sections, base_version, session.publisher)
+        version = self._publish(session, edit, str(message))
         self._record_base(folder, version)
-        return self._follow(desk, version, wait_ms)
+        return self._follow(session, version, wait_ms)
 
     @reporting
     def drain(
@@ -166,9 +166,8 @@
             wait_ms: how long to wait for the change to be in force everywhere.
             settings: the operator's settings file.
         """
-        desk = open_desk(settings, self.environment)
-        version = self._publish(desk, drain_edit(str(target)), f"drain {target}")
-        return self._follow(desk, version, wait_ms)
+        edit = drain_edit(str(target))
+        return self._publish_edit(edit, f"drain {target}", wait_ms, settings)
 
     @reporting
     def undrain(
@@ -181,9 +180,8 @@
             wait_ms: how long to wait for the change to be in force everywhere.
             settings: the operator's settings file.
         """
-        desk = open_desk(settings, self.environment)
-        version = self._publish(desk, undrain_edit(str(target)), f"undrain {target}")
-        return self._follow(desk, version, wait_ms)
+        edit = undrain_edit(str(target))
+        return self._publish_edit(edit, f"undrain {target}", wait_ms, settings)
 
     @reporting
     def versions(self, count: int = VERSIONS_SHOWN, settings: str = SETTINGS) -> None:
@@ -193,7 +191,7 @@
             count: how many versions.
             settings: the operator's settings file.
         """
-        publisher = open_desk(settings, self.environment).publisher
+        publisher = open_session(settings, self.environment).publisher
         head = _require(publisher.read_head())
         for record in _require(publisher.read_versions(head.version, int(count))):
             line = describe_record(record)
@@ -250,21 +248,28 @@
         print(line, file=self.environment.stderr)
         self.exit_status = status
 
-    def _publish(self, desk: Desk, edit: Edit, message: str) -> int:
-        outcome = _require(desk.publisher.publish(edit, message))
+    def _publish_edit(
+        self, edit: Edit, message: str, wait_ms: float, settings: str
+    ) -> ExitStatus:
+        session = open_session(settings, self.environment)
+        version = self._publish(session, edit, message)
+        return self._follow(session, version, wait_ms)
+
+    def _publish(self, session: Session, edit: Edit, message: str) -> int:
+        outcome = _require(session.publisher.publish(edit, message))
         if isinstance(outcome, Unchanged):
             self.say(f"nothing to change: version {outcome.version} already says so")
             return outcome.version
         self.say(f"accepted: version {outcome.record.version}")
-        hint_hosts(desk.settings.entry_addresses)
+        hint_hosts(session.settings.entry_addresses)
         return outcome.record.version
 
-    def _follow(self, desk: Desk, version: int, wait_ms: float) -> ExitStatus:
+    def _follow(self, session: Session, version: int, wait_ms: float) -> ExitStatus:
         """Say where the version is in force, if asked to wait for that."""
         if not wait_ms:
             return ExitStatus.OK
-        addresses = desk.settings.entry_addresses
-        clock, timeout_ms = self.environment.clock, desk.settings.timeout_ms
+        addresses = session.settings.entry_addresses
+        clock, timeout_ms = self.environment.clock, session.settings.timeout_ms
         outcome = await_in_force(addresses, version, wait_ms, clock, timeout_ms)
         self.say(
             f"in force on {len(outcome.hosts)} of {len(addresses)} entry hosts "
@@ -299,8 +304,8 @@
         return ExitStatus.UNREACHABLE if everyone else ExitStatus.OK
 
 
-def open_desk(settings_path: str, environment: Environment) -> Desk:
-    """Return the desk of the operator that the settings file names."""
+def open_session(settings_path: str, environment: Environment) -> Session:
+    """Return a session of the operator that the settings file names."""
     settings = load_settings(settings_path, OperatorSettings)
     client = PlatformClient(settings.platform_address, settings.timeout_ms)
     addresses = tuple(settings.entry_addresses.values())
@@ -312,7 +317,7 @@
         settings.publish_within_ms,
         copies=partial(fetch_documents, addresses, settings.timeout_ms),
     )
-    return Desk(settings, publisher)
+    return Session(settings, publisher)
 
 
 def _require(result: object) -> object:
--- a/rattanloom/peers/tidings.py
+++ b/rattanloom/peers/gossip.py
@@ -19,7 +19,7 @@
 
 
 @define(eq=False)
-class Tidings:
+class Gossip:
     """Picks the hosts to tell of; keeps each heartbeat small.
 
     A zone is told in turn. Receivers in other zones take turns themselves, so
--- a/rattanloom/peers/heartbeats.py
+++ b/rattanloom/peers/heartbeats.py
@@ -22,12 +22,12 @@
 from rattanloom.peers.addresses import format_address, parse_address
 from rattanloom.peers.asks import ASKS_MAX, Asks
 from rattanloom.peers.destinations import Destinations
+from rattanloom.peers.gossip import Gossip
 from rattanloom.peers.heartbeat_codec import decode_heartbeat, encode_heartbeat
 from rattanloom.peers.load_exchange import LoadTeller, LoadView
 from rattanloom.peers.membership import KnownMember, Membership
 from rattanloom.peers.messages import Heartbeat, MemberRecord
 from rattanloom.peers.schema import BadMessageError
-from rattanloom.peers.tidings import Tidings
 from rattanloom.timer import TimerService
 
 log = get_log("peers")
@@ -59,7 +59,7 @@
     bytes_received: int = 0
     datagrams: int = 0
     views: dict[int, LoadView] = field(factory=dict)
-    _tidings: Tidings = field(init=False)
+    _gossip: Gossip = field(init=False)
     _socket: socket | None = None
     _tick: Event = field(factory=Event)
     _far_turns: dict[str, Event] = field(factory=dict)
@@ -70,7 +70,7 @@
     _peers: dict[str, Greenlet] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self._tidings = Tidings(self.membership, self.teller, self.environment.random)
+        self._gossip = Gossip(self.membership, self.teller, self.environment.random)
 
     @contextmanager
     def running(self, timers: TimerService) -> Iterator[None]:
@@ -111,7 +111,7 @@
     def _on_near_beat(self, now_ms: float) -> None:
         self.membership.evaluate(now_ms)
         self.destinations.refresh()
-        self._tidings.refresh()
+        self._gossip.refresh()
         self._near_heartbeat = None
         self._drop_old_views()
         self._start_peers()
@@ -168,7 +168,7 @@
         """Send what all hosts of this zone are told; it is encoded once."""
         if self._near_heartbeat is None:
             plain = self._plain(address)
-            self._near_heartbeat = self._tidings.near(plain)
+            self._near_heartbeat = self._gossip.near(plain)
             self._near_datagram = self._encode(self._near_heartbeat)
         if introduce:
             self._send(address, self._introducing(self._near_heartbeat))
@@ -178,7 +178,7 @@
     def _send_far(self, address: str, turn: int, introduce: bool) -> None:
         plain = self._plain(address)
         often = self.destinations.sends_far_often
-        heartbeat = self._tidings.far(plain, turn, often)
+        heartbeat = self._gossip.far(plain, turn, often)
         self._send(address, self._introducing(heartbeat) if introduce else heartbeat)
 
     def _plain(self, address: str) -> Heartbeat:
--- a/tests/test_peer_merging.py
+++ b/tests/test_peer_merging.py
@@ -7,12 +7,12 @@
 from hypothesis import strategies as st
 
 from rattanloom.keys import Keyring
+from rattanloom.peers.gossip import Gossip
 from rattanloom.peers.heartbeat_codec import encode_heartbeat
 from rattanloom.peers.load_exchange import LoadTeller, LoadView
 from rattanloom.peers.membership import Membership
 from rattanloom.peers.messages import Heartbeat, MemberRecord, ToldBeat
 from rattanloom.peers.protocol import HostLoad, MemberState, TargetLoad, TeamLoad
-from rattanloom.peers.tidings import Tidings
 
 OWN = MemberRecord("own", "Adum", "127.0.0.1:1", "own-1", 100)
 HEARTBEAT_MS = 100
@@ -164,15 +164,15 @@
 
     def __attrs_post_init__(self):
         self.membership = Membership(self.record, HEARTBEAT_MS, self.note)
-        self.tidings = Tidings(self.membership, LoadTeller(HostLoad), Random(1))
+        self.gossip = Gossip(self.membership, LoadTeller(HostLoad), Random(1))
 
     def note(self, member, word):
         self.changes.append((member.record.host, word))
 
     def step(self, beat, now_ms):
         self.membership.evaluate(now_ms)
-        self.tidings.refresh()
-        return self.tidings.near(Heartbeat(self.record.key, beat, HEARTBEAT_MS))
+        self.gossip.refresh()
+        return self.gossip.near(Heartbeat(self.record.key, beat, HEARTBEAT_MS))
 
 
 def run_zone(hosts, beats, lost_share, random):
@@ -245,7 +245,7 @@
     for beat in range(60):
         host.step(beat, 0)
         for receiver in range(2 * (beat % 2), 2 * (beat % 2) + 2):
-            heartbeat = host.tidings.far(Heartbeat(OWN.key, beat, 40), 0)
+            heartbeat = host.gossip.far(Heartbeat(OWN.key, beat, 40), 0)
             told[receiver] |= {entry.key for entry in heartbeat.told}
     assert told == [{member.key for member in members}] * 4
 
