--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -183,7 +183,6 @@
 def start(host: EntryHost) -> None:
     """Start the parts that follow the platform and the peers."""
     host.configuration.start(host.peers)
-    host.jobs.start(host.timers)
     host.directory.start(host.peers)
     host.admission.start(host.peers, host.timers)
     host.jobs.start(host.timers)
