Show response over ideal and tasks done on the metrics page

Change: a job's time at its home over its longest task's run time, as a distribution, and the tasks done to divide by.

--- a/rattanloom/dispatch.py
+++ b/rattanloom/dispatch.py
@@ -13,7 +13,7 @@
 from rattanloom.dispatch_job import JobRun
 from rattanloom.environment import Environment
 from rattanloom.errors import ErrorKind, Failure
-from rattanloom.job import Job, JobAnswer
+from rattanloom.job import Job, JobAnswer, JobOutcome
 from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
 from rattanloom.queue import QueuedTask
@@ -101,7 +101,18 @@
             del self._runs[job.job_id]
             self.admission.withdraw(job.job_id)
             self._stop_in_flight(run)
-        return run.answer(self._now_ms())
+        answer = run.answer(self._now_ms())
+        self._measure(run, answer)
+        return answer
+
+    def _measure(self, run: JobRun, answer: JobAnswer) -> None:
+        """Record a complete job's time here, and over its longest task's."""
+        if answer.outcome is not JobOutcome.COMPLETE:
+            return
+        self.metrics.observe("job_response", answer.run_ms)
+        if run.longest_run_ms > 0:
+            ratio = answer.run_ms / run.longest_run_ms
+            self.metrics.observe_ratio("job_response_over_ideal", ratio)
 
     def _refused(self, run: JobRun) -> bool:
         """Settle at once a job that no worker could ever run."""
@@ -242,7 +253,8 @@
             return
         self.admission.finished(queued, reply.run_ms)
         if reply.state is AttemptState.DONE:
-            run.complete_task(queued.index, reply.output)
+            run.complete_task(queued.index, reply.output, reply.run_ms)
+            self.metrics.count("tasks_done")
             return
         reason = f"task {queued.index} {reply.state.value}: {reply.output}"
         run.fail(Failure(ErrorKind.TASK_FAILED, reason), queued.index)
--- a/rattanloom/dispatch_job.py
+++ b/rattanloom/dispatch_job.py
@@ -27,6 +27,7 @@
     outputs: dict[int, str] = field(factory=dict)
     started_tasks: set[int] = field(factory=set)
     in_flight: dict[str, tuple[Attempt, Target]] = field(factory=dict)
+    longest_run_ms: float = 0.0
     failure: Failure | None = None
     failed_task: int | None = None
     ended: Event = field(factory=Event)
@@ -40,8 +41,9 @@
         """Return an identifier that no other attempt of this process has."""
         return f"{self.job.job_id}.{index}.{self.number}.{attempt}"
 
-    def complete_task(self, index: int, output: str) -> None:
+    def complete_task(self, index: int, output: str, run_ms: float) -> None:
         """Keep one task's output; the last one completes the job."""
+        self.longest_run_ms = max(self.longest_run_ms, run_ms)
         self.outputs[index] = output
         if len(self.outputs) == len(self.job.tasks):
             self.ended.set()
--- a/rattanloom/metrics.py
+++ b/rattanloom/metrics.py
@@ -5,25 +5,28 @@
 from attrs import define, field
 from hdrh.histogram import HdrHistogram
 
-LOWEST_US = 1
-HIGHEST_US = 600_000_000
+LOWEST = 1
+HIGHEST = 600_000_000
 DIGITS = 2
-US_PER_MS = 1000
+SCALE = 1000
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 PREFIX = "rattanloom"
 
 
 def _new_histogram() -> HdrHistogram:
-    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+    return HdrHistogram(LOWEST, HIGHEST, DIGITS)
 
 
 @define(eq=False)
 class Metrics:
-    """The metrics of one process; names use underscores, labels one value."""
+    """The metrics of one process; names use underscores, labels one value.
+
+    Distributions are kept in thousandths: of a millisecond, or of a ratio.
+    """
 
     counters: dict[tuple[str, str], int] = field(factory=lambda: defaultdict(int))
     gauges: dict[tuple[str, str], float] = field(factory=dict)
-    latencies: dict[str, HdrHistogram] = field(
+    distributions: dict[str, HdrHistogram] = field(
         factory=lambda: defaultdict(_new_histogram)
     )
 
@@ -36,8 +39,15 @@
         self.gauges[name, label] = value
 
     def observe(self, name: str, value_ms: float) -> None:
-        """Record one latency in milliseconds."""
-        self.latencies[name].record_value(max(LOWEST_US, int(value_ms * US_PER_MS)))
+        """Record one latency in milliseconds; ``_ms`` is added to the name."""
+        self._record(f"{name}_ms", value_ms)
+
+    def observe_ratio(self, name: str, ratio: float) -> None:
+        """Record one ratio, such as a response time over its ideal."""
+        self._record(name, ratio)
+
+    def _record(self, name: str, value: float) -> None:
+        self.distributions[name].record_value(max(LOWEST, int(value * SCALE)))
 
     def render(self) -> str:
         """Return all metrics in the Prometheus text form."""
@@ -45,7 +55,7 @@
             *_section("counter", "_total", self.counters),
             *_section("gauge", "", self.gauges),
         ]
-        for name, histogram in sorted(self.latencies.items()):
+        for name, histogram in sorted(self.distributions.items()):
             lines += _summary(name, histogram)
         return "\n".join(lines) + "\n"
 
@@ -63,10 +73,10 @@
 
 
 def _summary(name: str, histogram: HdrHistogram) -> list[str]:
-    full_name = f"{PREFIX}_{name}_ms"
+    full_name = f"{PREFIX}_{name}"
     lines = [f"# TYPE {full_name} summary"]
     for quantile in QUANTILES:
-        value_ms = histogram.get_value_at_percentile(quantile) / US_PER_MS
-        lines.append(f'{full_name}{{quantile="{quantile / 100:g}"}} {value_ms}')
+        value = histogram.get_value_at_percentile(quantile) / SCALE
+        lines.append(f'{full_name}{{quantile="{quantile / 100:g}"}} {value}')
     lines.append(f"{full_name}_count {histogram.get_total_count()}")
     return lines
