Seal also the unused tickets that keys keep good

Cause: a key refused not-run two epochs or more before its host stopped was told may_have_run afterwards, since the sealed ledger had forgotten that its ticket was never used. Change: the sealed ledger names these tickets. The new test is red before and green after.

--- a/rattanloom/ledger.py
+++ b/rattanloom/ledger.py
@@ -92,11 +92,13 @@
     """What a ledger says of the jobs that ended, for another process to read.
 
     ``marks`` holds an epoch, the position of a chunk and its marks;
-    ``answers`` a ticket number and its kept answer, oldest first.
+    ``answers`` a ticket number and its kept answer, oldest first; ``spared``
+    are the numbers of unused tickets that outlived their epochs.
     """
 
     marks: tuple[tuple[int, int, bytes], ...]
     answers: tuple[tuple[int, KeptAnswer], ...]
+    spared: tuple[int, ...] = ()
 
 
 @define(eq=False)
@@ -235,7 +237,7 @@
             if left_bytes < 0:
                 break
             answers.append((number, kept))
-        return LedgerState(marks, tuple(reversed(answers)))
+        return LedgerState(marks, tuple(reversed(answers)), tuple(self._spared))
 
     @classmethod
     def restore(cls, state: LedgerState) -> "Ledger":
@@ -244,6 +246,7 @@
         for epoch, position, chunk in state.marks:
             ledger._marks.setdefault(epoch, {})[position] = bytearray(chunk)
         ledger._kept.update(state.answers)
+        ledger._spared.update(dict.fromkeys(state.spared))
         return ledger
 
     def _set_mark(self, ticket: Ticket, mark: Mark) -> None:
--- a/rattanloom/sealed_ledger.py
+++ b/rattanloom/sealed_ledger.py
@@ -136,6 +136,7 @@
     state = ledger.state(SEALED_ANSWERS_MAX_BYTES)
     document = {
         "epoch": epoch,
+        "spared": list(state.spared),
         "marks": [
             [ticket_epoch, chunk, b64encode(marks).decode()]
             for ticket_epoch, chunk, marks in state.marks
@@ -159,7 +160,7 @@
         (number, KeptAnswer(answer_from_json(answer), bytes.fromhex(digest), ended, 0))
         for number, digest, ended, answer in document["answers"]
     )
-    ledger = Ledger.restore(LedgerState(marks, answers))
+    ledger = Ledger.restore(LedgerState(marks, answers, tuple(document["spared"])))
     return SealedLedger(ledger, document["epoch"])
 
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -366,6 +366,16 @@
     assert len(cluster.starts()) == 1
 
 
+def test_a_key_refused_long_before_its_host_stopped_still_runs_once(cluster):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.admission.failure = OVERLOADED
+    assert a.submit(make_job(key="k")).outcome is JobOutcome.REFUSED
+    cluster.clock.ms += 3 * EPOCH_MS
+    cluster.stop("a")
+    assert b.submit(make_job(key="k")).outcome is JobOutcome.COMPLETE
+    assert len(cluster.starts()) == 1
+
+
 def test_a_key_bound_anew_by_a_late_write_still_runs_once(cluster):
     a, b = cluster.hosts["a"], cluster.hosts["b"]
     a.admission.failure = OVERLOADED
