--- a/experiments/cluster.py
+++ b/experiments/cluster.py
@@ -20,8 +20,6 @@
 from urllib3 import HTTPResponse, PoolManager, Retry, Timeout
 from urllib3.exceptions import HTTPError
 
-from rattanloom.clock import MS_PER_S
-
 LOOPBACK = "127.0.0.1"
 TICKET_KEY = "a key for demonstrations only"
 READY_WITHIN_S = 20.0
@@ -393,8 +391,3 @@
 def with_settings(shape: Shape, **settings: object) -> Shape:
     """Return the shape with extra fields in every entry host's settings."""
     return evolve(shape, host_settings={**shape.host_settings, **settings})
-
-
-def wall_ms() -> float:
-    """Return wall-clock milliseconds, for labels in printed reports."""
-    return time.time() * MS_PER_S
--- a/rattanloom/callers/client.py
+++ b/rattanloom/callers/client.py
@@ -196,11 +196,3 @@
     refused = failure.ran_word is Ran.NOT_RUN
     outcome = JobOutcome.REFUSED if refused else JobOutcome.UNKNOWN
     return JobAnswer(job_id, outcome, failure=failure)
-
-
-def renew(job: Job, dispatcher: Dispatcher) -> Job | Failure:
-    """Return the same work under a fresh ticket: a new submission."""
-    fresh = dispatcher.new_job(job.tasks, job.deadline_ms, job.idempotent)
-    if isinstance(fresh, Failure):
-        return fresh
-    return evolve(job, job_id=fresh.job_id)
