Send bad and random requests to a whole entry host as well

Change: forged and truncated tickets, an unknown kind and 10,000 random requests go to a daemon as a process, whose memory grows by less than 16 MB.

--- a/tests/test_callers_api.py
+++ b/tests/test_callers_api.py
@@ -7,7 +7,6 @@
 from random import Random
 
 import pytest
-from gevent.pool import Pool
 from urllib3 import HTTPConnectionPool
 
 from rattanloom.callers.api import CallersApi
@@ -15,6 +14,7 @@
 from rattanloom.errors import ANSWERS, ErrorKind, Failure
 from rattanloom.job import JobAnswer, JobOutcome
 from rattanloom.resources import own_usage
+from tests.utils import send_random_requests
 
 BODY_MAX_BYTES = 20_000
 HEADER_TIMEOUT_MS = 300
@@ -148,31 +148,14 @@
 
 
 def test_random_bytes_leave_the_daemon_serving_in_bounded_memory(port):
-    random = Random(7)
-    payloads = [
-        random.choice((b"", b"POST ", b"GET /v1/jobs/", b"POST /v1/jobs HTTP/1.1\r\n"))
-        + random.randbytes(random.randrange(1, 200))
-        for _ in range(RANDOM_REQUESTS)
-    ]
-    send_bytes(port, payloads[0])
+    address, random = ("127.0.0.1", port), Random(7)
+    send_random_requests(address, random, 1)
     before_bytes = own_usage().memory_bytes
-    pool = Pool(20)
-    pool.map(lambda payload: send_bytes(port, payload), payloads)
+    send_random_requests(address, random, RANDOM_REQUESTS)
     assert post_job(port)[0].status == 200
     assert own_usage().memory_bytes - before_bytes < MEMORY_GROWTH_MAX_BYTES
 
 
-def send_bytes(port, payload):
-    with socket.create_connection(("127.0.0.1", port)) as connection:
-        connection.settimeout(5)
-        try:
-            connection.sendall(payload)
-            connection.shutdown(socket.SHUT_WR)
-            connection.recv(4000)
-        except OSError:
-            pass
-
-
 def test_every_error_kind_has_one_row_and_stands_in_the_page():
     assert set(ANSWERS) == set(ErrorKind)
     page = (Path(__file__).parent.parent / "docs" / "API.md").read_text()
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -3,17 +3,22 @@
 import json
 import shutil
 from pathlib import Path
+from random import Random
 
 import gevent
 import pytest
+from attrs import evolve
 
 from experiments.cluster import Shape, running_cluster, with_settings
 from rattanloom.callers.client import Dispatcher
-from rattanloom.errors import Ran
+from rattanloom.errors import ErrorKind, Ran
 from rattanloom.job import JobOutcome, Task
+from tests.utils import send_random_requests
 
 RULES = Path(__file__).parent.parent / "examples" / "rules"
 STOP_WITHIN_S = 15
+RANDOM_REQUESTS = 10_000
+MEMORY_GROWTH_MAX_BYTES = 16_000_000
 SHAPE = with_settings(
     Shape(zones=("Adum", "Bantama"), hosts=1, workers=1), leave_grace_ms=0
 )
@@ -64,6 +69,30 @@
     assert len(starts(cluster, job.job_id)) == 2
 
 
+def test_bad_requests_are_told_why_and_leave_the_host_serving(cluster):
+    home = caller(cluster, "adum-entry-1")
+    address = cluster.hosts["adum-entry-1"].address
+    good = home.new_job((proof(20),), 5_000)
+    forged = evolve(good, job_id=good.job_id.replace("adum-entry-1", "adum-entry-2"))
+    truncated = evolve(good, job_id=good.job_id[:-1])
+    unknown = home.new_job((Task("no_such_kind"),), 5_000)
+    kinds = [home.submit(job).failure.kind for job in (forged, truncated, unknown)]
+    assert kinds == [
+        ErrorKind.BAD_TICKET,
+        ErrorKind.BAD_TICKET,
+        ErrorKind.UNKNOWN_KIND,
+    ]
+    before_bytes = memory_bytes(cluster, address)
+    host, port = address.split(":")
+    send_random_requests((host, int(port)), Random(11), RANDOM_REQUESTS)
+    assert home.submit(good).outcome is JobOutcome.COMPLETE
+    assert memory_bytes(cluster, address) - before_bytes < MEMORY_GROWTH_MAX_BYTES
+
+
+def memory_bytes(cluster, address):
+    return cluster.get_json(address, "/v1/status")["usage"]["memory_bytes"]
+
+
 def test_stopping_host_answers_requests_that_it_forwarded(cluster):
     home, leaving = caller(cluster, "adum-entry-1"), caller(cluster, "bantama-entry-1")
     job = home.new_job((proof(1_500),), 5_000)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -1,6 +1,9 @@
 """Small things that several test files share."""
 
+import socket
+
 from attrs import define
+from gevent.pool import Pool
 
 from rattanloom.errors import ErrorKind, Failure
 
@@ -37,3 +40,25 @@
         if self.down or name not in self.contents:
             return Failure(ErrorKind.NOT_FOUND, "no such object")
         return self.contents[name]
+
+
+def send_random_requests(address, random, count):
+    """Send ``count`` requests of random bytes, some behind a valid beginning."""
+    beginnings = (b"", b"POST ", b"GET /v1/jobs/", b"POST /v1/jobs HTTP/1.1\r\n")
+    payloads = [
+        random.choice(beginnings) + random.randbytes(random.randrange(1, 200))
+        for _ in range(count)
+    ]
+    Pool(20).map(lambda payload: send_bytes(address, payload), payloads)
+
+
+def send_bytes(address, payload):
+    """Send bytes over a connection of their own, and read what comes back."""
+    with socket.create_connection(address) as connection:
+        connection.settimeout(5)
+        try:
+            connection.sendall(payload)
+            connection.shutdown(socket.SHUT_WR)
+            connection.recv(4000)
+        except OSError:
+            pass
