Count a key's deadline from its arrival when it is bound anew

Cause: the time left was worked out once, before the forward to a stopped home and the binding of a new ticket, so a job could start after its caller's deadline by as long as these took. Ruled out: subtracting the time in the second copy of the choice between running here and forwarding. Change: the deadline is kept as a time, and one function serves the first ticket and the new one. The new test is red before and green after.

--- a/rattanloom/jobs.py
+++ b/rattanloom/jobs.py
@@ -86,39 +86,40 @@
             return self._submit(job)
 
     def _submit(self, job: Job) -> JobAnswer:
-        arrived_ms = self._now_ms()
+        deadline_at_ms = self._now_ms() + job.deadline_ms
         if not job.job_id:
             job = evolve(job, job_id=self.mint.mint())
         ticket = self._parse(job.job_id)
         if isinstance(ticket, Ticket) and job.key:
             ticket = self._claim(job, ticket)
+        answer = self._run_or_forward(job, ticket, deadline_at_ms)
+        if job.key and _never_used(answer):
+            ticket = self._rebind(job, answer.job_id)
+            return self._run_or_forward(job, ticket, deadline_at_ms)
+        return answer
+
+    def _run_or_forward(
+        self, job: Job, ticket: Ticket | Failure, deadline_at_ms: float
+    ) -> JobAnswer:
+        """Run or join the job here, or wherever its ticket's home is."""
         if isinstance(ticket, Failure):
             return self._answered(refused(job.job_id, ticket))
         job = evolve(job, job_id=ticket.text)
-        left_ms = job.deadline_ms - (self._now_ms() - arrived_ms)
+        left_ms = deadline_at_ms - self._now_ms()
         if self.mint.minted(ticket):
             return self._run_or_join(job, ticket, left_ms)
-        answer = self._forward(job, ticket, left_ms)
-        if job.key and _never_used(answer):
-            return self._rebind(job, ticket, left_ms)
-        return answer
+        return self._forward(job, ticket, left_ms)
 
-    def _rebind(self, job: Job, void: Ticket, left_ms: float) -> JobAnswer:
-        """Run a key's job under a new ticket: the old one's home has stopped.
+    def _rebind(self, job: Job, void: str) -> Ticket | Failure:
+        """Bind a key to a new ticket: the home of the old one has stopped.
 
         The new ticket is kept good where the write may still take effect later.
         """
         fresh = self.mint.mint()
-        bound = self.claims.rebind(job.team, job.key, digest_of(job), void.text, fresh)
+        bound = self.claims.rebind(job.team, job.key, digest_of(job), void, fresh)
         if bound != fresh:
             self.ledger.spare(self._parse(fresh), self.mint.epoch())
-        ticket = bound if isinstance(bound, Failure) else self._parse(bound)
-        if isinstance(ticket, Failure):
-            return self._answered(refused(job.job_id, ticket))
-        job = evolve(job, job_id=ticket.text)
-        if self.mint.minted(ticket):
-            return self._run_or_join(job, ticket, left_ms)
-        return self._forward(job, ticket, left_ms)
+        return bound if isinstance(bound, Failure) else self._parse(bound)
 
     def ask(self, job_id: str, wait_ms: float) -> JobAnswer:
         """Return the job's answer, waiting up to ``wait_ms`` for its end."""
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -366,6 +366,23 @@
     assert len(cluster.starts()) == 1
 
 
+def test_a_key_bound_anew_after_its_deadline_does_not_start(cluster, monkeypatch):
+    a, b = cluster.hosts["a"], cluster.hosts["b"]
+    a.admission.failure = OVERLOADED
+    assert a.submit(make_job(key="k")).outcome is JobOutcome.REFUSED
+    cluster.stop("a")
+    read = cluster.objects.get
+
+    def read_slowly(name):
+        cluster.clock.ms += 10_000
+        return read(name)
+
+    monkeypatch.setattr(cluster.objects, "get", read_slowly)
+    late = b.submit(make_job(key="k", deadline_ms=5_000))
+    assert late.failure.kind is ErrorKind.DEADLINE_PASSED
+    assert cluster.starts() == []
+
+
 def test_a_key_refused_long_before_its_host_stopped_still_runs_once(cluster):
     a, b = cluster.hosts["a"], cluster.hosts["b"]
     a.admission.failure = OVERLOADED
