--- a/rattanloom/targets/directory.py
+++ b/rattanloom/targets/directory.py
@@ -184,19 +184,12 @@
         tiers = self._tiers(task.kind)
         return choose_target(task, tiers, self._now_ms(), waited_ms, self._spill)
 
-    def pick(self, task: Task) -> TargetState | None:
-        """Find a worker and reserve its slots; ``release`` gives them back."""
-        state = self.find(task)
-        if state is not None:
-            self.reserve(state, task)
-        return state
-
     def reserve(self, state: TargetState, task: Task) -> None:
         """Reserve slots for the task; ``release`` gives them back."""
         state.occupy(task.size_slots)
 
     def release(self, state: TargetState, task: Task) -> None:
-        """Give back the slots that ``pick`` or ``reserve`` took."""
+        """Give back the slots that ``reserve`` took."""
         state.release(task.size_slots)
 
     def note(
