--- a/rattanloom/clock.py
+++ b/rattanloom/clock.py
@@ -1,6 +1,6 @@
-"""Clocks: monotonic time for durations, wall time for events shown to people."""
+"""Clocks: elapsed time for durations, wall time for events shown to people."""
 
-from time import monotonic, time
+from time import CLOCK_BOOTTIME, clock_gettime, time
 from typing import Protocol
 
 MS_PER_S = 1000
@@ -20,8 +20,8 @@
     """The machine's own clocks."""
 
     def now_ms(self) -> float:
-        """Return monotonic milliseconds."""
-        return monotonic() * MS_PER_S
+        """Return monotonic milliseconds, including time spent suspended."""
+        return clock_gettime(CLOCK_BOOTTIME) * MS_PER_S
 
     def wall_ms(self) -> float:
         """Return wall-clock milliseconds since the epoch."""
--- /dev/null
+++ b/rattanloom/daemon.py
@@ -0,0 +1,295 @@
+"""The daemon's story: read the settings, build it, serve, hand over, stop."""
+
+import os
+import signal
+from collections.abc import Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+
+import gevent
+from attrs import define, field
+from gevent.event import Event
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.environment import Environment
+from rattanloom.ingress.api import ClientApi
+from rattanloom.ingress.desk import JobDesk
+from rattanloom.ingress.queues import QueueTable, RequestLimits
+from rattanloom.ingress.readiness import serving_readiness
+from rattanloom.ingress.server import ConnectionState, serving
+from rattanloom.links.hub import LinkHub
+from rattanloom.links.link import Link
+from rattanloom.links.messages import Cancel, Hello, Message, Outcome, Submit
+from rattanloom.logs import get_log, logging_to
+from rattanloom.metrics import Metrics
+from rattanloom.ownership.ownership import Ownership
+from rattanloom.placement.placer import ADOPTION_MAX_MS, Placer
+from rattanloom.placement.pooled_worker import PooledWorker
+from rattanloom.placement.work import JobOutcome
+from rattanloom.placement.workers import WorkerEntry
+from rattanloom.platform.configuration import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    read_configuration,
+)
+from rattanloom.platform.deployment import (
+    SETTINGS_VARIABLE,
+    Deployment,
+    load_deployment,
+)
+from rattanloom.platform.fields import FormatError
+from rattanloom.platform.registry import WORKERS_TABLE
+from rattanloom.platform.rows import Row
+from rattanloom.platform.store import StoreClient
+from rattanloom.platform.workers import WorkerClient
+from rattanloom.registry import Registry
+from rattanloom.settings import SettingsError
+from rattanloom.status import ExitStatus
+from rattanloom.tables import TableFollower
+
+log = get_log("daemon")
+
+TICK_MS = 50
+# Workers write their entries every 1.5 s, and a leaving one has to get no new
+# work within 2 s; a daemon that owns none only keeps its list warm.
+OWNER_PAUSE_MS = 400
+OTHERS_PAUSE_MS = 3_000
+# Clients open new connections elsewhere within a second of two missed checks.
+LEAVE_MS = 2_200
+STOP_MARGIN_MS = 700
+POLL_MS = 20
+
+
+@define(eq=False)
+class LinkSession:
+    """The way back to another daemon, over whatever link is open to it."""
+
+    node: str
+    hub: LinkHub
+
+    def deliver(self, outcome: JobOutcome) -> None:
+        """Tell the end of a job; without a link the other daemon asks anew."""
+        link = self.hub.link(self.node)
+        if link is not None:
+            link.send(Outcome(outcome))
+
+
+@define(eq=False)
+class Daemon:
+    """The parts of one daemon."""
+
+    deployment: Deployment
+    environment: Environment
+    queues: QueueTable = field(factory=QueueTable)
+    metrics: Metrics = field(factory=Metrics)
+    stopping: bool = False
+    hub: LinkHub = field(init=False)
+    store: StoreClient = field(init=False)
+    registry: Registry = field(init=False)
+    placer: Placer = field(init=False)
+    ownership: Ownership = field(init=False)
+    desk: JobDesk = field(init=False)
+    connections: ConnectionState = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        deployment, clock = self.deployment, self.environment.clock
+        own = Hello(
+            deployment.node,
+            deployment.zone,
+            deployment.peer_address,
+            int(clock.wall_ms()),
+        )
+        self.hub = LinkHub(
+            own, clock, self._received, self._link_opened, self._link_lost
+        )
+        self.store = StoreClient(deployment.store.address)
+        self.registry = Registry(self._arrange_workers)
+        self.placer = Placer(clock, _connect, self._worker_fenced)
+        self.ownership = Ownership(
+            own,
+            tuple(deployment.zones),
+            clock,
+            self.store,
+            self.hub,
+            self._owners_changed,
+        )
+        self.desk = JobDesk(
+            deployment.node,
+            clock,
+            self.hub,
+            self.placer,
+            self.ownership.preferred_owner,
+        )
+        self.connections = ConnectionState(self._limits)
+
+    def is_ready(self) -> bool:
+        """Return whether clients can be served here."""
+        owner = self.ownership.preferred_owner()
+        return (
+            not self.stopping
+            and self.queues.configuration is not None
+            and owner is not None
+            and (owner == self.deployment.node or self.hub.hears(owner))
+        )
+
+    def start(self) -> None:
+        """Start what follows the store and the clock."""
+        clock = self.environment.clock
+        configuration = TableFollower(
+            self.store, OPERATOR_TABLE, clock, self._take_operator, self._take_operator
+        )
+        workers = TableFollower(
+            self.store,
+            WORKERS_TABLE,
+            clock,
+            self.registry.take_snapshot,
+            self.registry.take_rows,
+            pause_ms=self._workers_pause_ms,
+        )
+        for follower in (configuration, workers, self.ownership.follower):
+            gevent.spawn(follower.run)
+        gevent.spawn(self.ownership.run)
+        gevent.spawn(self._tick_all)
+
+    def _tick_all(self) -> None:
+        while True:
+            gevent.sleep(TICK_MS / MS_PER_S)
+            self.placer.tick()
+            self.desk.tick()
+
+    def _workers_pause_ms(self) -> float:
+        return OWNER_PAUSE_MS if self.ownership.owned() else OTHERS_PAUSE_MS
+
+    def _limits(self) -> RequestLimits:
+        configuration = self.queues.configuration
+        return configuration.limits if configuration else RequestLimits()
+
+    def _take_operator(self, rows: Sequence[Row]) -> None:
+        for row in rows:
+            if row.ref.key != CONFIGURATION_KEY or row.deleted:
+                continue
+            try:
+                configuration = read_configuration(row)
+            except FormatError as error:
+                log.error("configuration not usable: {}", error)
+                continue
+            self.queues.replace(configuration)
+            log.info("configuration {} is in force", configuration.version)
+
+    def _owners_changed(self) -> None:
+        self._arrange_workers()
+        self.desk.placers_changed()
+
+    def _arrange_workers(self) -> None:
+        """Order just the workers of the zones that this daemon owns."""
+        owned = self.ownership.owned()
+        if not owned and self.placer.workers:
+            for worker_id in list(self.placer.workers):
+                self.placer.remove_worker(worker_id, "another daemon owns its zone")
+            self.placer.forget_all()
+            return
+        for worker_id, worker in list(self.placer.workers.items()):
+            entry = self.registry.entries.get(worker_id)
+            if entry is None:
+                self.placer.remove_worker(worker_id, "it is not registered any more")
+            elif entry.zone not in owned:
+                self.placer.remove_worker(worker_id, "another daemon owns its zone")
+            elif _is_other(entry, worker.entry):
+                self.placer.remove_worker(worker_id, "it started anew")
+            else:
+                worker.entry = entry
+        self.placer.settled_ms = self.ownership.taken_ms + ADOPTION_MAX_MS
+        for entry in self.registry.entries.values():
+            record = owned.get(entry.zone)
+            if record is not None and entry.worker_id not in self.placer.workers:
+                self.placer.add_worker(entry, record.fencing_token)
+        self.placer.pump()
+
+    def _worker_fenced(self, worker: PooledWorker) -> None:
+        self.ownership.doubt()
+
+    def _received(self, link: Link, message: Message) -> None:
+        if isinstance(message, Submit):
+            if self.ownership.owned():
+                session = LinkSession(link.peer.node, self.hub)
+                self.placer.submit(session, message.job, message.may_run)
+        elif isinstance(message, Cancel):
+            self.placer.cancel(message.job_id)
+        elif isinstance(message, Outcome):
+            self.desk.deliver(message.outcome)
+        else:
+            self.ownership.received(link, message)
+
+    def _link_opened(self, link: Link) -> None:
+        if link.peer.node == self.ownership.preferred_owner():
+            self.desk.placers_changed()
+
+    def _link_lost(self, link: Link) -> None:
+        self.placer.session_lost(link.peer.node)
+        self.desk.placer_lost(link.peer.node)
+
+
+def _connect(entry: WorkerEntry) -> WorkerClient:
+    return WorkerClient(entry.worker_id, entry.address)
+
+
+def _is_other(new: WorkerEntry, old: WorkerEntry) -> bool:
+    return (new.incarnation_ms, new.address) != (old.incarnation_ms, old.address)
+
+
+def main(environment: Environment | None = None) -> ExitStatus:
+    """Run one daemon until it is told to stop; return its exit status."""
+    environment = environment or Environment()
+    try:
+        deployment = load_deployment(os.environ.get(SETTINGS_VARIABLE, ""))
+    except SettingsError as error:
+        print(error, file=environment.stderr)
+        return ExitStatus.SETTINGS
+    stop = Event()
+    with logging_to(environment.stdout, environment.log_level), stop_signals(stop):
+        return run(Daemon(deployment, environment), stop)
+
+
+def run(daemon: Daemon, stop: Event) -> ExitStatus:
+    """Serve until ``stop`` is set, then stop gracefully."""
+    api = ClientApi(daemon.queues, daemon.desk, daemon.metrics)
+    listen = daemon.deployment.listen
+    with ExitStack() as stack:
+        stack.enter_context(daemon.hub.serving())
+        stack.enter_context(serving_readiness(listen.readiness, daemon.is_ready))
+        stack.enter_context(serving(listen.clients, api.app, daemon.connections))
+        daemon.start()
+        log.info("{} serves clients on {}", daemon.deployment.node, listen.clients)
+        stop.wait()
+        stop_gracefully(daemon)
+    return ExitStatus.OK
+
+
+def stop_gracefully(daemon: Daemon) -> None:
+    """Leave the balancer, hand the workers over, answer what is in flight."""
+    clock = daemon.environment.clock
+    begun_ms = clock.now_ms()
+    log.info("stopping with {} jobs in flight", len(daemon.desk.pending))
+    daemon.stopping = True
+    daemon.connections.closing = True
+    daemon.ownership.leave()
+    grace_ms = daemon.deployment.bounds.stop_grace_s * MS_PER_S - STOP_MARGIN_MS
+    while clock.now_ms() < begun_ms + LEAVE_MS:
+        gevent.sleep(POLL_MS / MS_PER_S)
+    daemon.connections.close_idle()
+    while daemon.connections.in_flight and clock.now_ms() < begun_ms + grace_ms:
+        gevent.sleep(POLL_MS / MS_PER_S)
+    log.info("stopped with {} requests in flight", daemon.connections.in_flight)
+
+
+@contextmanager
+def stop_signals(stop: Event) -> Iterator[None]:
+    """Set ``stop`` on SIGTERM or SIGINT while the block runs."""
+    watchers = [
+        gevent.signal_handler(number, stop.set)
+        for number in (signal.SIGTERM, signal.SIGINT)
+    ]
+    try:
+        yield
+    finally:
+        for watcher in watchers:
+            watcher.cancel()
--- a/rattanloom/errors.py
+++ b/rattanloom/errors.py
@@ -42,6 +42,7 @@
     TICKET_EXPIRED = "ticket_expired"
     PLATFORM_UNREACHABLE = "platform_unreachable"
     REPLY_LOST = "reply_lost"
+    HISTORY_GONE = "history_gone"
     CONFLICT = "conflict"
     CANCELLED = "cancelled"
     TASK_FAILED = "task_failed"
@@ -111,6 +112,9 @@
         HTTPStatus.SERVICE_UNAVAILABLE, _NOT_RUN, True, 2000
     ),
     ErrorKind.REPLY_LOST: AnswerRow(HTTPStatus.GATEWAY_TIMEOUT, _MAYBE, True, 1000),
+    ErrorKind.HISTORY_GONE: AnswerRow(
+        HTTPStatus.SERVICE_UNAVAILABLE, _NOT_RUN, True, 1000
+    ),
     ErrorKind.CONFLICT: AnswerRow(HTTPStatus.CONFLICT, _NOT_RUN, True, 0),
     ErrorKind.CANCELLED: AnswerRow(HTTPStatus.OK, _MAYBE, False, 0),
     ErrorKind.TASK_FAILED: AnswerRow(HTTPStatus.OK, _RAN, False, 0),
--- /dev/null
+++ b/rattanloom/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Clients' requests: from arrival to answer."""
--- /dev/null
+++ b/rattanloom/ingress/api.py
@@ -0,0 +1,141 @@
+"""The requests of clients: a job arrives, is placed, and is answered."""
+
+from http import HTTPStatus
+
+import gevent
+from attrs import define, field
+from bottle import Bottle, HTTPResponse, request
+from gevent.socket import socket
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.ingress.desk import JobDesk, PendingJob
+from rattanloom.ingress.queues import Queue, QueueTable
+from rattanloom.ingress.server import SOCKET_KEY, wait_until_gone
+from rattanloom.logs import get_log
+from rattanloom.metrics import Metrics
+from rattanloom.placement.work import JobOutcome, OutcomeKind
+from rattanloom.platform.fields import FormatError
+from rattanloom.platform.job_format import (
+    is_job_id,
+    read_job,
+    write_error,
+    write_state,
+)
+
+log = get_log("ingress")
+
+DEADLINE_HEADER = "Deadline-Ms"
+# The answer leaves this much before the client's deadline.
+ANSWER_MARGIN_MS = 15
+STATES = {OutcomeKind.COMPLETE: "complete", OutcomeKind.FAILED: "failed"}
+
+
+@define(eq=False)
+class ClientApi:
+    """Answers the requests of clients."""
+
+    queues: QueueTable
+    desk: JobDesk
+    metrics: Metrics
+    app: Bottle = field(factory=Bottle)
+
+    def __attrs_post_init__(self) -> None:
+        self.app.route("/<path:path>", "POST", self.post_job)
+        self.app.route("/<path:path>", "GET", self.get_job)
+        self.app.route("/<path:path>", "DELETE", self.delete_job)
+
+    def post_job(self, path: str) -> HTTPResponse:
+        """Run a job and answer when it has ended."""
+        found = self._find(f"/{path}")
+        if isinstance(found, HTTPResponse):
+            return found
+        queue, job_id = found
+        if not is_job_id(job_id):
+            return _error(HTTPStatus.BAD_REQUEST, f"{job_id!r} is not a job id")
+        limits = self.queues.configuration.limits
+        if (request.content_length or 0) > limits.body_bytes_max:
+            return _error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+        try:
+            posted = read_job(job_id, request.body.read(), queue, _deadline_ms(queue))
+        except FormatError as error:
+            return _error(HTTPStatus.BAD_REQUEST, str(error))
+        if posted.stored:
+            return _error(
+                HTTPStatus.SERVICE_UNAVAILABLE, "jobs that are stored are not supported"
+            )
+        pending = self.desk.submit(posted.job)
+        outcome = self._wait(pending, posted.job.remaining_ms)
+        return _answer(outcome)
+
+    def get_job(self, path: str) -> HTTPResponse:
+        """Tell a job's state, or how many jobs of a queue have not begun."""
+        found = self._find(f"/{path}")
+        if isinstance(found, HTTPResponse):
+            return found
+        if not found[1]:
+            return _json(HTTPStatus.OK, b'{"pending":0}')
+        return _error(HTTPStatus.GONE, "no such job")
+
+    def delete_job(self, path: str) -> HTTPResponse:
+        """Cancel a job."""
+        found = self._find(f"/{path}")
+        if isinstance(found, HTTPResponse):
+            return found
+        return _error(HTTPStatus.GONE, "no such job")
+
+    def _find(self, path: str) -> tuple[Queue, str] | HTTPResponse:
+        if self.queues.configuration is None:
+            return _error(HTTPStatus.SERVICE_UNAVAILABLE, "no configuration yet", 1_000)
+        queue = self.queues.find(request.get_header("Host", ""), path)
+        if queue is None:
+            return _error(HTTPStatus.NOT_FOUND, "no such queue")
+        return queue, path.removeprefix(queue.path_prefix)
+
+    def _wait(self, pending: PendingJob, remaining_ms: float) -> JobOutcome | None:
+        """Return the outcome; None where the client has gone or waits no more."""
+        watch = gevent.spawn(self._watch_client, pending, request.environ[SOCKET_KEY])
+        try:
+            timeout_ms = max(0, remaining_ms - ANSWER_MARGIN_MS)
+            return pending.result.get(timeout=timeout_ms / MS_PER_S)
+        except gevent.Timeout:
+            self.desk.cancel(pending)
+            return None
+        finally:
+            watch.kill(block=False)
+
+    def _watch_client(self, pending: PendingJob, connection: socket) -> None:
+        if wait_until_gone(connection):
+            self.desk.cancel(pending)
+            pending.result.set(None)
+
+
+def _deadline_ms(queue: Queue) -> float:
+    try:
+        return float(request.get_header(DEADLINE_HEADER))
+    except (TypeError, ValueError):
+        return queue.timeout_ms
+
+
+def _answer(outcome: JobOutcome | None) -> HTTPResponse:
+    if outcome is None:
+        return _error(HTTPStatus.GATEWAY_TIMEOUT, "the job did not end in time")
+    if outcome.kind in STATES:
+        return _json(HTTPStatus.OK, write_state(STATES[outcome.kind]))
+    if outcome.kind is OutcomeKind.REFUSED:
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+    else:
+        status = HTTPStatus.GATEWAY_TIMEOUT
+    return _error(status, outcome.reason, outcome.retry_after_ms)
+
+
+def _json(status: HTTPStatus, body: bytes) -> HTTPResponse:
+    return HTTPResponse(
+        body=body, status=status.value, headers={"Content-Type": "application/json"}
+    )
+
+
+def _error(status: HTTPStatus, reason: str, retry_after_ms: int = 0) -> HTTPResponse:
+    response = _json(status, write_error(reason))
+    if retry_after_ms:
+        response.set_header("Retry-After", str(-(-retry_after_ms // MS_PER_S)))
+    return response
--- /dev/null
+++ b/rattanloom/ingress/desk.py
@@ -0,0 +1,117 @@
+"""The jobs whose clients wait at this daemon, and the placers that have them."""
+
+from collections.abc import Callable
+
+from attrs import define, evolve, field
+from gevent.event import AsyncResult
+
+from rattanloom.clock import Clock
+from rattanloom.links.hub import LinkHub
+from rattanloom.links.messages import Cancel, Submit
+from rattanloom.logs import get_log
+from rattanloom.placement.placer import Placer
+from rattanloom.placement.work import JobOutcome, OutcomeKind, WorkJob
+
+log = get_log("ingress")
+
+# While a new owner takes over, a job is kept as long as it may still be on time.
+NO_PLACER_HOLD_MS = 250
+RETRY_AFTER_MS = 1_000
+
+
+@define(eq=False)
+class PendingJob:
+    """A job whose client waits; ``placer`` names the daemon that has it."""
+
+    work: WorkJob
+    arrived_ms: float
+    result: AsyncResult = field(factory=AsyncResult)
+    placer: str | None = None
+    may_run: bool = False
+
+
+@define(eq=False)
+class JobDesk:
+    """Hands jobs to the placer, and hands them on when the placer changes."""
+
+    node: str
+    clock: Clock
+    hub: LinkHub
+    placer: Placer
+    choose_placer: Callable[[], str | None]
+    pending: dict[str, PendingJob] = field(factory=dict)
+
+    def submit(self, work: WorkJob) -> PendingJob:
+        """Hand a job to the placer; its outcome arrives in ``result``."""
+        known = self.pending.get(work.job_id)
+        if known is not None:
+            return known
+        job = PendingJob(work, self.clock.now_ms())
+        self.pending[work.job_id] = job
+        self._hand_over(job)
+        return job
+
+    def cancel(self, job: PendingJob) -> None:
+        """End a job whose client has gone."""
+        self.pending.pop(job.work.job_id, None)
+        if job.placer == self.node:
+            self.placer.cancel(job.work.job_id)
+        elif job.placer is not None:
+            link = self.hub.link(job.placer)
+            if link is not None:
+                link.send(Cancel(job.work.job_id))
+
+    def deliver(self, outcome: JobOutcome) -> None:
+        """Take the end of a job from a placer."""
+        job = self.pending.pop(outcome.job_id, None)
+        if job is not None:
+            job.result.set(outcome)
+
+    def placers_changed(self) -> None:
+        """Hand on the jobs whose placer is no longer the one to use."""
+        placer = self.choose_placer()
+        for job in list(self.pending.values()):
+            if job.placer != placer:
+                self._hand_over(job)
+
+    def placer_lost(self, node: str) -> None:
+        """Note that a placer's jobs are without one until another is known."""
+        for job in self.pending.values():
+            if job.placer == node:
+                job.placer = None
+
+    def tick(self) -> None:
+        """Refuse the jobs that found no placer."""
+        now_ms = self.clock.now_ms()
+        for job in list(self.pending.values()):
+            if job.placer is not None:
+                continue
+            self._hand_over(job)
+            if job.placer is None and now_ms > self._hold_until_ms(job):
+                kind = OutcomeKind.GIVEN_UP if job.may_run else OutcomeKind.REFUSED
+                reason = "no placer can be reached"
+                outcome = JobOutcome(job.work.job_id, kind, reason, RETRY_AFTER_MS)
+                self.deliver(outcome)
+
+    def _hold_until_ms(self, job: PendingJob) -> float:
+        if not job.may_run:
+            return job.arrived_ms + NO_PLACER_HOLD_MS
+        deadline_ms = job.arrived_ms + job.work.remaining_ms
+        useful_ms = job.arrived_ms + 3 * job.work.objective_ms
+        return min(deadline_ms, useful_ms)
+
+    def _hand_over(self, job: PendingJob) -> None:
+        node = self.choose_placer()
+        waited_ms = self.clock.now_ms() - job.arrived_ms
+        work = evolve(
+            job.work,
+            remaining_ms=job.work.remaining_ms - waited_ms,
+            waited_ms=waited_ms,
+        )
+        if node == self.node:
+            job.placer = node
+            may_run, job.may_run = job.may_run, True
+            self.placer.submit(self, work, may_run)
+        elif node is not None and (link := self.hub.link(node)) is not None:
+            link.send(Submit(work, job.may_run))
+            job.placer, job.may_run = node, True
--- /dev/null
+++ b/rattanloom/ingress/queues.py
@@ -0,0 +1,71 @@
+"""The queues in force: which requests belong to which, and how each is run."""
+
+from attrs import define, field, frozen
+
+MS_DEFAULT_TIMEOUT = 1_500
+
+
+@frozen
+class Queue:
+    """One queue of jobs; ``priority`` 0 comes first.
+
+    A job's latency objective is ``slack_factor`` times its longest chain of
+    work plus ``latency_target_ms``.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    latency_target_ms: float = 0
+    timeout_ms: float = MS_DEFAULT_TIMEOUT
+
+
+@frozen
+class RequestLimits:
+    """Limits on what one client connection may send and how slowly."""
+
+    header_bytes_max: int = 16_384
+    body_bytes_max: int = 262_144
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+@frozen
+class Configuration:
+    """One version of the queues and limits."""
+
+    version: int
+    queues: tuple[Queue, ...]
+    limits: RequestLimits = field(factory=RequestLimits)
+
+
+@define(eq=False)
+class QueueTable:
+    """Finds the queue of a request by host and longest matching path prefix."""
+
+    configuration: Configuration | None = None
+    _by_host: dict[str, list[Queue]] = field(factory=dict)
+
+    def replace(self, configuration: Configuration) -> None:
+        """Put a version in force; an older one than the present is ignored."""
+        if self.configuration and configuration.version <= self.configuration.version:
+            return
+        by_host: dict[str, list[Queue]] = {}
+        for queue in configuration.queues:
+            by_host.setdefault(queue.host, []).append(queue)
+        for queues in by_host.values():
+            queues.sort(key=lambda queue: -len(queue.path_prefix))
+        self._by_host = by_host
+        self.configuration = configuration
+
+    def find(self, host: str, path: str) -> Queue | None:
+        """Return the queue that a request belongs to."""
+        name = host.rsplit(":", 1)[0] if ":" in host else host
+        for queue in self._by_host.get(name.lower(), ()):
+            if path.startswith(queue.path_prefix):
+                return queue
+        return None
--- /dev/null
+++ b/rattanloom/ingress/server.py
@@ -0,0 +1,125 @@
+"""HTTP for clients: one greenlet a connection, with bounded cost."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from socket import IPPROTO_TCP, MSG_PEEK, TCP_NODELAY
+
+import gevent
+from attrs import define, field
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.socket import socket, wait_read
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.ingress.queues import RequestLimits
+from rattanloom.logs import get_log
+
+log = get_log("ingress")
+
+SOCKET_KEY = "rattanloom.socket"
+BACKLOG = 1_024
+# Half of a machine's descriptors; the rest serves workers and other daemons.
+CONNECTIONS_MAX = 2_000
+
+
+@define(eq=False)
+class ConnectionState:
+    """What all client connections share; ``closing`` asks clients to reconnect."""
+
+    limits: Callable[[], RequestLimits]
+    in_flight: int = 0
+    closing: bool = False
+    idle: set[socket] = field(factory=set)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for connection in list(self.idle):
+            connection.close()
+
+
+class ClientHandler(WSGIHandler):
+    """Serves one connection within the limits in force."""
+
+    state: ConnectionState
+    requests_read = 0
+
+    def handle(self) -> None:
+        """Serve one connection; answers leave at once."""
+        self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        super().handle()
+
+    def get_environ(self) -> dict:
+        """Return the WSGI environment with the socket added."""
+        return super().get_environ() | {SOCKET_KEY: self.socket}
+
+    def read_requestline(self) -> str:
+        """Wait for the next request; an idle connection is closed in time."""
+        limits = self.state.limits()
+        idle_ms = limits.idle_timeout_ms
+        timeout_ms = idle_ms if self.requests_read else limits.header_timeout_ms
+        self.requests_read += 1
+        self.state.idle.add(self.socket)
+        try:
+            with gevent.Timeout(timeout_ms / MS_PER_S, False):
+                return super().read_requestline()
+            return ""
+        finally:
+            self.state.idle.discard(self.socket)
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read the headers within their time."""
+        with gevent.Timeout(self.state.limits().header_timeout_ms / MS_PER_S):
+            return super().read_request(raw_requestline)
+
+    def handle_one_request(self) -> object:
+        """Serve one request; a client that sends too slowly is cut off."""
+        try:
+            return super().handle_one_request()
+        except gevent.Timeout:
+            return None
+
+    def handle_one_response(self) -> None:
+        """Answer one request."""
+        self.state.in_flight += 1
+        try:
+            if self.state.closing:
+                self.close_connection = True
+            super().handle_one_response()
+        finally:
+            self.state.in_flight -= 1
+
+    def log_error(self, message: str, *args: object) -> None:
+        """Log malformed requests shortly."""
+        log.debug("malformed request: {}", message % args if args else message)
+
+
+@contextmanager
+def serving(
+    address: str, application: Callable, state: ConnectionState
+) -> Iterator[WSGIServer]:
+    """Serve a WSGI application on ``address`` until the block ends."""
+    host, _, port = address.rpartition(":")
+    handler = type("Handler", (ClientHandler,), {"state": state})
+    server = WSGIServer(
+        (host, int(port)),
+        application,
+        handler_class=handler,
+        spawn=Pool(CONNECTIONS_MAX),
+        backlog=BACKLOG,
+        log=None,
+        error_log=None,
+    )
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop(timeout=0)
+
+
+def wait_until_gone(connection: socket) -> bool:
+    """Wait until the client closes; False says that it sent more instead."""
+    try:
+        wait_read(connection.fileno())
+        return not connection.recv(1, MSG_PEEK)
+    except OSError:
+        return True
--- /dev/null
+++ b/rattanloom/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between the daemons of one deployment."""
--- /dev/null
+++ b/rattanloom/links/codec.py
@@ -0,0 +1,183 @@
+"""Messages to and from their wire form."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import capnp
+
+from rattanloom.links.messages import (
+    AskOwner,
+    Cancel,
+    Hello,
+    Message,
+    Outcome,
+    OwnerAnswer,
+    Ping,
+    Submit,
+    TakeZones,
+)
+from rattanloom.placement.work import (
+    JobOutcome,
+    JobPolicy,
+    OutcomeKind,
+    Step,
+    WorkJob,
+)
+from rattanloom.placement.workers import Resources
+
+SCHEMA = capnp.load(str(Path(__file__).with_name("links.capnp")))
+
+
+class BadMessageError(Exception):
+    """Bytes that are not a message between daemons."""
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the wire form of a message."""
+    builder = SCHEMA.Message.new_message()
+    _WRITERS[type(message)](builder, message)
+    return builder.to_bytes()
+
+
+def decode_message(content: bytes) -> Message:
+    """Return the message in ``content``; raise ``BadMessageError`` if none is."""
+    try:
+        with SCHEMA.Message.from_bytes(content) as reader:
+            return _READERS[reader.which()](reader)
+    except (capnp.KjException, KeyError, ValueError) as error:
+        raise BadMessageError(str(error)) from error
+
+
+def _put_hello(builder: object, hello: Hello) -> None:
+    slot = builder.init("hello")
+    slot.node = hello.node
+    slot.zone = hello.zone
+    slot.address = hello.address
+    slot.startedWallMs = hello.started_wall_ms
+
+
+def _read_hello(reader: object) -> Hello:
+    slot = reader.hello
+    return Hello(slot.node, slot.zone, slot.address, slot.startedWallMs)
+
+
+def _put_submit(builder: object, submit: Submit) -> None:
+    slot = builder.init("submit")
+    job, policy = submit.job, submit.job.policy
+    slot.jobId = job.job_id
+    slot.spec = job.spec.encode(errors="surrogatepass")
+    slot.service = policy.service
+    slot.priority = policy.priority
+    slot.maxAttempts = policy.max_attempts
+    slot.slackFactor = policy.slack_factor
+    slot.latencyTargetMs = policy.latency_target_ms
+    slot.remainingMs = job.remaining_ms
+    slot.waitedMs = job.waited_ms
+    slot.mayRun = submit.may_run
+    step_slots = slot.init("steps", len(job.steps))
+    for step_slot, step in zip(step_slots, job.steps, strict=True):
+        _put_step(step_slot, step)
+
+
+def _put_step(slot: object, step: Step) -> None:
+    slot.count = step.count
+    slot.cpuMillicores = step.need.cpu_millicores
+    slot.memoryMb = step.need.memory_mb
+    slot.gpus = step.need.gpus
+    slot.estimateMs = step.estimate_ms
+    slot.after = list(step.after)
+    slot.requiredLabel = step.required_label
+    slot.perWorkerMax = step.per_worker_max
+
+
+def _read_submit(reader: object) -> Submit:
+    slot = reader.submit
+    policy = JobPolicy(
+        slot.service,
+        slot.priority,
+        slot.maxAttempts,
+        slot.slackFactor,
+        slot.latencyTargetMs,
+    )
+    job = WorkJob(
+        slot.jobId,
+        bytes(slot.spec).decode(errors="surrogatepass"),
+        tuple(_read_step(step) for step in slot.steps),
+        policy,
+        slot.remainingMs,
+        slot.waitedMs,
+    )
+    return Submit(job, slot.mayRun)
+
+
+def _read_step(slot: object) -> Step:
+    return Step(
+        slot.count,
+        Resources(slot.cpuMillicores, slot.memoryMb, slot.gpus),
+        slot.estimateMs,
+        tuple(slot.after),
+        slot.requiredLabel,
+        slot.perWorkerMax,
+    )
+
+
+def _put_outcome(builder: object, message: Outcome) -> None:
+    slot = builder.init("outcome")
+    outcome = message.outcome
+    slot.jobId = outcome.job_id
+    slot.kind = outcome.kind.value
+    slot.reason = outcome.reason
+    slot.retryAfterMs = outcome.retry_after_ms
+
+
+def _read_outcome(reader: object) -> Outcome:
+    slot = reader.outcome
+    return Outcome(
+        JobOutcome(slot.jobId, OutcomeKind(slot.kind), slot.reason, slot.retryAfterMs)
+    )
+
+
+def _put_owner_answer(builder: object, answer: OwnerAnswer) -> None:
+    slot = builder.init("ownerAnswer")
+    slot.owner = answer.owner
+    slot.hears = answer.hears
+
+
+def _put_text(name: str, attribute: str) -> Callable[[object, Message], None]:
+    def put(builder: object, message: Message) -> None:
+        setattr(builder, name, getattr(message, attribute))
+
+    return put
+
+
+def _put_ping(builder: object, _: Ping) -> None:
+    builder.ping = None
+
+
+def _put_zones(builder: object, message: TakeZones) -> None:
+    builder.takeZones = list(message.zones)
+
+
+_WRITERS: dict[type, Callable[[object, Message], None]] = {
+    Hello: _put_hello,
+    Ping: _put_ping,
+    Submit: _put_submit,
+    Cancel: _put_text("cancel", "job_id"),
+    Outcome: _put_outcome,
+    AskOwner: _put_text("askOwner", "owner"),
+    OwnerAnswer: _put_owner_answer,
+    TakeZones: _put_zones,
+}
+
+_READERS: dict[str, Callable[[object], Message]] = {
+    "hello": _read_hello,
+    "ping": lambda reader: Ping(),
+    "submit": _read_submit,
+    "cancel": lambda reader: Cancel(reader.cancel),
+    "outcome": _read_outcome,
+    "askOwner": lambda reader: AskOwner(reader.askOwner),
+    "ownerAnswer": lambda reader: OwnerAnswer(
+        reader.ownerAnswer.owner, reader.ownerAnswer.hears
+    ),
+    "takeZones": lambda reader: TakeZones(tuple(reader.takeZones)),
+}
--- /dev/null
+++ b/rattanloom/links/hub.py
@@ -0,0 +1,114 @@
+"""The links of one daemon: those it accepts and those it keeps open."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import gevent
+from attrs import define, field
+from gevent.server import StreamServer
+from gevent.socket import create_connection, socket
+
+from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.links.link import Link
+from rattanloom.links.messages import Hello, Message
+from rattanloom.logs import get_log
+
+log = get_log("links")
+
+CONNECT_TIMEOUT_MS = 250
+RECONNECT_PAUSE_MS = 60
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+@define(eq=False)
+class LinkHub:
+    """Opens, accepts and looks up links by the name of the daemon."""
+
+    own: Hello
+    clock: Clock
+    on_message: Callable[[Link, Message], None]
+    on_open: Callable[[Link], None]
+    on_lost: Callable[[Link], None]
+    _links: dict[str, Link] = field(factory=dict)
+    _wanted: dict[str, tuple[str, float]] = field(factory=dict)
+    _dialling: set[str] = field(factory=set)
+
+    @contextmanager
+    def serving(self) -> Iterator[None]:
+        """Accept links on the own address until the block ends."""
+        server = StreamServer(split_address(self.own.address), self._accept)
+        server.start()
+        try:
+            yield
+        finally:
+            server.stop(timeout=0)
+            for link in list(self._links.values()):
+                link.close()
+
+    def link(self, node: str) -> Link | None:
+        """Return an open link to a daemon."""
+        link = self._links.get(node)
+        return link if link is not None and not link.closed else None
+
+    def nodes(self) -> tuple[str, ...]:
+        """Return the daemons that a link is open to."""
+        return tuple(node for node in self._links if self.link(node))
+
+    def hears(self, node: str) -> bool:
+        """Return whether a daemon was heard recently."""
+        link = self.link(node)
+        return link is not None and link.hears()
+
+    def want(self, node: str, address: str, until_ms: float) -> None:
+        """Keep a link to a daemon open, dialling again, until a time."""
+        self._wanted[node] = (address, until_ms)
+        if self.link(node) is None and node not in self._dialling:
+            self._dialling.add(node)
+            gevent.spawn(self._dial, node)
+
+    def received(self, link: Link, message: Message) -> None:
+        """Take one message of a link."""
+        self.on_message(link, message)
+
+    def lost(self, link: Link, reason: str) -> None:
+        """Take the end of a link."""
+        node = link.peer.node
+        if self._links.get(node) is link:
+            del self._links[node]
+        log.info("link to {} ended: {}", node, reason)
+        self.on_lost(link)
+
+    def _accept(self, connection: socket, _: object) -> None:
+        self._run(connection)
+
+    def _dial(self, node: str) -> None:
+        try:
+            while self._is_wanted(node) and self.link(node) is None:
+                address, _ = self._wanted[node]
+                try:
+                    connection = create_connection(
+                        split_address(address), CONNECT_TIMEOUT_MS / MS_PER_S
+                    )
+                except OSError:
+                    gevent.sleep(RECONNECT_PAUSE_MS / MS_PER_S)
+                    continue
+                self._run(connection)
+                gevent.sleep(RECONNECT_PAUSE_MS / MS_PER_S)
+        finally:
+            self._dialling.discard(node)
+
+    def _is_wanted(self, node: str) -> bool:
+        _, until_ms = self._wanted.get(node, ("", 0))
+        return self.clock.now_ms() < until_ms
+
+    def _run(self, connection: socket) -> None:
+        Link(connection, self.clock, self.own, self).run(self._opened)
+
+    def _opened(self, link: Link) -> None:
+        self._links[link.peer.node] = link
+        self.on_open(link)
--- /dev/null
+++ b/rattanloom/links/link.py
@@ -0,0 +1,139 @@
+"""One open connection between two daemons; either side may write at any time."""
+
+import struct
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+from attrs import define, field
+from gevent.event import Event
+from gevent.socket import IPPROTO_TCP, TCP_NODELAY, socket
+
+from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.links.codec import BadMessageError, decode_message, encode_message
+from rattanloom.links.messages import Hello, Message, Ping
+from rattanloom.logs import get_log
+
+log = get_log("links")
+
+LENGTH = struct.Struct(">I")
+MESSAGE_MAX_BYTES = 1_000_000
+# An idle link shows itself alive this often; four losses in a row are silence.
+PING_INTERVAL_MS = 100
+SILENT_AFTER_MS = 450
+HELLO_TIMEOUT_MS = 400
+READ_BYTES = 65_536
+
+
+class LinkLostError(Exception):
+    """The connection ended or went silent."""
+
+
+class LinkHandler(Protocol):
+    """What a link calls; each call runs in the link's own reader greenlet."""
+
+    def received(self, link: "Link", message: Message) -> None:
+        """Take one message; must not block."""
+
+    def lost(self, link: "Link", reason: str) -> None:
+        """Take the end of the link; called once."""
+
+
+@define(eq=False)
+class Link:
+    """An open link; ``peer`` is what the other daemon said of itself."""
+
+    socket: socket
+    clock: Clock
+    own: Hello
+    handler: LinkHandler
+    peer: Hello | None = None
+    heard_ms: float = 0
+    closed: bool = False
+    _outgoing: deque[bytes] = field(factory=deque)
+    _writable: Event = field(factory=Event)
+    _buffer: bytearray = field(factory=bytearray)
+
+    def run(self, on_open: Callable[["Link"], None]) -> None:
+        """Exchange hellos, then read messages until the link ends."""
+        self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        writer = gevent.spawn(self._write_all)
+        reason = "closed by the peer"
+        try:
+            self.send(self.own)
+            self._read_hello()
+            on_open(self)
+            self._read_all()
+        except (OSError, BadMessageError, LinkLostError) as error:
+            reason = str(error) or type(error).__name__
+        finally:
+            self.close()
+            writer.kill(block=False)
+        if self.peer is not None:
+            self.handler.lost(self, reason)
+
+    def send(self, message: Message) -> None:
+        """Queue a message; it is lost silently if the link ends first."""
+        if self.closed:
+            return
+        content = encode_message(message)
+        self._outgoing.append(LENGTH.pack(len(content)) + content)
+        self._writable.set()
+
+    def close(self) -> None:
+        """Close the connection; messages that wait are dropped."""
+        if not self.closed:
+            self.closed = True
+            self._writable.set()
+            self.socket.close()
+
+    def hears(self) -> bool:
+        """Return whether the peer was heard recently."""
+        quiet_ms = self.clock.now_ms() - self.heard_ms
+        return not self.closed and quiet_ms < SILENT_AFTER_MS
+
+    def _write_all(self) -> None:
+        while not self.closed:
+            if not self._writable.wait(PING_INTERVAL_MS / MS_PER_S):
+                self.send(Ping())
+            self._writable.clear()
+            content = b"".join(self._outgoing)
+            self._outgoing.clear()
+            try:
+                if content and not self.closed:
+                    self.socket.sendall(content)
+            except OSError as error:
+                log.debug("Write failed: {}", error)
+                self.close()
+
+    def _read_hello(self) -> None:
+        hello = self._read_message(HELLO_TIMEOUT_MS)
+        if not isinstance(hello, Hello):
+            raise BadMessageError("the peer sent no hello")
+        self.peer = hello
+
+    def _read_all(self) -> None:
+        while not self.closed:
+            message = self._read_message(SILENT_AFTER_MS)
+            if not isinstance(message, Ping):
+                self.handler.received(self, message)
+
+    def _read_message(self, timeout_ms: float) -> Message:
+        head = self._read_exactly(LENGTH.size, timeout_ms)
+        (size_bytes,) = LENGTH.unpack(head)
+        if size_bytes > MESSAGE_MAX_BYTES:
+            raise BadMessageError(f"message of {size_bytes} bytes")
+        return decode_message(self._read_exactly(size_bytes, timeout_ms))
+
+    def _read_exactly(self, size_bytes: int, timeout_ms: float) -> bytes:
+        while len(self._buffer) < size_bytes:
+            self.socket.settimeout(timeout_ms / MS_PER_S)
+            chunk = self.socket.recv(READ_BYTES)
+            if not chunk:
+                raise LinkLostError("closed by the peer")
+            self.heard_ms = self.clock.now_ms()
+            self._buffer += chunk
+        content = bytes(self._buffer[:size_bytes])
+        del self._buffer[:size_bytes]
+        return content
--- /dev/null
+++ b/rattanloom/links/links.capnp
@@ -0,0 +1,59 @@
+@0xd4a9f0c3b7e15268;
+# Messages between the daemons of one deployment, over TCP.
+
+struct Hello {
+  node @0 :Text;
+  zone @1 :Text;
+  address @2 :Text;
+  startedWallMs @3 :UInt64;
+}
+
+struct Step {
+  count @0 :UInt32;
+  cpuMillicores @1 :UInt32;
+  memoryMb @2 :UInt32;
+  gpus @3 :UInt32;
+  estimateMs @4 :Float32;
+  after @5 :List(UInt16);
+  requiredLabel @6 :Text;
+  perWorkerMax @7 :UInt32;
+}
+
+struct Submit {
+  jobId @0 :Text;
+  spec @1 :Data;
+  steps @2 :List(Step);
+  service @3 :Text;
+  priority @4 :UInt16;
+  maxAttempts @5 :UInt16;
+  slackFactor @6 :Float32;
+  latencyTargetMs @7 :Float32;
+  remainingMs @8 :Float32;
+  waitedMs @9 :Float32;
+  mayRun @10 :Bool;
+}
+
+struct Outcome {
+  jobId @0 :Text;
+  kind @1 :Text;
+  reason @2 :Text;
+  retryAfterMs @3 :UInt32;
+}
+
+struct OwnerAnswer {
+  owner @0 :Text;
+  hears @1 :Bool;
+}
+
+struct Message {
+  union {
+    hello @0 :Hello;
+    ping @1 :Void;
+    submit @2 :Submit;
+    cancel @3 :Text;
+    outcome @4 :Outcome;
+    askOwner @5 :Text;
+    ownerAnswer @6 :OwnerAnswer;
+    takeZones @7 :List(Text);
+  }
+}
--- /dev/null
+++ b/rattanloom/links/messages.py
@@ -0,0 +1,71 @@
+"""The typed messages between daemons; ``links.capnp`` has their wire form."""
+
+from attrs import frozen
+
+from rattanloom.placement.work import JobOutcome, WorkJob
+
+
+@frozen
+class Hello:
+    """The first message in both directions: who speaks, and since when."""
+
+    node: str
+    zone: str
+    address: str
+    started_wall_ms: int
+
+
+@frozen
+class Ping:
+    """Shows that the sender is alive."""
+
+
+@frozen
+class Submit:
+    """Hands a job to a placer.
+
+    ``may_run`` says that another placer had the job before, so that its tasks
+    may be running.
+    """
+
+    job: WorkJob
+    may_run: bool = False
+
+
+@frozen
+class Cancel:
+    """Ends a job whose client has gone."""
+
+    job_id: str
+
+
+@frozen
+class Outcome:
+    """Tells the end of a job."""
+
+    outcome: JobOutcome
+
+
+@frozen
+class AskOwner:
+    """Asks whether the receiver hears this owner."""
+
+    owner: str
+
+
+@frozen
+class OwnerAnswer:
+    """Answers ``AskOwner``."""
+
+    owner: str
+    hears: bool
+
+
+@frozen
+class TakeZones:
+    """Asks the receiver to take the workers of these zones over."""
+
+    zones: tuple[str, ...]
+
+
+Message = Hello | Ping | Submit | Cancel | Outcome | AskOwner | OwnerAnswer | TakeZones
--- /dev/null
+++ b/rattanloom/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemon gives orders to the workers of a zone."""
--- /dev/null
+++ b/rattanloom/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where jobs wait, and how their tasks are ordered on workers."""
--- /dev/null
+++ b/rattanloom/placement/choice.py
@@ -0,0 +1,64 @@
+"""Which worker a task is given to."""
+
+from collections.abc import Iterable
+
+from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
+from rattanloom.placement.runs import PlacedTask
+
+# A worker at this failure score gets work only where no other has room.
+UNRELIABLE_SCORE = 1.5
+# Speeds are compared in steps of a quarter, as estimates are off by 40%.
+SPEED_STEP = 0.25
+
+
+def choose_worker(
+    task: PlacedTask, workers: Iterable[PooledWorker], now_ms: float
+) -> PooledWorker | None:
+    """Return the best worker with room: reliable, fast, and fullest after it."""
+    best, best_rank = None, None
+    for worker in workers:
+        if not may_run(task, worker, now_ms):
+            continue
+        rank = _rank(task, worker)
+        if best_rank is None or rank < best_rank:
+            best, best_rank = worker, rank
+    return best
+
+
+def may_run(task: PlacedTask, worker: PooledWorker, now_ms: float) -> bool:
+    """Return whether a worker may and can take a task now."""
+    if worker.state is not WorkerState.READY or not worker.entry.accepting:
+        return False
+    if worker.refused_until_ms > now_ms:
+        return False
+    if not worker.free().fits(task.step.need):
+        return False
+    return suits(task, worker)
+
+
+def suits(task: PlacedTask, worker: PooledWorker) -> bool:
+    """Return whether a worker is of the kind that a task asks for."""
+    if worker.entry.service != task.job.work.policy.service:
+        return False
+    label = task.step.required_label
+    if label and label not in worker.entry.labels:
+        return False
+    limit = task.step.per_worker_max
+    return not limit or _siblings(task, worker) < limit
+
+
+def _siblings(task: PlacedTask, worker: PooledWorker) -> int:
+    return sum(
+        run.task is not None
+        and run.task.job is task.job
+        and run.task.step_number == task.step_number
+        for run in worker.runs.values()
+    )
+
+
+def _rank(task: PlacedTask, worker: PooledWorker) -> tuple:
+    is_avoided = worker.worker_id in task.avoided_workers
+    is_unreliable = worker.failure_score >= UNRELIABLE_SCORE
+    slowness = int(worker.speed / SPEED_STEP)
+    leftover = worker.free().cpu_millicores - task.step.need.cpu_millicores
+    return is_avoided, is_unreliable, slowness, leftover
--- /dev/null
+++ b/rattanloom/placement/placer.py
@@ -0,0 +1,347 @@
+"""The placer: owns a pool of workers and runs the jobs that daemons hand to it."""
+
+from collections.abc import Callable, Iterable
+
+import gevent
+from attrs import define, field
+
+from rattanloom.clock import Clock
+from rattanloom.logs import get_log
+from rattanloom.placement.choice import choose_worker
+from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
+from rattanloom.placement.runs import (
+    PlacedJob,
+    PlacedTask,
+    Run,
+    RunPhase,
+    Session,
+    TaskState,
+    make_job,
+    ready_tasks,
+)
+from rattanloom.placement.waiting import WaitingTasks
+from rattanloom.placement.work import JobOutcome, OutcomeKind, WorkJob
+from rattanloom.placement.worker_lease import WorkerLease
+from rattanloom.placement.workers import (
+    EndedTask,
+    HowEnded,
+    StartRefusal,
+    WorkerEntry,
+    WorkerOrders,
+)
+
+log = get_log("placement")
+
+# Below the lease limit of the platform, so that runs end before a resend.
+LEASE_MS = 900
+# A worker that refused an order is passed over this long.
+REFUSED_PAUSE_MS = 100
+UNHEALTHY_PAUSE_MS = 500
+# Runs that nobody claims are stopped; daemons hand their jobs over in a few ms.
+FOREIGN_STOP_MS = 300
+# Time for a daemon whose link broke to come back before its jobs are ended.
+ORPHAN_MS = 300
+# A task stays in the wait for other workers' reports at most this long: by
+# then leases of the placer before have run out.
+ADOPTION_MAX_MS = 1_050
+# Ended runs that nobody has asked about are kept this long.
+RECENT_MS = 5_000
+RETRY_AFTER_MS = 1_000
+SPEED_WEIGHT = 0.15
+SPEED_MIN, SPEED_MAX = 0.25, 10.0
+
+
+@define(eq=False)
+class Placer:
+    """Places tasks on the workers of the zones that this daemon owns.
+
+    ``connect`` makes the client of a worker. ``fenced`` is called with a
+    worker that turned out to follow another placer.
+    """
+
+    clock: Clock
+    connect: Callable[[WorkerEntry], WorkerOrders]
+    fenced: Callable[[PooledWorker], None]
+    workers: dict[str, PooledWorker] = field(factory=dict)
+    jobs: dict[str, PlacedJob] = field(factory=dict)
+    waiting: WaitingTasks = field(factory=WaitingTasks)
+    settled_ms: float = 0
+    _foreign: dict[str, tuple[PooledWorker, Run]] = field(factory=dict)
+    _recent_done: dict[str, float] = field(factory=dict)
+    _pumping: bool = False
+
+    # Workers
+
+    def add_worker(self, entry: WorkerEntry, fencing_token: int) -> None:
+        """Order a worker from now on, under ``fencing_token``."""
+        worker = PooledWorker(
+            entry,
+            self.connect(entry),
+            self,
+            self.clock,
+            WorkerLease(self.clock, LEASE_MS),
+            fencing_token,
+        )
+        self.workers[entry.worker_id] = worker
+        worker.open()
+
+    def remove_worker(self, worker_id: str, reason: str) -> None:
+        """Give a worker up; its runs count as running until their lease is over."""
+        worker = self.workers.pop(worker_id, None)
+        if worker is None:
+            return
+        log.info("worker {} leaves the pool: {}", worker_id, reason)
+        worker.close()
+        for run in list(worker.runs.values()):
+            self._foreign.pop(run.name, None)
+            if run.task is not None:
+                gevent.spawn(self._vanish_when_over, worker, run)
+
+    def _vanish_when_over(self, worker: PooledWorker, run: Run) -> None:
+        while not worker.lease.is_over():
+            gevent.sleep(max(0.01, (worker.lease.over_ms - self.clock.now_ms()) / 1000))
+        self.run_vanished(worker, run, "its worker left the pool")
+
+    def is_synced(self) -> bool:
+        """Return whether every worker has reported, or its old lease is over."""
+        if self.clock.now_ms() >= self.settled_ms:
+            return True
+        return all(
+            worker.state is not WorkerState.SYNCING for worker in self.workers.values()
+        )
+
+    # Jobs
+
+    def submit(self, session: Session, work: WorkJob, may_run: bool) -> None:
+        """Take a job; its outcome is delivered to ``session``."""
+        known = self.jobs.get(work.job_id)
+        if known is not None:
+            known.session = session
+            known.deadline_ms = self.clock.now_ms() + work.remaining_ms
+            return
+        job = make_job(work, session, may_run, self.clock.now_ms())
+        self.jobs[job.job_id] = job
+        self._claim_foreign(job)
+        self._open_tasks(job)
+        self.pump()
+
+    def cancel(self, job_id: str) -> None:
+        """End a job whose client has gone."""
+        job = self.jobs.get(job_id)
+        if job is not None:
+            self._end(job, None)
+
+    def session_lost(self, node: str) -> None:
+        """Let the jobs of a daemon wait a moment for it to come back."""
+        for job in self.jobs.values():
+            if job.session is not None and job.session.node == node:
+                job.session = None
+                job.orphaned_ms = self.clock.now_ms()
+
+    def forget_all(self) -> None:
+        """Forget all jobs; another placer has them."""
+        for job in self.jobs.values():
+            job.ended = True
+        self.jobs.clear()
+        self.waiting.clear()
+        self._foreign.clear()
+
+    def tick(self) -> None:
+        """Stop unclaimed runs, end orphans and jobs past their deadline."""
+        now_ms = self.clock.now_ms()
+        for worker, run in list(self._foreign.values()):
+            if now_ms > run.ordered_ms + FOREIGN_STOP_MS:
+                log.info("stopping {} on {}: unclaimed", run.name, worker.worker_id)
+                del self._foreign[run.name]
+                worker.stop(run)
+        for job in list(self.jobs.values()):
+            if job.session is None and now_ms > job.orphaned_ms + ORPHAN_MS:
+                self._end(job, None)
+            elif now_ms > job.deadline_ms:
+                self._give_up(job, "its deadline has passed")
+        for name, ended_ms in list(self._recent_done.items()):
+            if now_ms > ended_ms + RECENT_MS:
+                del self._recent_done[name]
+        self.pump()
+
+    def _claim_foreign(self, job: PlacedJob) -> None:
+        for task in job.tasks:
+            found = self._foreign.pop(task.name, None)
+            if found is not None:
+                worker, run = found
+                worker.adopt(run, task)
+                task.state = TaskState.PLACED
+                job.started = True
+            elif task.name in self._recent_done and job.may_run:
+                self._finish(task)
+
+    def _open_tasks(self, job: PlacedJob) -> None:
+        for task in ready_tasks(job):
+            self.waiting.add(task, self.clock.now_ms())
+
+    def _give_up(self, job: PlacedJob, reason: str) -> None:
+        kind = OutcomeKind.REFUSED
+        if job.started or job.may_run:
+            kind = OutcomeKind.GIVEN_UP
+        self._end(job, JobOutcome(job.job_id, kind, reason, RETRY_AFTER_MS))
+
+    def _end(self, job: PlacedJob, outcome: JobOutcome | None) -> None:
+        if job.ended:
+            return
+        job.ended = True
+        self.jobs.pop(job.job_id, None)
+        if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
+            self._stop_runs(job)
+        if outcome is not None and job.session is not None:
+            job.session.deliver(outcome)
+
+    def _stop_runs(self, job: PlacedJob) -> None:
+        for worker in self.workers.values():
+            for run in list(worker.runs.values()):
+                is_of_job = run.task is not None and run.task.job is job
+                if is_of_job and run.phase is not RunPhase.STOPPING:
+                    worker.stop(run)
+
+    # Placing
+
+    def pump(self) -> None:
+        """Start waiting tasks, first things first, while there is room."""
+        if self._pumping:
+            return
+        self._pumping = True
+        try:
+            self._start_waiting()
+        finally:
+            self._pumping = False
+
+    def _start_waiting(self) -> None:
+        now_ms = self.clock.now_ms()
+        passed_over: list[PlacedTask] = []
+        no_room_millicores = None
+        while (task := self.waiting.take()) is not None:
+            cpu = task.step.need.cpu_millicores
+            if no_room_millicores is not None and cpu >= no_room_millicores:
+                passed_over.append(task)
+                continue
+            if task.job.may_run and not self.is_synced():
+                passed_over.append(task)
+                continue
+            worker = choose_worker(task, self.workers.values(), now_ms)
+            if worker is None:
+                passed_over.append(task)
+                no_room_millicores = cpu
+                continue
+            task.state = TaskState.PLACED
+            task.job.started = True
+            worker.begin(task)
+        for task in passed_over:
+            self.waiting.put_back(task)
+
+    # Events of workers
+
+    def worker_changed(self, worker: PooledWorker) -> None:
+        """Take that a worker has room or has changed its state."""
+        if worker.state is WorkerState.FENCED:
+            self.remove_worker(worker.worker_id, "fenced by another placer")
+            self.fenced(worker)
+        self.pump()
+
+    def run_ended(self, worker: PooledWorker, run: Run, end: EndedTask) -> None:
+        """Take the end of a run."""
+        task = run.task
+        if task is None or task.job.ended:
+            self._foreign.pop(run.name, None)
+        elif end.how is HowEnded.DONE:
+            self._note_sound(worker, run)
+            self._finish(task)
+        elif end.how is HowEnded.FAILED:
+            self._note_failed(worker, task)
+        else:
+            self._requeue(task)
+        self.pump()
+
+    def run_vanished(self, worker: PooledWorker, run: Run, reason: str) -> None:
+        """Take that a run is surely not running and its end is not known."""
+        self._foreign.pop(run.name, None)
+        if run.task is not None and not run.task.job.ended:
+            log.info("{} on {} is lost: {}", run.name, worker.worker_id, reason)
+            run.task.avoided_workers.add(worker.worker_id)
+            self._requeue(run.task)
+            self.pump()
+
+    def run_not_started(
+        self, worker: PooledWorker, run: Run, refusal: StartRefusal | None
+    ) -> None:
+        """Take that an order surely had no effect."""
+        now_ms = self.clock.now_ms()
+        pause_ms = REFUSED_PAUSE_MS
+        if refusal is StartRefusal.UNHEALTHY:
+            pause_ms = UNHEALTHY_PAUSE_MS
+        worker.refused_until_ms = now_ms + pause_ms
+        log.info(
+            "{} not started on {}: {}",
+            run.name,
+            worker.worker_id,
+            refusal.value if refusal else "no connection, or fenced off",
+        )
+        if run.task is not None and not run.task.job.ended:
+            self._requeue(run.task)
+            self.pump()
+
+    def foreign_run(self, worker: PooledWorker, run: Run) -> None:
+        """Take a run that another placer ordered."""
+        for job in self._jobs_named(run.name):
+            for task in job.tasks:
+                if task.name == run.name and task.state is TaskState.WAITING:
+                    worker.adopt(run, task)
+                    task.state = TaskState.PLACED
+                    job.started = True
+                    return
+        self._foreign[run.name] = (worker, run)
+
+    def foreign_end(self, worker: PooledWorker, end: EndedTask) -> None:
+        """Take the end of a run that another placer ordered."""
+        if end.how is not HowEnded.DONE:
+            return
+        self._recent_done[end.task] = self.clock.now_ms()
+        for job in self._jobs_named(end.task):
+            for task in job.tasks:
+                if task.name == end.task and task.state is TaskState.WAITING:
+                    self._finish(task)
+
+    def _jobs_named(self, task_name: str) -> Iterable[PlacedJob]:
+        job = self.jobs.get(task_name.partition(".")[0])
+        return () if job is None else (job,)
+
+    def _finish(self, task: PlacedTask) -> None:
+        if task.state is TaskState.DONE:
+            return
+        task.state = TaskState.DONE
+        job = task.job
+        job.tasks_left -= 1
+        if job.tasks_left == 0:
+            self._end(job, JobOutcome(job.job_id, OutcomeKind.COMPLETE))
+        else:
+            self._open_tasks(job)
+
+    def _requeue(self, task: PlacedTask) -> None:
+        self.waiting.add(task, self.clock.now_ms())
+
+    def _note_sound(self, worker: PooledWorker, run: Run) -> None:
+        worker.failure_score /= 2
+        if run.confirmed_ms is None or not run.step.estimate_ms:
+            return
+        took_ms = self.clock.now_ms() - run.confirmed_ms
+        ratio = min(max(took_ms / run.step.estimate_ms, SPEED_MIN), SPEED_MAX)
+        worker.speed += SPEED_WEIGHT * (ratio - worker.speed)
+
+    def _note_failed(self, worker: PooledWorker, task: PlacedTask) -> None:
+        worker.failure_score += 1
+        task.failures += 1
+        task.avoided_workers.add(worker.worker_id)
+        job = task.job
+        if task.failures >= job.work.policy.max_attempts:
+            reason = f"task {task.name} failed {task.failures} times"
+            self._end(job, JobOutcome(job.job_id, OutcomeKind.FAILED, reason))
+        else:
+            self._requeue(task)
--- /dev/null
+++ b/rattanloom/placement/pooled_worker.py
@@ -0,0 +1,378 @@
+"""One worker in a placer's pool: its lease, its runs, and the orders to it."""
+
+from enum import Enum
+from typing import Protocol
+
+import gevent
+from attrs import define, field
+
+from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.logs import get_log
+from rattanloom.placement.runs import PlacedTask, Run, RunPhase
+from rattanloom.placement.worker_lease import WorkerLease
+from rattanloom.placement.workers import (
+    EndedTask,
+    NotStarted,
+    Renewal,
+    Resources,
+    RunningTask,
+    Started,
+    StartOrder,
+    StartRefusal,
+    WorkerEntry,
+    WorkerOrders,
+    WorkerReport,
+)
+
+log = get_log("placement")
+
+# A busy worker's lease is renewed after a third of its duration.
+BUSY_WAIT_MS = 300
+# An idle worker is asked seldom: only to see that it is alive.
+IDLE_WAIT_MS = 1_500
+# Pause between looks at a worker that does not answer.
+SILENT_PAUSE_MS = 100
+SILENT_PAUSE_MAX_MS = 1_000
+ATTEMPT_TRIES = 5
+STOP_AGAIN_MS = 150
+# Need assumed of runs whose job is not known.
+UNKNOWN_NEED_MILLICORES = 1_000
+
+
+class WorkerState(Enum):
+    """What the placer knows of a worker.
+
+    SYNCING until its first report; SILENT while it does not answer; FENCED
+    once it follows another placer.
+    """
+
+    SYNCING = "syncing"
+    READY = "ready"
+    SILENT = "silent"
+    FENCED = "fenced"
+
+
+class WorkerEvents(Protocol):
+    """What a pooled worker tells its placer; calls must not block."""
+
+    def run_ended(self, worker: "PooledWorker", run: Run, end: EndedTask) -> None:
+        """Take the end of a run."""
+
+    def run_vanished(self, worker: "PooledWorker", run: Run, reason: str) -> None:
+        """Take that a run is surely not running and its end is not known."""
+
+    def run_not_started(
+        self, worker: "PooledWorker", run: Run, refusal: StartRefusal | None
+    ) -> None:
+        """Take that an order surely had no effect."""
+
+    def foreign_run(self, worker: "PooledWorker", run: Run) -> None:
+        """Take a run that another placer ordered."""
+
+    def foreign_end(self, worker: "PooledWorker", end: EndedTask) -> None:
+        """Take the end of a run that another placer ordered."""
+
+    def worker_changed(self, worker: "PooledWorker") -> None:
+        """Take that a worker has room or has changed its state."""
+
+
+@define(eq=False)
+class PooledWorker:
+    """One incarnation of a worker under this placer's fencing token."""
+
+    entry: WorkerEntry
+    orders: WorkerOrders
+    events: WorkerEvents
+    clock: Clock
+    lease: WorkerLease
+    fencing_token: int
+    state: WorkerState = WorkerState.SYNCING
+    runs: dict[tuple[str, int], Run] = field(factory=dict)
+    used: Resources = field(factory=Resources)
+    ends_noted: int = 0
+    incarnation_ms: int = 0
+    misses: int = 0
+    refused_until_ms: float = 0
+    failure_score: float = 0
+    speed: float = 1.0
+    closed: bool = False
+    _watch: gevent.Greenlet | None = None
+    _idle_wait: bool = False
+    _bridging: bool = False
+
+    @property
+    def worker_id(self) -> str:
+        """Return the worker's id."""
+        return self.entry.worker_id
+
+    def free(self) -> Resources:
+        """Return the capacity that no run uses."""
+        return self.entry.capacity.minus(self.used)
+
+    def open(self) -> None:
+        """Start watching the worker."""
+        self._watch = gevent.spawn(self._watch_all)
+
+    def close(self) -> None:
+        """Stop ordering this worker; what runs there is left to its lease."""
+        if not self.closed:
+            self.closed = True
+            self.orders.close()
+            if self._watch is not None and self._watch is not gevent.getcurrent():
+                self._watch.kill(block=False)
+
+    def begin(self, task: PlacedTask) -> Run:
+        """Take room for a task and send its start."""
+        task.attempt += 1
+        now_ms = self.clock.now_ms()
+        run = Run(task.name, task.attempt, task, task.step, RunPhase.STARTING, now_ms)
+        self._add(run)
+        gevent.spawn(self._start, run)
+        return run
+
+    def stop(self, run: Run) -> None:
+        """Stop a run; its room is free once its end is listed."""
+        run.phase = RunPhase.STOPPING
+        run.stop_sent_ms = self.clock.now_ms()
+        gevent.spawn(self._stop, run)
+
+    def adopt(self, run: Run, task: PlacedTask) -> None:
+        """Give a foreign run to the task that it belongs to."""
+        self._remove(run)
+        run.task, run.step = task, task.step
+        run.phase = RunPhase.RUNNING
+        run.confirmed_ms = self.clock.now_ms()
+        task.attempt = max(task.attempt, run.attempt)
+        self._add(run)
+
+    def _add(self, run: Run) -> None:
+        self.runs[run.key] = run
+        self.used = self.used.plus(_need(run))
+
+    def _remove(self, run: Run) -> bool:
+        if self.runs.get(run.key) is not run:
+            return False
+        del self.runs[run.key]
+        self.used = self.used.minus(_need(run))
+        return True
+
+    def _start(self, run: Run) -> None:
+        for _ in range(ATTEMPT_TRIES):
+            token = self.fencing_token
+            order = StartOrder(
+                run.name,
+                run.attempt,
+                run.task.job.work.spec,
+                self.lease.extend(),
+                token,
+            )
+            reply = self.orders.start(order)
+            if self.closed or self.runs.get(run.key) is not run:
+                return
+            if not self._is_to_repeat(run, reply, token):
+                break
+        self._take_start_reply(run, reply)
+
+    def _is_to_repeat(self, run: Run, reply: object, token: int) -> bool:
+        if not isinstance(reply, NotStarted):
+            return False
+        if reply.refusal is StartRefusal.ATTEMPT_TOO_OLD:
+            self._remove(run)
+            run.attempt += 1
+            run.task.attempt = run.attempt
+            self._add(run)
+            return True
+        return reply.refusal is StartRefusal.FENCED and token < self.fencing_token
+
+    def _take_start_reply(
+        self, run: Run, reply: Started | NotStarted | Failure
+    ) -> None:
+        if isinstance(reply, Started):
+            self.lease.heard(reply.clock_ms)
+            if run.phase is RunPhase.STARTING:
+                run.phase = RunPhase.RUNNING
+            run.confirmed_ms = self.clock.now_ms()
+            self._renew_while_idle_wait()
+        elif isinstance(reply, NotStarted):
+            self._take_refusal(run, reply)
+        elif reply.kind is ErrorKind.PLATFORM_UNREACHABLE:
+            self._miss(reply)
+            self._give_back(run, None)
+        else:
+            self._resolve_lost_start(run, reply)
+
+    def _take_refusal(self, run: Run, reply: NotStarted) -> None:
+        if reply.clock_ms:
+            self.lease.heard(reply.clock_ms)
+        if reply.refusal is StartRefusal.FENCED:
+            self._fenced()
+        self._give_back(run, reply.refusal)
+
+    def _give_back(self, run: Run, refusal: StartRefusal | None) -> None:
+        if self._remove(run):
+            self.events.run_not_started(self, run, refusal)
+
+    def _resolve_lost_start(self, run: Run, failure: Failure) -> None:
+        """Fence the lost order off with a higher token, then look what runs."""
+        log.info(
+            "start of {} on {} got no answer ({}); fencing it off",
+            run.name,
+            self.worker_id,
+            failure.reason,
+        )
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.UNCERTAIN
+        self.fencing_token += 1
+        run.uncertain_token = self.fencing_token
+        self.look()
+
+    def _stop(self, run: Run) -> None:
+        reply = self.orders.stop(run.name, run.attempt, self.fencing_token)
+        if isinstance(reply, Failure):
+            log.info("stop of {} on {}: {}", run.name, self.worker_id, reply.reason)
+
+    def look(self) -> None:
+        """Ask for a report now, beside the one that is waited for."""
+        gevent.spawn(self._renew, 0)
+
+    def _watch_all(self) -> None:
+        while not self.closed:
+            if self.state is WorkerState.FENCED:
+                return
+            if self.misses:
+                pause_ms = min(SILENT_PAUSE_MS * self.misses, SILENT_PAUSE_MAX_MS)
+                gevent.sleep((pause_ms if self.misses > 1 else 0) / MS_PER_S)
+                self._renew(0)
+                self._drop_lapsed()
+                continue
+            self._idle_wait = not self.runs
+            self._renew(IDLE_WAIT_MS if self._idle_wait else BUSY_WAIT_MS)
+
+    def _renew(self, wait_ms: int) -> None:
+        sent_ms = self.clock.now_ms()
+        token = self.fencing_token
+        synced = self.state is not WorkerState.SYNCING
+        leasing = synced and self.runs and self.misses < 2
+        lease_until_ms = self.lease.extend() if leasing else None
+        if self.state is WorkerState.SYNCING:
+            wait_ms = 0
+        reply = self.orders.renew(
+            Renewal(token, self.ends_noted, lease_until_ms, wait_ms)
+        )
+        if self.closed:
+            return
+        if isinstance(reply, WorkerReport):
+            self._take_report(reply, sent_ms, token)
+        elif isinstance(reply, NotStarted):
+            self._take_renewal_refusal(reply, token)
+        else:
+            self._miss(reply)
+
+    def _renew_while_idle_wait(self) -> None:
+        """Keep the lease while the watch waits as for an idle worker."""
+        if self._idle_wait and not self._bridging:
+            self._bridging = True
+            gevent.spawn(self._bridge_idle_wait)
+
+    def _bridge_idle_wait(self) -> None:
+        gevent.sleep(BUSY_WAIT_MS / MS_PER_S)
+        while self._idle_wait and self.runs and not self.closed and not self.misses:
+            self._renew(BUSY_WAIT_MS)
+        self._bridging = False
+
+    def _take_renewal_refusal(self, reply: NotStarted, token: int) -> None:
+        if reply.refusal is StartRefusal.FENCED:
+            if token >= self.fencing_token:
+                self._fenced()
+        else:
+            self._miss(Failure(ErrorKind.REPLY_LOST, reply.refusal.value))
+
+    def _fenced(self) -> None:
+        if self.state is not WorkerState.FENCED:
+            log.warning("worker {} follows a higher token", self.worker_id)
+            self.state = WorkerState.FENCED
+            self.events.worker_changed(self)
+
+    def _miss(self, failure: Failure) -> None:
+        self.misses += 1
+        if self.misses == 2 and self.state is WorkerState.READY:
+            log.info("worker {} is silent: {}", self.worker_id, failure.reason)
+            self.state = WorkerState.SILENT
+            self.events.worker_changed(self)
+
+    def _drop_lapsed(self) -> None:
+        """Give up the runs of a silent worker once its lease is over."""
+        if self.misses and self.runs and self.lease.is_over():
+            self._drop_runs("the lease on the worker is over")
+
+    def _drop_runs(self, reason: str) -> None:
+        for run in list(self.runs.values()):
+            self._remove(run)
+            self.events.run_vanished(self, run, reason)
+
+    def _take_report(self, report: WorkerReport, sent_ms: float, token: int) -> None:
+        self.lease.heard(report.clock_ms)
+        if report.incarnation_ms != self.incarnation_ms:
+            if self.incarnation_ms:
+                self._drop_runs("the worker started anew")
+                self.ends_noted = 0
+            self.incarnation_ms = report.incarnation_ms
+        self.misses = 0
+        for end in report.ended:
+            self._take_end(end)
+        listed = {(row.task, row.attempt): row for row in report.running}
+        for row in report.running:
+            self._take_running(row)
+        for run in list(self.runs.values()):
+            if run.key not in listed:
+                self._check_missing(run, sent_ms, token)
+        if self.state in (WorkerState.SYNCING, WorkerState.SILENT):
+            self.state = WorkerState.READY
+            self.events.worker_changed(self)
+
+    def _take_end(self, end: EndedTask) -> None:
+        if end.number <= self.ends_noted:
+            return
+        self.ends_noted = end.number
+        run = self.runs.get((end.task, end.attempt))
+        if run is None:
+            self.events.foreign_end(self, end)
+        elif self._remove(run):
+            self.events.run_ended(self, run, end)
+
+    def _take_running(self, row: RunningTask) -> None:
+        run = self.runs.get((row.task, row.attempt))
+        now_ms = self.clock.now_ms()
+        if run is None:
+            run = Run(row.task, row.attempt, None, None, RunPhase.FOREIGN, now_ms)
+            self._add(run)
+            self.events.foreign_run(self, run)
+        elif run.phase in (RunPhase.STARTING, RunPhase.UNCERTAIN):
+            run.phase = RunPhase.RUNNING
+            run.confirmed_ms = now_ms
+        if row.percent != run.percent:
+            run.percent, run.percent_ms = row.percent, now_ms
+        is_stop_due = now_ms > run.stop_sent_ms + STOP_AGAIN_MS
+        if run.phase is RunPhase.STOPPING and is_stop_due:
+            self.stop(run)
+
+    def _check_missing(self, run: Run, sent_ms: float, token: int) -> None:
+        if run.phase is RunPhase.UNCERTAIN:
+            if token >= run.uncertain_token:
+                self._give_back(run, None)
+        elif _was_listed(run, sent_ms):
+            self._remove(run)
+            self.events.run_vanished(self, run, "the worker does not list it")
+
+
+def _was_listed(run: Run, report_asked_ms: float) -> bool:
+    """Return whether a report asked for then would list the run if it ran."""
+    seen_ms = run.ordered_ms if run.phase is RunPhase.FOREIGN else run.confirmed_ms
+    return seen_ms is not None and seen_ms < report_asked_ms
+
+
+def _need(run: Run) -> Resources:
+    if run.step is None:
+        return Resources(UNKNOWN_NEED_MILLICORES)
+    return run.step.need
--- /dev/null
+++ b/rattanloom/placement/work.py
@@ -0,0 +1,80 @@
+"""Jobs and tasks as the placer runs them."""
+
+from enum import Enum
+
+from attrs import frozen
+
+from rattanloom.placement.workers import Resources
+
+
+@frozen
+class Step:
+    """Tasks that need the same; ``after`` lists steps that have to end first."""
+
+    count: int
+    need: Resources
+    estimate_ms: float
+    after: tuple[int, ...] = ()
+    required_label: str = ""
+    per_worker_max: int = 0
+
+
+@frozen
+class JobPolicy:
+    """How the queue of a job lets it be run."""
+
+    service: str
+    priority: int
+    max_attempts: int
+    slack_factor: float
+    latency_target_ms: float
+
+
+@frozen
+class WorkJob:
+    """One job; ``remaining_ms`` is the time that its client still waits."""
+
+    job_id: str
+    spec: str
+    steps: tuple[Step, ...]
+    policy: JobPolicy
+    remaining_ms: float
+    waited_ms: float = 0
+
+    @property
+    def chain_ms(self) -> float:
+        """Return the estimated time of the longest chain of steps."""
+        ends: list[float] = []
+        for step in self.steps:
+            begins = max((ends[number] for number in step.after), default=0.0)
+            ends.append(begins + step.estimate_ms)
+        return max(ends, default=0.0)
+
+    @property
+    def objective_ms(self) -> float:
+        """Return within which time of its first send the job should be done."""
+        policy = self.policy
+        return policy.slack_factor * self.chain_ms + policy.latency_target_ms
+
+
+class OutcomeKind(Enum):
+    """How the placer's work on a job ended."""
+
+    COMPLETE = "complete"
+    FAILED = "failed"
+    REFUSED = "refused"
+    GIVEN_UP = "given_up"
+
+
+@frozen
+class JobOutcome:
+    """The end of a job at the placer.
+
+    REFUSED says that none of its tasks ran or will run; GIVEN_UP that some
+    may have run. ``retry_after_ms`` tells when to come back.
+    """
+
+    job_id: str
+    kind: OutcomeKind
+    reason: str = ""
+    retry_after_ms: int = 0
--- /dev/null
+++ b/rattanloom/platform/configuration.py
@@ -0,0 +1,80 @@
+"""Reads the operator's configuration document in the platform's store."""
+
+from typing import ClassVar
+
+from attrs import field, frozen
+
+from rattanloom.ingress.queues import Configuration, Queue, RequestLimits
+from rattanloom.platform.fields import FormatError, parse
+from rattanloom.platform.rows import Row
+
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+
+
+@frozen
+class WireRoute:
+    """A queue as the operator writes it; a field that is 0 may be left out."""
+
+    WIRE_NAMES: ClassVar = {"latency_target_ms": "target_latency_ms"}
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    latency_target_ms: float = 0
+    timeout_ms: float = 1_500
+
+
+@frozen
+class WireLimits:
+    """Limits on clients' connections."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+@frozen
+class WireConfiguration:
+    """The whole document."""
+
+    version: int
+    routes: tuple[WireRoute, ...] = ()
+    limits: WireLimits = field(factory=WireLimits)
+
+
+def read_configuration(row: Row) -> Configuration:
+    """Return the configuration in a row; raise ``FormatError`` if there is none."""
+    if row.value is None:
+        raise FormatError("no readable value")
+    wire = parse(row.value, WireConfiguration)
+    limits = wire.limits
+    return Configuration(
+        wire.version,
+        tuple(_queue(route) for route in wire.routes),
+        RequestLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        ),
+    )
+
+
+def _queue(route: WireRoute) -> Queue:
+    return Queue(
+        route.name,
+        route.host.lower(),
+        route.path_prefix,
+        route.service,
+        route.priority,
+        route.max_attempts,
+        route.slack_factor,
+        route.latency_target_ms,
+        route.timeout_ms,
+    )
--- /dev/null
+++ b/rattanloom/platform/deployment.py
@@ -0,0 +1,88 @@
+"""The settings file that the platform lays beside each process."""
+
+import json
+from pathlib import Path
+from typing import ClassVar
+
+from attrs import field, frozen
+
+from rattanloom.platform.fields import FormatError, structure
+from rattanloom.settings import SettingsError
+
+SETTINGS_VARIABLE = "RATTANLOOM_SETTINGS"
+
+
+@frozen
+class Listen:
+    """Addresses (``ip:port``) to serve: clients, and the readiness check."""
+
+    WIRE_NAMES: ClassVar = {"clients": "front", "readiness": "ready"}
+
+    clients: str
+    readiness: str
+
+
+@frozen
+class Bounds:
+    """Bounds of the platform's rules that the dispatcher keeps to."""
+
+    WIRE_NAMES: ClassVar = {
+        "worker_lease_max_ms": "hold_max_ms",
+        "stop_grace_s": "grace_s",
+        "config_in_force_ms": "config_apply_ms",
+    }
+
+    worker_lease_max_ms: float = 1_000
+    stop_grace_s: float = 6
+    config_in_force_ms: float = 2_000
+    resend_ms: float = 1_300
+    stop_ms: float = 50
+    drain_ms: float = 2_000
+
+
+@frozen
+class StoreAccess:
+    """Address of the platform's store."""
+
+    WIRE_NAMES: ClassVar = {"address": "addr"}
+
+    address: str
+
+
+@frozen
+class Deployment:
+    """What one process is told of its machine and its surroundings.
+
+    ``zones`` maps each zone to its region; ``internal_ports`` is the range free
+    for traffic between daemons.
+    """
+
+    WIRE_NAMES: ClassVar = {"node": "node_name", "store": "platform"}
+
+    node: str
+    ip: str
+    zone: str
+    zones: dict[str, str]
+    listen: Listen
+    internal_ports: tuple[int, ...]
+    store: StoreAccess
+    heartbeat_ms: float = 1_500
+    bounds: Bounds = field(factory=Bounds)
+
+    @property
+    def peer_address(self) -> str:
+        """Return the address on which this process serves other daemons."""
+        return f"{self.ip}:{self.internal_ports[0]}"
+
+
+def load_deployment(path: str | Path) -> Deployment:
+    """Read the settings file; raise ``SettingsError`` naming file, field, reason."""
+    try:
+        document = json.loads(Path(path).read_text())
+        return structure(document, Deployment)
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from error
+    except FormatError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    except ValueError as error:
+        raise SettingsError(f"{path}: not valid JSON: {error}") from error
--- /dev/null
+++ b/rattanloom/platform/fields.py
@@ -0,0 +1,65 @@
+"""Reads JSON documents of the platform into attrs classes.
+
+Unknown fields are ignored, known ones are checked for type. ``WIRE_NAMES``
+of a class maps its fields to the platform's names where they differ.
+"""
+
+import json
+from typing import Any, TypeVar
+
+from attrs import fields, has
+from cattrs import Converter, transform_error
+from cattrs.errors import BaseValidationError
+from cattrs.gen import make_dict_structure_fn, override
+
+from rattanloom.settings import add_exact_types
+
+T = TypeVar("T")
+
+
+class FormatError(ValueError):
+    """A document that is not what the platform's pages describe."""
+
+
+def _make_converter() -> Converter:
+    converter = Converter()
+    add_exact_types(converter)
+    converter.register_structure_hook_factory(has, _structure_renamed)
+    return converter
+
+
+def _structure_renamed(shape: type, converter: Converter) -> Any:
+    wire_names = getattr(shape, "WIRE_NAMES", {})
+    renamed = {
+        attribute.name: override(rename=wire_names[attribute.name])
+        for attribute in fields(shape)
+        if attribute.name in wire_names
+    }
+    return make_dict_structure_fn(shape, converter, **renamed)
+
+
+CONVERTER = _make_converter()
+
+
+def structure(document: object, shape: type[T]) -> T:
+    """Return ``document`` as ``shape``; raise ``FormatError`` naming the field."""
+    if not isinstance(document, dict):
+        raise FormatError("not a JSON object")
+    try:
+        return CONVERTER.structure(document, shape)
+    except BaseValidationError as error:
+        raise FormatError("; ".join(transform_error(error))) from error
+
+
+def parse(body: bytes, shape: type[T]) -> T:
+    """Return a JSON body as ``shape``; raise ``FormatError`` if it is another."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise FormatError(f"not JSON: {error}") from error
+    return structure(document, shape)
+
+
+def encode(document: object) -> bytes:
+    """Return a document as compact JSON."""
+    return json.dumps(document, separators=(",", ":")).encode()
--- /dev/null
+++ b/rattanloom/platform/http.py
@@ -0,0 +1,97 @@
+"""HTTP to one server of the platform, over kept connections; nothing is resent."""
+
+import gevent
+from attrs import define, field, frozen
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import (
+    ClosedPoolError,
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.errors import ErrorKind, Failure
+
+NOT_SENT = (NewConnectionError, ConnectTimeoutError, ClosedPoolError)
+HEADERS = {"Content-Type": "application/json"}
+
+
+@frozen
+class Reply:
+    """One HTTP reply."""
+
+    status: int
+    body: bytes
+
+
+@define(eq=False)
+class HttpPeer:
+    """Speaks HTTP to ``address`` (``ip:port``).
+
+    Failures are PLATFORM_UNREACHABLE (surely not received) or REPLY_LOST
+    (may have been carried out, or may be later).
+    """
+
+    address: str
+    connections_max: int
+    connect_timeout_ms: float
+    headers: dict[str, str] = field(factory=lambda: dict(HEADERS))
+    _pool: HTTPConnectionPool = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self._pool = HTTPConnectionPool(
+            host, int(port), maxsize=self.connections_max, block=False, retries=False
+        )
+
+    def call(
+        self, method: str, path: str, body: bytes | None, timeout_ms: float
+    ) -> Reply | Failure:
+        """Send one request and return its reply within ``timeout_ms``."""
+        limits = Timeout(
+            connect=min(self.connect_timeout_ms, timeout_ms) / MS_PER_S,
+            read=timeout_ms / MS_PER_S,
+        )
+        bound = gevent.Timeout.start_new(timeout_ms / MS_PER_S)
+        try:
+            reply = self._pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers=self.headers,
+                redirect=False,
+                timeout=limits,
+            )
+            return Reply(reply.status, reply.data)
+        except NOT_SENT as error:
+            return Failure(
+                ErrorKind.PLATFORM_UNREACHABLE,
+                f"{self.address} cannot be connected to: {type(error).__name__}",
+            )
+        except HTTPError as error:
+            self.drop_idle()
+            return self._reply_lost(f"{type(error).__name__}")
+        except gevent.Timeout as error:
+            if error is not bound:
+                raise
+            self.drop_idle()
+            return self._reply_lost(f"none within {timeout_ms:.0f} ms")
+        finally:
+            bound.close()
+
+    def drop_idle(self) -> None:
+        """Close the idle connections, which may have gone silent as well."""
+        idle = self._pool.pool
+        taken = [idle.get_nowait() for _ in range(idle.qsize())]
+        for connection in taken:
+            if connection is not None:
+                connection.close()
+            idle.put_nowait(None)
+
+    def close(self) -> None:
+        """Close the idle connections for good."""
+        self._pool.close()
+
+    def _reply_lost(self, reason: str) -> Failure:
+        return Failure(ErrorKind.REPLY_LOST, f"no reply from {self.address}: {reason}")
--- /dev/null
+++ b/rattanloom/platform/job_format.py
@@ -0,0 +1,108 @@
+"""Reads the jobs that clients post, and writes the answers they get."""
+
+from typing import ClassVar
+
+from attrs import frozen
+
+from rattanloom.ingress.queues import Queue
+from rattanloom.placement.work import JobPolicy, Step, WorkJob
+from rattanloom.placement.workers import Resources
+from rattanloom.platform.fields import FormatError, encode, parse
+
+SPEC_MAX_BYTES = 4_000
+STEPS_MAX = 100
+TASKS_MAX = 1_000
+JOB_ID_LENGTH = 16
+HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
+
+
+@frozen
+class WireStep:
+    """A step as clients write it; a field that is 0 or empty may be left out."""
+
+    WIRE_NAMES: ClassVar = {"estimate_ms": "est_ms", "per_worker_max": "anti_affinity"}
+
+    count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    after: tuple[int, ...] = ()
+    required_label: str = ""
+    per_worker_max: int = 0
+
+
+@frozen
+class WireJob:
+    """A job as clients write it."""
+
+    WIRE_NAMES: ClassVar = {"ends_with_answer": "best_effort"}
+
+    spec: str
+    steps: tuple[WireStep, ...]
+    ends_with_answer: bool = False
+
+
+@frozen
+class PostedJob:
+    """A job as it arrived; ``stored`` jobs outlive the request that brought them."""
+
+    job: WorkJob
+    stored: bool
+
+
+def is_job_id(text: str) -> bool:
+    """Return whether a path's last part is a job's id."""
+    return len(text) == JOB_ID_LENGTH and HEX_DIGITS.issuperset(text)
+
+
+def read_job(job_id: str, body: bytes, queue: Queue, remaining_ms: float) -> PostedJob:
+    """Return the job in a request's body; raise ``FormatError`` naming the fault."""
+    wire = parse(body, WireJob)
+    if len(wire.spec.encode()) > SPEC_MAX_BYTES:
+        raise FormatError(f"spec is longer than {SPEC_MAX_BYTES} bytes")
+    _check_steps(wire.steps)
+    policy = JobPolicy(
+        queue.service,
+        queue.priority,
+        queue.max_attempts,
+        queue.slack_factor,
+        queue.latency_target_ms,
+    )
+    steps = tuple(_step(step) for step in wire.steps)
+    job = WorkJob(job_id, wire.spec, steps, policy, remaining_ms)
+    return PostedJob(job, not wire.ends_with_answer)
+
+
+def write_state(state: str) -> bytes:
+    """Return the body that tells a job's state."""
+    return encode({"state": state})
+
+
+def write_error(reason: str) -> bytes:
+    """Return the body that explains a refusal."""
+    return encode({"error": reason})
+
+
+def _check_steps(steps: tuple[WireStep, ...]) -> None:
+    if not 1 <= len(steps) <= STEPS_MAX:
+        raise FormatError(f"steps has {len(steps)} entries; 1 to {STEPS_MAX} may be")
+    if sum(step.count for step in steps) > TASKS_MAX:
+        raise FormatError(f"more than {TASKS_MAX} tasks")
+    for number, step in enumerate(steps):
+        amounts = (step.cpu, step.mem_mb, step.gpu, step.estimate_ms)
+        if step.count < 1 or min(amounts) < 0 or step.per_worker_max < 0:
+            raise FormatError(f"steps[{number}] has a negative or empty amount")
+        if any(not 0 <= earlier < number for earlier in step.after):
+            raise FormatError(f"steps[{number}].after names no earlier step")
+
+
+def _step(wire: WireStep) -> Step:
+    return Step(
+        wire.count,
+        Resources(wire.cpu, wire.mem_mb, wire.gpu),
+        wire.estimate_ms,
+        wire.after,
+        wire.required_label,
+        wire.per_worker_max,
+    )
--- /dev/null
+++ b/rattanloom/platform/registry.py
@@ -0,0 +1,55 @@
+"""Reads the workers' own entries in the platform's store."""
+
+from attrs import frozen
+
+from rattanloom.placement.workers import Resources, WorkerEntry
+from rattanloom.platform.fields import FormatError, parse
+from rattanloom.platform.rows import Row
+
+WORKERS_TABLE = "servers"
+READY, DRAINING = "ready", "draining"
+
+
+@frozen
+class WireCapacity:
+    """A worker's capacity; ``cpu`` is in thousandths of a core."""
+
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+@frozen
+class WireEntry:
+    """A worker's entry as it writes it; ``born`` is the wall time of its start."""
+
+    service: str
+    addr: str
+    zone: str
+    state: str
+    capacity: WireCapacity
+    labels: tuple[str, ...] = ()
+    born: int = 0
+
+
+def read_worker_entry(row: Row) -> WorkerEntry:
+    """Return the worker in a row; raise ``FormatError`` where it names none."""
+    if row.value is None:
+        raise FormatError("no readable value")
+    wire = parse(row.value, WireEntry)
+    if wire.state not in (READY, DRAINING):
+        raise FormatError(f"unknown state {wire.state!r}")
+    host, _, port = wire.addr.rpartition(":")
+    if not host or not port.isdigit():
+        raise FormatError(f"addr {wire.addr!r} is not ip:port")
+    capacity = wire.capacity
+    return WorkerEntry(
+        row.ref.key,
+        wire.born,
+        wire.service,
+        wire.addr,
+        wire.zone,
+        wire.state == READY,
+        Resources(capacity.cpu, capacity.mem_mb, capacity.gpu),
+        wire.labels,
+    )
--- /dev/null
+++ b/rattanloom/platform/store.py
@@ -0,0 +1,164 @@
+"""Client of the platform's metadata store: tables of versioned rows."""
+
+from base64 import b64decode, b64encode
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import ClassVar
+from urllib.parse import urlencode
+
+from attrs import define, field, frozen
+
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.platform.fields import FormatError, encode, parse
+from rattanloom.platform.http import HttpPeer, Reply
+from rattanloom.platform.rows import (
+    Changes,
+    Committed,
+    Condition,
+    Conflicted,
+    Row,
+    RowRead,
+    RowRef,
+)
+
+# Each follower keeps one connection waiting; two more serve reads and writes.
+CONNECTIONS_MAX = 5
+CONNECT_TIMEOUT_MS = 300
+# A call takes 4 ms; ten times as long is seen while the store is slow.
+CALL_TIMEOUT_MS = 1_000
+# Time on top of the time that the store was asked to wait.
+FOLLOW_SLACK_MS = 500
+
+
+@frozen
+class WireRow:
+    """A row as the store writes it; ``value`` is base64."""
+
+    WIRE_NAMES: ClassVar = {"version": "row_version"}
+
+    table: str
+    key: str
+    version: int
+    part: str = ""
+    value: str = ""
+    deleted: bool = False
+
+    def decode(self) -> Row:
+        """Return the row with its bytes; unreadable base64 gives None."""
+        ref = RowRef(self.table, self.part, self.key)
+        if self.deleted:
+            return Row(ref, self.version, None, deleted=True)
+        try:
+            return Row(ref, self.version, b64decode(self.value, validate=True))
+        except ValueError:
+            return Row(ref, self.version, None)
+
+
+@frozen
+class RowsBody:
+    """The body of every reply about rows."""
+
+    WIRE_NAMES: ClassVar = {"version": "row_version"}
+
+    version: int = 0
+    rows: tuple[WireRow, ...] = ()
+    has_more: bool = False
+
+
+@define(eq=False)
+class StoreClient:
+    """Speaks to the store at ``address``; failures as in ``HttpPeer``."""
+
+    address: str
+    _http: HttpPeer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._http = HttpPeer(self.address, CONNECTIONS_MAX, CONNECT_TIMEOUT_MS)
+
+    def read(self, table: str) -> RowRead | Failure:
+        """Return all rows of the empty part of ``table``."""
+        rows: list[Row] = []
+        first_key = ""
+        while True:
+            query = urlencode({"table": table, "part": "", "from": first_key})
+            body = self._fetch(f"/rows-get?{query}", CALL_TIMEOUT_MS)
+            if isinstance(body, Failure):
+                return body
+            rows += [row.decode() for row in body.rows]
+            if not body.has_more or not body.rows:
+                return RowRead(tuple(rows), body.version)
+            first_key = body.rows[-1].key + "\0"
+
+    def follow(self, table: str, after_version: int, wait_ms: int) -> Changes | Failure:
+        """Wait for rows of ``table`` that changed after a version.
+
+        HISTORY_GONE says that the table has to be read again.
+        """
+        query = urlencode({"table": table, "after": after_version, "wait_ms": wait_ms})
+        body = self._fetch(f"/rows-feed?{query}", wait_ms + FOLLOW_SLACK_MS)
+        if isinstance(body, Failure):
+            return body
+        return Changes(tuple(row.decode() for row in body.rows), body.version)
+
+    def transact(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[tuple[RowRef, bytes]],
+        removals: Sequence[RowRef] = (),
+    ) -> Committed | Conflicted | Failure:
+        """Apply all writes and removals if every row has its expected version."""
+        body = encode(
+            {
+                "expected_rev": [
+                    _wire_ref(condition.ref) | {"row_version": condition.version}
+                    for condition in conditions
+                ],
+                "writes": [
+                    _wire_ref(ref) | {"value": b64encode(value).decode()}
+                    for ref, value in writes
+                ],
+                "remove": [_wire_ref(ref) for ref in removals],
+            }
+        )
+        reply = self._http.call("POST", "/rows-tx", body, CALL_TIMEOUT_MS)
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status not in (HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED):
+            return _refused(reply.status)
+        parsed = _parse(reply)
+        if isinstance(parsed, Failure):
+            return parsed
+        if reply.status == HTTPStatus.OK:
+            return Committed(parsed.version)
+        return Conflicted(tuple(row.decode() for row in parsed.rows))
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+    def _fetch(self, path: str, timeout_ms: float) -> RowsBody | Failure:
+        reply = self._http.call("GET", path, None, timeout_ms)
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status == HTTPStatus.GONE:
+            return Failure(ErrorKind.HISTORY_GONE, "the store dropped its history")
+        if reply.status != HTTPStatus.OK:
+            return _refused(reply.status)
+        return _parse(reply)
+
+
+def _wire_ref(ref: RowRef) -> dict[str, object]:
+    return {"table": ref.table, "part": ref.part, "key": ref.key}
+
+
+def _refused(status: int) -> Failure:
+    return Failure(
+        ErrorKind.PLATFORM_UNREACHABLE, f"the store answered status {status}"
+    )
+
+
+def _parse(reply: Reply) -> RowsBody | Failure:
+    try:
+        return parse(reply.body, RowsBody)
+    except FormatError as error:
+        return Failure(ErrorKind.REPLY_LOST, f"unreadable reply of the store: {error}")
--- /dev/null
+++ b/rattanloom/platform/workers.py
@@ -0,0 +1,176 @@
+"""Client of one worker: starts, stops, and renewals of its lease."""
+
+from http import HTTPStatus
+from typing import ClassVar
+
+from attrs import define, field, frozen
+
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.placement.workers import (
+    EndedTask,
+    HowEnded,
+    NotStarted,
+    Renewal,
+    RunningTask,
+    Started,
+    StartOrder,
+    StartRefusal,
+    WorkerReport,
+)
+from rattanloom.platform.fields import FormatError, encode, parse
+from rattanloom.platform.http import HttpPeer, Reply
+
+# One connection waits for ends; the others carry starts and stops.
+CONNECTIONS_MAX = 5
+CONNECT_TIMEOUT_MS = 250
+# A worker answers a start or a stop within a few milliseconds.
+ORDER_TIMEOUT_MS = 300
+# Time for a renewal's answer on top of the time that the worker waits.
+RENEWAL_SLACK_MS = 300
+
+REFUSALS = {
+    "fence": StartRefusal.FENCED,
+    "old": StartRefusal.ATTEMPT_TOO_OLD,
+    "late": StartRefusal.LEASE_OVER,
+    "room": StartRefusal.NO_ROOM,
+    "ticket": StartRefusal.BAD_TICKET,
+}
+STATUS_REFUSALS = {
+    HTTPStatus.MISDIRECTED_REQUEST: StartRefusal.OTHER_INCARNATION,
+    HTTPStatus.TOO_MANY_REQUESTS: StartRefusal.UNHEALTHY,
+    HTTPStatus.SERVICE_UNAVAILABLE: StartRefusal.UNHEALTHY,
+    HTTPStatus.BAD_REQUEST: StartRefusal.INVALID,
+}
+ENDS = {how.value: how for how in HowEnded}
+
+
+@frozen
+class OrderBody:
+    """The body of an answer to a start or a stop."""
+
+    WIRE_NAMES: ClassVar = {"incarnation_ms": "born"}
+
+    clock_ms: int = 0
+    reason: str = ""
+    incarnation_ms: int = 0
+
+
+@frozen
+class ReportBody:
+    """The body of an answer to a renewal; its rows are lists."""
+
+    WIRE_NAMES: ClassVar = {"incarnation_ms": "born", "ended": "finished"}
+
+    clock_ms: int
+    running: list[list]
+    ended: list[list]
+    incarnation_ms: int = 0
+
+
+@define(eq=False)
+class WorkerClient:
+    """Speaks to one incarnation of a worker."""
+
+    worker_id: str
+    address: str
+    _http: HttpPeer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._http = HttpPeer(self.address, CONNECTIONS_MAX, CONNECT_TIMEOUT_MS)
+        self._http.headers["Expect-Instance"] = self.worker_id
+
+    def start(self, order: StartOrder) -> Started | NotStarted | Failure:
+        """Start a task."""
+        document = {
+            "task": order.task,
+            "attempt": order.attempt,
+            "spec": order.spec,
+            "until_ms": order.lease_until_ms,
+            "fencing_token": order.fencing_token,
+        }
+        if order.checkpoint:
+            document["checkpoint"] = order.checkpoint
+        reply = self._post("/run-start", document, ORDER_TIMEOUT_MS)
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status != HTTPStatus.OK:
+            return _refusal(reply)
+        body = _parse(reply, OrderBody)
+        return body if isinstance(body, Failure) else Started(body.clock_ms)
+
+    def stop(self, task: str, attempt: int, fencing_token: int) -> bool | Failure:
+        """Stop a run; False says that the worker refused the token."""
+        document = {"task": task, "attempt": attempt, "fencing_token": fencing_token}
+        reply = self._post("/run-stop", document, ORDER_TIMEOUT_MS)
+        if isinstance(reply, Failure):
+            return reply
+        return reply.status == HTTPStatus.OK
+
+    def renew(self, renewal: Renewal) -> WorkerReport | NotStarted | Failure:
+        """Extend the lease and return what runs and what ended."""
+        document = {
+            "fencing_token": renewal.fencing_token,
+            "last_seen": renewal.ends_noted,
+        }
+        if renewal.lease_until_ms is not None:
+            document["until_ms"] = renewal.lease_until_ms
+        if renewal.wait_ms:
+            document["wait_ms"] = renewal.wait_ms
+        reply = self._post("/hold", document, renewal.wait_ms + RENEWAL_SLACK_MS)
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status != HTTPStatus.OK:
+            return _refusal(reply)
+        body = _parse(reply, ReportBody)
+        return body if isinstance(body, Failure) else _report(body)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+    def _post(
+        self, path: str, document: dict[str, object], timeout_ms: float
+    ) -> Reply | Failure:
+        return self._http.call("POST", path, encode(document), timeout_ms)
+
+
+def _refusal(reply: Reply) -> NotStarted | Failure:
+    if reply.status == HTTPStatus.CONFLICT:
+        body = _parse(reply, OrderBody)
+        if isinstance(body, Failure):
+            return body
+        if body.reason in REFUSALS:
+            return NotStarted(REFUSALS[body.reason], body.clock_ms)
+    if reply.status in STATUS_REFUSALS:
+        return NotStarted(STATUS_REFUSALS[reply.status])
+    return Failure(
+        ErrorKind.REPLY_LOST, f"unexpected status {reply.status} of a worker"
+    )
+
+
+def _parse(reply: Reply, shape: type) -> object:
+    try:
+        return parse(reply.body, shape)
+    except FormatError as error:
+        return Failure(ErrorKind.REPLY_LOST, f"unreadable reply of a worker: {error}")
+
+
+def _report(body: ReportBody) -> WorkerReport | Failure:
+    try:
+        return WorkerReport(
+            body.clock_ms,
+            body.incarnation_ms,
+            tuple(_running(row) for row in body.running),
+            tuple(_ended(row) for row in body.ended),
+        )
+    except (KeyError, IndexError, TypeError, ValueError) as error:
+        return Failure(ErrorKind.REPLY_LOST, f"unreadable report of a worker: {error}")
+
+
+def _running(row: list) -> RunningTask:
+    cpu_millicores = int(row[4]) if len(row) > 4 else 0
+    return RunningTask(row[0], int(row[1]), row[2], int(row[3]), cpu_millicores)
+
+
+def _ended(row: list) -> EndedTask:
+    return EndedTask(int(row[0]), row[1], int(row[2]), ENDS[row[3]], row[4])
--- /dev/null
+++ b/rattanloom/registry.py
@@ -0,0 +1,69 @@
+"""The workers that are registered in the platform's store."""
+
+from collections.abc import Callable, Sequence
+
+import gevent
+from attrs import define, field
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.logs import get_log
+from rattanloom.placement.workers import WorkerEntry
+from rattanloom.platform.fields import FormatError
+from rattanloom.platform.registry import read_worker_entry
+from rattanloom.platform.rows import Row
+
+log = get_log("registry")
+
+# Entries that lapsed in an outage of the store are back about 2 s after it.
+MISSING_MS = 2_500
+
+
+@define(eq=False)
+class Registry:
+    """Entries of live and leaving workers; ``on_change`` follows each change."""
+
+    on_change: Callable[[], None]
+    entries: dict[str, WorkerEntry] = field(factory=dict)
+    _missing: set[str] = field(factory=set)
+
+    def take_snapshot(self, rows: Sequence[Row]) -> None:
+        """Take all entries; those that are not among them are missing."""
+        present = {row.ref.key for row in rows}
+        for worker_id in self.entries:
+            if worker_id not in present:
+                self._note_missing(worker_id)
+        self.take_rows(rows)
+
+    def take_rows(self, rows: Sequence[Row]) -> None:
+        """Take changed entries."""
+        before = dict(self.entries)
+        for row in rows:
+            self._take_row(row)
+        if self.entries != before:
+            self.on_change()
+
+    def _take_row(self, row: Row) -> None:
+        worker_id = row.ref.key
+        if row.deleted:
+            if worker_id in self.entries:
+                self._note_missing(worker_id)
+            return
+        try:
+            entry = read_worker_entry(row)
+        except FormatError as error:
+            log.warning("entry {} names no worker to use: {}", worker_id, error)
+            return
+        self._missing.discard(worker_id)
+        self.entries[worker_id] = entry
+
+    def _note_missing(self, worker_id: str) -> None:
+        if worker_id not in self._missing:
+            self._missing.add(worker_id)
+            gevent.spawn_later(MISSING_MS / MS_PER_S, self._drop_missing, worker_id)
+
+    def _drop_missing(self, worker_id: str) -> None:
+        if worker_id in self._missing:
+            log.info("worker {} is gone", worker_id)
+            self._missing.discard(worker_id)
+            del self.entries[worker_id]
+            self.on_change()
--- a/rattanloom/settings.py
+++ b/rattanloom/settings.py
@@ -40,11 +40,16 @@
 def make_converter() -> Converter:
     """Return a converter that refuses unknown fields and wrong types."""
     converter = Converter(forbid_extra_keys=True)
+    add_exact_types(converter)
+    return converter
+
+
+def add_exact_types(converter: Converter) -> None:
+    """Make a converter refuse values of another type instead of casting them."""
     configure_union_passthrough(str | int | float | bool | None, converter)
     for kind in (int, float, str, bool):
         converter.register_structure_hook(kind, _exact(kind))
     converter.register_structure_hook_factory(_is_tuple_of_one_kind, _only_from_list)
-    return converter
 
 
 def _is_tuple_of_one_kind(shape: type) -> bool:
--- /dev/null
+++ b/rattanloom/tables.py
@@ -0,0 +1,85 @@
+"""Follows one table of the platform's store, through outages and lost history."""
+
+from collections.abc import Callable, Sequence
+
+import gevent
+from attrs import define
+
+from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.logs import get_log
+from rattanloom.platform.rows import Row, Store
+
+log = get_log("store")
+
+# A connection that went silent shows after this wait.
+FOLLOW_WAIT_MS = 2_500
+RETRY_MIN_MS = 50
+RETRY_MAX_MS = 400
+
+
+@define(eq=False)
+class TableFollower:
+    """Calls ``on_rows`` with every row read or changed, in order.
+
+    ``on_snapshot`` gets all rows after each full read, so that rows that
+    vanished in between can be dropped.
+    """
+
+    store: Store
+    table: str
+    clock: Clock
+    on_snapshot: Callable[[Sequence[Row]], None]
+    on_rows: Callable[[Sequence[Row]], None]
+    pause_ms: Callable[[], float] | None = None
+    version: int | None = None
+    reached_ms: float = 0
+    failures: int = 0
+
+    def run(self) -> None:
+        """Follow the table for ever."""
+        while True:
+            failure = self._step()
+            if failure is None:
+                self._note_reached()
+                if self.pause_ms is not None:
+                    gevent.sleep(self.pause_ms() / MS_PER_S)
+            elif failure.kind is ErrorKind.HISTORY_GONE:
+                log.info("{}: history is gone; reading it again", self.table)
+                self.version = None
+            else:
+                self._note_failure(failure)
+
+    def read_now(self) -> Failure | None:
+        """Read the whole table at once."""
+        read = self.store.read(self.table)
+        if isinstance(read, Failure):
+            return read
+        self.version = max(self.version or 0, read.version)
+        self.on_snapshot(read.rows)
+        return None
+
+    def _step(self) -> Failure | None:
+        if self.version is None:
+            return self.read_now()
+        wait_ms = FOLLOW_WAIT_MS if self.pause_ms is None else 0
+        changes = self.store.follow(self.table, self.version, wait_ms)
+        if isinstance(changes, Failure):
+            return changes
+        self.version = max(self.version, changes.version)
+        if changes.rows:
+            self.on_rows(changes.rows)
+        return None
+
+    def _note_reached(self) -> None:
+        self.reached_ms = self.clock.now_ms()
+        if self.failures:
+            log.info("{}: the store answers again", self.table)
+            self.failures = 0
+
+    def _note_failure(self, failure: Failure) -> None:
+        self.failures += 1
+        if self.failures == 1:
+            log.warning("{}: the store does not answer: {}", self.table, failure.reason)
+        pause_ms = min(RETRY_MIN_MS * 2**self.failures, RETRY_MAX_MS)
+        gevent.sleep(pause_ms / MS_PER_S)
