Let late tasks wait behind those that can be on time; own zones without the store

A zone cut from the store refused everything until the cut healed.

Change: late tasks wait in a second queue; jobs that can't be answered in time are ended. Daemons that reach neither owner nor store claim the zone under a token between two epochs. Jobs stay with a placer that is still reached.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -110,6 +110,7 @@
             clock,
             self.store,
             self.hub,
+            lambda: len(self.registry.entries),
             self._owners_changed,
         )
         self.desk = JobDesk(
@@ -118,6 +119,7 @@
             self.hub,
             self.placer,
             self.ownership.preferred_owner,
+            self.ownership.is_owner,
         )
         self.connections = ConnectionState(self._limits)
 
@@ -197,15 +199,18 @@
                 self.placer.remove_worker(worker_id, "it started anew")
             else:
                 worker.entry = entry
+                worker.raise_token(owned[entry.zone].fencing_token)
         self.placer.settled_ms = self.ownership.taken_ms + ADOPTION_MAX_MS
+        self.placer.took_all = self.ownership.took_all
         for entry in self.registry.entries.values():
             record = owned.get(entry.zone)
-            if record is not None and entry.worker_id not in self.placer.workers:
+            if record is not None:
                 self.placer.add_worker(entry, record.fencing_token)
         self.placer.pump()
 
     def _worker_fenced(self, worker: PooledWorker) -> None:
-        self.ownership.doubt()
+        if worker.entry.zone in self.ownership.owned():
+            self.ownership.worker_fenced(worker.entry.zone)
 
     def _received(self, link: Link, message: Message) -> None:
         if isinstance(message, Submit):
@@ -220,6 +225,7 @@
             self.ownership.received(link, message)
 
     def _link_opened(self, link: Link) -> None:
+        self.ownership.link_opened(link)
         if link.peer.node == self.ownership.preferred_owner():
             self.desk.placers_changed()
 
--- a/rattanloom/ingress/desk.py
+++ b/rattanloom/ingress/desk.py
@@ -39,6 +39,7 @@
     hub: LinkHub
     placer: Placer
     choose_placer: Callable[[], str | None]
+    is_placer: Callable[[str], bool]
     pending: dict[str, PendingJob] = field(factory=dict)
 
     def submit(self, work: WorkJob) -> PendingJob:
@@ -68,10 +69,9 @@
             job.result.set(outcome)
 
     def placers_changed(self) -> None:
-        """Hand on the jobs whose placer is no longer the one to use."""
-        placer = self.choose_placer()
+        """Hand on the jobs whose placer is lost or places no more."""
         for job in list(self.pending.values()):
-            if job.placer != placer:
+            if not self._is_placed(job):
                 self._hand_over(job)
 
     def placer_lost(self, node: str) -> None:
@@ -93,6 +93,12 @@
                 outcome = JobOutcome(job.work.job_id, kind, reason, RETRY_AFTER_MS)
                 self.deliver(outcome)
 
+    def _is_placed(self, job: PendingJob) -> bool:
+        node = job.placer
+        if node is None or not self.is_placer(node):
+            return False
+        return node == self.node or self.hub.link(node) is not None
+
     def _hold_until_ms(self, job: PendingJob) -> float:
         if not job.may_run:
             return job.arrived_ms + NO_PLACER_HOLD_MS
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -15,6 +15,7 @@
     Ping,
     Submit,
     TakeZones,
+    ZoneClaims,
 )
 from rattanloom.placement.work import (
     JobOutcome,
@@ -154,6 +155,19 @@
     builder.ping = None
 
 
+def _put_claims(builder: object, message: ZoneClaims) -> None:
+    slot = builder.init("zoneClaims")
+    slot.owner = message.owner
+    slot.claim = message.claim
+    slot.zones = list(message.zones)
+    slot.epochs = list(message.epochs)
+
+
+def _read_claims(reader: object) -> ZoneClaims:
+    slot = reader.zoneClaims
+    return ZoneClaims(slot.owner, slot.claim, tuple(slot.zones), tuple(slot.epochs))
+
+
 def _put_zones(builder: object, message: TakeZones) -> None:
     builder.takeZones = list(message.zones)
 
@@ -167,6 +181,7 @@
     AskOwner: _put_text("askOwner", "owner"),
     OwnerAnswer: _put_owner_answer,
     TakeZones: _put_zones,
+    ZoneClaims: _put_claims,
 }
 
 _READERS: dict[str, Callable[[object], Message]] = {
@@ -180,4 +195,5 @@
         reader.ownerAnswer.owner, reader.ownerAnswer.hears
     ),
     "takeZones": lambda reader: TakeZones(tuple(reader.takeZones)),
+    "zoneClaims": _read_claims,
 }
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -45,6 +45,13 @@
   hears @1 :Bool;
 }
 
+struct ZoneClaims {
+  owner @0 :Text;
+  claim @1 :UInt64;
+  zones @2 :List(Text);
+  epochs @3 :List(UInt64);
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -55,5 +62,6 @@
     askOwner @5 :Text;
     ownerAnswer @6 :OwnerAnswer;
     takeZones @7 :List(Text);
+    zoneClaims @8 :ZoneClaims;
   }
 }
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -68,4 +68,18 @@
     zones: tuple[str, ...]
 
 
-Message = Hello | Ping | Submit | Cancel | Outcome | AskOwner | OwnerAnswer | TakeZones
+@frozen
+class ZoneClaims:
+    """Tells of zones whose owner could not write to the store.
+
+    ``epochs`` has one entry for each of ``zones``.
+    """
+
+    owner: str
+    claim: int
+    zones: tuple[str, ...]
+    epochs: tuple[int, ...]
+
+
+OwnershipMessage = AskOwner | OwnerAnswer | TakeZones | ZoneClaims
+Message = Hello | Ping | Submit | Cancel | Outcome | OwnershipMessage
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -1,33 +1,41 @@
-"""Who owns which zone's workers: records in the store, and takeovers after a loss.
+"""Who owns which zone's workers: takeovers after a loss, and planned handovers.
 
-The owner keeps no lease in the store: its token is the lock, and the workers
-are the judges of it. A daemon takes a zone over only when neither it nor any
-daemon that it reaches hears the owner.
+The store records owners, but no lease of theirs: a worker obeys the highest
+fencing token, so that the workers are the judges. A daemon takes a zone over
+only when neither it nor any daemon that it reaches hears the owner. Without the
+store it claims the zone, under a token that the next recorded owner exceeds.
 """
 
 from collections.abc import Callable, Sequence
 
 import gevent
-from attrs import define, evolve, field
+from attrs import define, field
 
 from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.errors import Failure
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.link import Link
-from rattanloom.links.messages import AskOwner, Hello, OwnerAnswer, TakeZones
+from rattanloom.links.messages import (
+    AskOwner,
+    Hello,
+    OwnerAnswer,
+    OwnershipMessage,
+    TakeZones,
+    ZoneClaims,
+)
 from rattanloom.logs import get_log
 from rattanloom.ownership.records import (
-    MEMBER_PREFIX,
     TABLE,
     Member,
-    RecordError,
     ZoneOwner,
+    claim_number,
     member_ref,
-    read_record,
     write_record,
     zone_ref,
 )
-from rattanloom.platform.rows import Committed, Condition, Conflicted, Row, Store
+from rattanloom.ownership.survey import Survey
+from rattanloom.ownership.view import OwnerView
+from rattanloom.platform.rows import Committed, Condition, Conflicted, Store
 from rattanloom.tables import TableFollower
 
 log = get_log("ownership")
@@ -35,22 +43,28 @@
 TICK_MS = 50
 # A broken link is dialled again at once; this long is left for it to come back.
 LOST_AFTER_MS = 100
-# Time for other daemons to be reached and to answer.
-ASK_TIMEOUT_MS = 200
 # Candidates try one after the other, so that mostly one writes.
-RANK_DELAY_MS = 40
+RANK_DELAY_MS = 30
+# A write takes 10 ms; after this the zone is claimed without the store.
+STORE_PATIENCE_MS = 120
 REGISTER_PAUSE_MS = 200
 # Time to let all daemons of a first start register.
 FIRST_START_MS = 300
-PAUSE_AFTER_ASK_MS = 300
+# Pause after others said that they hear the owner.
+HEARD_PAUSE_MS = 300
 WANT_MS = 2_000
+# Owners that hear each other again merge what they own after this time.
+MERGE_AFTER_MS = 600
+# One placer serves this many workers in 0.3 of a core (docs/CAPACITY.md).
+WORKERS_PER_PLACER_MAX = 64
 
 
 @define(eq=False)
 class Ownership:
-    """View of members and owners that this daemon holds.
+    """Keeps every zone owned by one daemon.
 
-    ``on_change`` is called after the set of owners changed.
+    ``worker_count`` tells the number of registered workers; ``on_change`` is
+    called after owners changed.
     """
 
     own: Hello
@@ -58,23 +72,31 @@
     clock: Clock
     store: Store
     hub: LinkHub
+    worker_count: Callable[[], int]
     on_change: Callable[[], None]
-    members: dict[str, Member] = field(factory=dict)
-    owners: dict[str, ZoneOwner] = field(factory=dict)
     leaving: bool = False
-    follower: TableFollower = field(init=False)
-    registered_ms: float | None = None
     taken_ms: float = 0
+    took_all: bool = True
+    view: OwnerView = field(init=False)
+    survey: Survey = field(init=False)
+    follower: TableFollower = field(init=False)
+    _registered_ms: float | None = None
     _lost_since: dict[str, float] = field(factory=dict)
-    _asked_until_ms: float = 0
-    _hearing: set[str] = field(factory=set)
-    _answered: set[str] = field(factory=set)
-    _taking: bool = False
-    _own_versions: set[int] = field(factory=set)
+    _heard_since: dict[str, float] = field(factory=dict)
+    _investigating: bool = False
+    _claims: int = 0
 
     def __attrs_post_init__(self) -> None:
+        own = self.own
+        member = Member(own.node, own.zone, own.address, own.started_wall_ms)
+        self.view = OwnerView(member, self.on_change)
+        self.survey = Survey(self.clock, self.hub)
         self.follower = TableFollower(
-            self.store, TABLE, self.clock, self._take_snapshot, self._take_rows
+            self.store,
+            TABLE,
+            self.clock,
+            self.view.take_snapshot,
+            self.view.take_rows,
         )
 
     def run(self) -> None:
@@ -82,142 +104,101 @@
         self._register()
         while True:
             gevent.sleep(TICK_MS / MS_PER_S)
-            if not self.leaving:
+            if not self.leaving and self.follower.version is not None:
                 self._watch_owners()
-
-    def is_owner(self, zone: str) -> bool:
-        """Return whether this daemon owns a zone's workers."""
-        record = self.owners.get(zone)
-        return (
-            record is not None and record.owner == self.own.node and self._mine(record)
-        )
+                self._merge()
 
     def owned(self) -> dict[str, ZoneOwner]:
-        """Return the records of the zones that this daemon owns."""
-        return {zone: self.owners[zone] for zone in self.zones if self.is_owner(zone)}
+        """Return the zones that this daemon owns."""
+        return self.view.owned()
+
+    def is_owner(self, node: str) -> bool:
+        """Return whether a daemon owns any zone."""
+        return bool(self.view.zones_of(node))
 
     def preferred_owner(self) -> str | None:
         """Return the daemon to which jobs of this zone's clients go."""
-        record = self.owners.get(self.own.zone)
-        return record.owner if record else None
+        owner = self.view.owners.get(self.own.zone)
+        return owner.owner if owner else None
 
     def leave(self) -> None:
-        """Hand the owned zones to another daemon, and unregister."""
+        """Unregister, and hand the owned zones to another daemon."""
         self.leaving = True
-        self._remove_member(self.own.node)
+        gevent.spawn(self.store.transact, (), (), (member_ref(self.own.node),))
+        self.view.members.pop(self.own.node, None)
         zones = tuple(self.owned())
-        for member in self._candidates(set(self.hub.nodes())):
+        for member in self.view.candidates(set(self.hub.nodes())):
             link = self.hub.link(member.node)
             if not zones or link is None or member.node == self.own.node:
                 continue
             log.info("handing zones {} to {}", ",".join(zones), member.node)
             link.send(TakeZones(zones))
-            if self._wait_until_taken(zones):
+            if self._wait_until_taken():
                 return
 
-    def received(self, link: Link, message: AskOwner | OwnerAnswer | TakeZones) -> None:
+    def received(self, link: Link, message: OwnershipMessage) -> None:
         """Take a message about owners."""
         if isinstance(message, AskOwner):
-            hears = message.owner == self.own.node or self.hub.hears(message.owner)
-            link.send(OwnerAnswer(message.owner, hears))
+            self.survey.received_question(link, message, self.own.node)
         elif isinstance(message, OwnerAnswer):
-            self._answered.add(link.peer.node)
-            if message.hears:
-                self._hearing.add(message.owner)
+            self.survey.received_answer(link, message)
+        elif isinstance(message, ZoneClaims):
+            self.view.take_owners(
+                ZoneOwner(zone, message.owner, epoch, message.claim)
+                for zone, epoch in zip(message.zones, message.epochs, strict=True)
+            )
         elif not self.leaving:
             gevent.spawn(self._take, message.zones, f"asked by {link.peer.node}")
 
-    def doubt(self) -> None:
-        """Read the records again after a worker followed another token."""
-        gevent.spawn(self.follower.read_now)
+    def link_opened(self, link: Link) -> None:
+        """Tell another daemon of the zones that the store does not record."""
+        claimed = [owner for owner in self.owned().values() if owner.claim]
+        if claimed:
+            link.send(_claims_message(claimed))
 
-    def _mine(self, record: ZoneOwner) -> bool:
-        return record.version in self._own_versions
+    def worker_fenced(self, zone: str) -> None:
+        """Take that a worker of an owned zone follows another token."""
+        gevent.spawn(self._after_fence, zone)
 
-    def _wait_until_taken(self, zones: Sequence[str]) -> bool:
+    def _after_fence(self, zone: str) -> None:
+        token = self.view.owners[zone].fencing_token
+        failure = self.follower.read_now()
+        owner = self.view.owners[zone]
+        if failure is None and zone in self.owned() and owner.fencing_token == token:
+            self._take((zone,), "its workers follow a claim")
+
+    def _wait_until_taken(self) -> bool:
         for _ in range(10):
             gevent.sleep(TICK_MS / MS_PER_S)
-            if not any(self.is_owner(zone) for zone in zones):
+            if not self.owned():
                 return True
         return False
 
     def _register(self) -> None:
-        own = self.own
-        member = Member(own.node, own.zone, own.address, own.started_wall_ms)
-        write = (member_ref(own.node), write_record(member))
+        write = (member_ref(self.own.node), write_record(self.view.own))
         while isinstance(self.store.transact((), (write,)), Failure):
             gevent.sleep(REGISTER_PAUSE_MS / MS_PER_S)
-        self.registered_ms = self.clock.now_ms()
-
-    def _remove_member(self, node: str) -> None:
-        gevent.spawn(self.store.transact, (), (), (member_ref(node),))
-
-    # Records
-
-    def _take_snapshot(self, rows: Sequence[Row]) -> None:
-        present = {row.ref.key for row in rows}
-        for node in list(self.members):
-            if MEMBER_PREFIX + node not in present:
-                del self.members[node]
-        self._take_rows(rows)
-
-    def _take_rows(self, rows: Sequence[Row]) -> None:
-        before = dict(self.owners)
-        for row in rows:
-            self._take_row(row)
-        if self.owners != before:
-            self._owners_changed(before)
-
-    def _take_row(self, row: Row) -> None:
-        if row.deleted:
-            self.members.pop(row.ref.key.removeprefix(MEMBER_PREFIX), None)
-            return
-        try:
-            record = read_record(row)
-        except RecordError as error:
-            log.warning("{}", error)
-            return
-        if isinstance(record, Member):
-            self.members[record.node] = record
-        else:
-            known = self.owners.get(record.zone)
-            if known is None or record.version > known.version:
-                self.owners[record.zone] = record
-
-    def _owners_changed(self, before: dict[str, ZoneOwner]) -> None:
-        for zone, record in self.owners.items():
-            if before.get(zone) != record:
-                log.info(
-                    "zone {} is owned by {} since epoch {}",
-                    zone,
-                    record.owner,
-                    record.epoch,
-                )
-        self.on_change()
+        self._registered_ms = self.clock.now_ms()
 
     # Losses
 
     def _watch_owners(self) -> None:
-        now_ms = self.clock.now_ms()
-        if self.follower.version is None or self.registered_ms is None:
-            return
-        lost = []
-        for zone in self.zones:
-            record = self.owners.get(zone)
-            if record is None:
-                if now_ms > self.registered_ms + FIRST_START_MS:
-                    lost.append(zone)
-            elif record.owner == self.own.node:
-                if not self._mine(record):
-                    lost.append(zone)
-            elif self._is_lost(record.owner, now_ms):
-                lost.append(zone)
-        if lost and not self._taking:
-            self._taking = True
+        lost = [zone for zone in self.zones if self._is_zone_lost(zone)]
+        if lost and not self._investigating:
+            self._investigating = True
             gevent.spawn(self._investigate, lost)
 
+    def _is_zone_lost(self, zone: str) -> bool:
+        now_ms = self.clock.now_ms()
+        owner = self.view.owners.get(zone)
+        if owner is None:
+            return now_ms > (self._registered_ms or now_ms) + FIRST_START_MS
+        if owner.owner == self.own.node:
+            return zone not in self.owned()
+        return self._is_lost(owner.owner, now_ms)
+
     def _is_lost(self, owner: str, now_ms: float) -> bool:
-        member = self.members.get(owner)
+        member = self.view.members.get(owner)
         if member is not None:
             self.hub.want(owner, member.address, now_ms + WANT_MS)
         if self.hub.hears(owner):
@@ -229,115 +210,151 @@
         try:
             self._take_if_lost(zones)
         finally:
-            self._taking = False
+            self._investigating = False
 
     def _take_if_lost(self, zones: list[str]) -> None:
-        owners = {self.owners[zone].owner for zone in zones if zone in self.owners}
+        owners = {
+            self.view.owners[zone].owner for zone in zones if zone in self.view.owners
+        }
         owners.discard(self.own.node)
-        reached = self._ask_others(owners)
-        if any(self.hub.hears(owner) or owner in self._hearing for owner in owners):
-            gevent.sleep(PAUSE_AFTER_ASK_MS / MS_PER_S)
-            return
-        takeable = [zone for zone in zones if self._may_take(zone, reached)]
-        if not takeable:
-            return
-        candidates = self._candidates(reached - owners)
-        rank = [member.node for member in candidates].index(self.own.node)
-        before = dict(self.owners)
-        gevent.sleep(rank * RANK_DELAY_MS / MS_PER_S)
-        if self.owners == before and not self.leaving:
-            self._take(takeable, f"{','.join(owners) or 'nobody'} is lost")
-
-    def _may_take(self, zone: str, reached: set[str]) -> bool:
-        """Return whether most of a zone's daemons are on this side of a cut."""
-        nodes = {member.node for member in self.members.values() if member.zone == zone}
-        record = self.owners.get(zone)
-        if record is not None:
-            nodes.discard(record.owner)
-        return 2 * len(nodes & reached) >= len(nodes)
-
-    def _ask_others(self, owners: set[str]) -> set[str]:
-        """Return the daemons that were reached, this one included."""
-        self._hearing.clear()
-        self._answered.clear()
-        until_ms = self.clock.now_ms() + ASK_TIMEOUT_MS
         others = [
             member
-            for member in self.members.values()
-            if member.node not in owners and member.node != self.own.node
+            for node, member in self.view.members.items()
+            if node not in owners and node != self.own.node
         ]
-        asked: set[str] = set()
-        while owners and self.clock.now_ms() < until_ms:
-            for member in others:
-                self.hub.want(member.node, member.address, until_ms)
-                link = self.hub.link(member.node)
-                if link is not None and member.node not in asked:
-                    asked.add(member.node)
-                    for owner in owners:
-                        link.send(AskOwner(owner))
-            if len(self._answered) >= len(others):
-                break
-            gevent.sleep(0.01)
-        if not owners:
-            return {member.node for member in others} | {self.own.node}
-        return self._answered | {self.own.node}
-
-    def _candidates(self, reached: set[str]) -> list[Member]:
-        """Return those that may take over, the longest-lived first to come."""
-        members = [
-            member
-            for member in self.members.values()
-            if member.node in reached or member.node == self.own.node
+        reached = {self.own.node}
+        if owners:
+            self.survey.ask(owners, others)
+            reached |= self.survey.answered
+        else:
+            reached |= {member.node for member in others}
+        if any(self.survey.is_heard(owner) for owner in owners):
+            gevent.sleep(HEARD_PAUSE_MS / MS_PER_S)
+            return
+        takeable = [zone for zone in zones if self.view.is_majority(zone, reached)]
+        before = dict(self.view.owners)
+        rank = self.view.candidates(reached).index(self.view.own)
+        gevent.sleep(rank * RANK_DELAY_MS / MS_PER_S)
+        if takeable and self.view.owners == before and not self.leaving:
+            self._take_or_claim(takeable, f"{','.join(owners) or 'nobody'} is lost")
+
+    def _take_or_claim(self, zones: Sequence[str], reason: str) -> None:
+        """Write the record, or claim the zones if the store does not answer soon."""
+        tokens = {zone: self._token(zone) for zone in zones}
+        write = gevent.spawn(self._take, zones, reason)
+        write.join(timeout=STORE_PATIENCE_MS / MS_PER_S)
+        unchanged = [zone for zone in zones if self._token(zone) == tokens[zone]]
+        if unchanged and not write.ready() or write.value is False:
+            self._claim(unchanged)
+
+    def _token(self, zone: str) -> int:
+        owner = self.view.owners.get(zone)
+        return owner.fencing_token if owner else 0
+
+    def _claim(self, zones: Sequence[str]) -> None:
+        self._claims += 1
+        claim = claim_number(self.own.node, self._claims)
+        claimed = [
+            ZoneOwner(zone, self.own.node, self._epoch(zone), claim) for zone in zones
+        ]
+        log.warning("claiming zones {} without the store", ",".join(zones))
+        self._note_taken(claimed)
+        for node in self.hub.nodes():
+            self.hub.link(node).send(_claims_message(claimed))
+
+    def _epoch(self, zone: str) -> int:
+        owner = self.view.owners.get(zone)
+        return owner.epoch if owner else 0
+
+    def _take(self, zones: Sequence[str], reason: str) -> bool:
+        """Write this daemon as the owner of zones; False if the store failed."""
+        records = [
+            ZoneOwner(zone, self.own.node, self._epoch(zone) + 1) for zone in zones
         ]
-        own = self.own
-        if all(member.node != own.node for member in members):
-            members.append(Member(own.node, own.zone, own.address, own.started_wall_ms))
-        return sorted(
-            members, key=lambda member: (-member.started_wall_ms, member.node)
-        )
-
-    def _take(self, zones: Sequence[str], reason: str) -> None:
-        """Write this daemon as the owner of zones, if nobody else did."""
-        records = []
-        for zone in zones:
-            known = self.owners.get(zone)
-            epoch = known.epoch + 1 if known else 1
-            records.append(ZoneOwner(zone, self.own.node, epoch))
         conditions = [
-            Condition(zone_ref(zone), self._version_of(zone)) for zone in zones
+            Condition(zone_ref(zone), self.view.version(zone)) for zone in zones
         ]
         writes = [(zone_ref(record.zone), write_record(record)) for record in records]
         log.info("taking zones {}: {}", ",".join(zones), reason)
         result = self.store.transact(conditions, writes)
         if isinstance(result, Committed):
-            self._taken(records, result.version)
+            for zone in zones:
+                self.view.versions[zone] = result.version
+            self._note_taken(records)
         elif isinstance(result, Conflicted):
             log.info("another daemon was first")
             self.follower.read_now()
         else:
             log.warning("taking zones failed: {}", result.reason)
-            self._settle_lost_take(records)
+            return self._settle_lost_take(records)
+        return True
 
-    def _settle_lost_take(self, records: Sequence[ZoneOwner]) -> None:
+    def _settle_lost_take(self, records: Sequence[ZoneOwner]) -> bool:
         """Find out whether a write whose answer was lost took effect."""
         read = self.store.read(TABLE)
         if isinstance(read, Failure):
-            return
-        written = {zone_ref(record.zone): record for record in records}
-        for row in read.rows:
-            expected = written.get(row.ref)
-            if expected is not None and row.value == write_record(expected):
-                self._own_versions.add(row.version)
-        self._take_rows(read.rows)
-
-    def _taken(self, records: Sequence[ZoneOwner], version: int) -> None:
-        before = dict(self.owners)
-        self._own_versions.add(version)
+            return False
+        values = {row.ref: row.value for row in read.rows}
+        written = [
+            record
+            for record in records
+            if values.get(zone_ref(record.zone)) == write_record(record)
+        ]
+        if written:
+            self._note_taken(written)
+        self.view.take_rows(read.rows)
+        return bool(written)
+
+    def _note_taken(self, records: Sequence[ZoneOwner]) -> None:
+        """Note whether all zones of the owners before were taken with these."""
+        before = {self.view.owners.get(record.zone) for record in records}
+        old_owners = {owner.owner for owner in before if owner} - {self.own.node}
+        old_zones = set().union(*map(self.view.zones_of, old_owners))
+        self.took_all = old_zones <= {record.zone for record in records}
         self.taken_ms = self.clock.now_ms()
-        for record in records:
-            self.owners[record.zone] = evolve(record, version=version)
-        self._owners_changed(before)
+        self.view.take_owners(records, own=True)
 
-    def _version_of(self, zone: str) -> int:
-        known = self.owners.get(zone)
-        return known.version if known else 0
+    # Planned handovers
+
+    def _merge(self) -> None:
+        """Hand zones over that another daemon should own."""
+        owned = self.owned()
+        if not owned:
+            return
+        now_ms = self.clock.now_ms()
+        for zone, owner in owned.items():
+            better = self._better_owner(zone, owner)
+            if better is None or not self.hub.hears(better):
+                self._heard_since.pop(zone, None)
+            elif now_ms > self._heard_since.setdefault(zone, now_ms) + MERGE_AFTER_MS:
+                del self._heard_since[zone]
+                log.info("handing zone {} to {}", zone, better)
+                self.hub.link(better).send(TakeZones((zone,)))
+
+    def _better_owner(self, zone: str, owner: ZoneOwner) -> str | None:
+        if self.worker_count() > WORKERS_PER_PLACER_MAX:
+            return self._owner_within(zone)
+        owners = {other.owner for other in self.view.owners.values()}
+        best = min(owners, key=lambda node: (-len(self.view.zones_of(node)), node))
+        return best if best != self.own.node else None
+
+    def _owner_within(self, zone: str) -> str | None:
+        """Return a daemon of the zone that should own it."""
+        if zone == self.own.zone:
+            return None
+        now_ms = self.clock.now_ms()
+        for member in self.view.candidates(set(self.view.members)):
+            if member.zone == zone:
+                self.hub.want(member.node, member.address, now_ms + WANT_MS)
+                return member.node
+        return None
+
+
+def _claims_message(claimed: Sequence[ZoneOwner]) -> ZoneClaims:
+    first = claimed[0]
+    return ZoneClaims(
+        first.owner,
+        first.claim,
+        tuple(owner.zone for owner in claimed),
+        tuple(owner.epoch for owner in claimed),
+    )
--- /dev/null
+++ b/rattanloom/ownership/view.py
@@ -0,0 +1,117 @@
+"""What this daemon knows of members and owners, from the store and from others."""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from attrs import define, field
+
+from rattanloom.logs import get_log
+from rattanloom.ownership.records import (
+    MEMBER_PREFIX,
+    Member,
+    RecordError,
+    ZoneOwner,
+    read_record,
+)
+from rattanloom.platform.rows import ABSENT, Row
+
+log = get_log("ownership")
+
+
+@define(eq=False)
+class OwnerView:
+    """Members and owners; of two owners of a zone the higher token counts.
+
+    ``versions`` are those of the zones' rows in the store. ``on_change`` is
+    called after owners changed.
+    """
+
+    own: Member
+    on_change: Callable[[], None]
+    members: dict[str, Member] = field(factory=dict)
+    owners: dict[str, ZoneOwner] = field(factory=dict)
+    versions: dict[str, int] = field(factory=dict)
+    _own_tokens: set[int] = field(factory=set)
+
+    def owned(self) -> dict[str, ZoneOwner]:
+        """Return the zones that this process owns; not those of an earlier life."""
+        return {
+            zone: owner
+            for zone, owner in self.owners.items()
+            if owner.owner == self.own.node and owner.fencing_token in self._own_tokens
+        }
+
+    def version(self, zone: str) -> int:
+        """Return the version of a zone's row."""
+        return self.versions.get(zone, ABSENT)
+
+    def zones_of(self, node: str) -> set[str]:
+        """Return the zones that a daemon owns."""
+        return {zone for zone, owner in self.owners.items() if owner.owner == node}
+
+    def take_snapshot(self, rows: Sequence[Row]) -> None:
+        """Take all rows; members that are not among them have left."""
+        present = {row.ref.key for row in rows}
+        for node in list(self.members):
+            if MEMBER_PREFIX + node not in present:
+                del self.members[node]
+        self.take_rows(rows)
+
+    def take_rows(self, rows: Sequence[Row]) -> None:
+        """Take changed rows."""
+        records = []
+        for row in rows:
+            if row.deleted:
+                self.members.pop(row.ref.key.removeprefix(MEMBER_PREFIX), None)
+                continue
+            try:
+                record = read_record(row)
+            except RecordError as error:
+                log.warning("{}", error)
+                continue
+            if isinstance(record, Member):
+                self.members[record.node] = record
+            else:
+                version = max(row.version, self.version(record.zone))
+                self.versions[record.zone] = version
+                records.append(record)
+        self.take_owners(records)
+
+    def take_owners(self, records: Iterable[ZoneOwner], own: bool = False) -> None:
+        """Take owners from the store, from a claim, or taken by this process."""
+        changed = False
+        for record in records:
+            if own:
+                self._own_tokens.add(record.fencing_token)
+            known = self.owners.get(record.zone)
+            if known is None or record.fencing_token > known.fencing_token:
+                self.owners[record.zone] = record
+                changed = True
+                log.info(
+                    "zone {} is owned by {} since epoch {}{}",
+                    record.zone,
+                    record.owner,
+                    record.epoch,
+                    ", claimed without the store" if record.claim else "",
+                )
+        if changed or own:
+            self.on_change()
+
+    def candidates(self, reached: set[str]) -> list[Member]:
+        """Return who may take over, in the order in which they should try.
+
+        The last started come first: planned restarts reach them last.
+        """
+        members = {
+            node: member for node, member in self.members.items() if node in reached
+        }
+        members[self.own.node] = self.own
+        return sorted(
+            members.values(), key=lambda member: (-member.started_wall_ms, member.node)
+        )
+
+    def is_majority(self, zone: str, reached: set[str]) -> bool:
+        """Return whether at least half of a zone's other daemons are reached."""
+        nodes = {node for node, member in self.members.items() if member.zone == zone}
+        if zone in self.owners:
+            nodes.discard(self.owners[zone].owner)
+        return 2 * len(nodes & reached) >= len(nodes)
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -66,6 +66,7 @@
     jobs: dict[str, PlacedJob] = field(factory=dict)
     waiting: WaitingTasks = field(factory=WaitingTasks)
     settled_ms: float = 0
+    took_all: bool = True
     _foreign: dict[str, tuple[PooledWorker, Run]] = field(factory=dict)
     _recent_done: dict[str, float] = field(factory=dict)
     _pumping: bool = False
@@ -74,6 +75,8 @@
 
     def add_worker(self, entry: WorkerEntry, fencing_token: int) -> None:
         """Order a worker from now on, under ``fencing_token``."""
+        if entry.worker_id in self.workers:
+            return
         worker = PooledWorker(
             entry,
             self.connect(entry),
@@ -103,10 +106,10 @@
         self.run_vanished(worker, run, "its worker left the pool")
 
     def is_synced(self) -> bool:
-        """Return whether every worker has reported, or its old lease is over."""
+        """Return whether all that the owner before had started is known or over."""
         if self.clock.now_ms() >= self.settled_ms:
             return True
-        return all(
+        return self.took_all and all(
             worker.state is not WorkerState.SYNCING for worker in self.workers.values()
         )
 
@@ -159,6 +162,9 @@
                 self._end(job, None)
             elif now_ms > job.deadline_ms:
                 self._give_up(job, "its deadline has passed")
+        for task in list(self.waiting):
+            if now_ms > task.job.last_start_ms:
+                self._give_up(task.job, "no worker had room in time")
         for name, ended_ms in list(self._recent_done.items()):
             if now_ms > ended_ms + RECENT_MS:
                 del self._recent_done[name]
@@ -218,7 +224,7 @@
         now_ms = self.clock.now_ms()
         passed_over: list[PlacedTask] = []
         no_room_millicores = None
-        while (task := self.waiting.take()) is not None:
+        while (task := self.waiting.take(now_ms)) is not None:
             cpu = task.step.need.cpu_millicores
             if no_room_millicores is not None and cpu >= no_room_millicores:
                 passed_over.append(task)
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -122,6 +122,12 @@
             if self._watch is not None and self._watch is not gevent.getcurrent():
                 self._watch.kill(block=False)
 
+    def raise_token(self, fencing_token: int) -> None:
+        """Go on under the token of a newer epoch; runs are kept."""
+        if fencing_token > self.fencing_token:
+            self.fencing_token = fencing_token
+            self.look()
+
     def begin(self, task: PlacedTask) -> Run:
         """Take room for a task and send its start."""
         task.attempt += 1
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -7,6 +7,9 @@
 
 from rattanloom.placement.work import JobOutcome, Step, WorkJob
 
+# An answer counts, as late, up to three times the objective of its job.
+LATE_FACTOR = 3
+
 
 class Session(Protocol):
     """The way back to the daemon that holds a job's client."""
@@ -67,9 +70,10 @@
         return self.arrived_ms + self.work.objective_ms - self.work.chain_ms
 
     @property
-    def worthless_ms(self) -> float:
-        """Return when an answer is of no use any more."""
-        return min(self.deadline_ms, self.arrived_ms + 3 * self.work.objective_ms)
+    def last_start_ms(self) -> float:
+        """Return when a start is of no use any more, even for a late answer."""
+        late_ms = self.arrived_ms + LATE_FACTOR * self.work.objective_ms
+        return min(self.deadline_ms, late_ms) - self.work.chain_ms
 
 
 class RunPhase(Enum):
--- a/rattanloom/placement/waiting.py
+++ b/rattanloom/placement/waiting.py
@@ -8,12 +8,19 @@
 
 from rattanloom.placement.runs import PlacedTask, TaskState
 
+Entry = tuple[float, int, PlacedTask]
+
 
 @define(eq=False)
 class WaitingTasks:
-    """A queue ordered by the latest start that meets a job's objective."""
+    """Two queues: tasks that can be on time, by their latest start, go first.
+
+    Tasks that are late follow: in an overload they would otherwise make every
+    other task late as well.
+    """
 
-    _heap: list[tuple[float, int, PlacedTask]] = field(factory=list)
+    _on_time: list[Entry] = field(factory=list)
+    _late: list[Entry] = field(factory=list)
     _numbers: Iterator[int] = field(factory=count)
 
     def add(self, task: PlacedTask, now_ms: float) -> None:
@@ -24,24 +31,39 @@
 
     def put_back(self, task: PlacedTask) -> None:
         """Return a task that was taken out and found no room."""
-        heappush(self._heap, (task.job.latest_start_ms, next(self._numbers), task))
+        entry = (task.job.latest_start_ms, next(self._numbers), task)
+        heappush(self._on_time, entry)
 
-    def take(self) -> PlacedTask | None:
+    def take(self, now_ms: float) -> PlacedTask | None:
         """Return the first task that still waits, and take it out."""
-        while self._heap:
-            task = heappop(self._heap)[2]
-            if task.state is TaskState.WAITING and not task.job.ended:
+        while self._on_time:
+            task = heappop(self._on_time)[2]
+            if not _waits(task):
+                continue
+            if task.job.latest_start_ms >= now_ms:
+                return task
+            heappush(self._late, (_late_rank(task), next(self._numbers), task))
+        while self._late:
+            task = heappop(self._late)[2]
+            if _waits(task):
                 return task
         return None
 
     def __iter__(self) -> Iterator[PlacedTask]:
         """Return the waiting tasks, in no order."""
-        return (
-            task
-            for _, _, task in self._heap
-            if task.state is TaskState.WAITING and not task.job.ended
-        )
+        entries = (*self._on_time, *self._late)
+        return (task for _, _, task in entries if _waits(task))
 
     def clear(self) -> None:
         """Forget all waiting tasks."""
-        self._heap.clear()
+        self._on_time.clear()
+        self._late.clear()
+
+
+def _waits(task: PlacedTask) -> bool:
+    return task.state is TaskState.WAITING and not task.job.ended
+
+
+def _late_rank(task: PlacedTask) -> float:
+    """Return what orders late tasks: those of jobs under way first."""
+    return task.job.last_start_ms if not task.job.started else 0.0
