Log decisions as bounded JSON lines

Cause: the text lines named neither a request's placer nor why it moved; the cause of two runs at once could not be read from them.

Change: one event a decision with its fields; a bounded buffer, a limit on the rate of each event and a line that counts what was dropped.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -10,6 +10,7 @@
 from gevent.event import Event
 
 from rattanloom.clock import MS_PER_S
+from rattanloom.decision_log import DecisionLog, logging_decisions
 from rattanloom.environment import Environment
 from rattanloom.ingress.api import ClientApi
 from rattanloom.ingress.desk import JobDesk
@@ -19,7 +20,6 @@
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.link import Link
 from rattanloom.links.messages import Cancel, Hello, Message, Outcome, Submit
-from rattanloom.logs import get_log, logging_to
 from rattanloom.metrics import Metrics
 from rattanloom.ownership.ownership import Ownership
 from rattanloom.placement.placer import ADOPTION_MAX_MS, Placer
@@ -46,7 +46,7 @@
 from rattanloom.status import ExitStatus
 from rattanloom.tables import TableFollower
 
-log = get_log("daemon")
+log = DecisionLog("daemon")
 
 TICK_MS = 50
 # Workers write their entries every 1.5 s, and a leaving one has to get no new
@@ -172,10 +172,10 @@
             try:
                 configuration = read_configuration(row)
             except FormatError as error:
-                log.error("configuration not usable: {}", error)
+                log.error("configuration_refused", reason=str(error))
                 continue
             self.queues.replace(configuration)
-            log.info("configuration {} is in force", configuration.version)
+            log.info("configuration_in_force", version=configuration.version)
 
     def _owners_changed(self) -> None:
         self._arrange_workers()
@@ -220,7 +220,7 @@
         elif isinstance(message, Cancel):
             self.placer.cancel(message.job_id)
         elif isinstance(message, Outcome):
-            self.desk.deliver(message.outcome)
+            self.desk.deliver_from(link.peer.node, message.outcome)
         else:
             self.ownership.received(link, message)
 
@@ -251,7 +251,13 @@
         print(error, file=environment.stderr)
         return ExitStatus.SETTINGS
     stop = Event()
-    with logging_to(environment.stdout, environment.log_level), stop_signals(stop):
+    log_to = logging_decisions(
+        deployment.node,
+        environment.clock,
+        environment.stdout.fileno(),
+        environment.log_level,
+    )
+    with log_to, stop_signals(stop):
         return run(Daemon(deployment, environment), stop)
 
 
@@ -264,7 +270,7 @@
         stack.enter_context(serving_readiness(listen.readiness, daemon.is_ready))
         stack.enter_context(serving(listen.clients, api.app, daemon.connections))
         daemon.start()
-        log.info("{} serves clients on {}", daemon.deployment.node, listen.clients)
+        log.info("started", clients=listen.clients, zone=daemon.deployment.zone)
         stop.wait()
         stop_gracefully(daemon)
     return ExitStatus.OK
@@ -274,7 +280,7 @@
     """Leave the balancer, hand the workers over, answer what is in flight."""
     clock = daemon.environment.clock
     begun_ms = clock.now_ms()
-    log.info("stopping with {} jobs in flight", len(daemon.desk.pending))
+    log.info("stopping", jobs=len(daemon.desk.pending))
     daemon.stopping = True
     daemon.connections.closing = True
     daemon.ownership.leave()
@@ -284,7 +290,7 @@
     daemon.connections.close_idle()
     while daemon.connections.in_flight and clock.now_ms() < begun_ms + grace_ms:
         gevent.sleep(POLL_MS / MS_PER_S)
-    log.info("stopped with {} requests in flight", daemon.connections.in_flight)
+    log.info("stopped", requests=daemon.connections.in_flight)
 
 
 @contextmanager
--- /dev/null
+++ b/rattanloom/decision_log.py
@@ -0,0 +1,154 @@
+"""Structured logs: one JSON object a line, bounded, and never in the way.
+
+``docs/OPERATIONS.md`` lists the events and their fields.
+"""
+
+import json
+import os
+from collections import defaultdict, deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import gevent
+from attrs import define, field
+from logbook import Handler, Logger, LogRecord, lookup_level
+
+from rattanloom.clock import MS_PER_S, Clock
+
+# Lines that wait for a slow reader; at some 200 bytes each, about 0.5 MB.
+LINES_MAX = 2_000
+# A storm of one kind of line keeps the first of each second.
+LINES_PER_EVENT_PER_S = 400
+FLUSH_MS = 100
+
+
+@define(eq=False)
+class DecisionLog:
+    """The log of one part; each call writes one event with its fields."""
+
+    part: str
+    _logger: Logger = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._logger = Logger(self.part)
+
+    def info(self, event: str, **fields: object) -> None:
+        """Log a decision."""
+        self._logger.info(event, extra=fields)
+
+    def warning(self, event: str, **fields: object) -> None:
+        """Log a loss that the program handles."""
+        self._logger.warning(event, extra=fields)
+
+    def error(self, event: str, **fields: object) -> None:
+        """Log what an operator has to mend."""
+        self._logger.error(event, extra=fields)
+
+
+@define(eq=False)
+class LineBuffer:
+    """Lines on their way to a descriptor that may block or be gone."""
+
+    descriptor: int
+    lines: deque[bytes] = field(factory=deque)
+    dropped: int = 0
+    _rest: bytes = b""
+
+    def add(self, line: bytes) -> None:
+        """Queue a line, or count it as dropped."""
+        if len(self.lines) >= LINES_MAX:
+            self.dropped += 1
+        else:
+            self.lines.append(line)
+
+    def flush(self) -> None:
+        """Write what the descriptor takes now."""
+        try:
+            while self._rest or self.lines:
+                if not self._rest:
+                    self._rest = b"".join(self.lines)
+                    self.lines.clear()
+                written = os.write(self.descriptor, self._rest)
+                self._rest = self._rest[written:]
+        except BlockingIOError:
+            return
+        except OSError:
+            self.dropped += len(self.lines) + bool(self._rest)
+            self.lines.clear()
+            self._rest = b""
+
+
+class JsonLinesHandler(Handler):
+    """Writes records as JSON lines; limits the rate of each event."""
+
+    def __init__(self, node: str, clock: Clock, descriptor: int, level: str):
+        super().__init__(level=lookup_level(level))
+        self.node = node
+        self.clock = clock
+        self.buffer = LineBuffer(descriptor)
+        self.second = 0
+        self.counts: dict[str, int] = defaultdict(int)
+        self.limited = 0
+
+    def emit(self, record: LogRecord) -> None:
+        """Queue one record, unless its event came too often in this second."""
+        wall_ms = self.clock.wall_ms()
+        self._start_second(wall_ms)
+        self.counts[record.msg] += 1
+        if self.counts[record.msg] > LINES_PER_EVENT_PER_S:
+            self.limited += 1
+            return
+        self._write(
+            wall_ms, record.level_name, record.channel, record.msg, record.extra
+        )
+
+    def flush(self) -> None:
+        """Write what is queued."""
+        self.buffer.flush()
+
+    def _start_second(self, wall_ms: float) -> None:
+        second = int(wall_ms // MS_PER_S)
+        if second == self.second:
+            return
+        self.second = second
+        self.counts.clear()
+        dropped = self.buffer.dropped + self.limited
+        if dropped:
+            self.buffer.dropped = self.limited = 0
+            self._write(wall_ms, "WARNING", "logs", "lines_dropped", {"lines": dropped})
+
+    def _write(
+        self, wall_ms: float, level: str, part: str, event: str, fields: dict
+    ) -> None:
+        document = {
+            "wall_ms": round(wall_ms, 1),
+            "level": level.lower(),
+            "node": self.node,
+            "part": part,
+            "event": event,
+            **fields,
+        }
+        line = json.dumps(document, separators=(",", ":"), default=str)
+        self.buffer.add(line.encode() + b"\n")
+
+
+@contextmanager
+def logging_decisions(
+    node: str, clock: Clock, descriptor: int, level: str
+) -> Iterator[None]:
+    """Write all decision logs to a descriptor while the block runs."""
+    os.set_blocking(descriptor, False)
+    handler = JsonLinesHandler(node, clock, descriptor, level)
+    flusher = gevent.spawn(_flush_all, handler)
+    try:
+        with handler.applicationbound():
+            yield
+    finally:
+        flusher.kill()
+        handler.flush()
+
+
+def _flush_all(handler: JsonLinesHandler) -> None:
+    while True:
+        gevent.sleep(FLUSH_MS / MS_PER_S)
+        handler.flush()
--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -8,10 +8,10 @@
 from gevent.socket import socket
 
 from rattanloom.clock import MS_PER_S
+from rattanloom.decision_log import DecisionLog
 from rattanloom.ingress.desk import JobDesk, PendingJob
 from rattanloom.ingress.queues import Queue, QueueTable
 from rattanloom.ingress.server import SOCKET_KEY, wait_until_gone
-from rattanloom.logs import get_log
 from rattanloom.metrics import Metrics
 from rattanloom.placement.work import JobOutcome, OutcomeKind
 from rattanloom.platform.fields import FormatError
@@ -22,7 +22,7 @@
     write_state,
 )
 
-log = get_log("ingress")
+log = DecisionLog("ingress")
 
 DEADLINE_HEADER = "Deadline-Ms"
 # The answer leaves this much before the client's deadline.
--- a/rattanloom/ingress/desk.py
+++ b/rattanloom/ingress/desk.py
@@ -6,13 +6,13 @@
 from gevent.event import AsyncResult
 
 from rattanloom.clock import Clock
+from rattanloom.decision_log import DecisionLog
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.messages import Cancel, Submit
-from rattanloom.logs import get_log
 from rattanloom.placement.placer import Placer
 from rattanloom.placement.work import JobOutcome, OutcomeKind, WorkJob
 
-log = get_log("ingress")
+log = DecisionLog("ingress")
 
 # While a new owner takes over, a job is kept as long as it may still be on time.
 NO_PLACER_HOLD_MS = 250
@@ -55,6 +55,7 @@
     def cancel(self, job: PendingJob) -> None:
         """End a job whose client has gone."""
         self.pending.pop(job.work.job_id, None)
+        log.info("job_cancelled", job=job.work.job_id, placer=job.placer)
         if job.placer == self.node:
             self.placer.cancel(job.work.job_id)
         elif job.placer is not None:
@@ -63,10 +64,27 @@
                 link.send(Cancel(job.work.job_id))
 
     def deliver(self, outcome: JobOutcome) -> None:
-        """Take the end of a job from a placer."""
-        job = self.pending.pop(outcome.job_id, None)
-        if job is not None:
-            job.result.set(outcome)
+        """Take the end of a job from the own placer."""
+        self.deliver_from(self.node, outcome)
+
+    def deliver_from(self, placer: str, outcome: JobOutcome) -> None:
+        """Take the end of a job from a placer.
+
+        A placer that had the job before may still tell that it is done, but not
+        that it did not run.
+        """
+        job = self.pending.get(outcome.job_id)
+        if job is None:
+            return
+        if job.placer != placer:
+            if outcome.kind is not OutcomeKind.COMPLETE:
+                return
+            self.cancel(job)
+        self._end(job, outcome)
+
+    def _end(self, job: PendingJob, outcome: JobOutcome) -> None:
+        self.pending.pop(job.work.job_id, None)
+        job.result.set(outcome)
 
     def placers_changed(self) -> None:
         """Hand on the jobs whose placer is lost or places no more."""
@@ -91,7 +109,7 @@
                 kind = OutcomeKind.GIVEN_UP if job.may_run else OutcomeKind.REFUSED
                 reason = "no placer can be reached"
                 outcome = JobOutcome(job.work.job_id, kind, reason, RETRY_AFTER_MS)
-                self.deliver(outcome)
+                self._end(job, outcome)
 
     def _is_placed(self, job: PendingJob) -> bool:
         node = job.placer
@@ -114,6 +132,16 @@
             remaining_ms=job.work.remaining_ms - waited_ms,
             waited_ms=waited_ms,
         )
+        if node is not None:
+            log.info(
+                "job_handed_over",
+                job=work.job_id,
+                placer=node,
+                placer_before=job.placer,
+                may_run=job.may_run,
+                waited_ms=round(waited_ms),
+                remaining_ms=round(work.remaining_ms),
+            )
         if node == self.node:
             job.placer = node
             may_run, job.may_run = job.may_run, True
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -11,10 +11,10 @@
 from gevent.socket import socket, wait_read
 
 from rattanloom.clock import MS_PER_S
+from rattanloom.decision_log import DecisionLog
 from rattanloom.ingress.queues import RequestLimits
-from rattanloom.logs import get_log
 
-log = get_log("ingress")
+log = DecisionLog("ingress")
 
 SOCKET_KEY = "rattanloom.socket"
 BACKLOG = 1_024
@@ -90,7 +90,7 @@
 
     def log_error(self, message: str, *args: object) -> None:
         """Log malformed requests shortly."""
-        log.debug("malformed request: {}", message % args if args else message)
+        log.info("request_malformed", reason=message % args if args else message)
 
 
 @contextmanager
--- a/rattanloom/links/hub.py
+++ b/rattanloom/links/hub.py
@@ -9,11 +9,11 @@
 from gevent.socket import create_connection, socket
 
 from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.decision_log import DecisionLog
 from rattanloom.links.link import Link
 from rattanloom.links.messages import Hello, Message
-from rattanloom.logs import get_log
 
-log = get_log("links")
+log = DecisionLog("links")
 
 CONNECT_TIMEOUT_MS = 250
 RECONNECT_PAUSE_MS = 60
@@ -80,7 +80,7 @@
         node = link.peer.node
         if self._links.get(node) is link:
             del self._links[node]
-        log.info("link to {} ended: {}", node, reason)
+        log.info("link_lost", peer=node, reason=reason)
         self.on_lost(link)
 
     def _accept(self, connection: socket, _: object) -> None:
--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -11,11 +11,11 @@
 from gevent.socket import IPPROTO_TCP, TCP_NODELAY, socket
 
 from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.decision_log import DecisionLog
 from rattanloom.links.codec import BadMessageError, decode_message, encode_message
 from rattanloom.links.messages import Hello, Message, Ping
-from rattanloom.logs import get_log
 
-log = get_log("links")
+log = DecisionLog("links")
 
 LENGTH = struct.Struct(">I")
 MESSAGE_MAX_BYTES = 1_000_000
@@ -104,7 +104,7 @@
                 if content and not self.closed:
                     self.socket.sendall(content)
             except OSError as error:
-                log.debug("Write failed: {}", error)
+                log.info("link_write_failed", reason=str(error))
                 self.close()
 
     def _read_hello(self) -> None:
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 
 from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.decision_log import DecisionLog
 from rattanloom.errors import Failure
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.link import Link
@@ -23,7 +24,6 @@
     TakeZones,
     ZoneClaims,
 )
-from rattanloom.logs import get_log
 from rattanloom.ownership.records import (
     TABLE,
     Member,
@@ -38,7 +38,7 @@
 from rattanloom.platform.rows import Committed, Condition, Conflicted, Store
 from rattanloom.tables import TableFollower
 
-log = get_log("ownership")
+log = DecisionLog("ownership")
 
 TICK_MS = 50
 # A broken link is dialled again at once; this long is left for it to come back.
@@ -131,7 +131,9 @@
             link = self.hub.link(member.node)
             if not zones or link is None or member.node == self.own.node:
                 continue
-            log.info("handing zones {} to {}", ",".join(zones), member.node)
+            log.info(
+                "zones_handed_over", zones=zones, to=member.node, reason="stopping"
+            )
             link.send(TakeZones(zones))
             if self._wait_until_taken():
                 return
@@ -257,7 +259,7 @@
         claimed = [
             ZoneOwner(zone, self.own.node, self._epoch(zone), claim) for zone in zones
         ]
-        log.warning("claiming zones {} without the store", ",".join(zones))
+        log.warning("zones_claimed", zones=zones, reason="the store does not answer")
         self._note_taken(claimed)
         for node in self.hub.nodes():
             self.hub.link(node).send(_claims_message(claimed))
@@ -275,17 +277,17 @@
             Condition(zone_ref(zone), self.view.version(zone)) for zone in zones
         ]
         writes = [(zone_ref(record.zone), write_record(record)) for record in records]
-        log.info("taking zones {}: {}", ",".join(zones), reason)
+        log.info("zones_taking", zones=zones, reason=reason)
         result = self.store.transact(conditions, writes)
         if isinstance(result, Committed):
             for zone in zones:
                 self.view.versions[zone] = result.version
             self._note_taken(records)
         elif isinstance(result, Conflicted):
-            log.info("another daemon was first")
+            log.info("zones_not_taken", zones=zones, reason="another daemon was first")
             self.follower.read_now()
         else:
-            log.warning("taking zones failed: {}", result.reason)
+            log.warning("zones_not_taken", zones=zones, reason=result.reason)
             return self._settle_lost_take(records)
         return True
 
@@ -328,7 +330,7 @@
                 self._heard_since.pop(zone, None)
             elif now_ms > self._heard_since.setdefault(zone, now_ms) + MERGE_AFTER_MS:
                 del self._heard_since[zone]
-                log.info("handing zone {} to {}", zone, better)
+                log.info("zones_handed_over", zones=(zone,), to=better, reason="merge")
                 self.hub.link(better).send(TakeZones((zone,)))
 
     def _better_owner(self, zone: str, owner: ZoneOwner) -> str | None:
--- a/rattanloom/ownership/view.py
+++ b/rattanloom/ownership/view.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from rattanloom.logs import get_log
+from rattanloom.decision_log import DecisionLog
 from rattanloom.ownership.records import (
     MEMBER_PREFIX,
     Member,
@@ -14,7 +14,7 @@
 )
 from rattanloom.platform.rows import ABSENT, Row
 
-log = get_log("ownership")
+log = DecisionLog("ownership")
 
 
 @define(eq=False)
@@ -66,7 +66,7 @@
             try:
                 record = read_record(row)
             except RecordError as error:
-                log.warning("{}", error)
+                log.warning("record_unreadable", reason=str(error))
                 continue
             if isinstance(record, Member):
                 self.members[record.node] = record
@@ -87,11 +87,11 @@
                 self.owners[record.zone] = record
                 changed = True
                 log.info(
-                    "zone {} is owned by {} since epoch {}{}",
-                    record.zone,
-                    record.owner,
-                    record.epoch,
-                    ", claimed without the store" if record.claim else "",
+                    "zone_owner",
+                    zone=record.zone,
+                    owner=record.owner,
+                    epoch=record.epoch,
+                    claimed=record.claim > 0,
                 )
         if changed or own:
             self.on_change()
--- a/rattanloom/placement/choice.py
+++ b/rattanloom/placement/choice.py
@@ -27,13 +27,20 @@
 
 def may_run(task: PlacedTask, worker: PooledWorker, now_ms: float) -> bool:
     """Return whether a worker may and can take a task now."""
-    if worker.state is not WorkerState.READY or not worker.entry.accepting:
-        return False
-    if worker.refused_until_ms > now_ms:
-        return False
-    if not worker.free().fits(task.step.need):
-        return False
-    return suits(task, worker)
+    return (
+        takes_tasks(worker, now_ms)
+        and worker.free().fits(task.step.need)
+        and suits(task, worker)
+    )
+
+
+def takes_tasks(worker: PooledWorker, now_ms: float) -> bool:
+    """Return whether a worker takes any task now."""
+    return (
+        worker.state is WorkerState.READY
+        and worker.entry.accepting
+        and worker.refused_until_ms <= now_ms
+    )
 
 
 def suits(task: PlacedTask, worker: PooledWorker) -> bool:
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -6,8 +6,8 @@
 from attrs import define, field
 
 from rattanloom.clock import Clock
-from rattanloom.logs import get_log
-from rattanloom.placement.choice import choose_worker
+from rattanloom.decision_log import DecisionLog
+from rattanloom.placement.choice import choose_worker, takes_tasks
 from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
 from rattanloom.placement.runs import (
     PlacedJob,
@@ -30,7 +30,7 @@
     WorkerOrders,
 )
 
-log = get_log("placement")
+log = DecisionLog("placement")
 
 # Below the lease limit of the platform, so that runs end before a resend.
 LEASE_MS = 900
@@ -47,6 +47,8 @@
 # Ended runs that nobody has asked about are kept this long.
 RECENT_MS = 5_000
 RETRY_AFTER_MS = 1_000
+# Tasks tried beyond one that finds no room, so that smaller ones fill gaps.
+PASSED_OVER_MAX = 24
 SPEED_WEIGHT = 0.15
 SPEED_MIN, SPEED_MAX = 0.25, 10.0
 
@@ -69,6 +71,7 @@
     took_all: bool = True
     _foreign: dict[str, tuple[PooledWorker, Run]] = field(factory=dict)
     _recent_done: dict[str, float] = field(factory=dict)
+    _recent_jobs: dict[str, float] = field(factory=dict)
     _pumping: bool = False
 
     # Workers
@@ -93,7 +96,7 @@
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
-        log.info("worker {} leaves the pool: {}", worker_id, reason)
+        log.info("worker_removed", worker=worker_id, reason=reason)
         worker.close()
         for run in list(worker.runs.values()):
             self._foreign.pop(run.name, None)
@@ -122,8 +125,20 @@
             known.session = session
             known.deadline_ms = self.clock.now_ms() + work.remaining_ms
             return
+        if work.job_id in self._recent_jobs:
+            session.deliver(JobOutcome(work.job_id, OutcomeKind.COMPLETE))
+            return
         job = make_job(work, session, may_run, self.clock.now_ms())
         self.jobs[job.job_id] = job
+        log.info(
+            "job_accepted",
+            job=job.job_id,
+            entry=session.node,
+            tasks=len(job.tasks),
+            may_run=may_run,
+            synced=self.is_synced(),
+            slack_ms=round(job.latest_start_ms - self.clock.now_ms()),
+        )
         self._claim_foreign(job)
         self._open_tasks(job)
         self.pump()
@@ -154,7 +169,7 @@
         now_ms = self.clock.now_ms()
         for worker, run in list(self._foreign.values()):
             if now_ms > run.ordered_ms + FOREIGN_STOP_MS:
-                log.info("stopping {} on {}: unclaimed", run.name, worker.worker_id)
+                log.info("unclaimed_stopped", task=run.name, worker=worker.worker_id)
                 del self._foreign[run.name]
                 worker.stop(run)
         for job in list(self.jobs.values()):
@@ -165,9 +180,10 @@
         for task in list(self.waiting):
             if now_ms > task.job.last_start_ms:
                 self._give_up(task.job, "no worker had room in time")
-        for name, ended_ms in list(self._recent_done.items()):
-            if now_ms > ended_ms + RECENT_MS:
-                del self._recent_done[name]
+        for recent in (self._recent_done, self._recent_jobs):
+            for name, ended_ms in list(recent.items()):
+                if now_ms > ended_ms + RECENT_MS:
+                    del recent[name]
         self.pump()
 
     def _claim_foreign(self, job: PlacedJob) -> None:
@@ -196,6 +212,14 @@
             return
         job.ended = True
         self.jobs.pop(job.job_id, None)
+        log.info(
+            "job_ended",
+            job=job.job_id,
+            outcome=outcome.kind.value if outcome else "abandoned",
+            reason=outcome.reason if outcome else "its client or its daemon has gone",
+            tasks_left=job.tasks_left,
+            age_ms=round(self.clock.now_ms() - job.arrived_ms),
+        )
         if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
             self._stop_runs(job)
         if outcome is not None and job.session is not None:
@@ -223,25 +247,43 @@
     def _start_waiting(self) -> None:
         now_ms = self.clock.now_ms()
         passed_over: list[PlacedTask] = []
-        no_room_millicores = None
-        while (task := self.waiting.take(now_ms)) is not None:
-            cpu = task.step.need.cpu_millicores
-            if no_room_millicores is not None and cpu >= no_room_millicores:
-                passed_over.append(task)
-                continue
-            if task.job.may_run and not self.is_synced():
-                passed_over.append(task)
-                continue
-            worker = choose_worker(task, self.workers.values(), now_ms)
-            if worker is None:
+        no_room_millicores = self._largest_room(now_ms) + 1
+        while no_room_millicores > 1 and len(passed_over) < PASSED_OVER_MAX:
+            task = self.waiting.take(now_ms)
+            if task is None:
+                break
+            if not self._start_if_room(task, no_room_millicores, now_ms):
                 passed_over.append(task)
-                no_room_millicores = cpu
-                continue
-            task.state = TaskState.PLACED
-            task.job.started = True
-            worker.begin(task)
+            else:
+                no_room_millicores = self._largest_room(now_ms) + 1
         for task in passed_over:
-            self.waiting.put_back(task)
+            self.waiting.put_back(task, now_ms)
+
+    def _largest_room(self, now_ms: float) -> int:
+        """Return the most processor that is free on one worker."""
+        return max(
+            (
+                worker.free().cpu_millicores
+                for worker in self.workers.values()
+                if takes_tasks(worker, now_ms)
+            ),
+            default=0,
+        )
+
+    def _start_if_room(
+        self, task: PlacedTask, no_room_millicores: int, now_ms: float
+    ) -> bool:
+        if task.step.need.cpu_millicores >= no_room_millicores:
+            return False
+        if task.job.may_run and not self.is_synced():
+            return False
+        worker = choose_worker(task, self.workers.values(), now_ms)
+        if worker is None:
+            return False
+        task.state = TaskState.PLACED
+        task.job.started = True
+        worker.begin(task)
+        return True
 
     # Events of workers
 
@@ -254,6 +296,13 @@
 
     def run_ended(self, worker: PooledWorker, run: Run, end: EndedTask) -> None:
         """Take the end of a run."""
+        log.info(
+            "task_ended",
+            task=run.name,
+            attempt=run.attempt,
+            worker=worker.worker_id,
+            how=end.how.value,
+        )
         task = run.task
         if task is None or task.job.ended:
             self._foreign.pop(run.name, None)
@@ -270,7 +319,9 @@
         """Take that a run is surely not running and its end is not known."""
         self._foreign.pop(run.name, None)
         if run.task is not None and not run.task.job.ended:
-            log.info("{} on {} is lost: {}", run.name, worker.worker_id, reason)
+            log.warning(
+                "task_lost", task=run.name, worker=worker.worker_id, reason=reason
+            )
             run.task.avoided_workers.add(worker.worker_id)
             self._requeue(run.task)
             self.pump()
@@ -284,12 +335,6 @@
         if refusal is StartRefusal.UNHEALTHY:
             pause_ms = UNHEALTHY_PAUSE_MS
         worker.refused_until_ms = now_ms + pause_ms
-        log.info(
-            "{} not started on {}: {}",
-            run.name,
-            worker.worker_id,
-            refusal.value if refusal else "no connection, or fenced off",
-        )
         if run.task is not None and not run.task.job.ended:
             self._requeue(run.task)
             self.pump()
@@ -326,6 +371,7 @@
         job = task.job
         job.tasks_left -= 1
         if job.tasks_left == 0:
+            self._recent_jobs[job.job_id] = self.clock.now_ms()
             self._end(job, JobOutcome(job.job_id, OutcomeKind.COMPLETE))
         else:
             self._open_tasks(job)
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -7,8 +7,8 @@
 from attrs import define, field
 
 from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.decision_log import DecisionLog
 from rattanloom.errors import ErrorKind, Failure
-from rattanloom.logs import get_log
 from rattanloom.placement.runs import PlacedTask, Run, RunPhase
 from rattanloom.placement.worker_lease import WorkerLease
 from rattanloom.placement.workers import (
@@ -25,7 +25,7 @@
     WorkerReport,
 )
 
-log = get_log("placement")
+log = DecisionLog("placement")
 
 # A busy worker's lease is renewed after a third of its duration.
 BUSY_WAIT_MS = 300
@@ -126,6 +126,8 @@
         """Go on under the token of a newer epoch; runs are kept."""
         if fencing_token > self.fencing_token:
             self.fencing_token = fencing_token
+            if self.state is WorkerState.SILENT:
+                self.state = WorkerState.SYNCING
             self.look()
 
     def begin(self, task: PlacedTask) -> Run:
@@ -174,6 +176,15 @@
                 token,
             )
             reply = self.orders.start(order)
+            log.info(
+                "task_ordered",
+                task=run.name,
+                attempt=run.attempt,
+                worker=self.worker_id,
+                token=token,
+                lease_until_ms=order.lease_until_ms,
+                answer=_word(reply),
+            )
             if self.closed or self.runs.get(run.key) is not run:
                 return
             if not self._is_to_repeat(run, reply, token):
@@ -221,11 +232,13 @@
 
     def _resolve_lost_start(self, run: Run, failure: Failure) -> None:
         """Fence the lost order off with a higher token, then look what runs."""
-        log.info(
-            "start of {} on {} got no answer ({}); fencing it off",
-            run.name,
-            self.worker_id,
-            failure.reason,
+        log.warning(
+            "start_unanswered",
+            task=run.name,
+            attempt=run.attempt,
+            worker=self.worker_id,
+            reason=failure.reason,
+            new_token=self.fencing_token + 1,
         )
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.UNCERTAIN
@@ -236,7 +249,12 @@
     def _stop(self, run: Run) -> None:
         reply = self.orders.stop(run.name, run.attempt, self.fencing_token)
         if isinstance(reply, Failure):
-            log.info("stop of {} on {}: {}", run.name, self.worker_id, reply.reason)
+            log.warning(
+                "stop_unanswered",
+                task=run.name,
+                worker=self.worker_id,
+                reason=reply.reason,
+            )
 
     def look(self) -> None:
         """Ask for a report now, beside the one that is waited for."""
@@ -296,14 +314,16 @@
 
     def _fenced(self) -> None:
         if self.state is not WorkerState.FENCED:
-            log.warning("worker {} follows a higher token", self.worker_id)
+            log.warning(
+                "worker_fenced", worker=self.worker_id, own_token=self.fencing_token
+            )
             self.state = WorkerState.FENCED
             self.events.worker_changed(self)
 
     def _miss(self, failure: Failure) -> None:
         self.misses += 1
         if self.misses == 2 and self.state is WorkerState.READY:
-            log.info("worker {} is silent: {}", self.worker_id, failure.reason)
+            log.warning("worker_silent", worker=self.worker_id, reason=failure.reason)
             self.state = WorkerState.SILENT
             self.events.worker_changed(self)
 
@@ -334,6 +354,13 @@
             if run.key not in listed:
                 self._check_missing(run, sent_ms, token)
         if self.state in (WorkerState.SYNCING, WorkerState.SILENT):
+            log.info(
+                "worker_answers",
+                worker=self.worker_id,
+                before=self.state.value,
+                running=len(report.running),
+                token=token,
+            )
             self.state = WorkerState.READY
             self.events.worker_changed(self)
 
@@ -378,6 +405,14 @@
     return seen_ms is not None and seen_ms < report_asked_ms
 
 
+def _word(reply: Started | NotStarted | Failure) -> str:
+    if isinstance(reply, Started):
+        return "started"
+    if isinstance(reply, NotStarted):
+        return reply.refusal.value
+    return reply.kind.value
+
+
 def _need(run: Run) -> Resources:
     if run.step is None:
         return Resources(UNKNOWN_NEED_MILLICORES)
--- a/rattanloom/placement/waiting.py
+++ b/rattanloom/placement/waiting.py
@@ -27,12 +27,15 @@
         """Let a task wait."""
         task.state = TaskState.WAITING
         task.queued_ms = now_ms
-        self.put_back(task)
+        self.put_back(task, now_ms)
 
-    def put_back(self, task: PlacedTask) -> None:
+    def put_back(self, task: PlacedTask, now_ms: float) -> None:
         """Return a task that was taken out and found no room."""
-        entry = (task.job.latest_start_ms, next(self._numbers), task)
-        heappush(self._on_time, entry)
+        number = next(self._numbers)
+        if task.job.latest_start_ms >= now_ms:
+            heappush(self._on_time, (task.job.latest_start_ms, number, task))
+        else:
+            heappush(self._late, (_late_rank(task), number, task))
 
     def take(self, now_ms: float) -> PlacedTask | None:
         """Return the first task that still waits, and take it out."""
@@ -42,7 +45,7 @@
                 continue
             if task.job.latest_start_ms >= now_ms:
                 return task
-            heappush(self._late, (_late_rank(task), next(self._numbers), task))
+            self.put_back(task, now_ms)
         while self._late:
             task = heappop(self._late)[2]
             if _waits(task):
--- a/rattanloom/registry.py
+++ b/rattanloom/registry.py
@@ -6,13 +6,13 @@
 from attrs import define, field
 
 from rattanloom.clock import MS_PER_S
-from rattanloom.logs import get_log
+from rattanloom.decision_log import DecisionLog
 from rattanloom.placement.workers import WorkerEntry
 from rattanloom.platform.fields import FormatError
 from rattanloom.platform.registry import read_worker_entry
 from rattanloom.platform.rows import Row
 
-log = get_log("registry")
+log = DecisionLog("registry")
 
 # Entries that lapsed in an outage of the store are back about 2 s after it.
 MISSING_MS = 2_500
@@ -51,7 +51,7 @@
         try:
             entry = read_worker_entry(row)
         except FormatError as error:
-            log.warning("entry {} names no worker to use: {}", worker_id, error)
+            log.warning("entry_unreadable", worker=worker_id, reason=str(error))
             return
         self._missing.discard(worker_id)
         self.entries[worker_id] = entry
@@ -63,7 +63,7 @@
 
     def _drop_missing(self, worker_id: str) -> None:
         if worker_id in self._missing:
-            log.info("worker {} is gone", worker_id)
+            log.info("worker_gone", worker=worker_id)
             self._missing.discard(worker_id)
             del self.entries[worker_id]
             self.on_change()
--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -6,11 +6,11 @@
 from attrs import define
 
 from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.decision_log import DecisionLog
 from rattanloom.errors import ErrorKind, Failure
-from rattanloom.logs import get_log
 from rattanloom.platform.rows import Row, Store
 
-log = get_log("store")
+log = DecisionLog("store")
 
 # A connection that went silent shows after this wait.
 FOLLOW_WAIT_MS = 2_500
@@ -45,7 +45,7 @@
                 if self.pause_ms is not None:
                     gevent.sleep(self.pause_ms() / MS_PER_S)
             elif failure.kind is ErrorKind.HISTORY_GONE:
-                log.info("{}: history is gone; reading it again", self.table)
+                log.info("store_history_gone", table=self.table)
                 self.version = None
             else:
                 self._note_failure(failure)
@@ -74,12 +74,12 @@
     def _note_reached(self) -> None:
         self.reached_ms = self.clock.now_ms()
         if self.failures:
-            log.info("{}: the store answers again", self.table)
+            log.info("store_regained", table=self.table, failures=self.failures)
             self.failures = 0
 
     def _note_failure(self, failure: Failure) -> None:
         self.failures += 1
         if self.failures == 1:
-            log.warning("{}: the store does not answer: {}", self.table, failure.reason)
+            log.warning("store_lost", table=self.table, reason=failure.reason)
         pause_ms = min(RETRY_MIN_MS * 2**self.failures, RETRY_MAX_MS)
         gevent.sleep(pause_ms / MS_PER_S)
