Merge zones only with known workers, and show in the store that owners live

Cause: after a cut the reunited owner took the zone back before its workers were registered again, and started tasks that still ran there (TWICE). A daemon that was cut off alone took its zone whenever it had one other daemon.

Change: the handover names the workers in use; merges wait until workers are registered again; owners beat in the store, and a minority takes a zone only if the owner's beat stopped. Workers with unclaimed runs get no new tasks.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -82,6 +82,7 @@
     queues: QueueTable = field(factory=QueueTable)
     metrics: Metrics = field(factory=Metrics)
     stopping: bool = False
+    workers_follower: TableFollower = field(init=False)
     hub: LinkHub = field(init=False)
     store: StoreClient = field(init=False)
     registry: Registry = field(init=False)
@@ -110,27 +111,35 @@
             clock,
             self.store,
             self.hub,
-            lambda: len(self.registry.entries),
+            lambda: set(self.registry.entries),
+            self._refresh_workers,
             self._owners_changed,
         )
+        self.workers_follower = TableFollower(
+            self.store,
+            WORKERS_TABLE,
+            clock,
+            self.registry.take_snapshot,
+            self.registry.take_rows,
+            pause_ms=self._workers_pause_ms,
+        )
         self.desk = JobDesk(
             deployment.node,
             clock,
             self.hub,
             self.placer,
             self.ownership.preferred_owner,
+            self.ownership.reached_owner,
             self.ownership.is_owner,
         )
         self.connections = ConnectionState(self._limits)
 
     def is_ready(self) -> bool:
         """Return whether clients can be served here."""
-        owner = self.ownership.preferred_owner()
         return (
             not self.stopping
             and self.queues.configuration is not None
-            and owner is not None
-            and (owner == self.deployment.node or self.hub.hears(owner))
+            and self.ownership.reached_owner() is not None
         )
 
     def start(self) -> None:
@@ -139,15 +148,8 @@
         configuration = TableFollower(
             self.store, OPERATOR_TABLE, clock, self._take_operator, self._take_operator
         )
-        workers = TableFollower(
-            self.store,
-            WORKERS_TABLE,
-            clock,
-            self.registry.take_snapshot,
-            self.registry.take_rows,
-            pause_ms=self._workers_pause_ms,
-        )
-        for follower in (configuration, workers, self.ownership.follower):
+        followers = (configuration, self.workers_follower, self.ownership.follower)
+        for follower in followers:
             gevent.spawn(follower.run)
         gevent.spawn(self.ownership.run)
         gevent.spawn(self._tick_all)
@@ -158,6 +160,11 @@
             self.placer.tick()
             self.desk.tick()
 
+    def _refresh_workers(self) -> None:
+        failure = self.workers_follower.read_now()
+        if failure is not None:
+            log.warning("workers_not_read", reason=failure.reason)
+
     def _workers_pause_ms(self) -> float:
         return OWNER_PAUSE_MS if self.ownership.owned() else OTHERS_PAUSE_MS
 
@@ -178,6 +185,8 @@
             log.info("configuration_in_force", version=configuration.version)
 
     def _owners_changed(self) -> None:
+        if self.ownership.owned():
+            gevent.spawn(self._refresh_workers)
         self._arrange_workers()
         self.desk.placers_changed()
 
--- a/rattanloom/ingress/desk.py
+++ b/rattanloom/ingress/desk.py
@@ -32,13 +32,17 @@
 
 @define(eq=False)
 class JobDesk:
-    """Hands jobs to the placer, and hands them on when the placer changes."""
+    """Hands jobs to the placer, and hands them on when the placer changes.
+
+    A job that may run goes only to the ``successor`` of the placer that had it.
+    """
 
     node: str
     clock: Clock
     hub: LinkHub
     placer: Placer
-    choose_placer: Callable[[], str | None]
+    successor: Callable[[], str | None]
+    reached_placer: Callable[[], str | None]
     is_placer: Callable[[str], bool]
     pending: dict[str, PendingJob] = field(factory=dict)
 
@@ -125,7 +129,7 @@
         return min(deadline_ms, useful_ms)
 
     def _hand_over(self, job: PendingJob) -> None:
-        node = self.choose_placer()
+        node = self.successor() if job.may_run else self.reached_placer()
         waited_ms = self.clock.now_ms() - job.arrived_ms
         work = evolve(
             job.work,
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -169,7 +169,9 @@
 
 
 def _put_zones(builder: object, message: TakeZones) -> None:
-    builder.takeZones = list(message.zones)
+    slot = builder.init("takeZones")
+    slot.zones = list(message.zones)
+    slot.workers = list(message.workers)
 
 
 _WRITERS: dict[type, Callable[[object, Message], None]] = {
@@ -194,6 +196,8 @@
     "ownerAnswer": lambda reader: OwnerAnswer(
         reader.ownerAnswer.owner, reader.ownerAnswer.hears
     ),
-    "takeZones": lambda reader: TakeZones(tuple(reader.takeZones)),
+    "takeZones": lambda reader: TakeZones(
+        tuple(reader.takeZones.zones), tuple(reader.takeZones.workers)
+    ),
     "zoneClaims": _read_claims,
 }
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -45,6 +45,11 @@
   hears @1 :Bool;
 }
 
+struct TakeZones {
+  zones @0 :List(Text);
+  workers @1 :List(Text);
+}
+
 struct ZoneClaims {
   owner @0 :Text;
   claim @1 :UInt64;
@@ -61,7 +66,7 @@
     outcome @4 :Outcome;
     askOwner @5 :Text;
     ownerAnswer @6 :OwnerAnswer;
-    takeZones @7 :List(Text);
+    takeZones @7 :TakeZones;
     zoneClaims @8 :ZoneClaims;
   }
 }
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -63,9 +63,10 @@
 
 @frozen
 class TakeZones:
-    """Asks the receiver to take the workers of these zones over."""
+    """Asks the receiver to take these zones over, with these workers in use."""
 
     zones: tuple[str, ...]
+    workers: tuple[str, ...]
 
 
 @frozen
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -24,6 +24,7 @@
     TakeZones,
     ZoneClaims,
 )
+from rattanloom.ownership.beats import Beats
 from rattanloom.ownership.records import (
     TABLE,
     Member,
@@ -53,8 +54,9 @@
 # Pause after others said that they hear the owner.
 HEARD_PAUSE_MS = 300
 WANT_MS = 2_000
-# Owners that hear each other again merge what they own after this time.
-MERGE_AFTER_MS = 600
+# Owners that hear each other again merge what they own after this time: workers
+# that were cut off are registered again about 2 s after the cut.
+MERGE_AFTER_MS = 2_500
 # One placer serves this many workers in 0.3 of a core (docs/CAPACITY.md).
 WORKERS_PER_PLACER_MAX = 64
 
@@ -63,8 +65,8 @@
 class Ownership:
     """Keeps every zone owned by one daemon.
 
-    ``worker_count`` tells the number of registered workers; ``on_change`` is
-    called after owners changed.
+    ``known_workers`` tells the registered workers, ``refresh_workers`` reads
+    them again; ``on_change`` is called after owners changed.
     """
 
     own: Hello
@@ -72,13 +74,15 @@
     clock: Clock
     store: Store
     hub: LinkHub
-    worker_count: Callable[[], int]
+    known_workers: Callable[[], set[str]]
+    refresh_workers: Callable[[], object]
     on_change: Callable[[], None]
     leaving: bool = False
     taken_ms: float = 0
     took_all: bool = True
     view: OwnerView = field(init=False)
     survey: Survey = field(init=False)
+    beats: Beats = field(init=False)
     follower: TableFollower = field(init=False)
     _registered_ms: float | None = None
     _lost_since: dict[str, float] = field(factory=dict)
@@ -91,6 +95,7 @@
         member = Member(own.node, own.zone, own.address, own.started_wall_ms)
         self.view = OwnerView(member, self.on_change)
         self.survey = Survey(self.clock, self.hub)
+        self.beats = Beats(own.node, self.clock, self.store)
         self.follower = TableFollower(
             self.store,
             TABLE,
@@ -107,6 +112,8 @@
             if not self.leaving and self.follower.version is not None:
                 self._watch_owners()
                 self._merge()
+            if self.owned():
+                self.beats.beat()
 
     def owned(self) -> dict[str, ZoneOwner]:
         """Return the zones that this daemon owns."""
@@ -121,6 +128,18 @@
         owner = self.view.owners.get(self.own.zone)
         return owner.owner if owner else None
 
+    def reached_owner(self) -> str | None:
+        """Return the preferred owner, or another one if only that is heard."""
+        preferred = self.preferred_owner()
+        owners = {owner.owner for owner in self.view.owners.values()}
+        for node in sorted(owners, key=lambda node: (node != preferred, node)):
+            if node == self.own.node:
+                if self.owned():
+                    return node
+            elif self.hub.hears(node):
+                return node
+        return None
+
     def leave(self) -> None:
         """Unregister, and hand the owned zones to another daemon."""
         self.leaving = True
@@ -134,7 +153,7 @@
             log.info(
                 "zones_handed_over", zones=zones, to=member.node, reason="stopping"
             )
-            link.send(TakeZones(zones))
+            link.send(TakeZones(zones, tuple(self.known_workers())))
             if self._wait_until_taken():
                 return
 
@@ -150,7 +169,15 @@
                 for zone, epoch in zip(message.zones, message.epochs, strict=True)
             )
         elif not self.leaving:
-            gevent.spawn(self._take, message.zones, f"asked by {link.peer.node}")
+            gevent.spawn(self._take_asked, message, link.peer.node)
+
+    def _take_asked(self, message: TakeZones, asker: str) -> None:
+        """Take zones from an owner that lives; its workers have to be known."""
+        wanted = set(message.workers)
+        if not wanted <= self.known_workers():
+            self.refresh_workers()
+        complete = wanted <= self.known_workers()
+        self._take(message.zones, f"asked by {asker}", complete)
 
     def link_opened(self, link: Link) -> None:
         """Tell another daemon of the zones that the store does not record."""
@@ -167,7 +194,7 @@
         failure = self.follower.read_now()
         owner = self.view.owners[zone]
         if failure is None and zone in self.owned() and owner.fencing_token == token:
-            self._take((zone,), "its workers follow a claim")
+            self._take((zone,), "its workers follow another token", False)
 
     def _wait_until_taken(self) -> bool:
         for _ in range(10):
@@ -233,20 +260,39 @@
         if any(self.survey.is_heard(owner) for owner in owners):
             gevent.sleep(HEARD_PAUSE_MS / MS_PER_S)
             return
-        takeable = [zone for zone in zones if self.view.is_majority(zone, reached)]
         before = dict(self.view.owners)
+        takeable = self._takeable(zones, owners, reached)
         rank = self.view.candidates(reached).index(self.view.own)
         gevent.sleep(rank * RANK_DELAY_MS / MS_PER_S)
         if takeable and self.view.owners == before and not self.leaving:
             self._take_or_claim(takeable, f"{','.join(owners) or 'nobody'} is lost")
 
+    def _takeable(
+        self, zones: list[str], owners: set[str], reached: set[str]
+    ) -> list[str]:
+        """Return the zones that this side of a cut may take.
+
+        A daemon that reaches few others may itself be the one that is cut off.
+        Then the store tells whether the owner lives; without the store only
+        the own zone is taken, as nobody else may reach it.
+        """
+        takeable = [zone for zone in zones if self.view.is_majority(zone, reached)]
+        if takeable or not owners:
+            return takeable or zones
+        silent = self.beats.are_silent(owners)
+        if isinstance(silent, Failure):
+            return [zone for zone in zones if zone == self.own.zone]
+        if not silent:
+            log.info("zones_not_taken", zones=zones, reason="the owner beats")
+        return zones if silent else []
+
     def _take_or_claim(self, zones: Sequence[str], reason: str) -> None:
         """Write the record, or claim the zones if the store does not answer soon."""
         tokens = {zone: self._token(zone) for zone in zones}
         write = gevent.spawn(self._take, zones, reason)
         write.join(timeout=STORE_PATIENCE_MS / MS_PER_S)
         unchanged = [zone for zone in zones if self._token(zone) == tokens[zone]]
-        if unchanged and not write.ready() or write.value is False:
+        if unchanged and (not write.ready() or write.value is False):
             self._claim(unchanged)
 
     def _token(self, zone: str) -> int:
@@ -268,8 +314,11 @@
         owner = self.view.owners.get(zone)
         return owner.epoch if owner else 0
 
-    def _take(self, zones: Sequence[str], reason: str) -> bool:
-        """Write this daemon as the owner of zones; False if the store failed."""
+    def _take(self, zones: Sequence[str], reason: str, complete: bool = True) -> bool:
+        """Write this daemon as the owner of zones; False if the store failed.
+
+        ``complete`` says that all workers of the owner before are known.
+        """
         records = [
             ZoneOwner(zone, self.own.node, self._epoch(zone) + 1) for zone in zones
         ]
@@ -282,7 +331,7 @@
         if isinstance(result, Committed):
             for zone in zones:
                 self.view.versions[zone] = result.version
-            self._note_taken(records)
+            self._note_taken(records, complete)
         elif isinstance(result, Conflicted):
             log.info("zones_not_taken", zones=zones, reason="another daemon was first")
             self.follower.read_now()
@@ -307,12 +356,13 @@
         self.view.take_rows(read.rows)
         return bool(written)
 
-    def _note_taken(self, records: Sequence[ZoneOwner]) -> None:
+    def _note_taken(self, records: Sequence[ZoneOwner], complete: bool = True) -> None:
         """Note whether all zones of the owners before were taken with these."""
         before = {self.view.owners.get(record.zone) for record in records}
         old_owners = {owner.owner for owner in before if owner} - {self.own.node}
         old_zones = set().union(*map(self.view.zones_of, old_owners))
-        self.took_all = old_zones <= {record.zone for record in records}
+        taken = {record.zone for record in records}
+        self.took_all = complete and old_zones <= taken
         self.taken_ms = self.clock.now_ms()
         self.view.take_owners(records, own=True)
 
@@ -330,11 +380,12 @@
                 self._heard_since.pop(zone, None)
             elif now_ms > self._heard_since.setdefault(zone, now_ms) + MERGE_AFTER_MS:
                 del self._heard_since[zone]
-                log.info("zones_handed_over", zones=(zone,), to=better, reason="merge")
-                self.hub.link(better).send(TakeZones((zone,)))
+                log.info("zones_handed", zones=(zone,), to=better, reason="merge")
+                message = TakeZones((zone,), tuple(self.known_workers()))
+                self.hub.link(better).send(message)
 
     def _better_owner(self, zone: str, owner: ZoneOwner) -> str | None:
-        if self.worker_count() > WORKERS_PER_PLACER_MAX:
+        if len(self.known_workers()) > WORKERS_PER_PLACER_MAX:
             return self._owner_within(zone)
         owners = {other.owner for other in self.view.owners.values()}
         best = min(owners, key=lambda node: (-len(self.view.zones_of(node)), node))
--- a/rattanloom/ownership/records.py
+++ b/rattanloom/ownership/records.py
@@ -10,6 +10,7 @@
 from rattanloom.settings import CONVERTER
 
 TABLE = "rattanloom"
+BEATS_TABLE = "rattanloom-beats"
 MEMBER_PREFIX = "member/"
 ZONE_PREFIX = "zone/"
 # Fencing tokens: the epoch of the store's record, then one bit and a number for
@@ -67,6 +68,11 @@
     return RowRef(TABLE, "", MEMBER_PREFIX + node)
 
 
+def beat_ref(node: str) -> RowRef:
+    """Return the row that an owner keeps changing while it lives."""
+    return RowRef(BEATS_TABLE, "", node)
+
+
 def zone_ref(zone: str) -> RowRef:
     """Return the row of a zone's owner."""
     return RowRef(TABLE, "", ZONE_PREFIX + zone)
--- a/rattanloom/ownership/view.py
+++ b/rattanloom/ownership/view.py
@@ -110,8 +110,8 @@
         )
 
     def is_majority(self, zone: str, reached: set[str]) -> bool:
-        """Return whether at least half of a zone's other daemons are reached."""
+        """Return whether more than half of a zone's other daemons are reached."""
         nodes = {node for node, member in self.members.items() if member.zone == zone}
         if zone in self.owners:
             nodes.discard(self.owners[zone].owner)
-        return 2 * len(nodes & reached) >= len(nodes)
+        return 2 * len(nodes & reached) > len(nodes)
--- a/rattanloom/placement/choice.py
+++ b/rattanloom/placement/choice.py
@@ -40,6 +40,7 @@
         worker.state is WorkerState.READY
         and worker.entry.accepting
         and worker.refused_until_ms <= now_ms
+        and not worker.has_unclaimed_runs()
     )
 
 
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -38,7 +38,7 @@
 REFUSED_PAUSE_MS = 100
 UNHEALTHY_PAUSE_MS = 500
 # Runs that nobody claims are stopped; daemons hand their jobs over in a few ms.
-FOREIGN_STOP_MS = 300
+FOREIGN_STOP_MS = 200
 # Time for a daemon whose link broke to come back before its jobs are ended.
 ORPHAN_MS = 300
 # A task stays in the wait for other workers' reports at most this long: by
@@ -167,11 +167,7 @@
     def tick(self) -> None:
         """Stop unclaimed runs, end orphans and jobs past their deadline."""
         now_ms = self.clock.now_ms()
-        for worker, run in list(self._foreign.values()):
-            if now_ms > run.ordered_ms + FOREIGN_STOP_MS:
-                log.info("unclaimed_stopped", task=run.name, worker=worker.worker_id)
-                del self._foreign[run.name]
-                worker.stop(run)
+        self._stop_unclaimed(now_ms)
         for job in list(self.jobs.values()):
             if job.session is None and now_ms > job.orphaned_ms + ORPHAN_MS:
                 self._end(job, None)
@@ -180,11 +176,21 @@
         for task in list(self.waiting):
             if now_ms > task.job.last_start_ms:
                 self._give_up(task.job, "no worker had room in time")
+        self._forget_recent(now_ms)
+        self.pump()
+
+    def _stop_unclaimed(self, now_ms: float) -> None:
+        for worker, run in list(self._foreign.values()):
+            if now_ms > run.ordered_ms + FOREIGN_STOP_MS:
+                log.info("unclaimed_stopped", task=run.name, worker=worker.worker_id)
+                del self._foreign[run.name]
+                worker.stop(run)
+
+    def _forget_recent(self, now_ms: float) -> None:
         for recent in (self._recent_done, self._recent_jobs):
             for name, ended_ms in list(recent.items()):
                 if now_ms > ended_ms + RECENT_MS:
                     del recent[name]
-        self.pump()
 
     def _claim_foreign(self, job: PlacedJob) -> None:
         for task in job.tasks:
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -110,6 +110,13 @@
         """Return the capacity that no run uses."""
         return self.entry.capacity.minus(self.used)
 
+    def has_unclaimed_runs(self) -> bool:
+        """Return whether runs of another placer still have to end.
+
+        A start would extend their lease, which that placer counts on to end.
+        """
+        return any(run.task is None for run in self.runs.values())
+
     def open(self) -> None:
         """Start watching the worker."""
         self._watch = gevent.spawn(self._watch_all)
@@ -277,7 +284,8 @@
         sent_ms = self.clock.now_ms()
         token = self.fencing_token
         synced = self.state is not WorkerState.SYNCING
-        leasing = synced and self.runs and self.misses < 2
+        has_own_runs = any(run.task is not None for run in self.runs.values())
+        leasing = synced and has_own_runs and self.misses < 2
         lease_until_ms = self.lease.extend() if leasing else None
         if self.state is WorkerState.SYNCING:
             wait_ms = 0
