Wait for the runs of each former placer of a job

Change: a job names its former placers. The placer starts its tasks once it has inherited all of them and every worker reported, or after their leases are over. A placer that was replaced stops, a moment later, what its successor missed.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -22,7 +22,7 @@
 from rattanloom.links.messages import Cancel, Hello, Message, Outcome, Submit
 from rattanloom.metrics import Metrics
 from rattanloom.ownership.ownership import Ownership
-from rattanloom.placement.placer import ADOPTION_MAX_MS, Placer
+from rattanloom.placement.placer import Placer
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.work import JobOutcome
 from rattanloom.placement.workers import WorkerEntry
@@ -104,7 +104,7 @@
         )
         self.store = StoreClient(deployment.store.address)
         self.registry = Registry(self._arrange_workers)
-        self.placer = Placer(clock, _connect, self._worker_fenced)
+        self.placer = Placer(deployment.node, clock, _connect, self._worker_fenced)
         self.ownership = Ownership(
             own,
             tuple(deployment.zones),
@@ -185,8 +185,6 @@
             log.info("configuration_in_force", version=configuration.version)
 
     def _owners_changed(self) -> None:
-        if self.ownership.owned():
-            gevent.spawn(self._refresh_workers)
         self._arrange_workers()
         self.desk.placers_changed()
 
@@ -209,8 +207,7 @@
             else:
                 worker.entry = entry
                 worker.raise_token(owned[entry.zone].fencing_token)
-        self.placer.settled_ms = self.ownership.taken_ms + ADOPTION_MAX_MS
-        self.placer.took_all = self.ownership.took_all
+        self.placer.inherited_ms = self.ownership.inherited_ms
         for entry in self.registry.entries.values():
             record = owned.get(entry.zone)
             if record is not None:
@@ -225,7 +222,7 @@
         if isinstance(message, Submit):
             if self.ownership.owned():
                 session = LinkSession(link.peer.node, self.hub)
-                self.placer.submit(session, message.job, message.may_run)
+                self.placer.submit(session, message.job, message.former_placers)
         elif isinstance(message, Cancel):
             self.placer.cancel(message.job_id)
         elif isinstance(message, Outcome):
--- a/rattanloom/ingress/desk.py
+++ b/rattanloom/ingress/desk.py
@@ -27,7 +27,13 @@
     arrived_ms: float
     result: AsyncResult = field(factory=AsyncResult)
     placer: str | None = None
-    may_run: bool = False
+    former_placers: tuple[str, ...] = ()
+
+    def note_placer(self, node: str) -> None:
+        """Note to which placer the job goes."""
+        self.placer = node
+        if node not in self.former_placers:
+            self.former_placers = (*self.former_placers, node)
 
 
 @define(eq=False)
@@ -110,7 +116,9 @@
                 continue
             self._hand_over(job)
             if job.placer is None and now_ms > self._hold_until_ms(job):
-                kind = OutcomeKind.GIVEN_UP if job.may_run else OutcomeKind.REFUSED
+                kind = (
+                    OutcomeKind.GIVEN_UP if job.former_placers else OutcomeKind.REFUSED
+                )
                 reason = "no placer can be reached"
                 outcome = JobOutcome(job.work.job_id, kind, reason, RETRY_AFTER_MS)
                 self._end(job, outcome)
@@ -122,14 +130,14 @@
         return node == self.node or self.hub.link(node) is not None
 
     def _hold_until_ms(self, job: PendingJob) -> float:
-        if not job.may_run:
+        if not job.former_placers:
             return job.arrived_ms + NO_PLACER_HOLD_MS
         deadline_ms = job.arrived_ms + job.work.remaining_ms
         useful_ms = job.arrived_ms + 3 * job.work.objective_ms
         return min(deadline_ms, useful_ms)
 
     def _hand_over(self, job: PendingJob) -> None:
-        node = self.successor() if job.may_run else self.reached_placer()
+        node = self.successor() if job.former_placers else self.reached_placer()
         waited_ms = self.clock.now_ms() - job.arrived_ms
         work = evolve(
             job.work,
@@ -142,14 +150,14 @@
                 job=work.job_id,
                 placer=node,
                 placer_before=job.placer,
-                may_run=job.may_run,
+                former_placers=job.former_placers,
                 waited_ms=round(waited_ms),
                 remaining_ms=round(work.remaining_ms),
             )
+        former = job.former_placers
         if node == self.node:
-            job.placer = node
-            may_run, job.may_run = job.may_run, True
-            self.placer.submit(self, work, may_run)
+            job.note_placer(node)
+            self.placer.submit(self, work, former)
         elif node is not None and (link := self.hub.link(node)) is not None:
-            link.send(Submit(work, job.may_run))
-            job.placer, job.may_run = node, True
+            job.note_placer(node)
+            link.send(Submit(work, former))
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -74,7 +74,7 @@
     slot.latencyTargetMs = policy.latency_target_ms
     slot.remainingMs = job.remaining_ms
     slot.waitedMs = job.waited_ms
-    slot.mayRun = submit.may_run
+    slot.formerPlacers = list(submit.former_placers)
     step_slots = slot.init("steps", len(job.steps))
     for step_slot, step in zip(step_slots, job.steps, strict=True):
         _put_step(step_slot, step)
@@ -108,7 +108,7 @@
         slot.remainingMs,
         slot.waitedMs,
     )
-    return Submit(job, slot.mayRun)
+    return Submit(job, tuple(slot.formerPlacers))
 
 
 def _read_step(slot: object) -> Step:
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -30,7 +30,7 @@
   latencyTargetMs @7 :Float32;
   remainingMs @8 :Float32;
   waitedMs @9 :Float32;
-  mayRun @10 :Bool;
+  formerPlacers @10 :List(Text);
 }
 
 struct Outcome {
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -24,12 +24,11 @@
 class Submit:
     """Hands a job to a placer.
 
-    ``may_run`` says that another placer had the job before, so that its tasks
-    may be running.
+    ``former_placers`` had the job before, so that its tasks may be running.
     """
 
     job: WorkJob
-    may_run: bool = False
+    former_placers: tuple[str, ...] = ()
 
 
 @frozen
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -78,8 +78,7 @@
     refresh_workers: Callable[[], object]
     on_change: Callable[[], None]
     leaving: bool = False
-    taken_ms: float = 0
-    took_all: bool = True
+    inherited_ms: dict[str, float] = field(factory=dict)
     view: OwnerView = field(init=False)
     survey: Survey = field(init=False)
     beats: Beats = field(init=False)
@@ -260,6 +259,7 @@
         if any(self.survey.is_heard(owner) for owner in owners):
             gevent.sleep(HEARD_PAUSE_MS / MS_PER_S)
             return
+        gevent.spawn(self.refresh_workers)
         before = dict(self.view.owners)
         takeable = self._takeable(zones, owners, reached)
         rank = self.view.candidates(reached).index(self.view.own)
@@ -357,13 +357,13 @@
         return bool(written)
 
     def _note_taken(self, records: Sequence[ZoneOwner], complete: bool = True) -> None:
-        """Note whether all zones of the owners before were taken with these."""
+        """Note from which owners all zones were taken with these."""
         before = {self.view.owners.get(record.zone) for record in records}
         old_owners = {owner.owner for owner in before if owner} - {self.own.node}
-        old_zones = set().union(*map(self.view.zones_of, old_owners))
         taken = {record.zone for record in records}
-        self.took_all = complete and old_zones <= taken
-        self.taken_ms = self.clock.now_ms()
+        for owner in old_owners:
+            if complete and self.view.zones_of(owner) <= taken:
+                self.inherited_ms[owner] = self.clock.now_ms()
         self.view.take_owners(records, own=True)
 
     # Planned handovers
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -1,5 +1,6 @@
 """The placer: owns a pool of workers and runs the jobs that daemons hand to it."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import gevent
@@ -44,6 +45,8 @@
 # A task stays in the wait for other workers' reports at most this long: by
 # then leases of the placer before have run out.
 ADOPTION_MAX_MS = 1_050
+# Daemons hand jobs on within this time after their placer was replaced.
+INHERITED_MS = 2_000
 # Ended runs that nobody has asked about are kept this long.
 RECENT_MS = 5_000
 RETRY_AFTER_MS = 1_000
@@ -58,17 +61,19 @@
     """Places tasks on the workers of the zones that this daemon owns.
 
     ``connect`` makes the client of a worker. ``fenced`` is called with a
-    worker that turned out to follow another placer.
+    worker that turned out to follow another placer. ``active`` counts the runs
+    of each task that may still go on.
     """
 
+    node: str
     clock: Clock
     connect: Callable[[WorkerEntry], WorkerOrders]
     fenced: Callable[[PooledWorker], None]
     workers: dict[str, PooledWorker] = field(factory=dict)
     jobs: dict[str, PlacedJob] = field(factory=dict)
     waiting: WaitingTasks = field(factory=WaitingTasks)
-    settled_ms: float = 0
-    took_all: bool = True
+    inherited_ms: dict[str, float] = field(factory=dict)
+    active: Counter[str] = field(factory=Counter)
     _foreign: dict[str, tuple[PooledWorker, Run]] = field(factory=dict)
     _recent_done: dict[str, float] = field(factory=dict)
     _recent_jobs: dict[str, float] = field(factory=dict)
@@ -87,6 +92,7 @@
             self.clock,
             WorkerLease(self.clock, LEASE_MS),
             fencing_token,
+            self.active,
         )
         self.workers[entry.worker_id] = worker
         worker.open()
@@ -97,28 +103,37 @@
         if worker is None:
             return
         log.info("worker_removed", worker=worker_id, reason=reason)
-        worker.close()
+        worker.abandon()
         for run in list(worker.runs.values()):
             self._foreign.pop(run.name, None)
-            if run.task is not None:
-                gevent.spawn(self._vanish_when_over, worker, run)
+            gevent.spawn(self._vanish_when_over, worker, run)
 
     def _vanish_when_over(self, worker: PooledWorker, run: Run) -> None:
         while not worker.lease.is_over():
             gevent.sleep(max(0.01, (worker.lease.over_ms - self.clock.now_ms()) / 1000))
+        worker.forget(run)
         self.run_vanished(worker, run, "its worker left the pool")
 
-    def is_synced(self) -> bool:
-        """Return whether all that the owner before had started is known or over."""
-        if self.clock.now_ms() >= self.settled_ms:
+    def _is_synced(self, job: PlacedJob) -> bool:
+        """Return whether all runs that former placers started are known or over."""
+        if self.clock.now_ms() >= job.received_ms + ADOPTION_MAX_MS:
             return True
-        return self.took_all and all(
+        if not job.former_placers:
+            return True
+        is_inherited = all(
+            job.received_ms < self.inherited_ms.get(node, 0) + INHERITED_MS
+            for node in job.former_placers
+            if node != self.node
+        )
+        return is_inherited and all(
             worker.state is not WorkerState.SYNCING for worker in self.workers.values()
         )
 
     # Jobs
 
-    def submit(self, session: Session, work: WorkJob, may_run: bool) -> None:
+    def submit(
+        self, session: Session, work: WorkJob, former_placers: tuple[str, ...]
+    ) -> None:
         """Take a job; its outcome is delivered to ``session``."""
         known = self.jobs.get(work.job_id)
         if known is not None:
@@ -128,15 +143,15 @@
         if work.job_id in self._recent_jobs:
             session.deliver(JobOutcome(work.job_id, OutcomeKind.COMPLETE))
             return
-        job = make_job(work, session, may_run, self.clock.now_ms())
+        job = make_job(work, session, former_placers, self.clock.now_ms())
         self.jobs[job.job_id] = job
         log.info(
             "job_accepted",
             job=job.job_id,
             entry=session.node,
             tasks=len(job.tasks),
-            may_run=may_run,
-            synced=self.is_synced(),
+            former_placers=former_placers,
+            synced=self._is_synced(job),
             slack_ms=round(job.latest_start_ms - self.clock.now_ms()),
         )
         self._claim_foreign(job)
@@ -200,7 +215,7 @@
                 worker.adopt(run, task)
                 task.state = TaskState.PLACED
                 job.started = True
-            elif task.name in self._recent_done and job.may_run:
+            elif task.name in self._recent_done and job.former_placers:
                 self._finish(task)
 
     def _open_tasks(self, job: PlacedJob) -> None:
@@ -209,7 +224,7 @@
 
     def _give_up(self, job: PlacedJob, reason: str) -> None:
         kind = OutcomeKind.REFUSED
-        if job.started or job.may_run:
+        if job.started or job.former_placers:
             kind = OutcomeKind.GIVEN_UP
         self._end(job, JobOutcome(job.job_id, kind, reason, RETRY_AFTER_MS))
 
@@ -281,7 +296,7 @@
     ) -> bool:
         if task.step.need.cpu_millicores >= no_room_millicores:
             return False
-        if task.job.may_run and not self.is_synced():
+        if self.active[task.name] or not self._is_synced(task.job):
             return False
         worker = choose_worker(task, self.workers.values(), now_ms)
         if worker is None:
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -1,5 +1,6 @@
 """One worker in a placer's pool: its lease, its runs, and the orders to it."""
 
+from collections import Counter
 from enum import Enum
 from typing import Protocol
 
@@ -36,6 +37,8 @@
 SILENT_PAUSE_MAX_MS = 1_000
 ATTEMPT_TRIES = 5
 STOP_AGAIN_MS = 150
+# Time for the next placer to fence a worker after it was recorded as owner.
+NEXT_PLACER_MS = 150
 # Need assumed of runs whose job is not known.
 UNKNOWN_NEED_MILLICORES = 1_000
 
@@ -87,6 +90,7 @@
     clock: Clock
     lease: WorkerLease
     fencing_token: int
+    active: Counter[str]
     state: WorkerState = WorkerState.SYNCING
     runs: dict[tuple[str, int], Run] = field(factory=dict)
     used: Resources = field(factory=Resources)
@@ -121,14 +125,6 @@
         """Start watching the worker."""
         self._watch = gevent.spawn(self._watch_all)
 
-    def close(self) -> None:
-        """Stop ordering this worker; what runs there is left to its lease."""
-        if not self.closed:
-            self.closed = True
-            self.orders.close()
-            if self._watch is not None and self._watch is not gevent.getcurrent():
-                self._watch.kill(block=False)
-
     def raise_token(self, fencing_token: int) -> None:
         """Go on under the token of a newer epoch; runs are kept."""
         if fencing_token > self.fencing_token:
@@ -137,6 +133,27 @@
                 self.state = WorkerState.SYNCING
             self.look()
 
+    def abandon(self) -> None:
+        """Leave the worker to its next placer, and stop what that one missed.
+
+        The next placer fences this one off first, so that the stops reach only
+        workers that it has not taken.
+        """
+        if not self.closed:
+            self.closed = True
+            gevent.spawn(self._stop_missed)
+
+    def _stop_missed(self) -> None:
+        gevent.sleep(NEXT_PLACER_MS / MS_PER_S)
+        if self.state is WorkerState.READY:
+            for run in list(self.runs.values()):
+                self._stop(run)
+        self.orders.close()
+
+    def forget(self, run: Run) -> None:
+        """Drop a run that is surely over."""
+        self._remove(run)
+
     def begin(self, task: PlacedTask) -> Run:
         """Take room for a task and send its start."""
         task.attempt += 1
@@ -163,12 +180,16 @@
 
     def _add(self, run: Run) -> None:
         self.runs[run.key] = run
+        self.active[run.name] += 1
         self.used = self.used.plus(_need(run))
 
     def _remove(self, run: Run) -> bool:
         if self.runs.get(run.key) is not run:
             return False
         del self.runs[run.key]
+        self.active[run.name] -= 1
+        if not self.active[run.name]:
+            del self.active[run.name]
         self.used = self.used.minus(_need(run))
         return True
 
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -54,7 +54,8 @@
     deadline_ms: float
     tasks: list[PlacedTask] = field(factory=list)
     tasks_left: int = 0
-    may_run: bool = False
+    former_placers: tuple[str, ...] = ()
+    received_ms: float = 0
     started: bool = False
     ended: bool = False
     orphaned_ms: float = 0
@@ -113,7 +114,7 @@
 
 
 def make_job(
-    work: WorkJob, session: Session, may_run: bool, now_ms: float
+    work: WorkJob, session: Session, former_placers: tuple[str, ...], now_ms: float
 ) -> PlacedJob:
     """Return a job with all its tasks; those without earlier steps may wait."""
     job = PlacedJob(
@@ -121,7 +122,8 @@
         session,
         now_ms - work.waited_ms,
         now_ms + work.remaining_ms,
-        may_run=may_run,
+        former_placers=former_placers,
+        received_ms=now_ms,
     )
     for number, step in enumerate(work.steps):
         for index in range(step.count):
