Reload settings on SIGHUP; take zones only on the larger side of a cut

In a zone of two daemons the one that was cut off took the zone from its living owner.

Change: a watcher of the settings file; a list of workers counts as whole 2.5 s after its first read; the owner counts among a zone's daemons; pauses end when the daemon becomes an owner. Failing workers are paused, stuck runs moved.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -42,6 +42,7 @@
 from rattanloom.platform.store import StoreClient
 from rattanloom.platform.workers import WorkerClient
 from rattanloom.registry import Registry
+from rattanloom.reload import SettingsWatcher
 from rattanloom.settings import SettingsError
 from rattanloom.status import ExitStatus
 from rattanloom.tables import TableFollower
@@ -103,7 +104,7 @@
             own, clock, self._received, self._link_opened, self._link_lost
         )
         self.store = StoreClient(deployment.store.address)
-        self.registry = Registry(self._arrange_workers)
+        self.registry = Registry(clock, self._arrange_workers)
         self.placer = Placer(deployment.node, clock, _connect, self._worker_fenced)
         self.ownership = Ownership(
             own,
@@ -113,6 +114,7 @@
             self.hub,
             lambda: set(self.registry.entries),
             self._refresh_workers,
+            self.registry.is_complete,
             self._owners_changed,
         )
         self.workers_follower = TableFollower(
@@ -142,6 +144,11 @@
             and self.ownership.reached_owner() is not None
         )
 
+    def apply(self, deployment: Deployment) -> None:
+        """Put changed settings in force; addresses to listen on need a restart."""
+        self.store.move_to(deployment.store.address)
+        self.deployment = deployment
+
     def start(self) -> None:
         """Start what follows the store and the clock."""
         clock = self.environment.clock
@@ -251,8 +258,9 @@
 def main(environment: Environment | None = None) -> ExitStatus:
     """Run one daemon until it is told to stop; return its exit status."""
     environment = environment or Environment()
+    path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        deployment = load_deployment(os.environ.get(SETTINGS_VARIABLE, ""))
+        deployment = load_deployment(path)
     except SettingsError as error:
         print(error, file=environment.stderr)
         return ExitStatus.SETTINGS
@@ -264,10 +272,10 @@
         environment.log_level,
     )
     with log_to, stop_signals(stop):
-        return run(Daemon(deployment, environment), stop)
+        return run(Daemon(deployment, environment), path, stop)
 
 
-def run(daemon: Daemon, stop: Event) -> ExitStatus:
+def run(daemon: Daemon, settings_path: str, stop: Event) -> ExitStatus:
     """Serve until ``stop`` is set, then stop gracefully."""
     api = ClientApi(daemon.queues, daemon.desk, daemon.metrics)
     listen = daemon.deployment.listen
@@ -276,6 +284,7 @@
         stack.enter_context(serving_readiness(listen.readiness, daemon.is_ready))
         stack.enter_context(serving(listen.clients, api.app, daemon.connections))
         daemon.start()
+        stack.enter_context(following_settings(daemon, settings_path))
         log.info("started", clients=listen.clients, zone=daemon.deployment.zone)
         stop.wait()
         stop_gracefully(daemon)
@@ -299,6 +308,19 @@
     log.info("stopped", requests=daemon.connections.in_flight)
 
 
+@contextmanager
+def following_settings(daemon: Daemon, path: str) -> Iterator[None]:
+    """Reload the settings on SIGHUP and when the file changes."""
+    watcher = SettingsWatcher(path, daemon.deployment, daemon.apply)
+    signals = gevent.signal_handler(signal.SIGHUP, watcher.reload, "SIGHUP")
+    polling = gevent.spawn(watcher.run)
+    try:
+        yield
+    finally:
+        polling.kill()
+        signals.cancel()
+
+
 @contextmanager
 def stop_signals(stop: Event) -> Iterator[None]:
     """Set ``stop`` on SIGTERM or SIGINT while the block runs."""
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -66,7 +66,8 @@
     """Keeps every zone owned by one daemon.
 
     ``known_workers`` tells the registered workers, ``refresh_workers`` reads
-    them again; ``on_change`` is called after owners changed.
+    them again, ``workers_complete`` tells whether all can be known. ``on_change``
+    is called after owners changed.
     """
 
     own: Hello
@@ -76,6 +77,7 @@
     hub: LinkHub
     known_workers: Callable[[], set[str]]
     refresh_workers: Callable[[], object]
+    workers_complete: Callable[[], bool]
     on_change: Callable[[], None]
     leaving: bool = False
     inherited_ms: dict[str, float] = field(factory=dict)
@@ -173,8 +175,7 @@
     def _take_asked(self, message: TakeZones, asker: str) -> None:
         """Take zones from an owner that lives; its workers have to be known."""
         wanted = set(message.workers)
-        if not wanted <= self.known_workers():
-            self.refresh_workers()
+        self.refresh_workers()
         complete = wanted <= self.known_workers()
         self._take(message.zones, f"asked by {asker}", complete)
 
@@ -276,7 +277,9 @@
         Then the store tells whether the owner lives; without the store only
         the own zone is taken, as nobody else may reach it.
         """
-        takeable = [zone for zone in zones if self.view.is_majority(zone, reached)]
+        takeable = [
+            zone for zone in zones if self.view.is_on_larger_side(zone, reached)
+        ]
         if takeable or not owners:
             return takeable or zones
         silent = self.beats.are_silent(owners)
@@ -314,10 +317,12 @@
         owner = self.view.owners.get(zone)
         return owner.epoch if owner else 0
 
-    def _take(self, zones: Sequence[str], reason: str, complete: bool = True) -> bool:
+    def _take(
+        self, zones: Sequence[str], reason: str, complete: bool | None = None
+    ) -> bool:
         """Write this daemon as the owner of zones; False if the store failed.
 
-        ``complete`` says that all workers of the owner before are known.
+        ``complete`` says whether all workers of the owner before are known.
         """
         records = [
             ZoneOwner(zone, self.own.node, self._epoch(zone) + 1) for zone in zones
@@ -356,8 +361,12 @@
         self.view.take_rows(read.rows)
         return bool(written)
 
-    def _note_taken(self, records: Sequence[ZoneOwner], complete: bool = True) -> None:
+    def _note_taken(
+        self, records: Sequence[ZoneOwner], complete: bool | None = None
+    ) -> None:
         """Note from which owners all zones were taken with these."""
+        if complete is None:
+            complete = self.workers_complete()
         before = {self.view.owners.get(record.zone) for record in records}
         old_owners = {owner.owner for owner in before if owner} - {self.own.node}
         taken = {record.zone for record in records}
--- a/rattanloom/ownership/view.py
+++ b/rattanloom/ownership/view.py
@@ -109,9 +109,14 @@
             members.values(), key=lambda member: (-member.started_wall_ms, member.node)
         )
 
-    def is_majority(self, zone: str, reached: set[str]) -> bool:
-        """Return whether more than half of a zone's other daemons are reached."""
+    def is_on_larger_side(self, zone: str, reached: set[str]) -> bool:
+        """Return whether most daemons that may serve a zone are reached.
+
+        Either more than half of the zone's own, or more than half of all with
+        one of the zone's among them.
+        """
         nodes = {node for node, member in self.members.items() if member.zone == zone}
-        if zone in self.owners:
-            nodes.discard(self.owners[zone].owner)
-        return 2 * len(nodes & reached) > len(nodes)
+        if 2 * len(nodes & reached) > len(nodes):
+            return True
+        is_majority = 2 * len(reached & set(self.members)) > len(self.members)
+        return is_majority and bool(nodes & reached)
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -20,6 +20,7 @@
     make_job,
     ready_tasks,
 )
+from rattanloom.placement.suspicion import Suspicion
 from rattanloom.placement.waiting import WaitingTasks
 from rattanloom.placement.work import JobOutcome, OutcomeKind, WorkJob
 from rattanloom.placement.worker_lease import WorkerLease
@@ -52,8 +53,6 @@
 RETRY_AFTER_MS = 1_000
 # Tasks tried beyond one that finds no room, so that smaller ones fill gaps.
 PASSED_OVER_MAX = 24
-SPEED_WEIGHT = 0.15
-SPEED_MIN, SPEED_MAX = 0.25, 10.0
 
 
 @define(eq=False)
@@ -74,6 +73,7 @@
     waiting: WaitingTasks = field(factory=WaitingTasks)
     inherited_ms: dict[str, float] = field(factory=dict)
     active: Counter[str] = field(factory=Counter)
+    suspicion: Suspicion = field(factory=Suspicion)
     _foreign: dict[str, tuple[PooledWorker, Run]] = field(factory=dict)
     _recent_done: dict[str, float] = field(factory=dict)
     _recent_jobs: dict[str, float] = field(factory=dict)
@@ -191,9 +191,29 @@
         for task in list(self.waiting):
             if now_ms > task.job.last_start_ms:
                 self._give_up(task.job, "no worker had room in time")
+        self._move_stuck(now_ms)
         self._forget_recent(now_ms)
         self.pump()
 
+    def _move_stuck(self, now_ms: float) -> None:
+        """Stop runs that get on too slowly; their tasks start elsewhere."""
+        if self._largest_room(now_ms) == 0:
+            return
+        for worker in self.workers.values():
+            for run in list(worker.runs.values()):
+                if run.task is None or run.task.job.ended:
+                    continue
+                if self.suspicion.is_stuck(worker, run, now_ms):
+                    log.warning(
+                        "task_stuck",
+                        task=run.name,
+                        worker=worker.worker_id,
+                        took_ms=round(now_ms - run.confirmed_ms),
+                        percent=run.percent,
+                    )
+                    run.task.avoided_workers.add(worker.worker_id)
+                    worker.stop(run)
+
     def _stop_unclaimed(self, now_ms: float) -> None:
         for worker, run in list(self._foreign.values()):
             if now_ms > run.ordered_ms + FOREIGN_STOP_MS:
@@ -328,7 +348,7 @@
         if task is None or task.job.ended:
             self._foreign.pop(run.name, None)
         elif end.how is HowEnded.DONE:
-            self._note_sound(worker, run)
+            self.suspicion.note_done(worker, run, self.clock.now_ms())
             self._finish(task)
         elif end.how is HowEnded.FAILED:
             self._note_failed(worker, task)
@@ -400,16 +420,8 @@
     def _requeue(self, task: PlacedTask) -> None:
         self.waiting.add(task, self.clock.now_ms())
 
-    def _note_sound(self, worker: PooledWorker, run: Run) -> None:
-        worker.failure_score /= 2
-        if run.confirmed_ms is None or not run.step.estimate_ms:
-            return
-        took_ms = self.clock.now_ms() - run.confirmed_ms
-        ratio = min(max(took_ms / run.step.estimate_ms, SPEED_MIN), SPEED_MAX)
-        worker.speed += SPEED_WEIGHT * (ratio - worker.speed)
-
     def _note_failed(self, worker: PooledWorker, task: PlacedTask) -> None:
-        worker.failure_score += 1
+        self.suspicion.note_failed(worker, self.workers.values(), self.clock.now_ms())
         task.failures += 1
         task.avoided_workers.add(worker.worker_id)
         job = task.job
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -99,6 +99,7 @@
     misses: int = 0
     refused_until_ms: float = 0
     failure_score: float = 0
+    quarantines: int = 0
     speed: float = 1.0
     closed: bool = False
     _watch: gevent.Greenlet | None = None
@@ -413,8 +414,7 @@
         elif run.phase in (RunPhase.STARTING, RunPhase.UNCERTAIN):
             run.phase = RunPhase.RUNNING
             run.confirmed_ms = now_ms
-        if row.percent != run.percent:
-            run.percent, run.percent_ms = row.percent, now_ms
+        run.percent, run.listed_ms = row.percent, now_ms
         is_stop_due = now_ms > run.stop_sent_ms + STOP_AGAIN_MS
         if run.phase is RunPhase.STOPPING and is_stop_due:
             self.stop(run)
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -105,7 +105,7 @@
     uncertain_token: int = 0
     stop_sent_ms: float = 0
     percent: int = 0
-    percent_ms: float = 0
+    listed_ms: float = 0
 
     @property
     def key(self) -> tuple[str, int]:
--- /dev/null
+++ b/rattanloom/placement/suspicion.py
@@ -0,0 +1,76 @@
+"""Which workers and runs look unhealthy although the worker answers."""
+
+from collections.abc import Collection
+
+from attrs import define
+
+from rattanloom.decision_log import DecisionLog
+from rattanloom.placement.pooled_worker import PooledWorker
+from rattanloom.placement.runs import Run, RunPhase
+
+log = DecisionLog("placement")
+
+# Failures in a row after which a worker gets a pause; successes halve the score.
+QUARANTINE_SCORE = 2
+QUARANTINE_MIN_MS = 500
+QUARANTINE_MAX_MS = 4_000
+# With more than this share of workers failing, the tasks are to blame.
+QUARANTINE_SHARE_MAX = 0.25
+# Estimates are off by 40%; a run is judged once it took this much longer.
+STUCK_FACTOR = 2.0
+STUCK_SLACK_MS = 120
+# A new start has to save at least this much to make up for the work lost.
+STUCK_GAIN_MS = 60
+SPEED_WEIGHT = 0.15
+SPEED_MIN, SPEED_MAX = 0.25, 10.0
+
+
+@define(eq=False)
+class Suspicion:
+    """Judges workers by how their runs end and how fast they get on."""
+
+    def note_done(self, worker: PooledWorker, run: Run, now_ms: float) -> None:
+        """Take a good end: it clears failures and tells the worker's speed."""
+        worker.failure_score /= 2
+        worker.quarantines = 0
+        if run.confirmed_ms is not None and run.step.estimate_ms:
+            self._learn_speed(worker, (now_ms - run.confirmed_ms), run)
+
+    def note_failed(
+        self, worker: PooledWorker, workers: Collection[PooledWorker], now_ms: float
+    ) -> None:
+        """Take a failed end; a worker that fails again and again gets a pause."""
+        worker.failure_score += 1
+        if worker.failure_score < QUARANTINE_SCORE:
+            return
+        paused = sum(other.refused_until_ms > now_ms for other in workers)
+        if paused >= QUARANTINE_SHARE_MAX * len(workers):
+            return
+        pause_ms = min(QUARANTINE_MIN_MS * 2**worker.quarantines, QUARANTINE_MAX_MS)
+        worker.quarantines += 1
+        worker.failure_score = QUARANTINE_SCORE - 1
+        worker.refused_until_ms = now_ms + pause_ms
+        log.warning(
+            "worker_quarantined", worker=worker.worker_id, pause_ms=round(pause_ms)
+        )
+
+    def is_stuck(self, worker: PooledWorker, run: Run, now_ms: float) -> bool:
+        """Return whether a run would end sooner if it started elsewhere."""
+        if run.phase is not RunPhase.RUNNING or run.confirmed_ms is None:
+            return False
+        estimate_ms = run.step.estimate_ms
+        took_ms = now_ms - run.confirmed_ms
+        if took_ms < STUCK_FACTOR * estimate_ms + STUCK_SLACK_MS:
+            return False
+        listed_after_ms = run.listed_ms - run.confirmed_ms
+        if listed_after_ms < estimate_ms:
+            return False
+        whole_ms = listed_after_ms * 100 / max(run.percent, 1)
+        if whole_ms - took_ms < estimate_ms + STUCK_GAIN_MS:
+            return False
+        self._learn_speed(worker, took_ms, run)
+        return True
+
+    def _learn_speed(self, worker: PooledWorker, took_ms: float, run: Run) -> None:
+        ratio = min(max(took_ms / run.step.estimate_ms, SPEED_MIN), SPEED_MAX)
+        worker.speed += SPEED_WEIGHT * (ratio - worker.speed)
--- a/rattanloom/platform/store.py
+++ b/rattanloom/platform/store.py
@@ -75,6 +75,12 @@
     def __attrs_post_init__(self) -> None:
         self._http = HttpPeer(self.address, CONNECTIONS_MAX, CONNECT_TIMEOUT_MS)
 
+    def move_to(self, address: str) -> None:
+        """Send further calls to another address."""
+        if address != self.address:
+            self.address = address
+            self._http = HttpPeer(address, CONNECTIONS_MAX, CONNECT_TIMEOUT_MS)
+
     def read(self, table: str) -> RowRead | Failure:
         """Return all rows of the empty part of ``table``."""
         rows: list[Row] = []
--- a/rattanloom/registry.py
+++ b/rattanloom/registry.py
@@ -5,7 +5,7 @@
 import gevent
 from attrs import define, field
 
-from rattanloom.clock import MS_PER_S
+from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.placement.workers import WorkerEntry
 from rattanloom.platform.fields import FormatError
@@ -22,12 +22,21 @@
 class Registry:
     """Entries of live and leaving workers; ``on_change`` follows each change."""
 
+    clock: Clock
     on_change: Callable[[], None]
     entries: dict[str, WorkerEntry] = field(factory=dict)
     _missing: set[str] = field(factory=set)
+    _first_read_ms: float | None = None
+
+    def is_complete(self) -> bool:
+        """Return whether entries that had lapsed before the first read are back."""
+        read_ms = self._first_read_ms
+        return read_ms is not None and self.clock.now_ms() > read_ms + MISSING_MS
 
     def take_snapshot(self, rows: Sequence[Row]) -> None:
         """Take all entries; those that are not among them are missing."""
+        if self._first_read_ms is None:
+            self._first_read_ms = self.clock.now_ms()
         present = {row.ref.key for row in rows}
         for worker_id in self.entries:
             if worker_id not in present:
--- /dev/null
+++ b/rattanloom/reload.py
@@ -0,0 +1,60 @@
+"""Puts a changed settings file in force, on SIGHUP or when its content changes."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import gevent
+from attrs import define
+
+from rattanloom.clock import MS_PER_S
+from rattanloom.decision_log import DecisionLog
+from rattanloom.platform.deployment import Deployment, load_deployment
+from rattanloom.settings import SettingsError
+
+log = DecisionLog("settings")
+
+# The file may change without a signal.
+POLL_MS = 1_000
+
+
+@define(eq=False)
+class SettingsWatcher:
+    """Reads the settings file again; a refused file changes nothing.
+
+    ``apply`` gets every accepted version that differs from the one before.
+    """
+
+    path: str
+    deployment: Deployment
+    apply: Callable[[Deployment], None]
+    _content: bytes = b""
+
+    def run(self) -> None:
+        """Look at the file for ever."""
+        self._content = self._read()
+        while True:
+            gevent.sleep(POLL_MS / MS_PER_S)
+            content = self._read()
+            if content != self._content:
+                self._content = content
+                self.reload("the file changed")
+
+    def reload(self, reason: str) -> None:
+        """Read the file now."""
+        try:
+            deployment = load_deployment(self.path)
+        except SettingsError as error:
+            log.error("settings_refused", reason=str(error), in_force="the ones before")
+            return
+        changed = deployment != self.deployment
+        log.info("settings_reloaded", reason=reason, changed=changed)
+        if changed:
+            self.deployment = deployment
+            self.apply(deployment)
+
+    def _read(self) -> bytes:
+        try:
+            return Path(self.path).read_bytes()
+        except OSError as error:
+            log.warning("settings_unreadable", reason=str(error))
+            return self._content
--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -14,6 +14,7 @@
 
 # A connection that went silent shows after this wait.
 FOLLOW_WAIT_MS = 2_500
+PAUSE_STEP_MS = 200
 RETRY_MIN_MS = 50
 RETRY_MAX_MS = 400
 
@@ -42,8 +43,7 @@
             failure = self._step()
             if failure is None:
                 self._note_reached()
-                if self.pause_ms is not None:
-                    gevent.sleep(self.pause_ms() / MS_PER_S)
+                self._pause()
             elif failure.kind is ErrorKind.HISTORY_GONE:
                 log.info("store_history_gone", table=self.table)
                 self.version = None
@@ -59,6 +59,12 @@
         self.on_snapshot(read.rows)
         return None
 
+    def _pause(self) -> None:
+        """Wait until the table is to be asked again; that may come sooner."""
+        begun_ms = self.clock.now_ms()
+        while self.pause_ms and self.clock.now_ms() < begun_ms + self.pause_ms():
+            gevent.sleep(PAUSE_STEP_MS / MS_PER_S)
+
     def _step(self) -> Failure | None:
         if self.version is None:
             return self.read_now()
--- /dev/null
+++ b/tests/dispatcher_fakes.py
@@ -0,0 +1,265 @@
+"""A worker and a store in memory, which keep to the platform's pages."""
+
+from collections import defaultdict
+
+import gevent
+from attrs import define, field
+from gevent.event import Event
+
+from rattanloom.clock import SystemClock
+from rattanloom.errors import ErrorKind, Failure
+from rattanloom.placement.work import JobPolicy, Step, WorkJob
+from rattanloom.placement.workers import (
+    EndedTask,
+    HowEnded,
+    NotStarted,
+    Renewal,
+    Resources,
+    RunningTask,
+    Started,
+    StartOrder,
+    StartRefusal,
+    WorkerEntry,
+    WorkerReport,
+)
+from rattanloom.platform.rows import (
+    Changes,
+    Committed,
+    Condition,
+    Conflicted,
+    Row,
+    RowRead,
+    RowRef,
+)
+
+CLOCK = SystemClock()
+UNREACHABLE = Failure(ErrorKind.PLATFORM_UNREACHABLE, "cut off")
+LOST = Failure(ErrorKind.REPLY_LOST, "no reply")
+
+
+@define(eq=False)
+class FakeWorker:
+    """One worker: a token, runs, ends; ``lose_starts`` delays starts.
+
+    ``overlaps`` lists tasks that ran here and on another worker at once.
+    """
+
+    worker_id: str
+    zone: str = "a"
+    cut_off: bool = False
+    lose_starts: int = 0
+    token: int = 0
+    lease_until_ms: float = 0
+    running: dict[tuple[str, int], int] = field(factory=dict)
+    ends: list[EndedTask] = field(factory=list)
+    ended_count: int = 0
+    late_orders: list[StartOrder] = field(factory=list)
+    starts: list[StartOrder] = field(factory=list)
+    changed: Event = field(factory=Event)
+
+    def entry(self) -> WorkerEntry:
+        """Return the entry that the worker registers."""
+        return WorkerEntry(
+            self.worker_id,
+            1,
+            "service",
+            f"{self.worker_id}:1",
+            self.zone,
+            True,
+            Resources(32_000, 64_000),
+        )
+
+    def start(self, order: StartOrder) -> Started | NotStarted | Failure:
+        """Start a task."""
+        gevent.sleep(0)
+        if self.cut_off:
+            return UNREACHABLE
+        if self.lose_starts:
+            self.lose_starts -= 1
+            self.late_orders.append(order)
+            return LOST
+        return self.carry_out(order)
+
+    def carry_out(self, order: StartOrder) -> Started | NotStarted:
+        """Carry out a start now, as a late order is."""
+        self._lapse()
+        if order.fencing_token < self.token:
+            return NotStarted(StartRefusal.FENCED, self._clock_ms())
+        if order.lease_until_ms < self._clock_ms():
+            return NotStarted(StartRefusal.LEASE_OVER, self._clock_ms())
+        self.token = order.fencing_token
+        self.lease_until_ms = max(self.lease_until_ms, order.lease_until_ms)
+        self.running[order.task, order.attempt] = 0
+        self.starts.append(order)
+        return Started(self._clock_ms())
+
+    def stop(self, task: str, attempt: int, fencing_token: int) -> bool | Failure:
+        """Stop a run."""
+        gevent.sleep(0)
+        if self.cut_off:
+            return UNREACHABLE
+        if fencing_token < self.token:
+            return False
+        self.end(task, HowEnded.STOPPED)
+        return True
+
+    def renew(self, renewal: Renewal) -> WorkerReport | NotStarted | Failure:
+        """Report, waiting for an end; extend the lease."""
+        gevent.sleep(0.001)
+        if self.cut_off:
+            return UNREACHABLE
+        if renewal.fencing_token < self.token:
+            return NotStarted(StartRefusal.FENCED, self._clock_ms())
+        self.token = renewal.fencing_token
+        self._lapse()
+        self.ends = [end for end in self.ends if end.number > renewal.ends_noted]
+        if renewal.lease_until_ms is not None:
+            self.lease_until_ms = max(self.lease_until_ms, renewal.lease_until_ms)
+        if renewal.wait_ms and not self.ends:
+            self.changed.clear()
+            self.changed.wait(renewal.wait_ms / 1000)
+        self._lapse()
+        running = tuple(
+            RunningTask(task, attempt, "", percent)
+            for (task, attempt), percent in self.running.items()
+        )
+        return WorkerReport(self._clock_ms(), 1, running, tuple(self.ends))
+
+    def close(self) -> None:
+        """Nothing to close."""
+
+    def end(self, task: str, how: HowEnded = HowEnded.DONE) -> None:
+        """End the run of a task."""
+        for name, attempt in list(self.running):
+            if name == task:
+                del self.running[name, attempt]
+                self.ended_count += 1
+                self.ends.append(EndedTask(self.ended_count, name, attempt, how))
+        self.changed.set()
+
+    def _clock_ms(self) -> int:
+        return int(CLOCK.now_ms()) + 7_000
+
+    def _lapse(self) -> None:
+        if self._clock_ms() > self.lease_until_ms:
+            for task, _ in list(self.running):
+                self.end(task, HowEnded.LAPSED)
+
+
+@define(eq=False)
+class FakeStore:
+    """A table store; ``down`` refuses, ``lose_replies`` loses answers of writes."""
+
+    rows: dict[RowRef, Row] = field(factory=dict)
+    version: int = 0
+    down: bool = False
+    lose_replies: int = 0
+    history_from: int = 0
+    changed: list[Event] = field(factory=list)
+
+    def read(self, table: str) -> RowRead | Failure:
+        """Return all rows of a table."""
+        gevent.sleep(0.001)
+        if self.down:
+            return UNREACHABLE
+        rows = tuple(
+            row
+            for row in self.rows.values()
+            if row.ref.table == table and not row.deleted
+        )
+        return RowRead(rows, self.version)
+
+    def follow(self, table: str, after_version: int, wait_ms: int) -> Changes | Failure:
+        """Return changed rows, or wait for the next change."""
+        gevent.sleep(0.001)
+        if self.down:
+            return UNREACHABLE
+        if after_version < self.history_from:
+            return Failure(ErrorKind.HISTORY_GONE, "dropped")
+        if not self._changes(table, after_version) and wait_ms:
+            event = Event()
+            self.changed.append(event)
+            event.wait(wait_ms / 1000)
+        return Changes(self._changes(table, after_version), self.version)
+
+    def transact(
+        self,
+        conditions: list[Condition],
+        writes: list[tuple[RowRef, bytes]],
+        removals: list[RowRef] = (),
+    ) -> Committed | Conflicted | Failure:
+        """Apply all or nothing."""
+        gevent.sleep(0.001)
+        if self.down:
+            return UNREACHABLE
+        wrong = [
+            self.rows.get(condition.ref, Row(condition.ref, 0, None))
+            for condition in conditions
+            if self._version(condition.ref) != condition.version
+        ]
+        if wrong:
+            return Conflicted(tuple(wrong))
+        self.version += 1
+        for ref, value in writes:
+            self.rows[ref] = Row(ref, self.version, value)
+        for ref in removals:
+            self.rows[ref] = Row(ref, self.version, None, deleted=True)
+        for event in self.changed:
+            event.set()
+        self.changed.clear()
+        if self.lose_replies:
+            self.lose_replies -= 1
+            return LOST
+        return Committed(self.version)
+
+    def _version(self, ref: RowRef) -> int:
+        row = self.rows.get(ref)
+        return 0 if row is None or row.deleted else row.version
+
+    def _changes(self, table: str, after_version: int) -> tuple[Row, ...]:
+        rows = [
+            row
+            for row in self.rows.values()
+            if row.ref.table == table and row.version > after_version
+        ]
+        return tuple(sorted(rows, key=lambda row: row.version))
+
+
+@define(eq=False)
+class FakeSession:
+    """Collects outcomes."""
+
+    node: str = "entry-1"
+    outcomes: list = field(factory=list)
+    by_job: dict = field(factory=lambda: defaultdict(list))
+
+    def deliver(self, outcome) -> None:
+        """Take an outcome."""
+        self.outcomes.append(outcome)
+        self.by_job[outcome.job_id].append(outcome)
+
+
+POLICY = JobPolicy("service", 0, 2, 1.6, 60)
+NEED = Resources(14_000, 64)
+
+
+def make_work(
+    job_id: str = "00000000000000aa",
+    count: int = 1,
+    estimate_ms: float = 200,
+    remaining_ms: float = 5_000,
+    policy: JobPolicy = POLICY,
+) -> WorkJob:
+    """Return a job of one step."""
+    return WorkJob(
+        job_id, "spec", (Step(count, NEED, estimate_ms),), policy, remaining_ms
+    )
+
+
+def wait_for(condition, within_s: float = 5.0) -> bool:
+    """Wait until a condition holds; the bound is far above any time-out used."""
+    with gevent.Timeout(within_s, False):
+        while not condition():
+            gevent.sleep(0.005)
+        return True
+    return bool(condition())
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,162 @@
+"""Owners of zones: takeovers, claims without the store, merges."""
+
+from contextlib import ExitStack, contextmanager
+from itertools import count
+
+import gevent
+from attrs import define, field
+
+from rattanloom.links.hub import LinkHub
+from rattanloom.links.messages import Hello
+from rattanloom.ownership.ownership import Ownership
+from rattanloom.ownership.records import ZoneOwner, claim_number
+from tests.dispatcher_fakes import CLOCK, FakeStore, wait_for
+
+PORTS = count(41_500)
+ZONES = ("a", "b")
+
+
+@define(eq=False)
+class Node:
+    """One daemon's ownership, over real links on the loopback."""
+
+    ownership: Ownership
+    hub: LinkHub
+    store: FakeStore
+    greenlets: list = field(factory=list)
+    serving: ExitStack = field(factory=ExitStack)
+
+    @property
+    def name(self) -> str:
+        return self.ownership.own.node
+
+    def owners(self) -> dict[str, str]:
+        return {z: owner.owner for z, owner in self.ownership.view.owners.items()}
+
+    def kill(self) -> None:
+        gevent.killall(self.greenlets)
+        self.serving.close()
+
+
+@contextmanager
+def cluster(*places: tuple[str, str], store: FakeStore | None = None):
+    store = store or FakeStore()
+    nodes = [start_node(name, zone, store) for name, zone in places]
+    try:
+        yield nodes
+    finally:
+        for node in nodes:
+            node.kill()
+
+
+class DeafHub(LinkHub):
+    """Reaches nobody."""
+
+    def want(self, node: str, address: str, until_ms: float) -> None:
+        """Dial nobody."""
+
+
+def start_node(name: str, zone: str, store: FakeStore) -> Node:
+    own = Hello(name, zone, f"127.0.0.1:{next(PORTS)}", int(CLOCK.wall_ms()))
+    parts = {}
+    hub = LinkHub(
+        own,
+        CLOCK,
+        lambda link, message: parts["ownership"].received(link, message),
+        lambda link: parts["ownership"].link_opened(link),
+        lambda link: None,
+    )
+    ownership = Ownership(
+        own, ZONES, CLOCK, store, hub, set, lambda: None, lambda: True, lambda: None
+    )
+    parts["ownership"] = ownership
+    node = Node(ownership, hub, store)
+    node.serving.enter_context(hub.serving())
+    node.greenlets += [
+        gevent.spawn(ownership.run),
+        gevent.spawn(ownership.follower.run),
+    ]
+    return node
+
+
+def one_owner(nodes) -> str | None:
+    views = [node.owners() for node in nodes]
+    names = {owner for view in views for owner in view.values()}
+    complete = all(set(view) == set(ZONES) for view in views)
+    return names.pop() if complete and len(names) == 1 else None
+
+
+def test_first_start_gives_all_zones_to_one_daemon():
+    with cluster(("n1", "a"), ("n2", "a"), ("n3", "b")) as nodes:
+        assert wait_for(lambda: one_owner(nodes))
+
+
+def test_dead_owner_is_replaced_under_a_higher_token():
+    with cluster(("n1", "a"), ("n2", "a"), ("n3", "b")) as nodes:
+        assert wait_for(lambda: one_owner(nodes))
+        owner = next(node for node in nodes if node.name == one_owner(nodes))
+        token = owner.ownership.view.owners["a"].fencing_token
+        others = [node for node in nodes if node is not owner]
+        owner.kill()
+        assert wait_for(lambda: one_owner(others) not in (None, owner.name))
+        assert others[0].ownership.view.owners["a"].fencing_token > token
+
+
+def test_living_owner_keeps_its_zones_when_the_store_is_down():
+    with cluster(("n1", "a"), ("n2", "b")) as nodes:
+        assert wait_for(lambda: one_owner(nodes))
+        owner = one_owner(nodes)
+        nodes[0].store.down = True
+        gevent.sleep(1.5)
+        assert one_owner(nodes) == owner
+
+
+def test_zones_are_claimed_while_the_store_is_down():
+    with cluster(("n1", "a"), ("n2", "a"), ("n3", "a")) as nodes:
+        assert wait_for(lambda: one_owner(nodes))
+        owner = next(node for node in nodes if node.name == one_owner(nodes))
+        others = [node for node in nodes if node is not owner]
+        nodes[0].store.down = True
+        owner.kill()
+        assert wait_for(lambda: others[0].owners()["a"] == others[1].owners()["a"])
+        assert wait_for(lambda: others[0].owners()["a"] != owner.name)
+        assert others[0].ownership.view.owners["a"].claim
+
+
+def test_daemon_that_reaches_nobody_leaves_a_beating_owner_alone():
+    with cluster(("n1", "a"), ("n2", "a"), ("n3", "b")) as nodes:
+        assert wait_for(lambda: one_owner(nodes))
+        owner = one_owner(nodes)
+        lone = next(node for node in nodes if node.name != owner)
+        cut = lone.hub
+        lone.ownership.hub = lone.ownership.survey.hub = DeafHub(
+            cut.own, CLOCK, cut.on_message, cut.on_open, cut.on_lost
+        )
+        gevent.sleep(2.5)
+        assert one_owner(nodes) == owner
+
+
+def test_lost_answer_of_a_take_is_settled_by_reading():
+    store = FakeStore()
+    with cluster(("n1", "a"), store=store) as nodes:
+        assert wait_for(lambda: nodes[0].ownership.follower.version is not None)
+        store.lose_replies = 2
+        assert wait_for(lambda: set(nodes[0].ownership.owned()) == set(ZONES))
+
+
+def test_leaving_owner_hands_its_zones_over():
+    with cluster(("n1", "a"), ("n2", "b")) as nodes:
+        assert wait_for(lambda: one_owner(nodes))
+        owner = next(node for node in nodes if node.name == one_owner(nodes))
+        other = next(node for node in nodes if node is not owner)
+        assert wait_for(lambda: owner.hub.link(other.name))
+        owner.ownership.leave()
+        assert set(other.ownership.owned()) == set(ZONES)
+        assert owner.name in other.ownership.inherited_ms
+
+
+def test_recorded_epoch_exceeds_every_claim_of_the_epoch_before():
+    claims = [claim_number(f"n{i}", number) for i in range(50) for number in (1, 99)]
+    highest = max(ZoneOwner("a", "n", 3, claim).fencing_token for claim in claims)
+    assert ZoneOwner("a", "n", 3).fencing_token < highest
+    assert highest + 0xFFFF < ZoneOwner("a", "n", 4).fencing_token
--- /dev/null
+++ b/tests/test_placer.py
@@ -0,0 +1,241 @@
+"""The placer against workers in memory that keep to the platform's pages."""
+
+from contextlib import contextmanager
+
+import gevent
+import pytest
+from attrs import evolve
+
+from rattanloom.placement.placer import Placer
+from rattanloom.placement.pooled_worker import WorkerState
+from rattanloom.placement.work import OutcomeKind
+from rattanloom.placement.workers import HowEnded, Renewal, StartOrder
+from tests.dispatcher_fakes import (
+    CLOCK,
+    POLICY,
+    FakeSession,
+    FakeWorker,
+    make_work,
+    wait_for,
+)
+
+TOKEN = 1 << 40
+FOREIGN = "00000000000000ff.0.0.0"
+
+
+@contextmanager
+def running_placer(*workers: FakeWorker, token: int = TOKEN, node: str = "placer-1"):
+    fenced = []
+    by_id = {worker.worker_id: worker for worker in workers}
+    placer = Placer(node, CLOCK, lambda entry: by_id[entry.worker_id], fenced.append)
+    for worker in workers:
+        placer.add_worker(worker.entry(), token)
+    ticking = gevent.spawn(tick_all, placer)
+    try:
+        yield placer
+    finally:
+        ticking.kill()
+        for worker_id in list(placer.workers):
+            placer.workers[worker_id].closed = True
+
+
+def tick_all(placer: Placer) -> None:
+    while True:
+        gevent.sleep(0.02)
+        placer.tick()
+
+
+def foreign_start(worker: FakeWorker, task: str = FOREIGN, lease_ms: int = 900):
+    until_ms = int(CLOCK.now_ms()) + 7_000 + lease_ms
+    worker.carry_out(StartOrder(task, 1, "spec", until_ms, 5))
+
+
+def all_ready(placer: Placer) -> bool:
+    return all(worker.state is WorkerState.READY for worker in placer.workers.values())
+
+
+def test_job_completes_once_all_tasks_are_done():
+    worker, session = FakeWorker("w1"), FakeSession()
+    with running_placer(worker) as placer:
+        placer.submit(session, make_work(count=2), ())
+        assert wait_for(lambda: len(worker.running) == 2)
+        worker.end("00000000000000aa.0.0.0")
+        gevent.sleep(0.05)
+        assert not session.outcomes
+        worker.end("00000000000000aa.0.0.1")
+        assert wait_for(lambda: session.outcomes)
+    assert session.outcomes[0].kind is OutcomeKind.COMPLETE
+
+
+def test_lease_is_renewed_while_a_task_runs_longer_than_one():
+    worker, session = FakeWorker("w1"), FakeSession()
+    with running_placer(worker) as placer:
+        placer.submit(session, make_work(estimate_ms=2_000), ())
+        assert wait_for(lambda: worker.running)
+        gevent.sleep(1.5)
+        assert worker.running, "the lease lapsed under a living placer"
+
+
+def test_task_fails_the_job_after_its_attempts():
+    workers = FakeWorker("w1"), FakeWorker("w2")
+    session = FakeSession()
+    with running_placer(*workers) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        placer.submit(session, make_work(), ())
+        for _ in range(POLICY.max_attempts):
+            assert wait_for(lambda: any(worker.running for worker in workers))
+            for worker in workers:
+                worker.end("00000000000000aa.0.0.0", HowEnded.FAILED)
+        assert wait_for(lambda: session.outcomes)
+    assert session.outcomes[0].kind is OutcomeKind.FAILED
+    assert [len(worker.starts) for worker in workers] == [1, 1]
+
+
+def test_start_without_answer_is_fenced_off_before_another_start():
+    worker, session = FakeWorker("w1", lose_starts=1), FakeSession()
+    with running_placer(worker) as placer:
+        placer.submit(session, make_work(), ())
+        assert wait_for(lambda: worker.running)
+        late = worker.carry_out(worker.late_orders[0])
+        assert late.refusal.value == "fenced"
+        assert len(worker.running) == 1
+
+
+def test_late_order_without_the_fence_would_run_twice():
+    """The model goes red without the guard: an unfenced late order does start."""
+    worker = FakeWorker("w1", lose_starts=1)
+    order = StartOrder("t", 1, "spec", int(CLOCK.now_ms()) + 8_000, 5)
+    worker.start(order)
+    worker.carry_out(evolve(order, attempt=2))
+    worker.carry_out(worker.late_orders[0])
+    assert len(worker.running) == 2
+
+
+def test_job_of_a_former_placer_waits_until_its_lease_is_over():
+    lost, worker, session = (
+        FakeWorker("w1", cut_off=True),
+        FakeWorker("w2"),
+        FakeSession(),
+    )
+    with running_placer(lost, worker) as placer:
+        placer.inherited_ms["placer-0"] = CLOCK.now_ms()
+        submitted_ms = CLOCK.now_ms()
+        placer.submit(session, make_work(estimate_ms=1_000), ("placer-0",))
+        assert wait_for(lambda: worker.starts)
+        assert CLOCK.now_ms() - submitted_ms > 1_000
+
+
+def test_job_of_an_unknown_former_placer_waits_although_all_workers_report():
+    worker, session = FakeWorker("w1"), FakeSession()
+    with running_placer(worker) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        submitted_ms = CLOCK.now_ms()
+        placer.submit(session, make_work(estimate_ms=1_000), ("placer-0",))
+        assert wait_for(lambda: worker.starts)
+        assert CLOCK.now_ms() - submitted_ms > 1_000
+
+
+def test_job_of_an_inherited_placer_starts_once_all_workers_reported():
+    worker, session = FakeWorker("w1"), FakeSession()
+    with running_placer(worker) as placer:
+        placer.inherited_ms["placer-0"] = CLOCK.now_ms()
+        placer.submit(session, make_work(), ("placer-0",))
+        assert not worker.starts
+        assert wait_for(lambda: worker.starts, within_s=0.9)
+
+
+def test_run_of_a_former_placer_is_adopted_not_started_again():
+    worker, session = FakeWorker("w1"), FakeSession()
+    foreign_start(worker)
+    with running_placer(worker) as placer:
+        placer.inherited_ms["placer-0"] = CLOCK.now_ms()
+        placer.submit(session, make_work("00000000000000ff"), ("placer-0",))
+        assert wait_for(lambda: all_ready(placer))
+        gevent.sleep(0.1)
+        assert len(worker.starts) == 1
+        worker.end(FOREIGN)
+        assert wait_for(lambda: session.outcomes)
+    assert session.outcomes[0].kind is OutcomeKind.COMPLETE
+
+
+def test_unclaimed_run_is_stopped_and_not_extended():
+    worker, session = FakeWorker("w1"), FakeSession()
+    foreign_start(worker)
+    until_ms = worker.lease_until_ms
+    with running_placer(worker) as placer:
+        placer.submit(session, make_work(), ())
+        assert wait_for(lambda: (FOREIGN, 1) not in worker.running)
+        assert wait_for(lambda: worker.starts[1:])
+    assert worker.starts[1].lease_until_ms > until_ms
+
+
+def test_task_is_not_started_while_a_run_of_it_is_being_stopped():
+    worker, session = FakeWorker("w1"), FakeSession()
+    with running_placer(worker) as placer:
+        placer.submit(session, make_work(), ())
+        assert wait_for(lambda: worker.running)
+        placer.active["00000000000000aa.0.0.0"] += 1
+        placer.cancel("00000000000000aa")
+        placer.submit(session, make_work(), ())
+        assert wait_for(lambda: not worker.running)
+        gevent.sleep(0.1)
+        assert len(worker.starts) == 1
+        placer.active["00000000000000aa.0.0.0"] -= 1
+        assert wait_for(lambda: len(worker.starts) == 2)
+
+
+def test_silent_worker_gets_nothing_and_its_tasks_move_after_the_lease():
+    worker, other, session = FakeWorker("w1"), FakeWorker("w2"), FakeSession()
+    with running_placer(worker, other) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        placer.submit(session, make_work(remaining_ms=9_000, estimate_ms=3_000), ())
+        assert wait_for(lambda: worker.running or other.running)
+        holder, spare = (worker, other) if worker.running else (other, worker)
+        ordered_ms = CLOCK.now_ms()
+        holder.cut_off = True
+        assert wait_for(lambda: spare.running)
+        assert CLOCK.now_ms() - ordered_ms > 850
+        assert holder.lease_until_ms < holder._clock_ms()
+
+
+def test_worker_that_follows_a_higher_token_leaves_the_pool():
+    worker = FakeWorker("w1")
+    with running_placer(worker) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        worker.renew(Renewal(TOKEN + 5, 0))
+        placer.submit(FakeSession(), make_work(), ())
+        assert wait_for(lambda: not placer.workers)
+        assert not worker.starts
+
+
+def test_jobs_of_a_lost_daemon_are_stopped_before_a_client_may_come_again():
+    worker, session = FakeWorker("w1"), FakeSession()
+    with running_placer(worker) as placer:
+        placer.submit(session, make_work(estimate_ms=3_000), ())
+        assert wait_for(lambda: worker.running)
+        placer.session_lost(session.node)
+        assert wait_for(lambda: not worker.running, within_s=0.85)
+
+
+@pytest.mark.parametrize(
+    ("former", "kind"), [((), OutcomeKind.REFUSED), (("p",), OutcomeKind.GIVEN_UP)]
+)
+def test_job_without_room_in_time_says_whether_it_may_have_run(former, kind):
+    session = FakeSession()
+    with running_placer() as placer:
+        placer.submit(session, make_work(remaining_ms=250, estimate_ms=100), former)
+        assert wait_for(lambda: session.outcomes)
+    assert session.outcomes[0].kind is kind
+    assert session.outcomes[0].retry_after_ms > 0
+
+
+def test_completed_job_that_comes_again_is_answered_at_once():
+    worker, session = FakeWorker("w1"), FakeSession()
+    with running_placer(worker) as placer:
+        placer.submit(session, make_work(), ())
+        assert wait_for(lambda: worker.running)
+        worker.end("00000000000000aa.0.0.0")
+        assert wait_for(lambda: session.outcomes)
+        placer.submit(session, make_work(), ("placer-1",))
+        assert len(session.outcomes) == 2
+    assert len(worker.starts) == 1
