--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -196,22 +196,23 @@
         self.pump()
 
     def _move_stuck(self, now_ms: float) -> None:
-        """Stop runs that get on too slowly; their tasks start elsewhere."""
+        """Stop runs that stand still; their tasks start elsewhere."""
         if self._largest_room(now_ms) == 0:
             return
         for worker in self.workers.values():
             for run in list(worker.runs.values()):
                 if run.task is None or run.task.job.ended:
                     continue
-                if self.suspicion.is_stuck(worker, run, now_ms):
+                if self.suspicion.is_stuck(run):
                     log.warning(
                         "task_stuck",
                         task=run.name,
                         worker=worker.worker_id,
-                        took_ms=round(now_ms - run.confirmed_ms),
+                        stalled_ms=round(run.listed_ms - run.progress_ms),
                         percent=run.percent,
                     )
                     run.task.avoided_workers.add(worker.worker_id)
+                    self.suspicion.note_failed(worker, self.workers.values(), now_ms)
                     worker.stop(run)
 
     def _stop_unclaimed(self, now_ms: float) -> None:
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -414,7 +414,9 @@
         elif run.phase in (RunPhase.STARTING, RunPhase.UNCERTAIN):
             run.phase = RunPhase.RUNNING
             run.confirmed_ms = now_ms
-        run.percent, run.listed_ms = row.percent, now_ms
+        if row.percent != run.percent or not run.listed_ms:
+            run.percent, run.progress_ms = row.percent, now_ms
+        run.listed_ms = now_ms
         is_stop_due = now_ms > run.stop_sent_ms + STOP_AGAIN_MS
         if run.phase is RunPhase.STOPPING and is_stop_due:
             self.stop(run)
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -106,6 +106,7 @@
     stop_sent_ms: float = 0
     percent: int = 0
     listed_ms: float = 0
+    progress_ms: float = 0
 
     @property
     def key(self) -> tuple[str, int]:
--- a/rattanloom/placement/suspicion.py
+++ b/rattanloom/placement/suspicion.py
@@ -16,11 +16,8 @@
 QUARANTINE_MAX_MS = 4_000
 # With more than this share of workers failing, the tasks are to blame.
 QUARANTINE_SHARE_MAX = 0.25
-# Estimates are off by 40%; a run is judged once it took this much longer.
-STUCK_FACTOR = 2.0
-STUCK_SLACK_MS = 120
-# A new start has to save at least this much to make up for the work lost.
-STUCK_GAIN_MS = 60
+# The longest tasks take 4 s, so that sound ones gain a percent every 40 ms.
+STALLED_MS = 400
 SPEED_WEIGHT = 0.15
 SPEED_MIN, SPEED_MAX = 0.25, 10.0
 
@@ -54,22 +51,10 @@
             "worker_quarantined", worker=worker.worker_id, pause_ms=round(pause_ms)
         )
 
-    def is_stuck(self, worker: PooledWorker, run: Run, now_ms: float) -> bool:
-        """Return whether a run would end sooner if it started elsewhere."""
-        if run.phase is not RunPhase.RUNNING or run.confirmed_ms is None:
-            return False
-        estimate_ms = run.step.estimate_ms
-        took_ms = now_ms - run.confirmed_ms
-        if took_ms < STUCK_FACTOR * estimate_ms + STUCK_SLACK_MS:
-            return False
-        listed_after_ms = run.listed_ms - run.confirmed_ms
-        if listed_after_ms < estimate_ms:
-            return False
-        whole_ms = listed_after_ms * 100 / max(run.percent, 1)
-        if whole_ms - took_ms < estimate_ms + STUCK_GAIN_MS:
-            return False
-        self._learn_speed(worker, took_ms, run)
-        return True
+    def is_stuck(self, run: Run) -> bool:
+        """Return whether a run makes no progress although its worker answers."""
+        stalled_ms = run.listed_ms - run.progress_ms
+        return run.phase is RunPhase.RUNNING and stalled_ms >= STALLED_MS
 
     def _learn_speed(self, worker: PooledWorker, took_ms: float, run: Run) -> None:
         ratio = min(max(took_ms / run.step.estimate_ms, SPEED_MIN), SPEED_MAX)
