--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -14,6 +14,7 @@
 from rattanloom.environment import Environment
 from rattanloom.ingress.api import ClientApi
 from rattanloom.ingress.desk import JobDesk
+from rattanloom.ingress.metrics_page import serving_metrics
 from rattanloom.ingress.queues import QueueTable, RequestLimits
 from rattanloom.ingress.readiness import serving_readiness
 from rattanloom.ingress.server import ConnectionState, serving
@@ -23,7 +24,7 @@
 from rattanloom.metrics import Metrics
 from rattanloom.ownership.ownership import Ownership
 from rattanloom.placement.placer import Placer
-from rattanloom.placement.pooled_worker import PooledWorker
+from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
 from rattanloom.placement.work import JobOutcome
 from rattanloom.placement.workers import WorkerEntry
 from rattanloom.platform.configuration import (
@@ -103,9 +104,11 @@
         self.hub = LinkHub(
             own, clock, self._received, self._link_opened, self._link_lost
         )
-        self.store = StoreClient(deployment.store.address)
+        self.store = StoreClient(deployment.store.address, self.metrics.count)
         self.registry = Registry(clock, self._arrange_workers)
-        self.placer = Placer(deployment.node, clock, _connect, self._worker_fenced)
+        self.placer = Placer(
+            deployment.node, clock, self.metrics, _connect, self._worker_fenced
+        )
         self.ownership = Ownership(
             own,
             tuple(deployment.zones),
@@ -144,6 +147,24 @@
             and self.ownership.reached_owner() is not None
         )
 
+    def render_metrics(self) -> str:
+        """Return the metrics page, with the gauges as of now."""
+        gauges = {
+            "jobs_pending": len(self.desk.pending),
+            "jobs_placed": len(self.placer.jobs),
+            "tasks_waiting": sum(1 for _ in self.placer.waiting),
+            "zones_owned": len(self.ownership.owned()),
+            "workers_registered": len(self.registry.entries),
+            "connections_in_flight": self.connections.in_flight,
+        }
+        for name, value in gauges.items():
+            self.metrics.gauge(name, value)
+        for state in WorkerState:
+            workers = self.placer.workers.values()
+            number = sum(worker.state is state for worker in workers)
+            self.metrics.gauge("workers_pooled", number, state.value)
+        return self.metrics.render()
+
     def apply(self, deployment: Deployment) -> None:
         """Put changed settings in force; addresses to listen on need a restart."""
         self.store.move_to(deployment.store.address)
@@ -281,6 +302,9 @@
     listen = daemon.deployment.listen
     with ExitStack() as stack:
         stack.enter_context(daemon.hub.serving())
+        stack.enter_context(
+            serving_metrics(daemon.deployment.ip, daemon.render_metrics)
+        )
         stack.enter_context(serving_readiness(listen.readiness, daemon.is_ready))
         stack.enter_context(serving(listen.clients, api.app, daemon.connections))
         daemon.start()
--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -65,7 +65,11 @@
             )
         pending = self.desk.submit(posted.job)
         outcome = self._wait(pending, posted.job.remaining_ms)
-        return _answer(outcome)
+        response = _answer(outcome)
+        clock = self.desk.clock
+        self.metrics.count("jobs_answered", str(response.status_code))
+        self.metrics.observe("job_answer", clock.now_ms() - pending.arrived_ms)
+        return response
 
     def get_job(self, path: str) -> HTTPResponse:
         """Tell a job's state, or how many jobs of a queue have not begun."""
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -8,6 +8,7 @@
 
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
+from rattanloom.metrics import Metrics
 from rattanloom.placement.choice import choose_worker, takes_tasks
 from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
 from rattanloom.placement.runs import (
@@ -66,6 +67,7 @@
 
     node: str
     clock: Clock
+    metrics: Metrics
     connect: Callable[[WorkerEntry], WorkerOrders]
     fenced: Callable[[PooledWorker], None]
     workers: dict[str, PooledWorker] = field(factory=dict)
@@ -254,13 +256,17 @@
             return
         job.ended = True
         self.jobs.pop(job.job_id, None)
+        age_ms = self.clock.now_ms() - job.arrived_ms
+        word = outcome.kind.value if outcome else "abandoned"
+        self.metrics.count("jobs_ended", word)
+        self.metrics.observe("job_age", age_ms)
         log.info(
             "job_ended",
             job=job.job_id,
-            outcome=outcome.kind.value if outcome else "abandoned",
+            outcome=word,
             reason=outcome.reason if outcome else "its client or its daemon has gone",
             tasks_left=job.tasks_left,
-            age_ms=round(self.clock.now_ms() - job.arrived_ms),
+            age_ms=round(age_ms),
         )
         if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
             self._stop_runs(job)
@@ -324,6 +330,8 @@
             return False
         task.state = TaskState.PLACED
         task.job.started = True
+        self.metrics.count("tasks_ordered")
+        self.metrics.observe("task_wait_for_room", now_ms - task.queued_ms)
         worker.begin(task)
         return True
 
@@ -338,6 +346,9 @@
 
     def run_ended(self, worker: PooledWorker, run: Run, end: EndedTask) -> None:
         """Take the end of a run."""
+        now_ms = self.clock.now_ms()
+        self.metrics.count("tasks_ended", end.how.value)
+        self.metrics.observe("task_order_to_end", now_ms - run.ordered_ms)
         log.info(
             "task_ended",
             task=run.name,
@@ -372,6 +383,8 @@
         self, worker: PooledWorker, run: Run, refusal: StartRefusal | None
     ) -> None:
         """Take that an order surely had no effect."""
+        word = refusal.value if refusal else "no_answer"
+        self.metrics.count("tasks_not_started", word)
         now_ms = self.clock.now_ms()
         pause_ms = REFUSED_PAUSE_MS
         if refusal is StartRefusal.UNHEALTHY:
--- a/rattanloom/platform/store.py
+++ b/rattanloom/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's metadata store: tables of versioned rows."""
 
 from base64 import b64decode, b64encode
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 from typing import ClassVar
 from urllib.parse import urlencode
@@ -67,9 +67,13 @@
 
 @define(eq=False)
 class StoreClient:
-    """Speaks to the store at ``address``; failures as in ``HttpPeer``."""
+    """Speaks to the store at ``address``; failures as in ``HttpPeer``.
+
+    ``count`` is called with a counter's name and the outcome of each call.
+    """
 
     address: str
+    count: Callable[[str, str], None]
     _http: HttpPeer = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -126,7 +130,7 @@
                 "remove": [_wire_ref(ref) for ref in removals],
             }
         )
-        reply = self._http.call("POST", "/rows-tx", body, CALL_TIMEOUT_MS)
+        reply = self._call("POST", "/rows-tx", body, CALL_TIMEOUT_MS)
         if isinstance(reply, Failure):
             return reply
         if reply.status not in (HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED):
@@ -142,8 +146,16 @@
         """Close the connections."""
         self._http.close()
 
+    def _call(
+        self, method: str, path: str, body: bytes | None, timeout_ms: float
+    ) -> Reply | Failure:
+        reply = self._http.call(method, path, body, timeout_ms)
+        failed = isinstance(reply, Failure)
+        self.count("store_calls", reply.kind.value if failed else str(reply.status))
+        return reply
+
     def _fetch(self, path: str, timeout_ms: float) -> RowsBody | Failure:
-        reply = self._http.call("GET", path, None, timeout_ms)
+        reply = self._call("GET", path, None, timeout_ms)
         if isinstance(reply, Failure):
             return reply
         if reply.status == HTTPStatus.GONE:
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -6,6 +6,7 @@
 import pytest
 from attrs import evolve
 
+from rattanloom.metrics import Metrics
 from rattanloom.placement.placer import Placer
 from rattanloom.placement.pooled_worker import WorkerState
 from rattanloom.placement.work import OutcomeKind
@@ -27,7 +28,9 @@
 def running_placer(*workers: FakeWorker, token: int = TOKEN, node: str = "placer-1"):
     fenced = []
     by_id = {worker.worker_id: worker for worker in workers}
-    placer = Placer(node, CLOCK, lambda entry: by_id[entry.worker_id], fenced.append)
+    placer = Placer(
+        node, CLOCK, Metrics(), lambda entry: by_id[entry.worker_id], fenced.append
+    )
     for worker in workers:
         placer.add_worker(worker.entry(), token)
     ticking = gevent.spawn(tick_all, placer)
