--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -235,7 +235,7 @@
             else:
                 worker.entry = entry
                 worker.raise_token(owned[entry.zone].fencing_token)
-        self.placer.inherited_ms = self.ownership.inherited_ms
+        self.placer.adoption.inherited_ms = self.ownership.inherited_ms
         for entry in self.registry.entries.values():
             record = owned.get(entry.zone)
             if record is not None:
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -9,6 +9,7 @@
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.metrics import Metrics
+from rattanloom.placement.adoption import Adoption
 from rattanloom.placement.choice import choose_worker, takes_tasks
 from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
 from rattanloom.placement.runs import (
@@ -40,17 +41,8 @@
 # A worker that refused an order is passed over this long.
 REFUSED_PAUSE_MS = 100
 UNHEALTHY_PAUSE_MS = 500
-# Runs that nobody claims are stopped; daemons hand their jobs over in a few ms.
-FOREIGN_STOP_MS = 200
 # Time for a daemon whose link broke to come back before its jobs are ended.
 ORPHAN_MS = 300
-# A task stays in the wait for other workers' reports at most this long: by
-# then leases of the placer before have run out.
-ADOPTION_MAX_MS = 1_050
-# Daemons hand jobs on within this time after their placer was replaced.
-INHERITED_MS = 2_000
-# Ended runs that nobody has asked about are kept this long.
-RECENT_MS = 5_000
 RETRY_AFTER_MS = 1_000
 # Tasks tried beyond one that finds no room, so that smaller ones fill gaps.
 PASSED_OVER_MAX = 24
@@ -73,14 +65,14 @@
     workers: dict[str, PooledWorker] = field(factory=dict)
     jobs: dict[str, PlacedJob] = field(factory=dict)
     waiting: WaitingTasks = field(factory=WaitingTasks)
-    inherited_ms: dict[str, float] = field(factory=dict)
     active: Counter[str] = field(factory=Counter)
     suspicion: Suspicion = field(factory=Suspicion)
-    _foreign: dict[str, tuple[PooledWorker, Run]] = field(factory=dict)
-    _recent_done: dict[str, float] = field(factory=dict)
-    _recent_jobs: dict[str, float] = field(factory=dict)
+    adoption: Adoption = field(init=False)
     _pumping: bool = False
 
+    def __attrs_post_init__(self) -> None:
+        self.adoption = Adoption(self.node, self.clock)
+
     # Workers
 
     def add_worker(self, entry: WorkerEntry, fencing_token: int) -> None:
@@ -107,7 +99,7 @@
         log.info("worker_removed", worker=worker_id, reason=reason)
         worker.abandon()
         for run in list(worker.runs.values()):
-            self._foreign.pop(run.name, None)
+            self.adoption.claim(run.name)
             gevent.spawn(self._vanish_when_over, worker, run)
 
     def _vanish_when_over(self, worker: PooledWorker, run: Run) -> None:
@@ -116,21 +108,6 @@
         worker.forget(run)
         self.run_vanished(worker, run, "its worker left the pool")
 
-    def _is_synced(self, job: PlacedJob) -> bool:
-        """Return whether all runs that former placers started are known or over."""
-        if self.clock.now_ms() >= job.received_ms + ADOPTION_MAX_MS:
-            return True
-        if not job.former_placers:
-            return True
-        is_inherited = all(
-            job.received_ms < self.inherited_ms.get(node, 0) + INHERITED_MS
-            for node in job.former_placers
-            if node != self.node
-        )
-        return is_inherited and all(
-            worker.state is not WorkerState.SYNCING for worker in self.workers.values()
-        )
-
     # Jobs
 
     def submit(
@@ -142,7 +119,7 @@
             known.session = session
             known.deadline_ms = self.clock.now_ms() + work.remaining_ms
             return
-        if work.job_id in self._recent_jobs:
+        if self.adoption.is_job_done(work.job_id):
             session.deliver(JobOutcome(work.job_id, OutcomeKind.COMPLETE))
             return
         job = make_job(work, session, former_placers, self.clock.now_ms())
@@ -153,10 +130,10 @@
             entry=session.node,
             tasks=len(job.tasks),
             former_placers=former_placers,
-            synced=self._is_synced(job),
+            synced=self.adoption.is_synced(job, self.workers.values()),
             slack_ms=round(job.latest_start_ms - self.clock.now_ms()),
         )
-        self._claim_foreign(job)
+        self._claim_runs(job)
         self._open_tasks(job)
         self.pump()
 
@@ -179,12 +156,12 @@
             job.ended = True
         self.jobs.clear()
         self.waiting.clear()
-        self._foreign.clear()
+        self.adoption.forget_runs()
 
     def tick(self) -> None:
         """Stop unclaimed runs, end orphans and jobs past their deadline."""
         now_ms = self.clock.now_ms()
-        self._stop_unclaimed(now_ms)
+        self._stop_unclaimed()
         for job in list(self.jobs.values()):
             if job.session is None and now_ms > job.orphaned_ms + ORPHAN_MS:
                 self._end(job, None)
@@ -194,7 +171,7 @@
             if now_ms > task.job.last_start_ms:
                 self._give_up(task.job, "no worker had room in time")
         self._move_stuck(now_ms)
-        self._forget_recent(now_ms)
+        self.adoption.forget_old()
         self.pump()
 
     def _move_stuck(self, now_ms: float) -> None:
@@ -217,28 +194,20 @@
                     self.suspicion.note_failed(worker, self.workers.values(), now_ms)
                     worker.stop(run)
 
-    def _stop_unclaimed(self, now_ms: float) -> None:
-        for worker, run in list(self._foreign.values()):
-            if now_ms > run.ordered_ms + FOREIGN_STOP_MS:
-                log.info("unclaimed_stopped", task=run.name, worker=worker.worker_id)
-                del self._foreign[run.name]
-                worker.stop(run)
-
-    def _forget_recent(self, now_ms: float) -> None:
-        for recent in (self._recent_done, self._recent_jobs):
-            for name, ended_ms in list(recent.items()):
-                if now_ms > ended_ms + RECENT_MS:
-                    del recent[name]
+    def _stop_unclaimed(self) -> None:
+        for worker, run in self.adoption.take_overdue():
+            log.info("unclaimed_stopped", task=run.name, worker=worker.worker_id)
+            worker.stop(run)
 
-    def _claim_foreign(self, job: PlacedJob) -> None:
+    def _claim_runs(self, job: PlacedJob) -> None:
         for task in job.tasks:
-            found = self._foreign.pop(task.name, None)
+            found = self.adoption.claim(task.name)
             if found is not None:
                 worker, run = found
                 worker.adopt(run, task)
                 task.state = TaskState.PLACED
                 job.started = True
-            elif task.name in self._recent_done and job.former_placers:
+            elif job.former_placers and self.adoption.is_task_done(task.name):
                 self._finish(task)
 
     def _open_tasks(self, job: PlacedJob) -> None:
@@ -323,7 +292,9 @@
     ) -> bool:
         if task.step.need.cpu_millicores >= no_room_millicores:
             return False
-        if self.active[task.name] or not self._is_synced(task.job):
+        if self.active[task.name]:
+            return False
+        if not self.adoption.is_synced(task.job, self.workers.values()):
             return False
         worker = choose_worker(task, self.workers.values(), now_ms)
         if worker is None:
@@ -358,7 +329,7 @@
         )
         task = run.task
         if task is None or task.job.ended:
-            self._foreign.pop(run.name, None)
+            self.adoption.claim(run.name)
         elif end.how is HowEnded.DONE:
             self.suspicion.note_done(worker, run, self.clock.now_ms())
             self._finish(task)
@@ -370,7 +341,7 @@
 
     def run_vanished(self, worker: PooledWorker, run: Run, reason: str) -> None:
         """Take that a run is surely not running and its end is not known."""
-        self._foreign.pop(run.name, None)
+        self.adoption.claim(run.name)
         if run.task is not None and not run.task.job.ended:
             log.warning(
                 "task_lost", task=run.name, worker=worker.worker_id, reason=reason
@@ -403,13 +374,13 @@
                     task.state = TaskState.PLACED
                     job.started = True
                     return
-        self._foreign[run.name] = (worker, run)
+        self.adoption.add(worker, run)
 
     def foreign_end(self, worker: PooledWorker, end: EndedTask) -> None:
         """Take the end of a run that another placer ordered."""
         if end.how is not HowEnded.DONE:
             return
-        self._recent_done[end.task] = self.clock.now_ms()
+        self.adoption.note_task_done(end.task)
         for job in self._jobs_named(end.task):
             for task in job.tasks:
                 if task.name == end.task and task.state is TaskState.WAITING:
@@ -426,7 +397,7 @@
         job = task.job
         job.tasks_left -= 1
         if job.tasks_left == 0:
-            self._recent_jobs[job.job_id] = self.clock.now_ms()
+            self.adoption.note_job_done(job.job_id)
             self._end(job, JobOutcome(job.job_id, OutcomeKind.COMPLETE))
         else:
             self._open_tasks(job)
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -121,7 +121,7 @@
         FakeSession(),
     )
     with running_placer(lost, worker) as placer:
-        placer.inherited_ms["placer-0"] = CLOCK.now_ms()
+        placer.adoption.inherited_ms["placer-0"] = CLOCK.now_ms()
         submitted_ms = CLOCK.now_ms()
         placer.submit(session, make_work(estimate_ms=1_000), ("placer-0",))
         assert wait_for(lambda: worker.starts)
@@ -141,7 +141,7 @@
 def test_job_of_an_inherited_placer_starts_once_all_workers_reported():
     worker, session = FakeWorker("w1"), FakeSession()
     with running_placer(worker) as placer:
-        placer.inherited_ms["placer-0"] = CLOCK.now_ms()
+        placer.adoption.inherited_ms["placer-0"] = CLOCK.now_ms()
         placer.submit(session, make_work(), ("placer-0",))
         assert not worker.starts
         assert wait_for(lambda: worker.starts, within_s=0.9)
@@ -151,7 +151,7 @@
     worker, session = FakeWorker("w1"), FakeSession()
     foreign_start(worker)
     with running_placer(worker) as placer:
-        placer.inherited_ms["placer-0"] = CLOCK.now_ms()
+        placer.adoption.inherited_ms["placer-0"] = CLOCK.now_ms()
         placer.submit(session, make_work("00000000000000ff"), ("placer-0",))
         assert wait_for(lambda: all_ready(placer))
         gevent.sleep(0.1)
