Name the file's own fields in errors; refuse what is no object

Cause: a nested value of another type was read as an object without fields (an entry with capacity "large", settings with bounds []), and errors named our field instead of the file's (tests red first).

Change: nested documents have to be objects; error paths use the file's names. A follower pauses before it reads a table whose history is gone.

--- a/rattanloom/platform/fields.py
+++ b/rattanloom/platform/fields.py
@@ -35,7 +35,14 @@
         for attribute in fields(shape)
         if attribute.name in wire_names
     }
-    return make_dict_structure_fn(shape, converter, **renamed)
+    structure_fields = make_dict_structure_fn(shape, converter, **renamed)
+
+    def structure_object(value: object, _: type) -> object:
+        if not isinstance(value, dict):
+            raise ValueError("expected an object")
+        return structure_fields(value, shape)
+
+    return structure_object
 
 
 CONVERTER = _make_converter()
@@ -48,7 +55,24 @@
     try:
         return CONVERTER.structure(document, shape)
     except BaseValidationError as error:
-        raise FormatError("; ".join(transform_error(error))) from error
+        names = _wire_names(shape)
+        messages = (_with_wire_path(text, names) for text in transform_error(error))
+        raise FormatError("; ".join(messages)) from error
+
+
+def _wire_names(shape: type) -> dict[str, str]:
+    """Return the platform's names of the fields of a class and those in it."""
+    names = dict(getattr(shape, "WIRE_NAMES", {}))
+    for attribute in fields(shape):
+        if has(attribute.type):
+            names |= _wire_names(attribute.type)
+    return names
+
+
+def _with_wire_path(message: str, names: dict[str, str]) -> str:
+    reason, _, path = message.rpartition(" @ $")
+    segments = (names.get(segment, segment) for segment in path.split("."))
+    return f"{'.'.join(segments).lstrip('.') or 'document'}: {reason}"
 
 
 def parse(body: bytes, shape: type[T]) -> T:
--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -47,6 +47,7 @@
             elif failure.kind is ErrorKind.HISTORY_GONE:
                 log.info("store_history_gone", table=self.table)
                 self.version = None
+                gevent.sleep(RETRY_MIN_MS / MS_PER_S)
             else:
                 self._note_failure(failure)
 
--- /dev/null
+++ b/tests/test_desk.py
@@ -0,0 +1,126 @@
+"""Jobs whose clients wait, while their placers come and go."""
+
+from rattanloom.ingress.desk import NO_PLACER_HOLD_MS, JobDesk
+from rattanloom.links.messages import Cancel, Submit
+from rattanloom.placement.work import JobOutcome, OutcomeKind
+from tests.dispatcher_fakes import CLOCK, make_work
+
+JOB = "00000000000000aa"
+
+
+class MovedClock:
+    """A clock that is moved by hand."""
+
+    def __init__(self):
+        self.at_ms = CLOCK.now_ms()
+
+    def now_ms(self) -> float:
+        """Return the time set."""
+        return self.at_ms
+
+
+class FakeHub:
+    """Links that collect what is sent."""
+
+    def __init__(self, *nodes):
+        self.sent = {node: [] for node in nodes}
+
+    def link(self, node):
+        """Return a link to a node that is there."""
+        if node not in self.sent:
+            return None
+        outer = self
+
+        class Link:
+            """Collects messages."""
+
+            def send(self, message):
+                """Take a message."""
+                outer.sent[node].append(message)
+
+        return Link()
+
+
+class Placers:
+    """Which daemon owns the zone, and which is reached."""
+
+    def __init__(self, owner):
+        self.owner = owner
+
+
+def make_desk(placers, hub):
+    return JobDesk(
+        "n0",
+        MovedClock(),
+        hub,
+        None,
+        lambda: placers.owner,
+        lambda: placers.owner,
+        lambda node: node == placers.owner,
+    )
+
+
+def outcome(kind):
+    return JobOutcome(JOB, kind)
+
+
+def test_job_goes_to_the_owner():
+    hub = FakeHub("p1")
+    desk = make_desk(Placers("p1"), hub)
+    desk.submit(make_work())
+    (message,) = hub.sent["p1"]
+    assert isinstance(message, Submit)
+    assert message.former_placers == ()
+
+
+def test_job_is_handed_on_with_the_names_of_those_that_had_it():
+    placers, hub = Placers("p1"), FakeHub("p1", "p2")
+    desk = make_desk(placers, hub)
+    desk.submit(make_work())
+    placers.owner = "p2"
+    desk.placers_changed()
+    assert hub.sent["p2"][0].former_placers == ("p1",)
+
+
+def test_refusal_of_a_former_placer_is_not_told_to_the_client():
+    placers, hub = Placers("p1"), FakeHub("p1", "p2")
+    desk = make_desk(placers, hub)
+    job = desk.submit(make_work())
+    placers.owner = "p2"
+    desk.placers_changed()
+    desk.deliver_from("p1", outcome(OutcomeKind.REFUSED))
+    assert not job.result.ready()
+
+
+def test_completion_by_a_former_placer_counts_and_ends_the_other_one():
+    placers, hub = Placers("p1"), FakeHub("p1", "p2")
+    desk = make_desk(placers, hub)
+    job = desk.submit(make_work())
+    placers.owner = "p2"
+    desk.placers_changed()
+    desk.deliver_from("p1", outcome(OutcomeKind.COMPLETE))
+    assert job.result.get().kind is OutcomeKind.COMPLETE
+    assert hub.sent["p2"][-1] == Cancel(JOB)
+
+
+def test_job_without_a_placer_is_refused_soon_and_has_not_run():
+    desk = make_desk(Placers(None), FakeHub())
+    job = desk.submit(make_work())
+    desk.tick()
+    assert not job.result.ready()
+    desk.clock.at_ms += NO_PLACER_HOLD_MS + 1
+    desk.tick()
+    refused = job.result.get()
+    assert refused.kind is OutcomeKind.REFUSED
+    assert refused.retry_after_ms > 0
+
+
+def test_job_that_may_run_is_never_told_not_to_have_run():
+    placers, hub = Placers("p1"), FakeHub("p1")
+    desk = make_desk(placers, hub)
+    job = desk.submit(make_work())
+    desk.placer_lost("p1")
+    placers.owner = None
+    desk.clock.at_ms += 10_000
+    desk.tick()
+    assert job.result.get().kind is OutcomeKind.GIVEN_UP
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,107 @@
+"""Messages between daemons, and links that end or go silent."""
+
+import socket
+from contextlib import suppress
+
+import gevent
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rattanloom.links.codec import BadMessageError, decode_message, encode_message
+from rattanloom.links.hub import LinkHub
+from rattanloom.links.messages import (
+    AskOwner,
+    Cancel,
+    Hello,
+    Outcome,
+    OwnerAnswer,
+    Ping,
+    Submit,
+    TakeZones,
+    ZoneClaims,
+)
+from rattanloom.ownership.records import claim_number
+from rattanloom.placement.work import JobOutcome, OutcomeKind
+from tests.dispatcher_fakes import CLOCK, make_work, wait_for
+
+PORT = 41_900
+MESSAGES = (
+    Hello("n1", "a", "127.0.0.1:1", 7),
+    Ping(),
+    Submit(make_work(count=3), ("p1", "p2")),
+    Cancel("00000000000000aa"),
+    Outcome(JobOutcome("00000000000000aa", OutcomeKind.GIVEN_UP, "why", 1_000)),
+    AskOwner("n1"),
+    OwnerAnswer("n1", True),
+    TakeZones(("a", "b"), ("w1",)),
+    ZoneClaims("n1", claim_number("n1", 3), ("a",), (4,)),
+)
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+def test_message_survives_the_wire(message):
+    decoded = decode_message(encode_message(message))
+    if not isinstance(message, Submit):
+        assert decoded == message
+        return
+    assert decoded.former_placers == message.former_placers
+    assert decoded.job.steps == message.job.steps
+    assert decoded.job.spec == message.job.spec
+    assert decoded.job.objective_ms == pytest.approx(message.job.objective_ms)
+
+
+@given(st.binary(max_size=200))
+def test_random_bytes_are_refused_or_decoded_never_worse(content):
+    with suppress(BadMessageError):
+        decode_message(content)
+
+
+def make_hub(name: str, port: int, events: list) -> LinkHub:
+    return LinkHub(
+        Hello(name, "a", f"127.0.0.1:{port}", 1),
+        CLOCK,
+        lambda link, message: events.append((link.peer.node, message)),
+        lambda link: events.append((link.peer.node, "open")),
+        lambda link: events.append((link.peer.node, "lost")),
+    )
+
+
+def test_hubs_exchange_messages_and_notice_an_end():
+    first, second = [], []
+    one, two = make_hub("n1", PORT, first), make_hub("n2", PORT + 1, second)
+    with one.serving():
+        with two.serving():
+            one.want("n2", two.own.address, CLOCK.now_ms() + 60_000)
+            assert wait_for(lambda: one.link("n2") and two.link("n1"))
+            one.link("n2").send(Cancel("x"))
+            assert wait_for(lambda: ("n1", Cancel("x")) in second)
+        assert wait_for(lambda: ("n2", "lost") in first)
+
+
+def test_silent_peer_is_noticed():
+    events = []
+    hub = make_hub("n1", PORT + 2, events)
+    server = socket.socket()
+    server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    server.bind(("127.0.0.1", PORT + 3))
+    server.listen()
+    hello = encode_message(Hello("n2", "a", "127.0.0.1:1", 1))
+    with hub.serving():
+        hub.want("n2", f"127.0.0.1:{PORT + 3}", CLOCK.now_ms() + 60_000)
+        connection, _ = server.accept()
+        connection.sendall(len(hello).to_bytes(4, "big") + hello)
+        assert wait_for(lambda: ("n2", "open") in events)
+        assert wait_for(lambda: ("n2", "lost") in events)
+        connection.close()
+    server.close()
+
+
+def test_stray_bytes_do_not_disturb_a_hub():
+    events = []
+    hub = make_hub("n1", PORT + 4, events)
+    with hub.serving():
+        with socket.create_connection(("127.0.0.1", PORT + 4)) as stray:
+            stray.sendall(b"\xff" * 64)
+            gevent.sleep(0.05)
+        assert not events
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,163 @@
+"""The platform's formats, decoded once into the project's own types."""
+
+import json
+from contextlib import suppress
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rattanloom.ingress.queues import Queue
+from rattanloom.platform.configuration import read_configuration
+from rattanloom.platform.deployment import load_deployment
+from rattanloom.platform.fields import FormatError
+from rattanloom.platform.job_format import is_job_id, read_job
+from rattanloom.platform.registry import read_worker_entry
+from rattanloom.platform.rows import Row, RowRef
+from rattanloom.settings import SettingsError
+
+QUEUE = Queue("q", "h.example", "/q/", "service", 1, 3, 1.6, 60)
+SETTINGS = {
+    "node_name": "edge-a-1",
+    "ip": "10.1.0.13",
+    "zone": "a",
+    "zones": {"a": "r", "b": "r"},
+    "listen": {"front": "10.1.0.13:1", "ready": "10.1.0.13:2"},
+    "internal_ports": [7720, 7735],
+    "platform": {"addr": "10.2.0.1:3", "form": "table"},
+    "bounds": {"hold_max_ms": 1000, "grace_s": 6, "a_new_bound": True},
+    "a_new_field": {"of": "any kind"},
+}
+ENTRY = {
+    "service": "s",
+    "addr": "10.3.0.1:8080",
+    "zone": "a",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["b", "r1-3"],
+    "born": 17,
+}
+JOB = {"spec": "x", "steps": [{"count": 2, "cpu": 500}], "best_effort": True}
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(
+                [*ENTRY, *JOB, "count", "after", "cpu", "version", "routes"]
+            ),
+            inner,
+            max_size=6,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+def row(value: bytes) -> Row:
+    return Row(RowRef("servers", "", "w1"), 3, value)
+
+
+def settings_file(tmp_path, **changes):
+    path = tmp_path / "boot.json"
+    path.write_text(json.dumps(SETTINGS | changes))
+    return path
+
+
+def test_settings_keep_known_fields_and_ignore_others(tmp_path):
+    deployment = load_deployment(settings_file(tmp_path))
+    assert deployment.node == "edge-a-1"
+    assert deployment.peer_address == "10.1.0.13:7720"
+    assert deployment.bounds.worker_lease_max_ms == 1000
+    assert deployment.store.address == "10.2.0.1:3"
+
+
+@pytest.mark.parametrize(
+    ("changes", "told"),
+    [({"zone": 7}, "zone"), ({"listen": {}}, "front"), ({"bounds": []}, "bounds")],
+)
+def test_settings_of_another_type_are_refused_by_file_and_field(
+    tmp_path, changes, told
+):
+    path = settings_file(tmp_path, **changes)
+    with pytest.raises(SettingsError) as refused:
+        load_deployment(path)
+    assert str(path) in str(refused.value)
+    assert told in str(refused.value)
+
+
+def test_worker_entry_is_read():
+    entry = read_worker_entry(row(json.dumps(ENTRY).encode()))
+    assert entry.incarnation_ms == 17
+    assert entry.accepting
+    assert entry.capacity.cpu_millicores == 16000
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"[]",
+        b"null",
+        json.dumps(ENTRY | {"state": "asleep"}).encode(),
+        json.dumps(ENTRY | {"capacity": "large"}).encode(),
+        json.dumps(ENTRY | {"addr": "nowhere"}).encode(),
+        json.dumps({key: ENTRY[key] for key in ENTRY if key != "zone"}).encode(),
+    ],
+)
+def test_entry_of_another_writer_names_no_worker(value):
+    with pytest.raises(FormatError):
+        read_worker_entry(row(value))
+
+
+@given(json_values)
+def test_any_json_is_read_or_refused(value):
+    content = json.dumps(value).encode()
+    for read in (
+        lambda: read_worker_entry(row(content)),
+        lambda: read_configuration(row(content)),
+        lambda: read_job("00000000000000aa", content, QUEUE, 1_000),
+    ):
+        with suppress(FormatError):
+            read()
+
+
+@given(st.binary(max_size=64))
+def test_any_bytes_are_refused_as_a_job(content):
+    with suppress(FormatError):
+        read_job("00000000000000aa", content, QUEUE, 1_000)
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        [],
+        [{"count": 0}],
+        [{"count": -1}],
+        [{"count": 1, "cpu": -5}],
+        [{"count": 1, "after": [0]}],
+        [{"count": 1, "after": [1]}, {"count": 1}],
+        [{"count": 1, "after": [-1]}],
+        [{"count": 1_000_000}],
+        [{"count": True}],
+        [{"count": "2"}],
+    ],
+)
+def test_impossible_steps_are_refused(steps):
+    with pytest.raises(FormatError):
+        read_job("a" * 16, json.dumps(JOB | {"steps": steps}).encode(), QUEUE, 1_000)
+
+
+def test_job_takes_its_policy_from_the_queue():
+    posted = read_job("a" * 16, json.dumps(JOB).encode(), QUEUE, 1_000)
+    assert not posted.stored
+    assert posted.job.policy.max_attempts == 3
+
+
+@pytest.mark.parametrize(
+    ("text", "valid"),
+    [("5c0e7a21d94b36f8", True), ("5c0e", False), ("zz0e7a21d94b36f8", False)],
+)
+def test_job_ids_are_sixteen_hexadecimal_digits(text, valid):
+    assert is_job_id(text) is valid
--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,65 @@
+"""Following a table through outages, lost history and silence."""
+
+from contextlib import contextmanager
+
+import gevent
+
+from rattanloom.platform.rows import RowRef
+from rattanloom.registry import Registry
+from rattanloom.tables import TableFollower
+from tests.dispatcher_fakes import CLOCK, FakeStore, wait_for
+
+REF = RowRef("t", "", "k")
+
+
+@contextmanager
+def following(store: FakeStore):
+    seen, snapshots = [], []
+    follower = TableFollower(
+        store, "t", CLOCK, snapshots.append, lambda rows: seen.extend(rows)
+    )
+    greenlet = gevent.spawn(follower.run)
+    try:
+        yield seen, snapshots
+    finally:
+        greenlet.kill()
+
+
+def test_changes_arrive_in_order():
+    store = FakeStore()
+    with following(store) as (seen, snapshots):
+        assert wait_for(lambda: snapshots)
+        for value in (b"1", b"2", b"3"):
+            store.transact((), [(REF, value)])
+        assert wait_for(lambda: seen and seen[-1].value == b"3")
+        versions = [row.version for row in seen]
+        assert versions == sorted(versions)
+
+
+def test_outage_is_survived():
+    store = FakeStore()
+    with following(store) as (seen, snapshots):
+        assert wait_for(lambda: snapshots)
+        store.down = True
+        gevent.sleep(0.2)
+        store.down = False
+        store.transact((), [(REF, b"after")])
+        assert wait_for(lambda: seen and seen[-1].value == b"after")
+
+
+def test_lost_history_is_read_again():
+    store = FakeStore()
+    with following(store) as (_, snapshots):
+        assert wait_for(lambda: snapshots)
+        store.transact((), [(REF, b"x")])
+        store.history_from = store.version + 1
+        assert wait_for(lambda: len(snapshots) > 1)
+        store.history_from = 0
+        assert [row.value for row in snapshots[-1]] == [b"x"]
+
+
+def test_list_of_a_new_start_is_whole_only_after_entries_are_back():
+    registry = Registry(CLOCK, lambda: None)
+    assert not registry.is_complete()
+    registry.take_snapshot(())
+    assert not registry.is_complete()
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,46 @@
+"""The order in which tasks wait for room."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rattanloom.placement.runs import make_job
+from rattanloom.placement.waiting import WaitingTasks
+from tests.dispatcher_fakes import CLOCK, FakeSession, make_work
+
+
+def make_task(number: int, arrived_ms: float, started: bool = False):
+    work = make_work(f"{number:016x}")
+    job = make_job(work, FakeSession(), (), arrived_ms)
+    job.started = started
+    return job.tasks[0]
+
+
+@given(st.lists(st.integers(-2_000, 2_000), max_size=30))
+def test_tasks_that_can_be_on_time_come_first_and_earliest_first(offsets):
+    now_ms = CLOCK.now_ms()
+    waiting = WaitingTasks()
+    for number, offset_ms in enumerate(offsets):
+        waiting.add(make_task(number, now_ms + offset_ms), now_ms)
+    taken = []
+    while (task := waiting.take(now_ms)) is not None:
+        taken.append(task.job.latest_start_ms)
+    on_time = [at_ms for at_ms in taken if at_ms >= now_ms]
+    assert taken[: len(on_time)] == sorted(on_time)
+    assert len(taken) == len(offsets)
+
+
+def test_late_tasks_of_jobs_under_way_come_before_other_late_ones():
+    now_ms = CLOCK.now_ms()
+    waiting = WaitingTasks()
+    waiting.add(make_task(1, now_ms - 900), now_ms)
+    waiting.add(make_task(2, now_ms - 800, started=True), now_ms)
+    assert waiting.take(now_ms).job.started
+
+
+def test_tasks_of_ended_jobs_are_passed_over():
+    now_ms = CLOCK.now_ms()
+    waiting = WaitingTasks()
+    task = make_task(1, now_ms)
+    waiting.add(task, now_ms)
+    task.job.ended = True
+    assert waiting.take(now_ms) is None
