--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -3,6 +3,8 @@
 import json
 import os
 
+import gevent
+
 from rattanloom.clock import SystemClock
 from rattanloom.decision_log import (
     LINES_MAX,
@@ -78,6 +80,7 @@
 def test_reader_that_is_gone_is_counted_as_dropped():
     read_end, write_end = os.pipe()
     os.close(read_end)
+    gevent.sleep(0.01)  # gevent closes descriptors in its loop
     buffer = LineBuffer(write_end)
     buffer.add(b"line\n")
     buffer.flush()
