Ask clients to connect elsewhere while a daemon stops or reaches no placer

Cause: a stopping daemon closed connections after an answer that did not say so, so that a client's next request could be lost (test red first); a daemon that is cut off kept its clients on open connections and refused each request.

Change: answers carry Connection: close while the daemon is not ready.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -137,7 +137,7 @@
             self.ownership.reached_owner,
             self.ownership.is_owner,
         )
-        self.connections = ConnectionState(self._limits)
+        self.connections = ConnectionState(self._limits, lambda: not self.is_ready())
 
     def is_ready(self) -> bool:
         """Return whether clients can be served here."""
@@ -321,7 +321,6 @@
     begun_ms = clock.now_ms()
     log.info("stopping", jobs=len(daemon.desk.pending))
     daemon.stopping = True
-    daemon.connections.closing = True
     daemon.ownership.leave()
     grace_ms = daemon.deployment.bounds.stop_grace_s * MS_PER_S - STOP_MARGIN_MS
     while clock.now_ms() < begun_ms + LEAVE_MS:
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -24,11 +24,14 @@
 
 @define(eq=False)
 class ConnectionState:
-    """What all client connections share; ``closing`` asks clients to reconnect."""
+    """What all client connections share.
+
+    While ``is_closing`` holds, answers ask clients to connect elsewhere.
+    """
 
     limits: Callable[[], RequestLimits]
+    is_closing: Callable[[], bool]
     in_flight: int = 0
-    closing: bool = False
     idle: set[socket] = field(factory=set)
 
     def close_idle(self) -> None:
@@ -82,12 +85,17 @@
         """Answer one request."""
         self.state.in_flight += 1
         try:
-            if self.state.closing:
-                self.close_connection = True
             super().handle_one_response()
         finally:
             self.state.in_flight -= 1
 
+    def finalize_headers(self) -> None:
+        """Complete the headers; the connection may have to end with this answer."""
+        super().finalize_headers()
+        if self.state.is_closing():
+            self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
+
     def log_error(self, message: str, *args: object) -> None:
         """Log malformed requests shortly."""
         log.info("request_malformed", reason=message % args if args else message)
