--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -57,7 +57,7 @@
 # Owners that hear each other again merge what they own after this time: workers
 # that were cut off are registered again about 2 s after the cut.
 MERGE_AFTER_MS = 2_500
-# One placer serves this many workers in 0.3 of a core (docs/CAPACITY.md).
+# One placer serves this many workers in half of a core (docs/CAPACITY.md).
 WORKERS_PER_PLACER_MAX = 64
 
 
