Derive the lease from the platform's bound; one module for stop signals

Cause: the lease was a figure of these two sites; two programs had a copy of the signal handling; settings held bounds that nothing read.

Change: the lease is nine tenths of the longest one allowed (900 ms here, as before); signals.py; unused bounds removed.

--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -1,6 +1,5 @@
 """The entry daemon's story: parse its settings, build it, run it, stop it."""
 
-import signal
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
@@ -27,6 +26,7 @@
 from rattanloom.platform.client import PlatformClient
 from rattanloom.sealed_ledger import SealedLedgers
 from rattanloom.settings import EntrySettings, SettingsError, load_settings
+from rattanloom.signals import stop_signals
 from rattanloom.status import ExitStatus
 from rattanloom.targets.directory import TargetDirectory
 from rattanloom.ticket import TicketMint, new_incarnation
@@ -240,17 +240,3 @@
     jobs_ended = host.jobs.drain(host.settings.stop_within_ms)
     left_ms = max(0.0, until_ms - clock.now_ms())
     return host.in_flight.wait_until_none(left_ms) and jobs_ended
-
-
-@contextmanager
-def stop_signals(stop: Event) -> Iterator[None]:
-    """Set ``stop`` on SIGTERM or SIGINT while the block runs."""
-    watchers = [
-        gevent.signal_handler(number, stop.set)
-        for number in (signal.SIGTERM, signal.SIGINT)
-    ]
-    try:
-        yield
-    finally:
-        for watcher in watchers:
-            watcher.cancel()
--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -45,6 +45,7 @@
 from rattanloom.registry import Registry
 from rattanloom.reload import SettingsWatcher
 from rattanloom.settings import SettingsError
+from rattanloom.signals import stop_signals
 from rattanloom.status import ExitStatus
 from rattanloom.tables import TableFollower
 
@@ -107,7 +108,12 @@
         self.store = StoreClient(deployment.store.address, self.metrics.count)
         self.registry = Registry(clock, self._arrange_workers)
         self.placer = Placer(
-            deployment.node, clock, self.metrics, _connect, self._worker_fenced
+            deployment.node,
+            clock,
+            self.metrics,
+            deployment.bounds.worker_lease_max_ms,
+            _connect,
+            self._worker_fenced,
         )
         self.ownership = Ownership(
             own,
@@ -342,17 +348,3 @@
     finally:
         polling.kill()
         signals.cancel()
-
-
-@contextmanager
-def stop_signals(stop: Event) -> Iterator[None]:
-    """Set ``stop`` on SIGTERM or SIGINT while the block runs."""
-    watchers = [
-        gevent.signal_handler(number, stop.set)
-        for number in (signal.SIGTERM, signal.SIGINT)
-    ]
-    try:
-        yield
-    finally:
-        for watcher in watchers:
-            watcher.cancel()
--- a/rattanloom/ingress/queues.py
+++ b/rattanloom/ingress/queues.py
@@ -2,8 +2,6 @@
 
 from attrs import define, field, frozen
 
-MS_DEFAULT_TIMEOUT = 1_500
-
 
 @frozen
 class Queue:
@@ -21,7 +19,7 @@
     max_attempts: int = 1
     slack_factor: float = 1.0
     latency_target_ms: float = 0
-    timeout_ms: float = MS_DEFAULT_TIMEOUT
+    timeout_ms: float = 1_500
 
 
 @frozen
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -36,8 +36,8 @@
 
 log = DecisionLog("placement")
 
-# Below the lease limit of the platform, so that runs end before a resend.
-LEASE_MS = 900
+# Share of the longest lease that is used, so that runs end before a resend.
+LEASE_SHARE = 0.9
 # A worker that refused an order is passed over this long.
 REFUSED_PAUSE_MS = 100
 UNHEALTHY_PAUSE_MS = 500
@@ -60,6 +60,7 @@
     node: str
     clock: Clock
     metrics: Metrics
+    lease_max_ms: float
     connect: Callable[[WorkerEntry], WorkerOrders]
     fenced: Callable[[PooledWorker], None]
     workers: dict[str, PooledWorker] = field(factory=dict)
@@ -84,7 +85,7 @@
             self.connect(entry),
             self,
             self.clock,
-            WorkerLease(self.clock, LEASE_MS),
+            WorkerLease(self.clock, LEASE_SHARE * self.lease_max_ms),
             fencing_token,
             self.active,
         )
--- a/rattanloom/platform/deployment.py
+++ b/rattanloom/platform/deployment.py
@@ -29,15 +29,10 @@
     WIRE_NAMES: ClassVar = {
         "worker_lease_max_ms": "hold_max_ms",
         "stop_grace_s": "grace_s",
-        "config_in_force_ms": "config_apply_ms",
     }
 
     worker_lease_max_ms: float = 1_000
     stop_grace_s: float = 6
-    config_in_force_ms: float = 2_000
-    resend_ms: float = 1_300
-    stop_ms: float = 50
-    drain_ms: float = 2_000
 
 
 @frozen
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -29,7 +29,12 @@
     fenced = []
     by_id = {worker.worker_id: worker for worker in workers}
     placer = Placer(
-        node, CLOCK, Metrics(), lambda entry: by_id[entry.worker_id], fenced.append
+        node,
+        CLOCK,
+        Metrics(),
+        1_000,
+        lambda entry: by_id[entry.worker_id],
+        fenced.append,
     )
     for worker in workers:
         placer.add_worker(worker.entry(), token)
