--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,41 @@
+"""Settings that change while a daemon runs."""
+
+import json
+
+from tests.test_platform_adapter import SETTINGS
+
+from rattanloom.platform.deployment import load_deployment
+from rattanloom.reload import SettingsWatcher
+
+
+def make_watcher(tmp_path):
+    path = tmp_path / "boot.json"
+    path.write_text(json.dumps(SETTINGS))
+    applied = []
+    watcher = SettingsWatcher(str(path), load_deployment(path), applied.append)
+    return path, watcher, applied
+
+
+def test_changed_settings_are_put_in_force(tmp_path):
+    path, watcher, applied = make_watcher(tmp_path)
+    path.write_text(json.dumps(SETTINGS | {"platform": {"addr": "10.9.9.9:1"}}))
+    watcher.reload("SIGHUP")
+    assert [deployment.store.address for deployment in applied] == ["10.9.9.9:1"]
+
+
+def test_unchanged_settings_change_nothing(tmp_path):
+    _, watcher, applied = make_watcher(tmp_path)
+    watcher.reload("SIGHUP")
+    assert not applied
+
+
+def test_refused_settings_leave_those_before_in_force(tmp_path):
+    path, watcher, applied = make_watcher(tmp_path)
+    before = watcher.deployment
+    for content in ("{", "[]", json.dumps(SETTINGS | {"zone": 3})):
+        path.write_text(content)
+        watcher.reload("SIGHUP")
+    path.unlink()
+    watcher.reload("SIGHUP")
+    assert not applied
+    assert watcher.deployment == before
