--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -2,10 +2,9 @@
 
 import json
 
-from tests.test_platform_adapter import SETTINGS
-
 from rattanloom.platform.deployment import load_deployment
 from rattanloom.reload import SettingsWatcher
+from tests.test_platform_adapter import SETTINGS
 
 
 def make_watcher(tmp_path):
