--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from rattanloom.links.codec import BadMessageError, decode_message, encode_message
-from rattanloom.links.hub import LinkHub
+from rattanloom.links.hub import LinkHub, split_address
 from rattanloom.links.messages import (
     AskOwner,
     Cancel,
@@ -24,8 +24,8 @@
 from rattanloom.ownership.records import claim_number
 from rattanloom.placement.work import JobOutcome, OutcomeKind
 from tests.dispatcher_fakes import CLOCK, make_work, wait_for
+from tests.peer_hosts import free_address
 
-PORT = 41_900
 MESSAGES = (
     Hello("n1", "a", "127.0.0.1:1", 7),
     Ping(),
@@ -57,9 +57,9 @@
         decode_message(content)
 
 
-def make_hub(name: str, port: int, events: list) -> LinkHub:
+def make_hub(name: str, events: list) -> LinkHub:
     return LinkHub(
-        Hello(name, "a", f"127.0.0.1:{port}", 1),
+        Hello(name, "a", free_address(), 1),
         CLOCK,
         lambda link, message: events.append((link.peer.node, message)),
         lambda link: events.append((link.peer.node, "open")),
@@ -69,7 +69,7 @@
 
 def test_hubs_exchange_messages_and_notice_an_end():
     first, second = [], []
-    one, two = make_hub("n1", PORT, first), make_hub("n2", PORT + 1, second)
+    one, two = make_hub("n1", first), make_hub("n2", second)
     with one.serving():
         with two.serving():
             one.want("n2", two.own.address, CLOCK.now_ms() + 60_000)
@@ -81,14 +81,14 @@
 
 def test_silent_peer_is_noticed():
     events = []
-    hub = make_hub("n1", PORT + 2, events)
+    hub = make_hub("n1", events)
     server = socket.socket()
     server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    server.bind(("127.0.0.1", PORT + 3))
+    server.bind(("127.0.0.1", 0))
     server.listen()
     hello = encode_message(Hello("n2", "a", "127.0.0.1:1", 1))
     with hub.serving():
-        hub.want("n2", f"127.0.0.1:{PORT + 3}", CLOCK.now_ms() + 60_000)
+        hub.want("n2", f"127.0.0.1:{server.getsockname()[1]}", CLOCK.now_ms() + 60_000)
         connection, _ = server.accept()
         connection.sendall(len(hello).to_bytes(4, "big") + hello)
         assert wait_for(lambda: ("n2", "open") in events)
@@ -99,9 +99,9 @@
 
 def test_stray_bytes_do_not_disturb_a_hub():
     events = []
-    hub = make_hub("n1", PORT + 4, events)
+    hub = make_hub("n1", events)
     with hub.serving():
-        with socket.create_connection(("127.0.0.1", PORT + 4)) as stray:
+        with socket.create_connection(split_address(hub.own.address)) as stray:
             stray.sendall(b"\xff" * 64)
             gevent.sleep(0.05)
         assert not events
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,7 +1,6 @@
 """Owners of zones: takeovers, claims without the store, merges."""
 
 from contextlib import ExitStack, contextmanager
-from itertools import count
 
 import gevent
 from attrs import define, field
@@ -11,8 +10,8 @@
 from rattanloom.ownership.ownership import Ownership
 from rattanloom.ownership.records import ZoneOwner, claim_number
 from tests.dispatcher_fakes import CLOCK, FakeStore, wait_for
+from tests.peer_hosts import free_address
 
-PORTS = count(41_500)
 ZONES = ("a", "b")
 
 
@@ -57,7 +56,7 @@
 
 
 def start_node(name: str, zone: str, store: FakeStore) -> Node:
-    own = Hello(name, zone, f"127.0.0.1:{next(PORTS)}", int(CLOCK.wall_ms()))
+    own = Hello(name, zone, free_address(), int(CLOCK.wall_ms()))
     parts = {}
     hub = LinkHub(
         own,
