Remove fields that nothing reads; keep the late factor in one place

Cause: read-through. A follower's reached_ms, a worker's _watch and the settings' heartbeat_ms were written and never read; the factor of a late answer stood in the desk as a bare 3 beside the constant in runs.py.

Change: removed; WorkJob.late_ms serves both. Behaviour is the same.

--- a/rattanloom/ingress/desk.py
+++ b/rattanloom/ingress/desk.py
@@ -133,7 +133,7 @@
         if not job.former_placers:
             return job.arrived_ms + NO_PLACER_HOLD_MS
         deadline_ms = job.arrived_ms + job.work.remaining_ms
-        useful_ms = job.arrived_ms + 3 * job.work.objective_ms
+        useful_ms = job.arrived_ms + job.work.late_ms
         return min(deadline_ms, useful_ms)
 
     def _hand_over(self, job: PendingJob) -> None:
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -102,7 +102,6 @@
     quarantines: int = 0
     speed: float = 1.0
     closed: bool = False
-    _watch: gevent.Greenlet | None = None
     _idle_wait: bool = False
     _bridging: bool = False
 
@@ -124,7 +123,7 @@
 
     def open(self) -> None:
         """Start watching the worker."""
-        self._watch = gevent.spawn(self._watch_all)
+        gevent.spawn(self._watch_all)
 
     def raise_token(self, fencing_token: int) -> None:
         """Go on under the token of a newer epoch; runs are kept."""
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -7,9 +7,6 @@
 
 from rattanloom.placement.work import JobOutcome, Step, WorkJob
 
-# An answer counts, as late, up to three times the objective of its job.
-LATE_FACTOR = 3
-
 
 class Session(Protocol):
     """The way back to the daemon that holds a job's client."""
@@ -73,7 +70,7 @@
     @property
     def last_start_ms(self) -> float:
         """Return when a start is of no use any more, even for a late answer."""
-        late_ms = self.arrived_ms + LATE_FACTOR * self.work.objective_ms
+        late_ms = self.arrived_ms + self.work.late_ms
         return min(self.deadline_ms, late_ms) - self.work.chain_ms
 
 
--- a/rattanloom/placement/work.py
+++ b/rattanloom/placement/work.py
@@ -6,6 +6,9 @@
 
 from rattanloom.placement.workers import Resources
 
+# An answer counts, as late, up to three times the objective of its job.
+LATE_FACTOR = 3
+
 
 @frozen
 class Step:
@@ -56,6 +59,11 @@
         policy = self.policy
         return policy.slack_factor * self.chain_ms + policy.latency_target_ms
 
+    @property
+    def late_ms(self) -> float:
+        """Return within which time of its first send a late answer still counts."""
+        return LATE_FACTOR * self.objective_ms
+
 
 class OutcomeKind(Enum):
     """How the placer's work on a job ended."""
--- a/rattanloom/platform/deployment.py
+++ b/rattanloom/platform/deployment.py
@@ -61,7 +61,6 @@
     listen: Listen
     internal_ports: tuple[int, ...]
     store: StoreAccess
-    heartbeat_ms: float = 1_500
     bounds: Bounds = field(factory=Bounds)
 
     @property
--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -34,7 +34,6 @@
     on_rows: Callable[[Sequence[Row]], None]
     pause_ms: Callable[[], float] | None = None
     version: int | None = None
-    reached_ms: float = 0
     failures: int = 0
 
     def run(self) -> None:
@@ -79,7 +78,6 @@
         return None
 
     def _note_reached(self) -> None:
-        self.reached_ms = self.clock.now_ms()
         if self.failures:
             log.info("store_regained", table=self.table, failures=self.failures)
             self.failures = 0
