--- a/experiments/cluster.py
+++ b/experiments/cluster.py
@@ -62,9 +62,13 @@
 
     def start(self) -> None:
         """Start it, sending its output to its log file."""
+        self.launch(dict(os.environ))
+
+    def launch(self, environment: dict[str, str]) -> None:
+        """Start it with these environment variables."""
         with self.log_path.open("ab") as output:
             self.popen = subprocess.Popen(
-                self.command, stdout=output, stderr=output, env=dict(os.environ)
+                self.command, stdout=output, stderr=output, env=environment
             )
 
     @property
@@ -221,7 +225,7 @@
     with ExitStack() as stack:
         folder = Path(stack.enter_context(TemporaryDirectory(prefix="rattanloom-")))
         cluster = _lay_out(shape, folder)
-        stack.callback(_end_all, cluster)
+        stack.callback(end_all, cluster.processes())
         for process in cluster.processes()[: -1 * len(cluster.hosts)]:
             process.start()
         await_page(cluster.http, cluster.platform, "/counts", READY_WITHIN_S)
@@ -375,8 +379,9 @@
     (folder / "operator.json").write_text(json.dumps(document, indent=1))
 
 
-def _end_all(cluster: Cluster) -> None:
-    started = [process for process in cluster.processes() if process.running]
+def end_all(processes: Sequence[Process]) -> None:
+    """End all processes that run, gracefully if they do so in time."""
+    started = [process for process in processes if process.running]
     for process in started:
         process.thaw()
         process.terminate()
--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -103,16 +103,23 @@
             int(clock.wall_ms()),
         )
         self.hub = LinkHub(
-            own, clock, self._received, self._link_opened, self._link_lost
+            own,
+            deployment.peer_listen_address,
+            clock,
+            self._received,
+            self._link_opened,
+            self._link_lost,
+        )
+        self.store = StoreClient(
+            deployment.store.address, self.metrics.count, deployment.ip
         )
-        self.store = StoreClient(deployment.store.address, self.metrics.count)
         self.registry = Registry(clock, self._arrange_workers)
         self.placer = Placer(
             deployment.node,
             clock,
             self.metrics,
             deployment.bounds.worker_lease_max_ms,
-            _connect,
+            self._connect_worker,
             self._worker_fenced,
         )
         self.ownership = Ownership(
@@ -252,6 +259,9 @@
         if worker.entry.zone in self.ownership.owned():
             self.ownership.worker_fenced(worker.entry.zone)
 
+    def _connect_worker(self, entry: WorkerEntry) -> WorkerClient:
+        return WorkerClient(entry.worker_id, entry.address, self.deployment.ip)
+
     def _received(self, link: Link, message: Message) -> None:
         if isinstance(message, Submit):
             if self.ownership.owned():
@@ -274,10 +284,6 @@
         self.desk.placer_lost(link.peer.node)
 
 
-def _connect(entry: WorkerEntry) -> WorkerClient:
-    return WorkerClient(entry.worker_id, entry.address)
-
-
 def _is_other(new: WorkerEntry, old: WorkerEntry) -> bool:
     return (new.incarnation_ms, new.address) != (old.incarnation_ms, old.address)
 
--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -40,6 +40,8 @@
     app: Bottle = field(factory=Bottle)
 
     def __attrs_post_init__(self) -> None:
+        # Unexpected errors reach the server, which logs them.
+        self.app.config["catchall"] = False
         self.app.route("/<path:path>", "POST", self.post_job)
         self.app.route("/<path:path>", "GET", self.get_job)
         self.app.route("/<path:path>", "DELETE", self.delete_job)
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -1,5 +1,6 @@
 """HTTP for clients: one greenlet a connection, with bounded cost."""
 
+import traceback
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from socket import IPPROTO_TCP, MSG_PEEK, TCP_NODELAY
@@ -96,6 +97,17 @@
             self.close_connection = True
             self.response_headers.append((b"Connection", b"close"))
 
+    def handle_error(self, kind: type, error: BaseException, trace: object) -> None:
+        """Log an unexpected failure, and answer 500 if nothing was sent yet."""
+        where = traceback.extract_tb(trace)[-1]
+        log.error(
+            "request_failed",
+            path=getattr(self, "path", ""),
+            reason=f"{kind.__name__}: {error}",
+            where=f"{where.filename.rpartition('/')[2]}:{where.lineno}",
+        )
+        super().handle_error(kind, error, trace)
+
     def log_error(self, message: str, *args: object) -> None:
         """Log malformed requests shortly."""
         log.info("request_malformed", reason=message % args if args else message)
--- a/rattanloom/links/hub.py
+++ b/rattanloom/links/hub.py
@@ -27,9 +27,13 @@
 
 @define(eq=False)
 class LinkHub:
-    """Opens, accepts and looks up links by the name of the daemon."""
+    """Opens, accepts and looks up links by the name of the daemon.
+
+    ``listen`` is served; ``own`` tells where others reach it.
+    """
 
     own: Hello
+    listen: str
     clock: Clock
     on_message: Callable[[Link, Message], None]
     on_open: Callable[[Link], None]
@@ -41,7 +45,7 @@
     @contextmanager
     def serving(self) -> Iterator[None]:
         """Accept links on the own address until the block ends."""
-        server = StreamServer(split_address(self.own.address), self._accept)
+        server = StreamServer(split_address(self.listen), self._accept)
         server.start()
         try:
             yield
@@ -92,7 +96,9 @@
                 address, _ = self._wanted[node]
                 try:
                     connection = create_connection(
-                        split_address(address), CONNECT_TIMEOUT_MS / MS_PER_S
+                        split_address(address),
+                        CONNECT_TIMEOUT_MS / MS_PER_S,
+                        source_address=(split_address(self.listen)[0], 0),
                     )
                 except OSError:
                     gevent.sleep(RECONNECT_PAUSE_MS / MS_PER_S)
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -96,6 +96,7 @@
     used: Resources = field(factory=Resources)
     ends_noted: int = 0
     incarnation_ms: int = 0
+    reported_clock_ms: int = 0
     misses: int = 0
     refused_until_ms: float = 0
     failure_score: float = 0
@@ -373,12 +374,18 @@
                 self._drop_runs("the worker started anew")
                 self.ends_noted = 0
             self.incarnation_ms = report.incarnation_ms
+            self.reported_clock_ms = 0
+        # Answers on two connections overtake each other: an older one may still
+        # list runs whose end is noted.
+        is_newer = report.clock_ms > self.reported_clock_ms
+        self.reported_clock_ms = max(report.clock_ms, self.reported_clock_ms)
         self.misses = 0
         for end in report.ended:
             self._take_end(end)
         listed = {(row.task, row.attempt): row for row in report.running}
         for row in report.running:
-            self._take_running(row)
+            if is_newer or (row.task, row.attempt) in self.runs:
+                self._take_running(row)
         for run in list(self.runs.values()):
             if run.key not in listed:
                 self._check_missing(run, sent_ms, token)
@@ -421,7 +428,7 @@
             self.stop(run)
 
     def _check_missing(self, run: Run, sent_ms: float, token: int) -> None:
-        if run.phase is RunPhase.UNCERTAIN:
+        if run.uncertain_token and run.confirmed_ms is None:
             if token >= run.uncertain_token:
                 self._give_back(run, None)
         elif _was_listed(run, sent_ms):
@@ -431,7 +438,7 @@
 
 def _was_listed(run: Run, report_asked_ms: float) -> bool:
     """Return whether a report asked for then would list the run if it ran."""
-    seen_ms = run.ordered_ms if run.phase is RunPhase.FOREIGN else run.confirmed_ms
+    seen_ms = run.ordered_ms if run.task is None else run.confirmed_ms
     return seen_ms is not None and seen_ms < report_asked_ms
 
 
--- a/rattanloom/platform/deployment.py
+++ b/rattanloom/platform/deployment.py
@@ -49,10 +49,15 @@
     """What one process is told of its machine and its surroundings.
 
     ``zones`` maps each zone to its region; ``internal_ports`` is the range free
-    for traffic between daemons.
+    for traffic between daemons. ``advertised_peer_address`` is set where other
+    daemons reach this one at another address than it listens on.
     """
 
-    WIRE_NAMES: ClassVar = {"node": "node_name", "store": "platform"}
+    WIRE_NAMES: ClassVar = {
+        "node": "node_name",
+        "store": "platform",
+        "advertised_peer_address": "advertised_peer",
+    }
 
     node: str
     ip: str
@@ -62,12 +67,18 @@
     internal_ports: tuple[int, ...]
     store: StoreAccess
     bounds: Bounds = field(factory=Bounds)
+    advertised_peer_address: str = ""
 
     @property
-    def peer_address(self) -> str:
+    def peer_listen_address(self) -> str:
         """Return the address on which this process serves other daemons."""
         return f"{self.ip}:{self.internal_ports[0]}"
 
+    @property
+    def peer_address(self) -> str:
+        """Return the address at which other daemons reach this process."""
+        return self.advertised_peer_address or self.peer_listen_address
+
 
 def load_deployment(path: str | Path) -> Deployment:
     """Read the settings file; raise ``SettingsError`` naming file, field, reason."""
--- a/rattanloom/platform/http.py
+++ b/rattanloom/platform/http.py
@@ -27,7 +27,7 @@
 
 @define(eq=False)
 class HttpPeer:
-    """Speaks HTTP to ``address`` (``ip:port``).
+    """Speaks HTTP to ``address`` (``ip:port``), from ``source_ip`` if given.
 
     Failures are PLATFORM_UNREACHABLE (surely not received) or REPLY_LOST
     (may have been carried out, or may be later).
@@ -36,13 +36,19 @@
     address: str
     connections_max: int
     connect_timeout_ms: float
+    source_ip: str = ""
     headers: dict[str, str] = field(factory=lambda: dict(HEADERS))
     _pool: HTTPConnectionPool = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         host, _, port = self.address.rpartition(":")
         self._pool = HTTPConnectionPool(
-            host, int(port), maxsize=self.connections_max, block=False, retries=False
+            host,
+            int(port),
+            maxsize=self.connections_max,
+            block=False,
+            retries=False,
+            source_address=(self.source_ip, 0) if self.source_ip else None,
         )
 
     def call(
--- a/rattanloom/platform/store.py
+++ b/rattanloom/platform/store.py
@@ -70,20 +70,22 @@
     """Speaks to the store at ``address``; failures as in ``HttpPeer``.
 
     ``count`` is called with a counter's name and the outcome of each call.
+    Connections leave from ``source_ip`` if given.
     """
 
     address: str
     count: Callable[[str, str], None]
+    source_ip: str = ""
     _http: HttpPeer = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._http = HttpPeer(self.address, CONNECTIONS_MAX, CONNECT_TIMEOUT_MS)
+        self._http = self._connect()
 
     def move_to(self, address: str) -> None:
         """Send further calls to another address."""
         if address != self.address:
             self.address = address
-            self._http = HttpPeer(address, CONNECTIONS_MAX, CONNECT_TIMEOUT_MS)
+            self._http = self._connect()
 
     def read(self, table: str) -> RowRead | Failure:
         """Return all rows of the empty part of ``table``."""
@@ -146,6 +148,11 @@
         """Close the connections."""
         self._http.close()
 
+    def _connect(self) -> HttpPeer:
+        return HttpPeer(
+            self.address, CONNECTIONS_MAX, CONNECT_TIMEOUT_MS, self.source_ip
+        )
+
     def _call(
         self, method: str, path: str, body: bytes | None, timeout_ms: float
     ) -> Reply | Failure:
--- a/rattanloom/platform/workers.py
+++ b/rattanloom/platform/workers.py
@@ -69,14 +69,17 @@
 
 @define(eq=False)
 class WorkerClient:
-    """Speaks to one incarnation of a worker."""
+    """Speaks to one incarnation of a worker, from ``source_ip`` if given."""
 
     worker_id: str
     address: str
+    source_ip: str = ""
     _http: HttpPeer = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._http = HttpPeer(self.address, CONNECTIONS_MAX, CONNECT_TIMEOUT_MS)
+        self._http = HttpPeer(
+            self.address, CONNECTIONS_MAX, CONNECT_TIMEOUT_MS, self.source_ip
+        )
         self._http.headers["Expect-Instance"] = self.worker_id
 
     def start(self, order: StartOrder) -> Started | NotStarted | Failure:
--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,186 @@
+"""Clients of a soak: jobs in an open loop, over kept connections."""
+
+import json
+from random import Random
+
+import gevent
+from attrs import define, field, frozen
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from rattanloom.clock import MS_PER_S, Clock, SystemClock
+from soak.deployment import CLIENTS_PORT, PATH_PREFIX, ROUTE_HOST, Deployment
+from soak.history import ClientJob, History, Send
+
+DEADLINE_MS = 1_500.0
+# The platform's clients send a job without an answer again after this time.
+RESEND_MS = 1_300.0
+SENDS_MAX = 3
+READY_INTERVAL_MS = 1_000.0
+READY_MISSES_MAX = 2
+RESEND_STATUSES = (502, 504)
+# Longest that a client waits beyond the deadline of its request.
+PATIENCE_MS = 8_000.0
+
+
+@frozen
+class Kind:
+    """One kind of job: its rate, its tasks, and how long and large they are."""
+
+    name: str
+    jobs_per_s: float
+    tasks: int
+    length_ms: float
+    cpu_millicores: int = 14_000
+
+
+KINDS = (
+    Kind("proof-crop", 4.0, 6, 60.0),
+    Kind("studio-preview", 0.8, 3, 900.0),
+    Kind("colour-swatch", 12.0, 2, 200.0),
+)
+
+
+@define(eq=False)
+class Balancer:
+    """Follows which daemons take new connections."""
+
+    deployment: Deployment
+    misses: dict[str, int] = field(factory=dict)
+
+    def run(self) -> None:
+        """Ask every daemon each second, for ever."""
+        while True:
+            for daemon in self.deployment.daemons.values():
+                gevent.spawn(self._ask, daemon)
+            gevent.sleep(READY_INTERVAL_MS / MS_PER_S)
+
+    def _ask(self, daemon: object) -> None:
+        ready = self.deployment.is_ready(daemon)
+        self.misses[daemon.name] = 0 if ready else self.misses.get(daemon.name, 0) + 1
+
+    def choose(self, zone: str, random: Random) -> str:
+        """Return the daemon for a new connection of a zone's client."""
+        daemons = self.deployment.daemons.values()
+        rotation = [
+            daemon
+            for daemon in daemons
+            if self.misses.get(daemon.name, 0) < READY_MISSES_MAX
+        ]
+        near = [daemon for daemon in rotation if daemon.zone == zone]
+        return random.choice(near or rotation or list(daemons)).name
+
+
+@define(eq=False)
+class Client:
+    """One client; it keeps its connections while their daemon lives."""
+
+    zone: str
+    deployment: Deployment
+    balancer: Balancer
+    history: History
+    random: Random
+    clock: Clock = field(factory=SystemClock)
+    _daemon: str | None = None
+    _pools: dict[str, HTTPConnectionPool] = field(factory=dict)
+
+    def run_job(self, job: ClientJob) -> None:
+        """Send a job until it is answered for good."""
+        self.history.jobs[job.job_id] = job
+        for _ in range(SENDS_MAX):
+            send = self._send(job)
+            if send.status and send.status not in RESEND_STATUSES:
+                return
+            gevent.sleep(RESEND_MS / MS_PER_S)
+
+    def _send(self, job: ClientJob) -> Send:
+        if self._daemon is None:
+            self._daemon = self.balancer.choose(self.zone, self.random)
+        send = Send(self._daemon, self.clock.now_ms())
+        job.sends.append(send)
+        try:
+            reply = self._pool(send.daemon).urlopen(
+                "POST",
+                f"{job.prefix}{job.job_id}",
+                body=_body(job),
+                headers=_headers(job),
+                timeout=Timeout(total=(job.deadline_ms + PATIENCE_MS) / MS_PER_S),
+            )
+            send.status = reply.status
+            send.state = json.loads(reply.data).get("state", "")
+            send.reason = json.loads(reply.data).get("error", "")
+        except NewConnectionError:
+            send.reason = "refused"
+            self._daemon = None
+        except (HTTPError, ValueError) as error:
+            send.reason = f"{type(error).__name__}: {error}"
+            self._daemon = None
+        send.answered_ms = self.clock.now_ms()
+        return send
+
+    def _pool(self, daemon: str) -> HTTPConnectionPool:
+        if daemon not in self._pools:
+            ip = self.deployment.daemons[daemon].settings["ip"]
+            self._pools[daemon] = HTTPConnectionPool(
+                ip, CLIENTS_PORT, maxsize=4, block=False, retries=False
+            )
+        return self._pools[daemon]
+
+
+def _headers(job: ClientJob) -> dict[str, str]:
+    return {
+        "Host": ROUTE_HOST,
+        "Content-Type": "application/json",
+        "Deadline-Ms": str(int(job.deadline_ms)),
+    }
+
+
+def _body(job: ClientJob) -> bytes:
+    spec = json.loads(job.spec)
+    step = {
+        "count": job.count,
+        "cpu": spec["cpu"],
+        "mem_mb": spec["mem_mb"],
+        "est_ms": spec["est_ms"],
+    }
+    document = {"spec": job.spec, "steps": [step], "best_effort": True}
+    return json.dumps(document).encode()
+
+
+@define(eq=False)
+class Traffic:
+    """Jobs of every kind at their rates, from clients of every zone."""
+
+    clients: list[Client]
+    random: Random
+    jobs: list[gevent.Greenlet] = field(factory=list)
+
+    def run(self) -> None:
+        """Send jobs for ever."""
+        arrivals = [gevent.spawn(self._send_all, kind) for kind in KINDS]
+        try:
+            gevent.joinall(arrivals)
+        finally:
+            gevent.killall(arrivals)
+
+    def _send_all(self, kind: Kind) -> None:
+        while True:
+            gevent.sleep(self.random.expovariate(kind.jobs_per_s))
+            client = self.random.choice(self.clients)
+            job = self._make_job(kind)
+            self.jobs.append(gevent.spawn(client.run_job, job))
+
+    def _make_job(self, kind: Kind) -> ClientJob:
+        random = self.random
+        length_ms = kind.length_ms * random.lognormvariate(0, 0.3)
+        spec = {
+            "ms": round(length_ms, 1),
+            "cpu": round(kind.cpu_millicores * random.uniform(0.8, 1.2)),
+            "mem_mb": 64,
+            "est_ms": max(1, round(length_ms * random.uniform(0.6, 1.4))),
+        }
+        count = max(1, round(kind.tasks * random.uniform(0.5, 1.5)))
+        job_id = f"{random.getrandbits(64):016x}"
+        return ClientJob(
+            job_id, kind.name, json.dumps(spec), count, DEADLINE_MS, PATH_PREFIX
+        )
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,306 @@
+"""Lays out and starts the processes of a soak: daemons, workers and the store."""
+
+import json
+import os
+import socket
+import sys
+import time
+from base64 import b64encode
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+
+from attrs import asdict, define, field, frozen
+from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
+
+from experiments.cluster import Process, end_all, python_command
+from rattanloom.platform.deployment import SETTINGS_VARIABLE
+from soak.relay import Conditions, Relay, serving_all
+from standins.pool import PoolSettings
+from standins.run_table import WorkerShape
+
+ZONES = ("adum", "bantama", "asokwa")
+SERVICE = "commissions-desk"
+ROUTE_HOST = "desk.example"
+PATH_PREFIX = "/jobs/"
+# Outside the range from which the kernel takes ports of outgoing connections.
+CLIENTS_PORT, READY_PORT, PEER_PORT, STORE_PORT, CONTROL_PORT = (
+    8161,
+    8167,
+    7720,
+    8169,
+    8170,
+)
+WORKER_PORT = 9000
+READY_WITHIN_S = 30.0
+POLL_S = 0.05
+NETWORKS = range(20, 250)
+DISPATCHER = Path(__file__).parent.parent / "dispatcher.py"
+KIND_POLICY = {"slack_factor": 1.6, "target_latency_ms": 60, "max_attempts": 3}
+
+
+@frozen
+class Shape:
+    """How many daemons and workers each zone has."""
+
+    daemons: int = 2
+    workers: int = 3
+
+
+@define(eq=False)
+class Daemon(Process):
+    """One daemon; ``settings`` is its settings file."""
+
+    settings: dict = field(factory=dict)
+    settings_path: Path = Path()
+
+    def start(self) -> None:
+        """Start it with its settings file."""
+        self.write_settings()
+        environment = dict(os.environ) | {SETTINGS_VARIABLE: str(self.settings_path)}
+        self.launch(environment)
+
+    def write_settings(self) -> None:
+        """Write the settings file, replacing it at once."""
+        fresh = self.settings_path.with_suffix(".new")
+        fresh.write_text(json.dumps(self.settings))
+        fresh.replace(self.settings_path)
+
+
+@define(eq=False)
+class Deployment:
+    """A running deployment and the relays between its processes."""
+
+    folder: Path
+    store: Process
+    daemons: dict[str, Daemon]
+    pools: dict[str, Process]
+    workers: dict[str, WorkerShape]
+    relays: dict[str, Relay]
+    conditions: Conditions
+    http: PoolManager = field(factory=lambda: PoolManager(retries=False, timeout=2.0))
+    config_version: int = 0
+
+    def post(self, address: str, path: str, document: object) -> bytes:
+        """Send one JSON request to a stand-in and return the reply's body."""
+        headers = {"Content-Type": "application/json"}
+        url = f"http://{address}{path}"
+        reply = self.http.request(
+            "POST", url, body=json.dumps(document), headers=headers
+        )
+        if reply.status != 200:
+            raise RuntimeError(f"{url} answered {reply.status}")
+        return reply.data
+
+    def switch_store(self, **switches: object) -> None:
+        """Set switches of the store."""
+        self.post(self.store.address, "/standin/switches", switches)
+
+    def switch_worker(self, worker_id: str, **switches: object) -> None:
+        """Set switches of one worker."""
+        self._call_worker(worker_id, "switches", switches)
+
+    def crash_worker(self, worker_id: str) -> None:
+        """Let one worker start anew."""
+        self._call_worker(worker_id, "crash", {})
+
+    def _call_worker(self, worker_id: str, call: str, document: dict) -> None:
+        pool = self.pools[self.workers[worker_id].zone]
+        self.post(pool.address, f"/workers/{worker_id}/{call}", document)
+
+    def configure(self, prefixes: tuple[str, ...] = (PATH_PREFIX,)) -> None:
+        """Put a configuration with these queues into the store."""
+        self.config_version += 1
+        routes = [
+            {
+                "name": f"queue-{number}",
+                "host": ROUTE_HOST,
+                "path_prefix": prefix,
+                "service": SERVICE,
+                "priority": 1,
+                **KIND_POLICY,
+            }
+            for number, prefix in enumerate(prefixes)
+        ]
+        document = {"version": self.config_version, "routes": routes, "limits": {}}
+        value = b64encode(json.dumps(document).encode()).decode()
+        row = {"table": "op", "key": "config", "value": value}
+        self.post(self.store.address, "/standin/rows", [row])
+
+    def is_ready(self, daemon: Process) -> bool:
+        """Return whether a daemon reports itself ready."""
+        address = f"{daemon.address.rpartition(':')[0]}:{READY_PORT}"
+        try:
+            return self.http.request("GET", f"http://{address}/readyz").status == 200
+        except HTTPError:
+            return False
+
+    def await_ready(self) -> None:
+        """Wait until every daemon reports itself ready."""
+        give_up_s = time.monotonic() + READY_WITHIN_S
+        for daemon in self.daemons.values():
+            while not self.is_ready(daemon):
+                if time.monotonic() > give_up_s or not daemon.running:
+                    log = daemon.log_path.read_text()[-2000:]
+                    raise TimeoutError(f"{daemon.name} is not ready: {log}")
+                time.sleep(POLL_S)
+
+    def processes(self) -> list[Process]:
+        """Return every process of the deployment."""
+        return [self.store, *self.pools.values(), *self.daemons.values()]
+
+
+@contextmanager
+def running_deployment(shape: Shape, random: Random) -> Iterator[Deployment]:
+    """Start a deployment, and end all its processes with the block."""
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(TemporaryDirectory(prefix="soak-")))
+        network = stack.enter_context(reserved_network())
+        deployment = lay_out(shape, folder, network, random)
+        stack.enter_context(serving_all(list(deployment.relays.values())))
+        stack.callback(end_all, deployment.processes())
+        deployment.store.start()
+        _await_store(deployment)
+        deployment.configure()
+        for process in deployment.processes()[1:]:
+            process.start()
+        deployment.await_ready()
+        yield deployment
+
+
+@contextmanager
+def reserved_network() -> Iterator[str]:
+    """Hold a loopback network (``127.N``) that no other soak uses."""
+    for number in NETWORKS:
+        with socket.socket() as lock:
+            try:
+                lock.bind((f"127.{number}.255.1", CONTROL_PORT))
+            except OSError:
+                continue
+            yield f"127.{number}"
+            return
+    raise RuntimeError("every loopback network is in use")
+
+
+def lay_out(shape: Shape, folder: Path, network: str, random: Random) -> Deployment:
+    """Return a deployment whose processes have not been started."""
+    conditions = Conditions()
+    store = _store(folder, network)
+    workers = _workers(shape, network, random)
+    daemons = {}
+    names = {}
+    relays = {}
+    for zone_number, zone in enumerate(ZONES):
+        for number in range(1, shape.daemons + 1):
+            name = f"edge-{zone}-{number}"
+            ip = f"{network}.{zone_number}.{number}"
+            names[ip] = name
+            daemons[name] = _daemon(folder, name, zone, ip)
+    for name, daemon in daemons.items():
+        ip = daemon.settings["ip"]
+        peer = Relay(
+            name,
+            daemon.settings["advertised_peer"],
+            f"{ip}:{PEER_PORT}",
+            names,
+            conditions,
+        )
+        own_store = daemon.settings["platform"]["addr"]
+        relays[name] = peer
+        relays[f"store of {name}"] = Relay(
+            "store", own_store, store.address, names, conditions
+        )
+    for worker in workers.values():
+        relays[worker.worker_id] = Relay(
+            worker.worker_id, worker.advertised, worker.listen, names, conditions
+        )
+    pools = {
+        zone: _pool(folder, network, number, zone, workers, store.address)
+        for number, zone in enumerate(ZONES)
+    }
+    return Deployment(folder, store, daemons, pools, workers, relays, conditions)
+
+
+def _relay_of(ip: str) -> str:
+    """Return the address on which the relays in front of a daemon listen."""
+    network, zone_number, number = ip.rsplit(".", 2)
+    return f"{network}.{int(zone_number) + 100}.{number}"
+
+
+def _store(folder: Path, network: str) -> Process:
+    address = f"{network}.254.1:{STORE_PORT}"
+    command = python_command("standins.store", "--address", address)
+    return Process("store", "", command, address, folder / "store.log")
+
+
+def _workers(shape: Shape, network: str, random: Random) -> dict[str, WorkerShape]:
+    workers = {}
+    for zone_number, zone in enumerate(ZONES):
+        for number in range(shape.workers):
+            worker = WorkerShape(
+                f"worker-{zone}-{number + 1}",
+                zone,
+                f"{network}.{200 + zone_number}.1:{WORKER_PORT + number}",
+                f"{network}.{210 + zone_number}.1:{WORKER_PORT + number}",
+                clock_offset_ms=random.uniform(-1e6, 1e6),
+                clock_rate=random.uniform(0.98, 1.02),
+            )
+            workers[worker.worker_id] = worker
+    return workers
+
+
+def _pool(
+    folder: Path,
+    network: str,
+    zone_number: int,
+    zone: str,
+    workers: dict[str, WorkerShape],
+    store_address: str,
+) -> Process:
+    control = f"{network}.{200 + zone_number}.1:{CONTROL_PORT}"
+    members = tuple(worker for worker in workers.values() if worker.zone == zone)
+    history = str(folder / f"{zone}.history")
+    settings = PoolSettings(control, store_address, SERVICE, history, members)
+    path = folder / f"{zone}.pool.json"
+    path.write_text(json.dumps(asdict(settings)))
+    command = python_command("standins.pool", str(path))
+    name = f"workers-{zone}"
+    return Process(name, zone, command, control, folder / f"{name}.log")
+
+
+def _daemon(folder: Path, name: str, zone: str, ip: str) -> Daemon:
+    relay = _relay_of(ip)
+    settings = {
+        "node_name": name,
+        "ip": ip,
+        "zone": zone,
+        "zones": dict.fromkeys(ZONES, "ashanti"),
+        "listen": {"front": f"{ip}:{CLIENTS_PORT}", "ready": f"{ip}:{READY_PORT}"},
+        "internal_ports": [PEER_PORT, PEER_PORT + 15],
+        "advertised_peer": f"{relay}:{PEER_PORT}",
+        "platform": {"addr": f"{relay}:{STORE_PORT}"},
+        "bounds": {"hold_max_ms": 1000, "grace_s": 6},
+    }
+    return Daemon(
+        name,
+        zone,
+        [sys.executable, str(DISPATCHER)],
+        f"{ip}:{CLIENTS_PORT}",
+        folder / f"{name}.log",
+        settings=settings,
+        settings_path=folder / f"{name}.json",
+    )
+
+
+def _await_store(deployment: Deployment) -> None:
+    give_up_s = time.monotonic() + READY_WITHIN_S
+    while time.monotonic() < give_up_s:
+        try:
+            deployment.switch_store()
+            return
+        except HTTPError:
+            time.sleep(POLL_S)
+    raise TimeoutError(f"no store: {deployment.store.log_path.read_text()[-2000:]}")
--- /dev/null
+++ b/soak/play.py
@@ -0,0 +1,138 @@
+"""One soak: traffic, a random series of faults, and the verdict."""
+
+import json
+import shutil
+import sys
+from collections import Counter
+from pathlib import Path
+from random import Random
+
+import gevent
+from attrs import define, field, frozen
+
+from rattanloom.clock import MS_PER_S, SystemClock
+from soak.checks import Breach, find_breaches
+from soak.clients import Balancer, Client, Traffic
+from soak.deployment import ZONES, Deployment, Shape, running_deployment
+from soak.faults import FAULTS, Scene, inject
+from soak.history import History, read_runs
+
+CLIENTS_PER_ZONE = 3
+# Time without faults before them, and after them until the verdict.
+WARM_UP_S = 1.5
+CALM_END_S = 8.0
+# From the last job sent until all answers and ends must be there.
+SETTLE_S = 6.0
+FAULT_GAP_S = 1.2
+KEPT_LOGS = "soak-failures"
+
+
+@frozen
+class SoakResult:
+    """What one soak found."""
+
+    seed: int
+    faults: tuple[str, ...]
+    jobs: int
+    complete: int
+    statuses: dict[int, int]
+    breaches: tuple[Breach, ...]
+
+
+@define(eq=False)
+class Soak:
+    """A running soak."""
+
+    deployment: Deployment
+    random: Random
+    faults_s: float
+    names: tuple[str, ...]
+    history: History = field(factory=History)
+    injected: list[str] = field(factory=list)
+
+    def run(self) -> None:
+        """Play traffic and faults, then wait until all is over."""
+        clock = SystemClock()
+        balancer = Balancer(self.deployment)
+        clients = [
+            Client(zone, self.deployment, balancer, self.history, self._fork())
+            for zone in ZONES
+            for _ in range(CLIENTS_PER_ZONE)
+        ]
+        traffic = Traffic(clients, self._fork())
+        background = [gevent.spawn(balancer.run), gevent.spawn(traffic.run)]
+        gevent.sleep(WARM_UP_S)
+        self._inject_all(clock.now_ms() + self.faults_s * MS_PER_S, clock)
+        gevent.sleep(CALM_END_S)
+        gevent.killall(background)
+        self.history.traffic_ended_ms = clock.now_ms()
+        gevent.joinall(traffic.jobs, timeout=SETTLE_S)
+        gevent.sleep(SETTLE_S / 2)
+
+    def _inject_all(self, until_ms: float, clock: SystemClock) -> None:
+        scene = Scene(self.deployment, self.history, self._fork())
+        running = []
+        while clock.now_ms() < until_ms:
+            name = self.random.choice(self.names)
+            kind = FAULTS[name]
+            length_s = self.random.uniform(kind.shortest_s, kind.longest_s)
+            self.injected.append(name)
+            running.append(gevent.spawn(inject, scene, name, length_s))
+            gevent.sleep(self.random.expovariate(1 / FAULT_GAP_S))
+        for greenlet in running:
+            greenlet.get()
+
+    def _fork(self) -> Random:
+        return Random(self.random.getrandbits(64))
+
+
+def play(
+    seed: int, faults_s: float, names: tuple[str, ...], keep: Path | None = None
+) -> SoakResult:
+    """Play one seed; logs of a run that broke a promise are kept in ``keep``."""
+    random = Random(seed)
+    with running_deployment(Shape(), random) as deployment:
+        soak = Soak(deployment, random, faults_s, names)
+        soak.run()
+        history = soak.history
+        runs = read_runs(deployment.folder, ZONES, history.pool_kills)
+        breaches = tuple(find_breaches(history, runs))
+        if breaches and keep is not None:
+            shutil.copytree(deployment.folder, keep / str(seed), dirs_exist_ok=True)
+    jobs = history.jobs.values()
+    statuses = Counter(send.status for job in jobs for send in job.sends)
+    complete = sum(job.is_complete for job in jobs)
+    return SoakResult(
+        seed,
+        tuple(soak.injected),
+        len(history.jobs),
+        complete,
+        dict(statuses),
+        breaches,
+    )
+
+
+def play_seeds(
+    first: int = 1, seeds: int = 1, faults_s: float = 12.0, only: str = ""
+) -> None:
+    """Play several seeds, one after the other; exit 1 if a promise was broken.
+
+    Args:
+        first: the first seed.
+        seeds: how many seeds.
+        faults_s: how long faults are injected in each.
+        only: names of faults, separated by commas; all if empty.
+    """
+    names = tuple(only.split(",")) if only else tuple(FAULTS)
+    results = []
+    for seed in range(first, first + seeds):
+        result = play(seed, faults_s, names, Path(KEPT_LOGS))
+        results.append(result)
+        print(f"seed {seed}: {result.complete} of {result.jobs} jobs complete,")
+        print(f"  statuses {result.statuses}, faults {', '.join(result.faults)}")
+        for breach in result.breaches:
+            print(f"  BROKEN {breach.rule}: {breach.detail}")
+    broken = [result.seed for result in results if result.breaches]
+    jobs = sum(result.jobs for result in results)
+    print(json.dumps({"seeds": len(results), "jobs": jobs, "broken": broken}))
+    sys.exit(1 if broken else 0)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,10 +10,9 @@
     patch_all()
 
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from http import HTTPStatus
-from socket import SHUT_RDWR
 
 import gevent
 from attrs import asdict
@@ -33,22 +32,13 @@
     encode_message,
 )
 from rattanloom.platform.protocol import Conflicted, ListedTarget
-from standins.handler import NoDelayHandler
+from standins.handler import drop_connection, serving_at
 from standins.platform_state import PlatformState, RateLimit
 
-SOCKET_KEY = "standin.socket"
 STALL_CHECK_S = 0.05
 BODY_MAX_BYTES = 64_000_000
 
 
-class SocketHandler(NoDelayHandler):
-    """Gives the application its connection, so that it can drop it."""
-
-    def get_environ(self) -> dict:
-        """Return the WSGI environment with the socket added."""
-        return super().get_environ() | {SOCKET_KEY: self.socket}
-
-
 def make_application(state: PlatformState) -> Bottle:
     """Return the stand-in's WSGI application over ``state``."""
     application = Bottle()
@@ -172,17 +162,12 @@
 def _stall(state: PlatformState) -> None:
     while state.switches.stall:
         gevent.sleep(STALL_CHECK_S)
-    _drop_connection()
+    drop_connection()
 
 
 def _maybe_lose_reply(state: PlatformState) -> None:
     if state.switches.lose_replies:
-        _drop_connection()
-
-
-def _drop_connection() -> None:
-    request.environ[SOCKET_KEY].shutdown(SHUT_RDWR)
-    raise HTTPResponse(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        drop_connection()
 
 
 @contextmanager
@@ -190,15 +175,8 @@
     state: PlatformState, address: str, log: object = None
 ) -> Iterator[WSGIServer]:
     """Serve ``state`` at ``address``; port 0 takes a free one."""
-    application: Callable = make_application(state)
-    server = WSGIServer(
-        address, application, handler_class=SocketHandler, log=log, error_log=log
-    )
-    server.start()
-    try:
+    with serving_at(address, make_application(state), log) as server:
         yield server
-    finally:
-        server.stop(timeout=0)
 
 
 def main(address: str) -> None:
--- /dev/null
+++ b/standins/pool.py
@@ -0,0 +1,227 @@
+"""Worker stand-ins, many in one process: ``python -m standins.pool SETTINGS.json``.
+
+Each speaks the published protocol on its own address and registers itself in
+the store. ``/workers/ID/switches`` and ``/workers/ID/crash`` of the control
+address serve the harness. Each start and end is appended to the history file.
+"""
+
+if __name__ == "__main__":
+    from gevent import monkey
+
+    monkey.patch_all()
+
+import json
+from base64 import b64encode
+from contextlib import ExitStack
+from pathlib import Path
+from typing import TextIO
+
+import gevent
+from attrs import asdict, define, evolve, field, frozen
+from bottle import Bottle, HTTPResponse, request
+from cattrs import Converter
+from fire import Fire
+from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
+
+from rattanloom.clock import MS_PER_S, Clock, SystemClock
+from standins.handler import drop_connection, serving_at
+from standins.run_table import RunTable, WorkerShape, WorkerSwitches
+
+HEARTBEAT_MS = 500
+# Entries end after three intervals of silence.
+ENTRY_TTL_MS = 3 * HEARTBEAT_MS
+HOLD_MAX_MS = 2_000
+
+
+@frozen
+class PoolSettings:
+    """One process of workers."""
+
+    control: str
+    store: str
+    service: str
+    history: str
+    workers: tuple[WorkerShape, ...]
+
+
+@define(eq=False)
+class PoolMember:
+    """One worker's interface; ``table`` is replaced when it starts anew."""
+
+    shape: WorkerShape
+    clock: Clock
+    history: TextIO
+    table: RunTable = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.begin_life(WorkerSwitches())
+
+    def begin_life(self, switches: WorkerSwitches) -> None:
+        """Start anew, knowing nothing of before."""
+        born_ms = int(self.clock.wall_ms())
+        self.table = RunTable(self.shape, self.clock, self._record, born_ms, switches)
+
+    def crash(self) -> None:
+        """End everything without a word, and start anew."""
+        self.table.end_all("crashed")
+        self.begin_life(self.table.switches)
+
+    def application(self) -> Bottle:
+        """Return the worker's HTTP interface."""
+        app = Bottle()
+        app.post("/run-start", callback=self._start)
+        app.post("/run-stop", callback=self._stop)
+        app.post("/hold", callback=self._hold)
+        return app
+
+    def entry(self, service: str) -> dict:
+        """Return the worker's own entry in the store."""
+        shape, table = self.shape, self.table
+        return {
+            "service": service,
+            "addr": shape.advertised,
+            "zone": shape.zone,
+            "version": "1",
+            "slots": 8,
+            "state": "draining" if table.switches.draining else "ready",
+            "born": table.born_ms,
+            "capacity": {"cpu": shape.cpu_millicores, "mem_mb": shape.memory_mb},
+            "labels": ["a", f"rack-{shape.zone}"],
+        }
+
+    def _record(self, event: str, **fields: object) -> None:
+        line = {
+            "event": event,
+            "at_ms": self.clock.now_ms(),
+            "worker": self.shape.worker_id,
+            **fields,
+        }
+        self.history.write(json.dumps(line) + "\n")
+        self.history.flush()
+
+    def _start(self) -> HTTPResponse:
+        table, order = self.table, request.json
+        if self._is_misdirected():
+            return self._answer(421)
+        if table.switches.late_orders:
+            losses = table.switches.late_orders - 1
+            table.switches = evolve(table.switches, late_orders=losses)
+            late_s = table.switches.late_ms / MS_PER_S
+            gevent.spawn_later(late_s, table.start, order)
+            gevent.sleep(late_s)
+            drop_connection()
+        reason = table.start(order)
+        return self._answer(409, reason=reason) if reason else self._answer(200)
+
+    def _stop(self) -> HTTPResponse:
+        if self._is_misdirected():
+            return self._answer(421)
+        order = request.json
+        if not self.table.take_token(order["fencing_token"]):
+            return self._answer(409, reason="fence")
+        self.table.stop(order["task"], order["attempt"])
+        return self._answer(200)
+
+    def _hold(self) -> HTTPResponse:
+        table, order = self.table, request.json
+        if self._is_misdirected():
+            return self._answer(421)
+        if not table.take_token(order["fencing_token"]):
+            return self._answer(409, reason="fence")
+        table.lapse()
+        table.extend_lease(order.get("until_ms"))
+        table.forget_ends(order["last_seen"])
+        wait_ms = min(order.get("wait_ms", 0), HOLD_MAX_MS)
+        if wait_ms and not table.ends:
+            table.ended.wait(wait_ms / MS_PER_S)
+        if table is not self.table:
+            drop_connection()
+        table.lapse()
+        running = [[run.task, run.attempt, "", run.percent] for run in _runs(table)]
+        return self._answer(200, running=running, finished=table.ends)
+
+    def _is_misdirected(self) -> bool:
+        return request.get_header("Expect-Instance") != self.shape.worker_id
+
+    def _answer(self, status: int, **fields: object) -> HTTPResponse:
+        table = self.table
+        document = {"clock_ms": table.clock_ms(), "born": table.born_ms, **fields}
+        headers = {"Content-Type": "application/json"}
+        return HTTPResponse(json.dumps(document), status, headers=headers)
+
+
+def _runs(table: RunTable) -> list:
+    return list(table.runs.values())
+
+
+@define(eq=False)
+class Pool:
+    """All workers of one process."""
+
+    settings: PoolSettings
+    members: dict[str, PoolMember]
+
+    def control(self) -> Bottle:
+        """Return the interface of the harness."""
+        app = Bottle()
+        app.post("/workers/<worker_id>/switches", callback=self._set_switches)
+        app.post("/workers/<worker_id>/crash", callback=self._crash)
+        return app
+
+    def register(self) -> None:
+        """Write all entries to the store, for ever."""
+        http = PoolManager(retries=False, timeout=1.0)
+        url = f"http://{self.settings.store}/standin/rows"
+        headers = {"Content-Type": "application/json"}
+        while True:
+            rows = [self._row(member) for member in self.members.values()]
+            try:
+                http.request("POST", url, body=json.dumps(rows), headers=headers)
+            except HTTPError as error:
+                print(f"not registered: {error}", flush=True)
+            gevent.sleep(HEARTBEAT_MS / MS_PER_S)
+
+    def _row(self, member: PoolMember) -> dict:
+        entry = json.dumps(member.entry(self.settings.service))
+        return {
+            "table": "servers",
+            "key": member.shape.worker_id,
+            "value": b64encode(entry.encode()).decode(),
+            "ttl_ms": ENTRY_TTL_MS,
+        }
+
+    def _set_switches(self, worker_id: str) -> dict:
+        table = self.members[worker_id].table
+        table.switches = evolve(table.switches, **request.json)
+        return asdict(table.switches)
+
+    def _crash(self, worker_id: str) -> dict:
+        self.members[worker_id].crash()
+        return {}
+
+
+def run(settings: str) -> None:
+    """Run worker stand-ins until terminated.
+
+    Args:
+        settings: a JSON file with the fields of ``PoolSettings``.
+    """
+    shape = Converter().structure(json.loads(Path(settings).read_text()), PoolSettings)
+    clock = SystemClock()
+    with ExitStack() as stack:
+        history = stack.enter_context(Path(shape.history).open("a"))
+        members = {
+            worker.worker_id: PoolMember(worker, clock, history)
+            for worker in shape.workers
+        }
+        pool = Pool(shape, members)
+        for member in members.values():
+            listen = member.shape.listen
+            stack.enter_context(serving_at(listen, member.application()))
+        stack.enter_context(serving_at(shape.control, pool.control()))
+        pool.register()
+
+
+if __name__ == "__main__":
+    Fire(run)
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,196 @@
+"""A stand-in for the platform's metadata store: ``python -m standins.store --help``.
+
+It speaks the published protocol; ``/standin/`` serves the harness.
+"""
+
+if __name__ == "__main__":
+    from gevent import monkey
+
+    monkey.patch_all()
+
+import json
+
+import gevent
+from attrs import asdict, define, evolve, field, frozen
+from bottle import Bottle, HTTPResponse, request
+from fire import Fire
+from gevent.event import Event
+
+from rattanloom.clock import MS_PER_S, Clock, SystemClock
+from standins.handler import drop_connection, serving_at
+from standins.table_rows import RowKey, StoredRow, TableRows
+
+# Tables that only the platform and its operator may write.
+PLATFORM_TABLES = ("op", "servers")
+ROWS_MAX = 500
+EXPIRY_TICK_MS = 100
+
+
+@frozen
+class StoreSwitches:
+    """The faults of the store.
+
+    ``down`` answers 503; ``silent`` answers nothing; ``lose_replies`` applies
+    so many writes more and closes their connections without an answer.
+    """
+
+    latency_ms: float = 4.0
+    down: bool = False
+    silent: bool = False
+    lose_replies: int = 0
+
+
+@define(eq=False)
+class Store:
+    """The store's interface over its rows."""
+
+    clock: Clock = field(factory=SystemClock)
+    rows: TableRows = field(factory=TableRows)
+    switches: StoreSwitches = field(factory=StoreSwitches)
+    _changed: Event = field(factory=Event)
+    _expires_ms: dict[RowKey, float] = field(factory=dict)
+
+    def application(self) -> Bottle:
+        """Return the HTTP interface."""
+        app = Bottle()
+        app.post("/rows-tx", callback=self._transact)
+        app.get("/rows-get", callback=self._read)
+        app.get("/rows-feed", callback=self._follow)
+        app.post("/standin/rows", callback=self._write_as_platform)
+        app.post("/standin/switches", callback=self._set_switches)
+        app.post("/standin/drop-history", callback=self._drop_history)
+        return app
+
+    def _transact(self) -> HTTPResponse:
+        refused = self._receive()
+        if refused is not None:
+            return refused
+        document = request.json
+        writes = [(_ref(row), row["value"]) for row in document.get("writes", ())]
+        writes += [(_ref(row), None) for row in document.get("remove", ())]
+        if any(ref.table in PLATFORM_TABLES for ref, _ in writes):
+            return _answer(403, {})
+        expected = [
+            (_ref(row), row["row_version"]) for row in document.get("expected_rev", ())
+        ]
+        differing = self.rows.transact(expected, writes)
+        self._wake()
+        if self.switches.lose_replies:
+            losses = self.switches.lose_replies - 1
+            self.switches = evolve(self.switches, lose_replies=losses)
+            drop_connection()
+        return self._rows_answer(differing, 412 if differing else 200)
+
+    def _read(self) -> HTTPResponse:
+        refused = self._receive()
+        if refused is not None:
+            return refused
+        query = request.query
+        rows = self.rows.read(query["table"], query.get("part", ""), query["from"])
+        return self._rows_answer(rows[:ROWS_MAX], 200, len(rows) > ROWS_MAX)
+
+    def _follow(self) -> HTTPResponse:
+        refused = self._receive()
+        if refused is not None:
+            return refused
+        table, after = request.query["table"], int(request.query["after"])
+        give_up_ms = self.clock.now_ms() + int(request.query.get("wait_ms", 0))
+        while True:
+            rows = self.rows.changes(table, after)
+            if rows is None:
+                return _answer(410, {})
+            left_ms = give_up_ms - self.clock.now_ms()
+            if rows or left_ms <= 0:
+                return self._receive() or self._rows_answer(rows[:ROWS_MAX], 200)
+            self._changed.wait(left_ms / MS_PER_S)
+
+    def _write_as_platform(self) -> HTTPResponse:
+        """Write rows that a worker or the operator owns; ``ttl_ms`` ends them."""
+        now_ms = self.clock.now_ms()
+        changed = []
+        for row in request.json:
+            ref = _ref(row)
+            if "ttl_ms" in row:
+                self._expires_ms[ref] = now_ms + row["ttl_ms"]
+            known = self.rows.rows.get(ref)
+            if known is None or known.value != row["value"]:
+                changed.append((ref, row["value"]))
+        self._write(changed)
+        return _answer(200, {"row_version": self.rows.version})
+
+    def expire_rows(self) -> None:
+        """Remove rows that their writers renew no more, for ever."""
+        while True:
+            gevent.sleep(EXPIRY_TICK_MS / MS_PER_S)
+            now_ms = self.clock.now_ms()
+            over = [ref for ref, at_ms in self._expires_ms.items() if at_ms < now_ms]
+            for ref in over:
+                del self._expires_ms[ref]
+            self._write([(ref, None) for ref in over])
+
+    def _write(self, writes: list[tuple[RowKey, str | None]]) -> None:
+        if writes:
+            self.rows.transact((), writes)
+            self._wake()
+
+    def _set_switches(self) -> HTTPResponse:
+        self.switches = evolve(self.switches, **request.json)
+        return _answer(200, asdict(self.switches))
+
+    def _drop_history(self) -> HTTPResponse:
+        self.rows.drop_history()
+        return _answer(200, {})
+
+    def _receive(self) -> HTTPResponse | None:
+        while self.switches.silent:
+            gevent.sleep(self.switches.latency_ms / MS_PER_S)
+        gevent.sleep(self.switches.latency_ms / MS_PER_S)
+        return _answer(503, {}) if self.switches.down else None
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed.clear()
+
+    def _rows_answer(
+        self, rows: list[StoredRow], status: int, has_more: bool = False
+    ) -> HTTPResponse:
+        newest = rows[-1].version if has_more else self.rows.version
+        document = {
+            "rows": [_wire_row(row) for row in rows],
+            "row_version": newest,
+            "now_ms": int(self.clock.now_ms()),
+            "has_more": has_more,
+        }
+        return _answer(status, document)
+
+
+def _ref(row: dict) -> RowKey:
+    return RowKey(row["table"], row.get("part", ""), row["key"])
+
+
+def _wire_row(row: StoredRow) -> dict:
+    wire = asdict(row.ref) | {"row_version": row.version}
+    if row.value is None:
+        return wire | {"deleted": True}
+    return wire | {"value": row.value}
+
+
+def _answer(status: int, document: dict) -> HTTPResponse:
+    return HTTPResponse(
+        json.dumps(document), status, headers={"Content-Type": "application/json"}
+    )
+
+
+def run(address: str) -> None:
+    """Run the store until it is terminated.
+
+    Args:
+        address: the host:port to serve on.
+    """
+    store = Store()
+    with serving_at(address, store.application()):
+        store.expire_rows()
+
+
+if __name__ == "__main__":
+    Fire(run)
--- /dev/null
+++ b/standins/table_rows.py
@@ -0,0 +1,82 @@
+"""The rows of the store stand-in: one counter of versions, a feed with history."""
+
+from collections.abc import Sequence
+
+from attrs import define, field, frozen
+
+
+@frozen
+class RowKey:
+    """Names one row."""
+
+    table: str
+    part: str
+    key: str
+
+
+@frozen
+class StoredRow:
+    """One row; ``value`` is base64 text, and None marks a removed row."""
+
+    ref: RowKey
+    version: int
+    value: str | None
+
+
+@define(eq=False)
+class TableRows:
+    """All rows; ``history_from`` is the oldest version that the feed can tell."""
+
+    rows: dict[RowKey, StoredRow] = field(factory=dict)
+    version: int = 0
+    history_from: int = 0
+
+    def read(self, table: str, part: str, first_key: str) -> list[StoredRow]:
+        """Return the rows of one part from a key on, in order of keys."""
+        found = [
+            row
+            for ref, row in self.rows.items()
+            if (ref.table, ref.part) == (table, part)
+            and ref.key >= first_key
+            and row.value is not None
+        ]
+        return sorted(found, key=lambda row: row.ref.key.encode())
+
+    def changes(self, table: str, after_version: int) -> list[StoredRow] | None:
+        """Return what changed after a version; None where history is dropped."""
+        if after_version < self.history_from:
+            return None
+        found = [
+            row
+            for ref, row in self.rows.items()
+            if ref.table == table and row.version > after_version
+        ]
+        return sorted(found, key=lambda row: row.version)
+
+    def transact(
+        self,
+        expected: Sequence[tuple[RowKey, int]],
+        writes: Sequence[tuple[RowKey, str | None]],
+    ) -> list[StoredRow]:
+        """Apply all writes, or none and return the rows that differ."""
+        differing = [
+            self.rows.get(ref, StoredRow(ref, 0, None))
+            for ref, version in expected
+            if self._current_version(ref) != version
+        ]
+        if not differing:
+            self.version += 1
+            for ref, value in writes:
+                self.rows[ref] = StoredRow(ref, self.version, value)
+        return differing
+
+    def drop_history(self) -> None:
+        """Forget all changes up to now."""
+        self.history_from = self.version
+        removed = [ref for ref, row in self.rows.items() if row.value is None]
+        for ref in removed:
+            del self.rows[ref]
+
+    def _current_version(self, ref: RowKey) -> int:
+        row = self.rows.get(ref)
+        return 0 if row is None or row.value is None else row.version
--- a/tests/test_client_api.py
+++ b/tests/test_client_api.py
@@ -1,12 +1,14 @@
 """Clients' requests over real connections: answers, bad input, clients that leave."""
 
 import json
+import os
 import socket
 from contextlib import contextmanager
 
 import gevent
 import pytest
 
+from rattanloom.decision_log import logging_decisions
 from rattanloom.ingress.api import ClientApi
 from rattanloom.ingress.desk import PendingJob
 from rattanloom.ingress.queues import (
@@ -46,12 +48,20 @@
         self.cancelled.append(job.work.job_id)
 
 
+class BrokenDesk(FakeDesk):
+    """Fails unexpectedly."""
+
+    def submit(self, work):
+        """Raise instead of taking the job."""
+        raise RuntimeError("unforeseen")
+
+
 @contextmanager
-def front(kind=OutcomeKind.COMPLETE, configured=True):
+def front(kind=OutcomeKind.COMPLETE, configured=True, desk_type=FakeDesk):
     queues = QueueTable()
     if configured:
         queues.replace(Configuration(1, (QUEUE,), LIMITS))
-    desk = FakeDesk(kind)
+    desk = desk_type(kind)
     api = ClientApi(queues, desk, Metrics())
     state = ConnectionState(lambda: LIMITS, lambda: False)
     with serving("127.0.0.1:0", api.app, state) as server:
@@ -165,3 +175,16 @@
     with serving("127.0.0.1:0", api.app, state) as server:
         _, answer = ask(server.server_port, post(encoded()))
     assert "Connection: close" in answer
+
+
+def test_unexpected_failure_is_answered_and_logged():
+    read_end, write_end = os.pipe()
+    with (
+        logging_decisions("edge-1", CLOCK, write_end, "INFO"),
+        front(desk_type=BrokenDesk) as (port, _),
+    ):
+        status, _ = ask(port, post(encoded()))
+    lines = [json.loads(line) for line in os.read(read_end, 100_000).splitlines()]
+    (failed,) = [line for line in lines if line["event"] == "request_failed"]
+    assert status == 500
+    assert failed["reason"] == "RuntimeError: unforeseen"
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -58,8 +58,10 @@
 
 
 def make_hub(name: str, events: list) -> LinkHub:
+    address = free_address()
     return LinkHub(
-        Hello(name, "a", free_address(), 1),
+        Hello(name, "a", address, 1),
+        address,
         CLOCK,
         lambda link, message: events.append((link.peer.node, message)),
         lambda link: events.append((link.peer.node, "open")),
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -60,6 +60,7 @@
     parts = {}
     hub = LinkHub(
         own,
+        own.address,
         CLOCK,
         lambda link, message: parts["ownership"].received(link, message),
         lambda link: parts["ownership"].link_opened(link),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -68,6 +68,7 @@
 def test_settings_keep_known_fields_and_ignore_others(tmp_path):
     deployment = load_deployment(settings_file(tmp_path))
     assert deployment.node == "edge-a-1"
+    assert deployment.peer_address == deployment.peer_listen_address
     assert deployment.peer_address == "10.1.0.13:7720"
     assert deployment.bounds.worker_lease_max_ms == 1000
     assert deployment.store.address == "10.2.0.1:3"
