Keep the daemon running when an answer is lost while a client closes

Stack dumps of the stuck process showed the generated __repr__ methods under print_exception.

Change: a closed client has no idle connections; objects that hold others have no generated __repr__. A worker that registers a new life at the same address stays in the pool. Owners of zones are chosen by the processor that their machines have, within the zone in large deployments; ownership is split into taking, takeover and merging.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -23,6 +23,7 @@
 from rattanloom.links.messages import Cancel, Hello, Message, Outcome, Submit
 from rattanloom.metrics import Metrics
 from rattanloom.ownership.ownership import Ownership
+from rattanloom.ownership.records import Member
 from rattanloom.placement.placer import Placer
 from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
 from rattanloom.placement.work import JobOutcome
@@ -62,7 +63,7 @@
 POLL_MS = 20
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class LinkSession:
     """The way back to another daemon, over whatever link is open to it."""
 
@@ -76,7 +77,7 @@
             link.send(Outcome(outcome))
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Daemon:
     """The parts of one daemon."""
 
@@ -102,6 +103,13 @@
             deployment.peer_address,
             int(clock.wall_ms()),
         )
+        member = Member(
+            own.node,
+            own.zone,
+            own.address,
+            own.started_wall_ms,
+            deployment.cpu_cores,
+        )
         self.hub = LinkHub(
             own,
             deployment.peer_listen_address,
@@ -123,7 +131,7 @@
             self._worker_fenced,
         )
         self.ownership = Ownership(
-            own,
+            member,
             tuple(deployment.zones),
             clock,
             self.store,
@@ -243,12 +251,12 @@
                 self.placer.remove_worker(worker_id, "it is not registered any more")
             elif entry.zone not in owned:
                 self.placer.remove_worker(worker_id, "another daemon owns its zone")
-            elif _is_other(entry, worker.entry):
-                self.placer.remove_worker(worker_id, "it started anew")
+            elif entry.address != worker.entry.address:
+                self.placer.remove_worker(worker_id, "it has another address")
             else:
                 worker.entry = entry
                 worker.raise_token(owned[entry.zone].fencing_token)
-        self.placer.adoption.inherited_ms = self.ownership.inherited_ms
+        self.placer.adoption.inherited_ms = self.ownership.inherited_ms()
         for entry in self.registry.entries.values():
             record = owned.get(entry.zone)
             if record is not None:
@@ -284,10 +292,6 @@
         self.desk.placer_lost(link.peer.node)
 
 
-def _is_other(new: WorkerEntry, old: WorkerEntry) -> bool:
-    return (new.incarnation_ms, new.address) != (old.incarnation_ms, old.address)
-
-
 def main(environment: Environment | None = None) -> ExitStatus:
     """Run one daemon until it is told to stop; return its exit status."""
     environment = environment or Environment()
--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -30,7 +30,7 @@
 STATES = {OutcomeKind.COMPLETE: "complete", OutcomeKind.FAILED: "failed"}
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ClientApi:
     """Answers the requests of clients."""
 
--- a/rattanloom/ingress/desk.py
+++ b/rattanloom/ingress/desk.py
@@ -19,7 +19,7 @@
 RETRY_AFTER_MS = 1_000
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PendingJob:
     """A job whose client waits; ``placer`` names the daemon that has it."""
 
@@ -36,7 +36,7 @@
             self.former_placers = (*self.former_placers, node)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class JobDesk:
     """Hands jobs to the placer, and hands them on when the placer changes.
 
--- a/rattanloom/ingress/queues.py
+++ b/rattanloom/ingress/queues.py
@@ -41,7 +41,7 @@
     limits: RequestLimits = field(factory=RequestLimits)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class QueueTable:
     """Finds the queue of a request by host and longest matching path prefix."""
 
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -23,7 +23,7 @@
 CONNECTIONS_MAX = 2_000
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ConnectionState:
     """What all client connections share.
 
--- a/rattanloom/links/hub.py
+++ b/rattanloom/links/hub.py
@@ -25,7 +25,7 @@
     return host, int(port)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class LinkHub:
     """Opens, accepts and looks up links by the name of the daemon.
 
--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -40,7 +40,7 @@
         """Take the end of the link; called once."""
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Link:
     """An open link; ``peer`` is what the other daemon said of itself."""
 
--- a/rattanloom/metrics.py
+++ b/rattanloom/metrics.py
@@ -17,7 +17,7 @@
     return HdrHistogram(LOWEST, HIGHEST, DIGITS)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Metrics:
     """The metrics of one process; names use underscores, labels one value.
 
--- a/rattanloom/ownership/beats.py
+++ b/rattanloom/ownership/beats.py
@@ -13,7 +13,7 @@
 SILENT_MS = 1_200
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Beats:
     """The beats of owners in the store."""
 
--- /dev/null
+++ b/rattanloom/ownership/merging.py
@@ -0,0 +1,63 @@
+"""Decides which daemon should own a zone while its present owner lives."""
+
+from attrs import define, field
+
+from rattanloom.clock import Clock
+from rattanloom.decision_log import DecisionLog
+from rattanloom.links.hub import LinkHub
+from rattanloom.ownership.records import ZoneOwner
+from rattanloom.ownership.view import OwnerView
+
+log = DecisionLog("ownership")
+
+# Owners that hear each other again merge what they own after this time: workers
+# that were cut off are registered again about 2 s after the cut.
+MERGE_AFTER_MS = 2_500
+# A zone moves within itself only to a machine that is this much stronger, so
+# that machines of one kind never exchange it.
+STRONGER_FACTOR = 1.5
+
+
+@define(eq=False, repr=False)
+class Merger:
+    """Finds the zones that this daemon should hand to another one."""
+
+    clock: Clock
+    hub: LinkHub
+    view: OwnerView
+    _heard_since: dict[str, float] = field(factory=dict)
+
+    def due_handovers(self, is_large: bool) -> dict[str, str]:
+        """Return the zones to hand over now, and to whom.
+
+        The better owner has to be heard for ``MERGE_AFTER_MS``. ``is_large``
+        says that each zone should have an owner of its own.
+        """
+        now_ms = self.clock.now_ms()
+        due = {}
+        for zone, owner in self.view.owned().items():
+            better = self._better_owner(zone, owner, is_large)
+            if better is None or not self.hub.hears(better):
+                self._heard_since.pop(zone, None)
+            elif now_ms > self._heard_since.setdefault(zone, now_ms) + MERGE_AFTER_MS:
+                del self._heard_since[zone]
+                log.info("zones_handed", zones=(zone,), to=better, reason="merge")
+                due[zone] = better
+        return due
+
+    def _better_owner(self, zone: str, owner: ZoneOwner, is_large: bool) -> str | None:
+        if is_large:
+            return self._owner_within(zone)
+        owners = {other.owner for other in self.view.owners.values()}
+        best = min(owners, key=lambda node: (-len(self.view.zones_of(node)), node))
+        return best if best != self.view.own.node else None
+
+    def _owner_within(self, zone: str) -> str | None:
+        """Return a daemon of the zone that should own it; all have links to here."""
+        own = self.view.own
+        heard = {node for node in self.hub.nodes() if self.hub.hears(node)}
+        best = self.view.candidates(heard, zone)[0]
+        if best.node == own.node or best.zone != zone:
+            return None
+        is_stronger = best.cpu_cores > STRONGER_FACTOR * own.cpu_cores
+        return best.node if own.zone != zone or is_stronger else None
--- a/rattanloom/ownership/records.py
+++ b/rattanloom/ownership/records.py
@@ -29,12 +29,16 @@
 
 @frozen
 class Member:
-    """One daemon; ``address`` serves other daemons."""
+    """One daemon; ``address`` serves other daemons.
+
+    ``cpu_cores`` is the processor time that its machine gives it.
+    """
 
     node: str
     zone: str
     address: str
     started_wall_ms: int
+    cpu_cores: float = 1.0
 
 
 @frozen
--- a/rattanloom/ownership/survey.py
+++ b/rattanloom/ownership/survey.py
@@ -14,7 +14,7 @@
 POLL_MS = 10
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Survey:
     """One question at a time to all other daemons."""
 
--- /dev/null
+++ b/rattanloom/ownership/takeover.py
@@ -0,0 +1,147 @@
+"""Notices that a zone's owner is lost, and takes the zone if no other daemon does."""
+
+from collections.abc import Callable
+
+import gevent
+from attrs import define, field
+
+from rattanloom.clock import MS_PER_S, Clock
+from rattanloom.decision_log import DecisionLog
+from rattanloom.errors import Failure
+from rattanloom.links.hub import LinkHub
+from rattanloom.ownership.beats import Beats
+from rattanloom.ownership.survey import Survey
+from rattanloom.ownership.taking import ZoneTaker
+from rattanloom.ownership.view import OwnerView
+
+log = DecisionLog("ownership")
+
+# A broken link is dialled again at once; this long is left for it to come back.
+LOST_AFTER_MS = 100
+# Candidates try one after the other, so that mostly one writes.
+RANK_DELAY_MS = 30
+# Time to let all daemons of a first start register.
+FIRST_START_MS = 300
+# Pause after others said that they hear the owner.
+HEARD_PAUSE_MS = 300
+# How long a link is kept wanted after the last time it was asked for.
+WANT_MS = 2_000
+
+
+@define(eq=False, repr=False)
+class Takeover:
+    """Watches the owners of all zones.
+
+    ``refresh_workers`` reads the registered workers again; ``is_large`` tells
+    whether each zone should have an owner of its own.
+    """
+
+    zones: tuple[str, ...]
+    clock: Clock
+    hub: LinkHub
+    view: OwnerView
+    survey: Survey
+    beats: Beats
+    taker: ZoneTaker
+    refresh_workers: Callable[[], object]
+    is_large: Callable[[], bool]
+    registered_ms: float | None = None
+    leaving: bool = False
+    _lost_since: dict[str, float] = field(factory=dict)
+    _investigating: bool = False
+
+    def watch(self) -> None:
+        """Look once whether an owner is lost."""
+        lost = [zone for zone in self.zones if self._is_zone_lost(zone)]
+        if lost and not self._investigating:
+            self._investigating = True
+            gevent.spawn(self._investigate, lost)
+
+    def _is_zone_lost(self, zone: str) -> bool:
+        now_ms = self.clock.now_ms()
+        owner = self.view.owners.get(zone)
+        if owner is None:
+            return now_ms > (self.registered_ms or now_ms) + FIRST_START_MS
+        if owner.owner == self.view.own.node:
+            return zone not in self.view.owned()
+        return self._is_lost(owner.owner, now_ms)
+
+    def _is_lost(self, owner: str, now_ms: float) -> bool:
+        member = self.view.members.get(owner)
+        if member is not None:
+            self.hub.want(owner, member.address, now_ms + WANT_MS)
+        if self.hub.hears(owner):
+            self._lost_since.pop(owner, None)
+            return False
+        return now_ms > self._lost_since.setdefault(owner, now_ms) + LOST_AFTER_MS
+
+    def _investigate(self, zones: list[str]) -> None:
+        try:
+            self._take_if_lost(zones)
+        finally:
+            self._investigating = False
+
+    def _take_if_lost(self, zones: list[str]) -> None:
+        own = self.view.own.node
+        owners = {
+            self.view.owners[zone].owner for zone in zones if zone in self.view.owners
+        }
+        owners.discard(own)
+        others = [
+            member
+            for node, member in self.view.members.items()
+            if node not in owners and node != own
+        ]
+        reached = {own}
+        if owners:
+            self.survey.ask(owners, others)
+            reached |= self.survey.answered
+        else:
+            reached |= {member.node for member in others}
+        if any(self.survey.is_heard(owner) for owner in owners):
+            gevent.sleep(HEARD_PAUSE_MS / MS_PER_S)
+            return
+        gevent.spawn(self.refresh_workers)
+        takeable = self._takeable(zones, owners, reached)
+        self._take_in_turn(takeable, reached, ",".join(sorted(owners)) or "nobody")
+
+    def _takeable(
+        self, zones: list[str], owners: set[str], reached: set[str]
+    ) -> list[str]:
+        """Return the zones that this side of a cut may take.
+
+        A daemon that reaches few others may itself be the one that is cut off.
+        Then the store tells whether the owner lives; without the store only
+        the own zone is taken, as nobody else may reach it.
+        """
+        takeable = [
+            zone for zone in zones if self.view.is_on_larger_side(zone, reached)
+        ]
+        if takeable or not owners:
+            return takeable or zones
+        silent = self.beats.are_silent(owners)
+        if isinstance(silent, Failure):
+            return [zone for zone in zones if zone == self.view.own.zone]
+        if not silent:
+            log.info("zones_not_taken", zones=zones, reason="the owner beats")
+        return zones if silent else []
+
+    def _take_in_turn(self, zones: list[str], reached: set[str], lost: str) -> None:
+        """Take each zone at this daemon's turn, if nobody took it before."""
+        before = {zone: self.view.owners.get(zone) for zone in zones}
+        begun_ms = self.clock.now_ms()
+        by_rank: dict[int, list[str]] = {}
+        for zone in zones:
+            by_rank.setdefault(self._rank(zone, reached), []).append(zone)
+        for rank, ranked in sorted(by_rank.items()):
+            wait_ms = begun_ms + rank * RANK_DELAY_MS - self.clock.now_ms()
+            gevent.sleep(max(0, wait_ms) / MS_PER_S)
+            free = [
+                zone for zone in ranked if self.view.owners.get(zone) is before[zone]
+            ]
+            if free and not self.leaving:
+                self.taker.take_or_claim(free, f"{lost} is lost")
+
+    def _rank(self, zone: str, reached: set[str]) -> int:
+        near = zone if self.is_large() else None
+        return self.view.candidates(reached, near).index(self.view.own)
--- a/rattanloom/ownership/view.py
+++ b/rattanloom/ownership/view.py
@@ -17,7 +17,7 @@
 log = DecisionLog("ownership")
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class OwnerView:
     """Members and owners; of two owners of a zone the higher token counts.
 
@@ -96,17 +96,35 @@
         if changed or own:
             self.on_change()
 
-    def candidates(self, reached: set[str]) -> list[Member]:
+    def token(self, zone: str) -> int:
+        """Return the fencing token of a zone's owner; 0 without one."""
+        owner = self.owners.get(zone)
+        return owner.fencing_token if owner else 0
+
+    def epoch(self, zone: str) -> int:
+        """Return the epoch of a zone's owner; 0 without one."""
+        owner = self.owners.get(zone)
+        return owner.epoch if owner else 0
+
+    def candidates(self, reached: set[str], near: str | None = None) -> list[Member]:
         """Return who may take over, in the order in which they should try.
 
-        The last started come first: planned restarts reach them last.
+        Daemons of the zone ``near`` come first, and strong machines before weak
+        ones. Of equal ones the last started come first: planned restarts reach
+        them last.
         """
         members = {
             node: member for node, member in self.members.items() if node in reached
         }
         members[self.own.node] = self.own
         return sorted(
-            members.values(), key=lambda member: (-member.started_wall_ms, member.node)
+            members.values(),
+            key=lambda member: (
+                near is not None and member.zone != near,
+                -member.cpu_cores,
+                -member.started_wall_ms,
+                member.node,
+            ),
         )
 
     def is_on_larger_side(self, zone: str, reached: set[str]) -> bool:
--- a/rattanloom/placement/adoption.py
+++ b/rattanloom/placement/adoption.py
@@ -18,7 +18,7 @@
 RECENT_MS = 5_000
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Adoption:
     """What is known of the work of former placers.
 
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -48,7 +48,7 @@
 PASSED_OVER_MAX = 24
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Placer:
     """Places tasks on the workers of the zones that this daemon owns.
 
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -80,7 +80,7 @@
         """Take that a worker has room or has changed its state."""
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PooledWorker:
     """One incarnation of a worker under this placer's fencing token."""
 
@@ -359,22 +359,15 @@
 
     def _drop_lapsed(self) -> None:
         """Give up the runs of a silent worker once its lease is over."""
-        if self.misses and self.runs and self.lease.is_over():
-            self._drop_runs("the lease on the worker is over")
-
-    def _drop_runs(self, reason: str) -> None:
-        for run in list(self.runs.values()):
-            self._remove(run)
-            self.events.run_vanished(self, run, reason)
+        if self.misses and self.lease.is_over():
+            for run in list(self.runs.values()):
+                self._remove(run)
+                self.events.run_vanished(self, run, "the lease on the worker is over")
 
     def _take_report(self, report: WorkerReport, sent_ms: float, token: int) -> None:
         self.lease.heard(report.clock_ms)
         if report.incarnation_ms != self.incarnation_ms:
-            if self.incarnation_ms:
-                self._drop_runs("the worker started anew")
-                self.ends_noted = 0
-            self.incarnation_ms = report.incarnation_ms
-            self.reported_clock_ms = 0
+            self._begin_incarnation(report.incarnation_ms)
         # Answers on two connections overtake each other: an older one may still
         # list runs whose end is noted.
         is_newer = report.clock_ms > self.reported_clock_ms
@@ -400,6 +393,23 @@
             self.state = WorkerState.READY
             self.events.worker_changed(self)
 
+    def _begin_incarnation(self, incarnation_ms: int) -> None:
+        """Forget what one life of the worker counted.
+
+        Its runs go as the new life does not list them; those that were started
+        in the new life stay.
+        """
+        if self.incarnation_ms:
+            log.warning(
+                "worker_started_anew",
+                worker=self.worker_id,
+                incarnation_ms=incarnation_ms,
+                runs=len(self.runs),
+            )
+        self.ends_noted = 0
+        self.reported_clock_ms = 0
+        self.incarnation_ms = incarnation_ms
+
     def _take_end(self, end: EndedTask) -> None:
         if end.number <= self.ends_noted:
             return
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -26,7 +26,7 @@
     DONE = "done"
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PlacedTask:
     """One task; ``failures`` counts its runs that ended failed."""
 
@@ -41,7 +41,7 @@
     queued_ms: float = 0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PlacedJob:
     """One job; times are of this daemon's clock."""
 
@@ -88,7 +88,7 @@
     FOREIGN = "foreign"
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Run:
     """One run of a task on one worker; ``task`` is None where nobody claimed it."""
 
--- a/rattanloom/placement/suspicion.py
+++ b/rattanloom/placement/suspicion.py
@@ -22,7 +22,7 @@
 SPEED_MIN, SPEED_MAX = 0.25, 10.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Suspicion:
     """Judges workers by how their runs end and how fast they get on."""
 
--- a/rattanloom/placement/waiting.py
+++ b/rattanloom/placement/waiting.py
@@ -11,7 +11,7 @@
 Entry = tuple[float, int, PlacedTask]
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class WaitingTasks:
     """Two queues: tasks that can be on time, by their latest start, go first.
 
--- a/rattanloom/placement/worker_lease.py
+++ b/rattanloom/placement/worker_lease.py
@@ -10,7 +10,7 @@
 TRANSIT_MS = 20
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class WorkerLease:
     """Turns this daemon's time into the worker's, and knows when a lease is over.
 
--- a/rattanloom/platform/client.py
+++ b/rattanloom/platform/client.py
@@ -55,7 +55,7 @@
     body: bytes
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PlatformClient:
     """Speaks to the platform at ``address`` (``host:port``).
 
--- a/rattanloom/platform/deployment.py
+++ b/rattanloom/platform/deployment.py
@@ -44,6 +44,16 @@
     address: str
 
 
+@frozen
+class MachineLimits:
+    """What the machine gives a process: a share of a core, times its speed."""
+
+    WIRE_NAMES: ClassVar = {"speed": "cores"}
+
+    cpu_share: float = 1.0
+    speed: float = 1.0
+
+
 @frozen
 class Deployment:
     """What one process is told of its machine and its surroundings.
@@ -57,6 +67,7 @@
         "node": "node_name",
         "store": "platform",
         "advertised_peer_address": "advertised_peer",
+        "machine": "limits",
     }
 
     node: str
@@ -67,8 +78,14 @@
     internal_ports: tuple[int, ...]
     store: StoreAccess
     bounds: Bounds = field(factory=Bounds)
+    machine: MachineLimits = field(factory=MachineLimits)
     advertised_peer_address: str = ""
 
+    @property
+    def cpu_cores(self) -> float:
+        """Return the processor time of this machine, in ordinary cores."""
+        return self.machine.cpu_share * self.machine.speed
+
     @property
     def peer_listen_address(self) -> str:
         """Return the address on which this process serves other daemons."""
--- a/rattanloom/platform/http.py
+++ b/rattanloom/platform/http.py
@@ -25,7 +25,7 @@
     body: bytes
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class HttpPeer:
     """Speaks HTTP to ``address`` (``ip:port``), from ``source_ip`` if given.
 
@@ -89,6 +89,8 @@
     def drop_idle(self) -> None:
         """Close the idle connections, which may have gone silent as well."""
         idle = self._pool.pool
+        if idle is None:
+            return
         taken = [idle.get_nowait() for _ in range(idle.qsize())]
         for connection in taken:
             if connection is not None:
--- a/rattanloom/platform/store.py
+++ b/rattanloom/platform/store.py
@@ -65,7 +65,7 @@
     has_more: bool = False
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class StoreClient:
     """Speaks to the store at ``address``; failures as in ``HttpPeer``.
 
--- a/rattanloom/platform/workers.py
+++ b/rattanloom/platform/workers.py
@@ -67,7 +67,7 @@
     incarnation_ms: int = 0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class WorkerClient:
     """Speaks to one incarnation of a worker, from ``source_ip`` if given."""
 
--- a/rattanloom/registry.py
+++ b/rattanloom/registry.py
@@ -18,7 +18,7 @@
 MISSING_MS = 2_500
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Registry:
     """Entries of live and leaving workers; ``on_change`` follows each change."""
 
--- a/rattanloom/reload.py
+++ b/rattanloom/reload.py
@@ -17,7 +17,7 @@
 POLL_MS = 1_000
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class SettingsWatcher:
     """Reads the settings file again; a refused file changes nothing.
 
--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -19,7 +19,7 @@
 RETRY_MAX_MS = 400
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class TableFollower:
     """Calls ``on_rows`` with every row read or changed, in order.
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from soak.history import ClientJob, History, Send, TaskRun
+from soak.history import NOT_CONNECTED, ClientJob, History, Send, TaskRun
 
 NOT_RUN_STATUSES = (429, 503)
 # Most that the platform lets an answer be later than the client's deadline.
@@ -99,6 +99,8 @@
             in_flight = send.sent_ms < stop.to_ms and send.answered_ms > stop.from_ms
             if send.daemon not in stop.names or not in_flight or send.status:
                 continue
+            if send.reason == NOT_CONNECTED:
+                continue
             held_ms = send.answered_ms - send.sent_ms
             if held_ms < LOSS_SLACK_MS and job.job_id not in started:
                 continue
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -10,7 +10,7 @@
 
 from rattanloom.clock import MS_PER_S, Clock, SystemClock
 from soak.deployment import CLIENTS_PORT, PATH_PREFIX, ROUTE_HOST, Deployment
-from soak.history import ClientJob, History, Send
+from soak.history import NOT_CONNECTED, ClientJob, History, Send
 
 DEADLINE_MS = 1_500.0
 # The platform's clients send a job without an answer again after this time.
@@ -110,7 +110,7 @@
             send.state = json.loads(reply.data).get("state", "")
             send.reason = json.loads(reply.data).get("error", "")
         except NewConnectionError:
-            send.reason = "refused"
+            send.reason = NOT_CONNECTED
             self._daemon = None
         except (HTTPError, ValueError) as error:
             send.reason = f"{type(error).__name__}: {error}"
--- a/soak/history.py
+++ b/soak/history.py
@@ -6,7 +6,10 @@
 from math import inf
 from pathlib import Path
 
-from attrs import define, field, frozen
+from attrs import asdict, define, field, frozen
+
+# Reason of a send that reached nobody.
+NOT_CONNECTED = "refused"
 
 
 @define(eq=False)
@@ -96,6 +99,16 @@
         return not any(span.touches(name, from_ms, to_ms) for span in self.spans)
 
 
+def write_history(history: History, path: Path) -> None:
+    """Write what clients and the harness saw, to read beside the logs."""
+    document = {
+        "jobs": [asdict(job) for job in history.jobs.values()],
+        "faults": [asdict(span) for span in history.spans],
+        "stops": [asdict(stop) for stop in history.stops],
+    }
+    path.write_text(json.dumps(document, indent=1))
+
+
 def read_runs(
     folder: Path, zones: Iterable[str], kills: list[PoolKill]
 ) -> list[TaskRun]:
--- a/soak/play.py
+++ b/soak/play.py
@@ -15,7 +15,7 @@
 from soak.clients import Balancer, Client, Traffic
 from soak.deployment import ZONES, Deployment, Shape, running_deployment
 from soak.faults import FAULTS, Scene, inject
-from soak.history import History, read_runs
+from soak.history import History, read_runs, write_history
 
 CLIENTS_PER_ZONE = 3
 # Time without faults before them, and after them until the verdict.
@@ -98,6 +98,7 @@
         runs = read_runs(deployment.folder, ZONES, history.pool_kills)
         breaches = tuple(find_breaches(history, runs))
         if breaches and keep is not None:
+            write_history(history, deployment.folder / "clients.json")
             shutil.copytree(deployment.folder, keep / str(seed), dirs_exist_ok=True)
     jobs = history.jobs.values()
     statuses = Counter(send.status for job in jobs for send in job.sends)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -8,7 +8,8 @@
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.messages import Hello
 from rattanloom.ownership.ownership import Ownership
-from rattanloom.ownership.records import ZoneOwner, claim_number
+from rattanloom.ownership.records import Member, ZoneOwner, claim_number
+from rattanloom.ownership.view import OwnerView
 from tests.dispatcher_fakes import CLOCK, FakeStore, wait_for
 from tests.peer_hosts import free_address
 
@@ -22,6 +23,7 @@
     ownership: Ownership
     hub: LinkHub
     store: FakeStore
+    workers: set[str]
     greenlets: list = field(factory=list)
     serving: ExitStack = field(factory=ExitStack)
 
@@ -38,9 +40,9 @@
 
 
 @contextmanager
-def cluster(*places: tuple[str, str], store: FakeStore | None = None):
+def cluster(*places: tuple, store: FakeStore | None = None):
     store = store or FakeStore()
-    nodes = [start_node(name, zone, store) for name, zone in places]
+    nodes = [start_node(name, zone, store, *cores) for name, zone, *cores in places]
     try:
         yield nodes
     finally:
@@ -55,9 +57,10 @@
         """Dial nobody."""
 
 
-def start_node(name: str, zone: str, store: FakeStore) -> Node:
+def start_node(name: str, zone: str, store: FakeStore, cpu_cores: float = 1.0) -> Node:
     own = Hello(name, zone, free_address(), int(CLOCK.wall_ms()))
     parts = {}
+    workers = set()
     hub = LinkHub(
         own,
         own.address,
@@ -66,11 +69,20 @@
         lambda link: parts["ownership"].link_opened(link),
         lambda link: None,
     )
+    member = Member(name, zone, own.address, own.started_wall_ms, cpu_cores)
     ownership = Ownership(
-        own, ZONES, CLOCK, store, hub, set, lambda: None, lambda: True, lambda: None
+        member,
+        ZONES,
+        CLOCK,
+        store,
+        hub,
+        lambda: workers,
+        lambda: None,
+        lambda: True,
+        lambda: None,
     )
     parts["ownership"] = ownership
-    node = Node(ownership, hub, store)
+    node = Node(ownership, hub, store, workers)
     node.serving.enter_context(hub.serving())
     node.greenlets += [
         gevent.spawn(ownership.run),
@@ -129,9 +141,10 @@
         owner = one_owner(nodes)
         lone = next(node for node in nodes if node.name != owner)
         cut = lone.hub
-        lone.ownership.hub = lone.ownership.survey.hub = DeafHub(
-            cut.own, CLOCK, cut.on_message, cut.on_open, cut.on_lost
+        deaf = DeafHub(
+            cut.own, cut.listen, CLOCK, cut.on_message, cut.on_open, cut.on_lost
         )
+        lone.ownership.takeover.hub = lone.ownership.survey.hub = deaf
         gevent.sleep(2.5)
         assert one_owner(nodes) == owner
 
@@ -152,7 +165,7 @@
         assert wait_for(lambda: owner.hub.link(other.name))
         owner.ownership.leave()
         assert set(other.ownership.owned()) == set(ZONES)
-        assert owner.name in other.ownership.inherited_ms
+        assert owner.name in other.ownership.inherited_ms()
 
 
 def test_recorded_epoch_exceeds_every_claim_of_the_epoch_before():
@@ -160,3 +173,32 @@
     highest = max(ZoneOwner("a", "n", 3, claim).fencing_token for claim in claims)
     assert ZoneOwner("a", "n", 3).fencing_token < highest
     assert highest + 0xFFFF < ZoneOwner("a", "n", 4).fencing_token
+
+
+def test_strong_machine_takes_over_before_a_weak_one():
+    places = [("n1", "a", 0.5), ("n2", "a", 2.0), ("n3", "b", 0.6), ("n4", "b", 0.5)]
+    with cluster(*places) as nodes:
+        assert wait_for(lambda: one_owner(nodes) == "n2")
+        nodes[1].kill()
+        rest = [nodes[0], *nodes[2:]]
+        assert wait_for(lambda: one_owner(rest) == "n3")
+
+
+def test_zone_of_a_large_deployment_goes_to_its_strongest_daemon():
+    places = [("n1", "a", 2.0), ("n2", "b", 0.5), ("n3", "b", 1.0)]
+    with cluster(*places) as nodes:
+        assert wait_for(lambda: one_owner(nodes) == "n1")
+        for node in nodes:
+            node.workers |= {f"w{number}" for number in range(100)}
+        assert wait_for(lambda: nodes[0].owners() == {"a": "n1", "b": "n3"})
+
+
+def test_daemon_of_the_same_zone_comes_before_a_stronger_one_elsewhere():
+    view = OwnerView(Member("n1", "a", "", 1, 1.0), lambda: None)
+    for member in (Member("n2", "b", "", 2, 2.0), Member("n3", "a", "", 3, 0.5)):
+        view.members[member.node] = member
+    reached = {"n1", "n2", "n3"}
+    near = [member.node for member in view.candidates(reached, "a")]
+    anywhere = [member.node for member in view.candidates(reached)]
+    assert near == ["n1", "n3", "n2"]
+    assert anywhere == ["n2", "n1", "n3"]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,16 +1,20 @@
 """The platform's formats, decoded once into the project's own types."""
 
 import json
-from contextlib import suppress
+import socket
+from contextlib import contextmanager, suppress
 
+import gevent
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from rattanloom.errors import ErrorKind
 from rattanloom.ingress.queues import Queue
 from rattanloom.platform.configuration import read_configuration
 from rattanloom.platform.deployment import load_deployment
 from rattanloom.platform.fields import FormatError
+from rattanloom.platform.http import HttpPeer
 from rattanloom.platform.job_format import is_job_id, read_job
 from rattanloom.platform.registry import read_worker_entry
 from rattanloom.platform.rows import Row, RowRef
@@ -162,3 +166,22 @@
 )
 def test_job_ids_are_sixteen_hexadecimal_digits(text, valid):
     assert is_job_id(text) is valid
+
+
+def test_call_under_way_when_the_client_closes_is_a_lost_reply():
+    with listening() as address:
+        peer = HttpPeer(address, 2, 200)
+        call = gevent.spawn(peer.call, "GET", "/", None, 100)
+        gevent.sleep(0.02)
+        peer.close()
+        assert call.get().kind is ErrorKind.REPLY_LOST
+
+
+@contextmanager
+def listening():
+    """Accept connections, and answer nothing."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    try:
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+    finally:
+        listener.close()
--- a/tests/test_pooled_worker.py
+++ b/tests/test_pooled_worker.py
@@ -130,3 +130,27 @@
     orders.answer(2, report(1_020))
     assert orders.renewals[2][0].fencing_token > TOKEN
     assert not worker.runs
+
+
+def test_run_started_in_a_new_life_is_kept_when_the_life_shows():
+    worker, orders = open_worker()
+    run = start_task(worker, orders)
+    rows = (RunningTask(run.name, run.attempt, "", 0),)
+    orders.answer(1, WorkerReport(20, 2, rows, ()))
+    assert list(worker.runs.values()) == [run]
+    assert "run_vanished" not in worker.events.seen
+
+
+def test_run_of_an_earlier_life_is_dropped_when_a_new_one_shows():
+    worker, orders = open_worker()
+    run = start_task(worker, orders)
+    worker.look()
+    assert wait_for(lambda: len(orders.renewals) == 3)
+    orders.answer(2, WorkerReport(20, 2, (), ()))
+    assert run.key not in worker.runs
+    assert "run_vanished" in worker.events.seen
+
+
+def test_worker_in_a_traceback_does_not_show_all_that_it_reaches():
+    worker, _ = open_worker()
+    assert len(repr(worker)) < 200
