Use an older link between two daemons once the newer one has ended

Cause: after a cut both sides open links; a daemon kept only the last opened one by name. When that ended while the other lived, the daemon had no link for the peer any more, though the peer went on using the living one: jobs went out, their outcomes were dropped.

Ruled out: lost outcomes on the wire (the placer's log has the jobs as complete within 160 ms); a silent link (both sides heard each other).

Change: all open links of a peer are kept, the newest open one is used. The placer's pass over waiting tasks does not compute the room of every worker again for each task, runs keep the free room as a number; connections to the platform are probed with one system call.

--- /dev/null
+++ b/experiments/placer_cost.py
@@ -0,0 +1,180 @@
+"""Processor time of a placer per task, against worker stand-ins over HTTP.
+
+``python -m experiments.placer_cost`` ends in one JSON line.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import time  # noqa: E402
+from collections.abc import Iterator  # noqa: E402
+from contextlib import contextmanager  # noqa: E402
+from pathlib import Path  # noqa: E402
+from random import Random  # noqa: E402
+from tempfile import TemporaryDirectory  # noqa: E402
+
+import gevent  # noqa: E402
+from attrs import asdict, define, field  # noqa: E402
+from fire import Fire  # noqa: E402
+
+from experiments.cluster import (  # noqa: E402
+    Process,
+    end_all,
+    free_addresses,
+    python_command,  # noqa: E402
+)
+from rattanloom.clock import MS_PER_S, SystemClock  # noqa: E402
+from rattanloom.metrics import Metrics  # noqa: E402
+from rattanloom.placement.placer import Placer  # noqa: E402
+from rattanloom.placement.work import (  # noqa: E402
+    JobOutcome,
+    JobPolicy,
+    OutcomeKind,
+    Step,
+    WorkJob,
+)
+from rattanloom.placement.workers import Resources, WorkerEntry  # noqa: E402
+from rattanloom.platform.workers import WorkerClient  # noqa: E402
+from standins.pool import PoolSettings  # noqa: E402
+from standins.run_table import WorkerShape  # noqa: E402
+
+SERVICE = "commissions-desk"
+TASK_MS = 60
+TASKS_PER_JOB = 4
+NEED = Resources(14_000, 64)
+TICK_MS = 50
+SYNCED_WITHIN_S = 20
+
+
+@define(eq=False)
+class Outcomes:
+    """Counts how jobs end."""
+
+    node: str = "entry-1"
+    complete: int = 0
+    others: int = 0
+
+    def deliver(self, outcome: JobOutcome) -> None:
+        """Take the end of a job."""
+        if outcome.kind is OutcomeKind.COMPLETE:
+            self.complete += 1
+        else:
+            self.others += 1
+
+
+@define(eq=False)
+class Load:
+    """Jobs at a rate, handed to a placer."""
+
+    placer: Placer
+    random: Random
+    outcomes: Outcomes = field(factory=Outcomes)
+
+    def run(self, jobs_per_s: float, length_s: float) -> None:
+        """Hand jobs over for a time."""
+        until_s = time.monotonic() + length_s
+        while time.monotonic() < until_s:
+            gevent.sleep(self.random.expovariate(jobs_per_s))
+            self.placer.submit(self.outcomes, self._make_job(), ())
+
+    def _make_job(self) -> WorkJob:
+        spec = {"ms": TASK_MS, "cpu": NEED.cpu_millicores, "mem_mb": NEED.memory_mb}
+        return WorkJob(
+            f"{self.random.getrandbits(64):016x}",
+            json.dumps(spec),
+            (Step(TASKS_PER_JOB, NEED, TASK_MS),),
+            JobPolicy(SERVICE, 0, 2, 1.6, 60),
+            1_500,
+        )
+
+
+@contextmanager
+def running_workers(count: int) -> Iterator[list[WorkerShape]]:
+    """Run worker stand-ins in one process."""
+    with TemporaryDirectory(prefix="placer-cost-") as name:
+        folder = Path(name)
+        control, store, *addresses = free_addresses(count + 2)
+        workers = [
+            WorkerShape(f"w{number}", "a", address, address)
+            for number, address in enumerate(addresses)
+        ]
+        settings = PoolSettings(
+            control, store, SERVICE, str(folder / "history"), tuple(workers)
+        )
+        path = folder / "pool.json"
+        path.write_text(json.dumps(asdict(settings)))
+        command = python_command("standins.pool", str(path))
+        process = Process("workers", "a", command, control, folder / "workers.log")
+        process.start()
+        try:
+            yield workers
+        finally:
+            end_all([process])
+
+
+def measure(workers: int, jobs_per_s: float, length_s: float) -> dict:
+    """Return what one load costs."""
+    clock = SystemClock()
+    with running_workers(workers) as shapes:
+        placer = Placer(
+            "placer-1",
+            clock,
+            Metrics(),
+            1_000,
+            lambda entry: WorkerClient(entry.worker_id, entry.address),
+            lambda worker: None,
+        )
+        for shape in shapes:
+            room = Resources(shape.cpu_millicores, shape.memory_mb)
+            entry = WorkerEntry(
+                shape.worker_id, 1, SERVICE, shape.listen, "a", True, room
+            )
+            placer.add_worker(entry, 1 << 40)
+        gevent.spawn(_tick_all, placer)
+        _await_synced(placer)
+        load = Load(placer, Random(1))
+        from_s = time.process_time()
+        load.run(jobs_per_s, length_s)
+        spent_s = time.process_time() - from_s
+        tasks = load.outcomes.complete * TASKS_PER_JOB
+        return {
+            "workers": workers,
+            "tasks_per_s": round(tasks / length_s),
+            "not_complete": load.outcomes.others,
+            "cores": round(spent_s / length_s, 3),
+            "cpu_us_per_task": round(1e6 * spent_s / max(1, tasks)),
+        }
+
+
+def _tick_all(placer: Placer) -> None:
+    while True:
+        gevent.sleep(TICK_MS / MS_PER_S)
+        placer.tick()
+
+
+def _await_synced(placer: Placer) -> None:
+    with gevent.Timeout(SYNCED_WITHIN_S):
+        while any(
+            worker.misses or worker.state.value != "ready"
+            for worker in placer.workers.values()
+        ):
+            gevent.sleep(TICK_MS / MS_PER_S)
+
+
+def main(length_s: float = 5.0) -> None:
+    """Measure a small and a large pool, idle and under load."""
+    rows = [
+        measure(24, 1, length_s),
+        measure(24, 37, length_s),
+        measure(60, 1, length_s),
+        measure(60, 70, length_s),
+    ]
+    for row in rows:
+        print(row)
+    print(json.dumps({"placer_cost": rows}))
+
+
+if __name__ == "__main__":
+    Fire(main)
--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -25,8 +25,9 @@
 from rattanloom.ownership.ownership import Ownership
 from rattanloom.ownership.records import Member
 from rattanloom.placement.placer import Placer
-from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
+from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.work import JobOutcome
+from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.workers import WorkerEntry
 from rattanloom.platform.configuration import (
     CONFIGURATION_KEY,
@@ -254,7 +255,7 @@
             elif entry.address != worker.entry.address:
                 self.placer.remove_worker(worker_id, "it has another address")
             else:
-                worker.entry = entry
+                worker.take_entry(entry)
                 worker.raise_token(owned[entry.zone].fencing_token)
         self.placer.adoption.inherited_ms = self.ownership.inherited_ms()
         for entry in self.registry.entries.values():
--- a/rattanloom/links/hub.py
+++ b/rattanloom/links/hub.py
@@ -29,6 +29,8 @@
 class LinkHub:
     """Opens, accepts and looks up links by the name of the daemon.
 
+    Both sides may open one at the same time; of several the newest open one is
+    used, and an older one again once that has ended.
     ``listen`` is served; ``own`` tells where others reach it.
     """
 
@@ -38,7 +40,7 @@
     on_message: Callable[[Link, Message], None]
     on_open: Callable[[Link], None]
     on_lost: Callable[[Link], None]
-    _links: dict[str, Link] = field(factory=dict)
+    _links: dict[str, list[Link]] = field(factory=dict)
     _wanted: dict[str, tuple[str, float]] = field(factory=dict)
     _dialling: set[str] = field(factory=set)
 
@@ -51,13 +53,13 @@
             yield
         finally:
             server.stop(timeout=0)
-            for link in list(self._links.values()):
+            for link in [link for links in self._links.values() for link in links]:
                 link.close()
 
     def link(self, node: str) -> Link | None:
         """Return an open link to a daemon."""
-        link = self._links.get(node)
-        return link if link is not None and not link.closed else None
+        links = self._links.get(node, ())
+        return next((link for link in reversed(links) if not link.closed), None)
 
     def nodes(self) -> tuple[str, ...]:
         """Return the daemons that a link is open to."""
@@ -82,7 +84,8 @@
     def lost(self, link: Link, reason: str) -> None:
         """Take the end of a link."""
         node = link.peer.node
-        if self._links.get(node) is link:
+        self._links[node].remove(link)
+        if not self._links[node]:
             del self._links[node]
         log.info("link_lost", peer=node, reason=reason)
         self.on_lost(link)
@@ -94,20 +97,23 @@
         try:
             while self._is_wanted(node) and self.link(node) is None:
                 address, _ = self._wanted[node]
-                try:
-                    connection = create_connection(
-                        split_address(address),
-                        CONNECT_TIMEOUT_MS / MS_PER_S,
-                        source_address=(split_address(self.listen)[0], 0),
-                    )
-                except OSError:
-                    gevent.sleep(RECONNECT_PAUSE_MS / MS_PER_S)
-                    continue
-                self._run(connection)
+                self.open_link(address)
                 gevent.sleep(RECONNECT_PAUSE_MS / MS_PER_S)
         finally:
             self._dialling.discard(node)
 
+    def open_link(self, address: str) -> None:
+        """Open one more link to an address, and serve it until it ends."""
+        try:
+            connection = create_connection(
+                split_address(address),
+                CONNECT_TIMEOUT_MS / MS_PER_S,
+                source_address=(split_address(self.listen)[0], 0),
+            )
+        except OSError:
+            return
+        self._run(connection)
+
     def _is_wanted(self, node: str) -> bool:
         _, until_ms = self._wanted.get(node, ("", 0))
         return self.clock.now_ms() < until_ms
@@ -116,5 +122,5 @@
         Link(connection, self.clock, self.own, self).run(self._opened)
 
     def _opened(self, link: Link) -> None:
-        self._links[link.peer.node] = link
+        self._links.setdefault(link.peer.node, []).append(link)
         self.on_open(link)
--- a/rattanloom/placement/choice.py
+++ b/rattanloom/placement/choice.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Iterable
 
-from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
+from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedTask
+from rattanloom.placement.worker_events import WorkerState
 
 # A worker at this failure score gets work only where no other has room.
 UNRELIABLE_SCORE = 1.5
@@ -28,19 +29,23 @@
 def may_run(task: PlacedTask, worker: PooledWorker, now_ms: float) -> bool:
     """Return whether a worker may and can take a task now."""
     return (
-        takes_tasks(worker, now_ms)
-        and worker.free().fits(task.step.need)
+        worker.runs.free.fits(task.step.need)
+        and takes_tasks(worker, now_ms)
         and suits(task, worker)
     )
 
 
 def takes_tasks(worker: PooledWorker, now_ms: float) -> bool:
-    """Return whether a worker takes any task now."""
+    """Return whether a worker takes any task now.
+
+    A start would extend the lease of runs that another placer ordered, which
+    that placer counts on to end.
+    """
     return (
         worker.state is WorkerState.READY
         and worker.entry.accepting
         and worker.refused_until_ms <= now_ms
-        and not worker.has_unclaimed_runs()
+        and not worker.runs.unclaimed
     )
 
 
@@ -60,7 +65,7 @@
         run.task is not None
         and run.task.job is task.job
         and run.task.step_number == task.step_number
-        for run in worker.runs.values()
+        for run in worker.runs.all()
     )
 
 
@@ -68,5 +73,5 @@
     is_avoided = worker.worker_id in task.avoided_workers
     is_unreliable = worker.failure_score >= UNRELIABLE_SCORE
     slowness = int(worker.speed / SPEED_STEP)
-    leftover = worker.free().cpu_millicores - task.step.need.cpu_millicores
+    leftover = worker.runs.free.cpu_millicores - task.step.need.cpu_millicores
     return is_avoided, is_unreliable, slowness, leftover
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -10,8 +10,9 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.metrics import Metrics
 from rattanloom.placement.adoption import Adoption
-from rattanloom.placement.choice import choose_worker, takes_tasks
-from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
+from rattanloom.placement.choice import takes_tasks
+from rattanloom.placement.filling import Filling
+from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import (
     PlacedJob,
     PlacedTask,
@@ -25,6 +26,7 @@
 from rattanloom.placement.suspicion import Suspicion
 from rattanloom.placement.waiting import WaitingTasks
 from rattanloom.placement.work import JobOutcome, OutcomeKind, WorkJob
+from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.worker_lease import WorkerLease
 from rattanloom.placement.workers import (
     EndedTask,
@@ -44,8 +46,6 @@
 # Time for a daemon whose link broke to come back before its jobs are ended.
 ORPHAN_MS = 300
 RETRY_AFTER_MS = 1_000
-# Tasks tried beyond one that finds no room, so that smaller ones fill gaps.
-PASSED_OVER_MAX = 24
 
 
 @define(eq=False, repr=False)
@@ -99,14 +99,14 @@
             return
         log.info("worker_removed", worker=worker_id, reason=reason)
         worker.abandon()
-        for run in list(worker.runs.values()):
+        for run in worker.runs.all():
             self.adoption.claim(run.name)
             gevent.spawn(self._vanish_when_over, worker, run)
 
     def _vanish_when_over(self, worker: PooledWorker, run: Run) -> None:
         while not worker.lease.is_over():
             gevent.sleep(max(0.01, (worker.lease.over_ms - self.clock.now_ms()) / 1000))
-        worker.forget(run)
+        worker.runs.remove(run)
         self.run_vanished(worker, run, "its worker left the pool")
 
     # Jobs
@@ -177,10 +177,10 @@
 
     def _move_stuck(self, now_ms: float) -> None:
         """Stop runs that stand still; their tasks start elsewhere."""
-        if self._largest_room(now_ms) == 0:
+        if not self._has_room(now_ms):
             return
         for worker in self.workers.values():
-            for run in list(worker.runs.values()):
+            for run in worker.runs.all():
                 if run.task is None or run.task.job.ended:
                     continue
                 if self.suspicion.is_stuck(run):
@@ -245,7 +245,7 @@
 
     def _stop_runs(self, job: PlacedJob) -> None:
         for worker in self.workers.values():
-            for run in list(worker.runs.values()):
+            for run in worker.runs.all():
                 is_of_job = run.task is not None and run.task.job is job
                 if is_of_job and run.phase is not RunPhase.STOPPING:
                     worker.stop(run)
@@ -258,54 +258,31 @@
             return
         self._pumping = True
         try:
-            self._start_waiting()
+            workers = self.workers.values()
+            now_ms = self.clock.now_ms()
+            Filling(workers, self._may_start, self._begin, now_ms).run(self.waiting)
         finally:
             self._pumping = False
 
-    def _start_waiting(self) -> None:
-        now_ms = self.clock.now_ms()
-        passed_over: list[PlacedTask] = []
-        no_room_millicores = self._largest_room(now_ms) + 1
-        while no_room_millicores > 1 and len(passed_over) < PASSED_OVER_MAX:
-            task = self.waiting.take(now_ms)
-            if task is None:
-                break
-            if not self._start_if_room(task, no_room_millicores, now_ms):
-                passed_over.append(task)
-            else:
-                no_room_millicores = self._largest_room(now_ms) + 1
-        for task in passed_over:
-            self.waiting.put_back(task, now_ms)
-
-    def _largest_room(self, now_ms: float) -> int:
-        """Return the most processor that is free on one worker."""
-        return max(
-            (
-                worker.free().cpu_millicores
-                for worker in self.workers.values()
-                if takes_tasks(worker, now_ms)
-            ),
-            default=0,
+    def _has_room(self, now_ms: float) -> bool:
+        """Return whether any worker takes a task now."""
+        return any(
+            worker.runs.free.cpu_millicores > 0 and takes_tasks(worker, now_ms)
+            for worker in self.workers.values()
         )
 
-    def _start_if_room(
-        self, task: PlacedTask, no_room_millicores: int, now_ms: float
-    ) -> bool:
-        if task.step.need.cpu_millicores >= no_room_millicores:
-            return False
-        if self.active[task.name]:
-            return False
-        if not self.adoption.is_synced(task.job, self.workers.values()):
-            return False
-        worker = choose_worker(task, self.workers.values(), now_ms)
-        if worker is None:
-            return False
+    def _may_start(self, task: PlacedTask) -> bool:
+        return not self.active[task.name] and self.adoption.is_synced(
+            task.job, self.workers.values()
+        )
+
+    def _begin(self, task: PlacedTask, worker: PooledWorker) -> None:
         task.state = TaskState.PLACED
         task.job.started = True
         self.metrics.count("tasks_ordered")
-        self.metrics.observe("task_wait_for_room", now_ms - task.queued_ms)
+        waited_ms = self.clock.now_ms() - task.queued_ms
+        self.metrics.observe("task_wait_for_room", waited_ms)
         worker.begin(task)
-        return True
 
     # Events of workers
 
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -1,8 +1,6 @@
 """One worker in a placer's pool: its lease, its runs, and the orders to it."""
 
 from collections import Counter
-from enum import Enum
-from typing import Protocol
 
 import gevent
 from attrs import define, field
@@ -11,12 +9,13 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.placement.runs import PlacedTask, Run, RunPhase
+from rattanloom.placement.worker_events import WorkerEvents, WorkerState
 from rattanloom.placement.worker_lease import WorkerLease
+from rattanloom.placement.worker_runs import WorkerRuns
 from rattanloom.placement.workers import (
     EndedTask,
     NotStarted,
     Renewal,
-    Resources,
     RunningTask,
     Started,
     StartOrder,
@@ -39,45 +38,6 @@
 STOP_AGAIN_MS = 150
 # Time for the next placer to fence a worker after it was recorded as owner.
 NEXT_PLACER_MS = 150
-# Need assumed of runs whose job is not known.
-UNKNOWN_NEED_MILLICORES = 1_000
-
-
-class WorkerState(Enum):
-    """What the placer knows of a worker.
-
-    SYNCING until its first report; SILENT while it does not answer; FENCED
-    once it follows another placer.
-    """
-
-    SYNCING = "syncing"
-    READY = "ready"
-    SILENT = "silent"
-    FENCED = "fenced"
-
-
-class WorkerEvents(Protocol):
-    """What a pooled worker tells its placer; calls must not block."""
-
-    def run_ended(self, worker: "PooledWorker", run: Run, end: EndedTask) -> None:
-        """Take the end of a run."""
-
-    def run_vanished(self, worker: "PooledWorker", run: Run, reason: str) -> None:
-        """Take that a run is surely not running and its end is not known."""
-
-    def run_not_started(
-        self, worker: "PooledWorker", run: Run, refusal: StartRefusal | None
-    ) -> None:
-        """Take that an order surely had no effect."""
-
-    def foreign_run(self, worker: "PooledWorker", run: Run) -> None:
-        """Take a run that another placer ordered."""
-
-    def foreign_end(self, worker: "PooledWorker", end: EndedTask) -> None:
-        """Take the end of a run that another placer ordered."""
-
-    def worker_changed(self, worker: "PooledWorker") -> None:
-        """Take that a worker has room or has changed its state."""
 
 
 @define(eq=False, repr=False)
@@ -92,8 +52,7 @@
     fencing_token: int
     active: Counter[str]
     state: WorkerState = WorkerState.SYNCING
-    runs: dict[tuple[str, int], Run] = field(factory=dict)
-    used: Resources = field(factory=Resources)
+    runs: WorkerRuns = field(init=False)
     ends_noted: int = 0
     incarnation_ms: int = 0
     reported_clock_ms: int = 0
@@ -111,16 +70,13 @@
         """Return the worker's id."""
         return self.entry.worker_id
 
-    def free(self) -> Resources:
-        """Return the capacity that no run uses."""
-        return self.entry.capacity.minus(self.used)
+    def __attrs_post_init__(self) -> None:
+        self.runs = WorkerRuns(self.entry.capacity, self.active)
 
-    def has_unclaimed_runs(self) -> bool:
-        """Return whether runs of another placer still have to end.
-
-        A start would extend their lease, which that placer counts on to end.
-        """
-        return any(run.task is None for run in self.runs.values())
+    def take_entry(self, entry: WorkerEntry) -> None:
+        """Take what the worker registers of itself by now."""
+        self.entry = entry
+        self.runs.set_capacity(entry.capacity)
 
     def open(self) -> None:
         """Start watching the worker."""
@@ -147,20 +103,16 @@
     def _stop_missed(self) -> None:
         gevent.sleep(NEXT_PLACER_MS / MS_PER_S)
         if self.state is WorkerState.READY:
-            for run in list(self.runs.values()):
+            for run in self.runs.all():
                 self._stop(run)
         self.orders.close()
 
-    def forget(self, run: Run) -> None:
-        """Drop a run that is surely over."""
-        self._remove(run)
-
     def begin(self, task: PlacedTask) -> Run:
         """Take room for a task and send its start."""
         task.attempt += 1
         now_ms = self.clock.now_ms()
         run = Run(task.name, task.attempt, task, task.step, RunPhase.STARTING, now_ms)
-        self._add(run)
+        self.runs.add(run)
         gevent.spawn(self._start, run)
         return run
 
@@ -172,27 +124,8 @@
 
     def adopt(self, run: Run, task: PlacedTask) -> None:
         """Give a foreign run to the task that it belongs to."""
-        self._remove(run)
-        run.task, run.step = task, task.step
-        run.phase = RunPhase.RUNNING
-        run.confirmed_ms = self.clock.now_ms()
+        self.runs.claim(run, task, self.clock.now_ms())
         task.attempt = max(task.attempt, run.attempt)
-        self._add(run)
-
-    def _add(self, run: Run) -> None:
-        self.runs[run.key] = run
-        self.active[run.name] += 1
-        self.used = self.used.plus(_need(run))
-
-    def _remove(self, run: Run) -> bool:
-        if self.runs.get(run.key) is not run:
-            return False
-        del self.runs[run.key]
-        self.active[run.name] -= 1
-        if not self.active[run.name]:
-            del self.active[run.name]
-        self.used = self.used.minus(_need(run))
-        return True
 
     def _start(self, run: Run) -> None:
         for _ in range(ATTEMPT_TRIES):
@@ -224,10 +157,10 @@
         if not isinstance(reply, NotStarted):
             return False
         if reply.refusal is StartRefusal.ATTEMPT_TOO_OLD:
-            self._remove(run)
+            self.runs.remove(run)
             run.attempt += 1
             run.task.attempt = run.attempt
-            self._add(run)
+            self.runs.add(run)
             return True
         return reply.refusal is StartRefusal.FENCED and token < self.fencing_token
 
@@ -256,7 +189,7 @@
         self._give_back(run, reply.refusal)
 
     def _give_back(self, run: Run, refusal: StartRefusal | None) -> None:
-        if self._remove(run):
+        if self.runs.remove(run):
             self.events.run_not_started(self, run, refusal)
 
     def _resolve_lost_start(self, run: Run, failure: Failure) -> None:
@@ -306,7 +239,7 @@
         sent_ms = self.clock.now_ms()
         token = self.fencing_token
         synced = self.state is not WorkerState.SYNCING
-        has_own_runs = any(run.task is not None for run in self.runs.values())
+        has_own_runs = len(self.runs) > self.runs.unclaimed
         leasing = synced and has_own_runs and self.misses < 2
         lease_until_ms = self.lease.extend() if leasing else None
         if self.state is WorkerState.SYNCING:
@@ -360,8 +293,8 @@
     def _drop_lapsed(self) -> None:
         """Give up the runs of a silent worker once its lease is over."""
         if self.misses and self.lease.is_over():
-            for run in list(self.runs.values()):
-                self._remove(run)
+            for run in self.runs.all():
+                self.runs.remove(run)
                 self.events.run_vanished(self, run, "the lease on the worker is over")
 
     def _take_report(self, report: WorkerReport, sent_ms: float, token: int) -> None:
@@ -379,7 +312,7 @@
         for row in report.running:
             if is_newer or (row.task, row.attempt) in self.runs:
                 self._take_running(row)
-        for run in list(self.runs.values()):
+        for run in self.runs.all():
             if run.key not in listed:
                 self._check_missing(run, sent_ms, token)
         if self.state in (WorkerState.SYNCING, WorkerState.SILENT):
@@ -417,7 +350,7 @@
         run = self.runs.get((end.task, end.attempt))
         if run is None:
             self.events.foreign_end(self, end)
-        elif self._remove(run):
+        elif self.runs.remove(run):
             self.events.run_ended(self, run, end)
 
     def _take_running(self, row: RunningTask) -> None:
@@ -425,7 +358,7 @@
         now_ms = self.clock.now_ms()
         if run is None:
             run = Run(row.task, row.attempt, None, None, RunPhase.FOREIGN, now_ms)
-            self._add(run)
+            self.runs.add(run)
             self.events.foreign_run(self, run)
         elif run.phase in (RunPhase.STARTING, RunPhase.UNCERTAIN):
             run.phase = RunPhase.RUNNING
@@ -442,7 +375,7 @@
             if token >= run.uncertain_token:
                 self._give_back(run, None)
         elif _was_listed(run, sent_ms):
-            self._remove(run)
+            self.runs.remove(run)
             self.events.run_vanished(self, run, "the worker does not list it")
 
 
@@ -458,9 +391,3 @@
     if isinstance(reply, NotStarted):
         return reply.refusal.value
     return reply.kind.value
-
-
-def _need(run: Run) -> Resources:
-    if run.step is None:
-        return Resources(UNKNOWN_NEED_MILLICORES)
-    return run.step.need
--- a/rattanloom/platform/http.py
+++ b/rattanloom/platform/http.py
@@ -1,20 +1,29 @@
 """HTTP to one server of the platform, over kept connections; nothing is resent."""
 
+from socket import MSG_PEEK
+
 import gevent
 from attrs import define, field, frozen
 from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ClosedPoolError,
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
 )
+from urllib3.util import SKIP_HEADER
 
 from rattanloom.clock import MS_PER_S
 from rattanloom.errors import ErrorKind, Failure
 
 NOT_SENT = (NewConnectionError, ConnectTimeoutError, ClosedPoolError)
-HEADERS = {"Content-Type": "application/json"}
+# The client's name and encodings are of no use here and cost time to write.
+HEADERS = {
+    "Content-Type": "application/json",
+    "User-Agent": SKIP_HEADER,
+    "Accept-Encoding": SKIP_HEADER,
+}
 
 
 @frozen
@@ -25,6 +34,30 @@
     body: bytes
 
 
+class ProbedConnection(HTTPConnection):
+    """A connection that is looked at with one system call before it is used."""
+
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the server has neither closed nor sent anything."""
+        if self.sock is None:
+            return False
+        self.sock.settimeout(0)
+        try:
+            self.sock.recv(1, MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+class ProbedPool(HTTPConnectionPool):
+    """A pool of such connections."""
+
+    ConnectionCls = ProbedConnection
+
+
 @define(eq=False, repr=False)
 class HttpPeer:
     """Speaks HTTP to ``address`` (``ip:port``), from ``source_ip`` if given.
@@ -38,11 +71,11 @@
     connect_timeout_ms: float
     source_ip: str = ""
     headers: dict[str, str] = field(factory=lambda: dict(HEADERS))
-    _pool: HTTPConnectionPool = field(init=False)
+    _pool: ProbedPool = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         host, _, port = self.address.rpartition(":")
-        self._pool = HTTPConnectionPool(
+        self._pool = ProbedPool(
             host,
             int(port),
             maxsize=self.connections_max,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,6 +11,7 @@
 NOT_RUN_STATUSES = (429, 503)
 # Most that the platform lets an answer be later than the client's deadline.
 ANSWER_SLACK_MS = 200.0
+INTERNAL_ERROR = 500
 # Bounds of the platform's pages (config_apply_ms, grace_s, drain_ms).
 CONFIG_APPLY_MS = 2_000.0
 LOSS_SLACK_MS = 200.0
@@ -150,6 +151,13 @@
             )
 
 
+def requests_never_fail(history: History, runs: list[TaskRun]) -> Iterable[Breach]:
+    """No request meets an error that the daemon did not foresee."""
+    for job, send in _sends(history):
+        if send.status == INTERNAL_ERROR:
+            yield Breach("requests_never_fail", f"{job.job_id} at {send.daemon}")
+
+
 CHECKS: tuple[Check, ...] = (
     runs_never_overlap,
     refused_jobs_never_run,
@@ -160,6 +168,7 @@
     everything_ends,
     service_returns,
     queues_follow_configuration,
+    requests_never_fail,
 )
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -107,3 +107,21 @@
             stray.sendall(b"\xff" * 64)
             gevent.sleep(0.05)
         assert not events
+
+
+def test_older_link_is_used_once_the_newer_one_has_ended():
+    first, second = [], []
+    one, two = make_hub("n1", first), make_hub("n2", second)
+    with one.serving(), two.serving():
+        one.want("n2", two.own.address, CLOCK.now_ms() + 60_000)
+        assert wait_for(lambda: one.link("n2") and two.link("n1"))
+        older = two.link("n1")
+        two.want("n1", one.own.address, CLOCK.now_ms() + 60_000)
+        dialling = gevent.spawn(two.open_link, one.own.address)
+        assert wait_for(lambda: two.link("n1") is not older)
+        two.link("n1").close()
+        assert wait_for(lambda: two.link("n1") is older)
+        assert wait_for(lambda: ("n2", "lost") in first)
+        two.link("n1").send(Cancel("x"))
+        assert wait_for(lambda: ("n2", Cancel("x")) in first)
+        dialling.join()
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -8,8 +8,8 @@
 
 from rattanloom.metrics import Metrics
 from rattanloom.placement.placer import Placer
-from rattanloom.placement.pooled_worker import WorkerState
 from rattanloom.placement.work import OutcomeKind
+from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.workers import HowEnded, Renewal, StartOrder
 from tests.dispatcher_fakes import (
     CLOCK,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -6,6 +6,7 @@
 
 import gevent
 import pytest
+from gevent.server import StreamServer
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -185,3 +186,23 @@
         yield f"127.0.0.1:{listener.getsockname()[1]}"
     finally:
         listener.close()
+
+
+def test_connection_that_the_server_closed_is_replaced_before_a_call():
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    accepted = []
+
+    def serve(connection: socket.socket, _: object) -> None:
+        accepted.append(connection)
+        connection.recv(1_000)
+        connection.sendall(answer)
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    try:
+        peer = HttpPeer(f"127.0.0.1:{server.server_port}", 2, 200)
+        statuses = [peer.call("GET", "/", None, 500).status for _ in range(3)]
+    finally:
+        server.stop()
+    assert statuses == [200, 200, 200]
+    assert len(accepted) == 3
--- a/tests/test_pooled_worker.py
+++ b/tests/test_pooled_worker.py
@@ -7,8 +7,9 @@
 from gevent.event import AsyncResult
 
 from rattanloom.errors import ErrorKind, Failure
-from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
+from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import make_job
+from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.worker_lease import WorkerLease
 from rattanloom.placement.workers import (
     EndedTask,
@@ -108,13 +109,13 @@
     assert not worker.runs
     orders.answer(2, report(1_090, (run.name,)))
     assert not worker.runs
-    assert worker.used.cpu_millicores == 0
+    assert worker.runs.free == worker.entry.capacity
 
 
 def test_stopped_run_of_another_placer_is_dropped_once_it_is_not_listed():
     worker, orders = open_worker()
     orders.answer(1, report(1_010, ("foreign.0.0.0",)))
-    (run,) = worker.runs.values()
+    (run,) = worker.runs.all()
     worker.stop(run)
     orders.answer(2, report(1_020))
     assert not worker.runs
@@ -137,7 +138,7 @@
     run = start_task(worker, orders)
     rows = (RunningTask(run.name, run.attempt, "", 0),)
     orders.answer(1, WorkerReport(20, 2, rows, ()))
-    assert list(worker.runs.values()) == [run]
+    assert worker.runs.all() == [run]
     assert "run_vanished" not in worker.events.seen
 
 
