--- a/Makefile
+++ b/Makefile
@@ -33,4 +33,4 @@
 SEEDS ?= 10
 
 soak: setup
-	$(BIN)/python -m soak --first $(SEED) --seeds $(SEEDS)
+	$(BIN)/python -m soak seeds --first $(SEED) --seeds $(SEEDS)
--- /dev/null
+++ b/experiments/log_cost.py
@@ -0,0 +1,65 @@
+"""Processor time of one line of the decision log: ``python -m experiments.log_cost``.
+
+The last line is one JSON object.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import os  # noqa: E402
+import time  # noqa: E402
+
+import gevent  # noqa: E402
+from fire import Fire  # noqa: E402
+
+from rattanloom.clock import SystemClock  # noqa: E402
+from rattanloom.decision_log import (  # noqa: E402
+    LINES_PER_EVENT_PER_S,
+    DecisionLog,
+    logging_decisions,
+)
+
+log = DecisionLog("placement")
+ROUNDS = 20
+
+
+def measure(lines: int) -> float:
+    """Return the microseconds of processor time of one kept line, written out."""
+    read_end, write_end = os.pipe()
+    reader = gevent.spawn(_drain, read_end)
+    with logging_decisions("edge-1", SystemClock(), write_end, "INFO"):
+        spent_s = 0.0
+        for number in range(ROUNDS):
+            from_s = time.process_time()
+            for index in range(lines // ROUNDS):
+                log.info(
+                    f"task_ordered_{number}",
+                    task=f"5c0e7a21d94b36f8.0.0.{index}",
+                    attempt=1,
+                    worker="i-04ac11534d",
+                    token=3298534883328,
+                    lease_until_ms=1_328_711,
+                    answer="started",
+                )
+            gevent.sleep(0.2)
+            spent_s += time.process_time() - from_s
+    reader.kill()
+    return 1e6 * spent_s / lines
+
+
+def _drain(descriptor: int) -> None:
+    while True:
+        gevent.os.tp_read(descriptor, 65_536)
+
+
+def main() -> None:
+    """Measure lines that stay below the limit of one kind."""
+    lines = ROUNDS * (LINES_PER_EVENT_PER_S - 1)
+    row = {"lines": lines, "cpu_us_per_line": round(measure(lines), 1)}
+    print(json.dumps({"log_cost": row}))
+
+
+if __name__ == "__main__":
+    Fire(main)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,7 @@
-"""Play seeded soaks: ``python -m soak --seeds 50``; ends in one JSON line."""
+"""Play seeded soaks; ends in one JSON line.
+
+``python -m soak seeds --first 1 --seeds 50`` or ``python -m soak regressions``.
+"""
 
 from gevent import monkey
 
@@ -6,7 +9,7 @@
 
 from fire import Fire  # noqa: E402
 
-from soak.play import play_seeds  # noqa: E402
+from soak.play import play_regressions, play_seeds  # noqa: E402
 
 if __name__ == "__main__":
-    Fire(play_seeds)
+    Fire({"seeds": play_seeds, "regressions": play_regressions}, name="soak")
--- a/soak/play.py
+++ b/soak/play.py
@@ -4,6 +4,7 @@
 import shutil
 import sys
 from collections import Counter
+from collections.abc import Iterable
 from pathlib import Path
 from random import Random
 
@@ -16,6 +17,7 @@
 from soak.deployment import ZONES, Deployment, Shape, running_deployment
 from soak.faults import FAULTS, Scene, inject
 from soak.history import History, read_runs, write_history
+from soak.regressions import REGRESSIONS
 
 CLIENTS_PER_ZONE = 3
 # Time without faults before them, and after them until the verdict.
@@ -133,14 +135,27 @@
         only: names of faults, separated by commas; all if empty.
     """
     names = tuple(only.split(",")) if only else tuple(FAULTS)
+    _play_all(range(first, first + seeds), faults_s, names)
+
+
+def play_regressions(faults_s: float = 12.0) -> None:
+    """Play the seeds that once broke a promise; exit 1 if one does again.
+
+    Args:
+        faults_s: how long faults are injected in each.
+    """
+    _play_all(REGRESSIONS, faults_s, tuple(FAULTS))
+
+
+def _play_all(seeds: Iterable[int], faults_s: float, names: tuple[str, ...]) -> None:
     results = []
-    for seed in range(first, first + seeds):
+    for seed in seeds:
         result = play(seed, faults_s, names, Path(KEPT_LOGS))
         results.append(result)
         print(f"seed {seed}: {result.complete} of {result.jobs} jobs complete,")
         print(f"  statuses {result.statuses}, faults {', '.join(result.faults)}")
         for breach in result.breaches:
-            print(f"  BROKEN {breach.rule}: {breach.detail}")
+            print(f"  BROKEN {breach.rule}: {breach.detail}", flush=True)
     broken = [result.seed for result in results if result.breaches]
     jobs = sum(result.jobs for result in results)
     print(json.dumps({"seeds": len(results), "jobs": jobs, "broken": broken}))
