--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -1,7 +1,7 @@
 """Seeds that once broke a promise, each with what was wrong."""
 
 REGRESSIONS: dict[int, str] = {
-    2: "an overtaken report brought back a run that had ended; its worker stayed unused",
+    2: "an overtaken report brought back an ended run; its worker stayed unused",
     3: "the same as seed 2, under a store that was down",
     7: "errors of requests left no log line",
     10: "the same as seed 25",
