Use fewer messages in large deployments and fewer packets a call

Every daemon kept a link to every owner, with ten pings a second each way; each registration woke all followers; a call to a worker left in two packets.

Change: daemons of a large deployment watch only their own zone's owner, and keep links to others while they have jobs there or their own placer is short of room; links dialled here are closed once nobody wants them; pings every 150 ms instead of 100 (silence is still noticed after 450); one timer for owners, placer and desk; changes of owners within 60 ms are read with one call; a request's headers leave with its body.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -64,7 +64,7 @@
 STOP_MARGIN_MS = 700
 POLL_MS = 20
 # Placers of a large deployment tell their room this often.
-ROOM_INTERVAL_MS = 80
+ROOM_INTERVAL_MS = 100
 
 
 @define(eq=False, repr=False)
@@ -208,16 +208,26 @@
         followers = (configuration, self.workers_follower, self.ownership.follower)
         for follower in followers:
             gevent.spawn(follower.run)
-        gevent.spawn(self.ownership.run)
+        gevent.spawn(self.ownership.register)
         gevent.spawn(self._tick_all)
 
     def _tick_all(self) -> None:
         while True:
             gevent.sleep(TICK_MS / MS_PER_S)
+            self.ownership.tick()
             self.placer.tick()
             self.desk.tick()
+            self._want_placers()
             self._tell_room()
 
+    def _want_placers(self) -> None:
+        """Keep links to the placers that have jobs or may get some soon."""
+        nodes = {job.placer for job in self.desk.pending.values() if job.placer}
+        if self.choice.is_preferred_short():
+            nodes |= self.ownership.owners()
+        for node in nodes:
+            self.ownership.want_link(node)
+
     def _tell_room(self) -> None:
         """Tell all daemons how much room this placer has, if there are others."""
         now_ms = self.environment.clock.now_ms()
--- a/rattanloom/ingress/placer_choice.py
+++ b/rattanloom/ingress/placer_choice.py
@@ -8,6 +8,9 @@
 
 # Placers tell their room every 100 ms; older news do not count.
 FRESH_MS = 350
+# Below this room of the own zone's placer links to the others are opened: some
+# seven tasks of the largest kinds.
+LOW_ROOM_MILLICORES = 100_000
 
 
 @frozen
@@ -43,6 +46,13 @@
         """Take what a placer tells of its room; below 0 tasks wait there."""
         self.rooms[node] = KnownRoom(millicores, self.clock.now_ms())
 
+    def is_preferred_short(self) -> bool:
+        """Return whether jobs may soon have to go to another zone's placer."""
+        node = next(iter(self.reached().values()), None)
+        if node is None:
+            return True
+        return self._room(node, LOW_ROOM_MILLICORES) < LOW_ROOM_MILLICORES
+
     def choose(self, need_millicores: float) -> ChosenPlacer | None:
         """Return the placer for a new job; None if none is heard.
 
--- a/rattanloom/links/hub.py
+++ b/rattanloom/links/hub.py
@@ -53,6 +53,7 @@
             yield
         finally:
             server.stop(timeout=0)
+            self._wanted.clear()
             for link in [link for links in self._links.values() for link in links]:
                 link.close()
 
@@ -77,6 +78,13 @@
             self._dialling.add(node)
             gevent.spawn(self._dial, node)
 
+    def close_unwanted(self) -> None:
+        """Close the links that were dialled here and are wanted no more."""
+        for node, links in list(self._links.items()):
+            if not self._is_wanted(node):
+                for link in [link for link in links if link.dialled]:
+                    link.close()
+
     def received(self, link: Link, message: Message) -> None:
         """Take one message of a link."""
         self.on_message(link, message)
@@ -91,7 +99,7 @@
         self.on_lost(link)
 
     def _accept(self, connection: socket, _: object) -> None:
-        self._run(connection)
+        self._run(connection, dialled=False)
 
     def _dial(self, node: str) -> None:
         try:
@@ -112,14 +120,15 @@
             )
         except OSError:
             return
-        self._run(connection)
+        self._run(connection, dialled=True)
 
     def _is_wanted(self, node: str) -> bool:
         _, until_ms = self._wanted.get(node, ("", 0))
         return self.clock.now_ms() < until_ms
 
-    def _run(self, connection: socket) -> None:
-        Link(connection, self.clock, self.own, self).run(self._opened)
+    def _run(self, connection: socket, dialled: bool) -> None:
+        link = Link(connection, self.clock, self.own, self, dialled=dialled)
+        link.run(self._opened)
 
     def _opened(self, link: Link) -> None:
         self._links.setdefault(link.peer.node, []).append(link)
--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -19,8 +19,8 @@
 
 LENGTH = struct.Struct(">I")
 MESSAGE_MAX_BYTES = 1_000_000
-# An idle link shows itself alive this often; four losses in a row are silence.
-PING_INTERVAL_MS = 100
+# An idle link shows itself alive this often; two late ones in a row are silence.
+PING_INTERVAL_MS = 150
 SILENT_AFTER_MS = 450
 HELLO_TIMEOUT_MS = 400
 READ_BYTES = 65_536
@@ -50,6 +50,7 @@
     handler: LinkHandler
     peer: Hello | None = None
     heard_ms: float = 0
+    dialled: bool = False
     closed: bool = False
     _outgoing: deque[bytes] = field(factory=deque)
     _writable: Event = field(factory=Event)
@@ -67,6 +68,8 @@
             self._read_all()
         except (OSError, BadMessageError, LinkLostError) as error:
             reason = str(error) or type(error).__name__
+            if self.closed:
+                reason = "closed here"
         finally:
             self.close()
             writer.kill(block=False)
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -33,7 +33,7 @@
     write_record,
 )
 from rattanloom.ownership.survey import Survey
-from rattanloom.ownership.takeover import Takeover
+from rattanloom.ownership.takeover import WANT_MS, Takeover
 from rattanloom.ownership.taking import ZoneTaker, claims_message
 from rattanloom.ownership.view import OwnerView
 from rattanloom.platform.rows import Store
@@ -41,8 +41,10 @@
 
 log = DecisionLog("ownership")
 
-TICK_MS = 50
 REGISTER_PAUSE_MS = 200
+# All daemons of a first start register within 300 ms; each change wakes all.
+SETTLE_MS = 60
+POLL_MS = 50
 # A stopping owner waits this long for the daemon that it asked to take its zones.
 HANDOVER_MS = 500
 # One placer serves this many workers in half of a core (docs/CAPACITY.md).
@@ -82,7 +84,12 @@
         self.survey = Survey(clock, hub)
         self.beats = Beats(self.own.node, clock, store)
         self.follower = TableFollower(
-            store, TABLE, clock, self.view.take_snapshot, self.view.take_rows
+            store,
+            TABLE,
+            clock,
+            self.view.take_snapshot,
+            self.view.take_rows,
+            settle_ms=SETTLE_MS,
         )
         self.taker = ZoneTaker(
             clock, store, hub, self.view, self.follower, self.workers_complete
@@ -100,16 +107,17 @@
         )
         self.merger = Merger(clock, hub, self.view)
 
-    def run(self) -> None:
-        """Register, then watch the owners for ever."""
-        self._register()
-        while True:
-            gevent.sleep(TICK_MS / MS_PER_S)
-            if not self.leaving and self.follower.version is not None:
-                self.takeover.watch()
-                self._hand_over_due()
-            if self.owned():
-                self.beats.beat()
+    def tick(self) -> None:
+        """Look at the owners; called at short intervals."""
+        if self.takeover.registered_ms is None:
+            return
+        if not self.leaving and self.follower.version is not None:
+            self.takeover.watch()
+            self._hand_over_due()
+        if self.owned():
+            self.beats.beat()
+        else:
+            self.hub.close_unwanted()
 
     def is_large(self) -> bool:
         """Return whether each zone should have an owner of its own."""
@@ -143,6 +151,16 @@
             if (zone in owned if node == self.own.node else self.hub.hears(node))
         }
 
+    def owners(self) -> set[str]:
+        """Return the daemons that own zones."""
+        return {owner.owner for owner in self.view.owners.values()}
+
+    def want_link(self, node: str) -> None:
+        """Keep a link to another daemon open for a while."""
+        member = self.view.members.get(node)
+        if member is not None and node != self.own.node:
+            self.hub.want(node, member.address, self.clock.now_ms() + WANT_MS)
+
     def leave(self) -> None:
         """Unregister, and hand the owned zones to other daemons."""
         self.leaving = self.takeover.leaving = True
@@ -181,7 +199,8 @@
         if failure is None and zone in self.owned() and self.view.token(zone) == token:
             self.taker.take((zone,), "its workers follow another token", False)
 
-    def _register(self) -> None:
+    def register(self) -> None:
+        """Write this daemon's row, as often as it takes."""
         write = (member_ref(self.own.node), write_record(self.own))
         while isinstance(self.store.transact((), (write,)), Failure):
             gevent.sleep(REGISTER_PAUSE_MS / MS_PER_S)
@@ -227,7 +246,7 @@
     def _wait_until_taken(self, zones: tuple[str, ...]) -> bool:
         until_ms = self.clock.now_ms() + HANDOVER_MS
         while self.clock.now_ms() < until_ms:
-            gevent.sleep(TICK_MS / MS_PER_S)
+            gevent.sleep(POLL_MS / MS_PER_S)
             if not set(zones) & set(self.owned()):
                 return True
         return False
--- a/rattanloom/ownership/takeover.py
+++ b/rattanloom/ownership/takeover.py
@@ -52,11 +52,20 @@
 
     def watch(self) -> None:
         """Look once whether an owner is lost."""
-        lost = [zone for zone in self.zones if self._is_zone_lost(zone)]
+        lost = [zone for zone in self._watched() if self._is_zone_lost(zone)]
         if lost and not self._investigating:
             self._investigating = True
             gevent.spawn(self._investigate, lost)
 
+    def _watched(self) -> tuple[str, ...]:
+        """Return the zones whose owners this daemon keeps links to.
+
+        In a large deployment daemons watch their own zone, and owners all.
+        """
+        if self.is_large() and self.view.owners and not self.view.owned():
+            return (self.view.own.zone,)
+        return self.zones
+
     def _is_zone_lost(self, zone: str) -> bool:
         now_ms = self.clock.now_ms()
         owner = self.view.owners.get(zone)
--- a/rattanloom/platform/http.py
+++ b/rattanloom/platform/http.py
@@ -34,8 +34,33 @@
     body: bytes
 
 
-class ProbedConnection(HTTPConnection):
-    """A connection that is looked at with one system call before it is used."""
+class LeanConnection(HTTPConnection):
+    """A connection that uses few system calls.
+
+    It is looked at with one before it is used, and a request's headers leave
+    together with its body.
+    """
+
+    _headers: bytes | None = None
+    _holds_headers: bool = False
+
+    def request(
+        self, method: str, url: str, body: bytes | None = None, **options: object
+    ) -> None:
+        """Send one request."""
+        self._headers = None
+        self._holds_headers = bool(body)
+        super().request(method, url, body=body, **options)
+
+    def send(self, data: bytes) -> None:
+        """Send bytes; the headers of a request with a body wait for it."""
+        if self._holds_headers:
+            self._holds_headers = False
+            self._headers = data
+            return
+        if self._headers is not None:
+            data, self._headers = self._headers + data, None
+        super().send(data)
 
     @property
     def is_connected(self) -> bool:
@@ -52,10 +77,10 @@
         return False
 
 
-class ProbedPool(HTTPConnectionPool):
+class LeanPool(HTTPConnectionPool):
     """A pool of such connections."""
 
-    ConnectionCls = ProbedConnection
+    ConnectionCls = LeanConnection
 
 
 @define(eq=False, repr=False)
@@ -71,11 +96,11 @@
     connect_timeout_ms: float
     source_ip: str = ""
     headers: dict[str, str] = field(factory=lambda: dict(HEADERS))
-    _pool: ProbedPool = field(init=False)
+    _pool: LeanPool = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         host, _, port = self.address.rpartition(":")
-        self._pool = ProbedPool(
+        self._pool = LeanPool(
             host,
             int(port),
             maxsize=self.connections_max,
--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -24,7 +24,8 @@
     """Calls ``on_rows`` with every row read or changed, in order.
 
     ``on_snapshot`` gets all rows after each full read, so that rows that
-    vanished in between can be dropped.
+    vanished in between can be dropped. Changes that come within ``settle_ms``
+    of others are read with one call.
     """
 
     store: Store
@@ -33,6 +34,7 @@
     on_snapshot: Callable[[Sequence[Row]], None]
     on_rows: Callable[[Sequence[Row]], None]
     pause_ms: Callable[[], float] | None = None
+    settle_ms: float = 0
     version: int | None = None
     failures: int = 0
 
@@ -62,6 +64,7 @@
     def _pause(self) -> None:
         """Wait until the table is to be asked again; that may come sooner."""
         begun_ms = self.clock.now_ms()
+        gevent.sleep(self.settle_ms / MS_PER_S)
         while self.pause_ms and self.clock.now_ms() < begun_ms + self.pause_ms():
             gevent.sleep(PAUSE_STEP_MS / MS_PER_S)
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -85,12 +85,19 @@
     node = Node(ownership, hub, store, workers)
     node.serving.enter_context(hub.serving())
     node.greenlets += [
-        gevent.spawn(ownership.run),
+        gevent.spawn(run_ownership, ownership),
         gevent.spawn(ownership.follower.run),
     ]
     return node
 
 
+def run_ownership(ownership: Ownership) -> None:
+    ownership.register()
+    while True:
+        gevent.sleep(0.05)
+        ownership.tick()
+
+
 def one_owner(nodes) -> str | None:
     views = [node.owners() for node in nodes]
     names = {owner for view in views for owner in view.values()}
@@ -202,3 +209,29 @@
     anywhere = [member.node for member in view.candidates(reached)]
     assert near == ["n1", "n3", "n2"]
     assert anywhere == ["n2", "n1", "n3"]
+
+
+def test_links_that_nobody_wants_any_more_are_closed():
+    with cluster(("n1", "a"), ("n2", "a"), ("n3", "b")) as nodes:
+        assert wait_for(lambda: one_owner(nodes))
+        owner = one_owner(nodes)
+        first, second = [node for node in nodes if node.name != owner]
+        first.hub.want(second.name, second.ownership.own.address, CLOCK.now_ms() + 300)
+        assert wait_for(lambda: first.hub.link(second.name))
+        assert wait_for(lambda: not first.hub.link(second.name))
+        assert first.hub.hears(owner)
+
+
+def test_daemons_of_a_large_deployment_keep_links_to_their_zones_owner_only():
+    places = [("n1", "a", 2.0), ("n2", "b", 2.0), ("n3", "b", 1.0), ("n4", "a", 1.0)]
+    with cluster(*places) as nodes:
+        for node in nodes:
+            node.workers |= {f"w{number}" for number in range(100)}
+        owners = {"a": "n1", "b": "n2"}
+        assert wait_for(lambda: all(node.owners() == owners for node in nodes), 10)
+        assert wait_for(lambda: nodes[2].hub.nodes() == ("n2",), 10)
+        assert wait_for(lambda: nodes[3].hub.nodes() == ("n1",), 10)
+        assert wait_for(lambda: nodes[0].hub.hears("n2") and nodes[1].hub.hears("n1"))
+        nodes[1].kill()
+        rest = [nodes[0], *nodes[2:]]
+        assert wait_for(lambda: all(node.owners()["b"] == "n3" for node in rest))
--- a/tests/test_placer_choice.py
+++ b/tests/test_placer_choice.py
@@ -2,6 +2,7 @@
 
 from rattanloom.ingress.placer_choice import (
     FRESH_MS,
+    LOW_ROOM_MILLICORES,
     ChosenPlacer,
     PlacerChoice,
 )
@@ -60,3 +61,13 @@
     choice = make_choice()
     assert choice.successor("b") == OTHER
     assert choice.successor("c") is None
+
+
+def test_links_to_others_are_wanted_while_the_own_room_is_short():
+    choice = make_choice()
+    assert not choice.is_preferred_short()
+    choice.take_room("n1", LOW_ROOM_MILLICORES - 1)
+    assert choice.is_preferred_short()
+    choice.take_room("n1", LOW_ROOM_MILLICORES)
+    assert not choice.is_preferred_short()
+    assert make_choice({}).is_preferred_short()
