--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -7,6 +7,10 @@
 
 from rattanloom.placement.work import JobOutcome, Step, WorkJob
 
+# A job of which nothing was started is refused after this share of its client's
+# time: the platform's users count a longer wait as not answered at all.
+UNTRIED_SHARE = 0.45
+
 
 class Session(Protocol):
     """The way back to the daemon that holds a job's client."""
@@ -71,7 +75,11 @@
     def last_start_ms(self) -> float:
         """Return when a start is of no use any more, even for a late answer."""
         late_ms = self.arrived_ms + self.work.late_ms
-        return min(self.deadline_ms, late_ms) - self.work.chain_ms
+        last_ms = min(self.deadline_ms, late_ms) - self.work.chain_ms
+        if self.started:
+            return last_ms
+        time_ms = self.deadline_ms - self.arrived_ms
+        return min(last_ms, self.arrived_ms + UNTRIED_SHARE * time_ms)
 
 
 class RunPhase(Enum):
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -237,6 +237,17 @@
     assert session.outcomes[0].retry_after_ms > 0
 
 
+def test_job_of_which_nothing_runs_is_refused_before_half_of_its_time():
+    with running_placer() as placer:
+        session = FakeSession()
+        begun_ms = CLOCK.now_ms()
+        work = make_work(estimate_ms=100, remaining_ms=400)
+        placer.submit(session, work, ())
+        assert wait_for(lambda: session.outcomes)
+        assert CLOCK.now_ms() < begun_ms + 200 + 100
+    assert session.outcomes[0].kind is OutcomeKind.REFUSED
+
+
 def test_completed_job_that_comes_again_is_answered_at_once():
     worker, session = FakeWorker("w1"), FakeSession()
     with running_placer(worker) as placer:
