--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,8 +12,7 @@
 # Most that the platform lets an answer be later than the client's deadline.
 ANSWER_SLACK_MS = 200.0
 INTERNAL_ERROR = 500
-# Bounds of the platform's pages (config_apply_ms, grace_s, drain_ms).
-CONFIG_APPLY_MS = 2_000.0
+# Bound of the platform's pages (loss_slack_ms).
 LOSS_SLACK_MS = 200.0
 # From the end of a fault until the rules with a time bound hold again.
 CONTACT_MS = 3_000.0
