Let background work of the daemon outlive unforeseen failures

Change: loops that last as long as the process run again after a failure; each step of the timer stands alone; failures are JSON lines (task_failed).

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 from gevent.event import Event
 
+from rattanloom.background import keep_running, run_logged
 from rattanloom.clock import MS_PER_S
 from rattanloom.decision_log import DecisionLog, logging_decisions
 from rattanloom.environment import Environment
@@ -207,18 +208,22 @@
         )
         followers = (configuration, self.workers_follower, self.ownership.follower)
         for follower in followers:
-            gevent.spawn(follower.run)
-        gevent.spawn(self.ownership.register)
-        gevent.spawn(self._tick_all)
+            keep_running(follower.run)
+        keep_running(self.ownership.register)
+        keep_running(self._tick_all)
 
     def _tick_all(self) -> None:
+        steps = (
+            self.ownership.tick,
+            self.placer.tick,
+            self.desk.tick,
+            self._want_placers,
+            self._tell_room,
+        )
         while True:
             gevent.sleep(TICK_MS / MS_PER_S)
-            self.ownership.tick()
-            self.placer.tick()
-            self.desk.tick()
-            self._want_placers()
-            self._tell_room()
+            for step in steps:
+                run_logged(step)
 
     def _want_placers(self) -> None:
         """Keep links to the placers that have jobs or may get some soon."""
@@ -385,7 +390,7 @@
     """Reload the settings on SIGHUP and when the file changes."""
     watcher = SettingsWatcher(path, daemon.deployment, daemon.apply)
     signals = gevent.signal_handler(signal.SIGHUP, watcher.reload, "SIGHUP")
-    polling = gevent.spawn(watcher.run)
+    polling = keep_running(watcher.run)
     try:
         yield
     finally:
--- /dev/null
+++ b/tests/test_background.py
@@ -0,0 +1,47 @@
+"""Background greenlets outlive unforeseen failures, which leave a log line."""
+
+import json
+import os
+
+import gevent
+
+from rattanloom.background import keep_running, run_logged
+from rattanloom.decision_log import logging_decisions
+from tests.dispatcher_fakes import CLOCK, wait_for
+
+
+def test_function_that_fails_is_logged_and_run_again():
+    calls = []
+
+    def work(name: str) -> None:
+        calls.append(name)
+        if len(calls) < 3:
+            raise RuntimeError("unforeseen")
+
+    read_end, write_end = os.pipe()
+    with logging_decisions("n1", CLOCK, write_end, "INFO"):
+        greenlet = keep_running(work, "a")
+        assert wait_for(lambda: greenlet.ready())
+    lines = [json.loads(line) for line in os.read(read_end, 100_000).splitlines()]
+    assert calls == ["a", "a", "a"]
+    assert [line["event"] for line in lines] == ["task_failed", "task_failed"]
+    assert lines[0]["reason"] == "RuntimeError: unforeseen"
+    assert lines[0]["where"].startswith("test_background.py:")
+
+
+def test_kill_is_no_failure():
+    greenlet = keep_running(gevent.sleep, 60)
+    gevent.sleep(0)
+    greenlet.kill()
+    assert greenlet.ready()
+
+
+def test_one_failing_step_does_not_keep_others_from_running():
+    steps = []
+
+    def fail() -> None:
+        raise ValueError
+
+    results = [run_logged(step) for step in (fail, lambda: steps.append(1))]
+    assert results == [False, True]
+    assert steps == [1]
