Give up what is left at the end of a planned stop, so that it comes again

Cause: requests that were still waiting when the grace period ended were ended with their connections' greenlets and answered 500, which no client sends again.

Ruled out: an error in the handlers (the log lines name GreenletExit only).

Change: at the end of the grace period, less its margin, all jobs left are ended at their placer and answered 504 with Retry-After.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -63,6 +63,8 @@
 # Clients open new connections elsewhere within a second of two missed checks.
 LEAVE_MS = 2_200
 STOP_MARGIN_MS = 700
+# Time for the answers to the requests that are left when the grace period ends.
+ANSWERED_MS = 200
 POLL_MS = 20
 # Placers of a large deployment tell their room this often.
 ROOM_INTERVAL_MS = 100
@@ -370,7 +372,10 @@
 
 
 def stop_gracefully(daemon: Daemon) -> None:
-    """Leave the balancer, hand the workers over, answer what is in flight."""
+    """Leave the balancer, hand the workers over, answer what is in flight.
+
+    What is left at the end of the grace period is given up: clients send it again.
+    """
     clock = daemon.environment.clock
     begun_ms = clock.now_ms()
     log.info("stopping", jobs=len(daemon.desk.pending))
@@ -383,6 +388,10 @@
     while daemon.connections.in_flight and clock.now_ms() < begun_ms + grace_ms:
         gevent.sleep(POLL_MS / MS_PER_S)
     log.info("stopped", requests=daemon.connections.in_flight)
+    daemon.desk.give_up_all("this daemon stops")
+    answered_ms = clock.now_ms() + ANSWERED_MS
+    while daemon.connections.in_flight and clock.now_ms() < answered_ms:
+        gevent.sleep(POLL_MS / MS_PER_S)
 
 
 @contextmanager
--- a/rattanloom/ingress/desk.py
+++ b/rattanloom/ingress/desk.py
@@ -76,6 +76,13 @@
             if link is not None:
                 link.send(Cancel(job.work.job_id))
 
+    def give_up_all(self, reason: str) -> None:
+        """Answer every job that is left; its client may come again elsewhere."""
+        for job in list(self.pending.values()):
+            self.cancel(job)
+            kind = OutcomeKind.GIVEN_UP
+            self._end(job, JobOutcome(job.work.job_id, kind, reason, RETRY_AFTER_MS))
+
     def deliver(self, outcome: JobOutcome) -> None:
         """Take the end of a job from the own placer."""
         self.deliver_from(self.node, outcome)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -128,3 +128,14 @@
     desk.clock.at_ms += 10_000
     desk.tick()
     assert job.result.get().kind is OutcomeKind.GIVEN_UP
+
+
+def test_jobs_left_at_the_end_of_a_stop_are_given_up_and_ended_at_their_placer():
+    hub = FakeHub("p1")
+    desk = make_desk(Placers("p1"), hub)
+    job = desk.submit(make_work())
+    desk.give_up_all("this daemon stops")
+    assert job.result.get(timeout=1).kind is OutcomeKind.GIVEN_UP
+    assert job.result.get().retry_after_ms
+    assert hub.sent["p1"][-1] == Cancel(JOB)
+    assert not desk.pending
