--- a/soak/clients.py
+++ b/soak/clients.py
@@ -9,7 +9,13 @@
 from urllib3.exceptions import HTTPError, NewConnectionError
 
 from rattanloom.clock import MS_PER_S, Clock, SystemClock
-from soak.deployment import CLIENTS_PORT, PATH_PREFIX, ROUTE_HOST, Deployment
+from soak.deployment import (
+    CLIENTS_PORT,
+    PATH_PREFIX,
+    ROUTE_HOST,
+    Daemon,
+    Deployment,
+)
 from soak.history import NOT_CONNECTED, ClientJob, History, Send
 
 DEADLINE_MS = 1_500.0
@@ -55,7 +61,7 @@
                 gevent.spawn(self._ask, daemon)
             gevent.sleep(READY_INTERVAL_MS / MS_PER_S)
 
-    def _ask(self, daemon: object) -> None:
+    def _ask(self, daemon: Daemon) -> None:
         ready = self.deployment.is_ready(daemon)
         self.misses[daemon.name] = 0 if ready else self.misses.get(daemon.name, 0) + 1
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -27,13 +27,11 @@
 ROUTE_HOST = "desk.example"
 PATH_PREFIX = "/jobs/"
 # Outside the range from which the kernel takes ports of outgoing connections.
-CLIENTS_PORT, READY_PORT, PEER_PORT, STORE_PORT, CONTROL_PORT = (
-    8161,
-    8167,
-    7720,
-    8169,
-    8170,
-)
+CLIENTS_PORT = 8161
+READY_PORT = 8167
+PEER_PORT = 7720
+STORE_PORT = 8169
+CONTROL_PORT = 8170
 WORKER_PORT = 9000
 READY_WITHIN_S = 30.0
 POLL_S = 0.05
@@ -190,33 +188,20 @@
     conditions = Conditions()
     store = _store(folder, network)
     workers = _workers(shape, network, random)
-    daemons = {}
-    names = {}
+    daemons = _daemons(shape, folder, network)
+    names = {daemon.settings["ip"]: name for name, daemon in daemons.items()}
     relays = {}
-    for zone_number, zone in enumerate(ZONES):
-        for number in range(1, shape.daemons + 1):
-            name = f"edge-{zone}-{number}"
-            ip = f"{network}.{zone_number}.{number}"
-            names[ip] = name
-            daemons[name] = _daemon(folder, name, zone, ip)
     for name, daemon in daemons.items():
-        ip = daemon.settings["ip"]
-        peer = Relay(
-            name,
-            daemon.settings["advertised_peer"],
-            f"{ip}:{PEER_PORT}",
-            names,
-            conditions,
+        settings = daemon.settings
+        listen = f"{settings['ip']}:{PEER_PORT}"
+        relays[name] = Relay(
+            name, settings["advertised_peer"], listen, names, conditions
         )
-        own_store = daemon.settings["platform"]["addr"]
-        relays[name] = peer
         relays[f"store of {name}"] = Relay(
-            "store", own_store, store.address, names, conditions
-        )
-    for worker in workers.values():
-        relays[worker.worker_id] = Relay(
-            worker.worker_id, worker.advertised, worker.listen, names, conditions
+            "store", settings["platform"]["addr"], store.address, names, conditions
         )
+    for name, worker in workers.items():
+        relays[name] = Relay(name, worker.advertised, worker.listen, names, conditions)
     pools = {
         zone: _pool(folder, network, number, zone, workers, store.address)
         for number, zone in enumerate(ZONES)
@@ -224,6 +209,16 @@
     return Deployment(folder, store, daemons, pools, workers, relays, conditions)
 
 
+def _daemons(shape: Shape, folder: Path, network: str) -> dict[str, Daemon]:
+    daemons = {}
+    for zone_number, zone in enumerate(ZONES):
+        for number in range(1, shape.daemons + 1):
+            name = f"edge-{zone}-{number}"
+            ip = f"{network}.{zone_number}.{number}"
+            daemons[name] = _daemon(folder, name, zone, ip)
+    return daemons
+
+
 def _relay_of(ip: str) -> str:
     """Return the address on which the relays in front of a daemon listen."""
     network, zone_number, number = ip.rsplit(".", 2)
