--- a/experiments/demo.py
+++ b/experiments/demo.py
@@ -10,7 +10,7 @@
 from pathlib import Path  # noqa: E402
 
 import gevent  # noqa: E402
-from attrs import define, field  # noqa: E402
+from attrs import define  # noqa: E402
 
 from experiments.cluster import (  # noqa: E402
     Cluster,
@@ -19,6 +19,7 @@
     running_cluster,
     with_settings,
 )
+from experiments.findings import Findings  # noqa: E402
 from rattanloom.callers.client import Dispatcher  # noqa: E402
 from rattanloom.job import Job, JobAnswer, JobOutcome, Task  # noqa: E402
 
@@ -29,12 +30,11 @@
 
 
 @define(eq=False)
-class Demo:
-    """The running demonstration; ``broken`` lists what did not hold."""
+class Demo(Findings):
+    """The running demonstration."""
 
     cluster: Cluster
     rules: Path
-    broken: list[str] = field(factory=list)
 
     def host(self, number: int) -> Process:
         """Return one entry host by its place."""
@@ -44,12 +44,6 @@
         """Return a caller that speaks to one entry host."""
         return Dispatcher((self.host(number).address,), team)
 
-    def expect(self, text: str, held: bool) -> None:
-        """Print one finding, and remember it if it did not hold."""
-        print(f"  {'ok ' if held else 'NOT'} {text}")
-        if not held:
-            self.broken.append(text)
-
 
 def run_job(caller: Dispatcher, kind: str, times_ms: list[int]) -> JobAnswer:
     """Submit one job of tasks of the given true run times."""
@@ -181,8 +175,7 @@
         kill_host(demo)
         stop_host(demo)
         show_time_line(demo, answer)
-    print("Everything held." if not demo.broken else f"Broken: {demo.broken}")
-    return 1 if demo.broken else 0
+    return demo.exit_status()
 
 
 if __name__ == "__main__":
--- a/experiments/platform_demo.py
+++ b/experiments/platform_demo.py
@@ -11,6 +11,7 @@
 import gevent  # noqa: E402
 from attrs import define, field  # noqa: E402
 
+from experiments.findings import Findings  # noqa: E402
 from rattanloom.operators.story import read_lines, story_lines  # noqa: E402
 from rattanloom.platform.rows import RowRef  # noqa: E402
 from rattanloom.platform.store import StoreClient  # noqa: E402
@@ -24,6 +25,7 @@
     running_deployment,
 )
 from soak.history import ClientJob, History  # noqa: E402
+from soak.relay import ways_between  # noqa: E402
 
 DEADLINE_MS = 1_500.0
 SERVED_WITHIN_S = 4.0
@@ -32,19 +34,12 @@
 
 
 @define(eq=False)
-class Demo:
-    """The running demonstration; ``broken`` lists what did not hold."""
+class Demo(Findings):
+    """The running demonstration."""
 
     deployment: Deployment
     random: Random
     history: History = field(factory=History)
-    broken: list[str] = field(factory=list)
-
-    def expect(self, text: str, held: bool) -> None:
-        """Print one finding, and remember it if it did not hold."""
-        print(f"  {'ok ' if held else 'NOT'} {text}")
-        if not held:
-            self.broken.append(text)
 
     def run_job(self, zone: str = ZONES[0]) -> ClientJob:
         """Send one job of four tasks as a client of a zone."""
@@ -106,11 +101,7 @@
     """Cut a zone off, and heal it."""
     zone = ZONES[1]
     print(f"4. {zone} is cut off from the other zones and from the store.")
-    members = demo.deployment.daemons | demo.deployment.workers
-    inside = {name for name, member in members.items() if member.zone == zone}
-    outside = {"store", *members} - inside
-    ways = {(a, b) for a in inside for b in outside}
-    demo.deployment.conditions.cut = ways | {(b, a) for a, b in ways}
+    demo.deployment.conditions.cut = ways_between(*demo.deployment.sides(zone))
     for each in ZONES:
         demo.expect(f"clients of {each} are served", demo.is_served_soon(each))
     demo.deployment.conditions.cut = set()
@@ -146,8 +137,7 @@
         cut_zone(demo)
         stop_daemon(demo)
         tell_story(demo, job)
-    print("Everything held." if not demo.broken else f"Broken: {demo.broken}")
-    return 1 if demo.broken else 0
+    return demo.exit_status()
 
 
 if __name__ == "__main__":
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -146,6 +146,13 @@
                     raise TimeoutError(f"{daemon.name} is not ready: {log}")
                 time.sleep(POLL_S)
 
+    def sides(self, zone: str) -> tuple[set[str], set[str]]:
+        """Return the members of a zone, and all others and the store."""
+        inside, outside = set(), {"store"}
+        for name, member in (self.daemons | self.workers).items():
+            (inside if member.zone == zone else outside).add(name)
+        return inside, outside
+
     def processes(self) -> list[Process]:
         """Return every process of the deployment."""
         return [self.store, *self.pools.values(), *self.daemons.values()]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from rattanloom.clock import MS_PER_S, Clock, SystemClock
 from soak.deployment import PATH_PREFIX, ZONES, Daemon, Deployment
 from soak.history import History, PoolKill, Span
+from soak.relay import ways_between
 
 # The platform ends a process this long after SIGTERM (grace_s).
 GRACE_S = 6.0
@@ -65,28 +66,35 @@
 
     def sides(self) -> tuple[set[str], set[str]]:
         """Return the members of one zone, and all others and the store."""
-        zone = self.random.choice(ZONES)
-        inside, outside = set(), {"store"}
-        for name, member in (self.deployment.daemons | self.deployment.workers).items():
-            (inside if member.zone == zone else outside).add(name)
-        return inside, outside
+        return self.deployment.sides(self.random.choice(ZONES))
 
 
 Block = Iterator[None]
 Fault = Callable[[Scene], AbstractContextManager[None]]
 
 
-@contextmanager
-def daemon_killed(scene: Scene) -> Block:
+def on_free_daemon(block: Callable[[Scene, Daemon], Block]) -> Fault:
+    """Return a fault of a daemon that no other fault holds, if there is one."""
+
+    @contextmanager
+    def fault(scene: Scene) -> Block:
+        with scene.free_daemon() as daemon:
+            if daemon is None:
+                yield
+                return
+            with contextmanager(block)(scene, daemon):
+                yield
+
+    return fault
+
+
+@on_free_daemon
+def daemon_killed(scene: Scene, daemon: Daemon) -> Block:
     """A daemon is killed, and started again at the end."""
-    with scene.free_daemon() as daemon:
-        if daemon is None:
-            yield
-            return
-        with scene.span("daemon_killed", daemon.name):
-            daemon.kill()
-            yield
-            _start(scene, daemon)
+    with scene.span("daemon_killed", daemon.name):
+        daemon.kill()
+        yield
+        _start(scene, daemon)
 
 
 @contextmanager
@@ -107,47 +115,37 @@
             _await_ready(scene, daemon)
 
 
-@contextmanager
-def daemon_stopped(scene: Scene) -> Block:
+@on_free_daemon
+def daemon_stopped(scene: Scene, daemon: Daemon) -> Block:
     """A daemon is told to stop, killed after its grace, and started again."""
-    with scene.free_daemon() as daemon:
-        if daemon is None:
-            yield
-            return
-        from_ms = scene.clock.now_ms()
-        daemon.terminate()
-        while daemon.running and scene.clock.now_ms() < from_ms + GRACE_S * MS_PER_S:
-            gevent.sleep(RESTART_PAUSE_S)
-        to_ms = scene.clock.now_ms()
-        scene.history.stops.append(Span("stop", from_ms, to_ms, (daemon.name,)))
-        with scene.span("daemon_started", daemon.name):
-            daemon.kill()
-            _start(scene, daemon)
-        yield
+    from_ms = scene.clock.now_ms()
+    daemon.terminate()
+    while daemon.running and scene.clock.now_ms() < from_ms + GRACE_S * MS_PER_S:
+        gevent.sleep(RESTART_PAUSE_S)
+    to_ms = scene.clock.now_ms()
+    scene.history.stops.append(Span("stop", from_ms, to_ms, (daemon.name,)))
+    with scene.span("daemon_started", daemon.name):
+        daemon.kill()
+        _start(scene, daemon)
+    yield
 
 
-@contextmanager
-def daemon_paused(scene: Scene) -> Block:
+@on_free_daemon
+def daemon_paused(scene: Scene, daemon: Daemon) -> Block:
     """A daemon's process is paused, and goes on."""
-    with scene.free_daemon() as daemon:
-        if daemon is None:
-            yield
-            return
-        with scene.span("daemon_paused", daemon.name):
-            daemon.freeze()
-            yield
-            daemon.thaw()
+    with scene.span("daemon_paused", daemon.name):
+        daemon.freeze()
+        yield
+        daemon.thaw()
 
 
-@contextmanager
-def settings_reloaded(scene: Scene) -> Block:
+@on_free_daemon
+def settings_reloaded(scene: Scene, daemon: Daemon) -> Block:
     """A daemon's settings file changes, with SIGHUP."""
-    with scene.free_daemon() as daemon:
-        if daemon is not None:
-            daemon.settings["comment"] = scene.random.random()
-            daemon.write_settings()
-            daemon.signal(SIGHUP)
-        yield
+    daemon.settings["comment"] = scene.random.random()
+    daemon.write_settings()
+    daemon.signal(SIGHUP)
+    yield
 
 
 @contextmanager
@@ -211,9 +209,7 @@
 @contextmanager
 def zone_cut(scene: Scene) -> Block:
     """One zone is cut off from the others and from the store, both ways."""
-    inside, outside = scene.sides()
-    ways = {(a, b) for a in inside for b in outside}
-    with _cut(scene, "zone_cut", ways | {(b, a) for a, b in ways}):
+    with _cut(scene, "zone_cut", ways_between(*scene.sides())):
         yield
 
 
@@ -225,24 +221,20 @@
         yield
 
 
-@contextmanager
-def daemon_cut(scene: Scene) -> Block:
+@on_free_daemon
+def daemon_cut(scene: Scene, daemon: Daemon) -> Block:
     """One daemon reaches nobody, and nobody reaches it, but for clients."""
-    with scene.free_daemon() as daemon:
-        if daemon is None:
-            yield
-            return
-        others = {"store", *scene.deployment.daemons, *scene.deployment.workers}
-        ways = {(daemon.name, other) for other in others - {daemon.name}}
-        with _cut(scene, "daemon_cut", ways | {(b, a) for a, b in ways}):
-            yield
+    others = {"store", *scene.deployment.daemons, *scene.deployment.workers}
+    ways = ways_between({daemon.name}, others - {daemon.name})
+    with _cut(scene, "daemon_cut", ways):
+        yield
 
 
 @contextmanager
 def daemon_cut_from_store(scene: Scene) -> Block:
     """One daemon does not reach the store."""
     name = scene.random.choice(list(scene.deployment.daemons))
-    with _cut(scene, "daemon_cut_from_store", {(name, "store"), ("store", name)}):
+    with _cut(scene, "daemon_cut_from_store", ways_between({name}, {"store"})):
         yield
 
 
--- a/soak/play.py
+++ b/soak/play.py
@@ -123,7 +123,10 @@
 
 
 def play_seeds(
-    first: int = 1, seeds: int = 1, faults_s: float = 12.0, only: str = ""
+    first: int = 1,
+    seeds: int = 1,
+    faults_s: float = 12.0,
+    only: str | tuple[str, ...] = (),
 ) -> None:
     """Play several seeds, one after the other; exit 1 if a promise was broken.
 
@@ -133,8 +136,9 @@
         faults_s: how long faults are injected in each.
         only: names of faults, separated by commas; all if empty.
     """
-    names = tuple(only.split(",")) if only else tuple(FAULTS)
-    _play_all(range(first, first + seeds), faults_s, names)
+    # The command line makes a tuple of several names, and text of a single one.
+    names = (only,) if isinstance(only, str) else tuple(only)
+    _play_all(range(first, first + seeds), faults_s, names or tuple(FAULTS))
 
 
 def play_regressions(faults_s: float = 12.0) -> None:
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -9,6 +9,7 @@
 from gevent.socket import create_connection, socket
 
 from rattanloom.clock import MS_PER_S
+from rattanloom.links.hub import split_address
 
 READ_BYTES = 65_536
 CUT_POLL_MS = 5
@@ -27,6 +28,11 @@
     delay_ms: dict[tuple[str, str], float] = field(factory=dict)
 
 
+def ways_between(some: set[str], others: set[str]) -> set[tuple[str, str]]:
+    """Return the ways in both directions, for a cut that lets nothing through."""
+    return {way for a in some for b in others for way in ((a, b), (b, a))}
+
+
 @define(eq=False)
 class Passage:
     """One relayed connection; a silenced one passes nothing any more."""
@@ -59,7 +65,7 @@
     @contextmanager
     def serving(self) -> Iterator[None]:
         """Relay until the block ends."""
-        server = StreamServer(_split(self.listen), self._accept)
+        server = StreamServer(split_address(self.listen), self._accept)
         server.start()
         try:
             yield
@@ -82,7 +88,9 @@
         while (source, self.name) in self.conditions.cut:
             gevent.sleep(CUT_POLL_MS / MS_PER_S)
         try:
-            far = create_connection(_split(self.target), CONNECT_TIMEOUT_MS / MS_PER_S)
+            far = create_connection(
+                split_address(self.target), CONNECT_TIMEOUT_MS / MS_PER_S
+            )
         except OSError:
             near.close()
             return
@@ -120,8 +128,3 @@
         for relay in relays:
             stack.enter_context(relay.serving())
         yield
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/standins/pool.py
+++ b/standins/pool.py
@@ -138,7 +138,9 @@
         if table is not self.table:
             drop_connection()
         table.lapse()
-        running = [[run.task, run.attempt, "", run.percent] for run in _runs(table)]
+        running = [
+            [run.task, run.attempt, "", run.percent] for run in table.runs.values()
+        ]
         return self._answer(200, running=running, finished=table.ends)
 
     def _is_misdirected(self) -> bool:
@@ -151,10 +153,6 @@
         return HTTPResponse(json.dumps(document), status, headers=headers)
 
 
-def _runs(table: RunTable) -> list:
-    return list(table.runs.values())
-
-
 @define(eq=False)
 class Pool:
     """All workers of one process."""
