Count a takeover as complete only after owners and workers were read again

Cause: a new owner recorded that it had taken over all zones of a former owner from its own view of the owners' table, at the moment of its write. Also, a worker that registered after the last read, up to 3 s earlier, counted as known, and a daemon that had lost a zone unnoticed could acquire another one and start its waiting tasks there.

Ruled out: the order of hand-over messages (the case needs none).

Change: after the write, owners and workers are read; the takeover is recorded only if both reads succeed and the former owner has no zone left. The write that acquires zones has the rows of the zones owned already among its conditions.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -284,10 +284,12 @@
         for node in self.hub.nodes():
             self.hub.link(node).send(message)
 
-    def _refresh_workers(self) -> None:
+    def _refresh_workers(self) -> bool:
+        """Read the workers now; return whether it succeeded."""
         failure = self.workers_follower.read_now()
         if failure is not None:
             log.warning("workers_not_read", reason=failure.reason)
+        return failure is None
 
     def _workers_read_pause_ms(self) -> float:
         return (
--- a/rattanloom/ownership/acquisition.py
+++ b/rattanloom/ownership/acquisition.py
@@ -32,9 +32,10 @@
 class ZoneAcquirer:
     """Acquires zones for this daemon.
 
-    ``is_registry_complete`` is that of ``Ownership``. ``takeover_ms_by_node`` maps
-    the node of a former owner to the time at which this daemon had acquired all of
-    its zones; only takeovers in which all of its workers were known are recorded.
+    ``refresh_workers``, ``is_registry_complete`` and ``on_change`` are those of
+    ``Ownership``. ``takeover_ms_by_node`` maps the node of a former owner to the time
+    at which this daemon had acquired all of its zones; only takeovers in which all of
+    its workers were known are recorded.
     """
 
     clock: Clock
@@ -42,7 +43,9 @@
     hub: LinkHub
     view: OwnerView
     follower: TableFollower
+    refresh_workers: Callable[[], bool]
     is_registry_complete: Callable[[], bool]
+    on_change: Callable[[], None]
     takeover_ms_by_node: dict[str, float] = field(factory=dict)
     _claim_count: int = 0
 
@@ -55,19 +58,21 @@
         if unchanged and (not write.ready() or write.value is False):
             self._claim(unchanged)
 
-    def acquire(
-        self, zones: Sequence[str], reason: str, complete: bool | None = None
-    ) -> bool:
+    def acquire(self, zones: Sequence[str], reason: str, complete: bool = True) -> bool:
         """Record this daemon as the owner of zones, unless another one wrote first.
 
         Returns False if the store failed and no effect can be read. ``complete`` is
-        whether all workers of the former owners are known, by default the result of
-        ``is_registry_complete``.
+        False if some workers of the former owners are not known.
+
+        The write also fails if this daemon lost another zone without noticing.
+        Otherwise, it would start tasks in the new zones that the owner of the lost
+        zone has taken over as well.
         """
         node = self.view.own_member.node
         records = [ZoneOwner(zone, node, self.view.epoch(zone) + 1) for zone in zones]
         conditions = [
-            Condition(zone_ref(zone), self.view.version(zone)) for zone in zones
+            Condition(zone_ref(zone), self.view.version(zone))
+            for zone in dict.fromkeys((*zones, *self.view.owned()))
         ]
         writes = [(zone_ref(record.zone), encode_record(record)) for record in records]
         log.info("zones_taking", zones=zones, reason=reason)
@@ -116,18 +121,36 @@
         return bool(written)
 
     def _record_acquired(
-        self, records: Sequence[ZoneOwner], complete: bool | None = None
+        self, records: Sequence[ZoneOwner], complete: bool = True
     ) -> None:
-        """Apply acquired zones; record takeovers of owners that have none left."""
-        if complete is None:
-            complete = self.is_registry_complete()
+        """Apply acquired zones, then confirm the takeovers of their former owners."""
         before = {self.view.owners.get(record.zone) for record in records}
         former_owners = {owner.owner for owner in before if owner}
-        taken = {record.zone for record in records}
-        for owner in former_owners - {self.view.own_member.node}:
-            if complete and self.view.zones_of(owner) <= taken:
-                self.takeover_ms_by_node[owner] = self.clock.now_ms()
+        former_owners.discard(self.view.own_member.node)
         self.view.apply_owners(records, acquired=True)
+        gevent.spawn(self._confirm_takeovers, former_owners if complete else set())
+
+    def _confirm_takeovers(self, former_owners: set[str]) -> None:
+        """Read owners and workers; record takeovers of owners that have no zone left.
+
+        Both are read after the zones were acquired: a former owner may have acquired
+        another zone, or used a worker, that was not known here.
+        """
+        reading = gevent.spawn(self.refresh_workers)
+        is_confirmed = self.follower.read_now() is None
+        is_confirmed &= bool(reading.get()) and self.is_registry_complete()
+        remaining = {node for node in former_owners if self.view.zones_of(node)}
+        log.info(
+            "takeover_checked",
+            former_owners=sorted(former_owners),
+            confirmed=is_confirmed,
+            still_owners=sorted(remaining),
+        )
+        if is_confirmed and former_owners - remaining:
+            now_ms = self.clock.now_ms()
+            for node in former_owners - remaining:
+                self.takeover_ms_by_node[node] = now_ms
+            self.on_change()
 
 
 def make_claims_message(claimed: Sequence[ZoneOwner]) -> ZoneClaims:
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -61,9 +61,10 @@
     """Keeps every zone owned by one daemon.
 
     ``known_workers`` returns the ids of the registered workers, ``refresh_workers``
-    reads them again. ``is_registry_complete`` returns whether they include all live
-    workers; after an outage of the store, some may be missing. ``on_change`` is
-    called after owners changed. ``leaving`` is set once this daemon stops.
+    reads them again and returns whether it succeeded. ``is_registry_complete``
+    returns whether they include all live workers; after an outage of the store, some
+    may be missing. ``on_change`` is called after owners changed. ``leaving`` is set
+    once this daemon stops.
     """
 
     own_member: Member
@@ -72,7 +73,7 @@
     store: Store
     hub: LinkHub
     known_workers: Callable[[], set[str]]
-    refresh_workers: Callable[[], object]
+    refresh_workers: Callable[[], bool]
     is_registry_complete: Callable[[], bool]
     on_change: Callable[[], None]
     leaving: bool = False
@@ -98,7 +99,14 @@
             settle_ms=SETTLE_MS,
         )
         self.acquirer = ZoneAcquirer(
-            clock, store, hub, self.view, self.follower, self.is_registry_complete
+            clock,
+            store,
+            hub,
+            self.view,
+            self.follower,
+            self.refresh_workers,
+            self.is_registry_complete,
+            self.on_change,
         )
         self.takeover = Takeover(
             self.zones,
@@ -108,7 +116,6 @@
             self.indirect_probe,
             self.store_heartbeats,
             self.acquirer,
-            self.refresh_workers,
             self.is_large_deployment,
         )
         self.handover_planner = HandoverPlanner(clock, hub, self.view)
--- a/rattanloom/ownership/takeover.py
+++ b/rattanloom/ownership/takeover.py
@@ -34,10 +34,10 @@
 class Takeover:
     """Watches the owners of zones and replaces those that are lost.
 
-    ``zones`` are all zones of the deployment. ``refresh_workers`` and
-    ``is_large_deployment`` are those of ``Ownership``. ``registered_ms`` is when this
-    daemon registered. ``_unreachable_since_ms`` maps the node of an owner without a
-    live link to the time of the first check that found none.
+    ``zones`` are all zones of the deployment. ``is_large_deployment`` is that of
+    ``Ownership``. ``registered_ms`` is when this daemon registered.
+    ``_unreachable_since_ms`` maps the node of an owner without a live link to the time
+    of the first check that found none.
     """
 
     zones: tuple[str, ...]
@@ -47,7 +47,6 @@
     indirect_probe: IndirectProbe
     store_heartbeats: StoreHeartbeats
     acquirer: ZoneAcquirer
-    refresh_workers: Callable[[], object]
     is_large_deployment: Callable[[], bool]
     registered_ms: float | None = None
     leaving: bool = False
@@ -118,7 +117,6 @@
         if any(self.indirect_probe.is_owner_alive(owner) for owner in owners):
             gevent.sleep(OWNER_ALIVE_PAUSE_MS / MS_PER_S)
             return
-        gevent.spawn(self.refresh_workers)
         takeable = self._zones_to_take(zones, owners, reachable_nodes)
         self._take_over_by_rank(
             takeable,
