Parse a worker's entry again only if a used field changed

Change: the adapter keeps the used fields and the parsed entry of each worker. Ruled out: comparing whole values (the heartbeat's counter is in them).

--- a/rattanloom/platform/json_format.py
+++ b/rattanloom/platform/json_format.py
@@ -76,13 +76,20 @@
     return f"{'.'.join(segments).lstrip('.') or 'document'}: {reason}"
 
 
-def parse(body: bytes, model: type[T]) -> T:
-    """Decode a JSON body as ``model``; raise ``FormatError`` if it does not match."""
+def decode_object(body: bytes) -> dict[str, object]:
+    """Decode a JSON object; raise ``FormatError`` for anything else."""
     try:
         document = json.loads(body)
     except (ValueError, RecursionError) as error:
         raise FormatError(f"not valid JSON: {error}") from error
-    return structure(document, model)
+    if not isinstance(document, dict):
+        raise FormatError("not a JSON object")
+    return document
+
+
+def parse(body: bytes, model: type[T]) -> T:
+    """Decode a JSON body as ``model``; raise ``FormatError`` if it does not match."""
+    return structure(decode_object(body), model)
 
 
 def encode(document: object) -> bytes:
--- a/rattanloom/platform/worker_entries.py
+++ b/rattanloom/platform/worker_entries.py
@@ -1,9 +1,9 @@
 """Parses the entries by which workers register in the platform's metadata store."""
 
-from attrs import frozen
+from attrs import define, field, fields, frozen
 
 from rattanloom.placement.workers import Resources, WorkerEntry
-from rattanloom.platform.json_format import FormatError, parse
+from rattanloom.platform.json_format import FormatError, decode_object, structure
 from rattanloom.platform.rows import Row
 
 WORKERS_TABLE = "servers"
@@ -32,11 +32,38 @@
     born: int = 0
 
 
-def parse_worker_entry(row: Row) -> WorkerEntry:
-    """Return the entry in ``row``; raise ``FormatError`` if it is invalid."""
-    if row.value is None:
-        raise FormatError("the row was deleted or its value is not valid base64")
-    wire = parse(row.value, WireWorkerEntry)
+USED_FIELDS = tuple(attribute.name for attribute in fields(WireWorkerEntry))
+
+
+@define(eq=False, repr=False)
+class WorkerEntryParser:
+    """Parses the entries of workers; remembers the last one of each.
+
+    A worker's heartbeat changes its entry, but hardly ever the fields that are used.
+    The entry that was parsed last is then returned again. ``_parsed`` maps worker ids
+    to the used fields and the entry.
+    """
+
+    _parsed: dict[str, tuple[dict[str, object], WorkerEntry]] = field(factory=dict)
+
+    def parse(self, row: Row) -> WorkerEntry:
+        """Return the entry in ``row``; raise ``FormatError`` if it is invalid."""
+        if row.value is None:
+            raise FormatError("the row was deleted or its value is not valid base64")
+        document = decode_object(row.value)
+        used = {name: document[name] for name in USED_FIELDS if name in document}
+        worker_id = row.ref.key
+        if worker_id not in self._parsed or self._parsed[worker_id][0] != used:
+            self._parsed[worker_id] = (used, _make_entry(worker_id, used))
+        return self._parsed[worker_id][1]
+
+    def forget(self, worker_id: str) -> None:
+        """Forget the entry of a worker that is gone."""
+        self._parsed.pop(worker_id, None)
+
+
+def _make_entry(worker_id: str, document: dict[str, object]) -> WorkerEntry:
+    wire = structure(document, WireWorkerEntry)
     if wire.state not in (READY, DRAINING):
         raise FormatError(f"unknown state {wire.state!r}")
     host, _, port = wire.addr.rpartition(":")
@@ -44,7 +71,7 @@
         raise FormatError(f"addr {wire.addr!r} is not ip:port")
     capacity = wire.capacity
     return WorkerEntry(
-        row.ref.key,
+        worker_id,
         wire.born,
         wire.service,
         wire.addr,
--- a/rattanloom/registry.py
+++ b/rattanloom/registry.py
@@ -10,7 +10,7 @@
 from rattanloom.placement.workers import WorkerEntry
 from rattanloom.platform.json_format import FormatError
 from rattanloom.platform.rows import Row
-from rattanloom.platform.worker_entries import parse_worker_entry
+from rattanloom.platform.worker_entries import WorkerEntryParser
 
 log = DecisionLog("registry")
 
@@ -30,6 +30,7 @@
     clock: Clock
     on_change: Callable[[], None]
     entries: dict[str, WorkerEntry] = field(factory=dict)
+    _parser: WorkerEntryParser = field(factory=WorkerEntryParser)
     _missing: set[str] = field(factory=set)
     _first_read_ms: float | None = None
 
@@ -66,7 +67,7 @@
                 self._mark_missing(worker_id)
             return
         try:
-            entry = parse_worker_entry(row)
+            entry = self._parser.parse(row)
         except FormatError as error:
             log.warning("entry_unreadable", worker=worker_id, reason=str(error))
             return
@@ -85,4 +86,5 @@
             log.info("worker_gone", worker=worker_id)
             self._missing.discard(worker_id)
             del self.entries[worker_id]
+            self._parser.forget(worker_id)
             self.on_change()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -18,7 +18,7 @@
 from rattanloom.platform.job_format import is_job_id, parse_job_request
 from rattanloom.platform.json_format import FormatError
 from rattanloom.platform.rows import Row, RowRef
-from rattanloom.platform.worker_entries import parse_worker_entry
+from rattanloom.platform.worker_entries import WorkerEntryParser
 from rattanloom.settings import SettingsError
 
 QUEUE = Queue("q", "h.example", "/q/", "service", 1, 3, 1.6, 60)
@@ -70,6 +70,22 @@
     return path
 
 
+def test_entry_that_changed_only_in_its_heartbeat_is_not_parsed_again():
+    parser = WorkerEntryParser()
+    entries = [
+        parser.parse(make_row(json.dumps(ENTRY | {"seq": number}).encode()))
+        for number in (1, 2)
+    ]
+    assert entries[0] is entries[1]
+
+
+def test_entry_with_a_changed_field_is_parsed_again():
+    parser = WorkerEntryParser()
+    first = parser.parse(make_row(json.dumps(ENTRY).encode()))
+    second = parser.parse(make_row(json.dumps(ENTRY | {"state": "draining"}).encode()))
+    assert (first.accepting, second.accepting) == (True, False)
+
+
 def test_settings_with_unknown_fields_are_read(tmp_path):
     deployment = load_deployment(write_settings(tmp_path))
     assert deployment.node == "edge-a-1"
@@ -94,7 +110,7 @@
 
 
 def test_worker_entry_is_parsed():
-    entry = parse_worker_entry(make_row(json.dumps(ENTRY).encode()))
+    entry = WorkerEntryParser().parse(make_row(json.dumps(ENTRY).encode()))
     assert entry.incarnation_ms == 17
     assert entry.accepting
     assert entry.capacity.cpu_millicores == 16000
@@ -114,14 +130,14 @@
 )
 def test_malformed_worker_entry_is_refused(value):
     with pytest.raises(FormatError):
-        parse_worker_entry(make_row(value))
+        WorkerEntryParser().parse(make_row(value))
 
 
 @given(json_values)
 def test_any_json_is_parsed_or_refused(value):
     content = json.dumps(value).encode()
     for parse in (
-        lambda: parse_worker_entry(make_row(content)),
+        lambda: WorkerEntryParser().parse(make_row(content)),
         lambda: parse_configuration(make_row(content)),
         lambda: parse_job_request("00000000000000aa", content, QUEUE, 1_000),
     ):
