Read the workers' table seldom on daemons that are unlikely to need it

Ruled out: reading the workers of one zone only (the table has one part).

Change: daemons that are not among the first three candidates for their zone read every 15 s, within the store's history. The first three candidates keep reading every 3 s, so that one of them has a recent list if the store is down at the takeover.

Test: only the first candidates of a zone are likely successors.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -68,9 +68,13 @@
 TICK_MS = 50
 # Pauses between reads of the table of workers. A leaving worker must get no new work
 # after 2 s. Workers write their entries every 1.5 s, which leaves 500 ms for the pause
-# and the read. A daemon without zones needs a recent list only in case it gets one.
+# and the read. A daemon without zones needs a list only in case it gets one, and reads
+# it again then; the list of a likely successor is recent, as the store may be down
+# when it takes over. Each heartbeat changes an entry, so a read returns nearly all.
 OWNER_READ_PAUSE_MS = 400
-NON_OWNER_READ_PAUSE_MS = 3_000
+SUCCESSOR_READ_PAUSE_MS = 3_000
+# Shorter than the history of the store, so that changes can still be read.
+OTHERS_READ_PAUSE_MS = 15_000
 # Time from the start of a stop until idle connections are closed. By then, clients use
 # other daemons, to which they connect within 1 s of two failed readiness checks.
 BALANCER_REMOVAL_MS = 2_200
@@ -292,9 +296,11 @@
         return failure is None
 
     def _workers_read_pause_ms(self) -> float:
-        return (
-            OWNER_READ_PAUSE_MS if self.ownership.owned() else NON_OWNER_READ_PAUSE_MS
-        )
+        if self.ownership.owned():
+            return OWNER_READ_PAUSE_MS
+        if self.ownership.is_likely_successor():
+            return SUCCESSOR_READ_PAUSE_MS
+        return OTHERS_READ_PAUSE_MS
 
     def _limits(self) -> RequestLimits:
         configuration = self.queues.configuration
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -54,6 +54,8 @@
 # One placer serves this many workers with half of a core (docs/CAPACITY.md). In a
 # deployment with more workers, each zone has its own owner.
 WORKERS_PER_PLACER_MAX = 64
+# This many of the first candidates for a zone are ready to take it over at any time.
+LIKELY_SUCCESSORS = 3
 
 
 @define(eq=False, repr=False)
@@ -140,6 +142,11 @@
         """Return whether each zone should have its own owner."""
         return len(self.known_workers()) > WORKERS_PER_PLACER_MAX
 
+    def is_likely_successor(self) -> bool:
+        """Return whether this daemon is among the first candidates for its zone."""
+        zone = self.own_member.zone if self.is_large_deployment() else None
+        return self.view.rank(zone, self.owners()) < LIKELY_SUCCESSORS
+
     def owned(self) -> dict[str, ZoneOwner]:
         """Return the zones that this incarnation owns, with their owner records."""
         return self.view.owned()
--- a/rattanloom/ownership/view.py
+++ b/rattanloom/ownership/view.py
@@ -1,6 +1,6 @@
 """The members and owners known to this daemon, from the store and from peers."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 
 from attrs import define, field
 
@@ -129,13 +129,19 @@
         }
         members[self.own_member.node] = self.own_member
         return sorted(
-            members.values(),
-            key=lambda member: (
-                preferred_zone is not None and member.zone != preferred_zone,
-                -member.cpu_cores,
-                -member.started_wall_ms,
-                member.node,
-            ),
+            members.values(), key=lambda member: _takeover_order(member, preferred_zone)
+        )
+
+    def rank(self, preferred_zone: str | None, lost_nodes: Container[str]) -> int:
+        """Return how many other members come before this daemon in a takeover.
+
+        All members count except ``lost_nodes``; the order is that of ``candidates``.
+        """
+        own_order = _takeover_order(self.own_member, preferred_zone)
+        return sum(
+            _takeover_order(member, preferred_zone) < own_order
+            for node, member in self.members.items()
+            if node not in lost_nodes
         )
 
     def is_majority_reached(self, zone: str, reachable_nodes: set[str]) -> bool:
@@ -149,3 +155,13 @@
             return True
         is_majority = 2 * len(reachable_nodes & set(self.members)) > len(self.members)
         return is_majority and bool(nodes & reachable_nodes)
+
+
+def _takeover_order(member: Member, preferred_zone: str | None) -> tuple:
+    """Return the sort key of a candidate; see ``OwnerView.candidates``."""
+    return (
+        preferred_zone is not None and member.zone != preferred_zone,
+        -member.cpu_cores,
+        -member.started_wall_ms,
+        member.node,
+    )
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -211,6 +211,19 @@
     assert anywhere == ["n2", "n1", "n3"]
 
 
+def test_only_the_first_candidates_of_a_zone_are_likely_successors():
+    store = FakeStore()
+    ownership = start_node("n1", "a", store, 1.0).ownership
+    ownership.known_workers = lambda: set(range(100))
+    members = ownership.view.members
+    for number in range(2, 6):
+        members[f"n{number}"] = Member(f"n{number}", "b", "", 1, 4.0)
+    assert ownership.is_likely_successor()
+    for number in range(6, 9):
+        members[f"n{number}"] = Member(f"n{number}", "a", "", 1, 4.0)
+    assert not ownership.is_likely_successor()
+
+
 def test_expired_links_are_closed():
     with cluster(("n1", "a"), ("n2", "a"), ("n3", "b")) as nodes:
         assert wait_for(lambda: one_owner(nodes))
