Read on at once when the store returned a full page of changes

Ruled out: that the store sends all rows (1,000 rows in two reads).

Change: a follower pauses only after a read that returned less.

Test: seen to fail with the check switched off.

--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -15,6 +15,8 @@
 
 log = DecisionLog("store")
 
+# A read of changes that returns this many rows may not have returned all.
+ROWS_PER_READ_MAX = 500
 # Longest wait of one long poll; bounds how long a dead connection goes unnoticed.
 LONG_POLL_WAIT_MS = 2_500
 # Steps of the pause between reads, since ``pause_ms`` may decrease meanwhile.
@@ -33,7 +35,8 @@
     otherwise ``pause_ms`` returns the pause between reads. ``settle_ms`` is a pause
     after each read, so that changes made meanwhile are read together. ``version`` is
     that of the last read; None requires a full read. ``failures`` counts the failed
-    reads since the last success.
+    reads since the last success. ``_is_behind`` is set while more changes are
+    available than the last read returned.
     """
 
     store: Store
@@ -45,6 +48,7 @@
     settle_ms: float = 0
     version: int | None = None
     failures: int = 0
+    _is_behind: bool = False
 
     def run(self) -> None:
         """Follow the table forever."""
@@ -52,7 +56,8 @@
             failure = self._step()
             if failure is None:
                 self._record_success()
-                self._pause()
+                if not self._is_behind:
+                    self._pause()
             elif failure.kind is ErrorKind.HISTORY_GONE:
                 log.info("store_history_gone", table=self.table)
                 self.version = None
@@ -78,6 +83,7 @@
 
     def _step(self) -> Failure | None:
         """Read the changes, or the table if no version is known; return any Failure."""
+        self._is_behind = False
         if self.version is None:
             return self.read_now()
         wait_ms = LONG_POLL_WAIT_MS if self.pause_ms is None else 0
@@ -85,6 +91,7 @@
         if isinstance(changes, Failure):
             return changes
         self.version = max(self.version, changes.version)
+        self._is_behind = len(changes.rows) >= ROWS_PER_READ_MAX
         if changes.rows:
             self.on_rows(changes.rows)
         return None
--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -161,7 +161,8 @@
     """In-memory table store.
 
     ``down`` makes it unreachable; the replies to the next ``lose_replies`` writes
-    are lost. Changes up to version ``history_from`` are no longer available.
+    are lost. Changes up to version ``history_from`` are no longer available. One read
+    returns at most ``rows_per_read_max`` changed rows.
     """
 
     rows: dict[RowRef, Row] = field(factory=dict)
@@ -169,6 +170,7 @@
     down: bool = False
     lose_replies: int = 0
     history_from: int = 0
+    rows_per_read_max: int = 1_000_000
     changed: list[Event] = field(factory=list)
 
     def read(self, table: str) -> TableSnapshot | Failure:
@@ -196,7 +198,11 @@
             event = Event()
             self.changed.append(event)
             event.wait(wait_ms / 1000)
-        return ChangedRows(self._changes(table, after_version), self.version)
+        rows = self._changes(table, after_version)
+        if len(rows) <= self.rows_per_read_max:
+            return ChangedRows(rows, self.version)
+        rows = rows[: self.rows_per_read_max]
+        return ChangedRows(rows, rows[-1].version)
 
     def transact(
         self,
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from rattanloom.platform.rows import RowRef
+from rattanloom.platform.rows import Row, RowRef
 from rattanloom.registry import Registry
 from rattanloom.tables import TableFollower
 from tests.dispatcher_fakes import CLOCK, FakeStore, wait_for
@@ -47,6 +47,24 @@
         assert wait_for(lambda: seen and seen[-1].value == b"after")
 
 
+def test_changes_that_one_read_does_not_return_are_read_without_a_pause():
+    store = FakeStore(rows_per_read_max=500)
+    seen = []
+    follower = TableFollower(
+        store, "t", CLOCK, lambda rows: None, seen.extend, pause_ms=lambda: 60_000
+    )
+    follower.version = 0
+    for number in range(1, 601):
+        ref = RowRef("t", "", f"k{number}")
+        store.rows[ref] = Row(ref, number, b"x")
+    store.version = 600
+    greenlet = gevent.spawn(follower.run)
+    try:
+        assert wait_for(lambda: len(seen) == 600)
+    finally:
+        greenlet.kill()
+
+
 def test_table_is_read_again_when_the_store_dropped_the_history():
     store = FakeStore()
     with following(store) as (_, snapshots):
