Probe a lost owner with few candidates, through few peers

Cause: when the owner of a zone is lost, every daemon of the zone and every other owner probed it through all other members at once.

Ruled out: probing through a random sample (a zone needs a majority of its own daemons).

Change: six candidates probe at once, the next six 250 ms later and so on up to 1 s. In a large deployment they ask the zone's daemons and the other owners, the only ones that keep links to the owner, and all others only if no majority of the zone replied. A probe also no longer ends while a peer's reply about a second owner is missing.

--- a/rattanloom/ownership/indirect_probe.py
+++ b/rattanloom/ownership/indirect_probe.py
@@ -9,7 +9,7 @@
 from rattanloom.links.messages import OwnerLivenessQuery, OwnerLivenessReply
 from rattanloom.ownership.records import Member
 
-# Time to open a link to a peer and to receive its reply.
+# Time to open a link to a peer and to receive its replies.
 PROBE_TIMEOUT_MS = 150
 POLL_MS = 10
 
@@ -18,24 +18,29 @@
 class IndirectProbe:
     """Queries peers about owners; only one probe may run at a time.
 
-    The results of the last probe are ``alive_owners``, the owners to which some peer
-    has a live link, and ``responding_peers``, the peers that replied.
+    The results since the last ``clear`` are ``alive_owners``, the owners to which some
+    peer has a live link, and ``responding_peers``, the peers that replied.
+    ``_replies`` holds the peer and the owner of each reply.
     """
 
     clock: Clock
     hub: LinkHub
     alive_owners: set[str] = field(factory=set)
     responding_peers: set[str] = field(factory=set)
+    _replies: set[tuple[str, str]] = field(factory=set)
 
-    def run(self, owners: set[str], peers: list[Member]) -> None:
-        """Probe until each peer has sent a reply, at most ``PROBE_TIMEOUT_MS``."""
+    def clear(self) -> None:
+        """Forget the results of earlier probes."""
         self.alive_owners.clear()
         self.responding_peers.clear()
+        self._replies.clear()
+
+    def run(self, owners: set[str], peers: list[Member]) -> None:
+        """Probe until each peer replied about each owner, or the timeout."""
         until_ms = self.clock.now_ms() + PROBE_TIMEOUT_MS
         queried: set[str] = set()
-        while self.clock.now_ms() < until_ms and len(self.responding_peers) < len(
-            peers
-        ):
+        expected = {(peer.node, owner) for peer in peers for owner in owners}
+        while self.clock.now_ms() < until_ms and not expected <= self._replies:
             for peer in peers:
                 self.hub.keep_link(peer.node, peer.address, until_ms)
                 link = self.hub.link(peer.node)
@@ -59,5 +64,6 @@
     def handle_reply(self, link: Link, reply: OwnerLivenessReply) -> None:
         """Record the reply of a peer."""
         self.responding_peers.add(link.peer.node)
+        self._replies.add((link.peer.node, reply.owner))
         if reply.is_alive:
             self.alive_owners.add(reply.owner)
--- a/rattanloom/ownership/takeover.py
+++ b/rattanloom/ownership/takeover.py
@@ -11,6 +11,7 @@
 from rattanloom.links.hub import LinkHub
 from rattanloom.ownership.acquisition import ZoneAcquirer
 from rattanloom.ownership.indirect_probe import IndirectProbe
+from rattanloom.ownership.records import Member
 from rattanloom.ownership.store_heartbeats import StoreHeartbeats
 from rattanloom.ownership.view import OwnerView
 
@@ -24,6 +25,11 @@
 # Delay after its registration before a daemon takes a zone that has no owner; at the
 # first start of a deployment, all daemons register within this time.
 FIRST_START_MS = 300
+# This many candidates probe peers at the same time. The next ones start after the
+# delay, unless the zone has a new owner by then; all have started after the maximum.
+PROBING_CANDIDATES = 6
+PROBING_DELAY_MS = 250
+PROBING_DELAY_MAX_MS = 1_000
 # Pause after an indirect probe that found the owner alive.
 OWNER_ALIVE_PAUSE_MS = 300
 # How long a link is kept after the last request for it.
@@ -77,19 +83,30 @@
             return now_ms > (self.registered_ms or now_ms) + FIRST_START_MS
         if owner.owner == self.view.own_member.node:
             return zone not in self.view.owned()
-        return self._is_owner_lost(owner.owner, now_ms)
+        return self._is_takeover_due(zone, owner.owner, now_ms)
 
-    def _is_owner_lost(self, owner: str, now_ms: float) -> bool:
+    def _is_takeover_due(self, zone: str, owner: str, now_ms: float) -> bool:
+        """Return whether an owner has been unreachable for long enough.
+
+        That is later for candidates of a lower rank: if all daemons of a large zone
+        probed all others at once, the links would take longer than the probe.
+        """
         member = self.view.members.get(owner)
         if member is not None:
             self.hub.keep_link(owner, member.address, now_ms + LINK_KEEP_MS)
         if self.hub.is_alive(owner):
             self._unreachable_since_ms.pop(owner, None)
             return False
-        return (
-            now_ms
-            > self._unreachable_since_ms.setdefault(owner, now_ms) + LOST_AFTER_MS
-        )
+        lost_ms = now_ms - self._unreachable_since_ms.setdefault(owner, now_ms)
+        if lost_ms <= LOST_AFTER_MS:
+            return False
+        return lost_ms > LOST_AFTER_MS + self._probing_delay_ms(zone, owner)
+
+    def _probing_delay_ms(self, zone: str, lost_owner: str) -> float:
+        preferred_zone = zone if self.is_large_deployment() else None
+        rank = self.view.rank(preferred_zone, (lost_owner,))
+        delay_ms = rank // PROBING_CANDIDATES * PROBING_DELAY_MS
+        return min(delay_ms, PROBING_DELAY_MAX_MS)
 
     def _run_takeover(self, zones: list[str]) -> None:
         try:
@@ -110,8 +127,7 @@
         ]
         reachable_nodes = {own_node}
         if owners:
-            self.indirect_probe.run(owners, peers)
-            reachable_nodes |= self.indirect_probe.responding_peers
+            reachable_nodes |= self._probe(zones, owners, peers)
         else:
             reachable_nodes |= {member.node for member in peers}
         if any(self.indirect_probe.is_owner_alive(owner) for owner in owners):
@@ -124,6 +140,33 @@
             ",".join(sorted(owners)) or "none, the zones have no other owner",
         )
 
+    def _probe(
+        self, zones: list[str], owners: set[str], peers: list[Member]
+    ) -> set[str]:
+        """Probe owners through peers; return the nodes that replied.
+
+        In a large deployment, only the daemons of the zones and other owners keep
+        links to an owner. The others are probed only if a majority is needed.
+        """
+        near, far = peers, []
+        if self.is_large_deployment():
+            near = [peer for peer in peers if self._may_have_link(peer, zones)]
+            far = [peer for peer in peers if not self._may_have_link(peer, zones)]
+        probe = self.indirect_probe
+        probe.clear()
+        probe.run(owners, near)
+        reached = {self.view.own_member.node, *probe.responding_peers}
+        is_decided = any(map(probe.is_owner_alive, owners)) or any(
+            self.view.is_majority_reached(zone, reached) for zone in zones
+        )
+        if far and not is_decided:
+            probe.run(owners, far)
+        return probe.responding_peers
+
+    def _may_have_link(self, peer: Member, zones: list[str]) -> bool:
+        """Return whether a peer watches the owners of some of the zones."""
+        return peer.zone in zones or bool(self.view.zones_of(peer.node))
+
     def _zones_to_take(
         self, zones: list[str], owners: set[str], reachable_nodes: set[str]
     ) -> list[str]:
