Refuse a job whose start orders had no effect, instead of giving it up

Cause: a job counted as started once an order was sent.

Ruled out: telling 'not run' for jobs that were handed to a former placer (its workers may have run and forgotten them).

Change: a job counts the runs that were ordered, less those that definitely had no effect. An order whose reply was lost counts as without effect only if the report under the higher token comes from the same incarnation of the worker: a restarted worker no longer knows.

Tests: a job whose orders were all lost and fenced off is refused with a Retry-After (fails without the change); with a restart of the worker in between it is given up (fails without the check of the restart).

--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -238,7 +238,7 @@
                 worker, run = found
                 worker.adopt(run, task)
                 task.state = TaskState.PLACED
-                job.started = True
+                job.effective_runs += 1
             elif job.former_placers and self.inherited_work.is_task_done(task.name):
                 self._finish_task(task)
 
@@ -323,7 +323,7 @@
 
     def _start_run(self, task: PlacedTask, worker: PooledWorker) -> None:
         task.state = TaskState.PLACED
-        task.job.started = True
+        task.job.effective_runs += 1
         self.metrics.count("tasks_ordered")
         waited_ms = self.clock.now_ms() - task.queued_ms
         self.metrics.observe("task_wait_for_room", waited_ms)
@@ -387,6 +387,7 @@
             pause_ms = UNHEALTHY_PAUSE_MS
         worker.paused_until_ms = now_ms + pause_ms
         if run.task is not None and not run.task.job.ended:
+            run.task.job.effective_runs -= 1
             self._requeue(run.task)
             self.start_waiting_tasks()
 
@@ -397,7 +398,7 @@
                 if task.name == run.name and task.state is TaskState.WAITING:
                     worker.adopt(run, task)
                     task.state = TaskState.PLACED
-                    job.started = True
+                    job.effective_runs += 1
                     return
         self.inherited_work.add(worker, run)
 
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -375,6 +375,8 @@
                 incarnation_ms=incarnation_ms,
                 runs=len(self.runs),
             )
+            for run in self.runs.all():
+                run.worker_restarted = True
         self.last_finished_number = 0
         self.reported_clock_ms = 0
         self.incarnation_ms = incarnation_ms
@@ -412,7 +414,12 @@
         ``sent_ms`` and ``token`` are those of the request for the report.
         """
         if run.start_fence_token and run.confirmed_ms is None:
-            if token >= run.start_fence_token:
+            if token < run.start_fence_token:
+                return
+            if run.worker_restarted:
+                self.runs.remove(run)
+                self.events.on_run_lost(self, run, "its worker has restarted")
+            else:
                 self._drop_unstarted(run, None)
         elif _must_be_listed(run, sent_ms):
             self.runs.remove(run)
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -62,7 +62,8 @@
     received it, ``deadline_ms`` when the client stops waiting. ``receiver`` is None
     after the link to its daemon was lost, at ``orphaned_ms``. ``former_placers`` are
     the daemons that received the job earlier and may have started runs of its tasks.
-    ``started`` is set once any of its tasks has a run.
+    ``effective_runs`` counts the runs that were ordered, less those that definitely
+    had no effect.
     """
 
     submitted: SubmittedJob
@@ -73,7 +74,7 @@
     tasks_left: int = 0
     former_placers: tuple[str, ...] = ()
     received_ms: float = 0
-    started: bool = False
+    effective_runs: int = 0
     ended: bool = False
     orphaned_ms: float = 0
 
@@ -82,6 +83,11 @@
         """Return the job id chosen by the client."""
         return self.submitted.job_id
 
+    @property
+    def started(self) -> bool:
+        """Return whether any task has run or may have run."""
+        return self.effective_runs > 0
+
     @property
     def latest_on_time_start_ms(self) -> float:
         """Return the latest time to start the job so that it meets its objective."""
@@ -132,6 +138,7 @@
     If the reply to the start was lost, ``start_fence_token`` is the token that
     fences the start order off, else 0. ``last_listed_ms`` is when a report last listed
     the run, ``last_progress_ms`` when a report last showed progress.
+    ``worker_restarted`` is set if the worker has restarted since the start was ordered.
     """
 
     name: str
@@ -146,6 +153,7 @@
     percent: int = 0
     last_listed_ms: float = 0
     last_progress_ms: float = 0
+    worker_restarted: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -47,7 +47,7 @@
     Its clock is 7 s ahead of the placer's. ``running`` has the progress of each run
     in percent, ``starts`` the start orders carried out. The next ``lose_starts``
     start orders get no reply, and are kept in ``late_orders`` for the test to carry
-    out.
+    out. A test changes ``incarnation_ms`` to restart the worker.
     """
 
     worker_id: str
@@ -55,6 +55,7 @@
     cut_off: bool = False
     lose_starts: int = 0
     token: int = 0
+    incarnation_ms: int = 1
     lease_until_ms: float = 0
     running: dict[tuple[str, int], int] = field(factory=dict)
     finished: list[FinishedRun] = field(factory=list)
@@ -131,7 +132,9 @@
             RunStatus(task, attempt, "", percent)
             for (task, attempt), percent in self.running.items()
         )
-        return WorkerReport(self._clock_ms(), 1, running, tuple(self.finished))
+        return WorkerReport(
+            self._clock_ms(), self.incarnation_ms, running, tuple(self.finished)
+        )
 
     def close(self) -> None:
         """Do nothing; there are no connections."""
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -101,6 +101,29 @@
     assert [len(worker.starts) for worker in workers] == [1, 1]
 
 
+def test_job_is_refused_if_no_start_order_had_an_effect():
+    worker, receiver = FakeWorker("w1", lose_starts=100), FakeReceiver()
+    with running_placer(worker) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        placer.submit(receiver, make_submitted_job(remaining_ms=600), ())
+        assert wait_for(lambda: receiver.outcomes)
+    assert worker.late_orders
+    assert not worker.starts
+    assert receiver.outcomes[0].kind is OutcomeKind.REFUSED
+    assert receiver.outcomes[0].retry_after_ms
+
+
+def test_job_may_have_run_if_its_worker_restarted_after_a_lost_order():
+    worker, receiver = FakeWorker("w1", lose_starts=1), FakeReceiver()
+    with running_placer(worker) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        worker.incarnation_ms = 2
+        placer.submit(receiver, make_submitted_job(remaining_ms=600), ())
+        worker.lose_starts = 100
+        assert wait_for(lambda: receiver.outcomes)
+    assert receiver.outcomes[0].kind is OutcomeKind.GIVEN_UP
+
+
 def test_start_without_reply_is_fenced_off_before_another_start():
     worker, receiver = FakeWorker("w1", lose_starts=1), FakeReceiver()
     with running_placer(worker) as placer:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -11,7 +11,7 @@
 def make_task(number: int, arrived_ms: float, started: bool = False, count: int = 1):
     work = make_submitted_job(f"{number:016x}", count)
     job = make_job(work, FakeReceiver(), (), arrived_ms)
-    job.started = started
+    job.effective_runs = int(started)
     return job.tasks[0]
 
 
@@ -42,7 +42,7 @@
     waiting = WaitingTasks()
     task = make_task(1, now_ms)
     waiting.add(task, now_ms)
-    task.job.started = True
+    task.job.effective_runs = 1
     assert waiting.pop(now_ms) is task
 
 
