Compute a job's limits once, and rank only workers that accept tasks

Cause: every tick computed the longest chain of each waiting task's job several times, and every task checked all 54 workers of a zone in full, also those that were full or did not accept tasks at all.

Ruled out: an index of workers by free processor (ranks depend on the task, and 54 entries are few).

Change: the limits of a submitted job are computed once; a pass over the waiting tasks collects the accepting workers once and ranks those with enough free capacity; without waiting tasks there is no pass.

--- a/rattanloom/placement/assignment.py
+++ b/rattanloom/placement/assignment.py
@@ -7,7 +7,7 @@
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedTask
 from rattanloom.placement.waiting import WaitingTasks
-from rattanloom.placement.worker_choice import choose_worker
+from rattanloom.placement.worker_choice import accepts_tasks, choose_worker
 
 # A pass ends after this many tasks without a suitable worker. They are skipped so
 # that smaller ones behind them can use the remaining capacity.
@@ -19,7 +19,8 @@
     """One pass over the waiting tasks.
 
     ``may_start`` returns whether a task may have a new run now, on any worker;
-    ``start_run`` starts it. ``_unplaceable_millicores`` has, by service, label, memory
+    ``start_run`` starts it. ``_accepting`` has the workers that accept tasks during
+    the pass. ``_unplaceable_millicores`` has, by service, label, memory
     and accelerators, the smallest processor need for which no worker was found.
     """
 
@@ -27,8 +28,14 @@
     may_start: Callable[[PlacedTask], bool]
     start_run: Callable[[PlacedTask, PooledWorker], None]
     now_ms: float
+    _accepting: list[PooledWorker] = field(init=False)
     _unplaceable_millicores: dict[tuple[str, str, int, int], int] = field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        self._accepting = [
+            worker for worker in self.workers if accepts_tasks(worker, self.now_ms)
+        ]
+
     def run(self, waiting: WaitingTasks) -> None:
         """Start the tasks for which a worker is found; put the others back."""
         skipped: list[PlacedTask] = []
@@ -52,7 +59,7 @@
             return False
         if not self.may_start(task):
             return False
-        worker = choose_worker(task, self.workers, self.now_ms)
+        worker = choose_worker(task, self._accepting)
         if worker is None:
             # A step with a limit per worker may be rejected where other tasks of
             # the same size fit.
--- a/rattanloom/placement/jobs.py
+++ b/rattanloom/placement/jobs.py
@@ -1,6 +1,7 @@
 """Jobs as submitted to a placer, and their outcomes."""
 
 from enum import Enum
+from functools import cached_property
 
 from attrs import frozen
 
@@ -60,7 +61,7 @@
     remaining_ms: float
     waited_ms: float = 0
 
-    @property
+    @cached_property
     def critical_path_ms(self) -> float:
         """Return the estimated duration of the longest chain of dependent steps."""
         ends_ms: list[float] = []
@@ -69,18 +70,18 @@
             ends_ms.append(starts_ms + step.estimate_ms)
         return max(ends_ms, default=0.0)
 
-    @property
+    @cached_property
     def need_millicores(self) -> int:
         """Return the sum of the processor needs of all tasks."""
         return sum(step.count * step.need.cpu_millicores for step in self.steps)
 
-    @property
+    @cached_property
     def objective_ms(self) -> float:
         """Return the time from the client's request in which the job should finish."""
         policy = self.policy
         return policy.slack_factor * self.critical_path_ms + policy.latency_target_ms
 
-    @property
+    @cached_property
     def late_limit_ms(self) -> float:
         """Return the time from the client's request in which an outcome counts."""
         return LATE_FACTOR * self.objective_ms
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -297,7 +297,7 @@
 
     def start_waiting_tasks(self) -> None:
         """Start waiting tasks, in the order of their queues, where capacity is free."""
-        if self._is_starting_tasks:
+        if self._is_starting_tasks or not self.waiting:
             return
         self._is_starting_tasks = True
         try:
--- a/rattanloom/placement/waiting.py
+++ b/rattanloom/placement/waiting.py
@@ -67,6 +67,10 @@
             return self._started
         return self._late if is_late else self._on_time
 
+    def __bool__(self) -> bool:
+        """Return whether there are entries; their tasks may not wait any more."""
+        return bool(self._started or self._on_time or self._late)
+
     def __iter__(self) -> Iterator[PlacedTask]:
         """Iterate over the waiting tasks, in no particular order."""
         entries = (*self._started, *self._on_time, *self._late)
--- a/rattanloom/placement/worker_choice.py
+++ b/rattanloom/placement/worker_choice.py
@@ -15,16 +15,17 @@
 
 
 def choose_worker(
-    task: PlacedTask, workers: Iterable[PooledWorker], now_ms: float
+    task: PlacedTask, accepting: Iterable[PooledWorker]
 ) -> PooledWorker | None:
-    """Return the best worker that can run a task, or None.
+    """Return the best of the workers that accept tasks, or None if none can run it.
 
     Prefers, in this order, workers that the task does not avoid, reliable ones, fast
     ones, and those that the task leaves with little free processor.
     """
+    need = task.step.need
     best, best_rank = None, None
-    for worker in workers:
-        if not can_run(task, worker, now_ms):
+    for worker in accepting:
+        if not worker.runs.free.fits(need) or not matches(task, worker):
             continue
         rank = _rank(task, worker)
         if best_rank is None or rank < best_rank:
@@ -32,15 +33,6 @@
     return best
 
 
-def can_run(task: PlacedTask, worker: PooledWorker, now_ms: float) -> bool:
-    """Return whether a worker accepts, matches and has the capacity for a task."""
-    return (
-        worker.runs.free.fits(task.step.need)
-        and accepts_tasks(worker, now_ms)
-        and matches(task, worker)
-    )
-
-
 def accepts_tasks(worker: PooledWorker, now_ms: float) -> bool:
     """Return whether a worker accepts new tasks now.
 
