Read tables in full after a long pause; wake an idle daemon less often

Besides, a daemon at rest woke some 50 times a second: 20 ticks, 10 log flushes, 5 steps of a pause, pings.

Ruled out: reading one zone's workers only (one table, one part).

Change: a table is read in full if the pause is above 1.5 s. The first two candidates of a zone read workers every 5 s, the other daemons every 60 s; whoever acquires a zone reads them at once. A daemon that places nothing, whose jobs have placers and whose owners are alive ticks every 200 ms; a lost link or a job without a placer wakes it. Logs are flushed only if there are lines, and long pauses are slept in longer steps.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -66,15 +66,17 @@
 log = DecisionLog("daemon")
 
 TICK_MS = 50
+# Interval of a daemon that places nothing and whose watched owners are alive. A lost
+# link and a job without a placer end the wait.
+IDLE_TICK_MS = 200
 # Pauses between reads of the table of workers. A leaving worker must get no new work
 # after 2 s. Workers write their entries every 1.5 s, which leaves 500 ms for the pause
 # and the read. A daemon without zones needs a list only in case it gets one, and reads
 # it again then; the list of a likely successor is recent, as the store may be down
-# when it takes over. Each heartbeat changes an entry, so a read returns nearly all.
+# when it takes over. The others only need to know how large the deployment is.
 OWNER_READ_PAUSE_MS = 400
-SUCCESSOR_READ_PAUSE_MS = 3_000
-# Shorter than the history of the store, so that changes can still be read.
-OTHERS_READ_PAUSE_MS = 15_000
+SUCCESSOR_READ_PAUSE_MS = 5_000
+OTHERS_READ_PAUSE_MS = 60_000
 # Time from the start of a stop until idle connections are closed. By then, clients use
 # other daemons, to which they connect within 1 s of two failed readiness checks.
 BALANCER_REMOVAL_MS = 2_200
@@ -127,6 +129,7 @@
     job_router: JobRouter = field(init=False)
     connections: ConnectionState = field(init=False)
     _capacity_announced_ms: float = 0
+    _wake: Event = field(factory=Event)
 
     def __attrs_post_init__(self) -> None:
         deployment, clock = self.deployment, self.environment.clock
@@ -192,6 +195,7 @@
             self.placer,
             self.placer_choice,
             self.ownership.is_owner,
+            self._wake.set,
         )
         self.connections = ConnectionState(self._limits, lambda: not self.is_ready())
 
@@ -255,10 +259,22 @@
             self._announce_free_capacity,
         )
         while True:
-            gevent.sleep(TICK_MS / MS_PER_S)
+            self._wait_for_tick()
             for step in steps:
                 run_and_log_failure(step)
 
+    def _wait_for_tick(self) -> None:
+        is_idle = (
+            not self.placer.workers
+            and not self.placer.jobs
+            and self.ownership.is_settled()
+            and all(job.placer for job in self.job_router.pending.values())
+        )
+        if is_idle:
+            self._wake.clear()
+            self._wake.wait((IDLE_TICK_MS - TICK_MS) / MS_PER_S)
+        gevent.sleep(TICK_MS / MS_PER_S)
+
     def _request_placer_links(self) -> None:
         """Request links to placers that have jobs from here or may soon get some."""
         nodes = {job.placer for job in self.job_router.pending.values() if job.placer}
@@ -381,6 +397,7 @@
             self.job_router.on_placers_changed()
 
     def _on_link_lost(self, link: Link) -> None:
+        self._wake.set()
         self.placer.on_daemon_lost(link.peer.node)
         self.job_router.on_placer_lost(link.peer.node)
 
--- a/rattanloom/decision_log.py
+++ b/rattanloom/decision_log.py
@@ -12,6 +12,7 @@
 
 import gevent
 from attrs import define, field
+from gevent.event import Event
 from logbook import Handler, Logger, LogRecord, lookup_level
 
 from rattanloom.clock import MS_PER_S, Clock
@@ -54,11 +55,13 @@
     """Buffers lines for a file descriptor whose reader may be slow or gone.
 
     ``dropped`` counts the discarded lines; a batch whose write failed counts as one.
+    ``has_lines`` is set while there may be something to write.
     """
 
     descriptor: int
     lines: deque[bytes] = field(factory=deque)
     dropped: int = 0
+    has_lines: Event = field(factory=Event)
     _unwritten: bytes = b""
 
     def add(self, line: bytes) -> None:
@@ -67,6 +70,7 @@
             self.dropped += 1
         else:
             self.lines.append(line)
+            self.has_lines.set()
 
     def flush(self) -> None:
         """Write as much as the descriptor accepts; drop all lines after an error."""
@@ -83,6 +87,7 @@
             self.dropped += len(self.lines) + bool(self._unwritten)
             self.lines.clear()
             self._unwritten = b""
+        self.has_lines.clear()
 
 
 class JsonLinesHandler(Handler):
@@ -160,5 +165,6 @@
 
 def _flush_all(handler: JsonLinesHandler) -> None:
     while True:
+        handler.buffer.has_lines.wait()
         gevent.sleep(FLUSH_MS / MS_PER_S)
         handler.flush()
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -55,7 +55,8 @@
 
     A job that was sent to a placer before may have run, so it is sent only to the
     current owner of its zone. ``is_owner`` returns whether a daemon owns any zone.
-    ``pending`` maps job ids to jobs.
+    ``on_unplaced`` is called for a job that has no placer yet. ``pending`` maps job ids
+    to jobs.
     """
 
     node: str
@@ -64,6 +65,7 @@
     placer: Placer
     placer_choice: PlacerChoice
     is_owner: Callable[[str], bool]
+    on_unplaced: Callable[[], None]
     pending: dict[str, PendingJob] = field(factory=dict)
 
     def submit(self, submitted: SubmittedJob) -> PendingJob:
@@ -74,6 +76,8 @@
         job = PendingJob(submitted, self.clock.now_ms())
         self.pending[submitted.job_id] = job
         self._submit_to_placer(job)
+        if job.placer is None:
+            self.on_unplaced()
         return job
 
     def cancel(self, job: PendingJob) -> None:
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -55,7 +55,7 @@
 # deployment with more workers, each zone has its own owner.
 WORKERS_PER_PLACER_MAX = 64
 # This many of the first candidates for a zone are ready to take it over at any time.
-LIKELY_SUCCESSORS = 3
+LIKELY_SUCCESSORS = 2
 
 
 @define(eq=False, repr=False)
@@ -138,6 +138,10 @@
         else:
             self.hub.close_expired_links()
 
+    def is_settled(self) -> bool:
+        """Return whether this daemon is registered and has nothing to take over."""
+        return self.takeover.registered_ms is not None and self.takeover.is_settled()
+
     def is_large_deployment(self) -> bool:
         """Return whether each zone should have its own owner."""
         return len(self.known_workers()) > WORKERS_PER_PLACER_MAX
--- a/rattanloom/ownership/takeover.py
+++ b/rattanloom/ownership/takeover.py
@@ -66,6 +66,16 @@
             self._is_running = True
             gevent.spawn(self._run_takeover, zones)
 
+    def is_settled(self) -> bool:
+        """Return whether all watched zones have an owner with a live link."""
+        owned = self.view.owned()
+        owners = [self.view.owners.get(zone) for zone in self._watched_zones()]
+        return not self._is_running and all(
+            owner is not None
+            and (owner.zone in owned or self.hub.is_alive(owner.owner))
+            for owner in owners
+        )
+
     def _watched_zones(self) -> tuple[str, ...]:
         """Return the zones whose owners this daemon watches and keeps links to.
 
--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -19,8 +19,13 @@
 ROWS_PER_READ_MAX = 500
 # Longest wait of one long poll; bounds how long a dead connection goes unnoticed.
 LONG_POLL_WAIT_MS = 2_500
-# Steps of the pause between reads, since ``pause_ms`` may decrease meanwhile.
+# Steps of the pause between reads, since ``pause_ms`` may decrease meanwhile. A long
+# pause ends early only after a takeover, which reads the table itself.
 PAUSE_STEP_MS = 200
+LONG_PAUSE_STEP_MS = 1_000
+# After a longer pause, the table is read in full. The store returns every change of a
+# row, not only the last one; rows that change every 1.5 s are cheaper to read once.
+CHANGES_PAUSE_MAX_MS = 1_500
 # The pause after a first failure is twice the minimum; it doubles up to the maximum.
 RETRY_MIN_MS = 50
 RETRY_MAX_MS = 400
@@ -32,7 +37,8 @@
 
     After a full read, ``on_snapshot`` is called with all rows, so that rows deleted
     since the last read can be removed. Without ``pause_ms``, the store is long-polled;
-    otherwise ``pause_ms`` returns the pause between reads. ``settle_ms`` is a pause
+    otherwise ``pause_ms`` returns the pause between reads; if it is long, each read is
+    a full one. ``settle_ms`` is a pause
     after each read, so that changes made meanwhile are read together. ``version`` is
     that of the last read; None requires a full read. ``failures`` counts the failed
     reads since the last success. ``_is_behind`` is set while more changes are
@@ -78,13 +84,20 @@
         """Wait until the next read is due."""
         started_ms = self.clock.now_ms()
         gevent.sleep(self.settle_ms / MS_PER_S)
-        while self.pause_ms and self.clock.now_ms() < started_ms + self.pause_ms():
-            gevent.sleep(PAUSE_STEP_MS / MS_PER_S)
+        while self.pause_ms:
+            if self.clock.now_ms() >= started_ms + self.pause_ms():
+                return
+            is_long = self._has_long_pause()
+            step_ms = LONG_PAUSE_STEP_MS if is_long else PAUSE_STEP_MS
+            gevent.sleep(step_ms / MS_PER_S)
+
+    def _has_long_pause(self) -> bool:
+        return self.pause_ms is not None and self.pause_ms() > CHANGES_PAUSE_MAX_MS
 
     def _step(self) -> Failure | None:
         """Read the changes, or the table if no version is known; return any Failure."""
         self._is_behind = False
-        if self.version is None:
+        if self.version is None or self._has_long_pause():
             return self.read_now()
         wait_ms = LONG_POLL_WAIT_MS if self.pause_ms is None else 0
         changes = self.store.poll_changes(self.table, self.version, wait_ms)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -24,6 +24,11 @@
     """A hub that opens no link and records the peers that it should dial."""
 
     dialled: set = field(factory=set)
+    alive: set = field(factory=set)
+
+    def is_alive(self, node: str) -> bool:
+        """Return whether the test set the peer alive."""
+        return node in self.alive
 
     def keep_link(self, node: str, address: str, until_ms: float) -> None:
         """Record the peer."""
@@ -96,3 +101,12 @@
     peers = [m for n, m in takeover.view.members.items() if n not in ("a0", "a1")]
     takeover._probe(["a"], {"a0"}, peers)
     assert len(takeover.hub.dialled) == len(peers)
+
+
+def test_takeover_is_settled_only_while_the_zones_owner_is_alive():
+    takeover = make_takeover(1)
+    assert not takeover.is_settled()
+    takeover.hub.alive.add("a0")
+    assert takeover.is_settled()
+    del takeover.view.owners["a"]
+    assert not takeover.is_settled()
