Let candidates for a zone write further apart than their ticks

Candidates wait 30 ms a rank, but notice a loss at ticks that are up to 50 ms apart, so the second one may write first.

Change: 90 ms a rank. Ranks count daemons that replied to the probe, so dead candidates cost nothing.

--- a/rattanloom/ownership/takeover.py
+++ b/rattanloom/ownership/takeover.py
@@ -21,7 +21,8 @@
 # within ``RECONNECT_PAUSE_MS`` and can be open again by then.
 LOST_AFTER_MS = 100
 # Delay between two successive candidates, so that usually only one of them writes.
-RANK_DELAY_MS = 30
+# Longer than the interval of ticks: candidates notice a loss up to a tick apart.
+RANK_DELAY_MS = 90
 # Delay after its registration before a daemon takes a zone that has no owner; at the
 # first start of a deployment, all daemons register within this time.
 FIRST_START_MS = 300
