Refuse late jobs at once if arriving work leaves them no capacity

Tasks that can be on time start first, so a job that is late and not started waits for what they leave, up to 45% of its client's time, and is then refused.

Change: placement/overload.py, without input and output: the work of the jobs that arrived in the last 500 ms against the workers' capacity; a late job without a run is refused if the rest of the capacity can't do it and the late jobs before it in time. Retry-After is the time in which the waiting work is done, 1 s at least, spread over as long again by the job's id, so that clients don't return in one wave.

--- a/rattanloom/placement/jobs.py
+++ b/rattanloom/placement/jobs.py
@@ -75,6 +75,14 @@
         """Return the sum of the processor needs of all tasks."""
         return sum(step.count * step.need.cpu_millicores for step in self.steps)
 
+    @cached_property
+    def work_millicore_ms(self) -> float:
+        """Return the processor need of all tasks times their estimated durations."""
+        return sum(
+            step.count * step.need.cpu_millicores * step.estimate_ms
+            for step in self.steps
+        )
+
     @cached_property
     def objective_ms(self) -> float:
         """Return the time from the client's request in which the job should finish."""
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -16,11 +16,15 @@
 from rattanloom.placement.assignment import AssignmentPass
 from rattanloom.placement.inherited_work import InheritedWork
 from rattanloom.placement.jobs import (
-    RETRY_AFTER_MS,
     JobOutcome,
     OutcomeKind,
     SubmittedJob,
 )
+from rattanloom.placement.overload import (
+    ArrivingWork,
+    hopeless_jobs,
+    retry_after_ms,
+)
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import (
     OutcomeReceiver,
@@ -78,6 +82,7 @@
     workers: dict[str, PooledWorker] = field(factory=dict)
     jobs: dict[str, PlacedJob] = field(factory=dict)
     waiting: WaitingTasks = field(factory=WaitingTasks)
+    arriving: ArrivingWork = field(factory=ArrivingWork)
     active_runs: Counter[str] = field(factory=Counter)
     worker_health: WorkerHealth = field(factory=WorkerHealth)
     inherited_work: InheritedWork = field(init=False)
@@ -145,6 +150,7 @@
             return
         job = make_job(submitted, receiver, former_placers, self.clock.now_ms())
         self.jobs[job.job_id] = job
+        self.arriving.add(job, self.clock.now_ms())
         log.info(
             "job_accepted",
             job=job.job_id,
@@ -198,6 +204,16 @@
         self._stop_stalled_runs(now_ms)
         self.inherited_work.remove_expired()
         self.start_waiting_tasks()
+        self._refuse_hopeless_jobs(now_ms)
+
+    def _refuse_hopeless_jobs(self, now_ms: float) -> None:
+        """Refuse the late jobs for which arriving work leaves no capacity."""
+        late = self.waiting.late_jobs(now_ms)
+        if not late:
+            return
+        arriving = self.arriving.millicores(now_ms)
+        for job in hopeless_jobs(late, self._capacity_millicores(), arriving, now_ms):
+            self._give_up(job, "work that can be on time needs all workers")
 
     def _stop_stalled_runs(self, now_ms: float) -> None:
         """Stop stalled runs; their tasks start again, on other workers if possible.
@@ -251,7 +267,22 @@
         kind = OutcomeKind.REFUSED
         if job.started or job.former_placers:
             kind = OutcomeKind.GIVEN_UP
-        self._end_job(job, JobOutcome(job.job_id, kind, reason, RETRY_AFTER_MS))
+        self._end_job(job, JobOutcome(job.job_id, kind, reason, self._retry_after(job)))
+
+    def _retry_after(self, job: PlacedJob) -> int:
+        """Return when the client of a job that ends now should return, in ms."""
+        jobs = dict.fromkeys(task.job for task in self.waiting)
+        waiting = sum(other.remaining_work_millicore_ms for other in jobs)
+        return retry_after_ms(job.job_id, waiting, self._capacity_millicores())
+
+    def _capacity_millicores(self) -> int:
+        """Return the capacity of all workers that accept tasks or soon may again."""
+        return sum(
+            worker.runs.capacity.cpu_millicores
+            for worker in self.workers.values()
+            if worker.entry.accepting
+            and worker.state in (WorkerState.READY, WorkerState.SYNCING)
+        )
 
     def _end_job(self, job: PlacedJob, outcome: JobOutcome | None) -> None:
         """End a job and stop its runs; without an outcome, nothing is delivered."""
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -88,6 +88,11 @@
         """Return whether any task has run or may have run."""
         return self.effective_runs > 0
 
+    @property
+    def remaining_work_millicore_ms(self) -> float:
+        """Return the estimated work of the tasks that are not done."""
+        return self.submitted.work_millicore_ms * self.tasks_left / len(self.tasks)
+
     @property
     def latest_on_time_start_ms(self) -> float:
         """Return the latest time to start the job so that it meets its objective."""
--- a/rattanloom/placement/waiting.py
+++ b/rattanloom/placement/waiting.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from rattanloom.placement.runs import PlacedTask, TaskState
+from rattanloom.placement.runs import PlacedJob, PlacedTask, TaskState
 
 Entry = tuple[float, int, PlacedTask]
 
@@ -76,6 +76,15 @@
         entries = (*self._started, *self._on_time, *self._late)
         return (task for _, _, task in entries if _is_waiting(task))
 
+    def late_jobs(self, now_ms: float) -> list[PlacedJob]:
+        """Return the late jobs with waiting tasks, in the order in which they start."""
+        entries = sorted(
+            (_late_order(task), number, task.job)
+            for _, number, task in (*self._on_time, *self._late)
+            if _is_waiting(task) and task.job.latest_on_time_start_ms < now_ms
+        )
+        return list(dict.fromkeys(job for _, _, job in entries))
+
     def clear(self) -> None:
         """Remove all waiting tasks."""
         self._started.clear()
