Keep a link open after a message that can't be handled; refuse NaN and infinity

Cause: an unexpected error while a message was handled ended the reader of its link without telling anybody: jobs sent over the link stayed assigned to a placer that was no longer connected, until their deadline. Of the jobs in messages nothing was checked: one without steps would fail each tick of the placer, and an estimate of NaN breaks the order of the waiting tasks. NaN and infinity were accepted from clients as well.

Ruled out: the decoder (it raises one kind of error for any bytes); lone surrogates in a spec (refused with 400 already).

Change: the error of one message is logged and the link goes on. Jobs from links and clients need finite amounts, and steps with tasks; a deadline that is not finite counts as none.

Tests: seven new cases failed before.

--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -5,6 +5,7 @@
 """
 
 from http import HTTPStatus
+from math import isfinite
 
 import gevent
 from attrs import define, field
@@ -148,10 +149,12 @@
 
 
 def _deadline_ms(queue: Queue) -> float:
+    """Return how long the client waits; the queue's timeout without a valid header."""
     try:
-        return float(request.get_header(DEADLINE_HEADER))
+        deadline_ms = float(request.get_header(DEADLINE_HEADER))
     except (TypeError, ValueError):
         return queue.timeout_ms
+    return deadline_ms if isfinite(deadline_ms) else queue.timeout_ms
 
 
 def _outcome_response(outcome: JobOutcome | None) -> HTTPResponse:
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from math import isfinite
 from pathlib import Path
 
 import capnp
@@ -112,9 +113,29 @@
         slot.remainingMs,
         slot.waitedMs,
     )
+    _check_job(job)
     return Submit(job, tuple(slot.formerPlacers))
 
 
+def _check_job(job: SubmittedJob) -> None:
+    """Raise ``ValueError`` for a job that clients can't have posted."""
+    policy = job.policy
+    amounts = (
+        job.remaining_ms,
+        job.waited_ms,
+        policy.slack_factor,
+        policy.latency_target_ms,
+        *(step.estimate_ms for step in job.steps),
+    )
+    if not all(map(isfinite, amounts)):
+        raise ValueError(f"job {job.job_id} has an amount that is not finite")
+    if not job.steps or min(step.count for step in job.steps) < 1:
+        raise ValueError(f"job {job.job_id} has no steps, or one without tasks")
+    for number, step in enumerate(job.steps):
+        if any(earlier >= number for earlier in step.after):
+            raise ValueError(f"a step of job {job.job_id} is after a later one")
+
+
 def _read_step(slot: object) -> Step:
     return Step(
         slot.count,
--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -14,6 +14,7 @@
 from gevent.event import Event
 from gevent.socket import IPPROTO_TCP, TCP_NODELAY, socket
 
+from rattanloom.background import run_and_log_failure
 from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.links.codec import BadMessageError, decode_message, encode_message
@@ -130,7 +131,8 @@
         while not self.closed:
             message = self._read_message(RECEIVE_TIMEOUT_MS)
             if not isinstance(message, Ping):
-                self.handler.handle_message(self, message)
+                # An unexpected error concerns one message; the link stays open.
+                run_and_log_failure(self.handler.handle_message, self, message)
 
     def _read_message(self, timeout_ms: float) -> Message:
         head = self._read_exactly(LENGTH.size, timeout_ms)
--- a/rattanloom/platform/job_format.py
+++ b/rattanloom/platform/job_format.py
@@ -1,5 +1,6 @@
 """Parses the jobs that clients post to the daemon; encodes the response bodies."""
 
+from math import isfinite
 from typing import ClassVar
 
 from attrs import frozen
@@ -102,6 +103,8 @@
         amounts = (step.cpu, step.mem_mb, step.gpu, step.estimate_ms)
         if step.count < 1 or min(amounts) < 0 or step.per_worker_max < 0:
             raise FormatError(f"steps[{number}] has a negative amount or no tasks")
+        if not isfinite(step.estimate_ms):
+            raise FormatError(f"steps[{number}].est_ms is not a finite number")
         if any(not 0 <= earlier < number for earlier in step.after):
             raise FormatError(f"steps[{number}].after must only list earlier steps")
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -5,6 +5,7 @@
 
 import gevent
 import pytest
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -83,6 +84,39 @@
         assert wait_for(lambda: ("n2", "lost") in first)
 
 
+def test_link_stays_open_after_a_message_that_can_not_be_handled():
+    first, second = [], []
+    one, two = make_hub("n1", first), make_hub("n2", second)
+    keep = two.on_message
+
+    def fail_once(link, message):
+        two.on_message = keep
+        raise KeyError("unexpected")
+
+    two.on_message = fail_once
+    with one.serving(), two.serving():
+        one.keep_link("n2", two.own_hello.address, CLOCK.now_ms() + 60_000)
+        assert wait_for(lambda: one.link("n2") and two.link("n1"))
+        one.link("n2").send(Cancel("x"))
+        one.link("n2").send(Cancel("y"))
+        assert wait_for(lambda: ("n1", Cancel("y")) in second)
+        assert ("n1", "lost") not in second
+
+
+@pytest.mark.parametrize(
+    "job",
+    [
+        make_submitted_job(remaining_ms=float("nan")),
+        make_submitted_job(estimate_ms=float("inf")),
+        make_submitted_job(count=0),
+        evolve(make_submitted_job(), steps=()),
+    ],
+)
+def test_job_that_no_client_can_have_posted_is_a_bad_message(job):
+    with pytest.raises(BadMessageError):
+        decode_message(encode_message(Submit(job, ())))
+
+
 def test_link_to_an_unresponsive_peer_is_lost():
     events = []
     hub = make_hub("n1", events)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -163,6 +163,8 @@
         [{"count": 1, "after": [-1]}],
         [{"count": 1_000_000}],
         [{"count": True}],
+        [{"count": 1, "est_ms": float("nan")}],
+        [{"count": 1, "est_ms": float("inf")}],
         [{"count": "2"}],
     ],
 )
