Give no orders after a suspension until the ownership was checked

Cause: a placer that was suspended for a second woke with starts that waited in its process, waiting tasks and due renewals, and acted on all of them before it noticed that its links were gone. Workers that the next owner knew refuse it by their fence; a worker that the next owner did not know yet obeyed, and its lease of the old runs was extended beyond the time after which the next owner starts their tasks again.

Ruled out: relying on lost links (their events run after the orders).

Change: a placer that has not ticked for 400 ms, less than the 450 ms after which peers take an owner for lost, starts nothing and extends no lease. The daemon reads the owners, or without the store waits 500 ms for its peers' claims, and then resumes.

Tests: two, which fail with the check switched off.

--- a/experiments/placer_cost.py
+++ b/experiments/placer_cost.py
@@ -134,6 +134,7 @@
             1_000,
             lambda entry: WorkerClient(entry.worker_id, entry.address),
             lambda worker: None,
+            lambda: None,
         )
         for settings in worker_settings:
             capacity = Resources(settings.cpu_millicores, settings.memory_mb)
--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -85,6 +85,8 @@
 # Time to send the responses to the requests of jobs that were given up.
 FINAL_RESPONSES_MS = 200
 POLL_MS = 20
+# Time for peers to open a link and to announce their claims.
+CLAIMS_WAIT_MS = 500
 # Interval at which a placer announces its free capacity in a large deployment.
 CAPACITY_INTERVAL_MS = 100
 
@@ -165,6 +167,7 @@
             deployment.bounds.worker_lease_max_ms,
             self._connect_worker,
             self._on_token_refused,
+            lambda: spawn_restarting(self._check_ownership_after_pause),
         )
         self.ownership = Ownership(
             member,
@@ -372,6 +375,17 @@
         if worker.entry.zone in self.ownership.owned():
             self.ownership.on_worker_fenced(worker.entry.zone)
 
+    def _check_ownership_after_pause(self) -> None:
+        """Read the owners, or wait for claims of peers, before orders are given again.
+
+        Without the store, peers that claimed a zone announce it over their links.
+        """
+        failure = self.ownership.follower.read_now()
+        if failure is not None:
+            log.warning("owners_not_read", reason=failure.reason)
+            gevent.sleep(CLAIMS_WAIT_MS / MS_PER_S)
+        self.placer.resume()
+
     def _connect_worker(self, entry: WorkerEntry) -> WorkerClient:
         return WorkerClient(entry.worker_id, entry.address, self.deployment.ip)
 
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -61,6 +61,9 @@
 # Time for a daemon to submit its jobs again after its link was lost; the jobs end
 # after it.
 ORPHAN_GRACE_MS = 300
+# A process that did not tick for this time was suspended or starved. Peers take an
+# owner for lost after 450 ms without data.
+PAUSE_MAX_MS = 400
 
 
 @define(eq=False, repr=False)
@@ -69,8 +72,9 @@
 
     ``node`` is this daemon. ``lease_max_ms`` is the longest lease that the platform
     allows. ``connect`` creates the client of a worker. ``on_worker_fenced`` is called
-    with a worker that refused this placer's fencing token. ``active_runs`` counts
-    the runs of each task that may not have finished yet.
+    with a worker that refused this placer's fencing token. ``on_paused`` is called
+    after the process was suspended; the placer gives no orders until ``resume`` is
+    called. ``active_runs`` counts the runs of each task that may not have finished yet.
     """
 
     node: str
@@ -79,6 +83,7 @@
     lease_max_ms: float
     connect: Callable[[WorkerEntry], WorkerClientProtocol]
     on_worker_fenced: Callable[[PooledWorker], None]
+    on_paused: Callable[[], None]
     workers: dict[str, PooledWorker] = field(factory=dict)
     jobs: dict[str, PlacedJob] = field(factory=dict)
     waiting: WaitingTasks = field(factory=WaitingTasks)
@@ -87,6 +92,8 @@
     worker_health: WorkerHealth = field(factory=WorkerHealth)
     inherited_work: InheritedWork = field(init=False)
     _is_starting_tasks: bool = False
+    _is_paused: bool = False
+    _last_tick_ms: float | None = None
 
     def __attrs_post_init__(self) -> None:
         self.inherited_work = InheritedWork(self.node, self.clock)
@@ -192,6 +199,7 @@
         whose tasks can no longer start in time.
         """
         now_ms = self.clock.now_ms()
+        self._check_pause(now_ms)
         self._stop_overdue_runs()
         for job in list(self.jobs.values()):
             if job.receiver is None and now_ms > job.orphaned_ms + ORPHAN_GRACE_MS:
@@ -215,6 +223,29 @@
         for job in hopeless_jobs(late, self._capacity_millicores(), arriving, now_ms):
             self._give_up(job, "work that can be on time needs all workers")
 
+    def _check_pause(self, now_ms: float) -> None:
+        if not self._is_paused and not self._has_ticked_recently(now_ms):
+            log.warning("placer_paused", paused_ms=round(now_ms - self._last_tick_ms))
+            self._is_paused = True
+            self.on_paused()
+        self._last_tick_ms = now_ms
+
+    def _has_ticked_recently(self, now_ms: float) -> bool:
+        last_ms = self._last_tick_ms
+        return last_ms is None or now_ms <= last_ms + PAUSE_MAX_MS
+
+    def resume(self) -> None:
+        """Give orders again, after this daemon's ownership was checked."""
+        self._is_paused = False
+        self.start_waiting_tasks()
+
+    def may_give_orders(self) -> bool:
+        """Return whether this placer was not suspended since its last tick.
+
+        While the process was suspended, another daemon may have taken the zones over.
+        """
+        return not self._is_paused and self._has_ticked_recently(self.clock.now_ms())
+
     def _stop_stalled_runs(self, now_ms: float) -> None:
         """Stop stalled runs; their tasks start again, on other workers if possible.
 
@@ -328,7 +359,7 @@
 
     def start_waiting_tasks(self) -> None:
         """Start waiting tasks, in the order of their queues, where capacity is free."""
-        if self._is_starting_tasks or not self.waiting:
+        if self._is_starting_tasks or not self.waiting or not self.may_give_orders():
             return
         self._is_starting_tasks = True
         try:
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -147,6 +147,9 @@
 
     def _start(self, run: Run) -> None:
         for _ in range(START_TRIES_MAX):
+            if not self.events.may_give_orders():
+                self._drop_unstarted(run, None)
+                return
             token = self.fencing_token
             order = StartOrder(
                 run.name,
@@ -267,7 +270,12 @@
         token = self.fencing_token
         is_synced = self.state is not WorkerState.SYNCING
         has_own_runs = len(self.runs) > self.runs.inherited_count
-        is_leasing = is_synced and has_own_runs and self.missed_replies < 2
+        is_leasing = (
+            is_synced
+            and has_own_runs
+            and self.missed_replies < 2
+            and self.events.may_give_orders()
+        )
         lease_until_ms = self.lease.extend() if is_leasing else None
         if self.state is WorkerState.SYNCING:
             wait_ms = 0
--- a/rattanloom/placement/worker_events.py
+++ b/rattanloom/placement/worker_events.py
@@ -26,6 +26,9 @@
 class WorkerEvents(Protocol):
     """Event handlers of a placer, called by its pooled workers; must not block."""
 
+    def may_give_orders(self) -> bool:
+        """Return whether the placer may start runs and extend leases now."""
+
     def on_run_finished(
         self, worker: "PooledWorker", run: Run, finished: FinishedRun
     ) -> None:
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -35,6 +35,7 @@
         1_000,
         lambda entry: by_id[entry.worker_id],
         fenced.append,
+        lambda: None,
     )
     for worker in workers:
         placer.add_worker(worker.entry(), token)
@@ -124,6 +125,34 @@
     assert receiver.outcomes[0].kind is OutcomeKind.GIVEN_UP
 
 
+def test_suspended_placer_gives_no_orders_until_its_ownership_was_checked():
+    worker, receiver = FakeWorker("w1"), FakeReceiver()
+    with running_placer(worker) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        placer.submit(receiver, make_submitted_job(estimate_ms=2_000), ())
+        assert wait_for(lambda: worker.running)
+        placer._last_tick_ms = CLOCK.now_ms() - 2_000
+        lease_until_ms = worker.lease_until_ms
+        placer.submit(receiver, make_submitted_job("00000000000000bb"), ())
+        gevent.sleep(0.5)
+        assert len(worker.starts) == 1
+        assert worker.lease_until_ms == lease_until_ms
+        placer.resume()
+        assert wait_for(lambda: len(worker.starts) == 2)
+
+
+def test_order_that_waited_while_the_process_was_suspended_is_not_sent():
+    worker, receiver = FakeWorker("w1"), FakeReceiver()
+    with running_placer(worker) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        placer.submit(receiver, make_submitted_job(), ())
+        placer._last_tick_ms = CLOCK.now_ms() - 2_000
+        gevent.sleep(0.3)
+        assert not worker.starts
+        placer.resume()
+        assert wait_for(lambda: worker.starts)
+
+
 def test_start_without_reply_is_fenced_off_before_another_start():
     worker, receiver = FakeWorker("w1", lose_starts=1), FakeReceiver()
     with running_placer(worker) as placer:
--- a/tests/test_pooled_worker.py
+++ b/tests/test_pooled_worker.py
@@ -65,6 +65,10 @@
 class RecordedEvents:
     """Placer that records the names of the event handlers that are called."""
 
+    def may_give_orders(self) -> bool:
+        """Allow all orders."""
+        return True
+
     def __init__(self) -> None:
         """Start without recorded events."""
         self.seen = []
