Never refuse a job of a former placer as hopeless

Cause: a job that was handed over waits for reports or leases, not for capacity; under load it counted as hopeless once late, and was given up (504) while its runs could still be found.

Ruled out: jobs whose orders had no effect (they wait for capacity).

Change: only jobs that can't have run are refused early.

--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -280,7 +280,7 @@
     def _give_up(self, job: PlacedJob, reason: str) -> None:
         """End a job as refused, or as given up if any of its tasks may have run."""
         kind = OutcomeKind.REFUSED
-        if job.started or job.former_placers:
+        if job.may_have_run:
             kind = OutcomeKind.GIVEN_UP
         self._end_job(job, JobOutcome(job.job_id, kind, reason, self._retry_after(job)))
 
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -88,6 +88,11 @@
         """Return whether any task has run or may have run."""
         return self.effective_runs > 0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any task may have run, here or at a former placer."""
+        return self.started or bool(self.former_placers)
+
     @property
     def remaining_work_millicore_ms(self) -> float:
         """Return the estimated work of the tasks that are not done."""
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -85,6 +85,12 @@
     assert hopeless_jobs([started, other], capacity, 0, 0) == [other]
 
 
+def test_job_of_a_former_placer_is_never_hopeless():
+    job = make_late_job(1)
+    job.former_placers = ("p1",)
+    assert hopeless_jobs([job], 0, 100_000, 0) == []
+
+
 def test_arriving_work_forgets_jobs_after_the_window():
     arriving = ArrivingWork()
     job = make_late_job(1)
