Show for how long each table of the store was not read

Only the first failed read is logged, and configuration_in_force was logged for versions that an already active one outdates. Change: gauge table_stale_ms by table, stale_ms in store_regained; configuration_in_force only if the version was activated. Reads are as before.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -121,6 +121,7 @@
     queues: QueueTable = field(factory=QueueTable)
     metrics: Metrics = field(factory=Metrics)
     stopping: bool = False
+    configuration_follower: TableFollower = field(init=False)
     workers_follower: TableFollower = field(init=False)
     hub: LinkHub = field(init=False)
     store: StoreClient = field(init=False)
@@ -180,6 +181,13 @@
             self.registry.is_complete,
             self._on_owners_changed,
         )
+        self.configuration_follower = TableFollower(
+            self.store,
+            OPERATOR_TABLE,
+            clock,
+            self._apply_operator_rows,
+            self._apply_operator_rows,
+        )
         self.workers_follower = TableFollower(
             self.store,
             WORKERS_TABLE,
@@ -222,6 +230,8 @@
         }
         for name, value in gauges.items():
             self.metrics.gauge(name, value)
+        for follower in self._followers():
+            self.metrics.gauge("table_stale_ms", follower.stale_ms(), follower.table)
         for state in WorkerState:
             workers = self.placer.workers.values()
             number = sum(worker.state is state for worker in workers)
@@ -235,24 +245,18 @@
 
     def start(self) -> None:
         """Start the greenlets that follow the store, register this daemon and tick."""
-        clock = self.environment.clock
-        configuration_follower = TableFollower(
-            self.store,
-            OPERATOR_TABLE,
-            clock,
-            self._apply_operator_rows,
-            self._apply_operator_rows,
-        )
-        followers = (
-            configuration_follower,
-            self.workers_follower,
-            self.ownership.follower,
-        )
-        for follower in followers:
+        for follower in self._followers():
             spawn_restarting(follower.run)
         spawn_restarting(self.ownership.register)
         spawn_restarting(self._tick_all)
 
+    def _followers(self) -> tuple[TableFollower, ...]:
+        return (
+            self.configuration_follower,
+            self.workers_follower,
+            self.ownership.follower,
+        )
+
     def _tick_all(self) -> None:
         steps = (
             self.ownership.tick,
@@ -335,8 +339,8 @@
             except FormatError as error:
                 log.error("configuration_refused", reason=str(error))
                 continue
-            self.queues.replace(configuration)
-            log.info("configuration_in_force", version=configuration.version)
+            if self.queues.replace(configuration):
+                log.info("configuration_in_force", version=configuration.version)
 
     def _on_owners_changed(self) -> None:
         self._reconcile_workers()
--- a/rattanloom/ingress/queues.py
+++ b/rattanloom/ingress/queues.py
@@ -52,10 +52,13 @@
     configuration: Configuration | None = None
     _by_host: dict[str, list[Queue]] = field(factory=dict)
 
-    def replace(self, configuration: Configuration) -> None:
-        """Activate a configuration if its version is newer than the active one."""
+    def replace(self, configuration: Configuration) -> bool:
+        """Activate a configuration if its version is newer than the active one.
+
+        Return whether it was activated.
+        """
         if self.configuration and configuration.version <= self.configuration.version:
-            return
+            return False
         by_host: dict[str, list[Queue]] = {}
         for queue in configuration.queues:
             by_host.setdefault(queue.host, []).append(queue)
@@ -63,6 +66,7 @@
             queues.sort(key=lambda queue: -len(queue.path_prefix))
         self._by_host = by_host
         self.configuration = configuration
+        return True
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue for a ``Host`` header and a path; None if none matches."""
--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 
 import gevent
-from attrs import define
+from attrs import define, field
 
 from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.decision_log import DecisionLog
@@ -42,7 +42,8 @@
     after each read, so that changes made meanwhile are read together. ``version`` is
     that of the last read; None requires a full read. ``failures`` counts the failed
     reads since the last success. ``_is_behind`` is set while more changes are
-    available than the last read returned.
+    available than the last read returned. ``_confirmed_ms`` is when the last successful
+    read was sent, or when this follower was created.
     """
 
     store: Store
@@ -55,13 +56,18 @@
     version: int | None = None
     failures: int = 0
     _is_behind: bool = False
+    _confirmed_ms: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._confirmed_ms = self.clock.now_ms()
 
     def run(self) -> None:
         """Follow the table forever."""
         while True:
+            stale_ms = self.stale_ms()
             failure = self._step()
             if failure is None:
-                self._record_success()
+                self._record_success(stale_ms)
                 if not self._is_behind:
                     self._pause()
             elif failure.kind is ErrorKind.HISTORY_GONE:
@@ -73,13 +79,22 @@
 
     def read_now(self) -> Failure | None:
         """Read the complete table now, also while ``run`` waits; return any Failure."""
+        sent_ms = self.clock.now_ms()
         read = self.store.read(self.table)
         if isinstance(read, Failure):
             return read
+        self._confirmed_ms = sent_ms
         self.version = max(self.version or 0, read.version)
         self.on_snapshot(read.rows)
         return None
 
+    def stale_ms(self) -> float:
+        """Return for how long changes may have been missed.
+
+        Between two reads, this grows up to the pause or the wait of a long poll.
+        """
+        return self.clock.now_ms() - self._confirmed_ms
+
     def _pause(self) -> None:
         """Wait until the next read is due."""
         started_ms = self.clock.now_ms()
@@ -100,18 +115,26 @@
         if self.version is None or self._has_long_pause():
             return self.read_now()
         wait_ms = LONG_POLL_WAIT_MS if self.pause_ms is None else 0
+        sent_ms = self.clock.now_ms()
         changes = self.store.poll_changes(self.table, self.version, wait_ms)
         if isinstance(changes, Failure):
             return changes
+        self._confirmed_ms = sent_ms
         self.version = max(self.version, changes.version)
         self._is_behind = len(changes.rows) >= ROWS_PER_READ_MAX
         if changes.rows:
             self.on_rows(changes.rows)
         return None
 
-    def _record_success(self) -> None:
+    def _record_success(self, stale_ms: float) -> None:
+        """Log the first success after failures; ``stale_ms`` was taken before it."""
         if self.failures:
-            log.info("store_regained", table=self.table, failures=self.failures)
+            log.info(
+                "store_regained",
+                table=self.table,
+                failures=self.failures,
+                stale_ms=round(stale_ms),
+            )
             self.failures = 0
 
     def _record_failure(self, failure: Failure) -> None:
--- a/tests/test_client_api.py
+++ b/tests/test_client_api.py
@@ -196,3 +196,10 @@
     (failed,) = [line for line in lines if line["event"] == "request_failed"]
     assert status == 500
     assert failed["reason"] == "RuntimeError: unforeseen"
+
+
+def test_older_configuration_does_not_replace_a_newer_one():
+    queues = QueueTable()
+    assert queues.replace(Configuration(2, (QUEUE,), LIMITS))
+    assert not queues.replace(Configuration(1, (), LIMITS))
+    assert queues.configuration.version == 2
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -101,3 +101,20 @@
     assert not registry.is_complete()
     registry.apply_snapshot(())
     assert not registry.is_complete()
+
+
+def test_staleness_grows_while_reads_fail_and_ends_with_the_next_success():
+    store = FakeStore(down=True)
+    follower = TableFollower(
+        store, "t", CLOCK, lambda rows: None, lambda rows: None, pause_ms=lambda: 0
+    )
+    gevent.sleep(0.05)
+    greenlet = gevent.spawn(follower.run)
+    try:
+        assert wait_for(lambda: follower.failures > 1)
+        stale_ms = follower.stale_ms()
+        assert stale_ms >= 50
+        store.down = False
+        assert wait_for(lambda: follower.stale_ms() < stale_ms)
+    finally:
+        greenlet.kill()
