--- a/standins/handler.py
+++ b/standins/handler.py
@@ -1,13 +1,15 @@
 """HTTP handlers and server shared by the stand-ins of both versions."""
 
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from http import HTTPStatus
 from socket import IPPROTO_TCP, SHUT_RDWR, TCP_NODELAY
 
 from bottle import HTTPResponse, request
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from rattanloom.ingress.server import wait_until_closed
+
 # Key of the socket in the WSGI environment.
 SOCKET_KEY = "standin.socket"
 
@@ -31,10 +33,20 @@
 
 def drop_connection() -> None:
     """Close the current request's connection without a response; never return."""
-    request.environ[SOCKET_KEY].shutdown(SHUT_RDWR)
+    with suppress(OSError):
+        request.environ[SOCKET_KEY].shutdown(SHUT_RDWR)
     raise HTTPResponse(status=HTTPStatus.SERVICE_UNAVAILABLE)
 
 
+def hold_until_closed() -> None:
+    """Leave the current request without a response until the client disconnects.
+
+    Never returns.
+    """
+    wait_until_closed(request.environ[SOCKET_KEY])
+    drop_connection()
+
+
 @contextmanager
 def serving_at(
     address: str, application: Callable, log: object = None
--- a/standins/store.py
+++ b/standins/store.py
@@ -18,7 +18,7 @@
 from gevent.event import Event
 
 from rattanloom.clock import MS_PER_S, Clock, SystemClock
-from standins.handler import drop_connection, serving_at
+from standins.handler import drop_connection, hold_until_closed, serving_at
 from standins.table_rows import RowRef, StoredRow, TableRows
 
 # Tables that only the platform and its operators may write; others get 403.
@@ -35,22 +35,30 @@
 
     ``latency_ms`` delays each request. ``down`` responds 503 to each. ``silent`` holds
     all requests until it is switched off. The next ``lose_replies`` transactions take
-    effect, but their connections are closed without a response.
+    effect, but their connections are closed without a response. Requests that arrive or
+    wait while ``lose_requests`` is set have no effect and never get a response.
     """
 
     latency_ms: float = 4.0
     down: bool = False
     silent: bool = False
     lose_replies: int = 0
+    lose_requests: bool = False
 
 
 @define(eq=False)
 class Store:
-    """HTTP interface of the store; ``_changed`` wakes the waiting polls for changes."""
+    """HTTP interface of the store.
+
+    ``requests_lost`` counts the requests without a response, see ``lose_requests``.
+    ``_losses`` counts how often that was set. ``_changed`` wakes the waiting polls.
+    """
 
     clock: Clock = field(factory=SystemClock)
     rows: TableRows = field(factory=TableRows)
     switches: StoreSwitches = field(factory=StoreSwitches)
+    requests_lost: int = 0
+    _losses: int = 0
     _changed: Event = field(factory=Event)
     _expire_at_ms: dict[RowRef, float] = field(factory=dict)
 
@@ -99,7 +107,10 @@
             return refusal
         table, after = request.query["table"], int(request.query["after"])
         deadline_ms = self.clock.now_ms() + int(request.query.get("wait_ms", 0))
+        losses = self._losses
         while True:
+            if self._losses != losses:
+                self._lose_request()
             rows = self.rows.changes(table, after)
             left_ms = deadline_ms - self.clock.now_ms()
             if rows is None or rows or left_ms <= 0:
@@ -124,7 +135,7 @@
             current = self.rows.rows.get(ref)
             if current is None or current.value != row["value"]:
                 changed.append((ref, row["value"]))
-        self._write(changed)
+        self.write(changed)
         return _json_response(200, {"row_version": self.rows.version})
 
     def expire_rows(self) -> None:
@@ -137,28 +148,42 @@
             ]
             for ref in expired:
                 del self._expire_at_ms[ref]
-            self._write([(ref, None) for ref in expired])
+            self.write([(ref, None) for ref in expired])
 
-    def _write(self, writes: list[tuple[RowRef, str | None]]) -> None:
+    def write(self, writes: list[tuple[RowRef, str | None]]) -> None:
+        """Write or remove rows as the platform, and wake the waiting polls."""
         if writes:
             self.rows.transact((), writes)
             self._notify_pollers()
 
     def _set_switches(self) -> HTTPResponse:
-        self.switches = evolve(self.switches, **request.json)
+        self.set_switches(**request.json)
         return _json_response(200, asdict(self.switches))
 
+    def set_switches(self, **switches: object) -> None:
+        """Change some of the switches."""
+        self.switches = evolve(self.switches, **switches)
+        if self.switches.lose_requests:
+            self._losses += 1
+            self._notify_pollers()
+
     def _drop_history(self) -> HTTPResponse:
         self.rows.drop_history()
         return _json_response(200, {})
 
     def _apply_faults(self) -> HTTPResponse | None:
-        """Delay the request; return a 503 response if the store is down."""
+        """Delay or lose the request; return a 503 response if the store is down."""
+        if self.switches.lose_requests:
+            self._lose_request()
         while self.switches.silent:
             gevent.sleep(self.switches.latency_ms / MS_PER_S)
         gevent.sleep(self.switches.latency_ms / MS_PER_S)
         return _json_response(503, {}) if self.switches.down else None
 
+    def _lose_request(self) -> None:
+        self.requests_lost += 1
+        hold_until_closed()
+
     def _notify_pollers(self) -> None:
         self._changed.set()
         self._changed.clear()
