Wait for a poll only as long as its table's changes may be delayed

Cause: a poll of changes waited 2,500 ms at the store and 500 ms for its response, whatever the bound of the table, and after the fourth failure came a pause of 400 ms more. A poll that the store got shortly before its return is never answered, and nothing else reads the table meanwhile. Class: a time-out of a read that is longer than the data may be old. Evidence: on edge-michigan-west-2 table rattanloom was regained at 14.31 s, table op only at 17.16 s, with versions 12 to 27 in one read; no refused configuration, no failed task, other decisions throughout. Change: the wait follows from the bound of the settings (config_apply_ms, also after a reload): the lost poll and the response of the next one fit into it. The pause after a failure counts from the start of the failed read, so a time-out adds none. The table of owners is polled alike; owners' reads of the workers every 400 ms keep their bound already. Why it works: whenever a response is lost, the next poll is sent bound - 500 ms later at the latest, and the store returns the change at once. A calm daemon polls each of the two tables every 1.0 s instead of 2.5 s.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -187,6 +187,7 @@
             clock,
             self._apply_operator_rows,
             self._apply_operator_rows,
+            delay_max_ms=deployment.bounds.configuration_delay_max_ms,
         )
         self.workers_follower = TableFollower(
             self.store,
@@ -241,6 +242,9 @@
     def apply(self, deployment: Deployment) -> None:
         """Apply changed settings; addresses to listen on only change at a restart."""
         self.store.set_address(deployment.store.address)
+        self.configuration_follower.delay_max_ms = (
+            deployment.bounds.configuration_delay_max_ms
+        )
         self.deployment = deployment
 
     def start(self) -> None:
--- a/rattanloom/platform/deployment.py
+++ b/rattanloom/platform/deployment.py
@@ -24,18 +24,21 @@
 
 @frozen
 class Bounds:
-    """Limits that the platform sets on the leases of workers and on a stop.
+    """Limits that the platform sets.
 
-    ``stop_grace_s`` is the time that a process gets to stop.
+    ``stop_grace_s`` is the time that a process gets to stop. A configuration must be in
+    force ``configuration_delay_max_ms`` after the store confirmed it.
     """
 
     WIRE_NAMES: ClassVar = {
         "worker_lease_max_ms": "hold_max_ms",
         "stop_grace_s": "grace_s",
+        "configuration_delay_max_ms": "config_apply_ms",
     }
 
     worker_lease_max_ms: float = 1_000
     stop_grace_s: float = 6
+    configuration_delay_max_ms: float = 2_000
 
 
 @frozen
--- a/rattanloom/platform/rows.py
+++ b/rattanloom/platform/rows.py
@@ -9,6 +9,9 @@
 
 # Version of a row that does not exist.
 ABSENT = 0
+# Longest time for the response to a poll of changes, on top of its wait. A slow store
+# takes some 400 ms.
+POLL_RESPONSE_TIMEOUT_MS = 500
 
 
 @frozen
@@ -80,7 +83,10 @@
     def poll_changes(
         self, table: str, after_version: int, wait_ms: int
     ) -> ChangedRows | Failure:
-        """Return rows that changed after a version; wait up to ``wait_ms`` for one."""
+        """Return rows that changed after a version; wait up to ``wait_ms`` for one.
+
+        Fails at the latest ``POLL_RESPONSE_TIMEOUT_MS`` after the wait.
+        """
 
     def transact(
         self,
--- a/rattanloom/platform/store.py
+++ b/rattanloom/platform/store.py
@@ -12,6 +12,7 @@
 from rattanloom.platform.http import HttpClient, Response
 from rattanloom.platform.json_format import FormatError, encode, parse
 from rattanloom.platform.rows import (
+    POLL_RESPONSE_TIMEOUT_MS,
     ChangedRows,
     Committed,
     Condition,
@@ -27,8 +28,6 @@
 CONNECT_TIMEOUT_MS = 300
 # A call normally takes 4 ms, and ten times as long while the store is slow.
 CALL_TIMEOUT_MS = 1_000
-# Time for the response to a long poll, on top of the requested wait.
-LONG_POLL_SLACK_MS = 500
 
 
 @frozen
@@ -116,7 +115,7 @@
         failure means that the table has to be read again.
         """
         query = urlencode({"table": table, "after": after_version, "wait_ms": wait_ms})
-        body = self._fetch(f"/rows-feed?{query}", wait_ms + LONG_POLL_SLACK_MS)
+        body = self._fetch(f"/rows-feed?{query}", wait_ms + POLL_RESPONSE_TIMEOUT_MS)
         if isinstance(body, Failure):
             return body
         return ChangedRows(tuple(row.decode() for row in body.rows), body.version)
--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -11,14 +11,16 @@
 from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.errors import ErrorKind, Failure
-from rattanloom.platform.rows import Row, Store
+from rattanloom.platform.rows import POLL_RESPONSE_TIMEOUT_MS, Row, Store
 
 log = DecisionLog("store")
 
 # A read of changes that returns this many rows may not have returned all.
 ROWS_PER_READ_MAX = 500
-# Longest wait of one long poll; bounds how long a dead connection goes unnoticed.
-LONG_POLL_WAIT_MS = 2_500
+# Default of the longest delay until a change is applied.
+DELAY_MAX_MS = 2_000
+LONG_POLL_WAIT_MIN_MS = 100
+LONG_POLL_WAIT_MAX_MS = 2_500
 # Steps of the pause between reads, since ``pause_ms`` may decrease meanwhile. A long
 # pause ends early only after a takeover, which reads the table itself.
 PAUSE_STEP_MS = 200
@@ -26,7 +28,8 @@
 # After a longer pause, the table is read in full. The store returns every change of a
 # row, not only the last one; rows that change every 1.5 s are cheaper to read once.
 CHANGES_PAUSE_MAX_MS = 1_500
-# The pause after a first failure is twice the minimum; it doubles up to the maximum.
+# The time from one failed read to the next is twice the minimum after a first failure,
+# and doubles up to the maximum.
 RETRY_MIN_MS = 50
 RETRY_MAX_MS = 400
 
@@ -36,7 +39,8 @@
     """Calls ``on_rows`` with changed rows, in order.
 
     After a full read, ``on_snapshot`` is called with all rows, so that rows deleted
-    since the last read can be removed. Without ``pause_ms``, the store is long-polled;
+    since the last read can be removed. Without ``pause_ms``, the store is long-polled,
+    so that changes are applied within ``delay_max_ms`` even if a response is lost;
     otherwise ``pause_ms`` returns the pause between reads; if it is long, each read is
     a full one. ``settle_ms`` is a pause
     after each read, so that changes made meanwhile are read together. ``version`` is
@@ -53,6 +57,7 @@
     on_rows: Callable[[Sequence[Row]], None]
     pause_ms: Callable[[], float] | None = None
     settle_ms: float = 0
+    delay_max_ms: float = DELAY_MAX_MS
     version: int | None = None
     failures: int = 0
     _is_behind: bool = False
@@ -65,6 +70,7 @@
         """Follow the table forever."""
         while True:
             stale_ms = self.stale_ms()
+            sent_ms = self.clock.now_ms()
             failure = self._step()
             if failure is None:
                 self._record_success(stale_ms)
@@ -76,6 +82,7 @@
                 gevent.sleep(RETRY_MIN_MS / MS_PER_S)
             else:
                 self._record_failure(failure)
+                self._pause_until_retry(sent_ms)
 
     def read_now(self) -> Failure | None:
         """Read the complete table now, also while ``run`` waits; return any Failure."""
@@ -114,7 +121,8 @@
         self._is_behind = False
         if self.version is None or self._has_long_pause():
             return self.read_now()
-        wait_ms = LONG_POLL_WAIT_MS if self.pause_ms is None else 0
+        is_long_polled = self.pause_ms is None
+        wait_ms = long_poll_wait_ms(self.delay_max_ms) if is_long_polled else 0
         sent_ms = self.clock.now_ms()
         changes = self.store.poll_changes(self.table, self.version, wait_ms)
         if isinstance(changes, Failure):
@@ -141,5 +149,19 @@
         self.failures += 1
         if self.failures == 1:
             log.warning("store_lost", table=self.table, reason=failure.reason)
-        pause_ms = min(RETRY_MIN_MS * 2**self.failures, RETRY_MAX_MS)
-        gevent.sleep(pause_ms / MS_PER_S)
+
+    def _pause_until_retry(self, sent_ms: float) -> None:
+        """Wait until the next read is due; at once if the failed one took longer."""
+        interval_ms = min(RETRY_MIN_MS * 2**self.failures, RETRY_MAX_MS)
+        pause_ms = sent_ms + interval_ms - self.clock.now_ms()
+        gevent.sleep(max(0, pause_ms) / MS_PER_S)
+
+
+def long_poll_wait_ms(delay_max_ms: float) -> int:
+    """Return the longest wait of a poll so that a change is applied in time.
+
+    If the response is lost, the poll fails ``POLL_RESPONSE_TIMEOUT_MS`` after its wait,
+    and the response of the next one, which returns the change, may take as long.
+    """
+    wait_ms = delay_max_ms - 2 * POLL_RESPONSE_TIMEOUT_MS
+    return int(min(max(wait_ms, LONG_POLL_WAIT_MIN_MS), LONG_POLL_WAIT_MAX_MS))
--- a/tests/test_configuration_delay.py
+++ b/tests/test_configuration_delay.py
@@ -4,13 +4,19 @@
 
 import gevent
 import pytest
-from attrs import asdict
+from attrs import asdict, evolve
 
 from rattanloom.daemon import OWNER_READ_PAUSE_MS, Daemon
 from rattanloom.environment import Environment
 from rattanloom.ownership.records import TABLE, ZONE_PREFIX, ZoneOwner
-from rattanloom.platform.deployment import Deployment, ListenAddresses, StoreSettings
-from rattanloom.tables import TableFollower
+from rattanloom.platform.deployment import (
+    Bounds,
+    Deployment,
+    ListenAddresses,
+    StoreSettings,
+)
+from rattanloom.platform.rows import POLL_RESPONSE_TIMEOUT_MS
+from rattanloom.tables import TableFollower, long_poll_wait_ms
 from standins.handler import serving_at
 from standins.store import Store, StoreSwitches
 from tests.dispatcher_fakes import CLOCK, wait_for
@@ -25,12 +31,19 @@
 
 
 @contextmanager
-def daemon_with(store: Store):
+def daemon_with(store: Store, bounds: Bounds | None = None):
     """Return a daemon that uses a stand-in store; none of its greenlets run."""
     address = free_address()
     listen = ListenAddresses(free_address(), free_address())
     deployment = Deployment(
-        "d1", "127.0.0.1", "a", {"a": "r"}, listen, (0,), StoreSettings(address)
+        "d1",
+        "127.0.0.1",
+        "a",
+        {"a": "r"},
+        listen,
+        (0,),
+        StoreSettings(address),
+        bounds or Bounds(),
     )
     with serving_at(address, store.application()):
         daemon = Daemon(deployment, Environment())
@@ -98,3 +111,18 @@
         write_row(store, TABLE, ZONE_PREFIX + "a", owner)
         delay_ms = ms_until(lambda: daemon.ownership.owner_of("a") == "d2")
     assert delay_ms <= OWNERS_BOUND_MS
+
+
+def test_bound_of_the_settings_and_of_reloaded_ones_limits_the_wait_of_polls():
+    store = Store(switches=StoreSwitches(latency_ms=0))
+    with daemon_with(store, Bounds(configuration_delay_max_ms=1_600)) as daemon:
+        assert daemon.configuration_follower.delay_max_ms == 1_600
+        bounds = Bounds(configuration_delay_max_ms=1_400)
+        daemon.apply(evolve(daemon.deployment, bounds=bounds))
+        assert daemon.configuration_follower.delay_max_ms == 1_400
+
+
+@pytest.mark.parametrize("delay_max_ms", [1_100, 1_500, 2_000, 3_000, 10_000])
+def test_lost_poll_and_the_next_one_fit_into_the_bound(delay_max_ms):
+    wait_ms = long_poll_wait_ms(delay_max_ms)
+    assert 0 < wait_ms <= delay_max_ms - 2 * POLL_RESPONSE_TIMEOUT_MS
