Take the version of a read in several pages from its first page

Evidence: test_row_changed_between_two_pages_of_a_read_is_among_the_later_changes fails before (no change is returned) and passes. Why it works: changes after the first page's version include all that any page may have missed; rows that are delivered twice are applied twice with the same result. The stand-in returned the version of the last row for cut reads; now the store's.

--- a/rattanloom/platform/rows.py
+++ b/rattanloom/platform/rows.py
@@ -43,7 +43,7 @@
 
 @frozen
 class TableSnapshot:
-    """All rows of a table, and the ``version`` of the store at the read."""
+    """All rows of a table; those changed after ``version`` may be outdated."""
 
     rows: tuple[Row, ...]
     version: int
--- a/rattanloom/platform/store.py
+++ b/rattanloom/platform/store.py
@@ -92,17 +92,23 @@
             self._http = self._connect()
 
     def read(self, table: str) -> TableSnapshot | Failure:
-        """Return all rows of ``table`` whose part is ``""``, in several requests."""
+        """Return all rows of ``table`` whose part is ``""``, in several requests.
+
+        The version is that of the first response, since rows that it returned may have
+        changed before the others.
+        """
         rows: list[Row] = []
         first_key = ""
+        version = None
         while True:
             query = urlencode({"table": table, "part": "", "from": first_key})
             body = self._fetch(f"/rows-get?{query}", CALL_TIMEOUT_MS)
             if isinstance(body, Failure):
                 return body
             rows += [row.decode() for row in body.rows]
+            version = body.version if version is None else version
             if not body.has_more or not body.rows:
-                return TableSnapshot(tuple(rows), body.version)
+                return TableSnapshot(tuple(rows), version)
             # The next key after the last one, in the order of the store.
             first_key = body.rows[-1].key + "\0"
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -91,7 +91,8 @@
             remaining = self.switches.lose_replies - 1
             self.switches = evolve(self.switches, lose_replies=remaining)
             drop_connection()
-        return self._rows_response(differing, 412 if differing else 200)
+        status = 412 if differing else 200
+        return self._rows_response(differing, status, self.rows.version)
 
     def _read(self) -> HTTPResponse:
         refusal = self._apply_faults()
@@ -99,7 +100,8 @@
             return refusal
         query = request.query
         rows = self.rows.read(query["table"], query.get("part", ""), query["from"])
-        return self._rows_response(rows[:ROWS_MAX], 200, len(rows) > ROWS_MAX)
+        response_rows, has_more = rows[:ROWS_MAX], len(rows) > ROWS_MAX
+        return self._rows_response(response_rows, 200, self.rows.version, has_more)
 
     def _poll_changes(self) -> HTTPResponse:
         refusal = self._apply_faults()
@@ -122,7 +124,9 @@
         rows = self.rows.changes(table, after_version)
         if rows is None:
             return _json_response(410, {})
-        return self._rows_response(rows[:ROWS_MAX], 200, len(rows) > ROWS_MAX)
+        is_cut = len(rows) > ROWS_MAX
+        version = rows[ROWS_MAX - 1].version if is_cut else self.rows.version
+        return self._rows_response(rows[:ROWS_MAX], 200, version, is_cut)
 
     def _write_as_platform(self) -> HTTPResponse:
         """Write rows as the platform; a row with ``ttl_ms`` expires if not renewed."""
@@ -189,9 +193,8 @@
         self._changed.clear()
 
     def _rows_response(
-        self, rows: list[StoredRow], status: int, has_more: bool = False
+        self, rows: list[StoredRow], status: int, version: int, has_more: bool = False
     ) -> HTTPResponse:
-        version = rows[-1].version if has_more else self.rows.version
         document = {
             "rows": [_wire_row(row) for row in rows],
             "row_version": version,
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -182,3 +182,18 @@
         later = client.poll_changes(TABLE, changes.version, 0)
     keys = [row.ref.key for row in (*changes.rows, *later.rows)]
     assert keys == ["one", "two"]
+
+
+def test_row_changed_between_two_pages_of_a_read_is_among_the_later_changes():
+    with running_store() as (store, client):
+        refs = [RowRef(TABLE, "", f"k{number:03}") for number in range(600)]
+        store.write([(ref, "MQ==") for ref in refs])
+        store.switches = StoreSwitches(latency_ms=50)
+        reading = gevent.spawn(client.read, TABLE)
+        gevent.sleep(0.08)
+        store.write([(refs[0], "Mg==")])
+        snapshot = reading.get()
+        store.switches = StoreSwitches(latency_ms=0)
+        later = client.poll_changes(TABLE, snapshot.version, 0)
+    assert len(snapshot.rows) == 600
+    assert (refs[0], b"2") in [(row.ref, row.value) for row in later.rows]
