Deliver changes of a table again if applying them failed

Callers would see: a change of the queues, the owners or the workers that a daemon never acts on, after one unexpected error while it was applied. Cause: the follower's version passed the changes before they were applied, and the restarted greenlet read on after them. Evidence: test_changes_are_delivered_again_if_applying_them_failed fails before and passes.

--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -90,9 +90,9 @@
         read = self.store.read(self.table)
         if isinstance(read, Failure):
             return read
-        self._confirmed_ms = sent_ms
-        self.version = max(self.version or 0, read.version)
         self.on_snapshot(read.rows)
+        self.version = max(self.version or 0, read.version)
+        self._confirmed_ms = sent_ms
         return None
 
     def stale_ms(self) -> float:
@@ -127,11 +127,11 @@
         changes = self.store.poll_changes(self.table, self.version, wait_ms)
         if isinstance(changes, Failure):
             return changes
-        self._confirmed_ms = sent_ms
-        self.version = max(self.version, changes.version)
-        self._is_behind = len(changes.rows) >= ROWS_PER_READ_MAX
         if changes.rows:
             self.on_rows(changes.rows)
+        self.version = max(self.version, changes.version)
+        self._is_behind = len(changes.rows) >= ROWS_PER_READ_MAX
+        self._confirmed_ms = sent_ms
         return None
 
     def _record_success(self, stale_ms: float) -> None:
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from rattanloom.background import spawn_restarting
 from rattanloom.platform.rows import Row, RowRef
 from rattanloom.registry import Registry
 from rattanloom.tables import TableFollower
@@ -118,3 +119,25 @@
         assert wait_for(lambda: follower.stale_ms() < stale_ms)
     finally:
         greenlet.kill()
+
+
+def test_changes_are_delivered_again_if_applying_them_failed():
+    store = FakeStore()
+    store.transact((), [(REF, b"1")])
+    applied = []
+
+    def apply_rows(rows):
+        if not applied:
+            applied.append("failed")
+            raise RuntimeError("unforeseen")
+        applied.extend(row.value for row in rows)
+
+    follower = TableFollower(store, "t", CLOCK, lambda rows: None, apply_rows)
+    assert follower.read_now() is None
+    store.transact((), [(REF, b"2")])
+    greenlet = spawn_restarting(follower.run)
+    try:
+        assert wait_for(lambda: len(applied) == 2)
+    finally:
+        greenlet.kill()
+    assert applied == ["failed", b"2"]
