Ignore rows of the store that a newer read has overtaken

Callers would see: jobs sent to a daemon or a worker that has left, or started on one that is leaving, until its row changes again. Cause: a table is read in full beside a poll that is under way (after zones were acquired, after a conflict). If the older of the two responses came last, its rows replaced the newer ones, and the version stayed at the newer read, so that nothing corrected them. Evidence: test_response_that_a_newer_read_overtook_restores_no_removed_row and test_snapshot_that_newer_changes_overtook_is_not_applied fail before and pass.

--- a/rattanloom/tables.py
+++ b/rattanloom/tables.py
@@ -44,7 +44,8 @@
     otherwise ``pause_ms`` returns the pause between reads; if it is long, each read is
     a full one. ``settle_ms`` is a pause
     after each read, so that changes made meanwhile are read together. ``version`` is
-    that of the last read; None requires a full read. ``failures`` counts the failed
+    that of the newest read that was applied; older responses, which a newer one
+    overtook, are ignored. None requires a full read. ``failures`` counts the failed
     reads since the last success. ``_is_behind`` is set while more changes are
     available than the last read returned. ``_confirmed_ms`` is when the last successful
     read was sent, or when this follower was created.
@@ -90,8 +91,9 @@
         read = self.store.read(self.table)
         if isinstance(read, Failure):
             return read
-        self.on_snapshot(read.rows)
-        self.version = max(self.version or 0, read.version)
+        if self.version is None or read.version >= self.version:
+            self.on_snapshot(read.rows)
+            self.version = max(self.version or 0, read.version)
         self._confirmed_ms = sent_ms
         return None
 
@@ -127,8 +129,9 @@
         changes = self.store.poll_changes(self.table, self.version, wait_ms)
         if isinstance(changes, Failure):
             return changes
-        if changes.rows:
-            self.on_rows(changes.rows)
+        rows = [row for row in changes.rows if row.version > self.version]
+        if rows:
+            self.on_rows(rows)
         self.version = max(self.version, changes.version)
         self._is_behind = len(changes.rows) >= ROWS_PER_READ_MAX
         self._confirmed_ms = sent_ms
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -3,9 +3,11 @@
 from contextlib import contextmanager
 
 import gevent
+from attrs import define, field
+from gevent.event import Event
 
 from rattanloom.background import spawn_restarting
-from rattanloom.platform.rows import Row, RowRef
+from rattanloom.platform.rows import Row, RowRef, TableSnapshot
 from rattanloom.registry import Registry
 from rattanloom.tables import TableFollower
 from tests.dispatcher_fakes import CLOCK, FakeStore, wait_for
@@ -141,3 +143,70 @@
     finally:
         greenlet.kill()
     assert applied == ["failed", b"2"]
+
+
+@define
+class OvertakenStore(FakeStore):
+    """A store whose reads are sent at once and get their responses on ``release``."""
+
+    release: Event = field(factory=Event)
+
+    def poll_changes(self, table, after_version, wait_ms):
+        """Return the changes as they were before the release."""
+        changes = FakeStore.poll_changes(self, table, after_version, wait_ms)
+        self.release.wait()
+        return changes
+
+
+def test_response_that_a_newer_read_overtook_restores_no_removed_row():
+    store = OvertakenStore()
+    present = {}
+
+    def apply_snapshot(rows):
+        present.clear()
+        apply_rows(rows)
+
+    def apply_rows(rows):
+        for row in rows:
+            present[row.ref] = None if row.deleted else row.value
+
+    follower = TableFollower(store, "t", CLOCK, apply_snapshot, apply_rows)
+    assert follower.read_now() is None
+    store.transact((), [(REF, b"1")])
+    greenlet = gevent.spawn(follower.run)
+    try:
+        gevent.sleep(0.05)
+        store.transact((), (), (REF,))
+        assert follower.read_now() is None
+        store.release.set()
+        gevent.sleep(0.05)
+    finally:
+        greenlet.kill()
+    assert not present.get(REF)
+
+
+def test_snapshot_that_newer_changes_overtook_is_not_applied():
+    store = FakeStore()
+    store.transact((), [(REF, b"1")])
+    snapshots = []
+    follower = TableFollower(
+        store, "t", CLOCK, lambda rows: snapshots.append(rows[0].value), lambda rows: ()
+    )
+    assert follower.read_now() is None
+    older = store.read("t")
+    store.transact((), [(REF, b"2")])
+    assert follower.read_now() is None
+    follower.store = SingleReadStore(older)
+    assert follower.read_now() is None
+    assert snapshots == [b"1", b"2"]
+
+
+@define
+class SingleReadStore:
+    """A store whose every read returns the same snapshot."""
+
+    snapshot: TableSnapshot
+
+    def read(self, table):
+        """Return the snapshot."""
+        return self.snapshot
