Keep zones whose write takes effect after they were claimed

Callers would see: all jobs of a placer given up at once, seconds after a store that loses answers or is slow. Cause: the write that acquires zones got no answer in time, its effect could not be read, and the zones were claimed without the store. When the write took effect later, its row replaced the claim, but its token was not among those of this incarnation: the daemon found itself without zones, dropped all jobs and acquired the zones once more. Class: a call whose answer is lost is taken for one without effect. Evidence: test_zones_stay_owned_if_their_write_takes_effect_after_they_were_claimed fails before (no zone is owned) and passes. Why it works: the tokens of a write count as own ones before it is sent, and no more once the store refused it; the row is then recognised whenever it appears. A row that another incarnation of the daemon wrote is still not owned after a conflict (tested).

--- a/rattanloom/ownership/acquisition.py
+++ b/rattanloom/ownership/acquisition.py
@@ -61,8 +61,9 @@
     def acquire(self, zones: Sequence[str], reason: str, complete: bool = True) -> bool:
         """Record this daemon as the owner of zones, unless another one wrote first.
 
-        Returns False if the store failed and no effect can be read. ``complete`` is
-        False if some workers of the former owners are not known.
+        Returns False if the store failed and no effect can be read; the write may still
+        take effect later. ``complete`` is False if some workers of the former owners
+        are not known.
 
         The write also fails if this daemon lost another zone without noticing.
         Otherwise, it would start tasks in the new zones that the owner of the lost
@@ -76,12 +77,14 @@
         ]
         writes = [(zone_ref(record.zone), encode_record(record)) for record in records]
         log.info("zones_taking", zones=zones, reason=reason)
+        self.view.expect_acquired(records)
         result = self.store.transact(conditions, writes)
         if isinstance(result, Committed):
             for zone in zones:
                 self.view.versions[zone] = result.version
             self._record_acquired(records, complete)
         elif isinstance(result, Conflicted):
+            self.view.forget_expected(records)
             log.info(
                 "zones_not_taken", zones=zones, reason="another daemon wrote first"
             )
--- a/rattanloom/ownership/view.py
+++ b/rattanloom/ownership/view.py
@@ -23,8 +23,9 @@
 
     Of two owners of a zone, the one with the higher fencing token is kept.
     ``versions`` holds the version of each zone's row in the store. ``on_change`` is
-    called after owners changed. ``_own_tokens`` holds the tokens of the zones that
-    this incarnation acquired.
+    called after owners changed. ``_own_tokens`` holds the tokens under which this
+    incarnation acquired zones, or may have: a write without a response may take effect
+    seconds later.
     """
 
     own_member: Member
@@ -43,6 +44,14 @@
             and owner.fencing_token in self._own_tokens
         }
 
+    def expect_acquired(self, records: Iterable[ZoneOwner]) -> None:
+        """Count zones as owned here once their rows show that they were acquired."""
+        self._own_tokens.update(record.fencing_token for record in records)
+
+    def forget_expected(self, records: Iterable[ZoneOwner]) -> None:
+        """Undo ``expect_acquired`` for a write that has and will have no effect."""
+        self._own_tokens.difference_update(record.fencing_token for record in records)
+
     def version(self, zone: str) -> int:
         """Return the last known version of a zone's row, or ABSENT."""
         return self.versions.get(zone, ABSENT)
--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -164,14 +164,17 @@
     """In-memory table store.
 
     ``down`` makes it unreachable; the replies to the next ``lose_replies`` writes
-    are lost. Changes up to version ``history_from`` are no longer available. One read
-    returns at most ``rows_per_read_max`` changed rows.
+    are lost. The next ``delay_writes`` writes get no reply and take effect only with
+    ``perform_delayed_writes``. Changes up to version ``history_from`` are no longer
+    available. One read returns at most ``rows_per_read_max`` changed rows.
     """
 
     rows: dict[RowRef, Row] = field(factory=dict)
     version: int = 0
     down: bool = False
     lose_replies: int = 0
+    delay_writes: int = 0
+    delayed_writes: list[tuple] = field(factory=list)
     history_from: int = 0
     rows_per_read_max: int = 1_000_000
     changed: list[Event] = field(factory=list)
@@ -217,6 +220,19 @@
         gevent.sleep(0.001)
         if self.down:
             return UNREACHABLE
+        if self.delay_writes:
+            self.delay_writes -= 1
+            self.delayed_writes.append((conditions, writes, removals))
+            return LOST
+        return self._apply(conditions, writes, removals)
+
+    def perform_delayed_writes(self) -> None:
+        """Let the delayed writes take effect if their conditions hold now."""
+        for conditions, writes, removals in self.delayed_writes:
+            self._apply(conditions, writes, removals)
+        self.delayed_writes.clear()
+
+    def _apply(self, conditions, writes, removals) -> Committed | Conflicted | Failure:
         wrong = [
             self.rows.get(condition.ref, Row(condition.ref, 0, None))
             for condition in conditions
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -96,3 +96,24 @@
     old.view.versions["c"] = store.version
     old.acquirer.acquire(("c",), "lost owner")
     assert set(old.view.owned()) == {"b"}
+
+
+def test_zones_stay_owned_if_their_write_takes_effect_after_they_were_claimed():
+    new = Acquiring("new", make_store())
+    new.acquirer.follower.read_now()
+    new.store.delay_writes = 1
+    new.acquirer.acquire_or_claim(("a", "b"), "lost owner")
+    assert all(owner.claim for owner in new.view.owned().values())
+    new.store.perform_delayed_writes()
+    new.acquirer.follower.read_now()
+    assert set(new.view.owned()) == {"a", "b"}
+    assert not any(owner.claim for owner in new.view.owned().values())
+
+
+def test_row_of_an_earlier_incarnation_is_not_owned_after_a_conflict():
+    store = make_store()
+    new = Acquiring("new", store)
+    new.acquirer.follower.read_now()
+    store_owner(store, "a", "new", 2)
+    new.acquirer.acquire(("a",), "lost owner")
+    assert not new.view.owned()
