Write and remove a daemon's row only in place of the version it knows

Callers would see: after a restart, a daemon that no other one links to or asks for help, so that takeovers take longer or find no majority; or a daemon that has left counted as present. Cause: registration and removal were unconditional, and the store may carry out a write without a response 1 to 6 s later: the removal of the former incarnation deleted the row of the new one, for good, since it registers once. A removal that failed was not tried again and left no log line; a registration under way at a stop came after the removal. Class: a call whose answer is lost is taken for one without effect. Why it works: each write requires the version that it replaces, so one that comes late finds another version and has no effect; both writes are retried until confirmed. A restarted daemon writes twice: its first write meets the former row.

--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -14,7 +14,6 @@
 
 from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.decision_log import DecisionLog
-from rattanloom.errors import Failure
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.link import Link
 from rattanloom.links.messages import (
@@ -27,13 +26,8 @@
 from rattanloom.ownership.acquisition import ZoneAcquirer, make_claims_message
 from rattanloom.ownership.handover_planner import HandoverPlanner
 from rattanloom.ownership.indirect_probe import IndirectProbe
-from rattanloom.ownership.records import (
-    TABLE,
-    Member,
-    ZoneOwner,
-    encode_record,
-    member_ref,
-)
+from rattanloom.ownership.records import TABLE, Member, ZoneOwner
+from rattanloom.ownership.registration import Registration
 from rattanloom.ownership.store_heartbeats import StoreHeartbeats
 from rattanloom.ownership.takeover import LINK_KEEP_MS, Takeover
 from rattanloom.ownership.view import OwnerView
@@ -42,8 +36,6 @@
 
 log = DecisionLog("ownership")
 
-# Pause between two tries to write the row of this daemon.
-REGISTER_PAUSE_MS = 200
 # Changes of the store within this time are read together: at a first start, all
 # daemons register within 300 ms, and each change makes all of them read the store.
 SETTLE_MS = 60
@@ -80,6 +72,7 @@
     on_change: Callable[[], None]
     leaving: bool = False
     view: OwnerView = field(init=False)
+    registration: Registration = field(init=False)
     indirect_probe: IndirectProbe = field(init=False)
     store_heartbeats: StoreHeartbeats = field(init=False)
     follower: TableFollower = field(init=False)
@@ -90,6 +83,7 @@
     def __attrs_post_init__(self) -> None:
         clock, hub, store = self.clock, self.hub, self.store
         self.view = OwnerView(self.own_member, self.on_change)
+        self.registration = Registration(self.own_member, store)
         self.indirect_probe = IndirectProbe(clock, hub)
         self.store_heartbeats = StoreHeartbeats(self.own_member.node, clock, store)
         self.follower = TableFollower(
@@ -198,7 +192,7 @@
     def leave(self) -> None:
         """Unregister this daemon and hand its zones over to peers."""
         self.leaving = self.takeover.leaving = True
-        gevent.spawn(self.store.transact, (), (), (member_ref(self.own_member.node),))
+        gevent.spawn(self.registration.unregister)
         self.view.members.pop(self.own_member.node, None)
         for zones in self._handover_groups():
             self._hand_over_zones(zones)
@@ -234,10 +228,8 @@
             self.acquirer.acquire((zone,), "a worker refused the fencing token", False)
 
     def register(self) -> None:
-        """Write this daemon's member row; retry until the store accepts it."""
-        write = (member_ref(self.own_member.node), encode_record(self.own_member))
-        while isinstance(self.store.transact((), (write,)), Failure):
-            gevent.sleep(REGISTER_PAUSE_MS / MS_PER_S)
+        """Register this daemon; it takes no zones before."""
+        self.registration.register()
         self.takeover.registered_ms = self.clock.now_ms()
 
     # Planned handovers
