Probe in the soak whether configurations are in force in time

Change: fault store_loses_requests; each daemon is asked every 100 ms for queues that come and go; the check configurations_are_in_force_in_time allows 2,000 ms (the platform's config_apply_ms), with a bad history in the tests. The kept seeds keep their series of faults.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,11 +7,20 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
+from http import HTTPStatus
 from itertools import pairwise
 
 from attrs import frozen
 
-from soak.history import NOT_CONNECTED, ClientJob, History, Send, TaskRun
+from soak.history import (
+    NOT_CONNECTED,
+    ClientJob,
+    ConfigurationChange,
+    History,
+    QueueProbe,
+    Send,
+    TaskRun,
+)
 
 # Statuses of a refusal: the daemon has run no task of the job.
 NOT_RUN_STATUSES = (429, 503)
@@ -26,6 +35,8 @@
 # All leases expire within this time after the last order to a worker.
 LEASE_EXPIRY_MS = 2_500.0
 COMPLETE_SHARE_MIN = 0.9
+# The platform's config_apply_ms.
+CONFIGURATION_DELAY_MAX_MS = 2_000.0
 
 
 @frozen
@@ -160,6 +171,49 @@
             )
 
 
+def configurations_are_in_force_in_time(
+    history: History, runs: list[TaskRun]
+) -> Iterable[Breach]:
+    """A daemon with no recent fault uses no configuration that is outdated for long.
+
+    A newer one must be in force ``CONFIGURATION_DELAY_MAX_MS`` after the store
+    confirmed it.
+    """
+    for probe in history.probes:
+        is_served = probe.status == HTTPStatus.OK
+        possible = _possible_configurations(history, probe)
+        if not possible or any(
+            is_served == (probe.prefix in change.prefixes) for change in possible
+        ):
+            continue
+        fault_free_from_ms = probe.sent_ms - RECOVERY_MS
+        if history.is_fault_free(probe.daemon, fault_free_from_ms, probe.answered_ms):
+            yield Breach(
+                "configurations_are_in_force_in_time",
+                f"{probe.prefix} at {probe.daemon}: status {probe.status} at "
+                f"{probe.sent_ms:.0f}, not by version {possible[0].version} of "
+                f"{possible[0].confirmed_ms:.0f} or a newer one",
+            )
+
+
+def _possible_configurations(
+    history: History, probe: QueueProbe
+) -> list[ConfigurationChange]:
+    """Return the configurations by which a probe may be answered.
+
+    Empty if none has to be in force yet.
+    """
+    due_ms = probe.sent_ms - CONFIGURATION_DELAY_MAX_MS
+    due = [change for change in history.configurations if change.confirmed_ms < due_ms]
+    return [
+        change
+        for change in history.configurations
+        if due
+        and change.version >= due[-1].version
+        and change.sent_ms <= probe.answered_ms
+    ]
+
+
 def requests_never_fail(history: History, runs: list[TaskRun]) -> Iterable[Breach]:
     """No response has the status for an internal error."""
     for job, send in _sends(history):
@@ -181,6 +235,7 @@
     everything_ends,
     service_returns,
     queues_follow_configuration,
+    configurations_are_in_force_in_time,
 )
 ALL_CHECKS = SAFETY_CHECKS + TIMED_CHECKS
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -27,7 +27,9 @@
 from urllib3.exceptions import HTTPError
 
 from experiments.cluster import Process, python_command, stop_processes
+from rattanloom.clock import Clock, SystemClock
 from rattanloom.platform.deployment import SETTINGS_VARIABLE
+from soak.history import ConfigurationChange
 from soak.relay import NetworkConditions, Relay, serving_all
 from standins.pool import PoolSettings
 from standins.run_table import WorkerSettings
@@ -37,6 +39,8 @@
 # The Host header and path prefix by which a daemon chooses the clients' queue.
 ROUTE_HOST = "desk.example"
 PATH_PREFIX = "/jobs/"
+# Path prefixes of the queues that a change of the configuration adds.
+OTHER_PREFIXES = ("/other-a/", "/other-b/")
 # All ports are outside the kernel's range of ephemeral ports.
 CLIENTS_PORT = 8161
 READY_PORT = 8167
@@ -82,7 +86,10 @@
 
 @define(eq=False)
 class Deployment:
-    """Processes and their relays; ``pools`` has one process of workers per zone."""
+    """Processes and their relays; ``pools`` has one process of workers per zone.
+
+    ``configurations`` has the confirmed configurations, in order.
+    """
 
     folder: Path
     store: Process
@@ -91,8 +98,9 @@
     workers: dict[str, WorkerSettings]
     relays: dict[str, Relay]
     conditions: NetworkConditions
+    clock: Clock = field(factory=SystemClock)
     http: PoolManager = field(factory=lambda: PoolManager(retries=False, timeout=2.0))
-    config_version: int = 0
+    configurations: list[ConfigurationChange] = field(factory=list)
 
     def post(self, address: str, path: str, document: object) -> bytes:
         """Send a JSON request to a stand-in and return the body of the response.
@@ -126,7 +134,7 @@
 
     def configure(self, prefixes: tuple[str, ...] = (PATH_PREFIX,)) -> None:
         """Store a new configuration version, with one queue for each path prefix."""
-        self.config_version += 1
+        version = len(self.configurations) + 1
         routes = [
             {
                 "name": f"queue-{number}",
@@ -138,10 +146,15 @@
             }
             for number, prefix in enumerate(prefixes)
         ]
-        document = {"version": self.config_version, "routes": routes, "limits": {}}
+        document = {"version": version, "routes": routes, "limits": {}}
         value = b64encode(json.dumps(document).encode()).decode()
         row = {"table": "op", "key": "config", "value": value}
+        sent_ms = self.clock.now_ms()
         self.post(self.store.address, "/standin/rows", [row])
+        confirmed_ms = self.clock.now_ms()
+        self.configurations.append(
+            ConfigurationChange(version, prefixes, sent_ms, confirmed_ms)
+        )
 
     def is_ready(self, daemon: Process) -> bool:
         """Return whether a daemon's readiness check succeeds."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 from urllib3.exceptions import HTTPError
 
 from rattanloom.clock import MS_PER_S, Clock, SystemClock
-from soak.deployment import PATH_PREFIX, ZONES, Daemon, Deployment
+from soak.deployment import OTHER_PREFIXES, PATH_PREFIX, ZONES, Daemon, Deployment
 from soak.history import History, PoolKill, Span
 from soak.relay import pairs_between
 
@@ -20,8 +20,6 @@
 RESTART_PAUSE_S = 0.3
 SLOW_STORE_MS = 300.0
 LINK_DELAY_MS = 60.0
-# Path prefixes of the queues that a change of the configuration adds.
-OTHER_PREFIXES = ("/other-a/", "/other-b/")
 
 
 @define(eq=False)
@@ -337,6 +335,14 @@
     "store_silent": FaultKind(
         store_switched("store_silent", {"silent": True}, {"silent": False}), 0.5, 5
     ),
+    # Requests until the end get no response, also afterwards.
+    "store_loses_requests": FaultKind(
+        store_switched(
+            "store_loses_requests", {"lose_requests": True}, {"lose_requests": False}
+        ),
+        0.5,
+        5,
+    ),
     # The store takes SLOW_STORE_MS instead of 4 ms for each request.
     "store_slow": FaultKind(
         store_switched(
--- a/soak/history.py
+++ b/soak/history.py
@@ -90,14 +90,41 @@
     at_ms: float
 
 
+@frozen
+class ConfigurationChange:
+    """A configuration that the store confirmed, with its queues' path prefixes."""
+
+    version: int
+    prefixes: tuple[str, ...]
+    sent_ms: float
+    confirmed_ms: float
+
+
+@frozen
+class QueueProbe:
+    """A daemon's response to a request for the pending jobs of a queue."""
+
+    daemon: str
+    prefix: str
+    sent_ms: float
+    answered_ms: float
+    status: int
+
+
 @define(eq=False)
 class History:
-    """Jobs, faults (``spans``), kills of workers and planned stops of one soak."""
+    """Jobs, faults (``spans``), kills of workers and planned stops of one soak.
+
+    ``configurations`` has the changes of the configuration in order, ``probes`` the
+    responses that tell which queues a daemon serves.
+    """
 
     jobs: dict[str, ClientJob] = field(factory=dict)
     spans: list[Span] = field(factory=list)
     pool_kills: list[PoolKill] = field(factory=list)
     stops: list[Span] = field(factory=list)
+    configurations: list[ConfigurationChange] = field(factory=list)
+    probes: list[QueueProbe] = field(factory=list)
 
     def is_fault_free(self, name: str, from_ms: float, to_ms: float) -> bool:
         """Return whether no fault was active on a process in an interval."""
@@ -105,11 +132,13 @@
 
 
 def write_history(history: History, path: Path) -> None:
-    """Write a JSON file of jobs, faults and stops, to be read with the logs."""
+    """Write a history as a JSON file, to be read with the logs."""
     document = {
         "jobs": [asdict(job) for job in history.jobs.values()],
         "faults": [asdict(span) for span in history.spans],
         "stops": [asdict(stop) for stop in history.stops],
+        "configurations": [asdict(change) for change in history.configurations],
+        "probes": [asdict(probe) for probe in history.probes],
     }
     path.write_text(json.dumps(document, indent=1))
 
--- a/soak/play.py
+++ b/soak/play.py
@@ -17,7 +17,8 @@
 from soak.deployment import ZONES, Deployment, DeploymentSize, running_deployment
 from soak.faults import FAULTS, FaultContext, inject
 from soak.history import History, read_runs, write_history
-from soak.regressions import REGRESSIONS
+from soak.probes import QueueProber
+from soak.regressions import REGRESSION_FAULTS, REGRESSIONS
 
 CLIENTS_PER_ZONE = 3
 # Traffic without faults before the first one and after the last one.
@@ -69,13 +70,15 @@
             for _ in range(CLIENTS_PER_ZONE)
         ]
         traffic = Traffic(clients, self._new_random())
-        background = [gevent.spawn(balancer.run), gevent.spawn(traffic.run)]
+        prober = QueueProber(self.deployment, self.history)
+        background = [gevent.spawn(part.run) for part in (balancer, traffic, prober)]
         gevent.sleep(WARM_UP_S)
         self._inject_all(clock.now_ms() + self.faults_s * MS_PER_S, clock)
         gevent.sleep(self.cooldown_s)
         gevent.killall(background)
         gevent.joinall(traffic.jobs, timeout=SETTLE_S)
         gevent.sleep(SETTLE_S / 2)
+        self.history.configurations = self.deployment.configurations
 
     def _inject_all(self, until_ms: float, clock: SystemClock) -> None:
         context = FaultContext(self.deployment, self.history, self._new_random())
@@ -154,7 +157,7 @@
     Args:
         faults_s: for how many seconds faults are injected for each seed.
     """
-    _play_all(REGRESSIONS, faults_s, tuple(FAULTS))
+    _play_all(REGRESSIONS, faults_s, REGRESSION_FAULTS)
 
 
 def _play_all(
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -1,5 +1,11 @@
 """Seeds on which a check has failed, each with the daemon's fault that caused it."""
 
+from soak.faults import FAULTS
+
+# A seed plays the same series of faults only with the same list of faults.
+ADDED_LATER = ("store_loses_requests",)
+REGRESSION_FAULTS = tuple(name for name in FAULTS if name not in ADDED_LATER)
+
 REGRESSIONS: dict[int, str] = {
     2: "a report out of order restored a finished run; its worker stayed unused",
     3: "same as seed 2, while the store was down",
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -12,8 +12,10 @@
 from soak import checks
 from soak.history import (
     ClientJob,
+    ConfigurationChange,
     History,
     PoolKill,
+    QueueProbe,
     Send,
     Span,
     TaskRun,
@@ -65,6 +67,41 @@
 }
 
 
+def make_probed_history(sent_ms: float, status: int) -> History:
+    """Return a history of a queue removed at 11,000 and of a probe for it."""
+    added = ConfigurationChange(1, ("/jobs/", "/other-a/"), 10_100, 10_110)
+    removed = ConfigurationChange(2, ("/jobs/",), 10_990, 11_000)
+    probe = QueueProbe("n1", "/other-a/", sent_ms, sent_ms + 5, status)
+    return History(configurations=[added, removed], probes=[probe])
+
+
+BAD_HISTORIES["configurations_are_in_force_in_time"] = (
+    make_probed_history(13_001, 200),
+    [],
+)
+
+
+@pytest.mark.parametrize(
+    ("sent_ms", "status", "is_breach"),
+    [
+        (13_001, 200, True),
+        (13_001, 404, False),
+        (12_999, 200, False),
+        (12_200, 404, False),
+    ],
+)
+def test_removed_queue_must_be_unknown_after_the_bound(sent_ms, status, is_breach):
+    history = make_probed_history(sent_ms, status)
+    found = list(checks.configurations_are_in_force_in_time(history, []))
+    assert bool(found) == is_breach
+    history.spans.append(Span("store_silent", 9_400, 9_500))
+    assert bool(list(checks.configurations_are_in_force_in_time(history, []))) == (
+        is_breach
+    )
+    history.spans.append(Span("store_silent", 11_200, 11_300))
+    assert not list(checks.configurations_are_in_force_in_time(history, []))
+
+
 @pytest.mark.parametrize("name", BAD_HISTORIES)
 def test_violation_is_found(name):
     history, runs = BAD_HISTORIES[name]
