--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -5,7 +5,7 @@
 
 import os
 import signal
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
 import gevent
@@ -20,6 +20,7 @@
 from rattanloom.ingress.job_router import JobRouter
 from rattanloom.ingress.metrics_page import serving_metrics
 from rattanloom.ingress.placer_choice import PlacerChoice
+from rattanloom.ingress.queue_follower import make_queue_follower
 from rattanloom.ingress.queues import QueueTable, RequestLimits
 from rattanloom.ingress.readiness import serving_readiness
 from rattanloom.ingress.server import ConnectionState, serving
@@ -41,18 +42,11 @@
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.workers import WorkerEntry
-from rattanloom.platform.configuration import (
-    CONFIGURATION_KEY,
-    OPERATOR_TABLE,
-    parse_configuration,
-)
 from rattanloom.platform.deployment import (
     SETTINGS_VARIABLE,
     Deployment,
     load_deployment,
 )
-from rattanloom.platform.json_format import FormatError
-from rattanloom.platform.rows import Row
 from rattanloom.platform.store import StoreClient
 from rattanloom.platform.worker_entries import WORKERS_TABLE
 from rattanloom.platform.workers import WorkerClient
@@ -121,7 +115,7 @@
     queues: QueueTable = field(factory=QueueTable)
     metrics: Metrics = field(factory=Metrics)
     stopping: bool = False
-    configuration_follower: TableFollower = field(init=False)
+    queue_follower: TableFollower = field(init=False)
     workers_follower: TableFollower = field(init=False)
     hub: LinkHub = field(init=False)
     store: StoreClient = field(init=False)
@@ -181,13 +175,11 @@
             self.registry.is_complete,
             self._on_owners_changed,
         )
-        self.configuration_follower = TableFollower(
+        self.queue_follower = make_queue_follower(
             self.store,
-            OPERATOR_TABLE,
             clock,
-            self._apply_operator_rows,
-            self._apply_operator_rows,
-            delay_max_ms=deployment.bounds.configuration_delay_max_ms,
+            self.queues,
+            deployment.bounds.configuration_delay_max_ms,
         )
         self.workers_follower = TableFollower(
             self.store,
@@ -242,9 +234,8 @@
     def apply(self, deployment: Deployment) -> None:
         """Apply changed settings; addresses to listen on only change at a restart."""
         self.store.set_address(deployment.store.address)
-        self.configuration_follower.delay_max_ms = (
-            deployment.bounds.configuration_delay_max_ms
-        )
+        bounds = deployment.bounds
+        self.queue_follower.delay_max_ms = bounds.configuration_delay_max_ms
         self.deployment = deployment
 
     def start(self) -> None:
@@ -256,7 +247,7 @@
 
     def _followers(self) -> tuple[TableFollower, ...]:
         return (
-            self.configuration_follower,
+            self.queue_follower,
             self.workers_follower,
             self.ownership.follower,
         )
@@ -333,19 +324,6 @@
         configuration = self.queues.configuration
         return configuration.limits if configuration else RequestLimits()
 
-    def _apply_operator_rows(self, rows: Sequence[Row]) -> None:
-        """Activate the configuration if it is among rows of the operator's table."""
-        for row in rows:
-            if row.ref.key != CONFIGURATION_KEY or row.deleted:
-                continue
-            try:
-                configuration = parse_configuration(row)
-            except FormatError as error:
-                log.error("configuration_refused", reason=str(error))
-                continue
-            if self.queues.replace(configuration):
-                log.info("configuration_in_force", version=configuration.version)
-
     def _on_owners_changed(self) -> None:
         self._reconcile_workers()
         self.job_router.on_placers_changed()
--- a/tests/test_configuration_delay.py
+++ b/tests/test_configuration_delay.py
@@ -80,7 +80,7 @@
 def test_removed_queue_is_not_served_beyond_the_bound_after_polls_were_lost(lost_polls):
     store = Store(switches=StoreSwitches(latency_ms=0))
     write_configuration(store, 1, ("/a/", "/b/"))
-    with daemon_with(store) as daemon, running(daemon.configuration_follower):
+    with daemon_with(store) as daemon, running(daemon.queue_follower):
         assert wait_for(lambda: daemon.queues.find("h", "/b/1"))
         for _ in range(lost_polls):
             lose_one_request(store)
@@ -116,10 +116,10 @@
 def test_bound_of_the_settings_and_of_reloaded_ones_limits_the_wait_of_polls():
     store = Store(switches=StoreSwitches(latency_ms=0))
     with daemon_with(store, Bounds(configuration_delay_max_ms=1_600)) as daemon:
-        assert daemon.configuration_follower.delay_max_ms == 1_600
+        assert daemon.queue_follower.delay_max_ms == 1_600
         bounds = Bounds(configuration_delay_max_ms=1_400)
         daemon.apply(evolve(daemon.deployment, bounds=bounds))
-        assert daemon.configuration_follower.delay_max_ms == 1_400
+        assert daemon.queue_follower.delay_max_ms == 1_400
 
 
 @pytest.mark.parametrize("delay_max_ms", [1_100, 1_500, 2_000, 3_000, 10_000])
