Take a zone only from the owner that was found lost

Callers would see: right after a takeover the zones move once more, the new placer drops its jobs, and their daemons hand them on. Cause: the owner to compare with was noted after the probe of peers (150 ms or more). If another daemon had taken the zone over meanwhile, its record was the one noted, so this daemon took the zone from a live owner, in the store as well as by a claim. Evidence: test_zone_that_got_a_new_owner_during_the_probe_is_not_taken_from_it fails before and passes; a zone without a new owner is still taken. Why it works: owners are noted with the decision that they are lost.

--- a/rattanloom/ownership/takeover.py
+++ b/rattanloom/ownership/takeover.py
@@ -11,7 +11,7 @@
 from rattanloom.links.hub import LinkHub
 from rattanloom.ownership.acquisition import ZoneAcquirer
 from rattanloom.ownership.indirect_probe import IndirectProbe
-from rattanloom.ownership.records import Member
+from rattanloom.ownership.records import Member, ZoneOwner
 from rattanloom.ownership.store_heartbeats import StoreHeartbeats
 from rattanloom.ownership.view import OwnerView
 
@@ -127,9 +127,8 @@
 
     def _take_over_if_lost(self, zones: list[str]) -> None:
         own_node = self.view.own_member.node
-        owners = {
-            self.view.owners[zone].owner for zone in zones if zone in self.view.owners
-        }
+        before = {zone: self.view.owners.get(zone) for zone in zones}
+        owners = {owner.owner for owner in before.values() if owner}
         owners.discard(own_node)
         peers = [
             member
@@ -146,7 +145,7 @@
             return
         takeable = self._zones_to_take(zones, owners, reachable_nodes)
         self._take_over_by_rank(
-            takeable,
+            {zone: before[zone] for zone in takeable},
             reachable_nodes,
             ",".join(sorted(owners)) or "none, the zones have no other owner",
         )
@@ -207,16 +206,19 @@
         return zones if stopped else []
 
     def _take_over_by_rank(
-        self, zones: list[str], reachable_nodes: set[str], lost_owners: str
+        self,
+        before: dict[str, ZoneOwner | None],
+        reachable_nodes: set[str],
+        lost_owners: str,
     ) -> None:
         """Take each zone that has no new owner after the delay of this daemon's rank.
 
-        The rank is its position among the candidates for the zone.
+        ``before`` maps the zones to their owners before the probe. The rank is this
+        daemon's position among the candidates for the zone.
         """
-        before = {zone: self.view.owners.get(zone) for zone in zones}
         started_ms = self.clock.now_ms()
         by_rank: dict[int, list[str]] = {}
-        for zone in zones:
+        for zone in before:
             by_rank.setdefault(self._rank(zone, reachable_nodes), []).append(zone)
         for rank, ranked in sorted(by_rank.items()):
             wait_ms = started_ms + rank * RANK_DELAY_MS - self.clock.now_ms()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -110,3 +110,44 @@
     assert takeover.is_settled()
     del takeover.view.owners["a"]
     assert not takeover.is_settled()
+
+
+@define(eq=False)
+class OvertakenProbe(InstantProbe):
+    """A probe during which another daemon takes zone "a" over from its lost owner."""
+
+    view: OwnerView | None = None
+
+    def run(self, owners: set[str], peers: list[Member]) -> None:
+        """Let all peers reply; the zone then has a new owner."""
+        super().run(owners, peers)
+        self.view.apply_owners([ZoneOwner("a", "a2", 2)])
+
+
+@define(eq=False)
+class RecordingAcquirer:
+    """Records the zones that it should acquire."""
+
+    acquired: list = field(factory=list)
+
+    def acquire_or_claim(self, zones: list[str], reason: str) -> None:
+        """Record the zones."""
+        self.acquired += zones
+
+
+def test_zone_that_got_a_new_owner_during_the_probe_is_not_taken_from_it():
+    takeover = make_takeover(1)
+    takeover.acquirer = RecordingAcquirer()
+    takeover.indirect_probe = OvertakenProbe(
+        takeover.clock, takeover.hub, peers_reply=True, view=takeover.view
+    )
+    takeover._run_takeover(["a"])
+    assert takeover.acquirer.acquired == []
+
+
+def test_zone_of_a_lost_owner_is_taken_after_the_probe():
+    takeover = make_takeover(1)
+    takeover.acquirer = RecordingAcquirer()
+    takeover.indirect_probe.peers_reply = True
+    takeover._run_takeover(["a"])
+    assert takeover.acquirer.acquired == ["a"]
