Keep links to peers until a claim of zones was announced

Cause: a probe kept its links for 150 ms. A claim without the store follows 120 ms after the rank's delay; if the probe took its full time, as with a second lost daemon or a busy machine, the links were closed before, and nobody heard of the claim. Each candidate claimed in turn; all held themselves for the owner, so none dialled the others, and all workers followed the highest claim. Ruled out: the stores' reads (they had resumed) and the early refusal itself (the placers had no workers). Evidence: test_only_one_daemon_claims_the_zones_of_an_owner_lost_with_another_daemon fails in 3 of 3 runs before and passes in 3 of 3. Why it works: links opened for a probe stay for 2 s, in which all candidates have had their turn; the claim reaches them and ends their tries. In a large deployment that keeps the some 140 links of a probe for 2 s.

--- a/rattanloom/ownership/acquisition.py
+++ b/rattanloom/ownership/acquisition.py
@@ -47,7 +47,7 @@
     is_registry_complete: Callable[[], bool]
     on_change: Callable[[], None]
     takeover_ms_by_node: dict[str, float] = field(factory=dict)
-    _claim_count: int = 0
+    claim_count: int = 0
 
     def acquire_or_claim(self, zones: Sequence[str], reason: str) -> None:
         """Acquire zones in the store, or claim them if the write fails or times out."""
@@ -96,9 +96,9 @@
 
     def _claim(self, zones: Sequence[str]) -> None:
         """Make this daemon the owner without the store; announce it to linked peers."""
-        self._claim_count += 1
+        self.claim_count += 1
         node = self.view.own_member.node
-        claim = claim_number(node, self._claim_count)
+        claim = claim_number(node, self.claim_count)
         claimed = [
             ZoneOwner(zone, node, self.view.epoch(zone), claim) for zone in zones
         ]
--- a/rattanloom/ownership/indirect_probe.py
+++ b/rattanloom/ownership/indirect_probe.py
@@ -12,6 +12,9 @@
 # Time to open a link to a peer and to receive its replies.
 PROBE_TIMEOUT_MS = 150
 POLL_MS = 10
+# Links to peers outlast a probe by the time in which this daemon or a peer takes the
+# zones over, since one that claims them without the store announces it over its links.
+LINK_KEEP_MS = 2_000
 
 
 @define(eq=False, repr=False)
@@ -42,7 +45,7 @@
         expected = {(peer.node, owner) for peer in peers for owner in owners}
         while self.clock.now_ms() < until_ms and not expected <= self._replies:
             for peer in peers:
-                self.hub.keep_link(peer.node, peer.address, until_ms)
+                self.hub.keep_link(peer.node, peer.address, until_ms + LINK_KEEP_MS)
                 link = self.hub.link(peer.node)
                 if link is not None and peer.node not in queried:
                     queried.add(peer.node)
--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -159,11 +159,16 @@
                 self.end(task, RunOutcome.EXPIRED)
 
 
+# As long as the adapter waits for the reply to a read or a write.
+SILENCE_S = 1.0
+
+
 @define(eq=False)
 class FakeStore:
     """In-memory table store.
 
-    ``down`` makes it unreachable; the replies to the next ``lose_replies`` writes
+    ``down`` makes it unreachable; while it is ``silent``, calls fail after
+    ``SILENCE_S`` without a reply; the replies to the next ``lose_replies`` writes
     are lost. The next ``delay_writes`` writes get no reply and take effect only with
     ``perform_delayed_writes``. Changes up to version ``history_from`` are no longer
     available. One read returns at most ``rows_per_read_max`` changed rows.
@@ -172,6 +177,7 @@
     rows: dict[RowRef, Row] = field(factory=dict)
     version: int = 0
     down: bool = False
+    silent: bool = False
     lose_replies: int = 0
     delay_writes: int = 0
     delayed_writes: list[tuple] = field(factory=list)
@@ -181,9 +187,9 @@
 
     def read(self, table: str) -> TableSnapshot | Failure:
         """Return all rows of a table."""
-        gevent.sleep(0.001)
-        if self.down:
-            return UNREACHABLE
+        failure = self._fail()
+        if failure is not None:
+            return failure
         rows = tuple(
             row
             for row in self.rows.values()
@@ -195,9 +201,9 @@
         self, table: str, after_version: int, wait_ms: int
     ) -> ChangedRows | Failure:
         """Return the changed rows, waiting for a change if there is none."""
-        gevent.sleep(0.001)
-        if self.down:
-            return UNREACHABLE
+        failure = self._fail()
+        if failure is not None:
+            return failure
         if after_version < self.history_from:
             return Failure(ErrorKind.HISTORY_GONE, "dropped")
         if not self._changes(table, after_version) and wait_ms:
@@ -217,9 +223,9 @@
         removals: list[RowRef] = (),
     ) -> Committed | Conflicted | Failure:
         """Apply all writes and removals if all conditions hold, otherwise none."""
-        gevent.sleep(0.001)
-        if self.down:
-            return UNREACHABLE
+        failure = self._fail()
+        if failure is not None:
+            return failure
         if self.delay_writes:
             self.delay_writes -= 1
             self.delayed_writes.append((conditions, writes, removals))
@@ -253,6 +259,15 @@
             return LOST
         return Committed(self.version)
 
+    def _fail(self) -> Failure | None:
+        gevent.sleep(0.001)
+        if self.down:
+            return UNREACHABLE
+        if self.silent:
+            gevent.sleep(SILENCE_S)
+            return LOST
+        return None
+
     def _version(self, ref: RowRef) -> int:
         row = self.rows.get(ref)
         return 0 if row is None or row.deleted else row.version
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -170,3 +170,19 @@
         nodes[1].kill()
         rest = [nodes[0], *nodes[2:]]
         assert wait_for(lambda: all(node.owners()["b"] == "n3" for node in rest))
+
+
+def test_only_one_daemon_claims_the_zones_of_an_owner_lost_with_another_daemon():
+    # The probe waits its full time for the daemon that was lost as well.
+    places = [(f"n{number}", zone) for number, zone in enumerate("aaabbb")]
+    with cluster(*places) as nodes:
+        assert wait_for(lambda: one_owner(nodes))
+        owner = next(node for node in nodes if node.name == one_owner(nodes))
+        others = [node for node in nodes if node is not owner]
+        nodes[0].store.silent = True
+        owner.kill()
+        others.pop(0).kill()
+        assert wait_for(lambda: one_owner(others) not in (None, owner.name))
+        gevent.sleep(0.5)
+        claimants = [node for node in others if node.ownership.acquirer.claim_count]
+        assert len(claimants) == 1
