Record claimed zones in the store once it responds again

Cause: zones that were claimed without the store stayed claims for good. If several daemons had claimed them and had no link to each other, nothing told them of each other, and the store still named the lost owner. Class: what a daemon concluded during an outage is not checked against the store after it. Evidence: test_zones_claimed_by_several_daemons_have_one_owner_after_the_outage fails before (no common owner within 5 s) and passes. Why it works: the write requires the last known version of the zones' rows, so one claimant wins; the others are refused, read its record, whose token is above every claim, and give their claims up. It is tried every 500 ms while the table of owners can be read.

--- a/rattanloom/ownership/acquisition.py
+++ b/rattanloom/ownership/acquisition.py
@@ -1,6 +1,7 @@
 """Makes this daemon the owner of zones, in the store or, without it, by a claim."""
 
 from collections.abc import Callable, Sequence
+from math import inf
 
 import gevent
 from attrs import define, field
@@ -23,6 +24,8 @@
 
 log = DecisionLog("ownership")
 
+# Pause between two tries to record claimed zones.
+RECORD_PAUSE_MS = 500
 # Timeout of the store write, which normally takes 10 ms. After it, the zone is
 # claimed without the store.
 STORE_WRITE_TIMEOUT_MS = 120
@@ -35,7 +38,8 @@
     ``refresh_workers``, ``is_registry_complete`` and ``on_change`` are those of
     ``Ownership``. ``takeover_ms_by_node`` maps the node of a former owner to the time
     at which this daemon had acquired all of its zones; only takeovers in which all of
-    its workers were known are recorded.
+    its workers were known are recorded. ``claim_count`` is the number of claims made.
+    ``_recorded_ms`` is when the last try to record claimed zones started.
     """
 
     clock: Clock
@@ -48,6 +52,8 @@
     on_change: Callable[[], None]
     takeover_ms_by_node: dict[str, float] = field(factory=dict)
     claim_count: int = 0
+    _recording: gevent.Greenlet | None = None
+    _recorded_ms: float = -inf
 
     def acquire_or_claim(self, zones: Sequence[str], reason: str) -> None:
         """Acquire zones in the store, or claim them if the write fails or times out."""
@@ -94,6 +100,23 @@
             return self._resolve_unknown_write(records)
         return True
 
+    def record_claims_if_due(self) -> None:
+        """Record claimed zones once the store responds again, without blocking.
+
+        Of several daemons that claimed a zone, the first to write remains its owner;
+        the others find its record.
+        """
+        owned = self.view.owned().values()
+        claimed = tuple(owner.zone for owner in owned if owner.claim)
+        is_recording = self._recording is not None and not self._recording.ready()
+        if not claimed or is_recording or self.follower.failures:
+            return
+        now_ms = self.clock.now_ms()
+        if now_ms > self._recorded_ms + RECORD_PAUSE_MS:
+            self._recorded_ms = now_ms
+            reason = "claimed without the store"
+            self._recording = gevent.spawn(self.acquire, claimed, reason)
+
     def _claim(self, zones: Sequence[str]) -> None:
         """Make this daemon the owner without the store; announce it to linked peers."""
         self.claim_count += 1
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -117,7 +117,7 @@
         self.handover_planner = HandoverPlanner(clock, hub, self.view)
 
     def tick(self) -> None:
-        """Start due takeovers and handovers.
+        """Start due takeovers, handovers and records of claimed zones.
 
         Owners also write heartbeats; other daemons close expired links. Called at short
         intervals; does nothing before this daemon is registered.
@@ -127,6 +127,7 @@
         if not self.leaving and self.follower.version is not None:
             self.takeover.check_owners()
             self._start_due_handovers()
+            self.acquirer.record_claims_if_due()
         if self.owned():
             self.store_heartbeats.write_if_due()
         else:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -186,3 +186,20 @@
         gevent.sleep(0.5)
         claimants = [node for node in others if node.ownership.acquirer.claim_count]
         assert len(claimants) == 1
+
+
+def test_zones_claimed_by_several_daemons_have_one_owner_after_the_outage():
+    with cluster(("n1", "a"), ("n2", "a"), ("n3", "b")) as nodes:
+        assert wait_for(lambda: one_owner(nodes))
+        owner = next(node for node in nodes if node.name == one_owner(nodes))
+        others = [node for node in nodes if node is not owner]
+        nodes[0].store.down = True
+        owner.kill()
+        for node in others:
+            claim = claim_number(node.name, 1)
+            records = [ZoneOwner(zone, node.name, 1, claim) for zone in ZONES]
+            node.ownership.view.apply_owners(records, acquired=True)
+        gevent.sleep(0.5)
+        nodes[0].store.down = False
+        assert wait_for(lambda: one_owner(others) not in (None, owner.name))
+        assert not others[0].ownership.view.owners["a"].claim
