Keep a zone that was acquired twice at the same time

Callers would see: all jobs of a placer dropped. Evidence: test_zone_stays_owned_if_it_is_acquired_twice_at_the_same_time fails before (no zone is owned) and passes. Why it works: expected tokens are counted apart from those of acquired zones; a refused write takes back only its own count.

--- a/rattanloom/ownership/view.py
+++ b/rattanloom/ownership/view.py
@@ -1,5 +1,6 @@
 """The members and owners known to this daemon, from the store and from peers."""
 
+from collections import Counter
 from collections.abc import Callable, Container, Iterable, Sequence
 
 from attrs import define, field
@@ -23,9 +24,9 @@
 
     Of two owners of a zone, the one with the higher fencing token is kept.
     ``versions`` holds the version of each zone's row in the store. ``on_change`` is
-    called after owners changed. ``_own_tokens`` holds the tokens under which this
-    incarnation acquired zones, or may have: a write without a response may take effect
-    seconds later.
+    called after owners changed. ``_own_tokens`` holds the tokens of the zones that
+    this incarnation acquired. ``_expected_tokens`` counts the writes by token that may
+    have acquired a zone; without a response, they may do so seconds later.
     """
 
     own_member: Member
@@ -34,6 +35,7 @@
     owners: dict[str, ZoneOwner] = field(factory=dict)
     versions: dict[str, int] = field(factory=dict)
     _own_tokens: set[int] = field(factory=set)
+    _expected_tokens: Counter[int] = field(factory=Counter)
 
     def owned(self) -> dict[str, ZoneOwner]:
         """Return the zones that this incarnation owns, with their owner records."""
@@ -41,16 +43,19 @@
             zone: owner
             for zone, owner in self.owners.items()
             if owner.owner == self.own_member.node
-            and owner.fencing_token in self._own_tokens
+            and (
+                owner.fencing_token in self._own_tokens
+                or self._expected_tokens[owner.fencing_token]
+            )
         }
 
     def expect_acquired(self, records: Iterable[ZoneOwner]) -> None:
         """Count zones as owned here once their rows show that they were acquired."""
-        self._own_tokens.update(record.fencing_token for record in records)
+        self._expected_tokens.update(record.fencing_token for record in records)
 
     def forget_expected(self, records: Iterable[ZoneOwner]) -> None:
         """Undo ``expect_acquired`` for a write that has and will have no effect."""
-        self._own_tokens.difference_update(record.fencing_token for record in records)
+        self._expected_tokens.subtract(record.fencing_token for record in records)
 
     def version(self, zone: str) -> int:
         """Return the last known version of a zone's row, or ABSENT."""
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -117,3 +117,11 @@
     store_owner(store, "a", "new", 2)
     new.acquirer.acquire(("a",), "lost owner")
     assert not new.view.owned()
+
+
+def test_zone_stays_owned_if_it_is_acquired_twice_at_the_same_time():
+    new = Acquiring("new", make_store())
+    new.acquirer.follower.read_now()
+    tries = [gevent.spawn(new.acquirer.acquire, ("a",), "fenced") for _ in range(2)]
+    gevent.joinall(tries)
+    assert set(new.view.owned()) == {"a"}
