--- a/soak/play.py
+++ b/soak/play.py
@@ -15,7 +15,8 @@
 from soak.checks import ALL_CHECKS, Breach, Check, find_breaches
 from soak.clients import Balancer, Client, Traffic
 from soak.deployment import ZONES, Deployment, DeploymentSize, running_deployment
-from soak.faults import FAULTS, FaultContext, inject
+from soak.fault_table import FAULTS, inject
+from soak.faults import FaultContext
 from soak.history import History, read_runs, write_history
 from soak.probes import QueueProber
 from soak.regressions import REGRESSION_FAULTS, REGRESSIONS
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -1,6 +1,6 @@
 """Seeds on which a check has failed, each with the daemon's fault that caused it."""
 
-from soak.faults import FAULTS
+from soak.fault_table import FAULTS
 
 # A seed plays the same series of faults only with the same list of faults.
 ADDED_LATER = ("store_loses_requests", "configuration_after_outage")
