Serve requests that arrive as a planned stop ends

Cause: a request was counted as open once its headers were read, and the server was ended as soon as it counted none; one that arrived within those 2.5 ms was ended with it. Evidence: the kept logs ('stopped, requests 0' 0.6 ms before the job was handed over, GreenletExit 2.4 ms later); test_request_whose_headers_arrive_as_a_stop_ends_is_answered fails with the former count (no response) and passes. Why it works: a request counts from its first line; once none is open, the listener and the idle connections are closed, and requests that came meanwhile are waited for within the grace period.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -11,6 +11,7 @@
 import gevent
 from attrs import define, field
 from gevent.event import Event
+from gevent.pywsgi import WSGIServer
 
 from rattanloom.background import run_and_log_failure, spawn_restarting
 from rattanloom.clock import MS_PER_S
@@ -23,7 +24,12 @@
 from rattanloom.ingress.queue_follower import make_queue_follower
 from rattanloom.ingress.queues import QueueTable, RequestLimits
 from rattanloom.ingress.readiness import serving_readiness
-from rattanloom.ingress.server import ConnectionState, serving
+from rattanloom.ingress.server import (
+    ConnectionState,
+    finish_requests,
+    serving,
+    wait_for_requests,
+)
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.link import Link
 from rattanloom.links.messages import (
@@ -78,7 +84,6 @@
 GIVE_UP_MARGIN_MS = 700
 # Time to send the responses to the requests of jobs that were given up.
 FINAL_RESPONSES_MS = 200
-POLL_MS = 20
 # Time for peers to open a link and to announce their claims.
 CLAIMS_WAIT_MS = 500
 # Interval at which a placer announces its free capacity in a large deployment.
@@ -432,16 +437,18 @@
             serving_metrics(daemon.deployment.ip, daemon.render_metrics)
         )
         stack.enter_context(serving_readiness(listen.readiness, daemon.is_ready))
-        stack.enter_context(serving(listen.clients, api.app, daemon.connections))
+        server = stack.enter_context(
+            serving(listen.clients, api.app, daemon.connections)
+        )
         daemon.start()
         stack.enter_context(following_settings(daemon, settings_path))
         log.info("started", clients=listen.clients, zone=daemon.deployment.zone)
         stop.wait()
-        stop_gracefully(daemon)
+        stop_gracefully(daemon, server)
     return ExitStatus.OK
 
 
-def stop_gracefully(daemon: Daemon) -> None:
+def stop_gracefully(daemon: Daemon, server: WSGIServer) -> None:
     """Fail the readiness check, hand the zones over and finish open requests.
 
     Jobs that are still open ``GIVE_UP_MARGIN_MS`` before the end of the grace period
@@ -452,22 +459,16 @@
     log.info("stopping", jobs=len(daemon.job_router.pending))
     daemon.stopping = True
     daemon.ownership.leave()
-    give_up_after_ms = (
-        daemon.deployment.bounds.stop_grace_s * MS_PER_S - GIVE_UP_MARGIN_MS
-    )
-    while clock.now_ms() < began_ms + BALANCER_REMOVAL_MS:
-        gevent.sleep(POLL_MS / MS_PER_S)
+    grace_ms = daemon.deployment.bounds.stop_grace_s * MS_PER_S
+    give_up_at_ms = began_ms + grace_ms - GIVE_UP_MARGIN_MS
+    removal_ms = began_ms + BALANCER_REMOVAL_MS - clock.now_ms()
+    gevent.sleep(max(0, removal_ms) / MS_PER_S)
     daemon.connections.close_idle()
-    while (
-        daemon.connections.requests_in_flight
-        and clock.now_ms() < began_ms + give_up_after_ms
-    ):
-        gevent.sleep(POLL_MS / MS_PER_S)
+    finish_requests(server, daemon.connections, clock, give_up_at_ms)
     log.info("stopped", requests=daemon.connections.requests_in_flight)
     daemon.job_router.give_up_all("this daemon is stopping")
     responses_until_ms = clock.now_ms() + FINAL_RESPONSES_MS
-    while daemon.connections.requests_in_flight and clock.now_ms() < responses_until_ms:
-        gevent.sleep(POLL_MS / MS_PER_S)
+    wait_for_requests(daemon.connections, clock, responses_until_ms)
 
 
 @contextmanager
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -11,7 +11,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from gevent.socket import socket, wait_read
 
-from rattanloom.clock import MS_PER_S
+from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.ingress.queues import RequestLimits
 
@@ -22,6 +22,7 @@
 BACKLOG = 1_024
 # Half of a machine's file descriptors; the rest is for workers and other daemons.
 CONNECTIONS_MAX = 2_000
+POLL_MS = 20
 
 
 @define(eq=False, repr=False)
@@ -29,8 +30,9 @@
     """State shared by all client connections.
 
     ``limits`` returns the active limits. While ``is_closing`` returns true, responses
-    have ``Connection: close``, so that clients connect to another daemon. ``idle``
-    holds the sockets of connections without a request.
+    have ``Connection: close``, so that clients connect to another daemon.
+    ``requests_in_flight`` counts requests from their first line on. ``idle`` holds the
+    sockets of connections without a request.
     """
 
     limits: Callable[[], RequestLimits]
@@ -49,6 +51,7 @@
 
     state: ConnectionState
     requests_read = 0
+    is_counted = False
 
     def handle(self) -> None:
         """Serve one connection, with Nagle's algorithm off for prompt responses."""
@@ -70,12 +73,16 @@
         timeout_ms = idle_ms if self.requests_read else limits.header_timeout_ms
         self.requests_read += 1
         self.state.idle.add(self.socket)
+        line = ""
         try:
             with gevent.Timeout(timeout_ms / MS_PER_S, False):
-                return super().read_requestline()
-            return ""
+                line = super().read_requestline()
         finally:
             self.state.idle.discard(self.socket)
+        if line:
+            self.is_counted = True
+            self.state.requests_in_flight += 1
+        return line
 
     def read_request(self, raw_requestline: str) -> bool:
         """Read the headers; raise gevent.Timeout if they take too long."""
@@ -88,14 +95,9 @@
             return super().handle_one_request()
         except gevent.Timeout:
             return None
-
-    def handle_one_response(self) -> None:
-        """Respond to one request, which is counted in ``requests_in_flight``."""
-        self.state.requests_in_flight += 1
-        try:
-            super().handle_one_response()
         finally:
-            self.state.requests_in_flight -= 1
+            self.state.requests_in_flight -= self.is_counted
+            self.is_counted = False
 
     def finalize_headers(self) -> None:
         """Complete the headers; add ``Connection: close`` while closing."""
@@ -144,6 +146,22 @@
         server.stop(timeout=0)
 
 
+def finish_requests(
+    server: WSGIServer, state: ConnectionState, clock: Clock, until_ms: float
+) -> None:
+    """Serve the open requests, accept no more, and serve those that came meanwhile."""
+    wait_for_requests(state, clock, until_ms)
+    server.close()
+    state.close_idle()
+    wait_for_requests(state, clock, until_ms)
+
+
+def wait_for_requests(state: ConnectionState, clock: Clock, until_ms: float) -> None:
+    """Wait until no request is open, at most until ``until_ms``."""
+    while state.requests_in_flight and clock.now_ms() < until_ms:
+        gevent.sleep(POLL_MS / MS_PER_S)
+
+
 def wait_until_closed(connection: socket) -> bool:
     """Wait until the client disconnects; return False if it sends data instead."""
     try:
--- a/tests/test_client_api.py
+++ b/tests/test_client_api.py
@@ -17,7 +17,7 @@
     QueueTable,
     RequestLimits,
 )
-from rattanloom.ingress.server import ConnectionState, serving
+from rattanloom.ingress.server import ConnectionState, finish_requests, serving
 from rattanloom.metrics import Metrics
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from tests.dispatcher_fakes import CLOCK, wait_for
@@ -203,3 +203,26 @@
     assert queues.replace(Configuration(2, (QUEUE,), LIMITS))
     assert not queues.replace(Configuration(1, (), LIMITS))
     assert queues.configuration.version == 2
+
+
+def test_request_whose_headers_arrive_as_a_stop_ends_is_answered():
+    queues = QueueTable()
+    queues.replace(Configuration(1, (QUEUE,), LIMITS))
+    api = ClientApi(queues, FakeRouter(OutcomeKind.COMPLETE), Metrics())
+    state = ConnectionState(lambda: LIMITS, lambda: True)
+    line, headers = make_post(make_body()).split(b"\r\n", 1)
+
+    def stop(server) -> None:
+        finish_requests(server, state, CLOCK, CLOCK.now_ms() + 5_000)
+        server.stop(timeout=0)
+
+    with serving("127.0.0.1:0", api.app, state) as server:
+        with send(server.server_port, line + b"\r\n") as late:
+            gevent.sleep(0.05)
+            stopping = gevent.spawn(stop, server)
+            gevent.sleep(0.05)
+            late.sendall(headers)
+            assert late.recv(12) == b"HTTP/1.1 200"
+        stopping.join(5)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(("127.0.0.1", server.server_port), timeout=5)
