Test the first reads of a started daemon against the bound, too

Reads after a restart: the first reads are full ones with a time-out of 1 s; the bound held before as well (this test passes on the former code's pauses, too).

--- a/tests/test_configuration_delay.py
+++ b/tests/test_configuration_delay.py
@@ -89,6 +89,16 @@
     assert delay_ms <= CONFIGURATION_BOUND_MS
 
 
+def test_started_daemon_has_queues_within_the_bound_after_its_first_reads_were_lost():
+    store = Store(switches=StoreSwitches(latency_ms=0, lose_requests=True))
+    with daemon_with(store) as daemon, running(daemon.queue_follower):
+        for _ in range(2):
+            lose_one_request(store)
+        write_configuration(store, 1, ("/a/",))
+        delay_ms = ms_until(lambda: daemon.queues.find("h", "/a/1"))
+    assert delay_ms <= CONFIGURATION_BOUND_MS
+
+
 def test_leaving_worker_is_known_within_the_bound_after_a_read_was_lost():
     store = Store(switches=StoreSwitches(latency_ms=0))
     write_worker(store, "w1")
