Number the soak's configurations before they are sent

Cause: since versions were derived from the list of confirmed configurations, two changes sent at the same time got the same version, of which daemons ignore the second; the check of delays could then be wrong. Found in review, not seen. Only the harness changes; its tests pass. Soaks were not played again.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -100,6 +100,7 @@
     conditions: NetworkConditions
     clock: Clock = field(factory=SystemClock)
     http: PoolManager = field(factory=lambda: PoolManager(retries=False, timeout=2.0))
+    config_version: int = 0
     configurations: list[ConfigurationChange] = field(factory=list)
 
     def post(self, address: str, path: str, document: object) -> bytes:
@@ -137,7 +138,8 @@
 
         A further queue, whose prefix names the version, tells whether it is in force.
         """
-        version = len(self.configurations) + 1
+        self.config_version += 1
+        version = self.config_version
         prefixes = (*prefixes, f"/version-{version}/")
         routes = [
             {
