Log every lost run with its cause and what shared its worker; log capacity changes

The logs could not tell which runs a worker had when it was lost: task_lost was missing for runs of ended jobs, and named neither the worker's incarnation nor the other jobs on it. Its reason is now one of a fixed set, also counted in the metric runs_lost. worker_capacity_changed is new. No decision is changed.

--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -33,13 +33,14 @@
     Run,
     RunPhase,
     TaskState,
+    job_id_of,
     make_job,
     ready_tasks,
 )
 from rattanloom.placement.suspension import SuspensionGuard
 from rattanloom.placement.waiting import WaitingTasks
 from rattanloom.placement.worker_choice import accepts_tasks
-from rattanloom.placement.worker_events import WorkerState
+from rattanloom.placement.worker_events import LossCause, WorkerState
 from rattanloom.placement.worker_health import WorkerHealth
 from rattanloom.placement.worker_lease import WorkerLease
 from rattanloom.placement.workers import (
@@ -131,7 +132,7 @@
                 max(0.01, (worker.lease.expires_ms - self.clock.now_ms()) / 1000)
             )
         worker.runs.remove(run)
-        self.on_run_lost(worker, run, "the worker left the pool")
+        self.on_run_lost(worker, run, LossCause.LEFT_POOL)
 
     # Jobs
 
@@ -410,13 +411,24 @@
             self._requeue(task)
         self.start_waiting_tasks()
 
-    def on_run_lost(self, worker: PooledWorker, run: Run, reason: str) -> None:
+    def on_run_lost(self, worker: PooledWorker, run: Run, cause: LossCause) -> None:
         """Queue the task of a run that has definitely stopped, outcome unknown."""
         self.inherited_work.pop_run(run.name)
-        if run.task is not None and not run.task.job.ended:
-            log.warning(
-                "task_lost", task=run.name, worker=worker.worker_id, reason=reason
-            )
+        job_ended = run.task is None or run.task.job.ended
+        self.metrics.count("runs_lost", cause.value)
+        log.warning(
+            "task_lost",
+            task=run.name,
+            attempt=run.attempt,
+            worker=worker.worker_id,
+            incarnation_ms=worker.incarnation_ms,
+            reason=cause.value,
+            ordered_ms_ago=round(self.clock.now_ms() - run.ordered_ms),
+            confirmed=run.confirmed_ms is not None,
+            other_jobs=run.other_jobs,
+            job_ended=job_ended,
+        )
+        if not job_ended:
             run.task.avoided_workers.add(worker.worker_id)
             self._requeue(run.task)
             self.start_waiting_tasks()
@@ -462,7 +474,7 @@
 
     def _jobs_of_task(self, task_name: str) -> Iterable[PlacedJob]:
         """Return the known job of a task, if any; task names start with the job id."""
-        job = self.jobs.get(task_name.partition(".")[0])
+        job = self.jobs.get(job_id_of(task_name))
         return () if job is None else (job,)
 
     def _finish_task(self, task: PlacedTask) -> None:
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -14,7 +14,7 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.placement.runs import PlacedTask, Run, RunPhase
-from rattanloom.placement.worker_events import WorkerEvents, WorkerState
+from rattanloom.placement.worker_events import LossCause, WorkerEvents, WorkerState
 from rattanloom.placement.worker_lease import WorkerLease
 from rattanloom.placement.worker_runs import WorkerRuns
 from rattanloom.placement.workers import (
@@ -93,6 +93,15 @@
 
     def apply_entry(self, entry: WorkerEntry) -> None:
         """Apply the worker's current entry in the registry."""
+        if entry.capacity != self.entry.capacity:
+            log.info(
+                "worker_capacity_changed",
+                worker=self.worker_id,
+                cpu_millicores=entry.capacity.cpu_millicores,
+                memory_mb=entry.capacity.memory_mb,
+                gpus=entry.capacity.gpus,
+                free_cpu_millicores=self.runs.free.cpu_millicores,
+            )
         self.entry = entry
         self.runs.set_capacity(entry.capacity)
 
@@ -335,11 +344,10 @@
     def _drop_expired_runs(self) -> None:
         """Remove the runs of an unresponsive worker once its lease has expired."""
         if self.missed_replies and self.lease.is_expired():
+            self.runs.count_other_jobs()
             for run in self.runs.all():
                 self.runs.remove(run)
-                self.events.on_run_lost(
-                    self, run, "the lease on the worker has expired"
-                )
+                self.events.on_run_lost(self, run, LossCause.LEASE_EXPIRED)
 
     def _apply_report(self, report: WorkerReport, sent_ms: float, token: int) -> None:
         self.lease.record_worker_clock(report.clock_ms)
@@ -383,6 +391,7 @@
                 incarnation_ms=incarnation_ms,
                 runs=len(self.runs),
             )
+            self.runs.count_other_jobs()
             for run in self.runs.all():
                 run.worker_restarted = True
         self.last_finished_number = 0
@@ -425,13 +434,19 @@
             if token < run.start_fence_token:
                 return
             if run.worker_restarted:
-                self.runs.remove(run)
-                self.events.on_run_lost(self, run, "its worker has restarted")
+                self._drop_missing(run)
             else:
                 self._drop_unstarted(run, None)
         elif _must_be_listed(run, sent_ms):
-            self.runs.remove(run)
-            self.events.on_run_lost(self, run, "not listed in the worker's report")
+            self._drop_missing(run)
+
+    def _drop_missing(self, run: Run) -> None:
+        """Remove a run that has stopped, and report why."""
+        cause = LossCause.NOT_LISTED
+        if run.worker_restarted:
+            cause = LossCause.WORKER_RESTARTED
+        self.runs.remove(run)
+        self.events.on_run_lost(self, run, cause)
 
 
 def _must_be_listed(run: Run, report_requested_ms: float) -> bool:
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -148,7 +148,8 @@
     If the reply to the start was lost, ``start_fence_token`` is the token that
     fences the start order off, else 0. ``last_listed_ms`` is when a report last listed
     the run, ``last_progress_ms`` when a report last showed progress.
-    ``worker_restarted`` is set if the worker has restarted since the start was ordered.
+    ``worker_restarted`` is set if the worker has restarted since the start was ordered,
+    ``other_jobs`` is how many other jobs had runs on the worker when it was lost.
     """
 
     name: str
@@ -164,6 +165,12 @@
     last_listed_ms: float = 0
     last_progress_ms: float = 0
     worker_restarted: bool = False
+    other_jobs: int = 0
+
+    @property
+    def job_id(self) -> str:
+        """Return the id of the job that the task belongs to."""
+        return job_id_of(self.name)
 
     @property
     def key(self) -> tuple[str, int]:
@@ -171,6 +178,11 @@
         return self.name, self.attempt
 
 
+def job_id_of(task_name: str) -> str:
+    """Return the id of a task's job; the name of a task starts with it."""
+    return task_name.partition(".")[0]
+
+
 def make_job(
     submitted: SubmittedJob,
     receiver: OutcomeReceiver,
--- a/rattanloom/placement/worker_events.py
+++ b/rattanloom/placement/worker_events.py
@@ -23,6 +23,20 @@
     FENCED = "fenced"
 
 
+class LossCause(Enum):
+    """Why a run has definitely stopped without a reported outcome.
+
+    LEASE_EXPIRED: its worker does not respond, and its lease has expired.
+    WORKER_RESTARTED: its worker responds in a new incarnation. NOT_LISTED: the worker's
+    report lacks it. LEFT_POOL: its worker was removed from the pool before.
+    """
+
+    LEASE_EXPIRED = "lease_expired"
+    WORKER_RESTARTED = "worker_restarted"
+    NOT_LISTED = "not_listed"
+    LEFT_POOL = "left_pool"
+
+
 class WorkerEvents(Protocol):
     """Event handlers of a placer, called by its pooled workers; must not block."""
 
@@ -34,7 +48,7 @@
     ) -> None:
         """Handle a finished run of this placer."""
 
-    def on_run_lost(self, worker: "PooledWorker", run: Run, reason: str) -> None:
+    def on_run_lost(self, worker: "PooledWorker", run: Run, cause: LossCause) -> None:
         """Handle a run that has definitely stopped, with an unknown outcome."""
 
     def on_run_not_started(
--- a/rattanloom/placement/worker_runs.py
+++ b/rattanloom/placement/worker_runs.py
@@ -63,6 +63,12 @@
         self.free = self.free.plus(_need(run))
         return True
 
+    def count_other_jobs(self) -> None:
+        """Set ``other_jobs`` of all runs, before the worker's runs are lost."""
+        jobs = {run.job_id for run in self._runs.values()}
+        for run in self._runs.values():
+            run.other_jobs = len(jobs) - 1
+
     def adopt(self, run: Run, task: PlacedTask, now_ms: float) -> None:
         """Assign an inherited run to the task that it belongs to."""
         self.remove(run)
