Let stand-in workers crash by a task and shrink; check both rules in the soak

Neither the workers' stand-in nor the soak could show the two new kinds of trouble. A task whose spec names its index crashes its worker 10 ms after the start; the worker is down for 2 s and returns in a new incarnation, every third one under a new id. A worker's capacity can change, and every second worker starts whatever it is ordered to. Faults crashing_jobs_sent and workers_shrunk, checks crashing_tasks_are_given_up, no_worker_is_overfilled and jobs_fail_with_cause, each with a history that it rejects.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 until the response to it.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from itertools import pairwise
@@ -35,6 +35,11 @@
 # All leases expire within this time after the last order to a worker.
 LEASE_EXPIRY_MS = 2_500.0
 COMPLETE_SHARE_MIN = 0.9
+# The platform's limit: a task is started fewer than this many times after as many
+# workers have crashed under it.
+CRASHES_MAX = 3
+# The platform allows to give up a task under which two workers have crashed.
+GUILTY_CRASHES_MIN = 2
 # The platform's config_apply_ms.
 CONFIGURATION_DELAY_MAX_MS = 2_000.0
 
@@ -94,6 +99,54 @@
             yield Breach("complete_means_whole", f"{job.job_id}: tasks {missing}")
 
 
+def no_worker_is_overfilled(history: History, runs: list[TaskRun]) -> Iterable[Breach]:
+    """No start brings a worker over the capacity that a placer must know of."""
+    for run in runs:
+        if run.used_millicores > run.allowed_millicores:
+            yield Breach(
+                "no_worker_is_overfilled",
+                f"{run.task} on {run.worker} at {run.start_ms:.0f}: uses "
+                f"{run.used_millicores} of {run.allowed_millicores} millicores",
+            )
+
+
+def crashing_tasks_are_given_up(
+    history: History, runs: list[TaskRun]
+) -> Iterable[Breach]:
+    """A task under which CRASHES_MAX workers crashed starts fewer than that again."""
+    by_task = defaultdict(list)
+    for run in runs:
+        if run.crashes_workers:
+            by_task[run.task].append(run)
+    for task, task_runs in by_task.items():
+        crashes_ms = sorted(run.end_ms for run in task_runs if run.how == "crashed")
+        if len(crashes_ms) < CRASHES_MAX:
+            continue
+        third_ms = crashes_ms[CRASHES_MAX - 1]
+        later = sum(run.start_ms > third_ms for run in task_runs)
+        if later >= CRASHES_MAX:
+            yield Breach(
+                "crashing_tasks_are_given_up",
+                f"{task}: {len(crashes_ms)} crashes, {later} starts after the third",
+            )
+
+
+def jobs_fail_with_cause(history: History, runs: list[TaskRun]) -> Iterable[Breach]:
+    """A failed job has a task that failed, or under which two workers crashed.
+
+    Crashes by other tasks on the same worker count here as well.
+    """
+    for job in history.jobs.values():
+        if not job.is_failed or job.crash_index is not None:
+            continue
+        own_runs = [run for run in runs if run.job_id == job.job_id]
+        if any(run.how == "failed" for run in own_runs):
+            continue
+        lost = Counter(run.task for run in own_runs if run.how in ("crashed", "killed"))
+        if max(lost.values(), default=0) < GUILTY_CRASHES_MIN:
+            yield Breach("jobs_fail_with_cause", job.job_id)
+
+
 def answers_come_in_time(history: History, runs: list[TaskRun]) -> Iterable[Breach]:
     """A daemon with no recent fault responds by the deadline plus RESPONSE_SLACK_MS."""
     for job, send in _sends(history):
@@ -148,7 +201,9 @@
     jobs_after_faults = [
         job
         for job in history.jobs.values()
-        if job.sends and job.sends[0].sent_ms > last_fault_ms + RECOVERY_MS
+        if job.sends
+        and job.sends[0].sent_ms > last_fault_ms + RECOVERY_MS
+        and job.crash_index is None
     ]
     complete = sum(job.is_complete for job in jobs_after_faults)
     if jobs_after_faults and complete < COMPLETE_SHARE_MIN * len(jobs_after_faults):
@@ -227,6 +282,9 @@
     refused_jobs_never_run,
     only_sent_tasks_run,
     complete_means_whole,
+    no_worker_is_overfilled,
+    crashing_tasks_are_given_up,
+    jobs_fail_with_cause,
     requests_never_fail,
 )
 TIMED_CHECKS: tuple[Check, ...] = (
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -22,6 +22,8 @@
 # Pause before a job is sent again; the platform's clients wait as long for a response.
 RESEND_MS = 1_300.0
 SENDS_MAX = 3
+# Sends of a job with a task that crashes its workers. Each may crash several.
+CRASHING_JOB_SENDS_MAX = 8
 READY_INTERVAL_MS = 1_000.0
 # A daemon gets no new clients after this many failed readiness checks in a row.
 FAILED_CHECKS_MAX = 2
@@ -97,9 +99,10 @@
     _pools: dict[str, HTTPConnectionPool] = field(factory=dict)
 
     def run_job(self, job: ClientJob) -> None:
-        """Send a job until it has a final response, at most ``SENDS_MAX`` times."""
+        """Send a job until it has a final response, at most some number of times."""
         self.history.jobs[job.job_id] = job
-        for _ in range(SENDS_MAX):
+        sends_max = CRASHING_JOB_SENDS_MAX if job.crash_index is not None else SENDS_MAX
+        for _ in range(sends_max):
             send = self._send(job)
             if send.status and send.status not in RESEND_STATUSES:
                 return
@@ -162,10 +165,14 @@
 
 @define(eq=False)
 class Traffic:
-    """Sends jobs of each kind at the kind's rate, each by a random client."""
+    """Sends jobs of each kind at the kind's rate, each by a random client.
+
+    ``crashing_share`` of them have one task that crashes its workers.
+    """
 
     clients: list[Client]
     random: Random
+    crashing_share: float = 0.0
     jobs: list[gevent.Greenlet] = field(factory=list)
 
     def run(self) -> None:
@@ -193,6 +200,8 @@
             "est_ms": max(1, round(length_ms * random.uniform(0.6, 1.4))),
         }
         count = max(1, round(kind.tasks * random.uniform(0.5, 1.5)))
+        if self.crashing_share and random.random() < self.crashing_share:
+            spec["crash_index"] = random.randrange(count)
         job_id = f"{random.getrandbits(64):016x}"
         return ClientJob(
             job_id, kind.name, json.dumps(spec), count, DEADLINE_MS, PATH_PREFIX
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -299,6 +299,8 @@
                 f"{network}.{210 + zone_number}.1:{WORKER_PORT + number}",
                 clock_offset_ms=random.uniform(-1e6, 1e6),
                 clock_rate=random.uniform(0.98, 1.02),
+                guards_capacity=number % 2 == 0,
+                renamed_by_crash=number % 3 == 0,
             )
             workers[worker.worker_id] = worker
     return workers
--- a/soak/fault_table.py
+++ b/soak/fault_table.py
@@ -12,6 +12,7 @@
     configuration_changed,
     connections_reset,
     connections_silenced,
+    crashing_jobs_sent,
     daemon_cut,
     daemon_cut_from_store,
     daemon_killed,
@@ -24,6 +25,7 @@
     switched,
     worker_crashed,
     workers_killed,
+    workers_shrunk,
     zone_cut,
     zone_cut_one_way,
 )
@@ -107,6 +109,8 @@
     "connections_silenced": FaultKind(connections_silenced, 0.1, 0.2),
     "configuration_changed": FaultKind(configuration_changed, 0.5, 2),
     "configuration_after_outage": FaultKind(configuration_after_outage, 0.5, 5),
+    "crashing_jobs_sent": FaultKind(crashing_jobs_sent, 1, 4),
+    "workers_shrunk": FaultKind(workers_shrunk, 2, 6),
 }
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from urllib3.exceptions import HTTPError
 
 from rattanloom.clock import MS_PER_S, Clock, SystemClock
+from soak.clients import Traffic
 from soak.deployment import OTHER_PREFIXES, PATH_PREFIX, ZONES, Daemon, Deployment
 from soak.history import History, PoolKill, Span
 from soak.relay import pairs_between
@@ -20,6 +21,7 @@
 RESTART_PAUSE_S = 0.3
 SLOW_STORE_MS = 300.0
 LINK_DELAY_MS = 60.0
+CRASHING_SHARE = 0.05
 
 
 @define(eq=False)
@@ -33,6 +35,7 @@
     deployment: Deployment
     history: History
     random: Random
+    traffic: Traffic
     clock: Clock = field(factory=SystemClock)
     in_use: set[str] = field(factory=set)
 
@@ -170,6 +173,19 @@
         context.in_use.discard(zone)
 
 
+@contextmanager
+def workers_shrunk(context: FaultContext) -> FaultBody:
+    """A third of the workers have less capacity until the end."""
+    workers = list(context.deployment.workers)
+    shrunk = context.random.sample(workers, max(1, len(workers) // 3))
+    share = context.random.uniform(0.2, 0.8)
+    for worker in shrunk:
+        _switch_worker(context, worker, {"capacity_share": share})
+    yield
+    for worker in shrunk:
+        _switch_worker(context, worker, {"capacity_share": 1.0})
+
+
 @contextmanager
 def worker_crashed(context: FaultContext) -> FaultBody:
     """A worker drops its runs and starts a new incarnation."""
@@ -177,6 +193,15 @@
     yield
 
 
+@contextmanager
+def crashing_jobs_sent(context: FaultContext) -> FaultBody:
+    """Some jobs have a task that crashes each worker that starts it."""
+    with context.record_span("crashing_jobs_sent"):
+        context.traffic.crashing_share = CRASHING_SHARE
+        yield
+        context.traffic.crashing_share = 0.0
+
+
 def switched(fault: str, on: dict, off: dict) -> Fault:
     """Return a fault that sets switches of a worker to ``on``, at the end to ``off``.
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -48,10 +48,24 @@
         """Return whether a response reported the job as complete."""
         return any(send.state == "complete" for send in self.sends)
 
+    @property
+    def is_failed(self) -> bool:
+        """Return whether a response reported the job as failed."""
+        return any(send.state == "failed" for send in self.sends)
+
+    @property
+    def crash_index(self) -> int | None:
+        """Return the index of the task that crashes its workers, or None."""
+        return json.loads(self.spec).get("crash_index")
+
 
 @frozen
 class TaskRun:
-    """A run of a task on a worker; ``how`` is empty if it did not end."""
+    """A run of a task on a worker; ``how`` is empty if it did not end.
+
+    At its start, the worker's runs used ``used_millicores``, and were allowed to use
+    ``allowed_millicores``.
+    """
 
     task: str
     attempt: int
@@ -60,12 +74,20 @@
     start_ms: float
     end_ms: float = inf
     how: str = ""
+    used_millicores: int = 0
+    allowed_millicores: int = 0
 
     @property
     def job_id(self) -> str:
         """Return the id of the job that the task belongs to."""
         return self.task.partition(".")[0]
 
+    @property
+    def crashes_workers(self) -> bool:
+        """Return whether the task crashes each worker that starts it."""
+        index = json.loads(self.spec).get("crash_index")
+        return index is not None and self.task.endswith(f".{index}")
+
 
 @frozen
 class Span:
@@ -184,6 +206,16 @@
         else:
             end_ms, how = killed_ms, "killed" if killed_ms < inf else ""
         runs.append(
-            TaskRun(task, attempt, worker, event["spec"], start_ms, end_ms, how)
+            TaskRun(
+                task,
+                attempt,
+                worker,
+                event["spec"],
+                start_ms,
+                end_ms,
+                how,
+                event.get("used_millicores", 0),
+                event.get("allowed_millicores", 0),
+            )
         )
     return runs
--- a/soak/play.py
+++ b/soak/play.py
@@ -74,15 +74,19 @@
         prober = QueueProber(self.deployment, self.history)
         background = [gevent.spawn(part.run) for part in (balancer, traffic, prober)]
         gevent.sleep(WARM_UP_S)
-        self._inject_all(clock.now_ms() + self.faults_s * MS_PER_S, clock)
+        self._inject_all(clock.now_ms() + self.faults_s * MS_PER_S, clock, traffic)
         gevent.sleep(self.cooldown_s)
         gevent.killall(background)
         gevent.joinall(traffic.jobs, timeout=SETTLE_S)
         gevent.sleep(SETTLE_S / 2)
         self.history.configurations = self.deployment.configurations
 
-    def _inject_all(self, until_ms: float, clock: SystemClock) -> None:
-        context = FaultContext(self.deployment, self.history, self._new_random())
+    def _inject_all(
+        self, until_ms: float, clock: SystemClock, traffic: Traffic
+    ) -> None:
+        context = FaultContext(
+            self.deployment, self.history, self._new_random(), traffic
+        )
         running = []
         while clock.now_ms() < until_ms:
             name = self.random.choice(self.fault_names)
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -3,7 +3,12 @@
 from soak.fault_table import FAULTS
 
 # A seed plays the same series of faults only with the same list of faults.
-ADDED_LATER = ("store_loses_requests", "configuration_after_outage")
+ADDED_LATER = (
+    "store_loses_requests",
+    "configuration_after_outage",
+    "crashing_jobs_sent",
+    "workers_shrunk",
+)
 REGRESSION_FAULTS = tuple(name for name in FAULTS if name not in ADDED_LATER)
 
 REGRESSIONS: dict[int, str] = {
--- a/standins/pool.py
+++ b/standins/pool.py
@@ -53,25 +53,36 @@
 
 @define(eq=False)
 class StandinWorker:
-    """HTTP interface of one worker; ``table`` holds the runs of its incarnation."""
+    """HTTP interface of one worker; ``table`` holds the runs of its incarnation.
+
+    ``registered_id`` is the id of its current registration. While ``is_down``, requests
+    get no response. ``crashes`` counts the crashes by tasks.
+    """
 
     worker_settings: WorkerSettings
     clock: Clock
     history: TextIO
-    table: RunTable = field(init=False)
+    table: RunTable | None = None
+    registered_id: str = field(init=False)
+    is_down: bool = False
+    crashes: int = 0
 
     def __attrs_post_init__(self) -> None:
+        self.registered_id = self.worker_settings.worker_id
         self.start_incarnation(WorkerSwitches())
 
     def start_incarnation(self, switches: WorkerSwitches) -> None:
         """Start a new incarnation, without the state of the previous one."""
         start_wall_ms = int(self.clock.wall_ms())
+        former_shares = self.table.former_shares if self.table else []
         self.table = RunTable(
             self.worker_settings,
             self.clock,
             self._write_history,
             start_wall_ms,
             switches,
+            self.crash_by_task,
+            former_shares=former_shares,
         )
 
     def crash(self) -> None:
@@ -79,6 +90,20 @@
         self.table.finish_all("crashed")
         self.start_incarnation(self.table.switches)
 
+    def crash_by_task(self) -> None:
+        """Crash as a task does: the worker is down for ``crash_down_ms``."""
+        self.crashes += 1
+        self.is_down = True
+        self.table.finish_all("crashed")
+        down_s = self.worker_settings.crash_down_ms / MS_PER_S
+        gevent.spawn_later(down_s, self._return_from_crash)
+
+    def _return_from_crash(self) -> None:
+        if self.worker_settings.renamed_by_crash:
+            self.registered_id = f"{self.worker_settings.worker_id}-{self.crashes}"
+        self.start_incarnation(self.table.switches)
+        self.is_down = False
+
     def application(self) -> Bottle:
         """Return the worker's HTTP interface."""
         app = Bottle()
@@ -98,7 +123,7 @@
             "slots": 8,
             "state": "draining" if table.switches.draining else "ready",
             "born": table.start_wall_ms,
-            "capacity": {"cpu": settings.cpu_millicores, "mem_mb": settings.memory_mb},
+            "capacity": {"cpu": table.cpu_millicores(), "mem_mb": settings.memory_mb},
             "labels": ["a", f"rack-{settings.zone}"],
         }
 
@@ -147,7 +172,7 @@
         wait_ms = min(order.get("wait_ms", 0), RENEWAL_WAIT_MAX_MS)
         if wait_ms and not table.finished_runs:
             table.run_finished.wait(wait_ms / MS_PER_S)
-        if table is not self.table:
+        if table is not self.table or self.is_down:
             drop_connection()
         table.enforce_lease()
         running = [
@@ -156,7 +181,10 @@
         return self._response(200, running=running, finished=table.finished_runs)
 
     def _is_misdirected(self) -> bool:
-        return request.get_header("Expect-Instance") != self.worker_settings.worker_id
+        """Return whether a request is for another incarnation; drop it while down."""
+        if self.is_down:
+            drop_connection()
+        return request.get_header("Expect-Instance") != self.registered_id
 
     def _response(self, status: int, **fields: object) -> HTTPResponse:
         table = self.table
@@ -185,7 +213,11 @@
         url = f"http://{self.settings.store}/standin/rows"
         headers = {"Content-Type": "application/json"}
         while True:
-            rows = [self._row(worker) for worker in self.workers_by_id.values()]
+            rows = [
+                self._row(worker)
+                for worker in self.workers_by_id.values()
+                if not worker.is_down
+            ]
             try:
                 http.request("POST", url, body=json.dumps(rows), headers=headers)
             except HTTPError as error:
@@ -196,14 +228,14 @@
         entry = json.dumps(worker.entry(self.settings.service))
         return {
             "table": "servers",
-            "key": worker.worker_settings.worker_id,
+            "key": worker.registered_id,
             "value": b64encode(entry.encode()).decode(),
             "ttl_ms": ENTRY_TTL_MS,
         }
 
     def _set_switches(self, worker_id: str) -> dict:
         table = self.workers_by_id[worker_id].table
-        table.switches = evolve(table.switches, **request.json)
+        table.set_switches(evolve(table.switches, **request.json))
         return asdict(table.switches)
 
     def _crash(self, worker_id: str) -> dict:
--- a/standins/run_table.py
+++ b/standins/run_table.py
@@ -16,6 +16,11 @@
 LEASE_MAX_MS = 1_000
 # Longest time between two updates of a run's progress.
 PROGRESS_TICK_MS = 20
+# A task that crashes its worker does so this long after its start.
+CRASH_DELAY_MS = 10
+# A placer must know a smaller capacity after this time: the platform's contact_ms and
+# one heartbeat of a worker.
+CAPACITY_NOTICE_MS = 3_000 + 500
 
 
 @frozen
@@ -24,6 +29,9 @@
 
     The worker serves on ``listen`` and registers ``advertised``, which may be the
     address of a relay. Its clock runs ``clock_rate`` times as fast as the machine's.
+    Unless it ``guards_capacity``, it starts whatever it is ordered to. After a crash by
+    a task, it is down for ``crash_down_ms``, and ``renamed_by_crash`` tells whether it
+    returns under a new id.
     """
 
     worker_id: str
@@ -34,6 +42,9 @@
     memory_mb: int = 65_536
     clock_offset_ms: float = 0.0
     clock_rate: float = 1.0
+    guards_capacity: bool = True
+    crash_down_ms: float = 2_000.0
+    renamed_by_crash: bool = False
 
 
 @frozen
@@ -43,7 +54,8 @@
     The next ``late_orders`` starts are carried out ``late_ms`` late and get no
     response. ``speed`` is the progress of runs per unit of time; with 0 they stall.
     With ``failing`` they finish as failed. A ``draining`` worker is registered as
-    draining. A stop takes ``stop_ms``.
+    draining. A stop takes ``stop_ms``. ``capacity_share`` is the share of its capacity
+    that the worker has now.
     """
 
     speed: float = 1.0
@@ -52,17 +64,22 @@
     late_ms: float = 1_500.0
     draining: bool = False
     stop_ms: float = 10.0
+    capacity_share: float = 1.0
 
 
 @define(eq=False)
 class Run:
-    """One run; its length and resources are in the ``spec`` of its start order."""
+    """One run; its length and resources are in the ``spec`` of its start order.
+
+    With ``crashes``, it crashes the worker.
+    """
 
     task: str
     attempt: int
     length_ms: float
     cpu_millicores: int
     memory_mb: int
+    crashes: bool = False
     progress_ms: float = 0.0
 
     @property
@@ -75,10 +92,12 @@
 class RunTable:
     """Runs of one incarnation of a worker.
 
-    ``record_event`` is called when a run starts or finishes. ``lease_until_ms`` is a
-    time of the worker's own clock. ``finished_runs`` holds the reports of finished
-    runs, numbered from 1, until the placer acknowledges them. A task's attempts up to
-    the one in ``_newest_finished_attempts`` are never started.
+    ``record_event`` is called when a run starts or finishes, ``crash`` when a run
+    crashes the worker. ``lease_until_ms`` is a time of the worker's own clock.
+    ``finished_runs`` holds the reports of finished runs, numbered from 1, until the
+    placer acknowledges them. A task's attempts up to the one in
+    ``_newest_finished_attempts`` are never started. ``former_shares`` are the shares
+    of its capacity that the worker had before, each with the time of the change.
     """
 
     worker_settings: WorkerSettings
@@ -86,6 +105,7 @@
     record_event: Callable[..., None]
     start_wall_ms: int
     switches: WorkerSwitches = field(factory=WorkerSwitches)
+    crash: Callable[[], None] = lambda: None
     fencing_token: int = 0
     lease_until_ms: float = 0.0
     runs: dict[tuple[str, int], Run] = field(factory=dict)
@@ -93,6 +113,19 @@
     last_finished_number: int = 0
     run_finished: Event = field(factory=Event)
     _newest_finished_attempts: dict[str, int] = field(factory=dict)
+    former_shares: list[tuple[float, float]] = field(factory=list)
+
+    def set_switches(self, switches: WorkerSwitches) -> None:
+        """Set the faults of the worker, and record a change of its capacity."""
+        if switches.capacity_share != self.switches.capacity_share:
+            former = (self.switches.capacity_share, self.clock.now_ms())
+            self.former_shares.append(former)
+        self.switches = switches
+
+    def cpu_millicores(self) -> int:
+        """Return the capacity that the worker has now."""
+        share = self.switches.capacity_share
+        return int(share * self.worker_settings.cpu_millicores)
 
     def clock_ms(self) -> int:
         """Return the time of the worker's own clock."""
@@ -126,12 +159,18 @@
         if order["attempt"] <= self._newest_finished_attempts.get(order["task"], 0):
             return "old"
         spec = json.loads(order["spec"])
-        run = Run(*key, spec["ms"], spec["cpu"], spec["mem_mb"])
-        if not self._has_capacity(run):
+        crashes = str(spec.get("crash_index")) == run_index(order["task"])
+        run = Run(*key, spec["ms"], spec["cpu"], spec["mem_mb"], crashes)
+        if self.worker_settings.guards_capacity and not self._has_capacity(run):
             return "room"
         self.runs[key] = run
         self.record_event(
-            "start", task=run.task, attempt=run.attempt, spec=order["spec"]
+            "start",
+            task=run.task,
+            attempt=run.attempt,
+            spec=order["spec"],
+            used_millicores=sum(one.cpu_millicores for one in self.runs.values()),
+            allowed_millicores=self._allowed_millicores(),
         )
         gevent.spawn(self._execute, run)
         return None
@@ -165,11 +204,25 @@
         cpu_millicores = sum(other.cpu_millicores for other in runs)
         memory_mb = sum(other.memory_mb for other in runs)
         return (
-            cpu_millicores <= self.worker_settings.cpu_millicores
+            cpu_millicores <= self.cpu_millicores()
             and memory_mb <= self.worker_settings.memory_mb
         )
 
+    def _allowed_millicores(self) -> int:
+        """Return the processor that runs may use, as far as a placer must know it."""
+        notice_from_ms = self.clock.now_ms() - CAPACITY_NOTICE_MS
+        recent = [
+            share for share, to_ms in self.former_shares if to_ms > notice_from_ms
+        ]
+        share = max(self.switches.capacity_share, *recent, 0.0)
+        return int(share * self.worker_settings.cpu_millicores)
+
     def _execute(self, run: Run) -> None:
+        if run.crashes:
+            gevent.sleep(CRASH_DELAY_MS / MS_PER_S)
+            if (run.task, run.attempt) in self.runs:
+                self.crash()
+            return
         while run.progress_ms < run.length_ms:
             before_ms = self.clock.now_ms()
             left_ms = run.length_ms - run.progress_ms
@@ -192,3 +245,8 @@
         self.record_event("end", task=run.task, attempt=run.attempt, how=outcome)
         self.run_finished.set()
         self.run_finished.clear()
+
+
+def run_index(task: str) -> str:
+    """Return the index of a task in its step, the last part of its name."""
+    return task.rpartition(".")[2]
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -67,6 +67,58 @@
 }
 
 
+CRASHING_SPEC = '{"ms": 60, "crash_index": 0}'
+
+
+def make_crashes(starts: int) -> list[TaskRun]:
+    """Return runs of one task, each of which crashed its worker."""
+    return [
+        make_run(
+            0,
+            attempt=number,
+            spec=CRASHING_SPEC,
+            start_ms=1_000 * number,
+            end_ms=1_000 * number + 10,
+            how="crashed",
+        )
+        for number in range(1, starts + 1)
+    ]
+
+
+def make_crashing_history() -> History:
+    history = make_history(Send("n1", 900, 1_080, 504))
+    history.jobs[JOB].spec = CRASHING_SPEC
+    return history
+
+
+BAD_HISTORIES["no_worker_is_overfilled"] = (
+    make_history(COMPLETE),
+    [
+        make_run(0),
+        make_run(1, used_millicores=28_000, allowed_millicores=16_000),
+    ],
+)
+BAD_HISTORIES["crashing_tasks_are_given_up"] = (
+    make_crashing_history(),
+    make_crashes(6),
+)
+BAD_HISTORIES["jobs_fail_with_cause"] = (
+    make_history(Send("n1", 900, 1_080, 200, "failed")),
+    [make_run(0, how="crashed"), make_run(0, attempt=2, start_ms=1_065, end_ms=1_070)],
+)
+
+
+def test_task_may_start_twice_after_it_crashed_three_workers():
+    assert not list(
+        checks.crashing_tasks_are_given_up(make_crashing_history(), make_crashes(5))
+    )
+
+
+def test_job_may_fail_after_two_workers_crashed_under_its_task():
+    history = make_history(Send("n1", 900, 1_080, 200, "failed"))
+    assert not list(checks.jobs_fail_with_cause(history, make_crashes(2)))
+
+
 def make_probed_history(sent_ms: float, status: int) -> History:
     """Return a history of a queue removed at 11,000 and of a probe for it."""
     added = ConfigurationChange(1, ("/jobs/", "/other-a/"), 10_100, 10_110)
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -6,6 +6,7 @@
 
 import gevent
 import pytest
+from attrs import evolve
 
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.placement.workers import (
@@ -28,7 +29,7 @@
 
 TABLE = "t"
 ONE = RowRef(TABLE, "", "one")
-SPEC = json.dumps({"ms": 40, "cpu": 14_000, "mem_mb": 64})
+SPEC = {"ms": 40, "cpu": 14_000, "mem_mb": 64}
 
 
 @contextmanager
@@ -49,9 +50,12 @@
         yield worker, WorkerClient("w1", address)
 
 
-def order(worker, index=0, attempt=1, token=5, lease_ms=900) -> StartOrder:
+def order(
+    worker, index=0, attempt=1, token=5, lease_ms=900, **spec_changes
+) -> StartOrder:
     until_ms = worker.table.clock_ms() + lease_ms
-    return StartOrder(f"aa.0.0.{index}", attempt, SPEC, until_ms, token)
+    spec = json.dumps(SPEC | spec_changes)
+    return StartOrder(f"aa.0.0.{index}", attempt, spec, until_ms, token)
 
 
 def test_transaction_applies_only_if_versions_match():
@@ -170,6 +174,31 @@
         assert report.running == ()
 
 
+def test_worker_crashes_under_a_task_and_returns_under_another_id():
+    with running_worker() as (worker, client):
+        worker.worker_settings = evolve(
+            worker.worker_settings, crash_down_ms=50, renamed_by_crash=True
+        )
+        client.start(order(worker, crash_index=0))
+        gevent.sleep(0.02)
+        assert isinstance(client.renew(Renewal(5, 0, None, 0)), Failure)
+        gevent.sleep(0.08)
+        reply = client.renew(Renewal(5, 0, None, 0))
+        assert reply.refusal is RefusalReason.OTHER_WORKER
+        assert worker.registered_id != worker.worker_settings.worker_id
+
+
+@pytest.mark.parametrize(("guards", "starts"), [(True, 1), (False, 2)])
+def test_shrunk_worker_starts_what_its_capacity_allows_if_it_guards_it(guards, starts):
+    with running_worker(speed=0.0, capacity_share=0.5) as (worker, client):
+        worker.worker_settings = evolve(worker.worker_settings, guards_capacity=guards)
+        worker.table.worker_settings = worker.worker_settings
+        for index in range(2):
+            client.start(order(worker, index))
+        assert len(worker.table.runs) == starts
+        assert worker.entry("desk")["capacity"]["cpu"] == 16_000
+
+
 def test_change_during_the_delay_of_a_reply_is_not_lost():
     with running_store() as (store, client):
         client.transact((), ((ONE, b"1"),))
