--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -47,7 +47,8 @@
     Its clock is 7 s ahead of the placer's. ``running`` has the progress of each run
     in percent, ``starts`` the start orders carried out. The next ``lose_starts``
     start orders get no reply, and are kept in ``late_orders`` for the test to carry
-    out. A test changes ``incarnation_ms`` to restart the worker.
+    out. A test changes ``incarnation_ms`` to restart the worker. The tasks named in
+    ``crashing`` crash it; it is ``down`` for ``down_s`` and has a new incarnation then.
     """
 
     worker_id: str
@@ -63,6 +64,9 @@
     late_orders: list[StartOrder] = field(factory=list)
     starts: list[StartOrder] = field(factory=list)
     changed: Event = field(factory=Event)
+    crashing: frozenset[str] = frozenset()
+    down: bool = False
+    down_s: float = 0.2
 
     def entry(self) -> WorkerEntry:
         """Return the entry that the worker registers."""
@@ -79,7 +83,7 @@
     def start(self, order: StartOrder) -> Started | Refused | Failure:
         """Receive a start order: carry it out, lose it or fail to be reached."""
         gevent.sleep(0)
-        if self.cut_off:
+        if self.cut_off or self.down:
             return UNREACHABLE
         if self.lose_starts:
             self.lose_starts -= 1
@@ -98,12 +102,25 @@
         self.lease_until_ms = max(self.lease_until_ms, order.lease_until_ms)
         self.running[order.task, order.attempt] = 0
         self.starts.append(order)
+        if order.task in self.crashing:
+            gevent.spawn_later(0.01, self.crash)
         return Started(self._clock_ms())
 
+    def crash(self) -> None:
+        """Lose all state; return in a new incarnation after ``down_s``."""
+        self.down = True
+        self.running.clear()
+        self.finished.clear()
+        self.token, self.ended_count, self.lease_until_ms = 0, 0, 0
+        self.changed.set()
+        gevent.sleep(self.down_s)
+        self.incarnation_ms += 1
+        self.down = False
+
     def stop(self, task: str, attempt: int, fencing_token: int) -> bool | Failure:
         """Stop a run."""
         gevent.sleep(0)
-        if self.cut_off:
+        if self.cut_off or self.down:
             return UNREACHABLE
         if fencing_token < self.token:
             return False
@@ -113,7 +130,7 @@
     def renew(self, renewal: Renewal) -> WorkerReport | Refused | Failure:
         """Extend the lease; report once a run has finished or the wait has ended."""
         gevent.sleep(0.001)
-        if self.cut_off:
+        if self.cut_off or self.down:
             return UNREACHABLE
         if renewal.fencing_token < self.token:
             return Refused(RefusalReason.FENCED, self._clock_ms())
@@ -127,6 +144,8 @@
         if renewal.wait_ms and not self.finished:
             self.changed.clear()
             self.changed.wait(renewal.wait_ms / 1000)
+        if self.down:
+            return LOST
         self._expire_runs()
         running = tuple(
             RunStatus(task, attempt, "", percent)
