Give up a task that crashes its workers, and start suspects alone

Callers saw, while one in ten jobs of a queue crashed its workers, most jobs refused for three seconds and others late: workers were lost faster than they came back.

Cause: a task of a lost run was queued again without limit. Nothing of a task outlived its job, so each send of the job crashed workers anew, and all tasks of a lost worker started again next to others.

Change: losses are recorded by task and worker, beyond the job's end. A loss is open until the worker responds, in the same incarnation (it was cut off; the loss is cleared) or in a new one, or until it is replaced or no longer registered (it crashed). A task with a loss starts again only on a worker without other runs, which then takes no others, so the innocent are told from the cause. With two losses, one of them alone, it does not start again: its job has failed if both workers crashed, else it is given up at once, to be sent again once that is known. Losses with leaving workers do not count.

Ruled out: reserving a worker for suspects. They start where one is idle, after the tasks that are waiting, since each start may cost a worker.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -355,6 +355,8 @@
         self.placer.inherited_work.takeover_ms_by_node = (
             self.ownership.takeover_ms_by_node()
         )
+        if self.registry.is_complete():
+            self.placer.on_workers_registered(self.registry.entries)
         for entry in self.registry.entries.values():
             record = owned.get(entry.zone)
             if record is not None:
--- a/rattanloom/placement/assignment.py
+++ b/rattanloom/placement/assignment.py
@@ -19,15 +19,17 @@
     """One pass over the waiting tasks.
 
     ``may_start`` returns whether a task may have a new run now, on any worker;
-    ``start_run`` starts it. ``_accepting`` has the workers that accept tasks during
-    the pass. ``_unplaceable_millicores`` has, by service, label, memory
-    and accelerators, the smallest processor need for which no worker was found.
+    ``start_run`` starts it. A task for which ``must_be_isolated`` returns true starts
+    on a worker without other runs. ``_accepting`` has the workers that accept tasks
+    during the pass. ``_unplaceable_millicores`` has, by service, label, memory and
+    accelerators, the smallest processor need for which no worker was found.
     """
 
     workers: Collection[PooledWorker]
     may_start: Callable[[PlacedTask], bool]
     start_run: Callable[[PlacedTask, PooledWorker], None]
     now_ms: float
+    must_be_isolated: Callable[[PlacedTask], bool] = lambda task: False
     _accepting: list[PooledWorker] = field(init=False)
     _unplaceable_millicores: dict[tuple[str, str, int, int], int] = field(factory=dict)
 
@@ -49,6 +51,8 @@
             waiting.put_back(task, self.now_ms)
 
     def _start(self, task: PlacedTask) -> bool:
+        if self.must_be_isolated(task):
+            return self._start_isolated(task)
         need = task.step.need
         service, label = task.job.submitted.policy.service, task.step.required_label
         kind = (service, label, need.memory_mb, need.gpus)
@@ -68,3 +72,14 @@
             return False
         self.start_run(task, worker)
         return True
+
+    def _start_isolated(self, task: PlacedTask) -> bool:
+        if not self.may_start(task):
+            return False
+        idle = [worker for worker in self._accepting if not worker.runs]
+        worker = choose_worker(task, idle)
+        if worker is None:
+            return False
+        self._accepting.remove(worker)
+        self.start_run(task, worker)
+        return True
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -134,11 +134,19 @@
                 self._stop(run)
         self.client.close()
 
-    def start_run(self, task: PlacedTask) -> Run:
+    def start_run(self, task: PlacedTask, isolated: bool = False) -> Run:
         """Reserve capacity for a new run of a task and send the start order."""
         task.attempt += 1
-        now_ms = self.clock.now_ms()
-        run = Run(task.name, task.attempt, task, task.step, RunPhase.STARTING, now_ms)
+        run = Run(
+            task.name,
+            task.attempt,
+            task,
+            task.step,
+            RunPhase.STARTING,
+            self.clock.now_ms(),
+            incarnation_ms=self.incarnation_ms,
+            isolated=isolated,
+        )
         self.runs.add(run)
         gevent.spawn(self._start, run)
         return run
@@ -149,9 +157,9 @@
         run.stop_sent_ms = self.clock.now_ms()
         gevent.spawn(self._stop, run)
 
-    def adopt(self, run: Run, task: PlacedTask) -> None:
+    def adopt(self, run: Run, task: PlacedTask, isolated: bool = False) -> None:
         """Assign an inherited run to the task that it belongs to."""
-        self.runs.adopt(run, task, self.clock.now_ms())
+        self.runs.adopt(run, task, self.clock.now_ms(), isolated)
         task.attempt = max(task.attempt, run.attempt)
 
     def _start(self, run: Run) -> None:
@@ -322,6 +330,8 @@
             if token >= self.fencing_token:
                 self._set_fenced()
         else:
+            if reply.refusal is RefusalReason.OTHER_WORKER:
+                self.events.on_worker_replaced(self)
             self._record_missed_reply(
                 Failure(ErrorKind.REPLY_LOST, reply.refusal.value)
             )
@@ -412,7 +422,15 @@
         run = self.runs.get((row.task, row.attempt))
         now_ms = self.clock.now_ms()
         if run is None:
-            run = Run(row.task, row.attempt, None, None, RunPhase.INHERITED, now_ms)
+            run = Run(
+                row.task,
+                row.attempt,
+                None,
+                None,
+                RunPhase.INHERITED,
+                now_ms,
+                incarnation_ms=self.incarnation_ms,
+            )
             self.runs.add(run)
             self.events.on_inherited_run(self, run)
         elif run.phase in (RunPhase.STARTING, RunPhase.UNCERTAIN):
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -148,8 +148,9 @@
     If the reply to the start was lost, ``start_fence_token`` is the token that
     fences the start order off, else 0. ``last_listed_ms`` is when a report last listed
     the run, ``last_progress_ms`` when a report last showed progress.
-    ``worker_restarted`` is set if the worker has restarted since the start was ordered,
-    ``other_jobs`` is how many other jobs had runs on the worker when it was lost.
+    ``incarnation_ms`` is that of the worker then; ``worker_restarted`` is set if it
+    has restarted since. ``other_jobs`` is how many other jobs had runs on the worker
+    when it was lost. No other run may start beside an ``isolated`` one.
     """
 
     name: str
@@ -164,8 +165,10 @@
     percent: int = 0
     last_listed_ms: float = 0
     last_progress_ms: float = 0
+    incarnation_ms: int = 0
     worker_restarted: bool = False
     other_jobs: int = 0
+    isolated: bool = False
 
     @property
     def job_id(self) -> str:
--- a/rattanloom/placement/worker_events.py
+++ b/rattanloom/placement/worker_events.py
@@ -67,5 +67,8 @@
     ) -> None:
         """Handle a finished run that another placer ordered."""
 
+    def on_worker_replaced(self, worker: "PooledWorker") -> None:
+        """Handle that another worker has the address, so this one is gone."""
+
     def on_worker_changed(self, worker: "PooledWorker") -> None:
         """Handle a changed state of a worker."""
--- a/rattanloom/placement/worker_runs.py
+++ b/rattanloom/placement/worker_runs.py
@@ -16,13 +16,15 @@
     """Runs by task name and attempt; ``free`` is the capacity that they leave.
 
     ``active_runs`` is shared by all workers and counts the runs of each task.
-    ``inherited_count`` counts the inherited runs that no job has adopted.
+    ``inherited_count`` counts the inherited runs that no job has adopted,
+    ``isolated_count`` those beside which no other run may start.
     """
 
     capacity: Resources
     active_runs: Counter[str]
     free: Resources = field(init=False)
     inherited_count: int = 0
+    isolated_count: int = 0
     _runs: dict[tuple[str, int], Run] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -49,6 +51,7 @@
         self._runs[run.key] = run
         self.active_runs[run.name] += 1
         self.inherited_count += run.task is None
+        self.isolated_count += run.isolated
         self.free = self.free.minus(_need(run))
 
     def remove(self, run: Run) -> bool:
@@ -60,6 +63,7 @@
         if not self.active_runs[run.name]:
             del self.active_runs[run.name]
         self.inherited_count -= run.task is None
+        self.isolated_count -= run.isolated
         self.free = self.free.plus(_need(run))
         return True
 
@@ -69,9 +73,12 @@
         for run in self._runs.values():
             run.other_jobs = len(jobs) - 1
 
-    def adopt(self, run: Run, task: PlacedTask, now_ms: float) -> None:
+    def adopt(
+        self, run: Run, task: PlacedTask, now_ms: float, isolated: bool = False
+    ) -> None:
         """Assign an inherited run to the task that it belongs to."""
         self.remove(run)
+        run.isolated = isolated
         run.task, run.step = task, task.step
         run.phase = RunPhase.RUNNING
         run.confirmed_ms = now_ms
