Tell clients that a job may have run if an earlier send of it did

Callers saw 503, by which none of a job's tasks has run, for a job that they had sent before and of which a task had run then: it had been given up with 504 or its client had left.

Cause: whether a job may have run was derived from this send only; nothing of the earlier one was kept. Found in the test of crashing tasks, whose second send was refused. Which late jobs end first under overload is unchanged: that depends on active runs.

test_job_of_which_an_earlier_send_has_run_is_not_said_to_have_not_run failed before (refused instead of given up).

--- a/rattanloom/placement/inherited_work.py
+++ b/rattanloom/placement/inherited_work.py
@@ -26,7 +26,7 @@
 
 @define(eq=False, repr=False)
 class InheritedWork:
-    """Tracks inherited runs, and tasks and jobs that are done already.
+    """Tracks inherited runs, tasks and jobs that are done, and jobs that ended before.
 
     ``node`` is this daemon. ``takeover_ms_by_node`` is that of ``ZoneAcquirer``.
     """
@@ -37,6 +37,7 @@
     _runs: dict[str, tuple[PooledWorker, Run]] = field(factory=dict)
     _done_tasks: dict[str, float] = field(factory=dict)
     _done_jobs: dict[str, float] = field(factory=dict)
+    _unfinished_jobs: dict[str, float] = field(factory=dict)
 
     def is_synced(self, job: PlacedJob, workers: Iterable[PooledWorker]) -> bool:
         """Return whether all runs that former placers started for a job are known.
@@ -98,10 +99,18 @@
         """Return whether this placer completed a job recently."""
         return job_id in self._done_jobs
 
+    def record_unfinished_job(self, job_id: str) -> None:
+        """Record a job that ended before it was done, and that may have run."""
+        self._unfinished_jobs[job_id] = self.clock.now_ms()
+
+    def may_have_run(self, job_id: str) -> bool:
+        """Return whether tasks of an earlier send of a job may have run recently."""
+        return job_id in self._unfinished_jobs
+
     def remove_expired(self) -> None:
         """Remove the records of tasks and jobs older than ``DONE_KEPT_MS``."""
         now_ms = self.clock.now_ms()
-        for done_ms in (self._done_tasks, self._done_jobs):
+        for done_ms in (self._done_tasks, self._done_jobs, self._unfinished_jobs):
             for name in [
                 key for key, at in done_ms.items() if now_ms > at + DONE_KEPT_MS
             ]:
--- a/rattanloom/placement/overload.py
+++ b/rattanloom/placement/overload.py
@@ -55,8 +55,8 @@
 
     ``late_jobs`` wait, in the order in which they start, and none fits now.
     ``capacity_millicores`` is that of all workers that accept tasks or soon may again.
-    Jobs that may have run are never returned, but their work goes before that of later
-    jobs: their runs may still be found, or end.
+    Jobs that may have active runs are never returned, but their work goes before that
+    of later jobs: their runs may still be found, or end.
     """
     spare_millicores = max(0.0, capacity_millicores - arriving_millicores)
     hopeless = []
@@ -64,7 +64,7 @@
     for job in late_jobs:
         work = job.remaining_work_millicore_ms
         left_ms = job.latest_useful_start_ms - now_ms + job.submitted.critical_path_ms
-        if not job.may_have_run and ahead + work > spare_millicores * left_ms:
+        if not job.may_have_active_runs and ahead + work > spare_millicores * left_ms:
             hopeless.append(job)
         else:
             ahead += work
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -169,6 +169,9 @@
             receiver.deliver(JobOutcome(submitted.job_id, OutcomeKind.COMPLETE))
             return
         job = make_job(submitted, receiver, former_placers, self.clock.now_ms())
+        job.sent_before = self.inherited_work.may_have_run(job.job_id) or any(
+            self._must_be_isolated(task) for task in job.tasks
+        )
         self.jobs[job.job_id] = job
         self.arriving.add(job, self.clock.now_ms())
         log.info(
@@ -337,6 +340,8 @@
         )
         if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
             self._stop_runs(job)
+            if job.may_have_run:
+                self.inherited_work.record_unfinished_job(job.job_id)
         if outcome is not None and job.receiver is not None:
             job.receiver.deliver(outcome)
 
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -63,7 +63,7 @@
     after the link to its daemon was lost, at ``orphaned_ms``. ``former_placers`` are
     the daemons that received the job earlier and may have started runs of its tasks.
     ``effective_runs`` counts the runs that were ordered, less those that definitely
-    had no effect.
+    had no effect. ``sent_before`` is set if an earlier send of the job may have run.
     """
 
     submitted: SubmittedJob
@@ -75,6 +75,7 @@
     former_placers: tuple[str, ...] = ()
     received_ms: float = 0
     effective_runs: int = 0
+    sent_before: bool = False
     ended: bool = False
     orphaned_ms: float = 0
 
@@ -89,10 +90,15 @@
         return self.effective_runs > 0
 
     @property
-    def may_have_run(self) -> bool:
-        """Return whether any task may have run, here or at a former placer."""
+    def may_have_active_runs(self) -> bool:
+        """Return whether any task has a run or may have one, here or elsewhere."""
         return self.started or bool(self.former_placers)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any task may have run, by now or at an earlier send."""
+        return self.sent_before or self.may_have_active_runs
+
     @property
     def remaining_work_millicore_ms(self) -> float:
         """Return the estimated work of the tasks that are not done."""
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -298,6 +298,20 @@
     assert receiver.outcomes[0].retry_after_ms > 0
 
 
+def test_job_of_which_an_earlier_send_has_run_is_not_said_to_have_not_run():
+    worker, receiver = FakeWorker("w1"), FakeReceiver()
+    job = make_submitted_job(remaining_ms=500, estimate_ms=100)
+    with running_placer(worker) as placer:
+        placer.submit(receiver, job, ())
+        assert wait_for(lambda: worker.running)
+        placer.cancel(job.job_id)
+        assert wait_for(lambda: not placer.active_runs)
+        placer.workers["w1"].apply_entry(evolve(worker.entry(), accepting=False))
+        placer.submit(receiver, job, ())
+        assert wait_for(lambda: receiver.outcomes)
+    assert receiver.outcomes[0].kind is OutcomeKind.GIVEN_UP
+
+
 def test_job_without_started_task_is_refused_before_half_of_its_time():
     with running_placer() as placer:
         receiver = FakeReceiver()
