Do not start a task again once a run of an earlier send was its second loss

Callers saw nothing of it but a third crashed worker: a client had sent its job again while the task's run of the send before was still on a lost worker. When that loss was recorded, only the ended job was looked at; the waiting one found the task free and started it, though it was undecided whether it had crashed two workers.

--- a/rattanloom/placement/crash_records.py
+++ b/rattanloom/placement/crash_records.py
@@ -67,6 +67,11 @@
     UNDECIDED = "undecided"
     CRASHING = "crashing"
 
+    @property
+    def may_start(self) -> bool:
+        """Return whether the task may be started, on some worker, now."""
+        return self in (TaskRisk.NONE, TaskRisk.SUSPECT)
+
 
 @define(eq=False, repr=False)
 class CrashRecords:
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -390,8 +390,10 @@
         )
 
     def _may_start(self, task: PlacedTask) -> bool:
-        return not self.active_runs[task.name] and self.inherited_work.is_synced(
-            task.job, self.workers.values()
+        return (
+            not self.active_runs[task.name]
+            and self.crash_records.risk(task.name).may_start
+            and self.inherited_work.is_synced(task.job, self.workers.values())
         )
 
     def _start_run(self, task: PlacedTask, worker: PooledWorker) -> None:
@@ -409,7 +411,7 @@
         """End a job with a task that must not be started; return whether it ended."""
         for task in job.tasks:
             risk = self.crash_records.risk(task.name)
-            if risk not in (TaskRisk.CRASHING, TaskRisk.UNDECIDED):
+            if risk.may_start:
                 continue
             workers = ", ".join(self.crash_records.workers_lost_under(task.name))
             kind, retry_after_ms = OutcomeKind.FAILED, 0
@@ -479,7 +481,10 @@
             job_ended=job_ended,
         )
         self._record_loss(worker, run, cause)
-        if not job_ended and not self._end_risky_job(run.task.job):
+        # After a run of an earlier send, the current send of the job waits.
+        for job in self._jobs_of_task(run.name):
+            self._end_risky_job(job)
+        if run.task is not None and not run.task.job.ended:
             run.task.avoided_workers.add(worker.worker_id)
             self._requeue(run.task)
             self.start_waiting_tasks()
