Share records of crashes with all linked daemons

Callers saw nothing of it but more lost workers: a task that had crashed two workers was started on further ones after its placer had been killed, or at the placer of another zone.

Cause: the records were kept by the placer that made them.

A placer announces each loss, and each decision on one, to all linked daemons at once; whoever opens a link gets all of them, so the next owner and the owners of other zones have them before they get the job. A job that waits there ends if its task must not start any more. Kept in the store instead, they would cost a write for each crash and a read for each takeover, and be missing in an outage. Daemons of older builds, which close a link on an unknown message, are recognised by their hello and get none.

What a daemon that is killed at once had not recorded yet (a worker lost less than a lease before) is not shared.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -15,6 +15,7 @@
 
 from rattanloom.background import run_and_log_failure, spawn_restarting
 from rattanloom.clock import MS_PER_S
+from rattanloom.crash_exchange import CrashExchange
 from rattanloom.decision_log import DecisionLog, logging_decisions
 from rattanloom.environment import Environment
 from rattanloom.ingress.api import ClientApi
@@ -38,6 +39,7 @@
     Hello,
     Message,
     Outcome,
+    RunLosses,
     Submit,
 )
 from rattanloom.metrics import Metrics
@@ -128,6 +130,7 @@
     placer: Placer = field(init=False)
     ownership: Ownership = field(init=False)
     placer_choice: PlacerChoice = field(init=False)
+    crash_exchange: CrashExchange = field(init=False)
     job_router: JobRouter = field(init=False)
     connections: ConnectionState = field(init=False)
     _capacity_announced_ms: float = 0
@@ -169,6 +172,8 @@
             self._on_token_refused,
             lambda: spawn_restarting(self._check_ownership_after_pause),
         )
+        self.crash_exchange = CrashExchange(self.hub, self.placer)
+        self.placer.crash_records.announce = self.crash_exchange.announce
         self.ownership = Ownership(
             member,
             tuple(deployment.zones),
@@ -395,11 +400,14 @@
             self.placer_choice.record_free_capacity(link.peer.node, message.millicores)
         elif isinstance(message, Outcome):
             self.job_router.record_outcome(link.peer.node, message.outcome)
+        elif isinstance(message, RunLosses):
+            self.crash_exchange.handle(message)
         else:
             self.ownership.handle_message(link, message)
 
     def _on_link_opened(self, link: Link) -> None:
         self.ownership.on_link_opened(link)
+        self.crash_exchange.on_link_opened(link)
         if self.ownership.is_owner(link.peer.node):
             self.job_router.on_placers_changed()
 
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -18,10 +18,12 @@
     OwnerLivenessQuery,
     OwnerLivenessReply,
     Ping,
+    RunLosses,
     Submit,
     TakeZones,
     ZoneClaims,
 )
+from rattanloom.placement.crash_records import LossState, RunLoss
 from rattanloom.placement.jobs import (
     JobOutcome,
     JobPolicy,
@@ -60,11 +62,14 @@
     slot.zone = hello.zone
     slot.address = hello.address
     slot.startedWallMs = hello.started_wall_ms
+    slot.protocolVersion = hello.protocol_version
 
 
 def _read_hello(reader: object) -> Hello:
     slot = reader.hello
-    return Hello(slot.node, slot.zone, slot.address, slot.startedWallMs)
+    return Hello(
+        slot.node, slot.zone, slot.address, slot.startedWallMs, slot.protocolVersion
+    )
 
 
 def _write_submit(builder: object, submit: Submit) -> None:
@@ -203,6 +208,31 @@
     slot.workers = list(message.workers)
 
 
+def _write_losses(builder: object, message: RunLosses) -> None:
+    slots = builder.init("runLosses", len(message.losses))
+    for slot, loss in zip(slots, message.losses, strict=True):
+        slot.task = loss.task
+        slot.worker = loss.worker_id
+        slot.incarnationMs = loss.incarnation_ms
+        slot.alone = loss.alone
+        slot.state = loss.state.value
+
+
+def _read_losses(reader: object) -> RunLosses:
+    return RunLosses(
+        tuple(
+            RunLoss(
+                slot.task,
+                slot.worker,
+                slot.incarnationMs,
+                slot.alone,
+                LossState(slot.state),
+            )
+            for slot in reader.runLosses
+        )
+    )
+
+
 _WRITERS: dict[type, Callable[[object, Message], None]] = {
     Hello: _write_hello,
     Ping: _write_ping,
@@ -210,6 +240,7 @@
     Submit: _write_submit,
     Cancel: _write_attribute("cancel", "job_id"),
     Outcome: _write_outcome,
+    RunLosses: _write_losses,
     OwnerLivenessQuery: _write_attribute("askOwner", "owner"),
     OwnerLivenessReply: _write_liveness_reply,
     TakeZones: _write_zones,
@@ -223,6 +254,7 @@
     "submit": _read_submit,
     "cancel": lambda reader: Cancel(reader.cancel),
     "outcome": _read_outcome,
+    "runLosses": _read_losses,
     "askOwner": lambda reader: OwnerLivenessQuery(reader.askOwner),
     "ownerAnswer": lambda reader: OwnerLivenessReply(
         reader.ownerAnswer.owner, reader.ownerAnswer.hears
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -6,6 +6,7 @@
   zone @1 :Text;
   address @2 :Text;
   startedWallMs @3 :UInt64;
+  protocolVersion @4 :UInt16;
 }
 
 struct Step {
@@ -57,6 +58,14 @@
   epochs @3 :List(UInt64);
 }
 
+struct RunLoss {
+  task @0 :Text;
+  worker @1 :Text;
+  incarnationMs @2 :Int64;
+  alone @3 :Bool;
+  state @4 :Text;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -69,5 +78,6 @@
     takeZones @7 :TakeZones;
     zoneClaims @8 :ZoneClaims;
     room @9 :Int64;
+    runLosses @10 :List(RunLoss);
   }
 }
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -2,20 +2,28 @@
 
 from attrs import frozen
 
+from rattanloom.placement.crash_records import RunLoss
 from rattanloom.placement.jobs import JobOutcome, SubmittedJob
 
+# Version of the messages, and the first one with ``RunLosses``. Builds from before the
+# field send 0 and close a link on which they receive an unknown message.
+PROTOCOL_VERSION = 1
+RUN_LOSSES_VERSION = 1
+
 
 @frozen
 class Hello:
     """First message in both directions; identifies the sender.
 
-    Peers open links to ``address``.
+    Peers open links to ``address``, and send no newer messages than those of
+    ``protocol_version``.
     """
 
     node: str
     zone: str
     address: str
     started_wall_ms: int
+    protocol_version: int = PROTOCOL_VERSION
 
 
 @frozen
@@ -91,5 +99,13 @@
     epochs: tuple[int, ...]
 
 
+@frozen
+class RunLosses:
+    """Announces runs that were lost with their workers; see ``CrashRecords``."""
+
+    losses: tuple[RunLoss, ...]
+
+
 OwnershipMessage = OwnerLivenessQuery | OwnerLivenessReply | TakeZones | ZoneClaims
-Message = Hello | Ping | FreeCapacity | Submit | Cancel | Outcome | OwnershipMessage
+PlacementMessage = FreeCapacity | Submit | Cancel | Outcome | RunLosses
+Message = Hello | Ping | PlacementMessage | OwnershipMessage
--- a/rattanloom/placement/crash_records.py
+++ b/rattanloom/placement/crash_records.py
@@ -6,7 +6,7 @@
 if a worker crashed while it was the only job there.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 from attrs import define, evolve, field, frozen
@@ -75,20 +75,28 @@
 
 @define(eq=False, repr=False)
 class CrashRecords:
-    """Losses by task name and worker, across the jobs' sends and owners.
+    """Losses by task name and worker, across the sends of a job and its placers.
 
+    ``announce`` is called with each loss that is new or newly decided here.
     ``_recorded_ms`` is when a task's last loss was recorded, the oldest first.
     """
 
+    announce: Callable[[RunLoss], None] = lambda loss: None
     _losses: dict[str, dict[tuple[str, int], RunLoss]] = field(factory=dict)
     _recorded_ms: dict[str, float] = field(factory=dict)
 
     def record(self, loss: RunLoss, now_ms: float) -> None:
-        """Record a lost run; a loss that was decided before stays so."""
+        """Record a lost run of this placer; a decided loss stays as it is."""
+        if self.add(loss, now_ms):
+            self.announce(loss)
+
+    def add(self, loss: RunLoss, now_ms: float) -> bool:
+        """Add a loss, which a peer may have recorded; return whether it is new."""
         losses = self._losses.setdefault(loss.task, {})
         known = losses.get(loss.worker_key)
-        if known is not None and known.state is not LossState.OPEN:
-            return
+        is_decided = known is not None and known.state is not LossState.OPEN
+        if is_decided or loss == known:
+            return False
         losses[loss.worker_key] = loss
         self._recorded_ms.pop(loss.task, None)
         self._recorded_ms[loss.task] = now_ms
@@ -96,6 +104,13 @@
             oldest = next(iter(self._recorded_ms))
             log.warning("crash_record_dropped", task=oldest)
             self._forget(oldest)
+        return True
+
+    def losses(self) -> tuple[RunLoss, ...]:
+        """Return all losses."""
+        return tuple(
+            loss for losses in self._losses.values() for loss in losses.values()
+        )
 
     def resolve_worker(
         self, worker_id: str, incarnation_ms: int, now_ms: float
@@ -116,10 +131,7 @@
     def undecided_workers(self) -> set[str]:
         """Return the ids of the workers with open losses."""
         return {
-            loss.worker_id
-            for losses in self._losses.values()
-            for loss in losses.values()
-            if loss.state is LossState.OPEN
+            loss.worker_id for loss in self.losses() if loss.state is LossState.OPEN
         }
 
     def risk(self, task: str) -> TaskRisk:
@@ -157,8 +169,7 @@
     def _open_losses(self, worker_id: str) -> list[RunLoss]:
         return [
             loss
-            for losses in self._losses.values()
-            for loss in losses.values()
+            for loss in self.losses()
             if loss.worker_id == worker_id and loss.state is LossState.OPEN
         ]
 
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -502,6 +502,14 @@
             )
             self.crash_records.record(loss, self.clock.now_ms())
 
+    def add_losses(self, losses: Iterable[RunLoss]) -> None:
+        """Add losses that another placer recorded; end jobs that must not start."""
+        now_ms = self.clock.now_ms()
+        for loss in losses:
+            if self.crash_records.add(loss, now_ms):
+                for job in self._jobs_of_task(loss.task):
+                    self._end_risky_job(job)
+
     def on_worker_replaced(self, worker: PooledWorker) -> None:
         """Record that a worker is gone, since another one has its address."""
         self.crash_records.confirm_gone([worker.worker_id], self.clock.now_ms())
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -19,15 +19,18 @@
     OwnerLivenessQuery,
     OwnerLivenessReply,
     Ping,
+    RunLosses,
     Submit,
     TakeZones,
     ZoneClaims,
 )
 from rattanloom.ownership.records import claim_number
+from rattanloom.placement.crash_records import LossState, RunLoss
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from tests.dispatcher_fakes import CLOCK, make_submitted_job, wait_for
 from tests.peer_hosts import free_address
 
+LOSS = RunLoss("00000000000000aa.0.0.1", "w1", 7, True, LossState.OPEN)
 MESSAGES = (
     Hello("n1", "a", "127.0.0.1:1", 7),
     Ping(),
@@ -39,6 +42,7 @@
     OwnerLivenessReply("n1", True),
     TakeZones(("a", "b"), ("w1",)),
     ZoneClaims("n1", claim_number("n1", 3), ("a",), (4,)),
+    RunLosses((LOSS, evolve(LOSS, alone=False, state=LossState.CLEARED))),
 )
 
 
