Read the workers before tasks start by entries that may be out of date

Callers saw no wrong answer; a worker that does not guard its capacity would be filled beyond it. Such a worker that has shrunk lately got as many tasks as before from a daemon that had just become the owner or had been suspended.

Cause: a new owner reads the workers as it takes over, but started tasks at once, by a list that is up to 5 s old at the first two candidates and up to 60 s at others. After a suspension only the owners were read. Workers report within some 5 ms, so the first tasks were often ordered before the list came. The same list holds states and labels, so it also guards against orders to leaving workers.

Evidence: test_new_owner_does_not_fill_a_worker_that_has_shrunk_since_its_last_read and test_owner_that_was_suspended_reads_the_workers_before_it_starts_tasks, both with 2 runs instead of 1 before.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -45,6 +45,7 @@
 from rattanloom.metrics import Metrics
 from rattanloom.ownership.ownership import Ownership
 from rattanloom.ownership.records import Member
+from rattanloom.placement.entry_age import EntryAgeGuard
 from rattanloom.placement.jobs import JobOutcome
 from rattanloom.placement.placer import Placer
 from rattanloom.placement.pooled_worker import PooledWorker
@@ -171,6 +172,7 @@
             self._connect_worker,
             self._on_token_refused,
             lambda: spawn_restarting(self._check_ownership_after_pause),
+            EntryAgeGuard(clock, lambda: self.workers_follower.stale_ms()).may_start,
         )
         self.crash_exchange = CrashExchange(self.hub, self.placer)
         self.placer.crash_records.announce = self.crash_exchange.announce
@@ -321,6 +323,7 @@
         failure = self.workers_follower.read_now()
         if failure is not None:
             log.warning("workers_not_read", reason=failure.reason)
+        self.placer.start_waiting_tasks()
         return failure is None
 
     def _workers_read_pause_ms(self) -> float:
@@ -377,7 +380,9 @@
         """Read the owners, or wait for claims of peers, before orders are given again.
 
         Without the store, peers that claimed a zone announce it over their links.
+        The workers are read at the same time.
         """
+        spawn_restarting(self._refresh_workers)
         failure = self.ownership.follower.read_now()
         if failure is not None:
             log.warning("owners_not_read", reason=failure.reason)
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -86,7 +86,9 @@
     allows. ``connect`` creates the client of a worker. ``on_worker_fenced`` is called
     with a worker that refused this placer's fencing token. ``on_suspended`` is called
     after the process was suspended; the placer gives no orders until ``resume`` is
-    called. ``active_runs`` counts the runs of each task that may not have finished yet.
+    called. ``may_start_by_entries`` returns whether the entries of the workers are
+    recent enough. ``active_runs`` counts the runs of each task that may not have
+    finished yet.
     """
 
     node: str
@@ -96,6 +98,7 @@
     connect: Callable[[WorkerEntry], WorkerClientProtocol]
     on_worker_fenced: Callable[[PooledWorker], None]
     on_suspended: Callable[[], None]
+    may_start_by_entries: Callable[[], bool] = lambda: True
     workers: dict[str, PooledWorker] = field(factory=dict)
     jobs: dict[str, PlacedJob] = field(factory=dict)
     waiting: WaitingTasks = field(factory=WaitingTasks)
@@ -368,6 +371,8 @@
         """Start waiting tasks, in the order of their queues, where capacity is free."""
         if self._is_starting_tasks or not self.waiting or not self.may_give_orders():
             return
+        if not self.may_start_by_entries():
+            return
         self._is_starting_tasks = True
         try:
             workers = self.workers.values()
--- a/tests/store_rows.py
+++ b/tests/store_rows.py
@@ -16,14 +16,22 @@
     write_row(store, "op", "config", {"version": version, "routes": routes})
 
 
-def write_worker(store: Store, worker_id: str, state: str = "ready") -> None:
+def write_worker(
+    store: Store,
+    worker_id: str,
+    state: str = "ready",
+    service: str = "s",
+    cpu_millicores: int = 32_000,
+    incarnation_ms: int = 0,
+) -> None:
     """Write the entry of a worker in zone ``a``."""
     entry = {
-        "service": "s",
+        "born": incarnation_ms,
+        "service": service,
         "addr": "127.0.0.1:1",
         "zone": "a",
         "state": state,
-        "capacity": {"cpu": 32_000, "mem_mb": 64_000},
+        "capacity": {"cpu": cpu_millicores, "mem_mb": 64_000},
     }
     write_row(store, "servers", worker_id, entry)
 
