Give a restarted worker no tasks before its new entry was read

Callers saw nothing; a worker that returned from a crash under its id with less capacity, other labels or for another service got tasks by its former entry.

Cause: reports come within milliseconds of a restart, the new entry up to a heartbeat and a read later, and nothing compared their incarnations. Evidence: test_restarted_worker_gets_no_tasks_before_its_new_entry_was_read, 2 starts before.

A worker accepts tasks if its entry is of the incarnation that responds, or a newer one. While the store is down, a worker that restarts under its id stays without tasks.

--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -91,6 +91,15 @@
     def __attrs_post_init__(self) -> None:
         self.runs = WorkerRuns(self.entry.capacity, self.active_runs)
 
+    @property
+    def has_current_entry(self) -> bool:
+        """Return whether the entry is of the incarnation that responds, or newer.
+
+        A restarted worker may have another capacity, other labels and another service.
+        """
+        entry_ms = self.entry.incarnation_ms
+        return not entry_ms or entry_ms >= self.incarnation_ms
+
     def apply_entry(self, entry: WorkerEntry) -> None:
         """Apply the worker's current entry in the registry."""
         if entry.capacity != self.entry.capacity:
--- a/rattanloom/placement/worker_choice.py
+++ b/rattanloom/placement/worker_choice.py
@@ -37,11 +37,13 @@
     """Return whether a worker accepts new tasks now.
 
     It does not while it has inherited runs: a start would extend their lease, which
-    the placer that ordered them expects to expire. Nor does it beside an isolated run.
+    the placer that ordered them expects to expire. Nor does it beside an isolated run,
+    or after a restart before its new entry was read.
     """
     return (
         worker.state is WorkerState.READY
         and worker.entry.accepting
+        and worker.has_current_entry
         and worker.paused_until_ms <= now_ms
         and not worker.runs.inherited_count
         and not worker.runs.isolated_count
--- a/tests/test_entry_age.py
+++ b/tests/test_entry_age.py
@@ -14,14 +14,20 @@
 )
 from tests.store_rows import write_worker
 from tests.test_configuration_delay import daemon_with
+from tests.test_placer import all_ready
 
 # A task of make_submitted_job needs 14,000 millicores.
 ROOM_FOR_TWO, ROOM_FOR_ONE = 32_000, 20_000
 
 
 def write_capacity(store: Store, worker: FakeWorker, cpu_millicores: int) -> None:
+    """Write the worker's entry, as of its current incarnation."""
     write_worker(
-        store, worker.worker_id, service="service", cpu_millicores=cpu_millicores
+        store,
+        worker.worker_id,
+        service="service",
+        cpu_millicores=cpu_millicores,
+        incarnation_ms=worker.incarnation_ms,
     )
 
 
@@ -91,3 +97,26 @@
         daemon.workers_follower._confirmed_ms -= 10_000
         daemon.placer.submit(FakeReceiver(), make_submitted_job(), ())
         assert wait_for(lambda: worker.starts)
+
+
+def test_restarted_worker_gets_no_tasks_before_its_new_entry_was_read():
+    store = Store(switches=StoreSwitches(latency_ms=5))
+    worker = FakeWorker("w1")
+    with daemon_with(store) as daemon, ticking(daemon):
+        daemon.placer.connect = lambda entry: worker
+        write_capacity(store, worker, ROOM_FOR_TWO)
+        assert daemon.workers_follower.read_now() is None
+        daemon.ownership.acquirer.acquire(["a"], "test")
+        assert wait_for(lambda: daemon.placer.workers)
+        assert wait_for(lambda: all_ready(daemon.placer))
+        worker.incarnation_ms = 2
+        worker.changed.set()
+        assert wait_for(lambda: daemon.placer.workers["w1"].incarnation_ms == 2)
+        daemon.placer.submit(FakeReceiver(), make_submitted_job(count=2), ())
+        gevent.sleep(0.1)
+        assert not worker.starts
+        write_capacity(store, worker, ROOM_FOR_ONE)
+        assert daemon.workers_follower.read_now() is None
+        assert wait_for(lambda: worker.starts)
+        gevent.sleep(0.1)
+        assert len(worker.running) == 1
