Refuse a job at once if its tasks are too large for all workers

Cause: a waiting task was only compared with free capacity, never with the whole. test_job_is_refused_at_once_if_all_workers_have_shrunk_below_its_tasks failed before (no outcome within 5 s).

--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -45,7 +45,7 @@
 )
 from rattanloom.placement.suspension import SuspensionGuard
 from rattanloom.placement.waiting import WaitingTasks
-from rattanloom.placement.worker_choice import accepts_tasks
+from rattanloom.placement.worker_choice import accepts_tasks, tasks_without_worker
 from rattanloom.placement.worker_events import LossCause, WorkerState
 from rattanloom.placement.worker_health import WorkerHealth
 from rattanloom.placement.worker_lease import WorkerLease
@@ -230,6 +230,8 @@
         for task in list(self.waiting):
             if now_ms > task.job.latest_useful_start_ms:
                 self._give_up(task.job, "no worker had free capacity in time")
+        for task in tasks_without_worker(self.waiting, self.workers.values()):
+            self._give_up(task.job, "no worker is large enough for a task")
         self._stop_stalled_runs(now_ms)
         self.inherited_work.remove_expired()
         self.crash_records.remove_expired(now_ms)
--- a/rattanloom/placement/worker_choice.py
+++ b/rattanloom/placement/worker_choice.py
@@ -1,10 +1,11 @@
 """Selection of the worker for a task."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedTask
 from rattanloom.placement.worker_events import WorkerState
+from rattanloom.placement.workers import Resources
 
 # A worker with this failure score or more ranks behind all others except those that
 # the task avoids.
@@ -50,6 +51,30 @@
     )
 
 
+def tasks_without_worker(
+    tasks: Iterable[PlacedTask], workers: Collection[PooledWorker]
+) -> list[PlacedTask]:
+    """Return the tasks that are too large for all workers of their service and label.
+
+    A task is not returned if there are no such workers.
+    """
+    sizes: dict[tuple[str, str], list[Resources]] = {}
+    found = []
+    for task in tasks:
+        service, label = task.job.submitted.policy.service, task.step.required_label
+        if (service, label) not in sizes:
+            sizes[service, label] = [
+                worker.runs.capacity
+                for worker in workers
+                if worker.entry.service == service
+                and (not label or label in worker.entry.labels)
+            ]
+        known = sizes[service, label]
+        if known and not any(size.fits(task.step.need) for size in known):
+            found.append(task)
+    return found
+
+
 def matches(task: PlacedTask, worker: PooledWorker) -> bool:
     """Return whether a worker has the service and label that a task requires.
 
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -10,7 +10,12 @@
 from rattanloom.placement.jobs import OutcomeKind
 from rattanloom.placement.placer import Placer
 from rattanloom.placement.worker_events import WorkerState
-from rattanloom.placement.workers import Renewal, RunOutcome, StartOrder
+from rattanloom.placement.workers import (
+    Renewal,
+    Resources,
+    RunOutcome,
+    StartOrder,
+)
 from tests.dispatcher_fakes import (
     CLOCK,
     POLICY,
@@ -323,6 +328,19 @@
     assert receiver.outcomes[0].kind is OutcomeKind.REFUSED
 
 
+def test_job_is_refused_at_once_if_all_workers_have_shrunk_below_its_tasks():
+    worker, receiver = FakeWorker("w1"), FakeReceiver()
+    job = make_submitted_job(remaining_ms=60_000, estimate_ms=30_000)
+    with running_placer(worker) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        shrunk = evolve(worker.entry(), capacity=Resources(10_000, 64_000))
+        placer.workers["w1"].apply_entry(shrunk)
+        placer.submit(receiver, job, ())
+        assert wait_for(lambda: receiver.outcomes)
+    assert receiver.outcomes[0].kind is OutcomeKind.REFUSED
+    assert receiver.outcomes[0].retry_after_ms > 0
+
+
 def test_resubmitted_completed_job_gets_its_outcome_at_once():
     worker, receiver = FakeWorker("w1"), FakeReceiver()
     with running_placer(worker) as placer:
