Move the decisions about crashes out of the placer

No behaviour is changed. The placer keeps the events and the jobs; what the records of crashes mean for tasks, jobs and workers is in crash_policy.py.

--- a/rattanloom/crash_exchange.py
+++ b/rattanloom/crash_exchange.py
@@ -29,7 +29,7 @@
 
     def on_link_opened(self, link: Link) -> None:
         """Send all known losses to a peer, which may become the placer."""
-        losses = self.placer.crash_records.losses()
+        losses = self.placer.crash_policy.records.losses()
         for start in range(0, len(losses), LOSSES_PER_MESSAGE):
             self._send(link, losses[start : start + LOSSES_PER_MESSAGE])
 
--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -175,7 +175,7 @@
             EntryAgeGuard(clock, lambda: self.workers_follower.stale_ms()).may_start,
         )
         self.crash_exchange = CrashExchange(self.hub, self.placer)
-        self.placer.crash_records.announce = self.crash_exchange.announce
+        self.placer.crash_policy.records.announce = self.crash_exchange.announce
         self.ownership = Ownership(
             member,
             tuple(deployment.zones),
@@ -364,7 +364,7 @@
             self.ownership.takeover_ms_by_node()
         )
         if self.registry.is_complete():
-            self.placer.on_workers_registered(self.registry.entries)
+            self.placer.crash_policy.on_workers_registered(self.registry.entries)
         for entry in self.registry.entries.values():
             record = owned.get(entry.zone)
             if record is not None:
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Iterable
 
 import gevent
 from attrs import define, field
@@ -14,12 +14,8 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.metrics import Metrics
 from rattanloom.placement.assignment import AssignmentPass
-from rattanloom.placement.crash_records import (
-    CrashRecords,
-    LossState,
-    RunLoss,
-    TaskRisk,
-)
+from rattanloom.placement.crash_policy import CrashPolicy
+from rattanloom.placement.crash_records import RunLoss
 from rattanloom.placement.inherited_work import InheritedWork
 from rattanloom.placement.jobs import (
     JobOutcome,
@@ -69,13 +65,6 @@
 # Time for a daemon to submit its jobs again after its link was lost; the jobs end
 # after it.
 ORPHAN_GRACE_MS = 300
-# States of a loss by its cause; with another cause, the worker has not crashed.
-LOSS_STATES = {
-    LossCause.LEASE_EXPIRED: LossState.OPEN,
-    LossCause.WORKER_RESTARTED: LossState.CRASHED,
-}
-# Workers that crash are back after some seconds, which then decides their losses.
-UNDECIDED_RETRY_AFTER_MS = 3_000
 
 
 @define(eq=False, repr=False)
@@ -105,14 +94,15 @@
     arriving: ArrivingWork = field(factory=ArrivingWork)
     active_runs: Counter[str] = field(factory=Counter)
     worker_health: WorkerHealth = field(factory=WorkerHealth)
-    crash_records: CrashRecords = field(factory=CrashRecords)
     inherited_work: InheritedWork = field(init=False)
     suspension: SuspensionGuard = field(init=False)
+    crash_policy: CrashPolicy = field(init=False)
     _is_starting_tasks: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.inherited_work = InheritedWork(self.node, self.clock)
         self.suspension = SuspensionGuard(self.on_suspended)
+        self.crash_policy = CrashPolicy(self.clock)
 
     # Workers
 
@@ -173,7 +163,7 @@
             return
         job = make_job(submitted, receiver, former_placers, self.clock.now_ms())
         job.sent_before = self.inherited_work.may_have_run(job.job_id) or any(
-            self._must_be_isolated(task) for task in job.tasks
+            self.crash_policy.must_be_isolated(task) for task in job.tasks
         )
         self.jobs[job.job_id] = job
         self.arriving.add(job, self.clock.now_ms())
@@ -234,7 +224,7 @@
             self._give_up(task.job, "no worker is large enough for a task")
         self._stop_stalled_runs(now_ms)
         self.inherited_work.remove_expired()
-        self.crash_records.remove_expired(now_ms)
+        self.crash_policy.records.remove_expired(now_ms)
         self.start_waiting_tasks()
         self._refuse_hopeless_jobs(now_ms)
 
@@ -293,7 +283,7 @@
             found = self.inherited_work.pop_run(task.name)
             if found is not None:
                 worker, run = found
-                worker.adopt(run, task, self._must_be_isolated(task))
+                worker.adopt(run, task, self.crash_policy.must_be_isolated(task))
                 task.state = TaskState.PLACED
                 job.effective_runs += 1
             elif job.former_placers and self.inherited_work.is_task_done(task.name):
@@ -384,7 +374,7 @@
                 self._may_start,
                 self._start_run,
                 now_ms,
-                self._must_be_isolated,
+                self.crash_policy.must_be_isolated,
             ).run(self.waiting)
         finally:
             self._is_starting_tasks = False
@@ -399,7 +389,7 @@
     def _may_start(self, task: PlacedTask) -> bool:
         return (
             not self.active_runs[task.name]
-            and self.crash_records.risk(task.name).may_start
+            and self.crash_policy.may_start(task)
             and self.inherited_work.is_synced(task.job, self.workers.values())
         )
 
@@ -409,36 +399,21 @@
         self.metrics.count("tasks_ordered")
         waited_ms = self.clock.now_ms() - task.queued_ms
         self.metrics.observe("task_wait_for_room", waited_ms)
-        worker.start_run(task, self._must_be_isolated(task))
-
-    def _must_be_isolated(self, task: PlacedTask) -> bool:
-        return self.crash_records.risk(task.name) is not TaskRisk.NONE
+        worker.start_run(task, self.crash_policy.must_be_isolated(task))
 
     def _end_risky_job(self, job: PlacedJob) -> bool:
-        """End a job with a task that must not be started; return whether it ended."""
-        for task in job.tasks:
-            risk = self.crash_records.risk(task.name)
-            if risk.may_start:
-                continue
-            workers = ", ".join(self.crash_records.workers_lost_under(task.name))
-            kind, retry_after_ms = OutcomeKind.FAILED, 0
-            reason = f"task {task.name} crashed the workers {workers}"
-            if risk is TaskRisk.UNDECIDED:
-                kind, retry_after_ms = OutcomeKind.GIVEN_UP, UNDECIDED_RETRY_AFTER_MS
-                reason = f"task {task.name} was lost with the workers {workers}"
-            outcome = JobOutcome(job.job_id, kind, reason, retry_after_ms)
+        """End a job with a task that must not start; return whether it ended."""
+        outcome = self.crash_policy.outcome_of(job)
+        if outcome is not None:
             self._end_job(job, outcome)
-            return True
-        return False
+        return outcome is not None
 
     # Event handlers, called by the pooled workers
 
     def on_worker_changed(self, worker: PooledWorker) -> None:
         """Start waiting tasks after a state change; remove a fenced worker."""
         if worker.state is WorkerState.READY:
-            self.crash_records.resolve_worker(
-                worker.worker_id, worker.incarnation_ms, self.clock.now_ms()
-            )
+            self.crash_policy.on_worker_responded(worker)
         if worker.state is WorkerState.FENCED:
             self.remove_worker(worker.worker_id, "fenced by another placer")
             self.on_worker_fenced(worker)
@@ -487,7 +462,7 @@
             other_jobs=run.other_jobs,
             job_ended=job_ended,
         )
-        self._record_loss(worker, run, cause)
+        self.crash_policy.record_loss(worker, run, cause)
         # After a run of an earlier send, the current send of the job waits.
         for job in self._jobs_of_task(run.name):
             self._end_risky_job(job)
@@ -496,39 +471,17 @@
             self._requeue(run.task)
             self.start_waiting_tasks()
 
-    def _record_loss(self, worker: PooledWorker, run: Run, cause: LossCause) -> None:
-        """Record a run that was lost with its worker, unless the worker was leaving."""
-        state = LOSS_STATES.get(cause)
-        if state is not None and worker.entry.accepting:
-            loss = RunLoss(
-                run.name,
-                worker.worker_id,
-                run.incarnation_ms,
-                run.other_jobs == 0,
-                state,
-            )
-            self.crash_records.record(loss, self.clock.now_ms())
-
     def add_losses(self, losses: Iterable[RunLoss]) -> None:
         """Add losses that another placer recorded; end jobs that must not start."""
         now_ms = self.clock.now_ms()
         for loss in losses:
-            if self.crash_records.add(loss, now_ms):
+            if self.crash_policy.records.add(loss, now_ms):
                 for job in self._jobs_of_task(loss.task):
                     self._end_risky_job(job)
 
     def on_worker_replaced(self, worker: PooledWorker) -> None:
         """Record that a worker is gone, since another one has its address."""
-        self.crash_records.confirm_gone([worker.worker_id], self.clock.now_ms())
-
-    def on_workers_registered(self, worker_ids: Container[str]) -> None:
-        """Record which of the lost workers are gone, as they are not registered."""
-        gone = [
-            worker_id
-            for worker_id in self.crash_records.undecided_workers()
-            if worker_id not in worker_ids
-        ]
-        self.crash_records.confirm_gone(gone, self.clock.now_ms())
+        self.crash_policy.on_worker_replaced(worker)
 
     def on_run_not_started(
         self, worker: PooledWorker, run: Run, refusal: RefusalReason | None
@@ -551,7 +504,7 @@
         for job in self._jobs_of_task(run.name):
             for task in job.tasks:
                 if task.name == run.name and task.state is TaskState.WAITING:
-                    worker.adopt(run, task, self._must_be_isolated(task))
+                    worker.adopt(run, task, self.crash_policy.must_be_isolated(task))
                     task.state = TaskState.PLACED
                     job.effective_runs += 1
                     return
--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -62,7 +62,7 @@
         lambda link: None,
     )
     exchange = parts["exchange"] = CrashExchange(hub, placer)
-    placer.crash_records.announce = exchange.announce
+    placer.crash_policy.records.announce = exchange.announce
     for worker in workers:
         placer.add_worker(worker.entry(), TOKEN)
     ticking = gevent.spawn(tick_all, placer)
@@ -89,7 +89,10 @@
         assert wait_for(lambda: all_ready(former.placer))
         send_until_final(former.placer, FakeReceiver())
         assert wait_for(
-            lambda: heir.placer.crash_records.risk(CRASHING_TASK) is TaskRisk.CRASHING
+            lambda: (
+                heir.placer.crash_policy.records.risk(CRASHING_TASK)
+                is TaskRisk.CRASHING
+            )
         )
         receiver = FakeReceiver()
         heir.placer.connect = lambda entry: workers[3]
@@ -107,7 +110,10 @@
         send_until_final(former.placer, FakeReceiver())
         connect(heir, former)
         assert wait_for(
-            lambda: heir.placer.crash_records.risk(CRASHING_TASK) is TaskRisk.CRASHING
+            lambda: (
+                heir.placer.crash_policy.records.risk(CRASHING_TASK)
+                is TaskRisk.CRASHING
+            )
         )
 
 
@@ -121,7 +127,7 @@
         assert wait_for(lambda: all_ready(former.placer))
         send_until_final(former.placer, FakeReceiver())
         gevent.sleep(0.05)
-        assert not older.placer.crash_records.losses()
+        assert not older.placer.crash_policy.records.losses()
 
 
 def test_job_that_waits_ends_once_a_peer_announces_that_its_task_crashes_workers():
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -127,5 +127,5 @@
         for worker in placer.workers.values():
             worker.apply_entry(evolve(worker.entry, accepting=False))
         assert wait_for(lambda: not placer.active_runs)
-        risk = placer.crash_records.risk(CRASHING_TASK)
+        risk = placer.crash_policy.records.risk(CRASHING_TASK)
     assert risk is TaskRisk.NONE
