--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -144,7 +144,7 @@
         if renewal.wait_ms and not self.finished:
             self.changed.clear()
             self.changed.wait(renewal.wait_ms / 1000)
-        if self.down:
+        if self.cut_off or self.down:
             return LOST
         self._expire_runs()
         running = tuple(
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -6,7 +6,7 @@
 import pytest
 from attrs import evolve
 
-from rattanloom.placement.crash_records import TaskRisk
+from rattanloom.placement.crash_records import LossState, TaskRisk
 from rattanloom.placement.jobs import OutcomeKind
 from tests.dispatcher_fakes import (
     FakeReceiver,
@@ -115,6 +115,8 @@
             assert wait_for(lambda n=number: count_starts(workers, task) == n + 1)
             holder.cut_off = False
             assert wait_for(lambda: all_ready(placer))
+        losses = placer.crash_policy.records.losses()
+    assert [loss.state for loss in losses] == [LossState.CLEARED] * 2
     assert not receiver.outcomes
 
 
