--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -17,23 +17,18 @@
 from rattanloom.placement.crash_policy import CrashPolicy
 from rattanloom.placement.crash_records import RunLoss
 from rattanloom.placement.inherited_work import InheritedWork
+from rattanloom.placement.job_endings import JobEndings
 from rattanloom.placement.jobs import (
     JobOutcome,
     OutcomeKind,
     SubmittedJob,
 )
-from rattanloom.placement.overload import (
-    ArrivingWork,
-    hopeless_jobs,
-    retry_after_ms,
-)
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import (
     OutcomeReceiver,
     PlacedJob,
     PlacedTask,
     Run,
-    RunPhase,
     TaskState,
     job_id_of,
     make_job,
@@ -91,18 +86,26 @@
     workers: dict[str, PooledWorker] = field(factory=dict)
     jobs: dict[str, PlacedJob] = field(factory=dict)
     waiting: WaitingTasks = field(factory=WaitingTasks)
-    arriving: ArrivingWork = field(factory=ArrivingWork)
     active_runs: Counter[str] = field(factory=Counter)
     worker_health: WorkerHealth = field(factory=WorkerHealth)
     inherited_work: InheritedWork = field(init=False)
     suspension: SuspensionGuard = field(init=False)
     crash_policy: CrashPolicy = field(init=False)
+    endings: JobEndings = field(init=False)
     _is_starting_tasks: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.inherited_work = InheritedWork(self.node, self.clock)
         self.suspension = SuspensionGuard(self.on_suspended)
         self.crash_policy = CrashPolicy(self.clock)
+        self.endings = JobEndings(
+            self.clock,
+            self.metrics,
+            self.jobs,
+            self.workers,
+            self.waiting,
+            self.inherited_work,
+        )
 
     # Workers
 
@@ -166,7 +169,7 @@
             self.crash_policy.must_be_isolated(task) for task in job.tasks
         )
         self.jobs[job.job_id] = job
-        self.arriving.add(job, self.clock.now_ms())
+        self.endings.arriving.add(job, self.clock.now_ms())
         log.info(
             "job_accepted",
             job=job.job_id,
@@ -186,7 +189,7 @@
         """End a job whose client has disconnected."""
         job = self.jobs.get(job_id)
         if job is not None:
-            self._end_job(job, None)
+            self.endings.end(job, None)
 
     def on_daemon_lost(self, node: str) -> None:
         """Handle a lost link to a daemon; keep its jobs for ``ORPHAN_GRACE_MS``."""
@@ -214,28 +217,19 @@
         self._stop_overdue_runs()
         for job in list(self.jobs.values()):
             if job.receiver is None and now_ms > job.orphaned_ms + ORPHAN_GRACE_MS:
-                self._end_job(job, None)
+                self.endings.end(job, None)
             elif now_ms > job.deadline_ms:
-                self._give_up(job, "the deadline has passed")
+                self.endings.give_up(job, "the deadline has passed")
         for task in list(self.waiting):
             if now_ms > task.job.latest_useful_start_ms:
-                self._give_up(task.job, "no worker had free capacity in time")
+                self.endings.give_up(task.job, "no worker had free capacity in time")
         for task in tasks_without_worker(self.waiting, self.workers.values()):
-            self._give_up(task.job, "no worker is large enough for a task")
+            self.endings.give_up(task.job, "no worker is large enough for a task")
         self._stop_stalled_runs(now_ms)
         self.inherited_work.remove_expired()
         self.crash_policy.records.remove_expired(now_ms)
         self.start_waiting_tasks()
-        self._refuse_hopeless_jobs(now_ms)
-
-    def _refuse_hopeless_jobs(self, now_ms: float) -> None:
-        """Refuse the late jobs for which arriving work leaves no capacity."""
-        late = self.waiting.late_jobs(now_ms)
-        if not late:
-            return
-        arriving = self.arriving.millicores(now_ms)
-        for job in hopeless_jobs(late, self._capacity_millicores(), arriving, now_ms):
-            self._give_up(job, "work that can be on time needs all workers")
+        self.endings.refuse_hopeless(now_ms)
 
     def resume(self) -> None:
         """Give orders again, after this daemon's ownership was checked."""
@@ -293,60 +287,6 @@
         for task in ready_tasks(job):
             self.waiting.add(task, self.clock.now_ms())
 
-    def _give_up(self, job: PlacedJob, reason: str) -> None:
-        """End a job as refused, or as given up if any of its tasks may have run."""
-        kind = OutcomeKind.REFUSED
-        if job.may_have_run:
-            kind = OutcomeKind.GIVEN_UP
-        self._end_job(job, JobOutcome(job.job_id, kind, reason, self._retry_after(job)))
-
-    def _retry_after(self, job: PlacedJob) -> int:
-        """Return when the client of a job that ends now should return, in ms."""
-        jobs = dict.fromkeys(task.job for task in self.waiting)
-        waiting = sum(other.remaining_work_millicore_ms for other in jobs)
-        return retry_after_ms(job.job_id, waiting, self._capacity_millicores())
-
-    def _capacity_millicores(self) -> int:
-        """Return the capacity of all workers that accept tasks or soon may again."""
-        return sum(
-            worker.runs.capacity.cpu_millicores
-            for worker in self.workers.values()
-            if worker.entry.accepting
-            and worker.state in (WorkerState.READY, WorkerState.SYNCING)
-        )
-
-    def _end_job(self, job: PlacedJob, outcome: JobOutcome | None) -> None:
-        """End a job and stop its runs; without an outcome, nothing is delivered."""
-        if job.ended:
-            return
-        job.ended = True
-        self.jobs.pop(job.job_id, None)
-        age_ms = self.clock.now_ms() - job.arrived_ms
-        label = outcome.kind.value if outcome else "abandoned"
-        self.metrics.count("jobs_ended", label)
-        self.metrics.observe("job_age", age_ms)
-        log.info(
-            "job_ended",
-            job=job.job_id,
-            outcome=label,
-            reason=outcome.reason if outcome else "client or daemon disconnected",
-            tasks_left=job.tasks_left,
-            age_ms=round(age_ms),
-        )
-        if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
-            self._stop_runs(job)
-            if job.may_have_run:
-                self.inherited_work.record_unfinished_job(job.job_id)
-        if outcome is not None and job.receiver is not None:
-            job.receiver.deliver(outcome)
-
-    def _stop_runs(self, job: PlacedJob) -> None:
-        for worker in self.workers.values():
-            for run in worker.runs.all():
-                belongs_to_job = run.task is not None and run.task.job is job
-                if belongs_to_job and run.phase is not RunPhase.STOPPING:
-                    worker.stop(run)
-
     # Placing
 
     def free_millicores(self) -> int:
@@ -405,7 +345,7 @@
         """End a job with a task that must not start; return whether it ended."""
         outcome = self.crash_policy.outcome_of(job)
         if outcome is not None:
-            self._end_job(job, outcome)
+            self.endings.end(job, outcome)
         return outcome is not None
 
     # Event handlers, called by the pooled workers
@@ -535,7 +475,7 @@
         job.tasks_left -= 1
         if job.tasks_left == 0:
             self.inherited_work.record_completed_job(job.job_id)
-            self._end_job(job, JobOutcome(job.job_id, OutcomeKind.COMPLETE))
+            self.endings.end(job, JobOutcome(job.job_id, OutcomeKind.COMPLETE))
         else:
             self._queue_ready_tasks(job)
 
@@ -551,6 +491,6 @@
         job = task.job
         if task.failures >= job.submitted.policy.max_attempts:
             reason = f"task {task.name} failed {task.failures} times"
-            self._end_job(job, JobOutcome(job.job_id, OutcomeKind.FAILED, reason))
+            self.endings.end(job, JobOutcome(job.job_id, OutcomeKind.FAILED, reason))
         else:
             self._requeue(task)
