Count a later crash of a worker that was cut off; judge gone workers by recent lists

Callers saw nothing yet; found in review of the records of crashes. A task that was lost with a worker that had only been cut off was not counted if it crashed the same worker later: a cleared loss was final. And a daemon that does not own zones, or has just taken them over, knows workers by a list of up to 60 s; it took a lost worker that the list lacks for crashed, and told all others.

Now a cleared loss can be followed by a new one, an old announcement still does not undo a decision, and only an owner with a recent list takes a worker for gone, also after it has read its first one.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -45,7 +45,7 @@
 from rattanloom.metrics import Metrics
 from rattanloom.ownership.ownership import Ownership
 from rattanloom.ownership.records import Member
-from rattanloom.placement.entry_age import EntryAgeGuard
+from rattanloom.placement.entry_age import ENTRY_AGE_MAX_MS, EntryAgeGuard
 from rattanloom.placement.jobs import JobOutcome
 from rattanloom.placement.placer import Placer
 from rattanloom.placement.pooled_worker import PooledWorker
@@ -323,6 +323,7 @@
         failure = self.workers_follower.read_now()
         if failure is not None:
             log.warning("workers_not_read", reason=failure.reason)
+        self._record_gone_workers()
         self.placer.start_waiting_tasks()
         return failure is None
 
@@ -363,14 +364,20 @@
         self.placer.inherited_work.takeover_ms_by_node = (
             self.ownership.takeover_ms_by_node()
         )
-        if self.registry.is_complete():
-            self.placer.crash_policy.on_workers_registered(self.registry.entries)
+        self._record_gone_workers()
         for entry in self.registry.entries.values():
             record = owned.get(entry.zone)
             if record is not None:
                 self.placer.add_worker(entry, record.fencing_token)
         self.placer.start_waiting_tasks()
 
+    def _record_gone_workers(self) -> None:
+        """Record the lost workers that are gone; an old list may lack new workers."""
+        entry_age_ms = self.workers_follower.stale_ms()
+        is_current = self.registry.is_complete() and entry_age_ms < ENTRY_AGE_MAX_MS
+        if is_current and self.ownership.owned():
+            self.placer.crash_policy.on_workers_registered(self.registry.entries)
+
     def _on_token_refused(self, worker: PooledWorker) -> None:
         """Acquire a zone again after one of its workers refused the fencing token."""
         if worker.entry.zone in self.ownership.owned():
--- a/rattanloom/placement/crash_records.py
+++ b/rattanloom/placement/crash_records.py
@@ -36,6 +36,14 @@
     CLEARED = "cleared"
 
 
+# States that are out of date, by the state that a loss has by now.
+PRECEDING_STATES = {
+    LossState.OPEN: (LossState.OPEN,),
+    LossState.CLEARED: (LossState.OPEN, LossState.CLEARED),
+    LossState.CRASHED: tuple(LossState),
+}
+
+
 @frozen
 class RunLoss:
     """A run of ``task`` that was lost with one incarnation of a worker.
@@ -86,7 +94,13 @@
     _recorded_ms: dict[str, float] = field(factory=dict)
 
     def record(self, loss: RunLoss, now_ms: float) -> None:
-        """Record a lost run of this placer; a decided loss stays as it is."""
+        """Record a lost run of this placer; a crash that was recorded stays one.
+
+        A worker that was cut off before may be lost again in the same incarnation.
+        """
+        known = self._losses.get(loss.task, {}).get(loss.worker_key)
+        if known is not None and known.state is LossState.CLEARED:
+            del self._losses[loss.task][loss.worker_key]
         if self.add(loss, now_ms):
             self.announce(loss)
 
@@ -94,8 +108,7 @@
         """Add a loss, which a peer may have recorded; return whether it is new."""
         losses = self._losses.setdefault(loss.task, {})
         known = losses.get(loss.worker_key)
-        is_decided = known is not None and known.state is not LossState.OPEN
-        if is_decided or loss == known:
+        if known is not None and loss.state in PRECEDING_STATES[known.state]:
             return False
         losses[loss.worker_key] = loss
         self._recorded_ms.pop(loss.task, None)
