Let jobs of a former placer wait if a worker expired before it reported

Cause: a zone is cut off while the store loses all leases. Its owner goes on with the zone's workers. The daemon that takes the zone over can't reach them; their entries expire 0.7 s before the cut ends, so they leave its pool, and all others have reported. A job that the former owner hands on within 2 s of the takeover (1.92 s here) then counted as inherited whole, and its running tasks started again.

Takeovers from before such a worker was removed no longer count as whole; its jobs wait 1.05 s, by which their leases are over.

Open: workers of the zone whose entries expired before the takeover are not in the pool at all.

--- a/rattanloom/placement/inherited_work.py
+++ b/rattanloom/placement/inherited_work.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from math import inf
 
 from attrs import define, field
 
@@ -29,6 +30,7 @@
     """Tracks inherited runs, tasks and jobs that are done, and jobs that ended before.
 
     ``node`` is this daemon. ``takeover_ms_by_node`` is that of ``ZoneAcquirer``.
+    ``_unreported_ms`` is when a worker that never reported was last removed.
     """
 
     node: str
@@ -38,27 +40,38 @@
     _done_tasks: dict[str, float] = field(factory=dict)
     _done_jobs: dict[str, float] = field(factory=dict)
     _unfinished_jobs: dict[str, float] = field(factory=dict)
+    _unreported_ms: float = -inf
 
     def is_synced(self, job: PlacedJob, workers: Iterable[PooledWorker]) -> bool:
         """Return whether all runs that former placers started for a job are known.
 
         They are once all workers of the former placers were taken over, at most
         ``HANDOVER_MAX_MS`` before the job was received, and all workers have reported
-        their runs, or once the leases granted by the former placers have expired.
+        their runs, or once the leases granted by the former placers have expired. A
+        worker that was removed without a report may be cut off and still have runs.
         """
         if not job.former_placers:
             return True
         if self.clock.now_ms() >= job.received_ms + FORMER_LEASE_MAX_MS:
             return True
-        is_inherited = all(
-            job.received_ms < self.takeover_ms_by_node.get(node, 0) + HANDOVER_MAX_MS
+        takeovers_ms = [
+            self.takeover_ms_by_node.get(node, 0)
             for node in job.former_placers
             if node != self.node
+        ]
+        is_inherited = all(
+            self._unreported_ms < takeover_ms
+            and job.received_ms < takeover_ms + HANDOVER_MAX_MS
+            for takeover_ms in takeovers_ms
         )
         return is_inherited and all(
             worker.state is not WorkerState.SYNCING for worker in workers
         )
 
+    def record_unreported_worker(self) -> None:
+        """Record that a worker was removed before it reported its runs."""
+        self._unreported_ms = self.clock.now_ms()
+
     def add(self, worker: PooledWorker, run: Run) -> None:
         """Add an inherited run; it is kept until a job adopts it."""
         self._runs[run.name] = (worker, run)
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -131,6 +131,8 @@
         if worker is None:
             return
         log.info("worker_removed", worker=worker_id, reason=reason)
+        if worker.state is WorkerState.SYNCING:
+            self.inherited_work.record_unreported_worker()
         worker.abandon()
         for run in worker.runs.all():
             self.inherited_work.pop_run(run.name)
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -195,6 +195,20 @@
         assert CLOCK.now_ms() - submitted_ms > 1_000
 
 
+def test_job_of_a_former_placer_waits_for_its_lease_if_a_worker_expired_unreported():
+    lost, worker = FakeWorker("w1", cut_off=True), FakeWorker("w2")
+    with running_placer(lost, worker) as placer:
+        placer.inherited_work.takeover_ms_by_node["placer-0"] = CLOCK.now_ms()
+        assert wait_for(lambda: placer.workers["w2"].state is WorkerState.READY)
+        gevent.sleep(0.01)
+        placer.remove_worker("w1", "it is no longer registered")
+        submitted_ms = CLOCK.now_ms()
+        job = make_submitted_job(estimate_ms=1_000)
+        placer.submit(FakeReceiver(), job, ("placer-0",))
+        assert wait_for(lambda: worker.starts)
+        assert CLOCK.now_ms() - submitted_ms > 1_000
+
+
 def test_job_of_a_former_placer_not_taken_over_waits_for_its_lease():
     worker, receiver = FakeWorker("w1"), FakeReceiver()
     with running_placer(worker) as placer:
