--- a/rattanloom/placement/crash_records.py
+++ b/rattanloom/placement/crash_records.py
@@ -18,7 +18,7 @@
 # A task is given up once this many workers have crashed under it, as the platform
 # allows.
 CRASHES_MAX = 2
-# Clients send a job again for about a minute.
+# Many times the deadline of a job and the pause before it is sent again.
 RECORD_KEPT_MS = 60_000
 # Bounds the memory; the oldest records are dropped.
 TASKS_MAX = 5_000
