Report a job complete only once no run of it is active

Cause: two ways led to a complete outcome beside an active run. The placer finished a task by the done run of a former placer as soon as it was listed, before all workers had reported; another former placer may have started the task again on one of them. And a daemon answered its client as soon as a former placer reported the job done, and only then cancelled it at the current placer, whose runs end when the stop arrives or their lease expires.

Ruled out: runs that this placer started itself, since a task with any run in the pool is not started again.

Change: tasks that are done elsewhere finish only once the runs of all former placers are known and none of the task is active. A completion by a former placer is passed on to the current one (Submit.completedBy), which stops its runs and then reports the job. With one placer only, it counts at once.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -405,7 +405,9 @@
             # the zone's new owner.
             if self.ownership.owned():
                 receiver = PeerOutcomeReceiver(link.peer.node, self.hub)
-                self.placer.submit(receiver, message.job, message.former_placers)
+                self.placer.submit(
+                    receiver, message.job, message.former_placers, message.completed_by
+                )
         elif isinstance(message, Cancel):
             self.placer.cancel(message.job_id)
         elif isinstance(message, FreeCapacity):
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -31,7 +31,8 @@
 
     ``placer`` is the daemon to which the job was sent, ``zone`` the zone whose
     workers run it. ``former_placers`` are all daemons to which it was ever sent, in
-    order, including the current one. ``result`` is set to the outcome, or to None if
+    order, including the current one. ``completed_by`` is the former placer that has
+    reported that all tasks are done. ``result`` is set to the outcome, or to None if
     the client disconnects.
     """
 
@@ -41,6 +42,7 @@
     placer: str | None = None
     zone: str = ""
     former_placers: tuple[str, ...] = ()
+    completed_by: str = ""
 
     def assign_placer(self, chosen: ChosenPlacer) -> None:
         """Record the placer to which the job is about to be sent."""
@@ -108,16 +110,20 @@
         """Record an outcome that the daemon ``placer`` reported.
 
         From a former placer only a completion counts, since the current placer may
-        still run the job.
+        still run the job. If other placers had the job, the completion is passed on to
+        the current one, which reports it once none of its runs of the job is active.
         """
         job = self.pending.get(outcome.job_id)
         if job is None:
             return
-        if job.placer != placer:
-            if outcome.kind is not OutcomeKind.COMPLETE:
-                return
-            self.cancel(job)
-        self._finish(job, outcome)
+        if job.placer == placer or (
+            outcome.kind is OutcomeKind.COMPLETE and job.former_placers == (placer,)
+        ):
+            self._finish(job, outcome)
+        elif outcome.kind is OutcomeKind.COMPLETE and not job.completed_by:
+            job.completed_by = placer
+            if job.placer is not None:
+                self._send(job, job.placer, job.former_placers)
 
     def _finish(self, job: PendingJob, outcome: JobOutcome) -> None:
         self.pending.pop(job.submitted.job_id, None)
@@ -174,27 +180,36 @@
             chosen = self.placer_choice.choose(job.submitted.need_millicores)
         if chosen is None:
             return
-        link = self.hub.link(chosen.node)
-        if link is None and chosen.node != self.node:
+        if chosen.node != self.node and self.hub.link(chosen.node) is None:
             return
-        waited_ms = self.clock.now_ms() - job.arrived_ms
-        remaining_ms = job.submitted.remaining_ms - waited_ms
-        submitted = evolve(
-            job.submitted, remaining_ms=remaining_ms, waited_ms=waited_ms
-        )
+        former, placer_before = job.former_placers, job.placer
+        job.assign_placer(chosen)
         log.info(
             "job_handed_over",
-            job=submitted.job_id,
+            job=job.submitted.job_id,
             placer=chosen.node,
             zone=chosen.zone,
-            placer_before=job.placer,
-            former_placers=job.former_placers,
-            waited_ms=round(waited_ms),
-            remaining_ms=round(remaining_ms),
+            placer_before=placer_before,
+            former_placers=former,
+            waited_ms=round(self.clock.now_ms() - job.arrived_ms),
+            remaining_ms=round(
+                job.arrived_ms + job.submitted.remaining_ms - self.clock.now_ms()
+            ),
         )
-        former = job.former_placers
-        job.assign_placer(chosen)
-        if chosen.node == self.node:
-            self.placer.submit(self, submitted, former)
+        self._send(job, chosen.node, former)
+
+    def _send(
+        self, job: PendingJob, placer: str, former_placers: tuple[str, ...]
+    ) -> None:
+        """Send a job to a placer, with the times of now; drop it without a link."""
+        waited_ms = self.clock.now_ms() - job.arrived_ms
+        remaining_ms = job.submitted.remaining_ms - waited_ms
+        submitted = evolve(
+            job.submitted, remaining_ms=remaining_ms, waited_ms=waited_ms
+        )
+        if placer == self.node:
+            self.placer.submit(self, submitted, former_placers, job.completed_by)
         else:
-            link.send(Submit(submitted, former))
+            link = self.hub.link(placer)
+            if link is not None:
+                link.send(Submit(submitted, former_placers, job.completed_by))
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -32,6 +32,7 @@
   remainingMs @8 :Float32;
   waitedMs @9 :Float32;
   formerPlacers @10 :List(Text);
+  completedBy @11 :Text;
 }
 
 struct Outcome {
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -40,10 +40,14 @@
 
 @frozen
 class Submit:
-    """Submits a job to the receiver's placer; see ``PlacedJob`` for former placers."""
+    """Submits a job to the receiver's placer; see ``PlacedJob`` for former placers.
+
+    ``completed_by`` is the one that has reported that all tasks are done, if any.
+    """
 
     job: SubmittedJob
     former_placers: tuple[str, ...] = ()
+    completed_by: str = ""
 
 
 @frozen
--- a/rattanloom/placement/inherited_work.py
+++ b/rattanloom/placement/inherited_work.py
@@ -49,6 +49,7 @@
         ``HANDOVER_MAX_MS`` before the job was received, and all workers have reported
         their runs, or once the leases granted by the former placers have expired. A
         worker that was removed without a report may be cut off and still have runs.
+        A placer that has completed the job has no active runs of it.
         """
         if not job.former_placers:
             return True
@@ -57,7 +58,7 @@
         takeovers_ms = [
             self.takeover_ms_by_node.get(node, 0)
             for node in job.former_placers
-            if node != self.node
+            if node not in (self.node, job.completed_by)
         ]
         is_inherited = all(
             self._unreported_ms < takeover_ms
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -85,13 +85,14 @@
             age_ms=round(age_ms),
         )
         if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
-            self._stop_runs(job)
+            self.stop_runs(job)
             if job.may_have_run:
                 self.inherited_work.record_unfinished_job(job.job_id)
         if outcome is not None and job.receiver is not None:
             job.receiver.deliver(outcome)
 
-    def _stop_runs(self, job: PlacedJob) -> None:
+    def stop_runs(self, job: PlacedJob) -> None:
+        """Stop the runs of a job's tasks."""
         for worker in self.workers.values():
             for run in worker.runs.all():
                 belongs_to_job = run.task is not None and run.task.job is job
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -153,20 +153,28 @@
         receiver: OutcomeReceiver,
         submitted: SubmittedJob,
         former_placers: tuple[str, ...],
+        completed_by: str = "",
     ) -> None:
         """Accept a job; its outcome is delivered to ``receiver``.
 
-        A job that is known already gets the new receiver and deadline.
+        A job that is known already gets the new receiver and deadline. If the former
+        placer ``completed_by`` has completed the job, its runs here are stopped, and
+        it completes once none is active.
         """
         known = self.jobs.get(submitted.job_id)
         if known is not None:
             known.receiver = receiver
             known.deadline_ms = self.clock.now_ms() + submitted.remaining_ms
+            if completed_by and not known.completed_by:
+                known.completed_by = completed_by
+                self.endings.stop_runs(known)
+                self._finish_done_tasks(known)
             return
         if self.inherited_work.is_job_done(submitted.job_id):
             receiver.deliver(JobOutcome(submitted.job_id, OutcomeKind.COMPLETE))
             return
         job = make_job(submitted, receiver, former_placers, self.clock.now_ms())
+        job.completed_by = completed_by
         job.sent_before = self.inherited_work.may_have_run(job.job_id) or any(
             self.crash_policy.must_be_isolated(task) for task in job.tasks
         )
@@ -183,9 +191,16 @@
         )
         if self._end_risky_job(job):
             return
-        self._adopt_runs(job)
-        self._queue_ready_tasks(job)
-        self.start_waiting_tasks()
+        for task in job.tasks:
+            found = self.inherited_work.pop_run(task.name)
+            if found is not None:
+                self._adopt(task, *found)
+        if completed_by:
+            self.endings.stop_runs(job)
+        self._finish_done_tasks(job)
+        if not job.ended:
+            self._queue_ready_tasks(job)
+            self.start_waiting_tasks()
 
     def cancel(self, job_id: str) -> None:
         """End a job whose client has disconnected."""
@@ -222,6 +237,8 @@
                 self.endings.end(job, None)
             elif now_ms > job.deadline_ms:
                 self.endings.give_up(job, "the deadline has passed")
+            else:
+                self._finish_done_tasks(job)
         for task in list(self.waiting):
             if now_ms > task.job.latest_useful_start_ms:
                 self.endings.give_up(task.job, "no worker had free capacity in time")
@@ -273,18 +290,33 @@
             log.info("unclaimed_stopped", task=run.name, worker=worker.worker_id)
             worker.stop(run)
 
-    def _adopt_runs(self, job: PlacedJob) -> None:
-        """Assign the inherited runs of a job's tasks; finish tasks that are done."""
+    def _adopt(self, task: PlacedTask, worker: PooledWorker, run: Run) -> None:
+        """Assign an inherited run to its task."""
+        worker.adopt(run, task, self.crash_policy.must_be_isolated(task))
+        task.state = TaskState.PLACED
+        task.job.effective_runs += 1
+
+    def _finish_done_tasks(self, job: PlacedJob) -> None:
+        """Finish the tasks that a former placer's run has completed.
+
+        Only once no other run of them can be active: a job must not be reported
+        complete while one is, and another placer may have started one since.
+        """
+        if job.ended or not job.former_placers:
+            return
+        if not self.inherited_work.is_synced(job, self.workers.values()):
+            return
         for task in job.tasks:
-            found = self.inherited_work.pop_run(task.name)
-            if found is not None:
-                worker, run = found
-                worker.adopt(run, task, self.crash_policy.must_be_isolated(task))
-                task.state = TaskState.PLACED
-                job.effective_runs += 1
-            elif job.former_placers and self.inherited_work.is_task_done(task.name):
+            if self._is_done_elsewhere(task) and not self.active_runs[task.name]:
                 self._finish_task(task)
 
+    def _is_done_elsewhere(self, task: PlacedTask) -> bool:
+        """Return whether a former placer's run has completed a task of a job."""
+        job = task.job
+        return bool(job.completed_by) or (
+            bool(job.former_placers) and self.inherited_work.is_task_done(task.name)
+        )
+
     def _queue_ready_tasks(self, job: PlacedJob) -> None:
         for task in ready_tasks(job):
             self.waiting.add(task, self.clock.now_ms())
@@ -331,6 +363,7 @@
     def _may_start(self, task: PlacedTask) -> bool:
         return (
             not self.active_runs[task.name]
+            and not self._is_done_elsewhere(task)
             and self.crash_policy.may_start(task)
             and self.inherited_work.is_synced(task.job, self.workers.values())
         )
@@ -446,9 +479,9 @@
         for job in self._jobs_of_task(run.name):
             for task in job.tasks:
                 if task.name == run.name and task.state is TaskState.WAITING:
-                    worker.adopt(run, task, self.crash_policy.must_be_isolated(task))
-                    task.state = TaskState.PLACED
-                    job.effective_runs += 1
+                    self._adopt(task, worker, run)
+                    if job.completed_by:
+                        worker.stop(run)
                     return
         self.inherited_work.add(worker, run)
 
@@ -460,6 +493,9 @@
             return
         self.inherited_work.record_done_task(finished.task)
         for job in self._jobs_of_task(finished.task):
+            if job.former_placers:
+                self._finish_done_tasks(job)
+                continue
             for task in job.tasks:
                 if task.name == finished.task and task.state is TaskState.WAITING:
                     self._finish_task(task)
@@ -483,6 +519,8 @@
 
     def _requeue(self, task: PlacedTask) -> None:
         self.waiting.add(task, self.clock.now_ms())
+        if task.job.completed_by:
+            self._finish_done_tasks(task.job)
 
     def _handle_failure(self, worker: PooledWorker, task: PlacedTask) -> None:
         self.worker_health.record_failure(
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -63,7 +63,8 @@
     after the link to its daemon was lost, at ``orphaned_ms``. ``former_placers`` are
     the daemons that received the job earlier and may have started runs of its tasks.
     ``effective_runs`` counts the runs that were ordered, less those that definitely
-    had no effect. ``sent_before`` is set if an earlier send of the job may have run.
+    had no effect. ``sent_before`` is set if an earlier send of the job may have run,
+    ``completed_by`` is the former placer that has reported that all tasks are done.
     """
 
     submitted: SubmittedJob
@@ -76,6 +77,7 @@
     received_ms: float = 0
     effective_runs: int = 0
     sent_before: bool = False
+    completed_by: str = ""
     ended: bool = False
     orphaned_ms: float = 0
 
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -104,15 +104,26 @@
     assert not job.result.ready()
 
 
-def test_completion_by_a_former_placer_counts_and_cancels_at_the_new_one():
+def test_completion_by_a_former_placer_is_reported_by_the_new_one():
     ownership, hub = FakeOwnership("p1"), FakeHub("p1", "p2")
     job_router = make_router(ownership, hub)
     job = job_router.submit(make_submitted_job())
     ownership.owner = "p2"
     job_router.on_placers_changed()
     job_router.record_outcome("p1", make_outcome(OutcomeKind.COMPLETE))
+    assert not job.result.ready(), "the new placer may still run tasks of the job"
+    assert hub.sent["p2"][-1].completed_by == "p1"
+    job_router.record_outcome("p2", make_outcome(OutcomeKind.COMPLETE))
+    assert job.result.get().kind is OutcomeKind.COMPLETE
+
+
+def test_completion_by_the_only_placer_counts_after_its_link_was_lost():
+    ownership, hub = FakeOwnership("p1"), FakeHub("p1")
+    job_router = make_router(ownership, hub)
+    job = job_router.submit(make_submitted_job())
+    job_router.on_placer_lost("p1")
+    job_router.record_outcome("p1", make_outcome(OutcomeKind.COMPLETE))
     assert job.result.get().kind is OutcomeKind.COMPLETE
-    assert hub.sent["p2"][-1] == Cancel(JOB)
 
 
 def test_job_without_a_placer_is_refused_after_a_timeout():
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -242,6 +242,42 @@
     assert receiver.outcomes[0].kind is OutcomeKind.COMPLETE
 
 
+def test_done_run_of_a_former_placer_does_not_complete_a_job_with_an_active_run():
+    # A second former placer has started the task again on a worker that has not
+    # reported yet; the job was reported complete while that run was active.
+    first, second = FakeWorker("w1"), FakeWorker("w2", cut_off=True)
+    start_inherited_run(first)
+    first.end(INHERITED_TASK)
+    start_inherited_run(second)
+    receiver = FakeReceiver()
+    with running_placer(first, second) as placer:
+        placer.inherited_work.takeover_ms_by_node["placer-0"] = CLOCK.now_ms()
+        placer.submit(receiver, make_submitted_job("00000000000000ff"), ("placer-0",))
+        gevent.sleep(0.3)
+        assert not receiver.outcomes
+        second.cut_off = False
+        assert wait_for(lambda: all_ready(placer))
+        assert second.running
+        second.end(INHERITED_TASK)
+        assert wait_for(lambda: receiver.outcomes)
+    assert len(second.starts) + len(first.starts) == 2
+
+
+def test_job_completed_by_a_former_placer_is_reported_after_its_runs_here_ended():
+    worker, receiver = FakeWorker("w1"), FakeReceiver()
+    with running_placer(worker) as placer:
+        placer.inherited_work.takeover_ms_by_node["placer-0"] = CLOCK.now_ms()
+        job = make_submitted_job()
+        placer.submit(receiver, job, ("placer-0",))
+        assert wait_for(lambda: worker.running)
+        placer.submit(receiver, job, ("placer-0", "placer-1"), "placer-0")
+        assert not receiver.outcomes
+        assert wait_for(lambda: receiver.outcomes)
+        assert not worker.running
+    assert receiver.outcomes[0].kind is OutcomeKind.COMPLETE
+    assert len(worker.starts) == 1
+
+
 def test_inherited_run_without_a_job_is_stopped_and_its_lease_not_extended():
     worker, receiver = FakeWorker("w1"), FakeReceiver()
     start_inherited_run(worker)
