Take the watcher of a client off the event loop before the response is sent

Cause: the watcher that notices a client's disconnect waits on the connection's descriptor, and was only scheduled to end when the outcome was known. If the response closes the connection first (a daemon that is not ready closes all), libev may find a closed descriptor and abort the process.

Ruled out by reading: the other connections are closed by gevent's own sockets, which cancel their waits first.

--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -129,7 +129,9 @@
             self.job_router.cancel(pending)
             return None
         finally:
-            watch.kill(block=False)
+            # Waits until the watcher is off the event loop: libev aborts the process if
+            # the response closes the connection before that.
+            watch.kill()
 
     def _watch_client(self, pending: PendingJob, connection: socket) -> None:
         if wait_until_closed(connection):
--- a/tests/test_client_api.py
+++ b/tests/test_client_api.py
@@ -7,6 +7,7 @@
 
 import gevent
 import pytest
+from bottle import request
 
 from rattanloom.decision_log import logging_decisions
 from rattanloom.ingress.api import ClientApi
@@ -17,7 +18,12 @@
     QueueTable,
     RequestLimits,
 )
-from rattanloom.ingress.server import ConnectionState, finish_requests, serving
+from rattanloom.ingress.server import (
+    SOCKET_KEY,
+    ConnectionState,
+    finish_requests,
+    serving,
+)
 from rattanloom.metrics import Metrics
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from tests.dispatcher_fakes import CLOCK, wait_for
@@ -151,6 +157,23 @@
         assert wait_for(lambda: job_router.cancelled == [JOB])
 
 
+def test_no_watcher_is_left_on_the_connection_when_the_response_is_sent():
+    # A daemon was aborted by libev, which found a closed connection in its event loop.
+    watches = []
+
+    class WatchingApi(ClientApi):
+        def _watch_client(self, pending, connection):
+            watches.append(gevent.getcurrent())
+            gevent.sleep(9)
+
+    api = WatchingApi(QueueTable(), FakeRouter(None), Metrics())
+    job = PendingJob(None, CLOCK.now_ms())
+    gevent.spawn_later(0.02, job.result.set, JobOutcome(JOB, OutcomeKind.COMPLETE))
+    request.environ[SOCKET_KEY] = None
+    api._wait_for_outcome(job, 500)
+    assert watches[0].dead
+
+
 def test_job_is_given_up_at_its_deadline():
     with serve_api(None) as (port, job_router):
         status, _ = fetch(port, make_post(make_body(), headers="Deadline-Ms: 100\r\n"))
