Dial a peer at its new address; messages about the zones of an incarnation

Cause: the greenlet that dials a peer served whatever link opened at the peer's former address. If another daemon uses that address now, the peer was not dialled at its new one until that link closed. An error while a link was announced (on_open) closed it before its hello was written, so the peer saw connections without a hello and no reason.

Change: a dialled link closes if the peer is another node; an error of on_open is logged and the link stays open, as with messages. Hello, OwnedZones, SubmitRejected and OwnerLivenessReply carry zones; PROTOCOL_VERSION is 2.

Tests: both new tests of test_links.py fail without the change.

--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -15,11 +15,13 @@
     Hello,
     Message,
     Outcome,
+    OwnedZones,
     OwnerLivenessQuery,
     OwnerLivenessReply,
     Ping,
     RunLosses,
     Submit,
+    SubmitRejected,
     TakeZones,
     ZoneClaims,
 )
@@ -63,15 +65,30 @@
     slot.address = hello.address
     slot.startedWallMs = hello.started_wall_ms
     slot.protocolVersion = hello.protocol_version
+    slot.zones = list(hello.zones)
+    slot.tokens = list(hello.tokens)
 
 
 def _read_hello(reader: object) -> Hello:
     slot = reader.hello
     return Hello(
-        slot.node, slot.zone, slot.address, slot.startedWallMs, slot.protocolVersion
+        slot.node,
+        slot.zone,
+        slot.address,
+        slot.startedWallMs,
+        slot.protocolVersion,
+        *_read_owned(slot),
     )
 
 
+def _read_owned(slot: object) -> tuple[tuple[str, ...], tuple[int, ...]]:
+    """Return the zones and their tokens; raise ``ValueError`` if some lack a token."""
+    zones, tokens = tuple(slot.zones), tuple(slot.tokens)
+    if len(zones) != len(tokens):
+        raise ValueError(f"{len(zones)} zones with {len(tokens)} fencing tokens")
+    return zones, tokens
+
+
 def _write_submit(builder: object, submit: Submit) -> None:
     slot = builder.init("submit")
     job, policy = submit.job, submit.job.policy
@@ -172,6 +189,12 @@
     slot = builder.init("ownerAnswer")
     slot.owner = reply.owner
     slot.hears = reply.is_alive
+    slot.zones = list(reply.zones)
+
+
+def _read_liveness_reply(reader: object) -> OwnerLivenessReply:
+    slot = reader.ownerAnswer
+    return OwnerLivenessReply(slot.owner, slot.hears, tuple(slot.zones))
 
 
 def _write_attribute(
@@ -208,6 +231,12 @@
     slot.workers = list(message.workers)
 
 
+def _write_owned_zones(builder: object, message: OwnedZones) -> None:
+    slot = builder.init("ownedZones")
+    slot.zones = list(message.zones)
+    slot.tokens = list(message.tokens)
+
+
 def _write_losses(builder: object, message: RunLosses) -> None:
     slots = builder.init("runLosses", len(message.losses))
     for slot, loss in zip(slots, message.losses, strict=True):
@@ -238,6 +267,7 @@
     Ping: _write_ping,
     FreeCapacity: _write_attribute("room", "millicores"),
     Submit: _write_submit,
+    SubmitRejected: _write_attribute("submitRejected", "job_id"),
     Cancel: _write_attribute("cancel", "job_id"),
     Outcome: _write_outcome,
     RunLosses: _write_losses,
@@ -245,6 +275,7 @@
     OwnerLivenessReply: _write_liveness_reply,
     TakeZones: _write_zones,
     ZoneClaims: _write_claims,
+    OwnedZones: _write_owned_zones,
 }
 
 _READERS: dict[str, Callable[[object], Message]] = {
@@ -252,15 +283,15 @@
     "ping": lambda reader: Ping(),
     "room": lambda reader: FreeCapacity(reader.room),
     "submit": _read_submit,
+    "submitRejected": lambda reader: SubmitRejected(reader.submitRejected),
     "cancel": lambda reader: Cancel(reader.cancel),
     "outcome": _read_outcome,
     "runLosses": _read_losses,
     "askOwner": lambda reader: OwnerLivenessQuery(reader.askOwner),
-    "ownerAnswer": lambda reader: OwnerLivenessReply(
-        reader.ownerAnswer.owner, reader.ownerAnswer.hears
-    ),
+    "ownerAnswer": _read_liveness_reply,
     "takeZones": lambda reader: TakeZones(
         tuple(reader.takeZones.zones), tuple(reader.takeZones.workers)
     ),
     "zoneClaims": _read_claims,
+    "ownedZones": lambda reader: OwnedZones(*_read_owned(reader.ownedZones)),
 }
--- a/rattanloom/links/hub.py
+++ b/rattanloom/links/hub.py
@@ -68,6 +68,12 @@
         """Return the nodes of the peers with an open link."""
         return tuple(node for node in self._links if self.link(node))
 
+    def open_links(self) -> tuple[Link, ...]:
+        """Return all open links, of which several may lead to the same peer."""
+        return tuple(
+            link for links in self._links.values() for link in links if not link.closed
+        )
+
     def is_alive(self, node: str) -> bool:
         """Return whether the current link to a peer received data recently."""
         link = self.link(node)
@@ -107,15 +113,17 @@
         try:
             while self._is_kept(node) and self.link(node) is None:
                 address, _ = self._kept_links[node]
-                self.open_link(address)
+                self.open_link(address, node)
                 gevent.sleep(RECONNECT_PAUSE_MS / MS_PER_S)
         finally:
             self._dialling.discard(node)
 
-    def open_link(self, address: str) -> None:
+    def open_link(self, address: str, node: str | None = None) -> None:
         """Open a link to an address and serve it until it closes.
 
-        Returns without an error if the connection cannot be opened.
+        Returns without an error if the connection cannot be opened. The link closes if
+        another daemon than ``node`` uses the address now; this one would otherwise not
+        dial the new address of ``node`` while the link to the other one is open.
         """
         try:
             connection = create_connection(
@@ -125,14 +133,21 @@
             )
         except OSError:
             return
-        self._run(connection, dialled=True)
+        self._run(connection, dialled=True, node=node)
 
     def _is_kept(self, node: str) -> bool:
         _, until_ms = self._kept_links.get(node, ("", 0))
         return self.clock.now_ms() < until_ms
 
-    def _run(self, connection: socket, dialled: bool) -> None:
-        link = Link(connection, self.clock, self.own_hello, self, dialled=dialled)
+    def _run(self, connection: socket, dialled: bool, node: str | None = None) -> None:
+        link = Link(
+            connection,
+            self.clock,
+            self.own_hello,
+            self,
+            dialled=dialled,
+            expected_node=node,
+        )
         link.run(self._add_link)
 
     def _add_link(self, link: Link) -> None:
--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -52,7 +52,9 @@
     """A link to another daemon.
 
     ``peer`` is the hello of that daemon, None until it is received. ``dialled`` is
-    set if this daemon opened the connection.
+    set if this daemon opened the connection. The link closes if the peer is another
+    node than ``expected_node``. ``peer_zones`` has the fencing tokens of the zones that
+    the peer last stated to own; it ends with the link, and so with the incarnation.
     """
 
     socket: socket
@@ -62,6 +64,8 @@
     peer: Hello | None = None
     last_received_ms: float = 0
     dialled: bool = False
+    expected_node: str | None = None
+    peer_zones: dict[str, int] = field(factory=dict)
     closed: bool = False
     _outgoing: deque[bytes] = field(factory=deque)
     _writable: Event = field(factory=Event)
@@ -75,7 +79,8 @@
         try:
             self.send(self.own_hello)
             self._read_hello()
-            on_open(self)
+            # An unexpected error concerns the first messages; the link stays open.
+            run_and_log_failure(on_open, self)
             self._read_all()
         except (OSError, BadMessageError, LinkLostError) as error:
             reason = str(error) or type(error).__name__
@@ -125,7 +130,10 @@
         hello = self._read_message(HELLO_TIMEOUT_MS)
         if not isinstance(hello, Hello):
             raise BadMessageError("the first message of the peer is not a hello")
+        if self.expected_node not in (None, hello.node):
+            raise BadMessageError(f"the peer is {hello.node}")
         self.peer = hello
+        self.peer_zones = dict(zip(hello.zones, hello.tokens, strict=True))
 
     def _read_all(self) -> None:
         while not self.closed:
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -7,6 +7,8 @@
   address @2 :Text;
   startedWallMs @3 :UInt64;
   protocolVersion @4 :UInt16;
+  zones @5 :List(Text);
+  tokens @6 :List(UInt64);
 }
 
 struct Step {
@@ -44,6 +46,7 @@
 struct OwnerAnswer {
   owner @0 :Text;
   hears @1 :Bool;
+  zones @2 :List(Text);
 }
 
 struct TakeZones {
@@ -58,6 +61,11 @@
   epochs @3 :List(UInt64);
 }
 
+struct OwnedZones {
+  zones @0 :List(Text);
+  tokens @1 :List(UInt64);
+}
+
 struct RunLoss {
   task @0 :Text;
   worker @1 :Text;
@@ -79,5 +87,7 @@
     zoneClaims @8 :ZoneClaims;
     room @9 :Int64;
     runLosses @10 :List(RunLoss);
+    ownedZones @11 :OwnedZones;
+    submitRejected @12 :Text;
   }
 }
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -5,10 +5,13 @@
 from rattanloom.placement.crash_records import RunLoss
 from rattanloom.placement.jobs import JobOutcome, SubmittedJob
 
-# Version of the messages, and the first one with ``RunLosses``. Builds from before the
-# field send 0 and close a link on which they receive an unknown message.
-PROTOCOL_VERSION = 1
+# Version of the messages; the first one with ``RunLosses``; and the first one with
+# ``OwnedZones``, ``SubmitRejected`` and the zones in ``Hello`` and
+# ``OwnerLivenessReply``. Builds from before the field send 0 and close a link on which
+# they receive an unknown message.
+PROTOCOL_VERSION = 2
 RUN_LOSSES_VERSION = 1
+OWNED_ZONES_VERSION = 2
 
 
 @frozen
@@ -16,7 +19,7 @@
     """First message in both directions; identifies the sender.
 
     Peers open links to ``address``, and send no newer messages than those of
-    ``protocol_version``.
+    ``protocol_version``. ``zones`` and ``tokens`` are those of ``OwnedZones``.
     """
 
     node: str
@@ -24,6 +27,8 @@
     address: str
     started_wall_ms: int
     protocol_version: int = PROTOCOL_VERSION
+    zones: tuple[str, ...] = ()
+    tokens: tuple[int, ...] = ()
 
 
 @frozen
@@ -46,6 +51,13 @@
     former_placers: tuple[str, ...] = ()
 
 
+@frozen
+class SubmitRejected:
+    """Reply to a ``Submit`` by a daemon without zones, which has not started the job."""
+
+    job_id: str
+
+
 @frozen
 class Cancel:
     """Cancels a job whose client has disconnected."""
@@ -69,10 +81,14 @@
 
 @frozen
 class OwnerLivenessReply:
-    """Reply to ``OwnerLivenessQuery``; ``is_alive`` as seen by the sender."""
+    """Reply to ``OwnerLivenessQuery``; ``is_alive`` as seen by the sender.
+
+    ``zones`` are those that the sender knows to be held by the owner's incarnation.
+    """
 
     owner: str
     is_alive: bool
+    zones: tuple[str, ...] = ()
 
 
 @frozen
@@ -99,6 +115,17 @@
     epochs: tuple[int, ...]
 
 
+@frozen
+class OwnedZones:
+    """Announces all zones that the sender's incarnation owns, whenever they change.
+
+    ``tokens`` has the fencing token of each zone's record.
+    """
+
+    zones: tuple[str, ...] = ()
+    tokens: tuple[int, ...] = ()
+
+
 @frozen
 class RunLosses:
     """Announces runs that were lost with their workers; see ``CrashRecords``."""
@@ -106,6 +133,8 @@
     losses: tuple[RunLoss, ...]
 
 
-OwnershipMessage = OwnerLivenessQuery | OwnerLivenessReply | TakeZones | ZoneClaims
-PlacementMessage = FreeCapacity | Submit | Cancel | Outcome | RunLosses
+OwnershipMessage = (
+    OwnerLivenessQuery | OwnerLivenessReply | TakeZones | ZoneClaims | OwnedZones
+)
+PlacementMessage = FreeCapacity | Submit | SubmitRejected | Cancel | Outcome | RunLosses
 Message = Hello | Ping | PlacementMessage | OwnershipMessage
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -16,11 +16,13 @@
     FreeCapacity,
     Hello,
     Outcome,
+    OwnedZones,
     OwnerLivenessQuery,
     OwnerLivenessReply,
     Ping,
     RunLosses,
     Submit,
+    SubmitRejected,
     TakeZones,
     ZoneClaims,
 )
@@ -32,14 +34,16 @@
 
 LOSS = RunLoss("00000000000000aa.0.0.1", "w1", 7, True, LossState.OPEN)
 MESSAGES = (
-    Hello("n1", "a", "127.0.0.1:1", 7),
+    Hello("n1", "a", "127.0.0.1:1", 7, 2, ("a", "b"), (1 << 40, 2 << 40)),
+    OwnedZones(("a",), (3 << 40,)),
+    SubmitRejected("00000000000000aa"),
     Ping(),
     FreeCapacity(-14_000),
     Submit(make_submitted_job(count=3), ("p1", "p2")),
     Cancel("00000000000000aa"),
     Outcome(JobOutcome("00000000000000aa", OutcomeKind.GIVEN_UP, "why", 1_000)),
     OwnerLivenessQuery("n1"),
-    OwnerLivenessReply("n1", True),
+    OwnerLivenessReply("n1", True, ("a",)),
     TakeZones(("a", "b"), ("w1",)),
     ZoneClaims("n1", claim_number("n1", 3), ("a",), (4,)),
     RunLosses((LOSS, evolve(LOSS, alone=False, state=LossState.CLEARED))),
@@ -169,3 +173,27 @@
         two.link("n1").send(Cancel("x"))
         assert wait_for(lambda: ("n2", Cancel("x")) in first)
         dialling.join()
+
+
+def test_peer_is_dialled_at_its_new_address_if_another_uses_the_old_one():
+    # The dialling greenlet served the link to the other daemon until it closed.
+    events = []
+    one, two, other = (make_hub(name, events) for name in ("n1", "n2", "n3"))
+    until_ms = CLOCK.now_ms() + 60_000
+    with one.serving(), two.serving(), other.serving():
+        one.keep_link("n2", other.own_hello.address, until_ms)
+        assert wait_for(lambda: ("n1", "open") in events)
+        one.keep_link("n2", two.own_hello.address, until_ms)
+        assert wait_for(lambda: one.link("n2"), 2)
+
+
+def test_link_stays_open_after_an_error_while_it_is_announced():
+    # The peer saw connections that closed without a hello, and no reason.
+    first, second = [], []
+    one, two = make_hub("n1", first), make_hub("n2", second)
+    two.on_open = {}.__getitem__
+    with one.serving(), two.serving():
+        one.keep_link("n2", two.own_hello.address, CLOCK.now_ms() + 60_000)
+        assert wait_for(lambda: ("n2", "open") in first)
+        one.link("n2").send(Cancel("x"))
+        assert wait_for(lambda: ("n1", Cancel("x")) in second, 2)
