Count an owner as lost that does not confirm its zone

Cause: the record of a zone names a node. After a restart the node owns nothing, but its live link counted as the live owner: its peers did not take the zone, told other peers that the owner was alive and sent their jobs to it. In a large deployment the node itself watched only the zone in which it runs.

Change: each daemon states the zones and tokens of its incarnation in Hello and in OwnedZones; a link keeps what its peer stated (ownership/confirmation.py). A live owner that does not confirm the token of its record within 1,000 ms is lost for takeovers, replies to probes, reachable_owners, is_owner and owner_of. Replies to probes name the zones that the owner holds. A daemon also watches the zones whose records name it, and acquires them again without the delay of its rank. Probes are evaluated by zone, so that one zone with a live owner does not keep the others from being taken; a live owner without its zone counts as reached, and its heartbeats in the store do not count. Peers of older builds are judged by their link as before.

--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -53,7 +53,7 @@
 
 @frozen
 class SubmitRejected:
-    """Reply to a ``Submit`` by a daemon without zones, which has not started the job."""
+    """Reply of a daemon without zones to ``Submit``; it has not started the job."""
 
     job_id: str
 
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -17,6 +17,7 @@
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.link import Link
 from rattanloom.links.messages import (
+    OwnedZones,
     OwnerLivenessQuery,
     OwnerLivenessReply,
     OwnershipMessage,
@@ -24,6 +25,7 @@
     ZoneClaims,
 )
 from rattanloom.ownership.acquisition import ZoneAcquirer, make_claims_message
+from rattanloom.ownership.confirmation import OwnerConfirmation
 from rattanloom.ownership.handover_planner import HandoverPlanner
 from rattanloom.ownership.indirect_probe import IndirectProbe
 from rattanloom.ownership.records import TABLE, Member, ZoneOwner
@@ -72,6 +74,7 @@
     on_change: Callable[[], None]
     leaving: bool = False
     view: OwnerView = field(init=False)
+    confirmation: OwnerConfirmation = field(init=False)
     registration: Registration = field(init=False)
     indirect_probe: IndirectProbe = field(init=False)
     store_heartbeats: StoreHeartbeats = field(init=False)
@@ -82,9 +85,10 @@
 
     def __attrs_post_init__(self) -> None:
         clock, hub, store = self.clock, self.hub, self.store
-        self.view = OwnerView(self.own_member, self.on_change)
+        self.view = OwnerView(self.own_member, self._on_owners_changed)
+        self.confirmation = OwnerConfirmation(clock, hub, self.view)
         self.registration = Registration(self.own_member, store)
-        self.indirect_probe = IndirectProbe(clock, hub)
+        self.indirect_probe = IndirectProbe(clock, hub, self.confirmation)
         self.store_heartbeats = StoreHeartbeats(self.own_member.node, clock, store)
         self.follower = TableFollower(
             store,
@@ -109,6 +113,7 @@
             clock,
             hub,
             self.view,
+            self.confirmation,
             self.indirect_probe,
             self.store_heartbeats,
             self.acquirer,
@@ -124,6 +129,7 @@
         """
         if self.takeover.registered_ms is None:
             return
+        self.confirmation.announce()
         if not self.leaving and self.follower.version is not None:
             self.takeover.check_owners()
             self._start_due_handovers()
@@ -151,33 +157,40 @@
         return self.view.owned()
 
     def is_owner(self, node: str) -> bool:
-        """Return whether the daemon ``node`` owns any zone."""
-        return bool(self.view.zones_of(node))
+        """Return whether the daemon ``node`` owns any zone in this incarnation.
+
+        It counts as one until it fails to confirm its zones in time.
+        """
+        if node == self.own_member.node:
+            return bool(self.owned())
+        return any(
+            not self.confirmation.is_overdue(zone) for zone in self.view.zones_of(node)
+        )
 
     def takeover_ms_by_node(self) -> dict[str, float]:
         """Return the takeover times that ``ZoneAcquirer`` recorded, by former owner."""
         return self.acquirer.takeover_ms_by_node
 
     def owner_of(self, zone: str) -> str | None:
-        """Return the node that owns a zone, reachable or not; None without an owner."""
+        """Return the node that owns a zone, reachable or not; None without an owner.
+
+        A node that lost the zone with its former incarnation is no owner.
+        """
         owner = self.view.owners.get(zone)
-        return owner.owner if owner else None
+        if owner is None or self.confirmation.is_overdue(zone):
+            return None
+        is_lost = owner.owner == self.own_member.node and zone not in self.owned()
+        return None if is_lost else owner.owner
 
     def reachable_owners(self) -> dict[str, str]:
         """Return the reachable owners by zone; the zone of this daemon comes first."""
-        owned = self.owned()
         zones = sorted(
             self.view.owners, key=lambda zone: (zone != self.own_member.zone, zone)
         )
-        owners = {zone: self.view.owners[zone].owner for zone in zones}
         return {
-            zone: node
-            for zone, node in owners.items()
-            if (
-                zone in owned
-                if node == self.own_member.node
-                else self.hub.is_alive(node)
-            )
+            zone: self.view.owners[zone].owner
+            for zone in zones
+            if self.confirmation.is_held(zone)
         }
 
     def owners(self) -> set[str]:
@@ -201,9 +214,11 @@
     def handle_message(self, link: Link, message: OwnershipMessage) -> None:
         """Handle a message about owners."""
         if isinstance(message, OwnerLivenessQuery):
-            self.indirect_probe.handle_query(link, message, self.own_member.node)
+            self.indirect_probe.handle_query(link, message)
         elif isinstance(message, OwnerLivenessReply):
             self.indirect_probe.handle_reply(link, message)
+        elif isinstance(message, OwnedZones):
+            self.confirmation.record(link, message)
         elif isinstance(message, ZoneClaims):
             self.view.apply_owners(
                 ZoneOwner(zone, message.owner, epoch, message.claim)
@@ -213,7 +228,11 @@
             gevent.spawn(self._handle_take_zones, message, link.peer.node)
 
     def on_link_opened(self, link: Link) -> None:
-        """Announce the zones that this daemon claimed without the store to the peer."""
+        """Announce to the peer the zones that this daemon claimed without the store.
+
+        All zones are announced again if they changed since the link's hello.
+        """
+        self.confirmation.on_link_opened(link)
         claimed = [owner for owner in self.owned().values() if owner.claim]
         if claimed:
             link.send(make_claims_message(claimed))
@@ -228,6 +247,10 @@
         if failure is None and zone in self.owned() and self.view.token(zone) == token:
             self.acquirer.acquire((zone,), "a worker refused the fencing token", False)
 
+    def _on_owners_changed(self) -> None:
+        self.confirmation.announce()
+        self.on_change()
+
     def register(self) -> None:
         """Register this daemon; it takes no zones before."""
         self.registration.register()
--- a/rattanloom/ownership/takeover.py
+++ b/rattanloom/ownership/takeover.py
@@ -10,6 +10,10 @@
 from rattanloom.errors import Failure
 from rattanloom.links.hub import LinkHub
 from rattanloom.ownership.acquisition import ZoneAcquirer
+from rattanloom.ownership.confirmation import (
+    CONFIRMATION_TIMEOUT_MS,
+    OwnerConfirmation,
+)
 from rattanloom.ownership.indirect_probe import IndirectProbe
 from rattanloom.ownership.records import Member, ZoneOwner
 from rattanloom.ownership.store_heartbeats import StoreHeartbeats
@@ -51,6 +55,7 @@
     clock: Clock
     hub: LinkHub
     view: OwnerView
+    confirmation: OwnerConfirmation
     indirect_probe: IndirectProbe
     store_heartbeats: StoreHeartbeats
     acquirer: ZoneAcquirer
@@ -68,23 +73,21 @@
             gevent.spawn(self._run_takeover, zones)
 
     def is_settled(self) -> bool:
-        """Return whether all watched zones have an owner with a live link."""
-        owned = self.view.owned()
-        owners = [self.view.owners.get(zone) for zone in self._watched_zones()]
+        """Return whether all watched zones have a live owner that confirms them."""
         return not self._is_running and all(
-            owner is not None
-            and (owner.zone in owned or self.hub.is_alive(owner.owner))
-            for owner in owners
+            map(self.confirmation.is_confirmed, self._watched_zones())
         )
 
     def _watched_zones(self) -> tuple[str, ...]:
         """Return the zones whose owners this daemon watches and keeps links to.
 
         In a large deployment, a daemon that owns no zone watches only the zone in
-        which it runs; owners watch all zones.
+        which it runs and those whose records name it, which it owned before a restart;
+        owners watch all zones.
         """
         if self.is_large_deployment() and self.view.owners and not self.view.owned():
-            return (self.view.own_member.zone,)
+            own = self.view.own_member
+            return tuple({own.zone} | self.view.zones_of(own.node))
         return self.zones
 
     def _needs_owner(self, zone: str) -> bool:
@@ -97,21 +100,25 @@
         return self._is_takeover_due(zone, owner.owner, now_ms)
 
     def _is_takeover_due(self, zone: str, owner: str, now_ms: float) -> bool:
-        """Return whether an owner has been unreachable for long enough.
+        """Return whether an owner has been lost for long enough.
 
-        That is later for candidates of a lower rank: if all daemons of a large zone
-        probed all others at once, the links would take longer than the probe.
+        It is lost if it is unreachable, or if it does not confirm the zone in time.
+        The wait is longer for candidates of a lower rank: if all daemons of a large
+        zone probed all others at once, the links would take longer than the probe.
         """
         member = self.view.members.get(owner)
         if member is not None:
             self.hub.keep_link(owner, member.address, now_ms + LINK_KEEP_MS)
         if self.hub.is_alive(owner):
             self._unreachable_since_ms.pop(owner, None)
+            lost_ms = self.confirmation.unconfirmed_ms(zone)
+            lost_after_ms = CONFIRMATION_TIMEOUT_MS
+        else:
+            lost_ms = now_ms - self._unreachable_since_ms.setdefault(owner, now_ms)
+            lost_after_ms = LOST_AFTER_MS
+        if lost_ms <= lost_after_ms:
             return False
-        lost_ms = now_ms - self._unreachable_since_ms.setdefault(owner, now_ms)
-        if lost_ms <= LOST_AFTER_MS:
-            return False
-        return lost_ms > LOST_AFTER_MS + self._probing_delay_ms(zone, owner)
+        return lost_ms > lost_after_ms + self._probing_delay_ms(zone, owner)
 
     def _probing_delay_ms(self, zone: str, lost_owner: str) -> float:
         preferred_zone = zone if self.is_large_deployment() else None
@@ -128,36 +135,48 @@
     def _take_over_if_lost(self, zones: list[str]) -> None:
         own_node = self.view.own_member.node
         before = {zone: self.view.owners.get(zone) for zone in zones}
-        owners = {owner.owner for owner in before.values() if owner}
-        owners.discard(own_node)
+        other_owners = {
+            zone: owner.owner
+            for zone, owner in before.items()
+            if owner and owner.owner != own_node
+        }
+        owners = set(other_owners.values())
         peers = [
             member
             for node, member in self.view.members.items()
             if node not in owners and node != own_node
         ]
-        reachable_nodes = {own_node}
+        # Owners that are alive, but do not confirm their zones.
+        alive_owners = {owner for owner in owners if self.hub.is_alive(owner)}
+        reachable_nodes = {own_node} | alive_owners
         if owners:
-            reachable_nodes |= self._probe(zones, owners, peers)
+            reachable_nodes |= self._probe(other_owners, peers)
         else:
             reachable_nodes |= {member.node for member in peers}
-        if any(self.indirect_probe.is_owner_alive(owner) for owner in owners):
+        free = [
+            zone
+            for zone in zones
+            if zone not in other_owners
+            or not self.indirect_probe.is_owner_alive(other_owners[zone], zone)
+        ]
+        if not free:
             gevent.sleep(OWNER_ALIVE_PAUSE_MS / MS_PER_S)
             return
-        takeable = self._zones_to_take(zones, owners, reachable_nodes)
+        lost = {other_owners[zone] for zone in free if zone in other_owners}
+        takeable = self._zones_to_take(free, lost - alive_owners, reachable_nodes)
         self._take_over_by_rank(
             {zone: before[zone] for zone in takeable},
             reachable_nodes,
-            ",".join(sorted(owners)) or "none, the zones have no other owner",
+            ",".join(sorted(lost)) or "none, the zones have no other owner",
         )
 
-    def _probe(
-        self, zones: list[str], owners: set[str], peers: list[Member]
-    ) -> set[str]:
+    def _probe(self, owners_by_zone: dict[str, str], peers: list[Member]) -> set[str]:
         """Probe owners through peers; return the nodes that replied.
 
         In a large deployment, only the daemons of the zones and other owners keep
         links to an owner. The others are probed only if a majority is needed.
         """
+        zones, owners = list(owners_by_zone), set(owners_by_zone.values())
         near, far = peers, []
         if self.is_large_deployment():
             near = [peer for peer in peers if self._may_have_link(peer, zones)]
@@ -166,8 +185,10 @@
         probe.clear()
         probe.run(owners, near)
         reached = {self.view.own_member.node, *probe.responding_peers}
-        is_decided = any(map(probe.is_owner_alive, owners)) or any(
-            self.view.is_majority_reached(zone, reached) for zone in zones
+        is_decided = any(
+            probe.is_owner_alive(owner, zone)
+            or self.view.is_majority_reached(zone, reached)
+            for zone, owner in owners_by_zone.items()
         )
         if far and not is_decided:
             probe.run(owners, far)
@@ -214,12 +235,17 @@
         """Take each zone that has no new owner after the delay of this daemon's rank.
 
         ``before`` maps the zones to their owners before the probe. The rank is this
-        daemon's position among the candidates for the zone.
+        daemon's position among the candidates for the zone. Zones whose record names
+        this daemon are acquired again at once, since only this daemon knows that they
+        have no owner.
         """
         started_ms = self.clock.now_ms()
+        own_node = self.view.own_member.node
         by_rank: dict[int, list[str]] = {}
-        for zone in before:
-            by_rank.setdefault(self._rank(zone, reachable_nodes), []).append(zone)
+        for zone, owner in before.items():
+            is_own = owner is not None and owner.owner == own_node
+            rank = 0 if is_own else self._rank(zone, reachable_nodes)
+            by_rank.setdefault(rank, []).append(zone)
         for rank, ranked in sorted(by_rank.items()):
             wait_ms = started_ms + rank * RANK_DELAY_MS - self.clock.now_ms()
             gevent.sleep(max(0, wait_ms) / MS_PER_S)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,6 +4,7 @@
 
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.messages import Hello
+from rattanloom.ownership.confirmation import OwnerConfirmation
 from rattanloom.ownership.indirect_probe import IndirectProbe
 from rattanloom.ownership.records import Member, ZoneOwner
 from rattanloom.ownership.takeover import (
@@ -64,8 +65,11 @@
     hub = CountingHub(
         Hello(own.node, "a", "", 1), "127.0.0.1:9", clock, None, None, None
     )
-    probe = InstantProbe(clock, hub)
-    return Takeover(ZONES, clock, hub, view, probe, None, None, lambda: True)
+    confirmation = OwnerConfirmation(clock, hub, view)
+    probe = InstantProbe(clock, hub, confirmation)
+    return Takeover(
+        ZONES, clock, hub, view, confirmation, probe, None, None, lambda: True
+    )
 
 
 def test_only_the_first_candidates_probe_at_once():
@@ -91,7 +95,7 @@
     takeover = make_takeover(1)
     peers = [m for n, m in takeover.view.members.items() if n not in ("a0", "a1")]
     takeover.indirect_probe.peers_reply = True
-    takeover._probe(["a"], {"a0"}, peers)
+    takeover._probe({"a": "a0"}, peers)
     in_zone = {f"a{number}" for number in range(2, PER_ZONE)}
     assert takeover.hub.dialled == in_zone | {"b0", "c0", "d0", "e0"}
 
@@ -99,7 +103,7 @@
 def test_all_daemons_are_probed_without_a_majority_in_the_zone():
     takeover = make_takeover(1)
     peers = [m for n, m in takeover.view.members.items() if n not in ("a0", "a1")]
-    takeover._probe(["a"], {"a0"}, peers)
+    takeover._probe({"a": "a0"}, peers)
     assert len(takeover.hub.dialled) == len(peers)
 
 
@@ -139,7 +143,11 @@
     takeover = make_takeover(1)
     takeover.acquirer = RecordingAcquirer()
     takeover.indirect_probe = OvertakenProbe(
-        takeover.clock, takeover.hub, peers_reply=True, view=takeover.view
+        takeover.clock,
+        takeover.hub,
+        takeover.confirmation,
+        peers_reply=True,
+        view=takeover.view,
     )
     takeover._run_takeover(["a"])
     assert takeover.acquirer.acquired == []
