Reject jobs sent to a daemon without zones; refuse jobs that were never sent

Cause: a daemon without zones dropped Submit, so a job that was sent to a restarted owner was held until its deadline and answered 504. A job that was never sent got 504 as well if its deadline came before the timeout or if the daemon stopped. A job whose zone moved to an owner without a link waited for a link that nobody opened. An owner that lost its zones and regained them between two reads of the records had dropped its jobs without the senders knowing.

Change: the daemon replies SubmitRejected; the sender no longer counts it among the former placers if no other send to it is left, and goes on to the next owner. The same holds for a Submit of which a lost link wrote no byte. The sender sends again after 100 ms or once that daemon announces zones, and requests links to all owners while a job has no placer. An announcement without zones unassigns the jobs of that daemon. A job that was never sent is answered 503 at its deadline, at a stop and after the timeout, with return times spread over 1 to 3 s.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -32,21 +32,12 @@
     wait_for_requests,
 )
 from rattanloom.links.hub import LinkHub
-from rattanloom.links.link import Link
-from rattanloom.links.messages import (
-    Cancel,
-    FreeCapacity,
-    Hello,
-    Message,
-    Outcome,
-    RunLosses,
-    Submit,
-)
+from rattanloom.links.messages import FreeCapacity, Hello
 from rattanloom.metrics import Metrics
 from rattanloom.ownership.ownership import Ownership
 from rattanloom.ownership.records import Member
+from rattanloom.peer_messages import PeerMessages
 from rattanloom.placement.entry_age import ENTRY_AGE_MAX_MS, EntryAgeGuard
-from rattanloom.placement.jobs import JobOutcome
 from rattanloom.placement.placer import Placer
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.worker_events import WorkerState
@@ -93,23 +84,6 @@
 CAPACITY_INTERVAL_MS = 100
 
 
-@define(eq=False, repr=False)
-class PeerOutcomeReceiver:
-    """Receives the outcomes of jobs that another daemon submitted over a link."""
-
-    node: str
-    hub: LinkHub
-
-    def deliver(self, outcome: JobOutcome) -> None:
-        """Send an outcome over the current link to that daemon.
-
-        Without a link the outcome is dropped; the other daemon submits the job again.
-        """
-        link = self.hub.link(self.node)
-        if link is not None:
-            link.send(Outcome(outcome))
-
-
 @define(eq=False, repr=False)
 class Daemon:
     """Builds and connects the components of one daemon.
@@ -133,6 +107,7 @@
     placer_choice: PlacerChoice = field(init=False)
     crash_exchange: CrashExchange = field(init=False)
     job_router: JobRouter = field(init=False)
+    peer_messages: PeerMessages = field(init=False)
     connections: ConnectionState = field(init=False)
     _capacity_announced_ms: float = 0
     _wake: Event = field(factory=Event)
@@ -156,9 +131,9 @@
             hello,
             deployment.peer_listen_address,
             clock,
-            self._on_message,
-            self._on_link_opened,
-            self._on_link_lost,
+            lambda link, message: self.peer_messages.on_message(link, message),
+            lambda link: self.peer_messages.on_link_opened(link),
+            lambda link: self.peer_messages.on_link_lost(link),
         )
         self.store = StoreClient(
             deployment.store.address, self.metrics.count, deployment.ip
@@ -213,6 +188,15 @@
             self.ownership.is_owner,
             self._wake.set,
         )
+        self.peer_messages = PeerMessages(
+            self.hub,
+            self.placer,
+            self.ownership,
+            self.placer_choice,
+            self.crash_exchange,
+            self.job_router,
+            self._wake.set,
+        )
         self.connections = ConnectionState(self._limits, lambda: not self.is_ready())
 
     def is_ready(self) -> bool:
@@ -282,7 +266,7 @@
             not self.placer.workers
             and not self.placer.jobs
             and self.ownership.is_settled()
-            and all(job.placer for job in self.job_router.pending.values())
+            and not self.job_router.has_unplaced()
         )
         if is_idle:
             self._wake.clear()
@@ -291,8 +275,9 @@
 
     def _request_placer_links(self) -> None:
         """Request links to placers that have jobs from here or may soon get some."""
-        nodes = {job.placer for job in self.job_router.pending.values() if job.placer}
-        if self.placer_choice.is_preferred_nearly_full():
+        nodes = self.job_router.placers()
+        is_unplaced = self.job_router.has_unplaced()
+        if is_unplaced or self.placer_choice.is_preferred_nearly_full():
             nodes |= self.ownership.owners()
         for node in nodes:
             self.ownership.request_link(node)
@@ -399,35 +384,6 @@
     def _connect_worker(self, entry: WorkerEntry) -> WorkerClient:
         return WorkerClient(entry.worker_id, entry.address, self.deployment.ip)
 
-    def _on_message(self, link: Link, message: Message) -> None:
-        if isinstance(message, Submit):
-            # A daemon without zones ignores the job; the sender submits it again to
-            # the zone's new owner.
-            if self.ownership.owned():
-                receiver = PeerOutcomeReceiver(link.peer.node, self.hub)
-                self.placer.submit(receiver, message.job, message.former_placers)
-        elif isinstance(message, Cancel):
-            self.placer.cancel(message.job_id)
-        elif isinstance(message, FreeCapacity):
-            self.placer_choice.record_free_capacity(link.peer.node, message.millicores)
-        elif isinstance(message, Outcome):
-            self.job_router.record_outcome(link.peer.node, message.outcome)
-        elif isinstance(message, RunLosses):
-            self.crash_exchange.handle(message)
-        else:
-            self.ownership.handle_message(link, message)
-
-    def _on_link_opened(self, link: Link) -> None:
-        self.ownership.on_link_opened(link)
-        self.crash_exchange.on_link_opened(link)
-        if self.ownership.is_owner(link.peer.node):
-            self.job_router.on_placers_changed()
-
-    def _on_link_lost(self, link: Link) -> None:
-        self._wake.set()
-        self.placer.on_daemon_lost(link.peer.node)
-        self.job_router.on_placer_lost(link.peer.node)
-
 
 def main(environment: Environment | None = None) -> ExitStatus:
     """Run one daemon until SIGTERM or SIGINT; return the exit status."""
--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -120,14 +120,16 @@
     def _wait_for_outcome(
         self, pending: PendingJob, remaining_ms: float
     ) -> JobOutcome | None:
-        """Return the outcome; None if the client disconnects or the deadline nears."""
+        """Return the outcome; None if the client disconnects or the deadline nears.
+
+        At the deadline, a job that was never sent to a placer is refused.
+        """
         watch = gevent.spawn(self._watch_client, pending, request.environ[SOCKET_KEY])
         try:
             timeout_ms = max(0, remaining_ms - RESPONSE_MARGIN_MS)
             return pending.result.get(timeout=timeout_ms / MS_PER_S)
         except gevent.Timeout:
-            self.job_router.cancel(pending)
-            return None
+            return self.job_router.expire(pending)
         finally:
             watch.kill(block=False)
 
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -1,6 +1,8 @@
 """Tracks the jobs posted to this daemon, and the placer of each."""
 
+from collections import Counter
 from collections.abc import Callable
+from zlib import crc32
 
 from attrs import define, evolve, field
 from gevent.event import AsyncResult
@@ -23,6 +25,12 @@
 # How long a new job waits for a reachable placer. A job that had a placer before
 # waits until its deadline or ``late_limit_ms``, whichever is earlier.
 NO_PLACER_TIMEOUT_MS = 250
+# How long a job is not sent again to a placer that rejected it, unless that announces
+# zones before: two ticks, so that a restarting placer gets few useless messages.
+REJECTED_PAUSE_MS = 100
+# Clients of jobs without a placer are told to return within this time, since every zone
+# is served again 3 s after a loss.
+RETURN_WITHIN_MS = 3_000
 
 
 @define(eq=False, repr=False)
@@ -30,9 +38,10 @@
     """A job whose client waits for the outcome.
 
     ``placer`` is the daemon to which the job was sent, ``zone`` the zone whose
-    workers run it. ``former_placers`` are all daemons to which it was ever sent, in
-    order, including the current one. ``result`` is set to the outcome, or to None if
-    the client disconnects.
+    workers run it. ``former_placers`` are all daemons to which it was ever sent and
+    that may have started it, in order, including the current one. ``sends`` counts the
+    sends to each of them that were not rejected. ``rejected_ms`` is when a daemon last
+    rejected it. ``result`` is set to the outcome, or to None if the client disconnects.
     """
 
     submitted: SubmittedJob
@@ -41,12 +50,25 @@
     placer: str | None = None
     zone: str = ""
     former_placers: tuple[str, ...] = ()
+    sends: Counter[str] = field(factory=Counter)
+    rejected_ms: dict[str, float] = field(factory=dict)
 
     def assign_placer(self, chosen: ChosenPlacer) -> None:
         """Record the placer to which the job is about to be sent."""
         self.placer, self.zone = chosen.node, chosen.zone
         if chosen.node not in self.former_placers:
             self.former_placers = (*self.former_placers, chosen.node)
+        self.sends[chosen.node] += 1
+
+    def forget_send(self, node: str) -> None:
+        """Undo one send to a daemon that has not started the job for it."""
+        self.sends[node] -= 1
+        if self.sends[node] <= 0:
+            self.former_placers = tuple(
+                placer for placer in self.former_placers if placer != node
+            )
+        if self.placer == node:
+            self.placer = None
 
 
 @define(eq=False, repr=False)
@@ -54,9 +76,10 @@
     """Submits jobs to placers, and submits them again when the placer changes.
 
     A job that was sent to a placer before may have run, so it is sent only to the
-    current owner of its zone. ``is_owner`` returns whether a daemon owns any zone.
-    ``on_unplaced`` is called for a job that has no placer yet. ``pending`` maps job ids
-    to jobs.
+    current owner of its zone. Sends that were rejected, or that a link lost before
+    any of their bytes were written, do not count. ``is_owner`` returns whether a daemon
+    owns any zone. ``on_unplaced`` is called for a job that has no placer. ``pending``
+    maps job ids to jobs.
     """
 
     node: str
@@ -92,13 +115,33 @@
                 link.send(Cancel(job.submitted.job_id))
 
     def give_up_all(self, reason: str) -> None:
-        """Give up and cancel all jobs; clients may retry at another daemon."""
+        """Give up and cancel all jobs; clients may retry at another daemon.
+
+        Jobs that were never sent are refused.
+        """
         for job in list(self.pending.values()):
             self.cancel(job)
-            kind = OutcomeKind.GIVEN_UP
-            self._finish(
-                job, JobOutcome(job.submitted.job_id, kind, reason, RETRY_AFTER_MS)
-            )
+            self._finish(job, _unplaced_outcome(job, reason))
+
+    def expire(self, job: PendingJob) -> JobOutcome | None:
+        """Cancel a job at its deadline; return a refusal if it was never sent."""
+        self.cancel(job)
+        if job.former_placers:
+            return None
+        return _unplaced_outcome(job, "no placer was reachable in time")
+
+    def has_unplaced(self) -> bool:
+        """Return whether some job has no placer."""
+        return any(job.placer is None for job in self.pending.values())
+
+    def placers(self) -> set[str]:
+        """Return the placers of all jobs, and the owners to which they may go next."""
+        jobs = self.pending.values()
+        zones = {job.zone for job in jobs if job.zone}
+        nodes = {job.placer for job in jobs} | set(
+            map(self.placer_choice.owner_of, zones)
+        )
+        return nodes - {None}
 
     def deliver(self, outcome: JobOutcome) -> None:
         """Record an outcome of the placer in this daemon; see ``OutcomeReceiver``."""
@@ -128,6 +171,8 @@
         for job in list(self.pending.values()):
             if not self._has_reachable_placer(job):
                 self._submit_to_placer(job)
+                if job.placer is None:
+                    self.on_unplaced()
 
     def on_placer_lost(self, node: str) -> None:
         """Unassign the jobs of a placer to which the link was lost."""
@@ -135,23 +180,54 @@
             if job.placer == node:
                 job.placer = None
 
+    def on_rejected(self, node: str, job_id: str) -> None:
+        """Submit a job to the next placer after a daemon without zones rejected it."""
+        job = self.pending.get(job_id)
+        if job is None:
+            return
+        job.forget_send(node)
+        job.rejected_ms[node] = self.clock.now_ms()
+        log.info("job_rejected", job=job_id, placer=node, sends=job.sends[node])
+        if job.placer is None:
+            self._submit_or_end(job)
+
+    def on_not_sent(self, node: str, job_id: str) -> None:
+        """Undo a send to a placer whose link was lost before anything was written."""
+        job = self.pending.get(job_id)
+        if job is not None:
+            job.forget_send(node)
+
+    def on_zones_announced(self, node: str, owns_zones: bool) -> None:
+        """Submit jobs again after a daemon announced the zones that it owns.
+
+        One that owns none has dropped its jobs, also if it acquires zones again before
+        this daemon reads the records of the owners.
+        """
+        for job in self.pending.values():
+            if owns_zones:
+                job.rejected_ms.pop(node, None)
+            elif job.placer == node:
+                job.placer = None
+                job.rejected_ms[node] = self.clock.now_ms()
+        self.on_placers_changed()
+
     def tick(self) -> None:
         """Submit jobs that have no placer; end those that waited too long.
 
         Their outcome is GIVEN_UP if they were ever sent to a placer, else REFUSED.
         """
-        now_ms = self.clock.now_ms()
         for job in list(self.pending.values()):
-            if job.placer is not None:
-                continue
-            self._submit_to_placer(job)
-            if job.placer is None and now_ms > self._give_up_at_ms(job):
-                kind = (
-                    OutcomeKind.GIVEN_UP if job.former_placers else OutcomeKind.REFUSED
-                )
-                reason = "no placer is reachable"
-                outcome = JobOutcome(job.submitted.job_id, kind, reason, RETRY_AFTER_MS)
-                self._finish(job, outcome)
+            if job.placer is None:
+                self._submit_or_end(job)
+
+    def _submit_or_end(self, job: PendingJob) -> None:
+        self._submit_to_placer(job)
+        if job.placer is not None:
+            return
+        if self.clock.now_ms() > self._give_up_at_ms(job):
+            self._finish(job, _unplaced_outcome(job, "no placer is reachable"))
+        else:
+            self.on_unplaced()
 
     def _has_reachable_placer(self, job: PendingJob) -> bool:
         node = job.placer
@@ -160,24 +236,29 @@
         return node == self.node or self.hub.link(node) is not None
 
     def _give_up_at_ms(self, job: PendingJob) -> float:
+        limits_ms = [job.submitted.remaining_ms, job.submitted.late_limit_ms]
         if not job.former_placers:
-            return job.arrived_ms + NO_PLACER_TIMEOUT_MS
-        deadline_at_ms = job.arrived_ms + job.submitted.remaining_ms
-        late_limit_at_ms = job.arrived_ms + job.submitted.late_limit_ms
-        return min(deadline_at_ms, late_limit_at_ms)
+            limits_ms.append(NO_PLACER_TIMEOUT_MS)
+        return job.arrived_ms + min(limits_ms)
 
     def _submit_to_placer(self, job: PendingJob) -> None:
         """Submit a job to a reachable placer; do nothing if there is none."""
+        now_ms = self.clock.now_ms()
+        excluded = {
+            node
+            for node, rejected_ms in job.rejected_ms.items()
+            if now_ms < rejected_ms + REJECTED_PAUSE_MS
+        }
         if job.former_placers:
             chosen = self.placer_choice.current_owner(job.zone)
         else:
-            chosen = self.placer_choice.choose(job.submitted.need_millicores)
-        if chosen is None:
+            chosen = self.placer_choice.choose(job.submitted.need_millicores, excluded)
+        if chosen is None or chosen.node in excluded:
             return
         link = self.hub.link(chosen.node)
         if link is None and chosen.node != self.node:
             return
-        waited_ms = self.clock.now_ms() - job.arrived_ms
+        waited_ms = now_ms - job.arrived_ms
         remaining_ms = job.submitted.remaining_ms - waited_ms
         submitted = evolve(
             job.submitted, remaining_ms=remaining_ms, waited_ms=waited_ms
@@ -198,3 +279,15 @@
             self.placer.submit(self, submitted, former)
         else:
             link.send(Submit(submitted, former))
+
+
+def _unplaced_outcome(job: PendingJob, reason: str) -> JobOutcome:
+    """Return the outcome of a job that no placer takes.
+
+    The times at which clients return are spread, so that they don't return in one wave.
+    """
+    job_id = job.submitted.job_id
+    kind = OutcomeKind.GIVEN_UP if job.former_placers else OutcomeKind.REFUSED
+    spread = crc32(job_id.encode()) / 2**32
+    retry_after_ms = max(RETRY_AFTER_MS, round(spread * RETURN_WITHIN_MS))
+    return JobOutcome(job_id, kind, reason, retry_after_ms)
--- a/rattanloom/ingress/placer_choice.py
+++ b/rattanloom/ingress/placer_choice.py
@@ -4,7 +4,7 @@
 which starts with this daemon's own zone.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 
 from attrs import define, field, frozen
 
@@ -61,15 +61,21 @@
             < LOW_CAPACITY_MILLICORES
         )
 
-    def choose(self, need_millicores: float) -> ChosenPlacer | None:
+    def choose(
+        self, need_millicores: float, excluded: Container[str] = ()
+    ) -> ChosenPlacer | None:
         """Return the placer for a new job; None if none is reachable.
 
-        This is the preferred placer or, if it has too little free capacity for the
-        job, the placer with the most. A placer without a recent report counts as
-        having just enough. The job's need is subtracted from the capacity of the
-        returned placer.
+        The placers ``excluded`` have just rejected the job. The chosen one is the
+        preferred placer or, if it has too little free capacity for the job, the placer
+        with the most. A placer without a recent report counts as having just enough.
+        The job's need is subtracted from the capacity of the returned placer.
         """
-        reachable_owners = self.reachable_owners()
+        reachable_owners = {
+            zone: node
+            for zone, node in self.reachable_owners().items()
+            if node not in excluded
+        }
         if not reachable_owners:
             return None
         zone, node = next(iter(reachable_owners.items()))
--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -67,7 +67,7 @@
     expected_node: str | None = None
     peer_zones: dict[str, int] = field(factory=dict)
     closed: bool = False
-    _outgoing: deque[bytes] = field(factory=deque)
+    _outgoing: deque[tuple[Message, bytes]] = field(factory=deque)
     _writable: Event = field(factory=Event)
     _buffer: bytearray = field(factory=bytearray)
 
@@ -97,9 +97,13 @@
         if self.closed:
             return
         content = encode_message(message)
-        self._outgoing.append(LENGTH.pack(len(content)) + content)
+        self._outgoing.append((message, LENGTH.pack(len(content)) + content))
         self._writable.set()
 
+    def unsent(self) -> tuple[Message, ...]:
+        """Return the messages of a closed link of which no byte was written."""
+        return tuple(message for message, _ in self._outgoing)
+
     def close(self) -> None:
         """Close the connection and drop the queued messages."""
         if not self.closed:
@@ -117,10 +121,12 @@
             if not self._writable.wait(PING_INTERVAL_MS / MS_PER_S):
                 self.send(Ping())
             self._writable.clear()
-            content = b"".join(self._outgoing)
+            if self.closed:
+                return
+            content = b"".join(content for _, content in self._outgoing)
             self._outgoing.clear()
             try:
-                if content and not self.closed:
+                if content:
                     self.socket.sendall(content)
             except OSError as error:
                 log.info("link_write_failed", reason=str(error))
--- /dev/null
+++ b/rattanloom/peer_messages.py
@@ -0,0 +1,103 @@
+"""Passes the messages and events of links between daemons to the components."""
+
+from collections.abc import Callable
+
+from attrs import define
+
+from rattanloom.crash_exchange import CrashExchange
+from rattanloom.ingress.job_router import JobRouter
+from rattanloom.ingress.placer_choice import PlacerChoice
+from rattanloom.links.hub import LinkHub
+from rattanloom.links.link import Link
+from rattanloom.links.messages import (
+    OWNED_ZONES_VERSION,
+    Cancel,
+    FreeCapacity,
+    Message,
+    Outcome,
+    OwnedZones,
+    RunLosses,
+    Submit,
+    SubmitRejected,
+)
+from rattanloom.ownership.ownership import Ownership
+from rattanloom.placement.jobs import JobOutcome
+from rattanloom.placement.placer import Placer
+
+
+@define(eq=False, repr=False)
+class PeerOutcomeReceiver:
+    """Receives the outcomes of jobs that another daemon submitted over a link."""
+
+    node: str
+    hub: LinkHub
+
+    def deliver(self, outcome: JobOutcome) -> None:
+        """Send an outcome over the current link to that daemon.
+
+        Without a link the outcome is dropped; the other daemon submits the job again.
+        """
+        link = self.hub.link(self.node)
+        if link is not None:
+            link.send(Outcome(outcome))
+
+
+@define(eq=False, repr=False)
+class PeerMessages:
+    """Handles the links of one daemon; ``wake`` ends the pause of its tick."""
+
+    hub: LinkHub
+    placer: Placer
+    ownership: Ownership
+    placer_choice: PlacerChoice
+    crash_exchange: CrashExchange
+    job_router: JobRouter
+    wake: Callable[[], None]
+
+    def on_message(self, link: Link, message: Message) -> None:
+        """Handle a message of a peer."""
+        node = link.peer.node
+        if isinstance(message, Submit):
+            self._on_submit(link, message)
+        elif isinstance(message, SubmitRejected):
+            self.job_router.on_rejected(node, message.job_id)
+        elif isinstance(message, Cancel):
+            self.placer.cancel(message.job_id)
+        elif isinstance(message, FreeCapacity):
+            self.placer_choice.record_free_capacity(node, message.millicores)
+        elif isinstance(message, Outcome):
+            self.job_router.record_outcome(node, message.outcome)
+        elif isinstance(message, RunLosses):
+            self.crash_exchange.handle(message)
+        else:
+            self.ownership.handle_message(link, message)
+            if isinstance(message, OwnedZones):
+                self.job_router.on_zones_announced(node, bool(message.zones))
+
+    def on_link_opened(self, link: Link) -> None:
+        """Announce zones and losses to a peer, and submit the jobs that wait for it."""
+        self.ownership.on_link_opened(link)
+        self.crash_exchange.on_link_opened(link)
+        if self.ownership.is_owner(link.peer.node):
+            self.job_router.on_placers_changed()
+
+    def on_link_lost(self, link: Link) -> None:
+        """Handle the loss of a link."""
+        self.wake()
+        self.placer.on_daemon_lost(link.peer.node)
+        for message in link.unsent():
+            if isinstance(message, Submit):
+                self.job_router.on_not_sent(link.peer.node, message.job.job_id)
+        self.job_router.on_placer_lost(link.peer.node)
+
+    def _on_submit(self, link: Link, message: Submit) -> None:
+        """Give a job to the placer, or reject it if this daemon owns no zone.
+
+        A peer of an older build gets no reply; it submits the job again to the zone's
+        new owner.
+        """
+        if self.ownership.owned():
+            receiver = PeerOutcomeReceiver(link.peer.node, self.hub)
+            self.placer.submit(receiver, message.job, message.former_placers)
+        elif link.peer.protocol_version >= OWNED_ZONES_VERSION:
+            link.send(SubmitRejected(message.job.job_id))
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -1,6 +1,10 @@
 """What happens to pending jobs when placers change or become unreachable."""
 
-from rattanloom.ingress.job_router import NO_PLACER_TIMEOUT_MS, JobRouter
+from rattanloom.ingress.job_router import (
+    NO_PLACER_TIMEOUT_MS,
+    REJECTED_PAUSE_MS,
+    JobRouter,
+)
 from rattanloom.ingress.placer_choice import PlacerChoice
 from rattanloom.links.messages import Cancel, Submit
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
@@ -147,3 +151,95 @@
     assert job.result.get().retry_after_ms
     assert hub.sent["p1"][-1] == Cancel(JOB)
     assert not job_router.pending
+
+
+def reject(job_router, node):
+    job_router.on_rejected(node, JOB)
+
+
+def test_rejected_job_goes_to_the_next_owner_as_if_it_was_never_sent():
+    owners = {"a": "p1", "b": "p2"}
+    hub = FakeHub("p1", "p2")
+    job_router = make_router(FakeOwnership("p1"), hub)
+    job_router.placer_choice.reachable_owners = lambda: owners
+    job_router.submit(make_submitted_job())
+    reject(job_router, "p1")
+    (message,) = hub.sent["p2"]
+    assert message.former_placers == ()
+    assert len(hub.sent["p1"]) == 1
+
+
+def test_job_that_was_only_rejected_is_refused_with_a_spread_return_time():
+    # It was given up at its deadline (504), and its client came again for nothing.
+    returns_ms = set()
+    for number in range(20):
+        job_router = make_router(FakeOwnership("p1"), FakeHub("p1"))
+        job = job_router.submit(make_submitted_job(f"{number:016x}"))
+        job_router.clock.at_ms += NO_PLACER_TIMEOUT_MS + 1
+        job_router.on_rejected("p1", job.submitted.job_id)
+        outcome = job.result.get(timeout=1)
+        assert outcome.kind is OutcomeKind.REFUSED
+        returns_ms.add(outcome.retry_after_ms)
+    assert min(returns_ms) >= 1_000
+    assert {-(-ms // 1_000) for ms in returns_ms} == {1, 2, 3}
+
+
+def test_job_stays_possibly_run_if_only_one_of_two_sends_was_rejected():
+    job_router = make_router(FakeOwnership("p1"), FakeHub("p1"))
+    job = job_router.submit(make_submitted_job())
+    job_router.on_placer_lost("p1")
+    job_router.tick()
+    reject(job_router, "p1")
+    assert job.former_placers == ("p1",)
+    assert job_router.expire(job) is None
+
+
+def test_rejected_job_is_sent_again_after_a_pause_or_once_zones_are_announced():
+    hub = FakeHub("p1")
+    job_router = make_router(FakeOwnership("p1"), hub)
+    job_router.submit(make_submitted_job())
+    reject(job_router, "p1")
+    job_router.tick()
+    assert len(hub.sent["p1"]) == 1
+    job_router.clock.at_ms += REJECTED_PAUSE_MS
+    job_router.tick()
+    assert len(hub.sent["p1"]) == 2
+    reject(job_router, "p1")
+    job_router.on_zones_announced("p1", True)
+    assert len(hub.sent["p1"]) == 3
+
+
+def test_job_is_sent_again_to_an_owner_that_lost_its_zones_and_regained_them():
+    # The records read before and after name the same owner, which dropped the job.
+    hub = FakeHub("p1")
+    job_router = make_router(FakeOwnership("p1"), hub)
+    job_router.submit(make_submitted_job())
+    job_router.on_zones_announced("p1", False)
+    assert len(hub.sent["p1"]) == 1
+    job_router.on_zones_announced("p1", True)
+    assert hub.sent["p1"][1].former_placers == ("p1",)
+
+
+def test_job_that_a_lost_link_did_not_send_counts_as_never_sent():
+    job_router = make_router(FakeOwnership("p1"), FakeHub("p1"))
+    job = job_router.submit(make_submitted_job())
+    job_router.on_not_sent("p1", JOB)
+    job_router.on_placer_lost("p1")
+    assert job.former_placers == ()
+    assert job_router.expire(job).kind is OutcomeKind.REFUSED
+
+
+def test_jobs_without_a_placer_are_refused_at_stop():
+    job_router = make_router(FakeOwnership(None), FakeHub())
+    job = job_router.submit(make_submitted_job())
+    job_router.give_up_all("this daemon is stopping")
+    assert job.result.get(timeout=1).kind is OutcomeKind.REFUSED
+
+
+def test_links_are_requested_to_the_next_owner_of_a_placed_job():
+    # A job that went to another zone's placer waited for a link that nobody opened.
+    ownership = FakeOwnership("p1")
+    job_router = make_router(ownership, FakeHub("p1"))
+    job_router.submit(make_submitted_job())
+    ownership.owner = "p2"
+    assert job_router.placers() == {"p1", "p2"}
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -197,3 +197,17 @@
         assert wait_for(lambda: ("n2", "open") in first)
         one.link("n2").send(Cancel("x"))
         assert wait_for(lambda: ("n1", Cancel("x")) in second, 2)
+
+
+def test_messages_of_a_closed_link_that_were_not_written_are_known():
+    one, two = make_hub("n1", []), make_hub("n2", [])
+    with one.serving(), two.serving():
+        one.keep_link("n2", two.own_hello.address, CLOCK.now_ms() + 60_000)
+        assert wait_for(lambda: one.link("n2") and two.link("n1"))
+        link = one.link("n2")
+        link.send(Cancel("x"))
+        assert wait_for(lambda: not link.unsent())
+        link.send(Cancel("y"))
+        link.close()
+        gevent.sleep(0.05)
+        assert link.unsent() == (Cancel("y"),)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -203,3 +203,16 @@
         nodes[0].store.down = False
         assert wait_for(lambda: one_owner(others) not in (None, owner.name))
         assert not others[0].ownership.view.owners["a"].claim
+
+
+def test_zones_of_the_former_incarnation_are_not_owned_before_they_are_acquired():
+    # Jobs went to the own placer, which had no workers for them.
+    ownership = start_node("n1", "a", FakeStore()).ownership
+    ownership.view.apply_owners([ZoneOwner("a", "n1", 1)])
+    assert ownership.owner_of("a") is None
+    assert not ownership.is_owner("n1")
+    assert ownership.reachable_owners() == {}
+    ownership.view.apply_owners([ZoneOwner("a", "n1", 2)], acquired=True)
+    assert ownership.owner_of("a") == "n1"
+    assert ownership.is_owner("n1")
+    assert ownership.reachable_owners() == {"a": "n1"}
