Bound the time to dial a peer, including the look-up of its name

Cause: the timeout of a connection did not cover the look-up of the address, which runs in a thread also for an IP address and has no timeout of its own. A look-up that does not return keeps the peer marked as being dialled, and no other link to it is opened.

Change: the socket is bound and connected directly, so that IP addresses are not looked up, and all of it within CONNECT_TIMEOUT_MS.

Test: with look-ups that hang, the peer was not dialled within 2 s; now it is.

--- a/rattanloom/links/hub.py
+++ b/rattanloom/links/hub.py
@@ -6,7 +6,7 @@
 import gevent
 from attrs import define, field
 from gevent.server import StreamServer
-from gevent.socket import create_connection, socket
+from gevent.socket import socket
 
 from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.decision_log import DecisionLog
@@ -126,15 +126,28 @@
         dial the new address of ``node`` while the link to the other one is open.
         """
         try:
-            connection = create_connection(
-                split_address(address),
-                CONNECT_TIMEOUT_MS / MS_PER_S,
-                source_address=(split_address(self.listen)[0], 0),
-            )
+            connection = self._connect(address)
         except OSError:
             return
         self._run(connection, dialled=True, node=node)
 
+    def _connect(self, address: str) -> socket:
+        """Connect to an address within ``CONNECT_TIMEOUT_MS``, or raise ``OSError``.
+
+        The timeout includes the look-up of a host name, and IP addresses are not
+        looked up: a look-up runs in a thread, has no timeout of its own, and would keep
+        the peer from being dialled again.
+        """
+        connection = socket()
+        try:
+            with gevent.Timeout(CONNECT_TIMEOUT_MS / MS_PER_S, TimeoutError):
+                connection.bind((split_address(self.listen)[0], 0))
+                connection.connect(split_address(address))
+        except BaseException:
+            connection.close()
+            raise
+        return connection
+
     def _is_kept(self, node: str) -> bool:
         _, until_ms = self._kept_links.get(node, ("", 0))
         return self.clock.now_ms() < until_ms
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 from attrs import evolve
+from gevent.event import Event
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -199,6 +200,15 @@
         assert wait_for(lambda: ("n1", Cancel("x")) in second, 2)
 
 
+def test_peer_is_dialled_while_look_ups_of_names_hang(monkeypatch):
+    # The timeout of a connection did not cover its look-up, which runs in a thread.
+    monkeypatch.setattr("gevent.socket.getaddrinfo", lambda *_: Event().wait())
+    one, two = make_hub("n1", []), make_hub("n2", [])
+    with one.serving(), two.serving():
+        one.keep_link("n2", two.own_hello.address, CLOCK.now_ms() + 60_000)
+        assert wait_for(lambda: one.link("n2"), 2)
+
+
 def test_messages_of_a_closed_link_that_were_not_written_are_known():
     one, two = make_hub("n1", []), make_hub("n2", [])
     with one.serving(), two.serving():
