--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -52,7 +52,9 @@
     """A link to another daemon.
 
     ``peer`` is the hello of that daemon, None until it is received. ``dialled`` is
-    set if this daemon opened the connection.
+    set if this daemon opened the connection. The link closes if the peer is another
+    node than ``expected_node``. ``peer_zones`` has the fencing tokens of the zones that
+    the peer last stated to own; it ends with the link, and so with the incarnation.
     """
 
     socket: socket
@@ -62,8 +64,10 @@
     peer: Hello | None = None
     last_received_ms: float = 0
     dialled: bool = False
+    expected_node: str | None = None
+    peer_zones: dict[str, int] = field(factory=dict)
     closed: bool = False
-    _outgoing: deque[bytes] = field(factory=deque)
+    _outgoing: deque[tuple[Message, bytes]] = field(factory=deque)
     _writable: Event = field(factory=Event)
     _buffer: bytearray = field(factory=bytearray)
 
@@ -75,7 +79,8 @@
         try:
             self.send(self.own_hello)
             self._read_hello()
-            on_open(self)
+            # An unexpected error concerns the first messages; the link stays open.
+            run_and_log_failure(on_open, self)
             self._read_all()
         except (OSError, BadMessageError, LinkLostError) as error:
             reason = str(error) or type(error).__name__
@@ -92,9 +97,13 @@
         if self.closed:
             return
         content = encode_message(message)
-        self._outgoing.append(LENGTH.pack(len(content)) + content)
+        self._outgoing.append((message, LENGTH.pack(len(content)) + content))
         self._writable.set()
 
+    def unsent(self) -> tuple[Message, ...]:
+        """Return the messages of a closed link of which no byte was written."""
+        return tuple(message for message, _ in self._outgoing)
+
     def close(self) -> None:
         """Close the connection and drop the queued messages."""
         if not self.closed:
@@ -112,10 +121,12 @@
             if not self._writable.wait(PING_INTERVAL_MS / MS_PER_S):
                 self.send(Ping())
             self._writable.clear()
-            content = b"".join(self._outgoing)
+            if self.closed:
+                return
+            content = b"".join(content for _, content in self._outgoing)
             self._outgoing.clear()
             try:
-                if content and not self.closed:
+                if content:
                     self.socket.sendall(content)
             except OSError as error:
                 log.info("link_write_failed", reason=str(error))
@@ -125,7 +136,10 @@
         hello = self._read_message(HELLO_TIMEOUT_MS)
         if not isinstance(hello, Hello):
             raise BadMessageError("the first message of the peer is not a hello")
+        if self.expected_node not in (None, hello.node):
+            raise BadMessageError(f"the peer is {hello.node}")
         self.peer = hello
+        self.peer_zones = dict(zip(hello.zones, hello.tokens, strict=True))
 
     def _read_all(self) -> None:
         while not self.closed:
