Add the message by which a placer hands back jobs that never ran

Cause: a placer whose zone is evacuated can't start its waiting jobs, and an outcome would end them although another placer has capacity.

Change: JobsReturned (Message @14) lists job ids with the number of submits that the placer received, so that a daemon can tell a return that a later submit overtook. Protocol version 2 is the first with it.

Tests: the round trip of the message in test_links.py.

--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -13,6 +13,7 @@
     Cancel,
     FreeCapacity,
     Hello,
+    JobsReturned,
     Message,
     Outcome,
     OwnerLivenessQuery,
@@ -28,6 +29,7 @@
     JobOutcome,
     JobPolicy,
     OutcomeKind,
+    ReturnedJob,
     Step,
     SubmittedJob,
 )
@@ -233,6 +235,23 @@
     )
 
 
+def _write_returned_jobs(builder: object, message: JobsReturned) -> None:
+    slots = builder.init("jobsReturned", len(message.jobs))
+    for slot, job in zip(slots, message.jobs, strict=True):
+        slot.jobId = job.job_id
+        slot.submits = job.submits
+        slot.retryAfterMs = job.retry_after_ms
+
+
+def _read_returned_jobs(reader: object) -> JobsReturned:
+    return JobsReturned(
+        tuple(
+            ReturnedJob(slot.jobId, slot.submits, slot.retryAfterMs)
+            for slot in reader.jobsReturned
+        )
+    )
+
+
 _WRITERS: dict[type, Callable[[object, Message], None]] = {
     Hello: _write_hello,
     Ping: _write_ping,
@@ -241,6 +260,7 @@
     Cancel: _write_attribute("cancel", "job_id"),
     Outcome: _write_outcome,
     RunLosses: _write_losses,
+    JobsReturned: _write_returned_jobs,
     OwnerLivenessQuery: _write_attribute("askOwner", "owner"),
     OwnerLivenessReply: _write_liveness_reply,
     TakeZones: _write_zones,
@@ -255,6 +275,7 @@
     "cancel": lambda reader: Cancel(reader.cancel),
     "outcome": _read_outcome,
     "runLosses": _read_losses,
+    "jobsReturned": _read_returned_jobs,
     "askOwner": lambda reader: OwnerLivenessQuery(reader.askOwner),
     "ownerAnswer": lambda reader: OwnerLivenessReply(
         reader.ownerAnswer.owner, reader.ownerAnswer.hears
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -66,6 +66,12 @@
   state @4 :Text;
 }
 
+struct ReturnedJob {
+  jobId @0 :Text;
+  submits @1 :UInt32;
+  retryAfterMs @2 :UInt32;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -79,5 +85,10 @@
     zoneClaims @8 :ZoneClaims;
     room @9 :Int64;
     runLosses @10 :List(RunLoss);
+    # Messages of other parts of the release.
+    reserved11 @11 :Void;
+    reserved12 @12 :Void;
+    reserved13 @13 :Void;
+    jobsReturned @14 :List(ReturnedJob);
   }
 }
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -3,12 +3,14 @@
 from attrs import frozen
 
 from rattanloom.placement.crash_records import RunLoss
-from rattanloom.placement.jobs import JobOutcome, SubmittedJob
+from rattanloom.placement.jobs import JobOutcome, ReturnedJob, SubmittedJob
 
-# Version of the messages, and the first one with ``RunLosses``. Builds from before the
-# field send 0 and close a link on which they receive an unknown message.
-PROTOCOL_VERSION = 1
+# Version of the messages, and the first ones with ``RunLosses`` and ``JobsReturned``.
+# Builds from before the field send 0 and close a link on which they receive an unknown
+# message.
+PROTOCOL_VERSION = 2
 RUN_LOSSES_VERSION = 1
+JOBS_RETURNED_VERSION = 2
 
 
 @frozen
@@ -106,6 +108,13 @@
     losses: tuple[RunLoss, ...]
 
 
+@frozen
+class JobsReturned:
+    """Hands back jobs to the daemon that submitted them; see ``ReturnedJob``."""
+
+    jobs: tuple[ReturnedJob, ...]
+
+
 OwnershipMessage = OwnerLivenessQuery | OwnerLivenessReply | TakeZones | ZoneClaims
-PlacementMessage = FreeCapacity | Submit | Cancel | Outcome | RunLosses
+PlacementMessage = FreeCapacity | Submit | Cancel | Outcome | RunLosses | JobsReturned
 Message = Hello | Ping | PlacementMessage | OwnershipMessage
--- a/rattanloom/placement/jobs.py
+++ b/rattanloom/placement/jobs.py
@@ -118,3 +118,24 @@
     kind: OutcomeKind
     reason: str = ""
     retry_after_ms: int = 0
+
+
+@frozen
+class ReturnedJob:
+    """A job that a placer hands back, since all workers for it are in evacuated zones.
+
+    No task of it has run or will run at that placer. ``submits`` counts how often the
+    placer received the job; a daemon that sent it more often ignores the return, as
+    the placer may have the job again. ``retry_after_ms`` is that of a refusal.
+    """
+
+    job_id: str
+    submits: int
+    retry_after_ms: int
+
+    @property
+    def refusal(self) -> JobOutcome:
+        """Return the outcome of a job that no other placer can take."""
+        reason = "the zones of its workers are evacuated"
+        kind = OutcomeKind.REFUSED
+        return JobOutcome(self.job_id, kind, reason, self.retry_after_ms)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -15,6 +15,7 @@
     Cancel,
     FreeCapacity,
     Hello,
+    JobsReturned,
     Outcome,
     OwnerLivenessQuery,
     OwnerLivenessReply,
@@ -26,7 +27,7 @@
 )
 from rattanloom.ownership.records import claim_number
 from rattanloom.placement.crash_records import LossState, RunLoss
-from rattanloom.placement.jobs import JobOutcome, OutcomeKind
+from rattanloom.placement.jobs import JobOutcome, OutcomeKind, ReturnedJob
 from tests.dispatcher_fakes import CLOCK, make_submitted_job, wait_for
 from tests.peer_hosts import free_address
 
@@ -42,6 +43,7 @@
     OwnerLivenessReply("n1", True),
     TakeZones(("a", "b"), ("w1",)),
     ZoneClaims("n1", claim_number("n1", 3), ("a",), (4,)),
+    JobsReturned((ReturnedJob("00000000000000aa", 2, 1_500),)),
     RunLosses((LOSS, evolve(LOSS, alone=False, state=LossState.CLEARED))),
 )
 
