Parse the bounds of evacuations and the time for which workers are cold

Cause: the settings name evacuate_ms, max_skew_ms, cold_overshoot and cold_slack, and entries of workers cold_left_ms; none of them was read.

Change: optional bounds. cold_left_ms becomes an absolute time when its row is first read, beside the entry: it falls with each heartbeat, and as part of the entry it would defeat the parser's cache and reconcile all workers at every read.

--- a/rattanloom/platform/deployment.py
+++ b/rattanloom/platform/deployment.py
@@ -27,18 +27,46 @@
     """Limits that the platform sets.
 
     ``stop_grace_s`` is the time that a process gets to stop. A configuration must be in
-    force ``configuration_delay_max_ms`` after the store confirmed it.
+    force ``configuration_delay_max_ms`` after the store confirmed it. No task may start
+    in a zone ``evacuation_delay_max_ms`` after the store confirmed its evacuation,
+    longer by ``store_skew_max_ms`` if the store is unstable; None if the deployment has
+    no evacuations. ``cold_overshoot`` and ``cold_slack`` are those of ``ColdWorkers``.
     """
 
     WIRE_NAMES: ClassVar = {
         "worker_lease_max_ms": "hold_max_ms",
         "stop_grace_s": "grace_s",
         "configuration_delay_max_ms": "config_apply_ms",
+        "evacuation_delay_max_ms": "evacuate_ms",
+        "store_skew_max_ms": "max_skew_ms",
     }
 
     worker_lease_max_ms: float = 1_000
     stop_grace_s: float = 6
     configuration_delay_max_ms: float = 2_000
+    evacuation_delay_max_ms: float | None = None
+    store_skew_max_ms: float = 0
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5
+
+    @property
+    def operator_table_age_max_ms(self) -> float | None:
+        """Return the age of the operator's rows up to which tasks start by them.
+
+        A start order that is sent then may still reach its worker until the lease in
+        it expires. None if the deployment has no evacuations.
+        """
+        if self.evacuation_delay_max_ms is None:
+            return None
+        return max(0, self.evacuation_delay_max_ms - self.worker_lease_max_ms)
+
+    @property
+    def operator_table_delay_max_ms(self) -> float:
+        """Return the longest time until a change of the operator's rows is applied."""
+        age_max_ms = self.operator_table_age_max_ms
+        if age_max_ms is None:
+            return self.configuration_delay_max_ms
+        return min(self.configuration_delay_max_ms, age_max_ms)
 
 
 @frozen
--- a/rattanloom/platform/worker_entries.py
+++ b/rattanloom/platform/worker_entries.py
@@ -1,5 +1,7 @@
 """Parses the entries by which workers register in the platform's metadata store."""
 
+from math import isfinite
+
 from attrs import define, field, fields, frozen
 
 from rattanloom.placement.workers import Resources, WorkerEntry
@@ -41,9 +43,12 @@
 
     A worker's heartbeat changes its entry, but hardly ever the fields that are used.
     The entry that was parsed last is then returned again. ``_parsed`` maps worker ids
-    to the used fields and the entry.
+    to the used fields and the entry. ``cold_left_ms`` has, by worker id, how long a
+    worker was still slow when it wrote its last entry; not part of the entry, since
+    it changes with each heartbeat.
     """
 
+    cold_left_ms: dict[str, float] = field(factory=dict)
     _parsed: dict[str, tuple[dict[str, object], WorkerEntry]] = field(factory=dict)
 
     def parse(self, row: Row) -> WorkerEntry:
@@ -55,11 +60,20 @@
         worker_id = row.ref.key
         if worker_id not in self._parsed or self._parsed[worker_id][0] != used:
             self._parsed[worker_id] = (used, _make_entry(worker_id, used))
+        self.cold_left_ms[worker_id] = _cold_left_ms(document)
         return self._parsed[worker_id][1]
 
     def forget(self, worker_id: str) -> None:
         """Forget the entry of a worker that is gone."""
         self._parsed.pop(worker_id, None)
+        self.cold_left_ms.pop(worker_id, None)
+
+
+def _cold_left_ms(document: dict[str, object]) -> float:
+    """Return how long the worker remains slow; 0 if the field is missing or invalid."""
+    left_ms = document.get("cold_left_ms")
+    is_number = isinstance(left_ms, int | float) and not isinstance(left_ms, bool)
+    return left_ms if is_number and isfinite(left_ms) else 0.0
 
 
 def _make_entry(worker_id: str, document: dict[str, object]) -> WorkerEntry:
--- a/rattanloom/registry.py
+++ b/rattanloom/registry.py
@@ -24,12 +24,17 @@
     """The entries of live and leaving workers, by worker id.
 
     An entry that is deleted or missing in the store is removed here only after
-    ``MISSING_GRACE_MS``. ``on_change`` is called after entries changed.
+    ``MISSING_GRACE_MS``. ``on_change`` is called after entries changed, not after a
+    change of ``cold_until_ms`` alone: that has, by worker id, when a worker that is
+    slow now will have its normal speed. ``_cold_versions`` has the versions of the rows
+    that it is from, since a row that is read again is older than at its first read.
     """
 
     clock: Clock
     on_change: Callable[[], None]
     entries: dict[str, WorkerEntry] = field(factory=dict)
+    cold_until_ms: dict[str, float] = field(factory=dict)
+    _cold_versions: dict[str, int] = field(factory=dict)
     _parser: WorkerEntryParser = field(factory=WorkerEntryParser)
     _missing: set[str] = field(factory=set)
     _first_read_ms: float | None = None
@@ -73,6 +78,15 @@
             return
         self._missing.discard(worker_id)
         self.entries[worker_id] = entry
+        self._record_cold(worker_id, row.version)
+
+    def _record_cold(self, worker_id: str, version: int) -> None:
+        left_ms = self._parser.cold_left_ms[worker_id]
+        if left_ms <= 0:
+            self.cold_until_ms.pop(worker_id, None)
+        elif self._cold_versions.get(worker_id) != version:
+            self._cold_versions[worker_id] = version
+            self.cold_until_ms[worker_id] = self.clock.now_ms() + left_ms
 
     def _mark_missing(self, worker_id: str) -> None:
         if worker_id not in self._missing:
@@ -86,5 +100,7 @@
             log.info("worker_gone", worker=worker_id)
             self._missing.discard(worker_id)
             del self.entries[worker_id]
+            self.cold_until_ms.pop(worker_id, None)
+            self._cold_versions.pop(worker_id, None)
             self._parser.forget(worker_id)
             self.on_change()
