Start no task in an evacuated zone, and send its jobs to other zones

Cause: the operator's rows evacuate/ZONE were not read, so tasks started in evacuated zones, and jobs waited there.

Change: the follower of table op keeps the evacuated zones with their rows' versions. StartLimits, shared by a placer's workers, is checked when a worker accepts tasks and again just before each start order is sent, also by the retries. A deployment with evacuate_ms starts nothing by a copy of the table that is older than the bound less a lease, unless the store is found unreachable; a daemon that never read the table starts nothing. Jobs that never ran and that only workers of evacuated zones can run are handed back, by priority and deadline, and their daemons send them to other zones or refuse them. Daemons leave evacuated zones out of their choice, and refuse at once if all are evacuated. Cold workers rank behind warm ones and get their even share of the starts times cold_overshoot plus cold_slack.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -4,9 +4,7 @@
 """
 
 import os
-import signal
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack
 
 import gevent
 from attrs import define, field
@@ -18,11 +16,11 @@
 from rattanloom.crash_exchange import CrashExchange
 from rattanloom.decision_log import DecisionLog, logging_decisions
 from rattanloom.environment import Environment
+from rattanloom.evacuation_control import EvacuationControl
 from rattanloom.ingress.api import ClientApi
 from rattanloom.ingress.job_router import JobRouter
 from rattanloom.ingress.metrics_page import serving_metrics
 from rattanloom.ingress.placer_choice import PlacerChoice
-from rattanloom.ingress.queue_follower import make_queue_follower
 from rattanloom.ingress.queues import QueueTable, RequestLimits
 from rattanloom.ingress.readiness import serving_readiness
 from rattanloom.ingress.server import (
@@ -37,6 +35,7 @@
     Cancel,
     FreeCapacity,
     Hello,
+    JobsReturned,
     Message,
     Outcome,
     RunLosses,
@@ -45,8 +44,8 @@
 from rattanloom.metrics import Metrics
 from rattanloom.ownership.ownership import Ownership
 from rattanloom.ownership.records import Member
+from rattanloom.peer_receiver import PeerOutcomeReceiver
 from rattanloom.placement.entry_age import ENTRY_AGE_MAX_MS, EntryAgeGuard
-from rattanloom.placement.jobs import JobOutcome
 from rattanloom.placement.placer import Placer
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.worker_events import WorkerState
@@ -93,23 +92,6 @@
 CAPACITY_INTERVAL_MS = 100
 
 
-@define(eq=False, repr=False)
-class PeerOutcomeReceiver:
-    """Receives the outcomes of jobs that another daemon submitted over a link."""
-
-    node: str
-    hub: LinkHub
-
-    def deliver(self, outcome: JobOutcome) -> None:
-        """Send an outcome over the current link to that daemon.
-
-        Without a link the outcome is dropped; the other daemon submits the job again.
-        """
-        link = self.hub.link(self.node)
-        if link is not None:
-            link.send(Outcome(outcome))
-
-
 @define(eq=False, repr=False)
 class Daemon:
     """Builds and connects the components of one daemon.
@@ -133,6 +115,7 @@
     placer_choice: PlacerChoice = field(init=False)
     crash_exchange: CrashExchange = field(init=False)
     job_router: JobRouter = field(init=False)
+    evacuation_control: EvacuationControl = field(init=False)
     connections: ConnectionState = field(init=False)
     _capacity_announced_ms: float = 0
     _wake: Event = field(factory=Event)
@@ -187,12 +170,21 @@
             self.registry.is_complete,
             self._on_owners_changed,
         )
-        self.queue_follower = make_queue_follower(
-            self.store,
+        self.evacuation_control = EvacuationControl(
+            tuple(deployment.zones),
+            deployment.bounds,
             clock,
+            self.store,
             self.queues,
-            deployment.bounds.configuration_delay_max_ms,
+            self.placer,
+            self.registry,
+            lambda: min(
+                self.workers_follower.stale_ms(), self.ownership.follower.stale_ms()
+            ),
+            self._on_evacuations_changed,
         )
+        self.queue_follower = self.evacuation_control.follower
+        evacuations = self.evacuation_control.evacuations
         self.workers_follower = TableFollower(
             self.store,
             WORKERS_TABLE,
@@ -202,7 +194,10 @@
             pause_ms=self._workers_read_pause_ms,
         )
         self.placer_choice = PlacerChoice(
-            clock, self.ownership.reachable_owners, self.ownership.owner_of
+            clock,
+            self.ownership.reachable_owners,
+            self.ownership.owner_of,
+            evacuations.in_force,
         )
         self.job_router = JobRouter(
             deployment.node,
@@ -212,6 +207,7 @@
             self.placer_choice,
             self.ownership.is_owner,
             self._wake.set,
+            evacuations.all_zones,
         )
         self.connections = ConnectionState(self._limits, lambda: not self.is_ready())
 
@@ -232,6 +228,7 @@
             "zones_owned": len(self.ownership.owned()),
             "workers_registered": len(self.registry.entries),
             "connections_in_flight": self.connections.requests_in_flight,
+            "zones_evacuated": len(self.evacuation_control.evacuations.in_force),
         }
         for name, value in gauges.items():
             self.metrics.gauge(name, value)
@@ -246,8 +243,7 @@
     def apply(self, deployment: Deployment) -> None:
         """Apply changed settings; addresses to listen on only change at a restart."""
         self.store.set_address(deployment.store.address)
-        bounds = deployment.bounds
-        self.queue_follower.delay_max_ms = bounds.configuration_delay_max_ms
+        self.evacuation_control.apply_bounds(deployment.bounds)
         self.deployment = deployment
 
     def start(self) -> None:
@@ -338,6 +334,10 @@
         configuration = self.queues.configuration
         return configuration.limits if configuration else RequestLimits()
 
+    def _on_evacuations_changed(self) -> None:
+        self._wake.set()
+        self.job_router.on_evacuations_changed()
+
     def _on_owners_changed(self) -> None:
         self._reconcile_workers()
         self.job_router.on_placers_changed()
@@ -412,6 +412,8 @@
             self.placer_choice.record_free_capacity(link.peer.node, message.millicores)
         elif isinstance(message, Outcome):
             self.job_router.record_outcome(link.peer.node, message.outcome)
+        elif isinstance(message, JobsReturned):
+            self.job_router.on_jobs_returned(link.peer.node, message.jobs)
         elif isinstance(message, RunLosses):
             self.crash_exchange.handle(message)
         else:
@@ -463,7 +465,9 @@
             serving(listen.clients, api.app, daemon.connections)
         )
         daemon.start()
-        stack.enter_context(following_settings(daemon, settings_path))
+        stack.enter_context(
+            SettingsWatcher(settings_path, daemon.deployment, daemon.apply).following()
+        )
         log.info("started", clients=listen.clients, zone=daemon.deployment.zone)
         stop.wait()
         stop_gracefully(daemon, server)
@@ -491,16 +495,3 @@
     daemon.job_router.give_up_all("this daemon is stopping")
     responses_until_ms = clock.now_ms() + FINAL_RESPONSES_MS
     wait_for_requests(daemon.connections, clock, responses_until_ms)
-
-
-@contextmanager
-def following_settings(daemon: Daemon, path: str) -> Iterator[None]:
-    """Reload the settings on SIGHUP and when the file changes."""
-    watcher = SettingsWatcher(path, daemon.deployment, daemon.apply)
-    signals = gevent.signal_handler(signal.SIGHUP, watcher.reload, "SIGHUP")
-    polling = spawn_restarting(watcher.run)
-    try:
-        yield
-    finally:
-        polling.kill()
-        signals.cancel()
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -14,8 +14,10 @@
     RETRY_AFTER_MS,
     JobOutcome,
     OutcomeKind,
+    ReturnedJob,
     SubmittedJob,
 )
+from rattanloom.placement.overload import retry_after_ms
 from rattanloom.placement.placer import Placer
 
 log = DecisionLog("ingress")
@@ -31,8 +33,9 @@
 
     ``placer`` is the daemon to which the job was sent, ``zone`` the zone whose
     workers run it. ``former_placers`` are all daemons to which it was ever sent, in
-    order, including the current one. ``result`` is set to the outcome, or to None if
-    the client disconnects.
+    order, including the current one, except ``returned_by``, which handed the job back
+    unstarted. ``submits`` counts the sends to the current placer, also before a lost
+    link. ``result`` is set to the outcome, or to None if the client disconnects.
     """
 
     submitted: SubmittedJob
@@ -41,13 +44,22 @@
     placer: str | None = None
     zone: str = ""
     former_placers: tuple[str, ...] = ()
+    returned_by: tuple[str, ...] = ()
+    submits: int = 0
 
     def assign_placer(self, chosen: ChosenPlacer) -> None:
         """Record the placer to which the job is about to be sent."""
+        self.submits += 1
         self.placer, self.zone = chosen.node, chosen.zone
         if chosen.node not in self.former_placers:
             self.former_placers = (*self.former_placers, chosen.node)
 
+    def take_back(self, placer: str) -> None:
+        """Record that the only placer that ever had the job handed it back."""
+        self.placer, self.zone, self.submits = None, "", 0
+        self.former_placers = ()
+        self.returned_by = (*self.returned_by, placer)
+
 
 @define(eq=False, repr=False)
 class JobRouter:
@@ -55,7 +67,8 @@
 
     A job that was sent to a placer before may have run, so it is sent only to the
     current owner of its zone. ``is_owner`` returns whether a daemon owns any zone.
-    ``on_unplaced`` is called for a job that has no placer yet. ``pending`` maps job ids
+    ``on_unplaced`` is called for a job that has no placer yet. ``all_evacuated``
+    returns whether no zone is left in which tasks may start. ``pending`` maps job ids
     to jobs.
     """
 
@@ -66,6 +79,7 @@
     placer_choice: PlacerChoice
     is_owner: Callable[[str], bool]
     on_unplaced: Callable[[], None]
+    all_evacuated: Callable[[], bool] = lambda: False
     pending: dict[str, PendingJob] = field(factory=dict)
 
     def submit(self, submitted: SubmittedJob) -> PendingJob:
@@ -76,7 +90,7 @@
         job = PendingJob(submitted, self.clock.now_ms())
         self.pending[submitted.job_id] = job
         self._submit_to_placer(job)
-        if job.placer is None:
+        if job.placer is None and not self._refuse_if_all_evacuated(job):
             self.on_unplaced()
         return job
 
@@ -123,6 +137,46 @@
         self.pending.pop(job.submitted.job_id, None)
         job.result.set(outcome)
 
+    def take_back(self, jobs: tuple[ReturnedJob, ...]) -> None:
+        """Handle jobs that this daemon's placer returned; see ``OutcomeReceiver``."""
+        self.on_jobs_returned(self.node, jobs)
+
+    def on_jobs_returned(self, placer: str, jobs: tuple[ReturnedJob, ...]) -> None:
+        """Send the jobs that ``placer`` handed back to other placers, or refuse them.
+
+        A return is ignored if the job was sent again since: that placer may have it.
+        """
+        for returned in jobs:
+            job = self.pending.get(returned.job_id)
+            is_current = (
+                job is not None
+                and job.placer == placer
+                and job.former_placers == (placer,)
+                and job.submits == returned.submits
+            )
+            if not is_current:
+                continue
+            log.info("job_returned", job=returned.job_id, placer=placer, zone=job.zone)
+            job.take_back(placer)
+            self._submit_to_placer(job)
+            if job.placer is None:
+                self._finish(job, returned.refusal)
+
+    def on_evacuations_changed(self) -> None:
+        """Refuse the jobs without a placer if no zone is left."""
+        for job in list(self.pending.values()):
+            if job.placer is None:
+                self._refuse_if_all_evacuated(job)
+
+    def _refuse_if_all_evacuated(self, job: PendingJob) -> bool:
+        """Refuse a job that was never sent if all zones are evacuated."""
+        if job.former_placers or not self.all_evacuated():
+            return False
+        job_id = job.submitted.job_id
+        retry_ms = retry_after_ms(job_id, 0, 0)
+        self._finish(job, ReturnedJob(job_id, 0, retry_ms).refusal)
+        return True
+
     def on_placers_changed(self) -> None:
         """Submit jobs again unless their placer is reachable and owns a zone."""
         for job in list(self.pending.values()):
@@ -171,7 +225,9 @@
         if job.former_placers:
             chosen = self.placer_choice.current_owner(job.zone)
         else:
-            chosen = self.placer_choice.choose(job.submitted.need_millicores)
+            chosen = self.placer_choice.choose(
+                job.submitted.need_millicores, job.returned_by
+            )
         if chosen is None:
             return
         link = self.hub.link(chosen.node)
--- a/rattanloom/ingress/placer_choice.py
+++ b/rattanloom/ingress/placer_choice.py
@@ -1,10 +1,10 @@
 """Chooses a placer for a job: the preferred one, or another if that one is full.
 
 The preferred placer is the reachable owner that comes first in the order of zones,
-which starts with this daemon's own zone.
+which starts with this daemon's own zone. Evacuated zones are left out.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 
 from attrs import define, field, frozen
 
@@ -40,11 +40,13 @@
 
     ``reachable_owners`` returns the reachable owners by zone, the preferred zone
     first. ``owner_of`` returns the owner of a zone, reachable or not.
+    ``evacuated_zones`` is changed by its owner.
     """
 
     clock: Clock
     reachable_owners: Callable[[], Mapping[str, str]]
     owner_of: Callable[[str], str | None]
+    evacuated_zones: Container[str] = frozenset()
     free_capacity: dict[str, PlacerCapacity] = field(factory=dict)
 
     def record_free_capacity(self, node: str, millicores: float) -> None:
@@ -52,30 +54,42 @@
         self.free_capacity[node] = PlacerCapacity(millicores, self.clock.now_ms())
 
     def is_preferred_nearly_full(self) -> bool:
-        """Return whether jobs may soon have to go to another placer."""
-        node = next(iter(self.reachable_owners().values()), None)
-        if node is None:
+        """Return whether jobs may soon have to go to another placer.
+
+        Always while the preferred zone is evacuated: its jobs go to all other placers.
+        """
+        zone, node = next(iter(self.reachable_owners().items()), ("", None))
+        if node is None or zone in self.evacuated_zones:
             return True
         return (
             self._free_millicores(node, LOW_CAPACITY_MILLICORES)
             < LOW_CAPACITY_MILLICORES
         )
 
-    def choose(self, need_millicores: float) -> ChosenPlacer | None:
+    def choose(
+        self, need_millicores: float, excluded_nodes: Container[str] = ()
+    ) -> ChosenPlacer | None:
         """Return the placer for a new job; None if none is reachable.
 
         This is the preferred placer or, if it has too little free capacity for the
-        job, the placer with the most. A placer without a recent report counts as
-        having just enough. The job's need is subtracted from the capacity of the
-        returned placer.
+        job or its zone is evacuated, the placer with the most. A placer without a
+        recent report counts as having just enough. The job's need is subtracted from
+        the capacity of the returned placer.
         """
         reachable_owners = self.reachable_owners()
-        if not reachable_owners:
+        open_owners = {
+            zone: node
+            for zone, node in reachable_owners.items()
+            if zone not in self.evacuated_zones and node not in excluded_nodes
+        }
+        if not open_owners:
             return None
-        zone, node = next(iter(reachable_owners.items()))
-        if self._free_millicores(node, need_millicores) < need_millicores:
+        zone, node = next(iter(open_owners.items()))
+        is_preferred = zone == next(iter(reachable_owners))
+        is_full = self._free_millicores(node, need_millicores) < need_millicores
+        if not is_preferred or is_full:
             zone, node = max(
-                reachable_owners.items(),
+                open_owners.items(),
                 key=lambda item: self._free_millicores(item[1], need_millicores),
             )
         if node in self.free_capacity:
--- a/rattanloom/ingress/queue_follower.py
+++ b/rattanloom/ingress/queue_follower.py
@@ -1,9 +1,10 @@
-"""Keeps the queues up to date with the operator's configuration in the store."""
+"""Follows the operator's table: the configuration of queues, and evacuations."""
 
 from collections.abc import Sequence
 
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
+from rattanloom.evacuations import Evacuations
 from rattanloom.ingress.queues import QueueTable
 from rattanloom.platform.configuration import (
     CONFIGURATION_KEY,
@@ -18,21 +19,28 @@
 
 
 def make_queue_follower(
-    store: Store, clock: Clock, queues: QueueTable, delay_max_ms: float
+    store: Store, clock: Clock, queues: QueueTable, evacuations: Evacuations
 ) -> TableFollower:
     """Return a follower that activates new configurations in ``queues``.
 
-    ``delay_max_ms`` is the longest time until a confirmed one must be in force.
+    It also applies the rows of evacuated zones. The caller sets ``delay_max_ms``, the
+    longest time until a confirmed change must be in force.
     """
 
+    def apply_snapshot(rows: Sequence[Row]) -> None:
+        evacuations.apply_snapshot(rows)
+        activate_configurations(rows)
+
     def apply_rows(rows: Sequence[Row]) -> None:
+        evacuations.apply_rows(rows)
+        activate_configurations(rows)
+
+    def activate_configurations(rows: Sequence[Row]) -> None:
         for row in rows:
             if row.ref.key == CONFIGURATION_KEY and not row.deleted:
                 _activate(queues, row)
 
-    return TableFollower(
-        store, OPERATOR_TABLE, clock, apply_rows, apply_rows, delay_max_ms=delay_max_ms
-    )
+    return TableFollower(store, OPERATOR_TABLE, clock, apply_snapshot, apply_rows)
 
 
 def _activate(queues: QueueTable, row: Row) -> None:
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -49,9 +49,9 @@
         kind = OutcomeKind.REFUSED
         if job.may_have_run:
             kind = OutcomeKind.GIVEN_UP
-        self.end(job, JobOutcome(job.job_id, kind, reason, self._retry_after(job)))
+        self.end(job, JobOutcome(job.job_id, kind, reason, self.retry_after(job)))
 
-    def _retry_after(self, job: PlacedJob) -> int:
+    def retry_after(self, job: PlacedJob) -> int:
         """Return when the client of a job that ends now should return, in ms."""
         jobs = dict.fromkeys(task.job for task in self.waiting)
         waiting = sum(other.remaining_work_millicore_ms for other in jobs)
@@ -63,6 +63,7 @@
             worker.runs.capacity.cpu_millicores
             for worker in self.workers.values()
             if worker.entry.accepting
+            and worker.limits.is_open(worker)
             and worker.state in (WorkerState.READY, WorkerState.SYNCING)
         )
 
@@ -70,26 +71,31 @@
         """End a job and stop its runs; without an outcome, nothing is delivered."""
         if job.ended:
             return
+        label = outcome.kind.value if outcome else "abandoned"
+        reason = outcome.reason if outcome else "client or daemon disconnected"
+        self.forget(job, label, reason)
+        if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
+            self._stop_runs(job)
+            if job.may_have_run:
+                self.inherited_work.record_unfinished_job(job.job_id)
+        if outcome is not None and job.receiver is not None:
+            job.receiver.deliver(outcome)
+
+    def forget(self, job: PlacedJob, label: str, reason: str) -> None:
+        """Remove a job, without an outcome and without stopping its runs."""
         job.ended = True
         self.jobs.pop(job.job_id, None)
         age_ms = self.clock.now_ms() - job.arrived_ms
-        label = outcome.kind.value if outcome else "abandoned"
         self.metrics.count("jobs_ended", label)
         self.metrics.observe("job_age", age_ms)
         log.info(
             "job_ended",
             job=job.job_id,
             outcome=label,
-            reason=outcome.reason if outcome else "client or daemon disconnected",
+            reason=reason,
             tasks_left=job.tasks_left,
             age_ms=round(age_ms),
         )
-        if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
-            self._stop_runs(job)
-            if job.may_have_run:
-                self.inherited_work.record_unfinished_job(job.job_id)
-        if outcome is not None and job.receiver is not None:
-            job.receiver.deliver(outcome)
 
     def _stop_runs(self, job: PlacedJob) -> None:
         for worker in self.workers.values():
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -18,11 +18,8 @@
 from rattanloom.placement.crash_records import RunLoss
 from rattanloom.placement.inherited_work import InheritedWork
 from rattanloom.placement.job_endings import JobEndings
-from rattanloom.placement.jobs import (
-    JobOutcome,
-    OutcomeKind,
-    SubmittedJob,
-)
+from rattanloom.placement.job_returns import JobReturns
+from rattanloom.placement.jobs import JobOutcome, OutcomeKind, SubmittedJob
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import (
     OutcomeReceiver,
@@ -34,9 +31,14 @@
     make_job,
     ready_tasks,
 )
+from rattanloom.placement.start_limits import StartLimits
 from rattanloom.placement.suspension import SuspensionGuard
-from rattanloom.placement.waiting import WaitingTasks
-from rattanloom.placement.worker_choice import accepts_tasks, tasks_without_worker
+from rattanloom.placement.waiting import WaitingTasks, is_waiting
+from rattanloom.placement.worker_choice import (
+    free_millicores,
+    has_free_capacity,
+    tasks_without_worker,
+)
 from rattanloom.placement.worker_events import LossCause, WorkerState
 from rattanloom.placement.worker_health import WorkerHealth
 from rattanloom.placement.worker_lease import WorkerLease
@@ -92,6 +94,8 @@
     suspension: SuspensionGuard = field(init=False)
     crash_policy: CrashPolicy = field(init=False)
     endings: JobEndings = field(init=False)
+    start_limits: StartLimits = field(init=False)
+    job_returns: JobReturns = field(init=False)
     _is_starting_tasks: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -106,6 +110,8 @@
             self.waiting,
             self.inherited_work,
         )
+        self.start_limits = StartLimits(self.clock)
+        self.job_returns = JobReturns(self.endings, self.start_limits)
 
     # Workers
 
@@ -121,6 +127,7 @@
             WorkerLease(self.clock, LEASE_SHARE * self.lease_max_ms),
             fencing_token,
             self.active_runs,
+            self.start_limits,
         )
         self.workers[entry.worker_id] = worker
         worker.open()
@@ -162,6 +169,7 @@
         if known is not None:
             known.receiver = receiver
             known.deadline_ms = self.clock.now_ms() + submitted.remaining_ms
+            known.submits += 1
             return
         if self.inherited_work.is_job_done(submitted.job_id):
             receiver.deliver(JobOutcome(submitted.job_id, OutcomeKind.COMPLETE))
@@ -185,6 +193,7 @@
             return
         self._adopt_runs(job)
         self._queue_ready_tasks(job)
+        self.job_returns.return_jobs(task for task in job.tasks if is_waiting(task))
         self.start_waiting_tasks()
 
     def cancel(self, job_id: str) -> None:
@@ -230,6 +239,8 @@
         self._stop_stalled_runs(now_ms)
         self.inherited_work.remove_expired()
         self.crash_policy.records.remove_expired(now_ms)
+        self.start_limits.update(self.workers.values())
+        self.job_returns.return_jobs(self.waiting)
         self.start_waiting_tasks()
         self.endings.refuse_hopeless(now_ms)
 
@@ -247,7 +258,7 @@
 
         Does nothing while no worker has free capacity.
         """
-        if not self._has_free_capacity(now_ms):
+        if not has_free_capacity(self.workers.values(), now_ms):
             return
         for worker in self.workers.values():
             for run in worker.runs.all():
@@ -293,13 +304,7 @@
 
     def free_millicores(self) -> int:
         """Return the free processor less the waiting tasks' need; may be below 0."""
-        now_ms = self.clock.now_ms()
-        free = sum(
-            max(0, worker.runs.free.cpu_millicores)
-            for worker in self.workers.values()
-            if accepts_tasks(worker, now_ms)
-        )
-        return free - sum(task.step.need.cpu_millicores for task in self.waiting)
+        return free_millicores(self.workers.values(), self.waiting, self.clock.now_ms())
 
     def start_waiting_tasks(self) -> None:
         """Start waiting tasks, in the order of their queues, where capacity is free."""
@@ -321,13 +326,6 @@
         finally:
             self._is_starting_tasks = False
 
-    def _has_free_capacity(self, now_ms: float) -> bool:
-        """Return whether any worker accepts a task now."""
-        return any(
-            worker.runs.free.cpu_millicores > 0 and accepts_tasks(worker, now_ms)
-            for worker in self.workers.values()
-        )
-
     def _may_start(self, task: PlacedTask) -> bool:
         return (
             not self.active_runs[task.name]
@@ -341,6 +339,7 @@
         self.metrics.count("tasks_ordered")
         waited_ms = self.clock.now_ms() - task.queued_ms
         self.metrics.observe("task_wait_for_room", waited_ms)
+        self.start_limits.cold_workers.record_start(worker)
         worker.start_run(task, self.crash_policy.must_be_isolated(task))
 
     def _end_risky_job(self, job: PlacedJob) -> bool:
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -14,6 +14,7 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.placement.runs import PlacedTask, Run, RunPhase
+from rattanloom.placement.start_limits import StartLimits
 from rattanloom.placement.worker_events import LossCause, WorkerEvents, WorkerState
 from rattanloom.placement.worker_lease import WorkerLease
 from rattanloom.placement.worker_runs import WorkerRuns
@@ -59,7 +60,8 @@
     ``missed_replies`` counts requests in a row without a reply. The worker gets no
     tasks until ``paused_until_ms``. ``failure_score``, ``quarantine_count`` and
     ``duration_ratio`` belong to ``WorkerHealth``. ``_idle_wait`` is set while a
-    request to an idle worker is pending, which does not extend the lease.
+    request to an idle worker is pending, which does not extend the lease. ``limits``
+    are shared by the workers of the placer.
     """
 
     entry: WorkerEntry
@@ -69,6 +71,7 @@
     lease: WorkerLease
     fencing_token: int
     active_runs: Counter[str]
+    limits: StartLimits = field()
     state: WorkerState = WorkerState.SYNCING
     runs: WorkerRuns = field(init=False)
     last_finished_number: int = 0
@@ -83,6 +86,10 @@
     _idle_wait: bool = False
     _bridging_idle_wait: bool = False
 
+    @limits.default
+    def _no_limits(self) -> StartLimits:
+        return StartLimits(self.clock)
+
     @property
     def worker_id(self) -> str:
         """Return the id under which the worker registered."""
@@ -173,7 +180,7 @@
 
     def _start(self, run: Run) -> None:
         for _ in range(START_TRIES_MAX):
-            if not self.events.may_give_orders():
+            if not self.events.may_give_orders() or not self.limits.may_send(self):
                 self._drop_unstarted(run, None)
                 return
             token = self.fencing_token
@@ -464,7 +471,7 @@
                 self._drop_missing(run)
             else:
                 self._drop_unstarted(run, None)
-        elif _must_be_listed(run, sent_ms):
+        elif run.must_be_listed(sent_ms):
             self._drop_missing(run)
 
     def _drop_missing(self, run: Run) -> None:
@@ -476,15 +483,6 @@
         self.events.on_run_lost(self, run, cause)
 
 
-def _must_be_listed(run: Run, report_requested_ms: float) -> bool:
-    """Return whether the run was known when the report was requested.
-
-    If it is still active, the report then lists it.
-    """
-    seen_ms = run.ordered_ms if run.task is None else run.confirmed_ms
-    return seen_ms is not None and seen_ms < report_requested_ms
-
-
 def _reply_label(reply: Started | Refused | Failure) -> str:
     if isinstance(reply, Started):
         return "started"
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from rattanloom.placement.jobs import JobOutcome, Step, SubmittedJob
+from rattanloom.placement.jobs import JobOutcome, ReturnedJob, Step, SubmittedJob
 
 # A job without any started task is refused after this share of the time that its
 # client waits: the platform's users count a later refusal as no response at all.
@@ -20,6 +20,9 @@
     def deliver(self, outcome: JobOutcome) -> None:
         """Report the outcome of a job; must not block."""
 
+    def take_back(self, jobs: tuple[ReturnedJob, ...]) -> None:
+        """Take back jobs that never ran here; must not block."""
+
 
 class TaskState(Enum):
     """Progress of a task.
@@ -64,6 +67,7 @@
     the daemons that received the job earlier and may have started runs of its tasks.
     ``effective_runs`` counts the runs that were ordered, less those that definitely
     had no effect. ``sent_before`` is set if an earlier send of the job may have run.
+    ``submits`` counts how often this placer received the job.
     """
 
     submitted: SubmittedJob
@@ -78,6 +82,7 @@
     sent_before: bool = False
     ended: bool = False
     orphaned_ms: float = 0
+    submits: int = 1
 
     @property
     def job_id(self) -> str:
@@ -186,6 +191,14 @@
         """Return the task name and attempt that identify this run on its worker."""
         return self.name, self.attempt
 
+    def must_be_listed(self, report_requested_ms: float) -> bool:
+        """Return whether the run was known when a report was requested.
+
+        If it is still active, the report then lists it.
+        """
+        seen_ms = self.ordered_ms if self.task is None else self.confirmed_ms
+        return seen_ms is not None and seen_ms < report_requested_ms
+
 
 def job_id_of(task_name: str) -> str:
     """Return the id of a task's job; the name of a task starts with it."""
--- /dev/null
+++ b/rattanloom/placement/start_limits.py
@@ -0,0 +1,77 @@
+"""Decides which workers may get tasks, by evacuated zones and cold workers."""
+
+from collections.abc import Callable, Collection, Container
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from rattanloom.clock import Clock
+from rattanloom.decision_log import DecisionLog
+from rattanloom.placement.cold_workers import ColdWorkers
+
+if TYPE_CHECKING:
+    from rattanloom.placement.pooled_worker import PooledWorker
+
+log = DecisionLog("placement")
+
+# Workers write their entries every 1.5 s, and an owner reads them every 400 ms. Before
+# this time has passed, a worker that is cold may not have been seen as such.
+COLD_SEEN_MS = 2_000
+
+
+@define(eq=False, repr=False)
+class StartLimits:
+    """Limits on the starts of one placer, shared by its workers.
+
+    ``evacuated_zones`` is changed by its owner. ``may_start_by_evacuations`` returns
+    whether the knowledge of evacuated zones is recent enough for a start.
+    ``_open_since_ms`` has the zones that are not full since an evacuation ended.
+    """
+
+    clock: Clock
+    cold_workers: ColdWorkers = field(init=False)
+    evacuated_zones: Container[str] = frozenset()
+    may_start_by_evacuations: Callable[[], bool] = lambda: True
+    _evacuated_before: set[str] = field(factory=set)
+    _open_since_ms: dict[str, float] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.cold_workers = ColdWorkers(self.clock)
+
+    def is_open(self, worker: "PooledWorker") -> bool:
+        """Return whether the worker's zone is not evacuated."""
+        return worker.entry.zone not in self.evacuated_zones
+
+    def allows(self, worker: "PooledWorker") -> bool:
+        """Return whether a worker may get a task."""
+        return self.is_open(worker) and self.cold_workers.may_start(worker)
+
+    def may_send(self, worker: "PooledWorker") -> bool:
+        """Return whether a start order may be sent now; called before each send."""
+        return self.is_open(worker) and self.may_start_by_evacuations()
+
+    def update(self, workers: Collection["PooledWorker"]) -> None:
+        """Count the usable workers; log when a zone is full again."""
+        self.cold_workers.update(filter(self.is_open, workers))
+        now_ms = self.clock.now_ms()
+        for worker in workers:
+            zone = worker.entry.zone
+            if zone in self.evacuated_zones:
+                self._evacuated_before.add(zone)
+                self._open_since_ms.pop(zone, None)
+            elif zone in self._evacuated_before:
+                self._evacuated_before.discard(zone)
+                self._open_since_ms[zone] = now_ms
+        for zone, since_ms in list(self._open_since_ms.items()):
+            if now_ms > since_ms + COLD_SEEN_MS and not self._has_cold(zone, workers):
+                del self._open_since_ms[zone]
+                log.info(
+                    "zone_full_again", zone=zone, after_ms=round(now_ms - since_ms)
+                )
+
+    def _has_cold(self, zone: str, workers: Collection["PooledWorker"]) -> bool:
+        return any(
+            self.cold_workers.is_cold(worker.worker_id)
+            for worker in workers
+            if worker.entry.zone == zone
+        )
--- a/rattanloom/placement/waiting.py
+++ b/rattanloom/placement/waiting.py
@@ -52,7 +52,7 @@
         for queue in (self._started, self._on_time, self._late):
             while queue:
                 task = heappop(queue)[2]
-                if not _is_waiting(task):
+                if not is_waiting(task):
                     continue
                 current_queue = self._queue(task, now_ms)
                 if current_queue is queue or current_queue is self._started:
@@ -74,14 +74,14 @@
     def __iter__(self) -> Iterator[PlacedTask]:
         """Iterate over the waiting tasks, in no particular order."""
         entries = (*self._started, *self._on_time, *self._late)
-        return (task for _, _, task in entries if _is_waiting(task))
+        return (task for _, _, task in entries if is_waiting(task))
 
     def late_jobs(self, now_ms: float) -> list[PlacedJob]:
         """Return the late jobs with waiting tasks, in the order in which they start."""
         entries = sorted(
             (_late_order(task), number, task.job)
             for _, number, task in (*self._on_time, *self._late)
-            if _is_waiting(task) and task.job.latest_on_time_start_ms < now_ms
+            if is_waiting(task) and task.job.latest_on_time_start_ms < now_ms
         )
         return list(dict.fromkeys(job for _, _, job in entries))
 
@@ -92,7 +92,8 @@
         self._late.clear()
 
 
-def _is_waiting(task: PlacedTask) -> bool:
+def is_waiting(task: PlacedTask) -> bool:
+    """Return whether a task waits for a worker; the tasks of an ended job don't."""
     return task.state is TaskState.WAITING and not task.job.ended
 
 
--- a/rattanloom/placement/worker_choice.py
+++ b/rattanloom/placement/worker_choice.py
@@ -20,14 +20,16 @@
 ) -> PooledWorker | None:
     """Return the best of the workers that accept tasks, or None if none can run it.
 
-    Prefers, in this order, workers that the task does not avoid, reliable ones, fast
-    ones, and those that the task leaves with little free processor.
+    Prefers, in this order, workers that the task does not avoid, reliable ones, warm
+    ones, fast ones, and those that the task leaves with little free processor.
     """
     need = task.step.need
     best, best_rank = None, None
     for worker in accepting:
         if not worker.runs.free.fits(need) or not matches(task, worker):
             continue
+        if not worker.limits.cold_workers.may_start(worker):
+            continue
         rank = _rank(task, worker)
         if best_rank is None or rank < best_rank:
             best, best_rank = worker, rank
@@ -39,7 +41,8 @@
 
     It does not while it has inherited runs: a start would extend their lease, which
     the placer that ordered them expects to expire. Nor does it beside an isolated run,
-    or after a restart before its new entry was read.
+    after a restart before its new entry was read, in an evacuated zone, or while it is
+    cold and has had its share of the starts.
     """
     return (
         worker.state is WorkerState.READY
@@ -48,7 +51,28 @@
         and worker.paused_until_ms <= now_ms
         and not worker.runs.inherited_count
         and not worker.runs.isolated_count
+        and worker.limits.allows(worker)
+    )
+
+
+def has_free_capacity(workers: Iterable[PooledWorker], now_ms: float) -> bool:
+    """Return whether any worker accepts a task now."""
+    return any(
+        worker.runs.free.cpu_millicores > 0 and accepts_tasks(worker, now_ms)
+        for worker in workers
+    )
+
+
+def free_millicores(
+    workers: Iterable[PooledWorker], waiting: Iterable[PlacedTask], now_ms: float
+) -> int:
+    """Return the free processor less the waiting tasks' need; may be below 0."""
+    free = sum(
+        max(0, worker.runs.free.cpu_millicores)
+        for worker in workers
+        if accepts_tasks(worker, now_ms)
     )
+    return free - sum(task.step.need.cpu_millicores for task in waiting)
 
 
 def tasks_without_worker(
@@ -101,6 +125,7 @@
 def _rank(task: PlacedTask, worker: PooledWorker) -> tuple:
     is_avoided = worker.worker_id in task.avoided_workers
     is_unreliable = worker.failure_score >= UNRELIABLE_SCORE
+    is_cold = worker.limits.cold_workers.is_cold(worker.worker_id)
     slowness = int(worker.duration_ratio / DURATION_RATIO_STEP)
     leftover = worker.runs.free.cpu_millicores - task.step.need.cpu_millicores
-    return is_avoided, is_unreliable, slowness, leftover
+    return is_avoided, is_unreliable, is_cold, slowness, leftover
--- a/rattanloom/reload.py
+++ b/rattanloom/reload.py
@@ -1,11 +1,14 @@
 """Reloads the daemon's settings file on SIGHUP or when its content changes."""
 
-from collections.abc import Callable
+import signal
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import gevent
 from attrs import define
 
+from rattanloom.background import spawn_restarting
 from rattanloom.clock import MS_PER_S
 from rattanloom.decision_log import DecisionLog
 from rattanloom.platform.deployment import Deployment, load_deployment
@@ -29,6 +32,17 @@
     apply: Callable[[Deployment], None]
     _content: bytes = b""
 
+    @contextmanager
+    def following(self) -> Iterator[None]:
+        """Reload the settings on SIGHUP and when the file changes."""
+        signals = gevent.signal_handler(signal.SIGHUP, self.reload, "SIGHUP")
+        polling = spawn_restarting(self.run)
+        try:
+            yield
+        finally:
+            polling.kill()
+            signals.cancel()
+
     def run(self) -> None:
         """Poll the file forever."""
         self._content = self._read()
--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -306,6 +306,7 @@
 
     node: str = "entry-1"
     outcomes: list = field(factory=list)
+    returned: list = field(factory=list)
     by_job: dict = field(factory=lambda: defaultdict(list))
 
     def deliver(self, outcome) -> None:
@@ -313,6 +314,10 @@
         self.outcomes.append(outcome)
         self.by_job[outcome.job_id].append(outcome)
 
+    def take_back(self, jobs) -> None:
+        """Record jobs that were handed back."""
+        self.returned += jobs
+
 
 POLICY = JobPolicy("service", 0, 2, 1.6, 60)
 NEED = Resources(14_000, 64)
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -23,11 +23,12 @@
     TaskState,
     make_job,
 )
+from rattanloom.placement.start_limits import StartLimits
 from rattanloom.placement.waiting import WaitingTasks
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.worker_runs import WorkerRuns
 from rattanloom.placement.workers import Resources, WorkerEntry
-from tests.dispatcher_fakes import FakeReceiver
+from tests.dispatcher_fakes import CLOCK, FakeReceiver
 
 TICK_MS = 50
 NEED = Resources(16_000, 64)
@@ -67,6 +68,7 @@
     has_current_entry: bool = True
     failure_score: float = 0
     duration_ratio: float = 1.0
+    limits: StartLimits = field(factory=lambda: StartLimits(CLOCK))
 
     @property
     def worker_id(self) -> str:
