Wait for a link before a handed-back job is refused, and play evacuations in the soak

Cause: a job that came back while its daemon had no link to another zone's placer yet was refused at once.

Counters for jobs that were taken back and refused. The soak evacuates zones as an operator does, and checks that no task starts there 5 s after it.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -198,6 +198,7 @@
             self.ownership.reachable_owners,
             self.ownership.owner_of,
             evacuations.in_force,
+            tuple(deployment.zones),
         )
         self.job_router = JobRouter(
             deployment.node,
@@ -207,7 +208,7 @@
             self.placer_choice,
             self.ownership.is_owner,
             self._wake.set,
-            evacuations.all_zones,
+            self.metrics,
         )
         self.connections = ConnectionState(self._limits, lambda: not self.is_ready())
 
--- a/rattanloom/evacuations.py
+++ b/rattanloom/evacuations.py
@@ -47,10 +47,6 @@
         """Apply changed rows of the table; a deleted one ends its evacuation."""
         self._apply(rows, False)
 
-    def all_zones(self) -> bool:
-        """Return whether no zone is left in which tasks may start."""
-        return bool(self.in_force) and set(self.zones) <= self.in_force.keys()
-
     def _apply(self, rows: Sequence[Row], has_changed: bool) -> None:
         for row in rows:
             zone = evacuated_zone(row)
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from attrs import define, evolve, field
+from attrs import Factory, define, evolve, field
 from gevent.event import AsyncResult
 
 from rattanloom.clock import Clock
@@ -10,6 +10,7 @@
 from rattanloom.ingress.placer_choice import ChosenPlacer, PlacerChoice
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.messages import Cancel, Submit
+from rattanloom.metrics import Metrics
 from rattanloom.placement.jobs import (
     RETRY_AFTER_MS,
     JobOutcome,
@@ -35,7 +36,8 @@
     workers run it. ``former_placers`` are all daemons to which it was ever sent, in
     order, including the current one, except ``returned_by``, which handed the job back
     unstarted. ``submits`` counts the sends to the current placer, also before a lost
-    link. ``result`` is set to the outcome, or to None if the client disconnects.
+    link. ``unplaced_ms`` is since when a job that no placer has waits for one.
+    ``result`` is set to the outcome, or to None if the client disconnects.
     """
 
     submitted: SubmittedJob
@@ -46,6 +48,9 @@
     former_placers: tuple[str, ...] = ()
     returned_by: tuple[str, ...] = ()
     submits: int = 0
+    unplaced_ms: float = field(
+        default=Factory(lambda job: job.arrived_ms, takes_self=True)
+    )
 
     def assign_placer(self, chosen: ChosenPlacer) -> None:
         """Record the placer to which the job is about to be sent."""
@@ -54,10 +59,10 @@
         if chosen.node not in self.former_placers:
             self.former_placers = (*self.former_placers, chosen.node)
 
-    def take_back(self, placer: str) -> None:
+    def take_back(self, placer: str, now_ms: float) -> None:
         """Record that the only placer that ever had the job handed it back."""
         self.placer, self.zone, self.submits = None, "", 0
-        self.former_placers = ()
+        self.former_placers, self.unplaced_ms = (), now_ms
         self.returned_by = (*self.returned_by, placer)
 
 
@@ -67,8 +72,7 @@
 
     A job that was sent to a placer before may have run, so it is sent only to the
     current owner of its zone. ``is_owner`` returns whether a daemon owns any zone.
-    ``on_unplaced`` is called for a job that has no placer yet. ``all_evacuated``
-    returns whether no zone is left in which tasks may start. ``pending`` maps job ids
+    ``on_unplaced`` is called for a job that has no placer yet. ``pending`` maps job ids
     to jobs.
     """
 
@@ -79,7 +83,7 @@
     placer_choice: PlacerChoice
     is_owner: Callable[[str], bool]
     on_unplaced: Callable[[], None]
-    all_evacuated: Callable[[], bool] = lambda: False
+    metrics: Metrics = field(factory=Metrics)
     pending: dict[str, PendingJob] = field(factory=dict)
 
     def submit(self, submitted: SubmittedJob) -> PendingJob:
@@ -89,9 +93,7 @@
             return known
         job = PendingJob(submitted, self.clock.now_ms())
         self.pending[submitted.job_id] = job
-        self._submit_to_placer(job)
-        if job.placer is None and not self._refuse_if_all_evacuated(job):
-            self.on_unplaced()
+        self._submit_or_refuse(job)
         return job
 
     def cancel(self, job: PendingJob) -> None:
@@ -157,25 +159,29 @@
             if not is_current:
                 continue
             log.info("job_returned", job=returned.job_id, placer=placer, zone=job.zone)
-            job.take_back(placer)
-            self._submit_to_placer(job)
-            if job.placer is None:
-                self._finish(job, returned.refusal)
+            self.metrics.count("jobs_taken_back")
+            job.take_back(placer, self.clock.now_ms())
+            self._submit_or_refuse(job)
 
     def on_evacuations_changed(self) -> None:
-        """Refuse the jobs without a placer if no zone is left."""
+        """Send or refuse the jobs without a placer, after evacuated zones changed."""
         for job in list(self.pending.values()):
             if job.placer is None:
-                self._refuse_if_all_evacuated(job)
+                self._submit_or_refuse(job)
 
-    def _refuse_if_all_evacuated(self, job: PendingJob) -> bool:
-        """Refuse a job that was never sent if all zones are evacuated."""
-        if job.former_placers or not self.all_evacuated():
-            return False
+    def _submit_or_refuse(self, job: PendingJob) -> None:
+        """Submit a job, or refuse it if only evacuated zones are left for it."""
+        self._submit_to_placer(job)
+        if job.placer is not None:
+            return
+        if job.former_placers or self.placer_choice.may_reach_other(job.returned_by):
+            self.on_unplaced()
+            return
+        self.metrics.count("jobs_refused", "evacuation")
         job_id = job.submitted.job_id
+        reason = "the zones of its workers are evacuated"
         retry_ms = retry_after_ms(job_id, 0, 0)
-        self._finish(job, ReturnedJob(job_id, 0, retry_ms).refusal)
-        return True
+        self._finish(job, JobOutcome(job_id, OutcomeKind.REFUSED, reason, retry_ms))
 
     def on_placers_changed(self) -> None:
         """Submit jobs again unless their placer is reachable and owns a zone."""
@@ -215,7 +221,7 @@
 
     def _give_up_at_ms(self, job: PendingJob) -> float:
         if not job.former_placers:
-            return job.arrived_ms + NO_PLACER_TIMEOUT_MS
+            return job.unplaced_ms + NO_PLACER_TIMEOUT_MS
         deadline_at_ms = job.arrived_ms + job.submitted.remaining_ms
         late_limit_at_ms = job.arrived_ms + job.submitted.late_limit_ms
         return min(deadline_at_ms, late_limit_at_ms)
--- a/rattanloom/ingress/placer_choice.py
+++ b/rattanloom/ingress/placer_choice.py
@@ -4,7 +4,7 @@
 which starts with this daemon's own zone. Evacuated zones are left out.
 """
 
-from collections.abc import Callable, Container, Mapping
+from collections.abc import Callable, Collection, Container, Mapping
 
 from attrs import define, field, frozen
 
@@ -40,13 +40,14 @@
 
     ``reachable_owners`` returns the reachable owners by zone, the preferred zone
     first. ``owner_of`` returns the owner of a zone, reachable or not.
-    ``evacuated_zones`` is changed by its owner.
+    ``evacuated_zones`` is changed by its owner; ``zones`` are all zones.
     """
 
     clock: Clock
     reachable_owners: Callable[[], Mapping[str, str]]
     owner_of: Callable[[str], str | None]
     evacuated_zones: Container[str] = frozenset()
+    zones: Collection[str] = ()
     free_capacity: dict[str, PlacerCapacity] = field(factory=dict)
 
     def record_free_capacity(self, node: str, millicores: float) -> None:
@@ -96,6 +97,17 @@
             self.free_capacity[node].millicores -= need_millicores
         return ChosenPlacer(node, zone)
 
+    def may_reach_other(self, excluded_nodes: Collection[str] = ()) -> bool:
+        """Return whether a placer of an open zone is known, reachable or not.
+
+        If it has no link yet, ``choose`` may return it in a moment. A zone may be
+        without an owner for a moment, too.
+        """
+        open_zones = [zone for zone in self.zones if zone not in self.evacuated_zones]
+        return not self.zones or any(
+            self.owner_of(zone) not in excluded_nodes for zone in open_zones
+        )
+
     def current_owner(self, zone: str) -> ChosenPlacer | None:
         """Return the current owner of a zone, for a job that was sent there before."""
         node = self.owner_of(zone)
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -49,9 +49,9 @@
         kind = OutcomeKind.REFUSED
         if job.may_have_run:
             kind = OutcomeKind.GIVEN_UP
-        self.end(job, JobOutcome(job.job_id, kind, reason, self.retry_after(job)))
+        self.end(job, JobOutcome(job.job_id, kind, reason, self._retry_after(job)))
 
-    def retry_after(self, job: PlacedJob) -> int:
+    def _retry_after(self, job: PlacedJob) -> int:
         """Return when the client of a job that ends now should return, in ms."""
         jobs = dict.fromkeys(task.job for task in self.waiting)
         waiting = sum(other.remaining_work_millicore_ms for other in jobs)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,6 +12,7 @@
 
 from attrs import frozen
 
+from soak.deployment import EVACUATION_DELAY_MAX_MS
 from soak.history import (
     NOT_CONNECTED,
     ClientJob,
@@ -42,6 +43,19 @@
 GUILTY_CRASHES_MIN = 2
 # The platform's config_apply_ms.
 CONFIGURATION_DELAY_MAX_MS = 2_000.0
+# Faults during which a daemon may be unable to reach the store.
+STORE_CONTACT_FAULTS = (
+    "store_down",
+    "store_silent",
+    "store_loses_requests",
+    "store_slow",
+    "configuration_after_outage",
+    "zone_cut",
+    "zone_cut_one_way",
+    "daemon_cut",
+    "daemon_cut_from_store",
+    "connections_silenced",
+)
 
 
 @frozen
@@ -269,6 +283,38 @@
     ]
 
 
+def evacuated_zones_get_no_starts(
+    history: History, runs: list[TaskRun]
+) -> Iterable[Breach]:
+    """No task starts in a zone EVACUATION_DELAY_MAX_MS after it was evacuated.
+
+    The platform's bound does not apply to a daemon that can't reach the store, so runs
+    that start after a fault of the store or of the network are not checked.
+    """
+    for evacuation in history.evacuations:
+        due_ms = evacuation.confirmed_ms + EVACUATION_DELAY_MAX_MS
+        for run in runs:
+            is_late = due_ms < run.start_ms < evacuation.ended_ms
+            if not is_late or run.zone != evacuation.zone:
+                continue
+            if not _is_store_faulty(history, evacuation.confirmed_ms, run.start_ms):
+                yield Breach(
+                    "evacuated_zones_get_no_starts",
+                    f"{run.task} on {run.worker} in {run.zone}, "
+                    f"{run.start_ms - evacuation.confirmed_ms:.0f} ms after it",
+                )
+
+
+def _is_store_faulty(history: History, from_ms: float, to_ms: float) -> bool:
+    """Return whether a daemon may have been unable to reach the store."""
+    return any(
+        span.fault in STORE_CONTACT_FAULTS
+        and span.from_ms <= to_ms
+        and from_ms <= span.to_ms
+        for span in history.spans
+    )
+
+
 def requests_never_fail(history: History, runs: list[TaskRun]) -> Iterable[Breach]:
     """No response has the status for an internal error."""
     for job, send in _sends(history):
@@ -294,6 +340,7 @@
     service_returns,
     queues_follow_configuration,
     configurations_are_in_force_in_time,
+    evacuated_zones_get_no_starts,
 )
 ALL_CHECKS = SAFETY_CHECKS + TIMED_CHECKS
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -41,6 +41,8 @@
 PATH_PREFIX = "/jobs/"
 # Path prefixes of the queues that a change of the configuration adds.
 OTHER_PREFIXES = ("/other-a/", "/other-b/")
+# The platform's evacuate_ms.
+EVACUATION_DELAY_MAX_MS = 5_000
 # All ports are outside the kernel's range of ephemeral ports.
 CLIENTS_PORT = 8161
 READY_PORT = 8167
@@ -162,6 +164,12 @@
             ConfigurationChange(version, prefixes, sent_ms, confirmed_ms)
         )
 
+    def set_evacuated(self, zone: str, evacuated: bool) -> None:
+        """Write or remove the operator's row that evacuates a zone."""
+        value = b64encode(b"{}").decode() if evacuated else None
+        row = {"table": "op", "key": f"evacuate/{zone}", "value": value}
+        self.post(self.store.address, "/standin/rows", [row])
+
     def is_ready(self, daemon: Process) -> bool:
         """Return whether a daemon's readiness check succeeds."""
         address = f"{daemon.address.rpartition(':')[0]}:{READY_PORT}"
@@ -336,7 +344,11 @@
         "internal_ports": [PEER_PORT, PEER_PORT + 15],
         "advertised_peer": f"{relay}:{PEER_PORT}",
         "platform": {"addr": f"{relay}:{STORE_PORT}"},
-        "bounds": {"hold_max_ms": 1000, "grace_s": 6},
+        "bounds": {
+            "hold_max_ms": 1000,
+            "grace_s": 6,
+            "evacuate_ms": EVACUATION_DELAY_MAX_MS,
+        },
     }
     return Daemon(
         name,
--- a/soak/fault_table.py
+++ b/soak/fault_table.py
@@ -28,6 +28,7 @@
     workers_shrunk,
     zone_cut,
     zone_cut_one_way,
+    zone_evacuated,
 )
 
 
@@ -111,6 +112,8 @@
     "configuration_after_outage": FaultKind(configuration_after_outage, 0.5, 5),
     "crashing_jobs_sent": FaultKind(crashing_jobs_sent, 1, 4),
     "workers_shrunk": FaultKind(workers_shrunk, 2, 6),
+    # Longer than EVACUATION_DELAY_MAX_MS, after which no task may start.
+    "zone_evacuated": FaultKind(zone_evacuated, 6, 9),
 }
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,7 +12,7 @@
 from rattanloom.clock import MS_PER_S, Clock, SystemClock
 from soak.clients import Traffic
 from soak.deployment import OTHER_PREFIXES, PATH_PREFIX, ZONES, Daemon, Deployment
-from soak.history import History, PoolKill, Span
+from soak.history import Evacuation, History, PoolKill, Span
 from soak.relay import pairs_between
 
 # The platform kills a process this long after SIGTERM (grace_s).
@@ -324,6 +324,25 @@
     context.deployment.configure((PATH_PREFIX, *OTHER_PREFIXES))
 
 
+@contextmanager
+def zone_evacuated(context: FaultContext) -> FaultBody:
+    """The operator evacuates a random zone, unless it is evacuated already."""
+    zone = context.random.choice(ZONES)
+    name = f"evacuation of {zone}"
+    if name in context.in_use:
+        yield
+        return
+    context.in_use.add(name)
+    with context.record_span("zone_evacuated", name):
+        context.deployment.set_evacuated(zone, True)
+        confirmed_ms = context.clock.now_ms()
+        yield
+        ended_ms = context.clock.now_ms()
+        context.deployment.set_evacuated(zone, False)
+        context.in_use.discard(name)
+    context.history.evacuations.append(Evacuation(zone, confirmed_ms, ended_ms))
+
+
 @contextmanager
 def _cut(context: FaultContext, fault: str, pairs: set[tuple[str, str]]) -> FaultBody:
     """Block the traffic of (sender, receiver) pairs, and record it as a fault."""
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -8,6 +8,7 @@
     "configuration_after_outage",
     "crashing_jobs_sent",
     "workers_shrunk",
+    "zone_evacuated",
 )
 REGRESSION_FAULTS = tuple(name for name in FAULTS if name not in ADDED_LATER)
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -13,6 +13,7 @@
 from soak.history import (
     ClientJob,
     ConfigurationChange,
+    Evacuation,
     History,
     PoolKill,
     QueueProbe,
@@ -154,6 +155,30 @@
     assert not list(checks.configurations_are_in_force_in_time(history, []))
 
 
+def make_evacuated_history() -> History:
+    history = make_history(COMPLETE)
+    history.evacuations.append(Evacuation("adum", 1_000, 9_000))
+    return history
+
+
+BAD_HISTORIES["evacuated_zones_get_no_starts"] = (
+    make_evacuated_history(),
+    [make_run(start_ms=6_001, zone="adum")],
+)
+
+
+def test_starts_in_time_elsewhere_or_after_an_outage_are_allowed_in_an_evacuation():
+    history = make_evacuated_history()
+    runs = [
+        make_run(start_ms=start_ms, zone=zone)
+        for start_ms, zone in ((5_999, "adum"), (7_000, "asokwa"), (9_001, "adum"))
+    ]
+    assert not list(checks.evacuated_zones_get_no_starts(history, runs))
+    history.spans.append(Span("store_down", 6_000, 6_500))
+    runs = [make_run(start_ms=7_000, zone="adum")]
+    assert not list(checks.evacuated_zones_get_no_starts(history, runs))
+
+
 @pytest.mark.parametrize("name", BAD_HISTORIES)
 def test_violation_is_found(name):
     history, runs = BAD_HISTORIES[name]
