--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from zlib import crc32
 
-from attrs import define, evolve, field
+from attrs import Factory, define, evolve, field
 from gevent.event import AsyncResult
 
 from rattanloom.clock import Clock
@@ -12,10 +12,12 @@
 from rattanloom.ingress.placer_choice import ChosenPlacer, PlacerChoice
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.messages import Cancel, Submit
+from rattanloom.metrics import Metrics
 from rattanloom.placement.jobs import (
     RETRY_AFTER_MS,
     JobOutcome,
     OutcomeKind,
+    ReturnedJob,
     SubmittedJob,
 )
 from rattanloom.placement.placer import Placer
@@ -39,10 +41,12 @@
 
     ``placer`` is the daemon to which the job was sent, ``zone`` the zone whose
     workers run it. ``former_placers`` are all daemons to which it was ever sent and
-    that may have started it, in order, including the current one. ``completed_by`` is
-    the former placer that has reported that all tasks are done. ``sends`` counts the
-    sends to each daemon that were not rejected. ``rejected_ms`` is when a daemon last
-    rejected it. ``result`` is set to the outcome, or to None if the client disconnects.
+    that may have started it, in order, including the current one; those that rejected
+    it or handed it back (``returned_by``) do not count. ``completed_by`` is the former
+    placer that has reported that all tasks are done. ``sends`` counts the sends to each
+    daemon that were not rejected. ``rejected_ms`` is when a daemon last rejected it.
+    ``unplaced_ms`` is since when a job that no placer has waits for one. ``result`` is
+    set to the outcome, or to None if the client disconnects.
     """
 
     submitted: SubmittedJob
@@ -54,6 +58,10 @@
     completed_by: str = ""
     sends: Counter[str] = field(factory=Counter)
     rejected_ms: dict[str, float] = field(factory=dict)
+    returned_by: tuple[str, ...] = ()
+    unplaced_ms: float = field(
+        default=Factory(lambda job: job.arrived_ms, takes_self=True)
+    )
 
     def assign_placer(self, chosen: ChosenPlacer) -> None:
         """Record the placer to which the job is about to be sent."""
@@ -72,6 +80,13 @@
         if self.placer == node:
             self.placer = None
 
+    def take_back(self, placer: str, now_ms: float) -> None:
+        """Record that the only placer that ever had the job handed it back."""
+        self.placer, self.zone = None, ""
+        self.former_placers, self.unplaced_ms = (), now_ms
+        self.sends.clear()
+        self.returned_by = (*self.returned_by, placer)
+
 
 @define(eq=False, repr=False)
 class JobRouter:
@@ -91,6 +106,7 @@
     placer_choice: PlacerChoice
     is_owner: Callable[[str], bool]
     on_unplaced: Callable[[], None]
+    metrics: Metrics = field(factory=Metrics)
     pending: dict[str, PendingJob] = field(factory=dict)
 
     def submit(self, submitted: SubmittedJob) -> PendingJob:
@@ -100,9 +116,7 @@
             return known
         job = PendingJob(submitted, self.clock.now_ms())
         self.pending[submitted.job_id] = job
-        self._submit_to_placer(job)
-        if job.placer is None:
-            self.on_unplaced()
+        self._submit_or_end(job)
         return job
 
     def cancel(self, job: PendingJob) -> None:
@@ -173,6 +187,34 @@
         self.pending.pop(job.submitted.job_id, None)
         job.result.set(outcome)
 
+    def take_back(self, jobs: tuple[ReturnedJob, ...]) -> None:
+        """Handle jobs that this daemon's placer returned; see ``OutcomeReceiver``."""
+        self.on_jobs_returned(self.node, jobs)
+
+    def on_jobs_returned(self, placer: str, jobs: tuple[ReturnedJob, ...]) -> None:
+        """Send the jobs that ``placer`` handed back to other placers, or refuse them.
+
+        A return is ignored if the job was sent again since: that placer may have it.
+        """
+        for returned in jobs:
+            job = self.pending.get(returned.job_id)
+            is_current = (
+                job is not None
+                and job.placer == placer
+                and job.former_placers == (placer,)
+                and job.sends[placer] == returned.submits
+            )
+            if not is_current:
+                continue
+            log.info("job_returned", job=returned.job_id, placer=placer, zone=job.zone)
+            self.metrics.count("jobs_taken_back")
+            job.take_back(placer, self.clock.now_ms())
+            self._submit_or_end(job)
+
+    def on_evacuations_changed(self) -> None:
+        """Send or refuse the jobs without a placer, after evacuated zones changed."""
+        self.tick()
+
     def on_placers_changed(self) -> None:
         """Submit jobs again unless their placer is reachable and owns a zone."""
         for job in list(self.pending.values()):
@@ -228,10 +270,18 @@
                 self._submit_or_end(job)
 
     def _submit_or_end(self, job: PendingJob) -> None:
+        """Submit a job; end it if it waited too long or all zones are evacuated."""
         self._submit_to_placer(job)
         if job.placer is not None:
             return
-        if self.clock.now_ms() > self._give_up_at_ms(job):
+        is_open = job.former_placers or self.placer_choice.may_reach_other(
+            job.returned_by
+        )
+        if not is_open:
+            self.metrics.count("jobs_refused", "evacuation")
+            reason = "the zones of its workers are evacuated"
+            self._finish(job, _unplaced_outcome(job, reason))
+        elif self.clock.now_ms() > self._give_up_at_ms(job):
             self._finish(job, _unplaced_outcome(job, "no placer is reachable"))
         else:
             self.on_unplaced()
@@ -245,7 +295,7 @@
     def _give_up_at_ms(self, job: PendingJob) -> float:
         limits_ms = [job.submitted.remaining_ms, job.submitted.late_limit_ms]
         if not job.former_placers:
-            limits_ms.append(NO_PLACER_TIMEOUT_MS)
+            limits_ms.append(job.unplaced_ms - job.arrived_ms + NO_PLACER_TIMEOUT_MS)
         return job.arrived_ms + min(limits_ms)
 
     def _submit_to_placer(self, job: PendingJob) -> None:
@@ -259,7 +309,9 @@
         if job.former_placers:
             chosen = self.placer_choice.current_owner(job.zone)
         else:
-            chosen = self.placer_choice.choose(job.submitted.need_millicores, excluded)
+            chosen = self.placer_choice.choose(
+                job.submitted.need_millicores, excluded.union(job.returned_by)
+            )
         if chosen is None or chosen.node in excluded:
             return
         if chosen.node != self.node and self.hub.link(chosen.node) is None:
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -75,6 +75,12 @@
   state @4 :Text;
 }
 
+struct ReturnedJob {
+  jobId @0 :Text;
+  submits @1 :UInt32;
+  retryAfterMs @2 :UInt32;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -90,5 +96,6 @@
     runLosses @10 :List(RunLoss);
     ownedZones @11 :OwnedZones;
     submitRejected @12 :Text;
+    jobsReturned @13 :List(ReturnedJob);
   }
 }
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -3,15 +3,16 @@
 from attrs import frozen
 
 from rattanloom.placement.crash_records import RunLoss
-from rattanloom.placement.jobs import JobOutcome, SubmittedJob
+from rattanloom.placement.jobs import JobOutcome, ReturnedJob, SubmittedJob
 
-# Version of the messages; the first one with ``RunLosses``; and the first one with
+# Version of the messages; the first one with ``RunLosses``; the first one with
 # ``OwnedZones``, ``SubmitRejected`` and the zones in ``Hello`` and
-# ``OwnerLivenessReply``. Builds from before the field send 0 and close a link on which
-# they receive an unknown message.
+# ``OwnerLivenessReply``; and the first one with ``JobsReturned``. Builds from before
+# the field send 0 and close a link on which they receive an unknown message.
 PROTOCOL_VERSION = 2
 RUN_LOSSES_VERSION = 1
 OWNED_ZONES_VERSION = 2
+JOBS_RETURNED_VERSION = 2
 
 
 @frozen
@@ -137,8 +138,17 @@
     losses: tuple[RunLoss, ...]
 
 
+@frozen
+class JobsReturned:
+    """Hands back jobs to the daemon that submitted them; see ``ReturnedJob``."""
+
+    jobs: tuple[ReturnedJob, ...]
+
+
 OwnershipMessage = (
     OwnerLivenessQuery | OwnerLivenessReply | TakeZones | ZoneClaims | OwnedZones
 )
-PlacementMessage = FreeCapacity | Submit | SubmitRejected | Cancel | Outcome | RunLosses
+PlacementMessage = (
+    FreeCapacity | Submit | SubmitRejected | JobsReturned | Cancel | Outcome | RunLosses
+)
 Message = Hello | Ping | PlacementMessage | OwnershipMessage
--- a/rattanloom/peer_messages.py
+++ b/rattanloom/peer_messages.py
@@ -13,6 +13,7 @@
     OWNED_ZONES_VERSION,
     Cancel,
     FreeCapacity,
+    JobsReturned,
     Message,
     Outcome,
     OwnedZones,
@@ -21,27 +22,10 @@
     SubmitRejected,
 )
 from rattanloom.ownership.ownership import Ownership
-from rattanloom.placement.jobs import JobOutcome
+from rattanloom.peer_receiver import PeerOutcomeReceiver
 from rattanloom.placement.placer import Placer
 
 
-@define(eq=False, repr=False)
-class PeerOutcomeReceiver:
-    """Receives the outcomes of jobs that another daemon submitted over a link."""
-
-    node: str
-    hub: LinkHub
-
-    def deliver(self, outcome: JobOutcome) -> None:
-        """Send an outcome over the current link to that daemon.
-
-        Without a link the outcome is dropped; the other daemon submits the job again.
-        """
-        link = self.hub.link(self.node)
-        if link is not None:
-            link.send(Outcome(outcome))
-
-
 @define(eq=False, repr=False)
 class PeerMessages:
     """Handles the links of one daemon; ``wake`` ends the pause of its tick."""
@@ -67,6 +51,8 @@
             self.placer_choice.record_free_capacity(node, message.millicores)
         elif isinstance(message, Outcome):
             self.job_router.record_outcome(node, message.outcome)
+        elif isinstance(message, JobsReturned):
+            self.job_router.on_jobs_returned(node, message.jobs)
         elif isinstance(message, RunLosses):
             self.crash_exchange.handle(message)
         else:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -16,6 +16,7 @@
     Cancel,
     FreeCapacity,
     Hello,
+    JobsReturned,
     Outcome,
     OwnedZones,
     OwnerLivenessQuery,
@@ -29,7 +30,7 @@
 )
 from rattanloom.ownership.records import claim_number
 from rattanloom.placement.crash_records import LossState, RunLoss
-from rattanloom.placement.jobs import JobOutcome, OutcomeKind
+from rattanloom.placement.jobs import JobOutcome, OutcomeKind, ReturnedJob
 from tests.dispatcher_fakes import CLOCK, make_submitted_job, wait_for
 from tests.peer_hosts import free_address
 
@@ -47,6 +48,7 @@
     OwnerLivenessReply("n1", True, ("a",)),
     TakeZones(("a", "b"), ("w1",)),
     ZoneClaims("n1", claim_number("n1", 3), ("a",), (4,)),
+    JobsReturned((ReturnedJob("00000000000000aa", 2, 1_500),)),
     RunLosses((LOSS, evolve(LOSS, alone=False, state=LossState.CLEARED))),
 )
 
