Skip the limits of cold workers while none is cold

Cause: the checks of evacuations and cold workers cost each pass over 60 workers 15 to 18 us and each choice 8 to 20 us more than before.

Change: StartLimits.has_cold, set at each tick, skips them while no worker is cold.

--- a/rattanloom/placement/start_limits.py
+++ b/rattanloom/placement/start_limits.py
@@ -25,13 +25,16 @@
 
     ``evacuated_zones`` is changed by its owner. ``may_start_by_evacuations`` returns
     whether the knowledge of evacuated zones is recent enough for a start.
-    ``_open_since_ms`` has the zones that are not full since an evacuation ended.
+    ``has_cold`` is false while no worker is cold, as of the last tick; then the limits
+    of cold workers cost no time. ``_open_since_ms`` has the zones that are not full
+    since an evacuation ended.
     """
 
     clock: Clock
     cold_workers: ColdWorkers = field(init=False)
     evacuated_zones: Container[str] = frozenset()
     may_start_by_evacuations: Callable[[], bool] = lambda: True
+    has_cold: bool = False
     _evacuated_before: set[str] = field(factory=set)
     _open_since_ms: dict[str, float] = field(factory=dict)
 
@@ -44,7 +47,13 @@
 
     def allows(self, worker: "PooledWorker") -> bool:
         """Return whether a worker may get a task."""
-        return self.is_open(worker) and self.cold_workers.may_start(worker)
+        return worker.entry.zone not in self.evacuated_zones and (
+            not self.has_cold or self.cold_workers.may_start(worker)
+        )
+
+    def is_cold(self, worker: "PooledWorker") -> bool:
+        """Return whether a worker is slow now."""
+        return self.has_cold and self.cold_workers.is_cold(worker.worker_id)
 
     def may_send(self, worker: "PooledWorker") -> bool:
         """Return whether a start order may be sent now; called before each send."""
@@ -52,7 +61,11 @@
 
     def update(self, workers: Collection["PooledWorker"]) -> None:
         """Count the usable workers; log when a zone is full again."""
-        self.cold_workers.update(filter(self.is_open, workers))
+        cold_workers = self.cold_workers
+        cold_workers.update(filter(self.is_open, workers))
+        self.has_cold = any(
+            cold_workers.is_cold(worker_id) for worker_id in cold_workers.cold_until_ms
+        )
         now_ms = self.clock.now_ms()
         for worker in workers:
             zone = worker.entry.zone
--- a/rattanloom/placement/worker_choice.py
+++ b/rattanloom/placement/worker_choice.py
@@ -28,7 +28,8 @@
     for worker in accepting:
         if not worker.runs.free.fits(need) or not matches(task, worker):
             continue
-        if not worker.limits.cold_workers.may_start(worker):
+        limits = worker.limits
+        if limits.has_cold and not limits.cold_workers.may_start(worker):
             continue
         rank = _rank(task, worker)
         if best_rank is None or rank < best_rank:
@@ -125,7 +126,7 @@
 def _rank(task: PlacedTask, worker: PooledWorker) -> tuple:
     is_avoided = worker.worker_id in task.avoided_workers
     is_unreliable = worker.failure_score >= UNRELIABLE_SCORE
-    is_cold = worker.limits.cold_workers.is_cold(worker.worker_id)
+    is_cold = worker.limits.is_cold(worker)
     slowness = int(worker.duration_ratio / DURATION_RATIO_STEP)
     leftover = worker.runs.free.cpu_millicores - task.step.need.cpu_millicores
     return is_avoided, is_unreliable, is_cold, slowness, leftover
