--- a/rattanloom/ownership/confirmation.py
+++ b/rattanloom/ownership/confirmation.py
@@ -90,7 +90,7 @@
         link = self.hub.link(owner.owner) if owner else None
         if link is None or not link.is_alive():
             return 0
-        is_old_build = link.peer.protocol_version < OWNED_ZONES_VERSION
+        is_old_build = self.is_alive_old_build(owner.owner)
         if is_old_build or link.peer_zones.get(zone, 0) >= owner.fencing_token:
             self._unconfirmed.pop(zone, None)
             return 0
@@ -102,6 +102,15 @@
         # Not 0 from the first check on, which tells it from a confirmed zone.
         return now_ms - since_ms or 1
 
+    def is_alive_old_build(self, node: str) -> bool:
+        """Return whether a peer is alive and of a build that states no zones."""
+        link = self.hub.link(node)
+        return (
+            link is not None
+            and link.is_alive()
+            and link.peer.protocol_version < OWNED_ZONES_VERSION
+        )
+
     def held_zones(self, node: str) -> set[str]:
         """Return the zones that a node holds, as far as this daemon knows."""
         if node == self.view.own_member.node:
--- a/rattanloom/ownership/indirect_probe.py
+++ b/rattanloom/ownership/indirect_probe.py
@@ -77,7 +77,8 @@
     def handle_query(self, link: Link, query: OwnerLivenessQuery) -> None:
         """Reply to the query of a peer."""
         zones = tuple(sorted(self.confirmation.held_zones(query.owner)))
-        link.send(OwnerLivenessReply(query.owner, bool(zones), zones))
+        is_alive = bool(zones) or self.confirmation.is_alive_old_build(query.owner)
+        link.send(OwnerLivenessReply(query.owner, is_alive, zones))
 
     def handle_reply(self, link: Link, reply: OwnerLivenessReply) -> None:
         """Record the reply of a peer."""
--- a/tests/test_owner_confirmation.py
+++ b/tests/test_owner_confirmation.py
@@ -100,6 +100,8 @@
     link_to(takeover, "a0", OWNED_ZONES_VERSION - 1)
     assert not needs_owner_after(takeover, "a", LATE_MS)
     assert takeover.is_settled()
+    takeover.view.owners.clear()
+    assert reply_about(takeover, "a0").is_alive
 
 
 def test_zone_is_taken_from_a_live_owner_without_it_though_it_writes_heartbeats():
