Acquire the zones of a former incarnation before any probe

Cause: they were taken in the same round as zones of lost owners, so they waited for the probe of those, and were left out of the round if this daemon reached no majority for them.

Change: they are acquired first and alone.

Tests: the test of the rank now has another zone whose owner is lost and can't be taken; it fails without the change.

--- a/rattanloom/ownership/takeover.py
+++ b/rattanloom/ownership/takeover.py
@@ -128,19 +128,29 @@
 
     def _run_takeover(self, zones: list[str]) -> None:
         try:
-            self._take_over_if_lost(zones)
+            self._take_over_if_lost(self._acquire_own(zones))
         finally:
             self._is_running = False
 
+    def _acquire_own(self, zones: list[str]) -> list[str]:
+        """Acquire the zones whose records name this daemon; return the others.
+
+        Only this daemon knows that they have no owner, so it waits for no probe and not
+        for its rank.
+        """
+        own = self.view.zones_of(self.view.own_member.node).intersection(zones)
+        if own and not self.leaving:
+            reason = "owned by a former incarnation"
+            self.acquirer.acquire_or_claim(sorted(own), reason)
+        return [zone for zone in zones if zone not in own]
+
     def _take_over_if_lost(self, zones: list[str]) -> None:
+        if not zones:
+            return
         own_node = self.view.own_member.node
         before = {zone: self.view.owners.get(zone) for zone in zones}
-        other_owners = {
-            zone: owner.owner
-            for zone, owner in before.items()
-            if owner and owner.owner != own_node
-        }
-        owners = set(other_owners.values())
+        owners_by_zone = {zone: owner.owner for zone, owner in before.items() if owner}
+        owners = set(owners_by_zone.values())
         peers = [
             member
             for node, member in self.view.members.items()
@@ -150,19 +160,19 @@
         alive_owners = {owner for owner in owners if self.hub.is_alive(owner)}
         reachable_nodes = {own_node} | alive_owners
         if owners:
-            reachable_nodes |= self._probe(other_owners, peers)
+            reachable_nodes |= self._probe(owners_by_zone, peers)
         else:
             reachable_nodes |= {member.node for member in peers}
         free = [
             zone
             for zone in zones
-            if zone not in other_owners
-            or not self.indirect_probe.is_owner_alive(other_owners[zone], zone)
+            if zone not in owners_by_zone
+            or not self.indirect_probe.is_owner_alive(owners_by_zone[zone], zone)
         ]
         if not free:
             gevent.sleep(OWNER_ALIVE_PAUSE_MS / MS_PER_S)
             return
-        lost = {other_owners[zone] for zone in free if zone in other_owners}
+        lost = {owners_by_zone[zone] for zone in free if zone in owners_by_zone}
         takeable = self._zones_to_take(free, lost - alive_owners, reachable_nodes)
         self._take_over_by_rank(
             {zone: before[zone] for zone in takeable},
@@ -235,17 +245,12 @@
         """Take each zone that has no new owner after the delay of this daemon's rank.
 
         ``before`` maps the zones to their owners before the probe. The rank is this
-        daemon's position among the candidates for the zone. Zones whose record names
-        this daemon are acquired again at once, since only this daemon knows that they
-        have no owner.
+        daemon's position among the candidates for the zone.
         """
         started_ms = self.clock.now_ms()
-        own_node = self.view.own_member.node
         by_rank: dict[int, list[str]] = {}
-        for zone, owner in before.items():
-            is_own = owner is not None and owner.owner == own_node
-            rank = 0 if is_own else self._rank(zone, reachable_nodes)
-            by_rank.setdefault(rank, []).append(zone)
+        for zone in before:
+            by_rank.setdefault(self._rank(zone, reachable_nodes), []).append(zone)
         for rank, ranked in sorted(by_rank.items()):
             wait_ms = started_ms + rank * RANK_DELAY_MS - self.clock.now_ms()
             gevent.sleep(max(0, wait_ms) / MS_PER_S)
--- a/tests/test_owner_confirmation.py
+++ b/tests/test_owner_confirmation.py
@@ -3,6 +3,8 @@
 The links are stubs, so that each test sets what a peer has stated on its link.
 """
 
+from types import SimpleNamespace
+
 import gevent
 from attrs import define, evolve, field
 
@@ -136,8 +138,10 @@
     takeover = make_takeover(1)
     takeover.acquirer = RecordingAcquirer()
     takeover.view.apply_owners([ZoneOwner("c", "a1", 2)])
+    # No peer replies to the probe for zone "b", so that one is not taken.
+    takeover.store_heartbeats = SimpleNamespace(have_stopped=lambda owners: False)
     with gevent.Timeout(1):
-        takeover._run_takeover(["c"])
+        takeover._run_takeover(["b", "c"])
     assert takeover.acquirer.acquired == ["c"]
 
 
