Test a recorded owner that is alive but cut off from the store

The test of the total restart now also plays an owner that is up but can't acquire its zone again, so that its peers take it over after the bound of 1,000 ms.

--- a/tests/test_zones_after_restart.py
+++ b/tests/test_zones_after_restart.py
@@ -10,6 +10,7 @@
 from socket import create_connection
 
 import gevent
+import pytest
 from attrs import asdict
 
 from rattanloom.links.hub import split_address
@@ -23,6 +24,7 @@
     running_deployment,
 )
 from soak.history import ClientJob, History
+from soak.relay import pairs_between
 from tests.dispatcher_fakes import CLOCK, wait_for
 
 # More than 64 workers, which one owner would serve alone.
@@ -72,11 +74,15 @@
         gevent.sleep(0.05)
 
 
-def test_zones_are_served_after_a_takeover_from_another_zone_and_a_total_restart():
+@pytest.mark.parametrize("is_keeper_cut", [False, True])
+def test_zones_are_served_after_takeover_by_another_zone_and_total_restart(
+    is_keeper_cut,
+):
+    # If the recorded owner is cut off from the store, it is alive but owns nothing.
     random = Random(1)
     lost_zone, other_zone = ZONES[0], ZONES[1]
     with running_deployment(SIZE, random) as deployment:
-        daemons = deployment.daemons
+        daemons = dict(deployment.daemons)
         in_zone = [daemon for daemon in daemons.values() if daemon.zone == lost_zone]
         for daemon in in_zone:
             daemon.kill()
@@ -97,7 +103,11 @@
         for daemon in daemons.values():
             assert wait_for(lambda d=daemon: has_listener(d.address), STARTED_WITHIN_S)
         gevent.sleep(1)
+        if is_keeper_cut:
+            del daemons[keeper]
+            deployment.conditions.blocked_pairs |= pairs_between({keeper}, {"store"})
         deployment.switch_store(down=False)
+        returned_ms = CLOCK.now_ms()
         clients = [
             gevent.spawn(ms_until_served, deployment, name, seed)
             for seed, name in enumerate(daemons)
@@ -105,3 +115,9 @@
         gevent.joinall(clients, timeout=10)
         times_ms = [client.value for client in clients]
         assert all(ms is not None and ms <= SERVED_WITHIN_MS for ms in times_ms)
+        if is_keeper_cut:
+            left_ms = returned_ms + SERVED_WITHIN_MS - CLOCK.now_ms()
+            assert wait_for(
+                lambda: read_owners(deployment)[lost_zone].owner != keeper,
+                max(0, left_ms) / 1_000,
+            )
