--- a/tests/test_owner_confirmation.py
+++ b/tests/test_owner_confirmation.py
@@ -3,6 +3,8 @@
 The links are stubs, so that each test sets what a peer has stated on its link.
 """
 
+from types import SimpleNamespace
+
 import gevent
 from attrs import define, evolve, field
 
@@ -100,6 +102,8 @@
     link_to(takeover, "a0", OWNED_ZONES_VERSION - 1)
     assert not needs_owner_after(takeover, "a", LATE_MS)
     assert takeover.is_settled()
+    takeover.view.owners.clear()
+    assert reply_about(takeover, "a0").is_alive
 
 
 def test_zone_is_taken_from_a_live_owner_without_it_though_it_writes_heartbeats():
@@ -134,8 +138,10 @@
     takeover = make_takeover(1)
     takeover.acquirer = RecordingAcquirer()
     takeover.view.apply_owners([ZoneOwner("c", "a1", 2)])
+    # No peer replies to the probe for zone "b", so that one is not taken.
+    takeover.store_heartbeats = SimpleNamespace(have_stopped=lambda owners: False)
     with gevent.Timeout(1):
-        takeover._run_takeover(["c"])
+        takeover._run_takeover(["b", "c"])
     assert takeover.acquirer.acquired == ["c"]
 
 
