Order waiting work by the cost of its delay to callers

Cause: all priorities were treated alike. In a burst of wide long jobs (x2.4) beside small urgent ones (x1.9), one queue by latest start time let wide jobs wait until few could be on time.

Change: waiting.py and overload.py move to rattanloom/scheduling/. Each priority level has its own three queues; among their first tasks, the one with the highest cost of delay per remaining work goes first. The cost is the level's weight (from its learned demand, so that all levels count equally, times a factor by priority), the chance to be on time, and the work already done. A level that is owed half of its share of the demand goes before that.

Ending overdue jobs moves from the placer to JobEndings.

--- a/rattanloom/placement/assignment.py
+++ b/rattanloom/placement/assignment.py
@@ -6,8 +6,8 @@
 
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedTask
-from rattanloom.placement.waiting import WaitingTasks
 from rattanloom.placement.worker_choice import accepts_tasks, choose_worker
+from rattanloom.scheduling.waiting import WaitingTasks
 
 # A pass ends after this many tasks without a suitable worker. They are skipped so
 # that smaller ones behind them can use the remaining capacity.
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -7,18 +7,24 @@
 from rattanloom.metrics import Metrics
 from rattanloom.placement.inherited_work import InheritedWork
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
-from rattanloom.placement.overload import (
+from rattanloom.placement.pooled_worker import PooledWorker
+from rattanloom.placement.runs import PlacedJob, RunPhase
+from rattanloom.placement.worker_choice import tasks_without_worker
+from rattanloom.placement.worker_events import WorkerState
+from rattanloom.scheduling.cost import level_of
+from rattanloom.scheduling.overload import (
     ArrivingWork,
     hopeless_jobs,
     retry_after_ms,
 )
-from rattanloom.placement.pooled_worker import PooledWorker
-from rattanloom.placement.runs import PlacedJob, RunPhase
-from rattanloom.placement.waiting import WaitingTasks
-from rattanloom.placement.worker_events import WorkerState
+from rattanloom.scheduling.waiting import WaitingTasks
 
 log = DecisionLog("placement")
 
+# Time for a daemon to submit its jobs again after its link was lost; the jobs end
+# after it.
+ORPHAN_GRACE_MS = 300
+
 
 @define(eq=False, repr=False)
 class JobEndings:
@@ -35,6 +41,27 @@
     inherited_work: InheritedWork
     arriving: ArrivingWork = field(factory=ArrivingWork)
 
+    def record_arrival(self, job: PlacedJob, now_ms: float) -> None:
+        """Count the work of a new job."""
+        self.arriving.add(job, now_ms)
+        submitted = job.submitted
+        level = level_of(submitted.policy.priority)
+        self.waiting.demand.add(level, submitted.work_millicore_ms, now_ms)
+
+    def end_overdue(self, now_ms: float) -> None:
+        """End the jobs that can't be done in time, or whose receiver was lost."""
+        self.waiting.demand.update(now_ms)
+        for job in list(self.jobs.values()):
+            if job.receiver is None and now_ms > job.orphaned_ms + ORPHAN_GRACE_MS:
+                self.end(job, None)
+            elif now_ms > job.deadline_ms:
+                self.give_up(job, "the deadline has passed")
+        for task in list(self.waiting):
+            if now_ms > task.job.latest_useful_start_ms:
+                self.give_up(task.job, "no worker had free capacity in time")
+        for task in tasks_without_worker(self.waiting, self.workers.values()):
+            self.give_up(task.job, "no worker is large enough for a task")
+
     def refuse_hopeless(self, now_ms: float) -> None:
         """Refuse the late jobs for which arriving work leaves no capacity."""
         late = self.waiting.late_jobs(now_ms)
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -35,8 +35,7 @@
     ready_tasks,
 )
 from rattanloom.placement.suspension import SuspensionGuard
-from rattanloom.placement.waiting import WaitingTasks
-from rattanloom.placement.worker_choice import accepts_tasks, tasks_without_worker
+from rattanloom.placement.worker_choice import accepts_tasks
 from rattanloom.placement.worker_events import LossCause, WorkerState
 from rattanloom.placement.worker_health import WorkerHealth
 from rattanloom.placement.worker_lease import WorkerLease
@@ -47,6 +46,7 @@
     WorkerClientProtocol,
     WorkerEntry,
 )
+from rattanloom.scheduling.waiting import WaitingTasks
 
 log = DecisionLog("placement")
 
@@ -57,9 +57,6 @@
 # refused the start as unhealthy.
 REFUSAL_PAUSE_MS = 100
 UNHEALTHY_PAUSE_MS = 500
-# Time for a daemon to submit its jobs again after its link was lost; the jobs end
-# after it.
-ORPHAN_GRACE_MS = 300
 
 
 @define(eq=False, repr=False)
@@ -171,7 +168,7 @@
             self.crash_policy.must_be_isolated(task) for task in job.tasks
         )
         self.jobs[job.job_id] = job
-        self.endings.arriving.add(job, self.clock.now_ms())
+        self.endings.record_arrival(job, self.clock.now_ms())
         log.info(
             "job_accepted",
             job=job.job_id,
@@ -194,7 +191,7 @@
             self.endings.end(job, None)
 
     def on_daemon_lost(self, node: str) -> None:
-        """Handle a lost link to a daemon; keep its jobs for ``ORPHAN_GRACE_MS``."""
+        """Handle a lost link to a daemon; keep its jobs for a short time."""
         for job in self.jobs.values():
             if job.receiver is not None and job.receiver.node == node:
                 job.receiver = None
@@ -217,16 +214,7 @@
         now_ms = self.clock.now_ms()
         self.suspension.tick(now_ms)
         self._stop_overdue_runs()
-        for job in list(self.jobs.values()):
-            if job.receiver is None and now_ms > job.orphaned_ms + ORPHAN_GRACE_MS:
-                self.endings.end(job, None)
-            elif now_ms > job.deadline_ms:
-                self.endings.give_up(job, "the deadline has passed")
-        for task in list(self.waiting):
-            if now_ms > task.job.latest_useful_start_ms:
-                self.endings.give_up(task.job, "no worker had free capacity in time")
-        for task in tasks_without_worker(self.waiting, self.workers.values()):
-            self.endings.give_up(task.job, "no worker is large enough for a task")
+        self.endings.end_overdue(now_ms)
         self._stop_stalled_runs(now_ms)
         self.inherited_work.remove_expired()
         self.crash_policy.records.remove_expired(now_ms)
@@ -339,6 +327,7 @@
         task.state = TaskState.PLACED
         task.job.effective_runs += 1
         self.metrics.count("tasks_ordered")
+        self.waiting.record_start(task)
         waited_ms = self.clock.now_ms() - task.queued_ms
         self.metrics.observe("task_wait_for_room", waited_ms)
         worker.start_run(task, self.crash_policy.must_be_isolated(task))
--- /dev/null
+++ b/rattanloom/scheduling/waiting.py
@@ -0,0 +1,195 @@
+"""Queues of the tasks that wait for free capacity on a worker."""
+
+from collections.abc import Iterator
+from heapq import heappop, heappush
+from itertools import count
+
+from attrs import define, field
+
+from rattanloom.placement.runs import PlacedJob, PlacedTask, TaskState
+from rattanloom.scheduling.cost import DemandByLevel, JobCost, delay_cost, level_of
+from rattanloom.scheduling.shares import GuaranteedShares
+
+Entry = tuple[float, int, PlacedTask]
+# The queues of a level, in the order in which they are served.
+STARTED, ON_TIME, LATE = range(3)
+
+
+@define(eq=False, repr=False)
+class LevelQueues:
+    """The queues of one priority level; ``costs`` has the cost of their first tasks.
+
+    An entry is a sort key, a number that keeps the order of insertion, and a task.
+    Entries of tasks that no longer wait are skipped. ``costs`` is kept with the number
+    of the entry and the time for which it was computed.
+    """
+
+    queues: tuple[list[Entry], list[Entry], list[Entry]] = field(
+        factory=lambda: ([], [], [])
+    )
+    costs: list[tuple[int, float, float]] = field(factory=lambda: [(-1, 0.0, 0.0)] * 3)
+
+    def __bool__(self) -> bool:
+        """Return whether there are entries."""
+        return any(self.queues)
+
+
+@define(eq=False, repr=False)
+class WaitingTasks:
+    """Three queues of tasks for each priority level, ordered by latest start time.
+
+    A job is late if it can no longer meet its objective. Tasks of started jobs go
+    first if the job is not late or at least half of its tasks are done: giving up a
+    half done job wastes capacity, and the job is submitted again. Tasks of other jobs
+    that are not late follow. The remaining late tasks go last, started jobs first: in
+    an overload, they would make every other task late.
+
+    Among the first tasks of the levels, that of a level that is owed its guaranteed
+    share goes first, then the one whose delay costs most per work that its job needs.
+    """
+
+    demand: DemandByLevel = field(factory=DemandByLevel)
+    shares: GuaranteedShares = field(init=False)
+    _levels: dict[int, LevelQueues] = field(factory=dict)
+    _numbers: Iterator[int] = field(factory=count)
+
+    def __attrs_post_init__(self) -> None:
+        self.shares = GuaranteedShares(self.demand)
+
+    def add(self, task: PlacedTask, now_ms: float) -> None:
+        """Add a task that is ready to start."""
+        task.state = TaskState.WAITING
+        task.queued_ms = now_ms
+        self.put_back(task, now_ms)
+
+    def put_back(self, task: PlacedTask, now_ms: float) -> None:
+        """Add a waiting task to the queue to which it belongs now."""
+        level = level_of(task.job.submitted.policy.priority)
+        level_queues = self._levels.get(level)
+        if level_queues is None:
+            level_queues = self._levels[level] = LevelQueues()
+        kind = _queue_of(task, now_ms)
+        rank = task.job.latest_on_time_start_ms
+        if kind == LATE:
+            rank = _late_order(task)
+        heappush(level_queues.queues[kind], (rank, next(self._numbers), task))
+
+    def pop(self, now_ms: float) -> PlacedTask | None:
+        """Remove and return the first task that is still waiting, or None.
+
+        A task that became late since it was queued moves to the queue of late tasks.
+        """
+        for kind in (STARTED, ON_TIME, LATE):
+            heads = [
+                level
+                for level in list(self._levels)
+                if self._settle_first(self._levels[level], kind, now_ms)
+            ]
+            if heads:
+                level = heads[0]
+                if len(heads) > 1:
+                    level = max(heads, key=lambda at: self._rank(at, kind, now_ms))
+                return heappop(self._levels[level].queues[kind])[2]
+        return None
+
+    def record_start(self, task: PlacedTask) -> None:
+        """Count the start of a task, for the guaranteed shares of the levels."""
+        waiting = [level for level, queues in self._levels.items() if queues]
+        if len(waiting) > 1:
+            level = level_of(task.job.submitted.policy.priority)
+            self.shares.record_start(level, _work(task), waiting)
+
+    def _settle_first(self, level: LevelQueues, kind: int, now_ms: float) -> bool:
+        """Move entries until the first one of a queue belongs there.
+
+        Return whether there is one.
+        """
+        queue = level.queues[kind]
+        while queue:
+            task = queue[0][2]
+            if _is_waiting(task):
+                if _queue_of(task, now_ms) in (kind, STARTED):
+                    return True
+                heappop(queue)
+                self.put_back(task, now_ms)
+            else:
+                heappop(queue)
+        return False
+
+    def _rank(self, level: int, kind: int, now_ms: float) -> tuple[bool, float]:
+        """Return the sort key of the first task of a level; the highest goes first."""
+        level_queues = self._levels[level]
+        _, number, task = level_queues.queues[kind][0]
+        cost = level_queues.costs[kind]
+        if cost[:2] != (number, now_ms):
+            cost = number, now_ms, self.cost(task.job, now_ms)
+            level_queues.costs[kind] = cost
+        remaining_work = task.job.remaining_work_millicore_ms
+        return self.shares.is_due(level, remaining_work), cost[2]
+
+    def cost(self, job: PlacedJob, now_ms: float) -> float:
+        """Return what a delay of a job costs per work that it still needs."""
+        return delay_cost(
+            cost_of(job), job.remaining_work_millicore_ms, self.demand, now_ms
+        )
+
+    def __bool__(self) -> bool:
+        """Return whether there are entries; their tasks may not wait any more."""
+        return any(self._levels.values())
+
+    def __iter__(self) -> Iterator[PlacedTask]:
+        """Iterate over the waiting tasks, in no particular order."""
+        entries = [entry for kind in range(3) for entry in self._entries(kind)]
+        return (task for _, _, task in entries if _is_waiting(task))
+
+    def _entries(self, kind: int) -> list[Entry]:
+        levels = self._levels.values()
+        return [entry for level in levels for entry in level.queues[kind]]
+
+    def late_jobs(self, now_ms: float) -> list[PlacedJob]:
+        """Return the late jobs with waiting tasks, in the order in which they start."""
+        late = sorted(
+            (_late_order(task), number, task.job)
+            for _, number, task in (*self._entries(ON_TIME), *self._entries(LATE))
+            if _is_waiting(task) and task.job.latest_on_time_start_ms < now_ms
+        )
+        jobs = list(dict.fromkeys(job for _, _, job in late))
+        if len({job.submitted.policy.priority for job in jobs}) > 1:
+            jobs.sort(key=lambda job: (not job.started, -self.cost(job, now_ms)))
+        return jobs
+
+    def clear(self) -> None:
+        """Remove all waiting tasks."""
+        self._levels.clear()
+
+
+def cost_of(job: PlacedJob) -> JobCost:
+    """Return what the cost of a job's delay depends on."""
+    submitted = job.submitted
+    return JobCost(
+        level_of(submitted.policy.priority),
+        job.arrived_ms + submitted.objective_ms,
+        submitted.critical_path_ms,
+        submitted.work_millicore_ms,
+    )
+
+
+def _queue_of(task: PlacedTask, now_ms: float) -> int:
+    job = task.job
+    is_late = job.latest_on_time_start_ms < now_ms
+    if job.started and (not is_late or 2 * job.tasks_left <= len(job.tasks)):
+        return STARTED
+    return LATE if is_late else ON_TIME
+
+
+def _is_waiting(task: PlacedTask) -> bool:
+    return task.state is TaskState.WAITING and not task.job.ended
+
+
+def _work(task: PlacedTask) -> float:
+    return task.step.need.cpu_millicores * task.step.estimate_ms
+
+
+def _late_order(task: PlacedTask) -> float:
+    """Return the sort key of a late task; tasks of started jobs come first."""
+    return task.job.latest_useful_start_ms if not task.job.started else 0.0
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -1,7 +1,7 @@
 """Replays arrivals of jobs in virtual time against the placement decisions.
 
 The pool is a model: runs take their true duration, orders take no time. Arrivals are
-drawn with a seed from the kinds of jobs that the commissions desk sends.
+drawn with a seed from the given kinds of jobs.
 """
 
 from collections import Counter
@@ -14,7 +14,6 @@
 
 from rattanloom.placement.assignment import AssignmentPass
 from rattanloom.placement.jobs import JobPolicy, Step, SubmittedJob
-from rattanloom.placement.overload import ArrivingWork, hopeless_jobs
 from rattanloom.placement.runs import (
     PlacedJob,
     PlacedTask,
@@ -23,10 +22,11 @@
     TaskState,
     make_job,
 )
-from rattanloom.placement.waiting import WaitingTasks
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.worker_runs import WorkerRuns
 from rattanloom.placement.workers import Resources, WorkerEntry
+from rattanloom.scheduling.overload import ArrivingWork, hopeless_jobs
+from rattanloom.scheduling.waiting import WaitingTasks
 from tests.dispatcher_fakes import FakeReceiver
 
 TICK_MS = 50
@@ -34,6 +34,10 @@
 CLIENT_WAITS_MS = 1_550
 
 
+# A stopped run occupies its worker for up to this time.
+STOP_MS_MAX = 50
+
+
 @frozen
 class Kind:
     """A kind of job: its tasks, their mean duration, and its rate at 100% load."""
@@ -42,6 +46,7 @@
     duration_ms: float
     per_s: float
     worth: float
+    priority: int = 0
 
 
 # The kinds of the commissions desk, per 1,000 cores of the pool.
@@ -50,10 +55,13 @@
     "studio-preview": Kind(4, 900, 4.9, 17.8),
     "colour-swatch": Kind(2, 200, 78.7, 1.11),
 }
-# Work of these arrivals in cores, per 1,000 cores.
-FULL_LOAD_CORES = sum(
-    kind.tasks * kind.duration_ms * kind.per_s * 16 / 1_000 for kind in KINDS.values()
-)
+# The kinds of docs/HARD_LOAD.md: 24%, 71% and 4% of 111 jobs/s, which need 960 cores.
+HARD_KINDS = {
+    "small-urgent": Kind(8, 60, 26.6, 4.85, 0),
+    "look-up": Kind(2, 200, 78.8, 1.67, 1),
+    "wide-long": Kind(4, 900, 4.4, 26.7, 2),
+}
+HARD_CORES = (8, 12, 16, 20, 24)
 
 
 @define(eq=False)
@@ -81,50 +89,79 @@
     on_time: int = 0
     late: int = 0
     given_up: int = 0
-    worth_owed: float = 0
-    worth: float = 0
+    held_too_long: int = 0
+    preempted: int = 0
+    owed_by_kind: Counter[str] = field(factory=Counter)
+    worth_by_kind: Counter[str] = field(factory=Counter)
     refused_held_ms: list[float] = field(factory=list)
     refused_with_capacity: int = 0
     wasted_core_s: float = 0
 
+    @property
+    def shares(self) -> dict[str, float]:
+        """Return the share of its worth that the callers of each kind got."""
+        owed = self.owed_by_kind
+        return {kind: self.worth_by_kind[kind] / owed[kind] for kind in sorted(owed)}
+
     @property
     def held_s(self) -> float:
         """Return the time for which refused callers waited, in sum."""
         return sum(self.refused_held_ms) / 1_000
 
 
+@frozen
+class Played:
+    """What a replay knows of a job: its worth to the caller and its duration."""
+
+    kind: str
+    worth: float
+    duration_ms: float
+
+
 @define(eq=False)
 class LoadReplay:
-    """One replay. ``load`` returns the load at a time, 1 for that of all workers."""
+    """One replay. ``load`` returns the load at a time, 1 for that of all workers.
+
+    In a varied replay, the jobs differ in their number of tasks and processor need, the
+    workers in speed, estimates are off by 0.4, and stops take up to ``STOP_MS_MAX``.
+    Without ``uses_priority``, all jobs
+    have the same priority.
+    """
 
     load: Callable[[str, float], float]
     refuses_early: bool
     workers: int = 54
     length_ms: float = 12_000
     seed: int = 1
+    kinds: dict[str, Kind] = field(factory=lambda: KINDS)
+    is_varied: bool = False
+    uses_priority: bool = True
     results: Results = field(factory=Results)
     pool: list[ModelWorker] = field(factory=list)
     waiting: WaitingTasks = field(factory=WaitingTasks)
     arriving: ArrivingWork = field(factory=ArrivingWork)
     jobs: dict[str, PlacedJob] = field(factory=dict)
-    _worth: dict[str, float] = field(factory=dict)
-    _durations: dict[str, float] = field(factory=dict)
+    _played: dict[str, Played] = field(factory=dict)
     _events: list = field(factory=list)
     _numbers: count = field(factory=count)
     _active: Counter = field(factory=Counter)
+    _random: Random = field(init=False)
     now_ms: float = 0
 
     def run(self) -> Results:
         """Play all arrivals, and the time until the last job has ended."""
-        random = Random(self.seed)
+        self._random = Random(self.seed)
         for number in range(self.workers):
             capacity = Resources((32_000, 32_000, 48_000)[number % 3], 128_000)
             entry = WorkerEntry(
                 f"w{number}", 1, "s", f"w{number}:1", "a", True, capacity
             )
-            self.pool.append(ModelWorker(entry, WorkerRuns(capacity, self._active)))
-        for name, kind in KINDS.items():
-            self._plan_arrivals(name, kind, random)
+            worker = ModelWorker(entry, WorkerRuns(capacity, self._active))
+            if self.is_varied:
+                worker.duration_ratio = 1 / (0.8, 1.0, 1.25, 1.0)[number % 4]
+            self.pool.append(worker)
+        for name, kind in self.kinds.items():
+            self._plan_arrivals(name, kind, self._random)
         at_ms = 0
         while at_ms < self.length_ms + 2 * CLIENT_WAITS_MS:
             at_ms += TICK_MS
@@ -149,7 +186,11 @@
 
     def _plan_arrivals(self, name: str, kind: Kind, random: Random) -> None:
         cores = sum((32, 32, 48)[number % 3] for number in range(self.workers))
-        full_per_s = kind.per_s * cores / FULL_LOAD_CORES
+        full_cores = sum(
+            other.tasks * other.duration_ms * other.per_s * 16 / 1_000
+            for other in self.kinds.values()
+        )
+        full_per_s = kind.per_s * cores / full_cores
         at_ms = 0.0
         while at_ms < self.length_ms:
             per_s = full_per_s * self.load(name, at_ms)
@@ -157,23 +198,37 @@
             true_ms = kind.duration_ms * random.lognormvariate(0, 0.4)
             # Estimates are rough.
             estimate_ms = true_ms * random.choice((0.7, 1.0, 1.0, 1.4))
-            self._plan(at_ms, self._arrive, kind, true_ms, estimate_ms)
-
-    def _arrive(self, kind: Kind, true_ms: float, estimate_ms: float) -> None:
+            tasks, need = kind.tasks, NEED
+            if self.is_varied:
+                # The mean of these factors is 1.
+                true_ms = kind.duration_ms * random.lognormvariate(-0.08, 0.4)
+                estimate_ms = true_ms * random.lognormvariate(-0.08, 0.4)
+                tasks = round(kind.tasks * random.lognormvariate(-0.08, 0.4))
+                tasks = min(max(tasks, 1), 4 * kind.tasks)
+                need = Resources(1_000 * random.choice(HARD_CORES), 64)
+            step = Step(tasks, need, estimate_ms)
+            self._plan(at_ms, self._arrive, name, step, true_ms)
+
+    def _arrive(self, name: str, step: Step, true_ms: float) -> None:
+        kind = self.kinds[name]
         submitted = SubmittedJob(
             f"{next(self._numbers):016x}",
             "",
-            (Step(kind.tasks, NEED, estimate_ms),),
-            JobPolicy("s", 0, 2, 1.6, 62),
+            (step,),
+            JobPolicy("s", kind.priority if self.uses_priority else 0, 2, 1.6, 62),
             CLIENT_WAITS_MS,
         )
         job = make_job(submitted, FakeReceiver(), (), self.now_ms)
         self.jobs[job.job_id] = job
         self.arriving.add(job, self.now_ms)
-        self._worth[job.job_id] = kind.worth
-        self._durations[job.job_id] = true_ms
+        self.waiting.demand.add(
+            submitted.policy.priority, submitted.work_millicore_ms, self.now_ms
+        )
+        mean_work = kind.tasks * NEED.cpu_millicores * kind.duration_ms
+        worth = kind.worth * (0.3 + 0.7 * submitted.work_millicore_ms / mean_work)
+        self._played[job.job_id] = Played(name, worth, true_ms)
         self.results.asked += 1
-        self.results.worth_owed += kind.worth
+        self.results.owed_by_kind[name] += worth
         for task in job.tasks:
             self.waiting.add(task, self.now_ms)
 
@@ -183,6 +238,7 @@
         )
 
     def _start(self, task: PlacedTask, worker: ModelWorker) -> None:
+        self.waiting.record_start(task)
         task.state = TaskState.PLACED
         task.job.effective_runs += 1
         task.attempt += 1
@@ -190,11 +246,11 @@
             task.name, task.attempt, task, task.step, RunPhase.RUNNING, self.now_ms
         )
         worker.runs.add(run)
-        duration_ms = self._durations[task.job.job_id]
+        duration_ms = self._played[task.job.job_id].duration_ms * worker.duration_ratio
         self._plan(self.now_ms + duration_ms, self._finish, worker, run)
 
     def _finish(self, worker: ModelWorker, run: Run) -> None:
-        if not worker.runs.remove(run):
+        if run.phase is RunPhase.STOPPING or not worker.runs.remove(run):
             return
         job = run.task.job
         run.task.state = TaskState.DONE
@@ -206,15 +262,16 @@
         job.ended = True
         del self.jobs[job.job_id]
         took_ms = self.now_ms - job.arrived_ms
-        worth = self._worth[job.job_id]
+        played = self._played[job.job_id]
         if took_ms <= job.submitted.objective_ms:
             self.results.on_time += 1
-            self.results.worth += worth
-        else:
+            self.results.worth_by_kind[played.kind] += played.worth
+        elif took_ms <= job.submitted.late_limit_ms:
             self.results.late += 1
-            self.results.worth += worth / 5
+            self.results.worth_by_kind[played.kind] += played.worth / 5
 
     def _tick(self) -> None:
+        self.waiting.demand.update(self.now_ms)
         for task in list(self.waiting):
             if self.now_ms > task.job.latest_useful_start_ms:
                 self._give_up(task.job)
@@ -239,7 +296,9 @@
         job.ended = True
         del self.jobs[job.job_id]
         if not job.started:
-            self.results.refused_held_ms.append(self.now_ms - job.arrived_ms)
+            held_ms = self.now_ms - job.arrived_ms
+            self.results.refused_held_ms.append(held_ms)
+            self.results.held_too_long += held_ms > job.submitted.objective_ms / 4
             self.results.refused_with_capacity += any(
                 worker.state is WorkerState.READY and worker.runs.free.fits(NEED)
                 for worker in self.pool
@@ -249,9 +308,24 @@
         for worker in self.pool:
             for run in worker.runs.all():
                 if run.task.job is job:
-                    worker.runs.remove(run)
-                    self.results.wasted_core_s += (
-                        16 * (self.now_ms - run.ordered_ms) / 1_000
-                    )
+                    self._stop(worker, run)
         done = sum(task.state is TaskState.DONE for task in job.tasks)
-        self.results.wasted_core_s += 16 * done * self._durations[job.job_id] / 1_000
+        self.results.wasted_core_s += (
+            job.submitted.steps[0].need.cpu_millicores
+            * done
+            * self._played[job.job_id].duration_ms
+            / 1_000_000
+        )
+
+    def _stop(self, worker: ModelWorker, run: Run) -> None:
+        if run.phase is RunPhase.STOPPING:
+            return
+        run.phase = RunPhase.STOPPING
+        self.results.wasted_core_s += (
+            run.step.need.cpu_millicores * (self.now_ms - run.ordered_ms) / 1_000_000
+        )
+        if self.is_varied:
+            stop_ms = self._random.uniform(0, STOP_MS_MAX)
+            self._plan(self.now_ms + stop_ms, worker.runs.remove, run)
+        else:
+            worker.runs.remove(run)
