Refuse jobs early by their place, and give up running jobs that are too late

Cause: a job that would be late behind others was refused only once it was late, after more than a quarter of its objective, which counts as badly as a wrong response.

Change: at the last tick before a quarter of its objective, a job is refused if the work before it and the arriving work of levels that weigh more leave too little capacity, or if a late job that needs no more per task has not started. It is never refused while a task of it may fit a worker. In a shortage (with hysteresis), a job is given up if a run's reported progress shows that it can't end in time. Return times follow the work that was told to return already; the placer remembers them and lets returning jobs go first. A daemon that sends more than twice the mean of its level comes behind the others.

tests/test_order_by_cost.py, test_overload.py, test_waiting.py, test_placer.py pass.

--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -1,5 +1,7 @@
 """Ends jobs at a placer: stops their runs and delivers their outcomes."""
 
+from collections.abc import Iterator
+
 from attrs import define, field
 
 from rattanloom.clock import Clock
@@ -9,15 +11,24 @@
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedJob, RunPhase
-from rattanloom.placement.worker_choice import tasks_without_worker
+from rattanloom.placement.worker_choice import accepts_tasks, tasks_without_worker
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.scheduling.cost import level_of
+from rattanloom.scheduling.fairness import SourceShares
 from rattanloom.scheduling.overload import (
     ArrivingWork,
-    hopeless_jobs,
-    retry_after_ms,
+    PoolCapacity,
+    Shortage,
+    refusals,
+    useless_jobs,
+)
+from rattanloom.scheduling.progress import RunProgress
+from rattanloom.scheduling.returns import ReturnTimes, spare_millicores
+from rattanloom.scheduling.waiting import (
+    OVER_SHARE_OFFSET_MS,
+    RETURNED_OFFSET_MS,
+    WaitingTasks,
 )
-from rattanloom.scheduling.waiting import WaitingTasks
 
 log = DecisionLog("placement")
 
@@ -30,7 +41,8 @@
 class JobEndings:
     """Ends the jobs of a placer, which owns ``jobs``, ``workers`` and ``waiting``.
 
-    ``arriving`` is the work that arrived lately.
+    ``arriving`` is the work that arrived lately, ``sources`` the shares of the daemons
+    that sent it, ``returns`` has the jobs that were told to return.
     """
 
     clock: Clock
@@ -40,17 +52,28 @@
     waiting: WaitingTasks
     inherited_work: InheritedWork
     arriving: ArrivingWork = field(factory=ArrivingWork)
+    sources: SourceShares = field(factory=SourceShares)
+    returns: ReturnTimes = field(factory=ReturnTimes)
+    shortage: Shortage = field(factory=Shortage)
 
     def record_arrival(self, job: PlacedJob, now_ms: float) -> None:
-        """Count the work of a new job."""
+        """Count the work of a new job, and decide its place within its level."""
         self.arriving.add(job, now_ms)
         submitted = job.submitted
-        level = level_of(submitted.policy.priority)
-        self.waiting.demand.add(level, submitted.work_millicore_ms, now_ms)
+        level, work = level_of(submitted.policy.priority), submitted.work_millicore_ms
+        self.waiting.demand.add(level, work, now_ms)
+        if self.returns.take(job.job_id):
+            job.rank_offset_ms = RETURNED_OFFSET_MS
+            self.metrics.count("jobs_returned")
+        if self.sources.add(level, job.receiver.node, work, now_ms):
+            job.rank_offset_ms = OVER_SHARE_OFFSET_MS
+            self.metrics.count("jobs_over_share")
 
     def end_overdue(self, now_ms: float) -> None:
         """End the jobs that can't be done in time, or whose receiver was lost."""
         self.waiting.demand.update(now_ms)
+        self.sources.remove_idle(now_ms)
+        self.returns.remove_expired(now_ms)
         for job in list(self.jobs.values()):
             if job.receiver is None and now_ms > job.orphaned_ms + ORPHAN_GRACE_MS:
                 self.end(job, None)
@@ -62,14 +85,37 @@
         for task in tasks_without_worker(self.waiting, self.workers.values()):
             self.give_up(task.job, "no worker is large enough for a task")
 
-    def refuse_hopeless(self, now_ms: float) -> None:
-        """Refuse the late jobs for which arriving work leaves no capacity."""
-        late = self.waiting.late_jobs(now_ms)
-        if not late:
+    def end_in_shortage(self, now_ms: float) -> None:
+        """End the jobs for which too little capacity is left."""
+        is_short = self.shortage.is_on
+        if not self.waiting and not is_short:
             return
-        arriving = self.arriving.millicores(now_ms)
-        for job in hopeless_jobs(late, self._capacity_millicores(), arriving, now_ms):
-            self.give_up(job, "work that can be on time needs all workers")
+        capacity = self._capacity(now_ms)
+        if self.shortage.update(self.waiting, capacity) != is_short:
+            log.info("shortage", on=not is_short, capacity=capacity.millicores)
+        self.metrics.gauge("shortage", self.shortage.is_on)
+        arriving = self.arriving.by_level(now_ms)
+        decisions = refusals(self.waiting, capacity, arriving, now_ms)
+        if self.shortage.is_on:
+            decisions += useless_jobs(self._progress())
+        for decision in decisions:
+            if not decision.job.ended:
+                self.metrics.count("jobs_ended_early", decision.reason.name.lower())
+                self.give_up(decision.job, decision.reason.value)
+
+    def _progress(self) -> Iterator[tuple[PlacedJob, RunProgress]]:
+        """Iterate over the runs of jobs, with their progress in the last report."""
+        for worker in self.workers.values():
+            for run in worker.runs.all():
+                if (
+                    run.task is not None
+                    and run.phase is RunPhase.RUNNING
+                    and run.confirmed_ms is not None
+                ):
+                    yield (
+                        run.task.job,
+                        RunProgress(run.confirmed_ms, run.last_listed_ms, run.percent),
+                    )
 
     def give_up(self, job: PlacedJob, reason: str) -> None:
         """End a job as refused, or as given up if any of its tasks may have run."""
@@ -80,17 +126,31 @@
 
     def _retry_after(self, job: PlacedJob) -> int:
         """Return when the client of a job that ends now should return, in ms."""
+        now_ms = self.clock.now_ms()
         jobs = dict.fromkeys(task.job for task in self.waiting)
         waiting = sum(other.remaining_work_millicore_ms for other in jobs)
-        return retry_after_ms(job.job_id, waiting, self._capacity_millicores())
+        spare = spare_millicores(
+            self._capacity(now_ms).millicores, self.arriving.millicores(now_ms)
+        )
+        work = job.submitted.work_millicore_ms
+        return self.returns.add(job.job_id, work, waiting, spare, now_ms)
 
-    def _capacity_millicores(self) -> int:
+    def _capacity(self, now_ms: float) -> PoolCapacity:
         """Return the capacity of all workers that accept tasks or soon may again."""
-        return sum(
-            worker.runs.capacity.cpu_millicores
+        workers = [
+            worker
             for worker in self.workers.values()
             if worker.entry.accepting
             and worker.state in (WorkerState.READY, WorkerState.SYNCING)
+        ]
+        free = [
+            worker.runs.free.cpu_millicores
+            for worker in workers
+            if accepts_tasks(worker, now_ms)
+        ]
+        return PoolCapacity(
+            sum(worker.runs.capacity.cpu_millicores for worker in workers),
+            max(free, default=0),
         )
 
     def end(self, job: PlacedJob, outcome: JobOutcome | None) -> None:
@@ -119,8 +179,11 @@
             job.receiver.deliver(outcome)
 
     def _stop_runs(self, job: PlacedJob) -> None:
+        now_ms = self.clock.now_ms()
         for worker in self.workers.values():
             for run in worker.runs.all():
                 belongs_to_job = run.task is not None and run.task.job is job
                 if belongs_to_job and run.phase is not RunPhase.STOPPING:
+                    lost = run.step.need.cpu_millicores * (now_ms - run.ordered_ms)
+                    self.metrics.count("work_lost_core_ms", by=round(lost / 1_000))
                     worker.stop(run)
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -219,7 +219,7 @@
         self.inherited_work.remove_expired()
         self.crash_policy.records.remove_expired(now_ms)
         self.start_waiting_tasks()
-        self.endings.refuse_hopeless(now_ms)
+        self.endings.end_in_shortage(now_ms)
 
     def resume(self) -> None:
         """Give orders again, after this daemon's ownership was checked."""
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -62,6 +62,7 @@
     received it, ``deadline_ms`` when the client stops waiting. ``receiver`` is None
     after the link to its daemon was lost, at ``orphaned_ms``. ``former_placers`` are
     the daemons that received the job earlier and may have started runs of its tasks.
+    ``rank_offset_ms`` moves the job among those of its level that can be on time.
     ``effective_runs`` counts the runs that were ordered, less those that definitely
     had no effect. ``sent_before`` is set if an earlier send of the job may have run.
     """
@@ -76,6 +77,7 @@
     received_ms: float = 0
     effective_runs: int = 0
     sent_before: bool = False
+    rank_offset_ms: float = 0
     ended: bool = False
     orphaned_ms: float = 0
 
@@ -104,6 +106,12 @@
         """Return the estimated work of the tasks that are not done."""
         return self.submitted.work_millicore_ms * self.tasks_left / len(self.tasks)
 
+    @property
+    def useful_until_ms(self) -> float:
+        """Return the time until which an outcome of the job counts."""
+        late_limit_ms = self.arrived_ms + self.submitted.late_limit_ms
+        return min(self.deadline_ms, late_limit_ms)
+
     @property
     def latest_on_time_start_ms(self) -> float:
         """Return the latest time to start the job so that it meets its objective."""
@@ -119,10 +127,7 @@
 
         ``UNSTARTED_WAIT_SHARE`` limits it while no task is started.
         """
-        late_limit_ms = self.arrived_ms + self.submitted.late_limit_ms
-        last_useful_ms = (
-            min(self.deadline_ms, late_limit_ms) - self.submitted.critical_path_ms
-        )
+        last_useful_ms = self.useful_until_ms - self.submitted.critical_path_ms
         if self.started:
             return last_useful_ms
         allowed_ms = self.deadline_ms - self.arrived_ms
--- a/rattanloom/scheduling/waiting.py
+++ b/rattanloom/scheduling/waiting.py
@@ -11,6 +11,12 @@
 from rattanloom.scheduling.shares import GuaranteedShares
 
 Entry = tuple[float, int, PlacedTask]
+# Jobs of a source over its share wait this much longer than their latest start says,
+# which is more than the slack of any job.
+OVER_SHARE_OFFSET_MS = 60_000
+# A returned job goes before new ones whose latest start is earlier by up to a tick;
+# these have equal cost as far as a decision sees it.
+RETURNED_OFFSET_MS = -50
 # The queues of a level, in the order in which they are served.
 STARTED, ON_TIME, LATE = range(3)
 
@@ -68,9 +74,11 @@
         level_queues = self._levels.get(level)
         if level_queues is None:
             level_queues = self._levels[level] = LevelQueues()
-        kind = _queue_of(task, now_ms)
+        kind = _queue_of(task.job, now_ms)
         rank = task.job.latest_on_time_start_ms
-        if kind == LATE:
+        if kind == ON_TIME:
+            rank += task.job.rank_offset_ms
+        elif kind == LATE:
             rank = _late_order(task)
         heappush(level_queues.queues[kind], (rank, next(self._numbers), task))
 
@@ -108,7 +116,7 @@
         while queue:
             task = queue[0][2]
             if _is_waiting(task):
-                if _queue_of(task, now_ms) in (kind, STARTED):
+                if _queue_of(task.job, now_ms) in (kind, STARTED):
                     return True
                 heappop(queue)
                 self.put_back(task, now_ms)
@@ -158,6 +166,21 @@
             jobs.sort(key=lambda job: (not job.started, -self.cost(job, now_ms)))
         return jobs
 
+    def jobs_in_order(self, now_ms: float) -> list[PlacedJob]:
+        """Return the jobs with waiting tasks, in the order in which they start.
+
+        The guaranteed shares are left out, as they change with each start.
+        """
+        jobs = dict.fromkeys(task.job for task in self)
+        return sorted(
+            jobs,
+            key=lambda job: (
+                _queue_of(job, now_ms),
+                -self.cost(job, now_ms),
+                job.latest_on_time_start_ms,
+            ),
+        )
+
     def clear(self) -> None:
         """Remove all waiting tasks."""
         self._levels.clear()
@@ -174,8 +197,7 @@
     )
 
 
-def _queue_of(task: PlacedTask, now_ms: float) -> int:
-    job = task.job
+def _queue_of(job: PlacedJob, now_ms: float) -> int:
     is_late = job.latest_on_time_start_ms < now_ms
     if job.started and (not is_late or 2 * job.tasks_left <= len(job.tasks)):
         return STARTED
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -14,6 +14,7 @@
 
 from rattanloom.placement.assignment import AssignmentPass
 from rattanloom.placement.jobs import JobPolicy, Step, SubmittedJob
+from rattanloom.placement.pooled_worker import BUSY_WAIT_MS
 from rattanloom.placement.runs import (
     PlacedJob,
     PlacedTask,
@@ -25,7 +26,14 @@
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.worker_runs import WorkerRuns
 from rattanloom.placement.workers import Resources, WorkerEntry
-from rattanloom.scheduling.overload import ArrivingWork, hopeless_jobs
+from rattanloom.scheduling.overload import (
+    ArrivingWork,
+    PoolCapacity,
+    Shortage,
+    refusals,
+    useless_jobs,
+)
+from rattanloom.scheduling.progress import RunProgress
 from rattanloom.scheduling.waiting import WaitingTasks
 from tests.dispatcher_fakes import FakeReceiver
 
@@ -136,10 +144,12 @@
     kinds: dict[str, Kind] = field(factory=lambda: KINDS)
     is_varied: bool = False
     uses_priority: bool = True
+    gives_up_useless: bool = False
     results: Results = field(factory=Results)
     pool: list[ModelWorker] = field(factory=list)
     waiting: WaitingTasks = field(factory=WaitingTasks)
     arriving: ArrivingWork = field(factory=ArrivingWork)
+    shortage: Shortage = field(factory=Shortage)
     jobs: dict[str, PlacedJob] = field(factory=dict)
     _played: dict[str, Played] = field(factory=dict)
     _events: list = field(factory=list)
@@ -253,11 +263,20 @@
         if run.phase is RunPhase.STOPPING or not worker.runs.remove(run):
             return
         job = run.task.job
+        for other in worker.runs.all():
+            self._list(worker, other)
         run.task.state = TaskState.DONE
         job.tasks_left -= 1
         if job.tasks_left == 0:
             self._complete(job)
 
+    def _list(self, worker: ModelWorker, run: Run) -> None:
+        """Update the progress of a run as a report does."""
+        duration_ms = self._played[run.task.job.job_id].duration_ms
+        elapsed_ms = self.now_ms - run.ordered_ms
+        run.last_listed_ms = self.now_ms
+        run.percent = int(100 * elapsed_ms / (duration_ms * worker.duration_ratio))
+
     def _complete(self, job: PlacedJob) -> None:
         job.ended = True
         del self.jobs[job.job_id]
@@ -272,6 +291,7 @@
 
     def _tick(self) -> None:
         self.waiting.demand.update(self.now_ms)
+        self._list_overdue()
         for task in list(self.waiting):
             if self.now_ms > task.job.latest_useful_start_ms:
                 self._give_up(task.job)
@@ -279,16 +299,35 @@
             if self.now_ms > job.deadline_ms:
                 self._give_up(job)
         self._start_tasks()
-        if self.refuses_early:
-            late = self.waiting.late_jobs(self.now_ms)
-            capacity = sum(
-                worker.runs.capacity.cpu_millicores
-                for worker in self.pool
-                if worker.state is WorkerState.READY
-            )
-            arriving = self.arriving.millicores(self.now_ms)
-            for job in hopeless_jobs(late, capacity, arriving, self.now_ms):
-                self._give_up(job)
+        if not self.refuses_early:
+            return
+        accepting = [w for w in self.pool if w.state is WorkerState.READY]
+        capacity = PoolCapacity(
+            sum(worker.runs.capacity.cpu_millicores for worker in accepting),
+            max(worker.runs.free.cpu_millicores for worker in accepting),
+        )
+        arriving = self.arriving.by_level(self.now_ms)
+        decisions = refusals(self.waiting, capacity, arriving, self.now_ms)
+        if self.gives_up_useless and self.shortage.update(self.waiting, capacity):
+            decisions += useless_jobs(self._running())
+        for decision in decisions:
+            self._give_up(decision.job)
+
+    def _list_overdue(self) -> None:
+        for worker in self.pool:
+            for run in worker.runs.all():
+                listed_ms = max(run.last_listed_ms, run.ordered_ms)
+                if self.now_ms >= listed_ms + BUSY_WAIT_MS:
+                    self._list(worker, run)
+
+    def _running(self) -> Iterator[tuple[PlacedJob, RunProgress]]:
+        for worker in self.pool:
+            for run in worker.runs.all():
+                if run.phase is RunPhase.RUNNING:
+                    yield (
+                        run.task.job,
+                        RunProgress(run.ordered_ms, run.last_listed_ms, run.percent),
+                    )
 
     def _give_up(self, job: PlacedJob) -> None:
         if job.ended:
@@ -300,7 +339,8 @@
             self.results.refused_held_ms.append(held_ms)
             self.results.held_too_long += held_ms > job.submitted.objective_ms / 4
             self.results.refused_with_capacity += any(
-                worker.state is WorkerState.READY and worker.runs.free.fits(NEED)
+                worker.state is WorkerState.READY
+                and worker.runs.free.fits(job.submitted.steps[0].need)
                 for worker in self.pool
             )
             return
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -5,12 +5,11 @@
 from rattanloom.placement.jobs import RETRY_AFTER_MS
 from rattanloom.placement.runs import make_job
 from rattanloom.scheduling.overload import (
-    RETRY_AFTER_MAX_MS,
     WINDOW_MS,
     ArrivingWork,
     hopeless_jobs,
-    retry_after_ms,
 )
+from rattanloom.scheduling.returns import RETRY_AFTER_MAX_MS, retry_after_ms
 from tests.dispatcher_fakes import FakeReceiver, make_submitted_job
 from tests.load_replay import LoadReplay
 
