--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -122,6 +122,8 @@
         kind = OutcomeKind.REFUSED
         if job.may_have_run:
             kind = OutcomeKind.GIVEN_UP
+        if job.rank_offset_ms == RETURNED_OFFSET_MS:
+            reason += "; it was refused before, and capacity is still short"
         self.end(job, JobOutcome(job.job_id, kind, reason, self._retry_after(job)))
 
     def _retry_after(self, job: PlacedJob) -> int:
@@ -170,6 +172,7 @@
             reason=outcome.reason if outcome else "client or daemon disconnected",
             tasks_left=job.tasks_left,
             age_ms=round(age_ms),
+            rank_offset_ms=job.rank_offset_ms,
         )
         if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
             self._stop_runs(job)
--- a/rattanloom/scheduling/returns.py
+++ b/rattanloom/scheduling/returns.py
@@ -25,12 +25,12 @@
     """Gives the clients of refused jobs return times, and remembers them.
 
     The work of the jobs that will return counts as waiting work until then, so that
-    the clients of later refusals return after it. ``_promised`` has the time and work
-    of each, in the order in which they were refused; ``_returns`` the time by job.
+    the clients of later refusals return after it. ``_returns`` has the time and work
+    of each, ``_refused`` the time and job in the order in which they were refused.
     """
 
-    _returns: dict[str, float] = field(factory=dict)
-    _promised: deque[tuple[float, str, float]] = field(factory=deque)
+    _returns: dict[str, tuple[float, float]] = field(factory=dict)
+    _refused: deque[tuple[float, str]] = field(factory=deque)
     _promised_work: float = 0
 
     def add(
@@ -46,25 +46,28 @@
         after_ms = retry_after_ms(
             job_id, waiting_work + self._promised_work, spare_millicores
         )
-        self._returns[job_id] = now_ms + after_ms
-        self._promised.append((now_ms + after_ms, job_id, work))
+        self.take(job_id)
+        self._returns[job_id] = now_ms + after_ms, work
+        self._refused.append((now_ms + after_ms, job_id))
         self._promised_work += work
         return after_ms
 
     def take(self, job_id: str) -> bool:
         """Return whether a job was refused lately, and so returns now."""
-        return self._returns.pop(job_id, None) is not None
+        found = self._returns.pop(job_id, None)
+        if found is not None:
+            self._promised_work -= found[1]
+        return found is not None
 
     def remove_expired(self, now_ms: float) -> None:
         """Remove the jobs that did not return, and the oldest ones beyond the limit."""
-        while self._promised and (
-            len(self._promised) >= REMEMBERED_MAX
-            or self._promised[0][0] + RETURN_GRACE_MS < now_ms
+        while self._refused and (
+            len(self._refused) >= REMEMBERED_MAX
+            or self._refused[0][0] + RETURN_GRACE_MS < now_ms
         ):
-            return_ms, job_id, work = self._promised.popleft()
-            self._promised_work -= work
-            if self._returns.get(job_id) == return_ms:
-                del self._returns[job_id]
+            return_ms, job_id = self._refused.popleft()
+            if self._returns.get(job_id, (None,))[0] == return_ms:
+                self.take(job_id)
 
 
 def spare_millicores(capacity: float, arriving: float) -> float:
--- a/rattanloom/scheduling/shares.py
+++ b/rattanloom/scheduling/shares.py
@@ -6,6 +6,10 @@
 
 from rattanloom.scheduling.cost import GUARANTEED_SHARE, DemandByLevel
 
+# A level is owed at most this many jobs of its mean work, so that tasks that fit no
+# worker for a while don't let its later jobs go before all others.
+OWED_JOBS_MAX = 16
+
 
 @define(eq=False, repr=False)
 class GuaranteedShares:
@@ -27,11 +31,15 @@
                 del self._owed[other]
         for other in waiting:
             share = GUARANTEED_SHARE * self.demand.shares.get(other, 0.0)
-            self._owed[other] = self._owed.get(other, 0.0) + share * work
+            owed = self._owed.get(other, 0.0) + share * work
+            self._owed[other] = min(owed, self._owed_max(other))
         if level in self._owed:
             self._owed[level] = max(0.0, self._owed[level] - work)
 
     def is_due(self, level: int, work: float) -> bool:
         """Return whether a level is owed its next job, which still needs ``work``."""
         owed = self._owed.get(level, 0.0)
-        return owed > 0 and owed >= work
+        return owed > 0 and owed >= min(work, self._owed_max(level))
+
+    def _owed_max(self, level: int) -> float:
+        return OWED_JOBS_MAX * self.demand.mean_work(level)
--- a/tests/test_order_by_cost.py
+++ b/tests/test_order_by_cost.py
@@ -167,6 +167,7 @@
     assert times[3] >= 3 * RETRY_AFTER_MS
     assert returns.take(f"{0:016x}")
     assert not returns.take(f"{0:016x}")
+    assert returns._promised_work == 3 * work
     returns.remove_expired(RETRY_AFTER_MAX_MS + RETURN_GRACE_MS + 1)
     assert not returns.take(f"{1:016x}")
     for number in range(2 * REMEMBERED_MAX):
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -365,3 +365,24 @@
         placer.submit(receiver, make_submitted_job(), ("placer-1",))
         assert len(receiver.outcomes) == 2
     assert len(worker.starts) == 1
+
+
+def test_run_that_ends_too_late_is_stopped_only_if_capacity_is_short():
+    """Its capacity must go to a job that can be in time; idle workers cost nothing."""
+    worker, useless, waiting = FakeWorker("w1"), FakeReceiver(), FakeReceiver()
+    with running_placer(worker) as placer:
+        job = make_submitted_job(count=2, estimate_ms=400, remaining_ms=1_500)
+        placer.submit(useless, job, ())
+        assert wait_for(lambda: len(worker.running) == 2)
+        gevent.sleep(0.3)
+        for key in worker.running:
+            worker.running[key] = 12
+        worker.changed.set()
+        gevent.sleep(0.15)
+        assert not useless.outcomes
+        placer.submit(waiting, make_submitted_job("00000000000000bb"), ())
+        assert wait_for(lambda: useless.outcomes)
+        assert wait_for(lambda: any(key[0][-7] == "b" for key in worker.running))
+        assert placer.metrics.counters["work_lost_core_ms", ""] > 0
+    assert useless.outcomes[0].kind is OutcomeKind.GIVEN_UP
+    assert useless.outcomes[0].retry_after_ms
