--- a/rattanloom/placement/job_returns.py
+++ b/rattanloom/placement/job_returns.py
@@ -8,10 +8,10 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.placement.job_endings import JobEndings
 from rattanloom.placement.jobs import ReturnedJob
-from rattanloom.placement.overload import retry_after_ms
 from rattanloom.placement.runs import PlacedJob, PlacedTask
 from rattanloom.placement.start_limits import StartLimits
 from rattanloom.placement.workers import Resources
+from rattanloom.scheduling.returns import retry_after_ms
 
 log = DecisionLog("placement")
 
