Refuse jobs behind others only in a shortage, and count paused workers as free

Jobs were refused by their place also right after a takeover or while workers were paused, when nothing was free for a moment only.

Change: early refusals need a shortage (two ticks in a row), and the largest free part of a worker counts paused and just taken over workers.

--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -11,7 +11,7 @@
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedJob, RunPhase
-from rattanloom.placement.worker_choice import accepts_tasks, tasks_without_worker
+from rattanloom.placement.worker_choice import tasks_without_worker
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.scheduling.cost import level_of
 from rattanloom.scheduling.fairness import SourceShares
@@ -90,13 +90,14 @@
         is_short = self.shortage.is_on
         if not self.waiting and not is_short:
             return
-        capacity = self._capacity(now_ms)
+        capacity = self._capacity()
         if self.shortage.update(self.waiting, capacity) != is_short:
             log.info("shortage", on=not is_short, capacity=capacity.millicores)
         self.metrics.gauge("shortage", self.shortage.is_on)
         arriving = self.arriving.by_level(now_ms)
-        decisions = refusals(self.waiting, capacity, arriving, now_ms)
-        if self.shortage.is_on:
+        is_short = self.shortage.is_on
+        decisions = refusals(self.waiting, capacity, arriving, now_ms, is_short)
+        if is_short:
             decisions += useless_jobs(self._progress())
         for decision in decisions:
             if not decision.job.ended:
@@ -132,12 +133,12 @@
         jobs = dict.fromkeys(task.job for task in self.waiting)
         waiting = sum(other.remaining_work_millicore_ms for other in jobs)
         spare = spare_millicores(
-            self._capacity(now_ms).millicores, self.arriving.millicores(now_ms)
+            self._capacity().millicores, self.arriving.millicores(now_ms)
         )
         work = job.submitted.work_millicore_ms
         return self.returns.add(job.job_id, work, waiting, spare, now_ms)
 
-    def _capacity(self, now_ms: float) -> PoolCapacity:
+    def _capacity(self) -> PoolCapacity:
         """Return the capacity of all workers that accept tasks or soon may again."""
         workers = [
             worker
@@ -146,14 +147,9 @@
             and worker.limits.is_open(worker)
             and worker.state in (WorkerState.READY, WorkerState.SYNCING)
         ]
-        free = [
-            worker.runs.free.cpu_millicores
-            for worker in workers
-            if accepts_tasks(worker, now_ms)
-        ]
         return PoolCapacity(
             sum(worker.runs.capacity.cpu_millicores for worker in workers),
-            max(free, default=0),
+            max((worker.runs.free.cpu_millicores for worker in workers), default=0),
         )
 
     def end(self, job: PlacedJob, outcome: JobOutcome | None) -> None:
--- a/rattanloom/scheduling/overload.py
+++ b/rattanloom/scheduling/overload.py
@@ -57,7 +57,8 @@
 class PoolCapacity:
     """Capacity of the workers that accept tasks or soon may again.
 
-    ``largest_free_millicores`` is the most that is free on one worker.
+    ``largest_free_millicores`` is the most that is free on one of them. Workers that
+    are paused or were just taken over count, as a job may soon start there.
     """
 
     millicores: float
@@ -116,17 +117,19 @@
     capacity: PoolCapacity,
     arriving: dict[int, float],
     now_ms: float,
+    is_short: bool = True,
 ) -> list[Decision]:
     """Return the waiting jobs to refuse now.
 
-    ``arriving`` is the processor that the arriving work of each level needs.
+    ``arriving`` is the processor that the arriving work of each level needs. Only late
+    jobs are refused unless capacity ``is_short``.
     """
     late = hopeless_jobs(
         waiting.late_jobs(now_ms), capacity.millicores, sum(arriving.values()), now_ms
     )
     decisions = [Decision(job, Reason.LATE) for job in late]
     weights = waiting.demand.weights
-    if len(weights) > 1:
+    if is_short and len(weights) > 1:
         preferred = {
             level: sum(arriving[other] for other in arriving if weight < weights[other])
             for level, weight in weights.items()
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -309,8 +309,9 @@
             max(worker.runs.free.cpu_millicores for worker in accepting),
         )
         arriving = self.arriving.by_level(self.now_ms)
-        decisions = refusals(self.waiting, capacity, arriving, self.now_ms)
-        if self.gives_up_useless and self.shortage.update(self.waiting, capacity):
+        is_short = self.shortage.update(self.waiting, capacity)
+        decisions = refusals(self.waiting, capacity, arriving, self.now_ms, is_short)
+        if self.gives_up_useless and is_short:
             decisions += useless_jobs(self._running())
         for decision in decisions:
             self._give_up(decision.job)
