Move jobs between zones by their expected wait

Cause: a daemon whose own zone had less free capacity than a job needs sent the job to the placer with the most, even if that one was short as well. All daemons acted on the same report, so half of the jobs moved under high load, and nothing bounded what one zone took from another one's clients.

Change: placers announce free capacity, capacity, arriving work and waiting work by priority (union member 13 from protocol version 2 on, `room` before). A job moves if it waits less elsewhere, into this daemon's share of the free capacity beyond a reserve, or if it would be late in its own zone only, into a queue of at most 80 ms. A placer that was not heard gets jobs gradually. The choice moves to rattanloom/scheduling; the announcement leaves daemon.py.

A moved job whose placer fails is neither lost nor started twice (test).

--- /dev/null
+++ b/rattanloom/capacity_exchange.py
@@ -0,0 +1,74 @@
+"""Announces the load of this daemon's placer, and records that of other placers."""
+
+from attrs import define
+
+from rattanloom.clock import Clock
+from rattanloom.links.hub import LinkHub
+from rattanloom.links.link import Link
+from rattanloom.links.messages import ZONE_LOAD_VERSION, AnnouncedLoad, FreeCapacity
+from rattanloom.metrics import Metrics
+from rattanloom.ownership.ownership import Ownership
+from rattanloom.placement.load_report import measure_load
+from rattanloom.placement.placer import Placer
+from rattanloom.scheduling.zone_choice import PlacerChoice
+
+# Interval at which a placer announces its load in a large deployment.
+CAPACITY_INTERVAL_MS = 100
+
+
+@define(eq=False, repr=False)
+class CapacityExchange:
+    """Announces the placer's load to all linked daemons and to ``placer_choice``.
+
+    Peers of a build that does not know the message get the free capacity only.
+    """
+
+    clock: Clock
+    hub: LinkHub
+    ownership: Ownership
+    placer: Placer
+    placer_choice: PlacerChoice
+    metrics: Metrics
+    _announced_ms: float = 0
+
+    def announce_if_due(self) -> None:
+        """Announce the load if ``CAPACITY_INTERVAL_MS`` have passed.
+
+        Does nothing unless this daemon owns a zone and the deployment is large.
+        """
+        now_ms = self.clock.now_ms()
+        if (
+            now_ms <= self._announced_ms + CAPACITY_INTERVAL_MS
+            or not self.ownership.owned()
+            or not self.ownership.is_large_deployment()
+        ):
+            return
+        self._announced_ms = now_ms
+        load = measure_load(self.placer, self._is_own_source, now_ms)
+        self.metrics.gauge("zone_free_millicores", load.free_millicores)
+        self.metrics.gauge("zone_wait_ms", load.wait_ms)
+        self.placer_choice.record_load(self.ownership.own_member.node, load)
+        for node in self.hub.nodes():
+            link = self.hub.link(node)
+            if link.peer.protocol_version >= ZONE_LOAD_VERSION:
+                link.send(AnnouncedLoad(load))
+            else:
+                link.send(FreeCapacity(load.free_millicores))
+
+    def handle(self, link: Link, message: FreeCapacity | AnnouncedLoad) -> None:
+        """Record what a peer's placer announced."""
+        node = link.peer.node
+        if isinstance(message, AnnouncedLoad):
+            self.placer_choice.record_load(node, message.load)
+        else:
+            self.placer_choice.record_free_capacity(node, message.millicores)
+
+    def daemons_in(self, zone: str) -> int:
+        """Return the number of registered daemons in a zone."""
+        members = self.ownership.view.members.values()
+        return sum(member.zone == zone for member in members)
+
+    def _is_own_source(self, node: str) -> bool:
+        """Return whether a daemon is in a zone that this daemon owns."""
+        member = self.ownership.view.members.get(node)
+        return member is not None and member.zone in self.ownership.owned()
--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -14,6 +14,7 @@
 from gevent.pywsgi import WSGIServer
 
 from rattanloom.background import run_and_log_failure, spawn_restarting
+from rattanloom.capacity_exchange import CapacityExchange
 from rattanloom.clock import MS_PER_S
 from rattanloom.crash_exchange import CrashExchange
 from rattanloom.decision_log import DecisionLog, logging_decisions
@@ -21,7 +22,6 @@
 from rattanloom.ingress.api import ClientApi
 from rattanloom.ingress.job_router import JobRouter
 from rattanloom.ingress.metrics_page import serving_metrics
-from rattanloom.ingress.placer_choice import PlacerChoice
 from rattanloom.ingress.queue_follower import make_queue_follower
 from rattanloom.ingress.queues import QueueTable, RequestLimits
 from rattanloom.ingress.readiness import serving_readiness
@@ -34,6 +34,7 @@
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.link import Link
 from rattanloom.links.messages import (
+    AnnouncedLoad,
     Cancel,
     FreeCapacity,
     Hello,
@@ -61,6 +62,7 @@
 from rattanloom.platform.workers import WorkerClient
 from rattanloom.registry import Registry
 from rattanloom.reload import SettingsWatcher
+from rattanloom.scheduling.zone_choice import PlacerChoice
 from rattanloom.settings import SettingsError
 from rattanloom.signals import stop_signals
 from rattanloom.status import ExitStatus
@@ -89,8 +91,6 @@
 FINAL_RESPONSES_MS = 200
 # Time for peers to open a link and to announce their claims.
 CLAIMS_WAIT_MS = 500
-# Interval at which a placer announces its free capacity in a large deployment.
-CAPACITY_INTERVAL_MS = 100
 
 
 @define(eq=False, repr=False)
@@ -132,9 +132,9 @@
     ownership: Ownership = field(init=False)
     placer_choice: PlacerChoice = field(init=False)
     crash_exchange: CrashExchange = field(init=False)
+    capacity_exchange: CapacityExchange = field(init=False)
     job_router: JobRouter = field(init=False)
     connections: ConnectionState = field(init=False)
-    _capacity_announced_ms: float = 0
     _wake: Event = field(factory=Event)
 
     def __attrs_post_init__(self) -> None:
@@ -202,7 +202,21 @@
             pause_ms=self._workers_read_pause_ms,
         )
         self.placer_choice = PlacerChoice(
-            clock, self.ownership.reachable_owners, self.ownership.owner_of
+            clock,
+            self.ownership.reachable_owners,
+            self.ownership.owner_of,
+            lambda zone: self.capacity_exchange.daemons_in(zone),
+            lambda chosen: self.metrics.count(
+                "jobs_moved", f"{chosen.zone}/{chosen.reason.value}"
+            ),
+        )
+        self.capacity_exchange = CapacityExchange(
+            clock,
+            self.hub,
+            self.ownership,
+            self.placer,
+            self.placer_choice,
+            self.metrics,
         )
         self.job_router = JobRouter(
             deployment.node,
@@ -270,7 +284,7 @@
             self.placer.tick,
             self.job_router.tick,
             self._request_placer_links,
-            self._announce_free_capacity,
+            self.capacity_exchange.announce_if_due,
         )
         while True:
             self._wait_for_tick()
@@ -297,27 +311,6 @@
         for node in nodes:
             self.ownership.request_link(node)
 
-    def _announce_free_capacity(self) -> None:
-        """Announce this placer's free capacity to all linked daemons.
-
-        Does nothing unless this daemon owns a zone and the deployment is large.
-        """
-        now_ms = self.environment.clock.now_ms()
-        is_due = now_ms > self._capacity_announced_ms + CAPACITY_INTERVAL_MS
-        if (
-            not is_due
-            or not self.ownership.owned()
-            or not self.ownership.is_large_deployment()
-        ):
-            return
-        self._capacity_announced_ms = now_ms
-        message = FreeCapacity(self.placer.free_millicores())
-        self.placer_choice.record_free_capacity(
-            self.deployment.node, message.millicores
-        )
-        for node in self.hub.nodes():
-            self.hub.link(node).send(message)
-
     def _refresh_workers(self) -> bool:
         """Read the workers now; return whether it succeeded."""
         failure = self.workers_follower.read_now()
@@ -408,8 +401,8 @@
                 self.placer.submit(receiver, message.job, message.former_placers)
         elif isinstance(message, Cancel):
             self.placer.cancel(message.job_id)
-        elif isinstance(message, FreeCapacity):
-            self.placer_choice.record_free_capacity(link.peer.node, message.millicores)
+        elif isinstance(message, FreeCapacity | AnnouncedLoad):
+            self.capacity_exchange.handle(link, message)
         elif isinstance(message, Outcome):
             self.job_router.record_outcome(link.peer.node, message.outcome)
         elif isinstance(message, RunLosses):
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -7,7 +7,6 @@
 
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
-from rattanloom.ingress.placer_choice import ChosenPlacer, PlacerChoice
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.messages import Cancel, Submit
 from rattanloom.placement.jobs import (
@@ -17,6 +16,7 @@
     SubmittedJob,
 )
 from rattanloom.placement.placer import Placer
+from rattanloom.scheduling.zone_choice import ChosenPlacer, PlacerChoice
 
 log = DecisionLog("ingress")
 
@@ -171,7 +171,7 @@
         if job.former_placers:
             chosen = self.placer_choice.current_owner(job.zone)
         else:
-            chosen = self.placer_choice.choose(job.submitted.need_millicores)
+            chosen = self.placer_choice.choose(job.submitted)
         if chosen is None:
             return
         link = self.hub.link(chosen.node)
@@ -187,6 +187,7 @@
             job=submitted.job_id,
             placer=chosen.node,
             zone=chosen.zone,
+            reason=chosen.reason.value,
             placer_before=job.placer,
             former_placers=job.former_placers,
             waited_ms=round(waited_ms),
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -10,6 +10,7 @@
 import capnp
 
 from rattanloom.links.messages import (
+    AnnouncedLoad,
     Cancel,
     FreeCapacity,
     Hello,
@@ -32,6 +33,7 @@
     SubmittedJob,
 )
 from rattanloom.placement.workers import Resources
+from rattanloom.scheduling.zone_load import PriorityLoad, ZoneLoad
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("links.capnp")))
 
@@ -168,6 +170,40 @@
     )
 
 
+def _write_load(builder: object, message: AnnouncedLoad) -> None:
+    load, slot = message.load, builder.init("zoneLoad")
+    slot.freeMillicores = load.free_millicores
+    slot.capacityMillicores = load.capacity_millicores
+    slot.ownArrivingMillicores = load.own_arriving_millicores
+    priority_slots = slot.init("priorities", len(load.priorities))
+    for priority_slot, priority_load in zip(
+        priority_slots, load.priorities, strict=True
+    ):
+        priority_slot.priority = priority_load.priority
+        priority_slot.waitingMillicoreMs = priority_load.waiting_millicore_ms
+        priority_slot.arrivingMillicores = priority_load.arriving_millicores
+
+
+def _read_load(reader: object) -> AnnouncedLoad:
+    slot = reader.zoneLoad
+    priorities = tuple(
+        PriorityLoad(load.priority, load.waitingMillicoreMs, load.arrivingMillicores)
+        for load in slot.priorities
+    )
+    amounts = [load.waiting_millicore_ms for load in priorities]
+    amounts += [load.arriving_millicores for load in priorities]
+    if not all(map(isfinite, (*amounts, slot.ownArrivingMillicores))):
+        raise ValueError("an announced load is not finite")
+    return AnnouncedLoad(
+        ZoneLoad(
+            slot.freeMillicores,
+            slot.capacityMillicores,
+            slot.ownArrivingMillicores,
+            priorities,
+        )
+    )
+
+
 def _write_liveness_reply(builder: object, reply: OwnerLivenessReply) -> None:
     slot = builder.init("ownerAnswer")
     slot.owner = reply.owner
@@ -237,6 +273,7 @@
     Hello: _write_hello,
     Ping: _write_ping,
     FreeCapacity: _write_attribute("room", "millicores"),
+    AnnouncedLoad: _write_load,
     Submit: _write_submit,
     Cancel: _write_attribute("cancel", "job_id"),
     Outcome: _write_outcome,
@@ -251,6 +288,7 @@
     "hello": _read_hello,
     "ping": lambda reader: Ping(),
     "room": lambda reader: FreeCapacity(reader.room),
+    "zoneLoad": _read_load,
     "submit": _read_submit,
     "cancel": lambda reader: Cancel(reader.cancel),
     "outcome": _read_outcome,
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -66,6 +66,19 @@
   state @4 :Text;
 }
 
+struct PriorityLoad {
+  priority @0 :UInt16;
+  waitingMillicoreMs @1 :Float64;
+  arrivingMillicores @2 :Float64;
+}
+
+struct ZoneLoad {
+  freeMillicores @0 :Int64;
+  capacityMillicores @1 :UInt64;
+  ownArrivingMillicores @2 :Float64;
+  priorities @3 :List(PriorityLoad);
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -79,5 +92,8 @@
     zoneClaims @8 :ZoneClaims;
     room @9 :Int64;
     runLosses @10 :List(RunLoss);
+    reserved11 @11 :Void;
+    reserved12 @12 :Void;
+    zoneLoad @13 :ZoneLoad;
   }
 }
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -4,11 +4,14 @@
 
 from rattanloom.placement.crash_records import RunLoss
 from rattanloom.placement.jobs import JobOutcome, SubmittedJob
+from rattanloom.scheduling.zone_load import ZoneLoad
 
-# Version of the messages, and the first one with ``RunLosses``. Builds from before the
-# field send 0 and close a link on which they receive an unknown message.
-PROTOCOL_VERSION = 1
+# Version of the messages, and the first ones with ``RunLosses`` and ``AnnouncedLoad``.
+# Builds from before the field send 0 and close a link on which they receive an unknown
+# message.
+PROTOCOL_VERSION = 2
 RUN_LOSSES_VERSION = 1
+ZONE_LOAD_VERSION = 2
 
 
 @frozen
@@ -33,11 +36,18 @@
 
 @frozen
 class FreeCapacity:
-    """Announces ``Placer.free_millicores`` of the sender; below 0 if more is needed."""
+    """Announces ``free_millicores`` of ``ZoneLoad`` to builds that know no more."""
 
     millicores: int
 
 
+@frozen
+class AnnouncedLoad:
+    """Announces the load of the sender's workers."""
+
+    load: ZoneLoad
+
+
 @frozen
 class Submit:
     """Submits a job to the receiver's placer; see ``PlacedJob`` for former placers."""
@@ -107,5 +117,5 @@
 
 
 OwnershipMessage = OwnerLivenessQuery | OwnerLivenessReply | TakeZones | ZoneClaims
-PlacementMessage = FreeCapacity | Submit | Cancel | Outcome | RunLosses
+PlacementMessage = FreeCapacity | AnnouncedLoad | Submit | Cancel | Outcome | RunLosses
 Message = Hello | Ping | PlacementMessage | OwnershipMessage
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -1,5 +1,7 @@
 """Ends jobs at a placer: stops their runs and delivers their outcomes."""
 
+from collections.abc import Iterable
+
 from attrs import define, field
 
 from rattanloom.clock import Clock
@@ -58,13 +60,7 @@
         return retry_after_ms(job.job_id, waiting, self._capacity_millicores())
 
     def _capacity_millicores(self) -> int:
-        """Return the capacity of all workers that accept tasks or soon may again."""
-        return sum(
-            worker.runs.capacity.cpu_millicores
-            for worker in self.workers.values()
-            if worker.entry.accepting
-            and worker.state in (WorkerState.READY, WorkerState.SYNCING)
-        )
+        return capacity_millicores(self.workers.values())
 
     def end(self, job: PlacedJob, outcome: JobOutcome | None) -> None:
         """End a job and stop its runs; without an outcome, nothing is delivered."""
@@ -97,3 +93,13 @@
                 belongs_to_job = run.task is not None and run.task.job is job
                 if belongs_to_job and run.phase is not RunPhase.STOPPING:
                     worker.stop(run)
+
+
+def capacity_millicores(workers: Iterable[PooledWorker]) -> int:
+    """Return the capacity of all workers that accept tasks or soon may again."""
+    return sum(
+        worker.runs.capacity.cpu_millicores
+        for worker in workers
+        if worker.entry.accepting
+        and worker.state in (WorkerState.READY, WorkerState.SYNCING)
+    )
--- /dev/null
+++ b/rattanloom/placement/load_report.py
@@ -0,0 +1,38 @@
+"""Measures the load that a placer announces to the daemons of the deployment."""
+
+from collections.abc import Callable
+
+from rattanloom.placement.job_endings import capacity_millicores
+from rattanloom.placement.placer import Placer
+from rattanloom.placement.worker_choice import accepts_tasks
+from rattanloom.scheduling.zone_load import ZoneLoad, merge_loads
+
+
+def measure_load(
+    placer: Placer, is_own_source: Callable[[str], bool], now_ms: float
+) -> ZoneLoad:
+    """Return the load of a placer's workers.
+
+    ``is_own_source`` returns whether a daemon is in one of the placer's own zones.
+    """
+    workers = placer.workers.values()
+    free = sum(
+        max(0, worker.runs.free.cpu_millicores)
+        for worker in workers
+        if accepts_tasks(worker, now_ms)
+    )
+    waiting = [
+        (task.job.submitted.policy.priority, task.step) for task in placer.waiting
+    ]
+    return ZoneLoad(
+        free - sum(step.need.cpu_millicores for _, step in waiting),
+        capacity_millicores(workers),
+        placer.demand.from_sources(is_own_source, now_ms),
+        merge_loads(
+            (
+                (priority, step.need.cpu_millicores * step.estimate_ms)
+                for priority, step in waiting
+            ),
+            placer.demand.by_priority(now_ms),
+        ),
+    )
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -47,6 +47,7 @@
     WorkerClientProtocol,
     WorkerEntry,
 )
+from rattanloom.scheduling.zone_load import DemandMeter
 
 log = DecisionLog("placement")
 
@@ -72,7 +73,7 @@
     after the process was suspended; the placer gives no orders until ``resume`` is
     called. ``may_start_by_entries`` returns whether the entries of the workers are
     recent enough. ``active_runs`` counts the runs of each task that may not have
-    finished yet.
+    finished yet. ``demand`` measures the arriving work.
     """
 
     node: str
@@ -87,6 +88,7 @@
     jobs: dict[str, PlacedJob] = field(factory=dict)
     waiting: WaitingTasks = field(factory=WaitingTasks)
     active_runs: Counter[str] = field(factory=Counter)
+    demand: DemandMeter = field(factory=DemandMeter)
     worker_health: WorkerHealth = field(factory=WorkerHealth)
     inherited_work: InheritedWork = field(init=False)
     suspension: SuspensionGuard = field(init=False)
@@ -172,6 +174,12 @@
         )
         self.jobs[job.job_id] = job
         self.endings.arriving.add(job, self.clock.now_ms())
+        self.demand.add(
+            receiver.node,
+            submitted.policy.priority,
+            submitted.work_millicore_ms,
+            self.clock.now_ms(),
+        )
         log.info(
             "job_accepted",
             job=job.job_id,
@@ -291,16 +299,6 @@
 
     # Placing
 
-    def free_millicores(self) -> int:
-        """Return the free processor less the waiting tasks' need; may be below 0."""
-        now_ms = self.clock.now_ms()
-        free = sum(
-            max(0, worker.runs.free.cpu_millicores)
-            for worker in self.workers.values()
-            if accepts_tasks(worker, now_ms)
-        )
-        return free - sum(task.step.need.cpu_millicores for task in self.waiting)
-
     def start_waiting_tasks(self) -> None:
         """Start waiting tasks, in the order of their queues, where capacity is free."""
         if self._is_starting_tasks or not self.waiting or not self.may_give_orders():
--- /dev/null
+++ b/rattanloom/scheduling/zone_choice.py
@@ -0,0 +1,277 @@
+"""Chooses the zone, and thereby the placer, for a new job.
+
+The preferred placer is the reachable owner that comes first in the order of zones,
+which starts with this daemon's own zone. A job goes to another zone if it is expected
+to wait less there. It then uses free capacity beyond a reserve for that zone's own
+clients or, if it can be on time only there, waits within a bound on their waits. The
+choice is made once, before the job is sent, so a job moves at most once.
+"""
+
+from collections.abc import Callable, Iterator, Mapping
+from enum import Enum
+from zlib import crc32
+
+from attrs import define, field, frozen
+
+from rattanloom.clock import Clock
+from rattanloom.placement.jobs import SubmittedJob
+from rattanloom.scheduling.zone_load import ZoneLoad
+
+# Reports older than this are ignored; in a large deployment, placers send one every
+# 100 ms.
+CAPACITY_MAX_AGE_MS = 350
+# While the preferred placer has less free capacity than this, links to the other
+# placers are kept. About seven tasks of the largest kinds need this much.
+LOW_CAPACITY_MILLICORES = 100_000
+# The same as a share of the capacity: demand that swings by 0.55 within 15 s uses up
+# this share in half a second, the time to open links and to pass the ramp.
+LOW_CAPACITY_SHARE = 0.12
+# Time that the way to another zone's placer and back takes longer.
+DETOUR_MS = 3
+# Share of the processor for a zone's own arriving work that moved jobs leave free. With
+# 5%, a tenth of the free capacity at 90% load stayed unused beside full zones.
+RESERVE_SHARE = 0.02
+# Jobs move into the queue of another zone only while the expected wait there is below
+# this. It is less than 92 ms, which the most urgent kind of job can wait without being
+# late.
+GUEST_WAIT_MAX_MS = 80
+# The capacity of a placer that was not heard before, or not for longer than
+# ``CAPACITY_MAX_AGE_MS``, becomes available gradually over this time.
+RAMP_MS = 500
+
+
+class ZoneReason(Enum):
+    """Why a job goes to a zone.
+
+    FREE_CAPACITY: it starts sooner there, in free capacity beyond the reserve. ON_TIME:
+    it waits there, and would be late in the preferred zone. FREE_ONLY: the preferred
+    placer announces only its free capacity, and has less than the job needs.
+    """
+
+    PREFERRED = "preferred"
+    FREE_CAPACITY = "free_capacity"
+    ON_TIME = "on_time"
+    FREE_ONLY = "free_only"
+    SENT_BEFORE = "sent_before"
+
+
+@frozen
+class ChosenPlacer:
+    """A placer, the zone for which it was chosen, and why."""
+
+    node: str
+    zone: str
+    reason: ZoneReason = ZoneReason.PREFERRED
+
+
+@define(eq=False, repr=False)
+class PlacerCapacity:
+    """A placer's last reported load.
+
+    ``millicores`` is its free capacity less the need of jobs sent since. The jobs that
+    move there may use ``budget_millicores``: this daemon's share of the free capacity
+    beyond the reserve. A job may exceed the budget; the debt lowers the next ones.
+    ``moved_work`` is the work of the jobs that this daemon moved into the queue since.
+    """
+
+    load: ZoneLoad
+    received_ms: float
+    heard_since_ms: float
+    millicores: float
+    budget_millicores: float = 0
+    moved_work: float = 0
+
+
+@define(eq=False, repr=False)
+class PlacerChoice:
+    """Chooses among the owners of zones.
+
+    ``reachable_owners`` returns the reachable owners by zone, the preferred zone
+    first. ``owner_of`` returns the owner of a zone, reachable or not. ``daemons_in``
+    returns the number of daemons in a zone. ``on_moved`` is called with the choice of
+    another zone than the preferred one.
+    """
+
+    clock: Clock
+    reachable_owners: Callable[[], Mapping[str, str]]
+    owner_of: Callable[[str], str | None]
+    daemons_in: Callable[[str], int] = lambda zone: 1
+    on_moved: Callable[[ChosenPlacer], None] = lambda chosen: None
+    free_capacity: dict[str, PlacerCapacity] = field(factory=dict)
+
+    def record_free_capacity(self, node: str, millicores: float) -> None:
+        """Record the capacity that a placer reports; below 0 if tasks wait there."""
+        self.record_load(node, ZoneLoad(millicores))
+
+    def record_load(self, node: str, load: ZoneLoad) -> None:
+        """Record the load that a placer reports."""
+        now_ms = self.clock.now_ms()
+        before = self._recent(node)
+        since_ms = now_ms if before is None else before.heard_since_ms
+        current = PlacerCapacity(load, now_ms, since_ms, load.free_millicores)
+        self.free_capacity[node] = current
+        debt = 0.0 if before is None else min(0.0, before.budget_millicores)
+        current.budget_millicores = debt + self._allotment(node, current)
+
+    def is_preferred_nearly_full(self) -> bool:
+        """Return whether jobs may soon have to go to another placer."""
+        node = next(iter(self.reachable_owners().values()), None)
+        if node is None:
+            return True
+        capacity = self._recent(node)
+        return capacity is not None and _is_short(capacity)
+
+    def choose(self, job: SubmittedJob) -> ChosenPlacer | None:
+        """Return the placer for a new job; None if none is reachable."""
+        owners = self.reachable_owners()
+        if not owners:
+            return None
+        zone, node = next(iter(owners.items()))
+        preferred = self._recent(node)
+        if preferred is None or not preferred.load.capacity_millicores:
+            chosen = self._choose_by_free_capacity(owners, job)
+        else:
+            chosen = (
+                self._with_budget(owners, job, preferred)
+                or self._with_shorter_queue(owners, job, preferred)
+                or ChosenPlacer(node, zone)
+            )
+        if chosen.node in self.free_capacity:
+            self.free_capacity[chosen.node].millicores -= job.need_millicores
+        if chosen.reason is not ZoneReason.PREFERRED:
+            self.on_moved(chosen)
+        return chosen
+
+    def current_owner(self, zone: str) -> ChosenPlacer | None:
+        """Return the current owner of a zone, for a job that was sent there before."""
+        node = self.owner_of(zone)
+        return (
+            None if node is None else ChosenPlacer(node, zone, ZoneReason.SENT_BEFORE)
+        )
+
+    def _with_budget(
+        self, owners: Mapping[str, str], job: SubmittedJob, preferred: PlacerCapacity
+    ) -> ChosenPlacer | None:
+        """Return the other placer with the largest budget, if the job waits less there.
+
+        If the budget is smaller than the job's need, the job moves with the probability
+        of their ratio: together, the daemons then use what the placer announced.
+        """
+        best, best_budget = None, _chance(job) * job.need_millicores
+        for zone, node in self._others(owners, preferred):
+            budget = self.free_capacity[node].budget_millicores
+            if budget > best_budget:
+                best, best_budget = (
+                    ChosenPlacer(node, zone, ZoneReason.FREE_CAPACITY),
+                    budget,
+                )
+        if best is not None:
+            self.free_capacity[best.node].budget_millicores -= job.need_millicores
+        return best
+
+    def _with_shorter_queue(
+        self, owners: Mapping[str, str], job: SubmittedJob, preferred: PlacerCapacity
+    ) -> ChosenPlacer | None:
+        """Return a placer where the job waits and is on time, if it is late otherwise.
+
+        Moved jobs fill the other queue to the mean of both waits at most, and never
+        beyond ``GUEST_WAIT_MAX_MS``; this daemon adds only its share of that.
+        """
+        wait_ms = preferred.load.wait_ms
+        slack_ms = job.objective_ms - job.critical_path_ms - job.waited_ms
+        if wait_ms <= slack_ms:
+            return None
+        for zone, node in self._others(owners, preferred):
+            other = self.free_capacity[node]
+            other_wait_ms = other.load.wait_ms
+            if other_wait_ms + DETOUR_MS > slack_ms:
+                continue
+            level_ms = min(GUEST_WAIT_MAX_MS, (wait_ms + other_wait_ms) / 2)
+            work = (level_ms - other_wait_ms) * other.load.capacity_millicores
+            share = work * _ramp(other) / self._sharing_daemons(node)
+            if share - other.moved_work > _chance(job) * job.work_millicore_ms:
+                other.moved_work += job.work_millicore_ms
+                return ChosenPlacer(node, zone, ZoneReason.ON_TIME)
+        return None
+
+    def _others(
+        self, owners: Mapping[str, str], preferred: PlacerCapacity
+    ) -> Iterator[tuple[str, str]]:
+        """Yield the zones and placers with a recent report of a shorter wait."""
+        for zone, node in owners.items():
+            other = self._recent(node)
+            if (
+                other is not None
+                and other is not preferred
+                and other.load.capacity_millicores
+                and other.load.wait_ms + DETOUR_MS < preferred.load.wait_ms
+            ):
+                yield zone, node
+
+    def _choose_by_free_capacity(
+        self, owners: Mapping[str, str], job: SubmittedJob
+    ) -> ChosenPlacer:
+        """Choose by free capacity alone, if the preferred placer announces no more.
+
+        This is the preferred placer or, if it has too little free capacity for the
+        job, the placer with the most. A placer without a recent report counts as
+        having just enough.
+        """
+        need = job.need_millicores
+        zone, node = next(iter(owners.items()))
+        if self._free_millicores(node, need) < need:
+            best_zone, best_node = max(
+                owners.items(), key=lambda item: self._free_millicores(item[1], need)
+            )
+            if best_node != node:
+                return ChosenPlacer(best_node, best_zone, ZoneReason.FREE_ONLY)
+        return ChosenPlacer(node, zone)
+
+    def _allotment(self, node: str, capacity: PlacerCapacity) -> float:
+        """Return this daemon's share of a placer's free capacity for moved jobs.
+
+        All daemons of the zones that are short of capacity share it.
+        """
+        load = capacity.load
+        spare = load.free_millicores - RESERVE_SHARE * load.own_arriving_millicores
+        return max(0.0, spare) * _ramp(capacity) / self._sharing_daemons(node)
+
+    def _sharing_daemons(self, node: str) -> int:
+        """Return how many daemons may move jobs to a placer, at least 1."""
+        count = 0
+        for index, (zone, owner) in enumerate(self.reachable_owners().items()):
+            capacity = self._recent(owner)
+            is_short = capacity is not None and _is_short(capacity)
+            if owner != node and (index == 0 or is_short):
+                count += self.daemons_in(zone)
+        return max(1, count)
+
+    def _recent(self, node: str) -> PlacerCapacity | None:
+        """Return a placer's capacity, None without a recent report."""
+        capacity = self.free_capacity.get(node)
+        if (
+            capacity is None
+            or self.clock.now_ms() > capacity.received_ms + CAPACITY_MAX_AGE_MS
+        ):
+            return None
+        return capacity
+
+    def _free_millicores(self, node: str, default_millicores: float) -> float:
+        """Return a placer's free capacity; the default without a recent report."""
+        capacity = self._recent(node)
+        return default_millicores if capacity is None else capacity.millicores
+
+
+def _is_short(capacity: PlacerCapacity) -> bool:
+    limit = LOW_CAPACITY_SHARE * capacity.load.capacity_millicores
+    return capacity.millicores < max(LOW_CAPACITY_MILLICORES, limit)
+
+
+def _ramp(capacity: PlacerCapacity) -> float:
+    """Return the share of a placer's capacity that counts; see ``RAMP_MS``."""
+    return min(1.0, (capacity.received_ms - capacity.heard_since_ms) / RAMP_MS)
+
+
+def _chance(job: SubmittedJob) -> float:
+    """Return a number from 0 to 1 that is fixed for a job."""
+    return crc32(job.job_id.encode()) / 2**32
--- /dev/null
+++ b/tests/test_capacity_exchange.py
@@ -0,0 +1,113 @@
+"""Announced loads by version of the peer, and the loss of a placer after a move."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from rattanloom.capacity_exchange import CapacityExchange
+from rattanloom.ingress.job_router import JobRouter
+from rattanloom.links.messages import AnnouncedLoad, FreeCapacity
+from rattanloom.metrics import Metrics
+from rattanloom.placement.jobs import OutcomeKind
+from rattanloom.scheduling.zone_choice import PlacerChoice
+from rattanloom.scheduling.zone_load import PriorityLoad, ZoneLoad
+from tests.dispatcher_fakes import (
+    CLOCK,
+    FakeReceiver,
+    FakeWorker,
+    make_submitted_job,
+    wait_for,
+)
+from tests.test_job_router import FakeHub
+from tests.test_placer import TOKEN, all_ready, running_placer
+
+
+@pytest.mark.parametrize(("version", "kind"), [(1, FreeCapacity), (2, AnnouncedLoad)])
+def test_load_is_announced_in_the_form_that_the_peer_knows(version, kind):
+    sent = []
+    peer = SimpleNamespace(node="n2", protocol_version=version)
+    link = SimpleNamespace(peer=peer, send=sent.append)
+    members = {"entry-1": SimpleNamespace(zone="a"), "n2": SimpleNamespace(zone="b")}
+    ownership = SimpleNamespace(
+        owned=lambda: {"a": None},
+        is_large_deployment=lambda: True,
+        own_member=SimpleNamespace(node="n1"),
+        view=SimpleNamespace(members=members),
+    )
+    hub = SimpleNamespace(nodes=lambda: ("n2",), link=lambda node: link)
+    choice = PlacerChoice(CLOCK, dict, lambda zone: None)
+    with running_placer(FakeWorker("w1")) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        for number, node in enumerate(("entry-1", "n2")):
+            job = make_submitted_job(f"{number:016x}", count=3)
+            placer.submit(FakeReceiver(node), job, ())
+        CapacityExchange(
+            CLOCK, hub, ownership, placer, choice, Metrics()
+        ).announce_if_due()
+    (message,) = sent
+    assert isinstance(message, kind)
+    # Two of six tasks of 14 cores run on 32 cores; each has work for 200 ms.
+    load = choice.free_capacity["n1"].load
+    assert load.free_millicores == 4_000 - 4 * 14_000
+    assert load.capacity_millicores == 32_000
+    arriving = 6 * 14_000 * 200 / 500
+    assert load.own_arriving_millicores == pytest.approx(arriving / 2)
+    (priority_load,) = load.priorities
+    assert priority_load.waiting_millicore_ms == 4 * 14_000 * 200
+    assert priority_load.arriving_millicores == pytest.approx(arriving)
+
+
+class PlacerHub(FakeHub):
+    """Delivers submitted jobs to placers in this process, by node."""
+
+    def __init__(self, **placers):
+        super().__init__(*placers)
+        self.placers = placers
+        self.router = None
+
+    def link(self, node):
+        """Return the link to a placer."""
+        return SimpleNamespace(send=lambda message: self.deliver_to(node, message))
+
+    def deliver_to(self, node, message):
+        """Pass a job to a placer and its outcome to the router."""
+        self.sent[node].append(message)
+        receiver = SimpleNamespace(
+            node="n0", deliver=lambda outcome: self.router.record_outcome(node, outcome)
+        )
+        self.placers[node].submit(receiver, message.job, message.former_placers)
+
+
+def test_moved_job_is_neither_lost_nor_started_twice_if_its_placer_fails():
+    owners = {"a": "p1", "b": "p2"}
+    choice = PlacerChoice(CLOCK, lambda: owners, owners.get)
+    full = ZoneLoad(-90_000, 90_000, 0, (PriorityLoad(0, 9_000_000),))
+    for node, load in (("p1", full), ("p2", ZoneLoad(90_000, 90_000))):
+        choice.record_load(node, load)
+    choice.free_capacity["p2"].budget_millicores = 90_000
+    worker = FakeWorker("w1", zone="b")
+    with (
+        running_placer(node="p1") as home,
+        running_placer(worker, node="p2") as failing,
+        running_placer(node="p3") as successor,
+    ):
+        assert wait_for(lambda: all_ready(failing))
+        hub = PlacerHub(p1=home, p2=failing, p3=successor)
+        router = hub.router = JobRouter(
+            "n0", CLOCK, hub, None, choice, owners.__contains__, lambda: None
+        )
+        job = router.submit(make_submitted_job())
+        assert job.placer == "p2"
+        assert wait_for(lambda: worker.running)
+        failing.workers["w1"].closed = True
+        owners["b"] = "p3"
+        successor.connect = lambda entry: worker
+        successor.add_worker(worker.entry(), TOKEN + (1 << 40))
+        router.on_placer_lost("p2")
+        router.tick()
+        assert hub.sent["p3"][0].former_placers == ("p2",)
+        assert wait_for(lambda: all_ready(successor))
+        worker.end("00000000000000aa.0.0.0")
+        assert job.result.get(timeout=5).kind is OutcomeKind.COMPLETE
+    assert len(worker.starts) == 1
+    assert not hub.sent["p1"]
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -1,9 +1,9 @@
 """What happens to pending jobs when placers change or become unreachable."""
 
 from rattanloom.ingress.job_router import NO_PLACER_TIMEOUT_MS, JobRouter
-from rattanloom.ingress.placer_choice import PlacerChoice
 from rattanloom.links.messages import Cancel, Submit
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
+from rattanloom.scheduling.zone_choice import PlacerChoice
 from tests.dispatcher_fakes import CLOCK, make_submitted_job
 
 JOB = "00000000000000aa"
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -12,6 +12,7 @@
 from rattanloom.links.codec import BadMessageError, decode_message, encode_message
 from rattanloom.links.hub import LinkHub, split_address
 from rattanloom.links.messages import (
+    AnnouncedLoad,
     Cancel,
     FreeCapacity,
     Hello,
@@ -27,6 +28,7 @@
 from rattanloom.ownership.records import claim_number
 from rattanloom.placement.crash_records import LossState, RunLoss
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
+from rattanloom.scheduling.zone_load import PriorityLoad, ZoneLoad
 from tests.dispatcher_fakes import CLOCK, make_submitted_job, wait_for
 from tests.peer_hosts import free_address
 
@@ -35,6 +37,7 @@
     Hello("n1", "a", "127.0.0.1:1", 7),
     Ping(),
     FreeCapacity(-14_000),
+    AnnouncedLoad(ZoneLoad(-14_000, 90_000, 5.5, (PriorityLoad(1, 2.5, 3.5),))),
     Submit(make_submitted_job(count=3), ("p1", "p2")),
     Cancel("00000000000000aa"),
     Outcome(JobOutcome("00000000000000aa", OutcomeKind.GIVEN_UP, "why", 1_000)),
