Share announced capacity among the daemons that get jobs

Cause: in zones of 30 slots most daemons get no job between two reports, so shares divided by all daemons of a zone stayed unused, and jobs waited beside free capacity.

Change: the divisor is the expected number of daemons with a job until the next report, from the daemon's own rate of jobs in the last 500 ms; at least 0.4 jobs are assumed, so that a sudden burst takes at most three times its share.

--- a/rattanloom/capacity_exchange.py
+++ b/rattanloom/capacity_exchange.py
@@ -10,10 +10,7 @@
 from rattanloom.ownership.ownership import Ownership
 from rattanloom.placement.load_report import measure_load
 from rattanloom.placement.placer import Placer
-from rattanloom.scheduling.zone_choice import PlacerChoice
-
-# Interval at which a placer announces its load in a large deployment.
-CAPACITY_INTERVAL_MS = 100
+from rattanloom.scheduling.zone_choice import REPORT_INTERVAL_MS, PlacerChoice
 
 
 @define(eq=False, repr=False)
@@ -32,13 +29,13 @@
     _announced_ms: float = 0
 
     def announce_if_due(self) -> None:
-        """Announce the load if ``CAPACITY_INTERVAL_MS`` have passed.
+        """Announce the load if ``REPORT_INTERVAL_MS`` have passed.
 
         Does nothing unless this daemon owns a zone and the deployment is large.
         """
         now_ms = self.clock.now_ms()
         if (
-            now_ms <= self._announced_ms + CAPACITY_INTERVAL_MS
+            now_ms <= self._announced_ms + REPORT_INTERVAL_MS
             or not self.ownership.owned()
             or not self.ownership.is_large_deployment()
         ):
--- a/rattanloom/scheduling/zone_choice.py
+++ b/rattanloom/scheduling/zone_choice.py
@@ -7,8 +7,10 @@
 choice is made once, before the job is sent, so a job moves at most once.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 from enum import Enum
+from math import exp
 from zlib import crc32
 
 from attrs import define, field, frozen
@@ -17,8 +19,9 @@
 from rattanloom.placement.jobs import SubmittedJob
 from rattanloom.scheduling.zone_load import ZoneLoad
 
-# Reports older than this are ignored; in a large deployment, placers send one every
-# 100 ms.
+# Interval at which placers announce their load in a large deployment. Reports that are
+# older than the second value are ignored.
+REPORT_INTERVAL_MS = 100
 CAPACITY_MAX_AGE_MS = 350
 # While the preferred placer has less free capacity than this, links to the other
 # placers are kept. About seven tasks of the largest kinds need this much.
@@ -38,6 +41,10 @@
 # The capacity of a placer that was not heard before, or not for longer than
 # ``CAPACITY_MAX_AGE_MS``, becomes available gradually over this time.
 RAMP_MS = 500
+# In zones of 30 tasks, most daemons get no job between two reports. Shares divided by
+# all daemons stay unused then. The minimum limits a sudden burst to three times these.
+ACTIVITY_WINDOW_MS = 500
+JOBS_PER_REPORT_MIN = 0.4
 
 
 class ZoneReason(Enum):
@@ -89,7 +96,7 @@
     ``reachable_owners`` returns the reachable owners by zone, the preferred zone
     first. ``owner_of`` returns the owner of a zone, reachable or not. ``daemons_in``
     returns the number of daemons in a zone. ``on_moved`` is called with the choice of
-    another zone than the preferred one.
+    another zone than the preferred one. ``_jobs_ms`` has the times of the last jobs.
     """
 
     clock: Clock
@@ -98,6 +105,7 @@
     daemons_in: Callable[[str], int] = lambda zone: 1
     on_moved: Callable[[ChosenPlacer], None] = lambda chosen: None
     free_capacity: dict[str, PlacerCapacity] = field(factory=dict)
+    _jobs_ms: deque[float] = field(factory=deque)
 
     def record_free_capacity(self, node: str, millicores: float) -> None:
         """Record the capacity that a placer reports; below 0 if tasks wait there."""
@@ -126,6 +134,7 @@
         owners = self.reachable_owners()
         if not owners:
             return None
+        self._jobs_ms.append(self.clock.now_ms())
         zone, node = next(iter(owners.items()))
         preferred = self._recent(node)
         if preferred is None or not preferred.load.capacity_millicores:
@@ -237,14 +246,25 @@
         return max(0.0, spare) * _ramp(capacity) / self._sharing_daemons(node)
 
     def _sharing_daemons(self, node: str) -> int:
-        """Return how many daemons may move jobs to a placer, at least 1."""
+        """Return how many daemons are expected to move jobs to a placer, at least 1."""
         count = 0
         for index, (zone, owner) in enumerate(self.reachable_owners().items()):
             capacity = self._recent(owner)
             is_short = capacity is not None and _is_short(capacity)
             if owner != node and (index == 0 or is_short):
                 count += self.daemons_in(zone)
-        return max(1, count)
+        return max(1.0, count * self._active_share())
+
+    def _active_share(self) -> float:
+        """Return the share of daemons that get a job between two reports.
+
+        All are assumed to get as many jobs as this one lately, at random times.
+        """
+        now_ms = self.clock.now_ms()
+        while self._jobs_ms and self._jobs_ms[0] < now_ms - ACTIVITY_WINDOW_MS:
+            self._jobs_ms.popleft()
+        per_report = len(self._jobs_ms) * REPORT_INTERVAL_MS / ACTIVITY_WINDOW_MS
+        return 1 - exp(-max(per_report, JOBS_PER_REPORT_MIN))
 
     def _recent(self, node: str) -> PlacerCapacity | None:
         """Return a placer's capacity, None without a recent report."""
