Follow the notice of leaving workers

Cause: a drain was known only once the entry was read, and `remaining_ms` was ignored: runs that could not end in time were lost with their worker and started again 920 ms after it. A start that had to be sent again was not checked against an entry read since, so that it could reach a worker that drained or had shrunk by then.

Change: the parser turns `remaining_ms` into a time on arrival, outside the compared and the cached fields, so that heartbeats still cause nothing. A report with `remaining_ms` pauses the worker. A run that won't end in time is stopped if its job ends sooner by it, and its task starts again once the run has ended. Orders are checked before each send.

--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -23,6 +23,7 @@
     OutcomeKind,
     SubmittedJob,
 )
+from rattanloom.placement.leaving_workers import stop_leaving_runs
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import (
     OutcomeReceiver,
@@ -225,6 +226,7 @@
         now_ms = self.clock.now_ms()
         self.suspension.tick(now_ms)
         self._stop_overdue_runs()
+        stop_leaving_runs(self.workers.values(), self.waiting, self.metrics, now_ms)
         for job in list(self.jobs.values()):
             if job.receiver is None and now_ms > job.orphaned_ms + ORPHAN_GRACE_MS:
                 self.endings.end(job, None)
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -22,6 +22,7 @@
     RefusalReason,
     Refused,
     Renewal,
+    Resources,
     RunStatus,
     Started,
     StartOrder,
@@ -48,6 +49,8 @@
 # Time for the next placer, once recorded as the owner, to send its fencing token to
 # the worker.
 FENCING_DELAY_MS = 150
+# Pause after a report that the worker drains: longer than the wait for the next report.
+DRAINING_PAUSE_MS = 2_000
 
 
 @define(eq=False, repr=False)
@@ -173,7 +176,7 @@
 
     def _start(self, run: Run) -> None:
         for _ in range(START_TRIES_MAX):
-            if not self.events.may_give_orders():
+            if not self.events.may_give_orders() or not self._has_room_for_orders():
                 self._drop_unstarted(run, None)
                 return
             token = self.fencing_token
@@ -200,6 +203,10 @@
                 break
         self._handle_start_reply(run, reply)
 
+    def _has_room_for_orders(self) -> bool:
+        """Return whether the entry, which may be new, still allows orders not sent."""
+        return self.entry.accepting and self.runs.free.fits(Resources())
+
     def _should_retry(self, run: Run, reply: object, token: int) -> bool:
         """Return whether to send the start order again; may raise the attempt.
 
@@ -377,6 +384,8 @@
         is_newer = report.clock_ms > self.reported_clock_ms
         self.reported_clock_ms = max(report.clock_ms, self.reported_clock_ms)
         self.missed_replies = 0
+        if report.remaining_ms:
+            self.paused_until_ms = self.clock.now_ms() + DRAINING_PAUSE_MS
         for finished in report.ended:
             self._apply_finished_run(finished)
         listed = {(row.task, row.attempt): row for row in report.running}
@@ -464,7 +473,7 @@
                 self._drop_missing(run)
             else:
                 self._drop_unstarted(run, None)
-        elif _must_be_listed(run, sent_ms):
+        elif run.must_be_listed(sent_ms):
             self._drop_missing(run)
 
     def _drop_missing(self, run: Run) -> None:
@@ -476,15 +485,6 @@
         self.events.on_run_lost(self, run, cause)
 
 
-def _must_be_listed(run: Run, report_requested_ms: float) -> bool:
-    """Return whether the run was known when the report was requested.
-
-    If it is still active, the report then lists it.
-    """
-    seen_ms = run.ordered_ms if run.task is None else run.confirmed_ms
-    return seen_ms is not None and seen_ms < report_requested_ms
-
-
 def _reply_label(reply: Started | Refused | Failure) -> str:
     if isinstance(reply, Started):
         return "started"
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -186,6 +186,14 @@
         """Return the task name and attempt that identify this run on its worker."""
         return self.name, self.attempt
 
+    def must_be_listed(self, report_requested_ms: float) -> bool:
+        """Return whether the run was known when a report was requested.
+
+        If it is still active, the report then lists it.
+        """
+        seen_ms = self.ordered_ms if self.task is None else self.confirmed_ms
+        return seen_ms is not None and seen_ms < report_requested_ms
+
 
 def job_id_of(task_name: str) -> str:
     """Return the id of a task's job; the name of a task starts with it."""
--- a/rattanloom/placement/workers.py
+++ b/rattanloom/placement/workers.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import Protocol
 
-from attrs import frozen
+from attrs import field, frozen
 
 from rattanloom.errors import Failure
 
@@ -47,7 +47,8 @@
 
     ``incarnation_ms`` is the wall time of its start and identifies its incarnation:
     it changes when a worker restarts under the same id. A worker that is not
-    ``accepting`` gets no new tasks.
+    ``accepting`` gets no new tasks, and leaves at ``leaves_at_ms`` of this daemon's
+    clock at the earliest. That is an estimate, so that it doesn't count in comparisons.
     """
 
     worker_id: str
@@ -58,6 +59,7 @@
     accepting: bool
     capacity: Resources
     labels: tuple[str, ...] = ()
+    leaves_at_ms: float | None = field(default=None, eq=False)
 
 
 @frozen
@@ -152,12 +154,14 @@
     """Reply to a renewal: the worker's clock, its runs and those that have finished.
 
     ``ended`` has the finished runs after ``last_finished_number`` of the renewal.
+    ``remaining_ms`` is the least time until the worker leaves; 0 unless it drains.
     """
 
     clock_ms: int
     incarnation_ms: int
     running: tuple[RunStatus, ...]
     ended: tuple[FinishedRun, ...]
+    remaining_ms: float = 0
 
 
 @frozen
--- a/rattanloom/platform/worker_entries.py
+++ b/rattanloom/platform/worker_entries.py
@@ -1,13 +1,19 @@
 """Parses the entries by which workers register in the platform's metadata store."""
 
-from attrs import define, field, fields, frozen
+from math import isfinite
+
+from attrs import define, evolve, field, fields, frozen
 
 from rattanloom.placement.workers import Resources, WorkerEntry
 from rattanloom.platform.json_format import FormatError, decode_object, structure
 from rattanloom.platform.rows import Row
+from rattanloom.scheduling.leaving import NOTICE_MIN_MS
 
 WORKERS_TABLE = "servers"
 READY, DRAINING = "ready", "draining"
+# A later estimate of the time at which a worker leaves is used only if it is earlier by
+# more than this: entries are read up to 400 ms after they were written.
+LEAVING_TOLERANCE_MS = 500
 
 
 @frozen
@@ -41,13 +47,17 @@
 
     A worker's heartbeat changes its entry, but hardly ever the fields that are used.
     The entry that was parsed last is then returned again. ``_parsed`` maps worker ids
-    to the used fields and the entry.
+    to the used fields and the entry. ``remaining_ms`` of a draining worker is different
+    in each heartbeat; it becomes a time when it arrives, and is no used field.
     """
 
     _parsed: dict[str, tuple[dict[str, object], WorkerEntry]] = field(factory=dict)
 
-    def parse(self, row: Row) -> WorkerEntry:
-        """Return the entry in ``row``; raise ``FormatError`` if it is invalid."""
+    def parse(self, row: Row, now_ms: float = 0) -> WorkerEntry:
+        """Return the entry in ``row``, read at ``now_ms``.
+
+        Raises ``FormatError`` if it is invalid.
+        """
         if row.value is None:
             raise FormatError("the row was deleted or its value is not valid base64")
         document = decode_object(row.value)
@@ -55,13 +65,27 @@
         worker_id = row.ref.key
         if worker_id not in self._parsed or self._parsed[worker_id][0] != used:
             self._parsed[worker_id] = (used, _make_entry(worker_id, used))
-        return self._parsed[worker_id][1]
+        entry = self._parsed[worker_id][1]
+        if not entry.accepting:
+            leaves_at_ms = now_ms + _remaining_ms(document)
+            known_ms = entry.leaves_at_ms
+            if known_ms is None or leaves_at_ms < known_ms - LEAVING_TOLERANCE_MS:
+                entry = evolve(entry, leaves_at_ms=leaves_at_ms)
+                self._parsed[worker_id] = (used, entry)
+        return entry
 
     def forget(self, worker_id: str) -> None:
         """Forget the entry of a worker that is gone."""
         self._parsed.pop(worker_id, None)
 
 
+def _remaining_ms(document: dict[str, object]) -> float:
+    """Return the time left to a draining worker; the least notice if it names none."""
+    remaining_ms = document.get("remaining_ms")
+    is_number = isinstance(remaining_ms, int | float) and isfinite(remaining_ms)
+    return max(0, remaining_ms) if is_number else NOTICE_MIN_MS
+
+
 def _make_entry(worker_id: str, document: dict[str, object]) -> WorkerEntry:
     wire = structure(document, WireWorkerEntry)
     if wire.state not in (READY, DRAINING):
--- a/rattanloom/platform/workers.py
+++ b/rattanloom/platform/workers.py
@@ -4,7 +4,7 @@
 """
 
 from http import HTTPStatus
-from typing import ClassVar
+from typing import Any, ClassVar
 
 from attrs import define, field, frozen
 
@@ -69,7 +69,8 @@
     """The body of a response to a renewal.
 
     Each run is a JSON array of the fields of ``RunStatus`` or ``FinishedRun``, in their
-    order. ``incarnation_ms`` is the wall time of the worker's start.
+    order. ``incarnation_ms`` is the wall time of the worker's start. Draining workers
+    send ``remaining_ms``; any other value than a number counts as absent.
     """
 
     WIRE_NAMES: ClassVar = {"incarnation_ms": "born", "finished_runs": "finished"}
@@ -78,6 +79,7 @@
     running: list[list]
     finished_runs: list[list]
     incarnation_ms: int = 0
+    remaining_ms: Any = 0
 
 
 @define(eq=False, repr=False)
@@ -188,6 +190,7 @@
             body.incarnation_ms,
             tuple(_parse_run_status(row) for row in body.running),
             tuple(_parse_finished_run(row) for row in body.finished_runs),
+            body.remaining_ms if isinstance(body.remaining_ms, int | float) else 0,
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         return Failure(ErrorKind.REPLY_LOST, f"invalid report from the worker: {error}")
--- a/rattanloom/registry.py
+++ b/rattanloom/registry.py
@@ -57,7 +57,11 @@
         before = dict(self.entries)
         for row in rows:
             self._apply_row(row)
-        if self.entries != before:
+        # The parser returns the same entry unless a field that is used has changed.
+        if any(
+            entry is not before.get(worker_id)
+            for worker_id, entry in self.entries.items()
+        ):
             self.on_change()
 
     def _apply_row(self, row: Row) -> None:
@@ -67,7 +71,7 @@
                 self._mark_missing(worker_id)
             return
         try:
-            entry = self._parser.parse(row)
+            entry = self._parser.parse(row, self.clock.now_ms())
         except FormatError as error:
             log.warning("entry_unreadable", worker=worker_id, reason=str(error))
             return
