Look up the daemons of the own zones once per announcement

Change: the daemons in the owned zones are passed as a set. A test covers the daemon's handling of announced loads and the counter of moved jobs.

--- a/rattanloom/capacity_exchange.py
+++ b/rattanloom/capacity_exchange.py
@@ -41,7 +41,7 @@
         ):
             return
         self._announced_ms = now_ms
-        load = measure_load(self.placer, self._is_own_source, now_ms)
+        load = measure_load(self.placer, self._own_sources(), now_ms)
         self.metrics.gauge("zone_free_millicores", load.free_millicores)
         self.metrics.gauge("zone_wait_ms", load.wait_ms)
         self.placer_choice.record_load(self.ownership.own_member.node, load)
@@ -65,7 +65,8 @@
         members = self.ownership.view.members.values()
         return sum(member.zone == zone for member in members)
 
-    def _is_own_source(self, node: str) -> bool:
-        """Return whether a daemon is in a zone that this daemon owns."""
-        member = self.ownership.view.members.get(node)
-        return member is not None and member.zone in self.ownership.owned()
+    def _own_sources(self) -> set[str]:
+        """Return the daemons in the zones that this daemon owns."""
+        owned = self.ownership.owned()
+        members = self.ownership.view.members.values()
+        return {member.node for member in members if member.zone in owned}
--- a/rattanloom/placement/load_report.py
+++ b/rattanloom/placement/load_report.py
@@ -1,6 +1,6 @@
 """Measures the load that a placer announces to the daemons of the deployment."""
 
-from collections.abc import Callable
+from collections.abc import Container
 
 from rattanloom.placement.job_endings import capacity_millicores
 from rattanloom.placement.placer import Placer
@@ -9,11 +9,11 @@
 
 
 def measure_load(
-    placer: Placer, is_own_source: Callable[[str], bool], now_ms: float
+    placer: Placer, own_sources: Container[str], now_ms: float
 ) -> ZoneLoad:
     """Return the load of a placer's workers.
 
-    ``is_own_source`` returns whether a daemon is in one of the placer's own zones.
+    ``own_sources`` are the daemons in the placer's own zones.
     """
     workers = placer.workers.values()
     free = sum(
@@ -27,7 +27,7 @@
     return ZoneLoad(
         free - sum(step.need.cpu_millicores for _, step in waiting),
         capacity_millicores(workers),
-        placer.demand.from_sources(is_own_source, now_ms),
+        placer.demand.from_sources(own_sources, now_ms),
         merge_loads(
             (
                 (priority, step.need.cpu_millicores * step.estimate_ms)
--- a/rattanloom/scheduling/zone_load.py
+++ b/rattanloom/scheduling/zone_load.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Container, Iterable
 
 from attrs import define, field, frozen
 
@@ -73,10 +73,10 @@
             millicores[priority] += work / DEMAND_WINDOW_MS
         return millicores
 
-    def from_sources(self, is_included: Callable[[str], bool], now_ms: float) -> float:
+    def from_sources(self, sources: Container[str], now_ms: float) -> float:
         """Return the processor that the arriving work of some sources needs."""
         self._remove_old(now_ms)
-        works = (work for _, source, _, work in self._arrivals if is_included(source))
+        works = (work for _, source, _, work in self._arrivals if source in sources)
         return sum(works) / DEMAND_WINDOW_MS
 
     def _remove_old(self, now_ms: float) -> None:
--- a/tests/test_capacity_exchange.py
+++ b/tests/test_capacity_exchange.py
@@ -11,6 +11,7 @@
 from rattanloom.placement.jobs import OutcomeKind
 from rattanloom.scheduling.zone_choice import PlacerChoice
 from rattanloom.scheduling.zone_load import PriorityLoad, ZoneLoad
+from standins.store import Store, StoreSwitches
 from tests.dispatcher_fakes import (
     CLOCK,
     FakeReceiver,
@@ -18,6 +19,7 @@
     make_submitted_job,
     wait_for,
 )
+from tests.test_configuration_delay import daemon_with
 from tests.test_job_router import FakeHub
 from tests.test_placer import TOKEN, all_ready, running_placer
 
@@ -27,7 +29,10 @@
     sent = []
     peer = SimpleNamespace(node="n2", protocol_version=version)
     link = SimpleNamespace(peer=peer, send=sent.append)
-    members = {"entry-1": SimpleNamespace(zone="a"), "n2": SimpleNamespace(zone="b")}
+    zones = {"entry-1": "a", "n2": "b"}
+    members = {
+        node: SimpleNamespace(node=node, zone=zone) for node, zone in zones.items()
+    }
     ownership = SimpleNamespace(
         owned=lambda: {"a": None},
         is_large_deployment=lambda: True,
@@ -57,6 +62,25 @@
     assert priority_load.arriving_millicores == pytest.approx(arriving)
 
 
+def test_daemon_records_its_own_and_announced_loads_and_counts_moves():
+    store = Store(switches=StoreSwitches(latency_ms=0))
+    with daemon_with(store) as daemon:
+        daemon.ownership.acquirer.acquire(["a"], "test")
+        entry = FakeWorker("w1").entry()
+        daemon.registry.entries.update({f"w{number}": entry for number in range(65)})
+        daemon.capacity_exchange.announce_if_due()
+        load = ZoneLoad(90_000, 90_000)
+        link = SimpleNamespace(peer=SimpleNamespace(node="n2"))
+        daemon._on_message(link, AnnouncedLoad(load))
+        choice = daemon.placer_choice
+        assert set(choice.free_capacity) == {daemon.deployment.node, "n2"}
+        assert choice.free_capacity["n2"].load == load
+        choice.reachable_owners = lambda: {"a": daemon.deployment.node, "b": "n2"}
+        choice.record_free_capacity(daemon.deployment.node, -1)
+        assert choice.choose(make_submitted_job()).zone == "b"
+        assert daemon.metrics.counters["jobs_moved", "b/free_only"] == 1
+
+
 class PlacerHub(FakeHub):
     """Delivers submitted jobs to placers in this process, by node."""
 
--- a/tests/zone_replay.py
+++ b/tests/zone_replay.py
@@ -64,14 +64,14 @@
                 return job
         return None
 
-    def load(self, own: Callable[[str], bool], now_ms: float) -> ZoneLoad:
+    def load(self, own_sources: set[str], now_ms: float) -> ZoneLoad:
         waiting = [job.submitted for _, _, job in (*self.queue, *self.late)]
         need = NEED.cpu_millicores
         tasks = ((job.policy.priority, need * job.critical_path_ms) for job in waiting)
         return ZoneLoad(
             (self.free - len(waiting)) * need,
             SLOTS * need,
-            self.meter.from_sources(own, now_ms),
+            self.meter.from_sources(own_sources, now_ms),
             merge_loads(tasks, self.meter.by_priority(now_ms)),
         )
 
@@ -183,9 +183,8 @@
         self._start(number)
 
     def _report(self, number: int) -> None:
-        load = self.zones[number].load(
-            lambda source: source.startswith(f"{number}."), self.now
-        )
+        own_sources = {f"{number}.{index}" for index in range(DAEMONS)}
+        load = self.zones[number].load(own_sources, self.now)
         for choice in self.choices.values():
             if self.announces_load:
                 choice.record_load(f"z{number}", load)
