--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -12,6 +12,7 @@
 from gevent.pywsgi import WSGIServer
 
 from rattanloom.background import run_and_log_failure, spawn_restarting
+from rattanloom.capacity_exchange import CapacityExchange
 from rattanloom.clock import MS_PER_S
 from rattanloom.crash_exchange import CrashExchange
 from rattanloom.decision_log import DecisionLog, logging_decisions
@@ -20,7 +21,6 @@
 from rattanloom.ingress.api import ClientApi
 from rattanloom.ingress.job_router import JobRouter
 from rattanloom.ingress.metrics_page import serving_metrics
-from rattanloom.ingress.placer_choice import PlacerChoice
 from rattanloom.ingress.queues import QueueTable, RequestLimits
 from rattanloom.ingress.readiness import serving_readiness
 from rattanloom.ingress.server import (
@@ -30,7 +30,7 @@
     wait_for_requests,
 )
 from rattanloom.links.hub import LinkHub
-from rattanloom.links.messages import FreeCapacity, Hello
+from rattanloom.links.messages import Hello
 from rattanloom.metrics import Metrics
 from rattanloom.ownership.ownership import Ownership
 from rattanloom.ownership.records import Member
@@ -50,6 +50,7 @@
 from rattanloom.platform.workers import WorkerClient
 from rattanloom.registry import Registry
 from rattanloom.reload import SettingsWatcher
+from rattanloom.scheduling.zone_choice import PlacerChoice
 from rattanloom.settings import SettingsError
 from rattanloom.signals import stop_signals
 from rattanloom.status import ExitStatus
@@ -78,8 +79,6 @@
 FINAL_RESPONSES_MS = 200
 # Time for peers to open a link and to announce their claims.
 CLAIMS_WAIT_MS = 500
-# Interval at which a placer announces its free capacity in a large deployment.
-CAPACITY_INTERVAL_MS = 100
 
 
 @define(eq=False, repr=False)
@@ -104,11 +103,11 @@
     ownership: Ownership = field(init=False)
     placer_choice: PlacerChoice = field(init=False)
     crash_exchange: CrashExchange = field(init=False)
+    capacity_exchange: CapacityExchange = field(init=False)
     job_router: JobRouter = field(init=False)
     peer_messages: PeerMessages = field(init=False)
     evacuation_control: EvacuationControl = field(init=False)
     connections: ConnectionState = field(init=False)
-    _capacity_announced_ms: float = 0
     _wake: Event = field(factory=Event)
 
     def __attrs_post_init__(self) -> None:
@@ -190,6 +189,18 @@
             self.ownership.owner_of,
             evacuations.in_force,
             tuple(deployment.zones),
+            lambda zone: self.capacity_exchange.daemons_in(zone),
+            lambda chosen: self.metrics.count(
+                "jobs_moved", f"{chosen.zone}/{chosen.reason.value}"
+            ),
+        )
+        self.capacity_exchange = CapacityExchange(
+            clock,
+            self.hub,
+            self.ownership,
+            self.placer,
+            self.placer_choice,
+            self.metrics,
         )
         self.job_router = JobRouter(
             deployment.node,
@@ -205,7 +216,7 @@
             self.hub,
             self.placer,
             self.ownership,
-            self.placer_choice,
+            self.capacity_exchange,
             self.crash_exchange,
             self.job_router,
             self._wake.set,
@@ -267,7 +278,7 @@
             self.placer.tick,
             self.job_router.tick,
             self._request_placer_links,
-            self._announce_free_capacity,
+            self.capacity_exchange.announce_if_due,
         )
         while True:
             self._wait_for_tick()
@@ -295,27 +306,6 @@
         for node in nodes:
             self.ownership.request_link(node)
 
-    def _announce_free_capacity(self) -> None:
-        """Announce this placer's free capacity to all linked daemons.
-
-        Does nothing unless this daemon owns a zone and the deployment is large.
-        """
-        now_ms = self.environment.clock.now_ms()
-        is_due = now_ms > self._capacity_announced_ms + CAPACITY_INTERVAL_MS
-        if (
-            not is_due
-            or not self.ownership.owned()
-            or not self.ownership.is_large_deployment()
-        ):
-            return
-        self._capacity_announced_ms = now_ms
-        message = FreeCapacity(self.placer.free_millicores())
-        self.placer_choice.record_free_capacity(
-            self.deployment.node, message.millicores
-        )
-        for node in self.hub.nodes():
-            self.hub.link(node).send(message)
-
     def _refresh_workers(self) -> bool:
         """Read the workers now; return whether it succeeded."""
         failure = self.workers_follower.read_now()
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -9,7 +9,6 @@
 
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
-from rattanloom.ingress.placer_choice import ChosenPlacer, PlacerChoice
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.messages import Cancel, Submit
 from rattanloom.metrics import Metrics
@@ -21,6 +20,7 @@
     SubmittedJob,
 )
 from rattanloom.placement.placer import Placer
+from rattanloom.scheduling.zone_choice import ChosenPlacer, PlacerChoice
 
 log = DecisionLog("ingress")
 
@@ -310,7 +310,7 @@
             chosen = self.placer_choice.current_owner(job.zone)
         else:
             chosen = self.placer_choice.choose(
-                job.submitted.need_millicores, excluded.union(job.returned_by)
+                job.submitted, excluded.union(job.returned_by)
             )
         if chosen is None or chosen.node in excluded:
             return
@@ -323,6 +323,7 @@
             job=job.submitted.job_id,
             placer=chosen.node,
             zone=chosen.zone,
+            reason=chosen.reason.value,
             placer_before=placer_before,
             former_placers=former,
             waited_ms=round(now_ms - job.arrived_ms),
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -4,15 +4,18 @@
 
 from rattanloom.placement.crash_records import RunLoss
 from rattanloom.placement.jobs import JobOutcome, ReturnedJob, SubmittedJob
+from rattanloom.scheduling.zone_load import ZoneLoad
 
 # Version of the messages; the first one with ``RunLosses``; the first one with
 # ``OwnedZones``, ``SubmitRejected`` and the zones in ``Hello`` and
-# ``OwnerLivenessReply``; and the first one with ``JobsReturned``. Builds from before
-# the field send 0 and close a link on which they receive an unknown message.
+# ``OwnerLivenessReply``; the first one with ``JobsReturned``; and the first one with
+# ``AnnouncedLoad``. Builds from before the field send 0 and close a link on which they
+# receive an unknown message.
 PROTOCOL_VERSION = 2
 RUN_LOSSES_VERSION = 1
 OWNED_ZONES_VERSION = 2
 JOBS_RETURNED_VERSION = 2
+ZONE_LOAD_VERSION = 2
 
 
 @frozen
@@ -39,11 +42,18 @@
 
 @frozen
 class FreeCapacity:
-    """Announces ``Placer.free_millicores`` of the sender; below 0 if more is needed."""
+    """Announces ``free_millicores`` of ``ZoneLoad`` to builds that know no more."""
 
     millicores: int
 
 
+@frozen
+class AnnouncedLoad:
+    """Announces the load of the sender's workers."""
+
+    load: ZoneLoad
+
+
 @frozen
 class Submit:
     """Submits a job to the receiver's placer; see ``PlacedJob`` for former placers.
@@ -149,6 +159,13 @@
     OwnerLivenessQuery | OwnerLivenessReply | TakeZones | ZoneClaims | OwnedZones
 )
 PlacementMessage = (
-    FreeCapacity | Submit | SubmitRejected | JobsReturned | Cancel | Outcome | RunLosses
+    FreeCapacity
+    | AnnouncedLoad
+    | Submit
+    | SubmitRejected
+    | JobsReturned
+    | Cancel
+    | Outcome
+    | RunLosses
 )
 Message = Hello | Ping | PlacementMessage | OwnershipMessage
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -1,6 +1,6 @@
 """Ends jobs at a placer: stops their runs and delivers their outcomes."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from attrs import define, field
 
@@ -139,22 +139,13 @@
 
     def _capacity(self, now_ms: float) -> PoolCapacity:
         """Return the capacity of all workers that accept tasks or soon may again."""
-        workers = [
-            worker
-            for worker in self.workers.values()
-            if worker.entry.accepting
-            and worker.limits.is_open(worker)
-            and worker.state in (WorkerState.READY, WorkerState.SYNCING)
-        ]
         free = [
             worker.runs.free.cpu_millicores
-            for worker in workers
+            for worker in self.workers.values()
             if accepts_tasks(worker, now_ms)
         ]
-        return PoolCapacity(
-            sum(worker.runs.capacity.cpu_millicores for worker in workers),
-            max(free, default=0),
-        )
+        capacity = capacity_millicores(self.workers.values())
+        return PoolCapacity(capacity, max(free, default=0))
 
     def end(self, job: PlacedJob, outcome: JobOutcome | None) -> None:
         """End a job and stop its runs; without an outcome, nothing is delivered."""
@@ -197,3 +188,14 @@
                     lost = run.step.need.cpu_millicores * (now_ms - run.ordered_ms)
                     self.metrics.count("work_lost_core_ms", by=round(lost / 1_000))
                     worker.stop(run)
+
+
+def capacity_millicores(workers: Iterable[PooledWorker]) -> int:
+    """Return the capacity of all workers that accept tasks or soon may again."""
+    return sum(
+        worker.runs.capacity.cpu_millicores
+        for worker in workers
+        if worker.entry.accepting
+        and worker.limits.is_open(worker)
+        and worker.state in (WorkerState.READY, WorkerState.SYNCING)
+    )
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -49,6 +49,8 @@
 # Time for the next placer, once recorded as the owner, to send its fencing token to
 # the worker.
 FENCING_DELAY_MS = 150
+# Pause after a report that the worker drains: longer than the wait for the next report.
+DRAINING_PAUSE_MS = 2_000
 
 
 @define(eq=False, repr=False)
@@ -384,6 +386,8 @@
         is_newer = report.clock_ms > self.reported_clock_ms
         self.reported_clock_ms = max(report.clock_ms, self.reported_clock_ms)
         self.missed_replies = 0
+        if report.remaining_ms:
+            self.paused_until_ms = self.clock.now_ms() + DRAINING_PAUSE_MS
         for finished in report.ended:
             self._apply_finished_run(finished)
         listed = {(row.task, row.attempt): row for row in report.running}
--- a/rattanloom/placement/start_limits.py
+++ b/rattanloom/placement/start_limits.py
@@ -8,6 +8,7 @@
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.placement.cold_workers import ColdWorkers
+from rattanloom.placement.workers import Resources
 
 if TYPE_CHECKING:
     from rattanloom.placement.pooled_worker import PooledWorker
@@ -57,7 +58,11 @@
 
     def may_send(self, worker: "PooledWorker") -> bool:
         """Return whether a start order may be sent now; called before each send."""
-        return self.is_open(worker) and self.may_start_by_evacuations()
+        return (
+            self.is_open(worker)
+            and self.may_start_by_evacuations()
+            and _has_room_for_orders(worker)
+        )
 
     def update(self, workers: Collection["PooledWorker"]) -> None:
         """Count the usable workers; log when a zone is full again."""
@@ -88,3 +93,8 @@
             for worker in workers
             if worker.entry.zone == zone
         )
+
+
+def _has_room_for_orders(worker: "PooledWorker") -> bool:
+    """Return whether the entry, which may be new, still allows orders not sent."""
+    return worker.entry.accepting and worker.runs.free.fits(Resources())
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -8,18 +8,20 @@
 
 from rattanloom.evacuations import EvacuationAgeGuard, Evacuations
 from rattanloom.ingress.job_router import NO_PLACER_TIMEOUT_MS, JobRouter
-from rattanloom.ingress.placer_choice import PlacerChoice
 from rattanloom.links.messages import Hello, JobsReturned, Outcome, Submit
 from rattanloom.peer_receiver import PeerOutcomeReceiver
 from rattanloom.placement.crash_records import LossState, RunLoss
 from rattanloom.placement.jobs import JobPolicy, OutcomeKind, ReturnedJob
+from rattanloom.placement.load_report import measure_load
 from rattanloom.placement.workers import RefusalReason, Refused, StartOrder
 from rattanloom.platform.deployment import Bounds
 from rattanloom.platform.json_format import structure
 from rattanloom.platform.rows import Row, RowRef
+from rattanloom.scheduling.zone_choice import PlacerChoice
 from standins.store import Store, StoreSwitches
 from standins.table_rows import RowRef as StoreRowRef
 from tests.dispatcher_fakes import (
+    CLOCK,
     FakeReceiver,
     FakeWorker,
     make_submitted_job,
@@ -213,7 +215,10 @@
         receiver = FakeReceiver()
         placer.submit(receiver, make_submitted_job(count=3), ())
         assert wait_for(lambda: len(other.running) == 2)
-        assert placer.free_millicores() == 32_000 - 3 * 14_000
+        assert (
+            measure_load(placer, (), CLOCK.now_ms()).free_millicores
+            == 32_000 - 3 * 14_000
+        )
         gevent.sleep(0.1)
         assert not evacuated.starts
         assert not receiver.returned
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -5,9 +5,9 @@
     REJECTED_PAUSE_MS,
     JobRouter,
 )
-from rattanloom.ingress.placer_choice import PlacerChoice
 from rattanloom.links.messages import Cancel, Submit
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
+from rattanloom.scheduling.zone_choice import PlacerChoice
 from tests.dispatcher_fakes import CLOCK, make_submitted_job
 
 JOB = "00000000000000aa"
