Mend the findings on demand between zones and leaving workers

- A drain that a report shows has its own time (drains_until_ms), set also if 0 ms remain and checked before each send.
Health and refusals no longer change it.
- A placer without workers was taken for one of an older build.
Its expected wait is infinite, and jobs go to the placer with the shortest wait (no_capacity).
- The times of recent jobs are pruned without reports, too.
- Estimates count with at most 60 s per task in the load; priorities are clamped on the wire; loads that are not finite are ignored; times in worker entries are numbers from 0 to 3,600,000 ms.
- Jobs that require a label stay in their zone while it has capacity.
- Links to other placers open once tasks wait, though scattered capacity is free.
- Waits in other zones are tried from the shortest, and waited time counts.
- The work of stopped runs counts for the next runs of the same tick.
- The daemons of an own zone without owner share the capacity of other zones.

--- a/rattanloom/capacity_exchange.py
+++ b/rattanloom/capacity_exchange.py
@@ -12,6 +12,9 @@
 from rattanloom.placement.placer import Placer
 from rattanloom.scheduling.zone_choice import REPORT_INTERVAL_MS, PlacerChoice
 
+# Limit of the gauge of the expected wait, which is infinite without capacity.
+SHOWN_WAIT_MAX_MS = 60_000
+
 
 @define(eq=False, repr=False)
 class CapacityExchange:
@@ -43,7 +46,8 @@
         self._announced_ms = now_ms
         load = measure_load(self.placer, self._own_sources(), now_ms)
         self.metrics.gauge("zone_free_millicores", load.free_millicores)
-        self.metrics.gauge("zone_wait_ms", load.wait_ms)
+        self.metrics.gauge("zone_capacity_millicores", load.capacity_millicores)
+        self.metrics.gauge("zone_wait_ms", min(load.wait_ms, SHOWN_WAIT_MAX_MS))
         self.placer_choice.record_load(self.ownership.own_member.node, load)
         for node in self.hub.nodes():
             link = self.hub.link(node)
@@ -53,10 +57,13 @@
                 link.send(FreeCapacity(load.free_millicores))
 
     def handle(self, link: Link, message: FreeCapacity | AnnouncedLoad) -> None:
-        """Record what a peer's placer announced."""
+        """Record what a peer's placer announced; ignore a load that is not finite."""
         node = link.peer.node
         if isinstance(message, AnnouncedLoad):
-            self.placer_choice.record_load(node, message.load)
+            if message.load.is_finite:
+                self.placer_choice.record_load(node, message.load)
+            else:
+                self.metrics.count("loads_ignored")
         else:
             self.placer_choice.record_free_capacity(node, message.millicores)
 
--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -189,6 +189,7 @@
             self.ownership.owner_of,
             evacuations.in_force,
             tuple(deployment.zones),
+            deployment.zone,
             lambda zone: self.capacity_exchange.daemons_in(zone),
             lambda chosen: self.metrics.count(
                 "jobs_moved", f"{chosen.zone}/{chosen.reason.value}"
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -310,7 +310,9 @@
             chosen = self.placer_choice.current_owner(job.zone)
         else:
             chosen = self.placer_choice.choose(
-                job.submitted, excluded.union(job.returned_by)
+                job.submitted,
+                excluded.union(job.returned_by),
+                now_ms - job.arrived_ms,
             )
         if chosen is None or chosen.node in excluded:
             return
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -40,6 +40,8 @@
 from rattanloom.scheduling.zone_load import PriorityLoad, ZoneLoad
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("links.capnp")))
+# Highest value of the field ``priority``, which has 16 bits.
+PRIORITY_MAX = 65_535
 
 
 class BadMessageError(Exception):
@@ -99,7 +101,7 @@
     slot.jobId = job.job_id
     slot.spec = job.spec.encode(errors="surrogatepass")
     slot.service = policy.service
-    slot.priority = policy.priority
+    slot.priority = _wire_priority(policy.priority)
     slot.maxAttempts = policy.max_attempts
     slot.slackFactor = policy.slack_factor
     slot.latencyTargetMs = policy.latency_target_ms
@@ -112,6 +114,11 @@
         _write_step(step_slot, step)
 
 
+def _wire_priority(priority: int) -> int:
+    """Return a priority in the range of the field; configurations have no limit."""
+    return min(max(priority, 0), PRIORITY_MAX)
+
+
 def _write_step(slot: object, step: Step) -> None:
     slot.count = step.count
     slot.cpuMillicores = step.need.cpu_millicores
@@ -199,7 +206,7 @@
     for priority_slot, priority_load in zip(
         priority_slots, load.priorities, strict=True
     ):
-        priority_slot.priority = priority_load.priority
+        priority_slot.priority = _wire_priority(priority_load.priority)
         priority_slot.waitingMillicoreMs = priority_load.waiting_millicore_ms
         priority_slot.arrivingMillicores = priority_load.arriving_millicores
 
@@ -210,10 +217,6 @@
         PriorityLoad(load.priority, load.waitingMillicoreMs, load.arrivingMillicores)
         for load in slot.priorities
     )
-    amounts = [load.waiting_millicore_ms for load in priorities]
-    amounts += [load.arriving_millicores for load in priorities]
-    if not all(map(isfinite, (*amounts, slot.ownArrivingMillicores))):
-        raise ValueError("an announced load is not finite")
     return AnnouncedLoad(
         ZoneLoad(
             slot.freeMillicores,
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -144,7 +144,7 @@
             for worker in self.workers.values()
             if accepts_tasks(worker, now_ms)
         ]
-        capacity = capacity_millicores(self.workers.values())
+        capacity = capacity_millicores(self.workers.values(), now_ms)
         return PoolCapacity(capacity, max(free, default=0))
 
     def end(self, job: PlacedJob, outcome: JobOutcome | None) -> None:
@@ -190,12 +190,13 @@
                     worker.stop(run)
 
 
-def capacity_millicores(workers: Iterable[PooledWorker]) -> int:
+def capacity_millicores(workers: Iterable[PooledWorker], now_ms: float) -> int:
     """Return the capacity of all workers that accept tasks or soon may again."""
     return sum(
         worker.runs.capacity.cpu_millicores
         for worker in workers
         if worker.entry.accepting
+        and worker.drains_until_ms <= now_ms
         and worker.limits.is_open(worker)
         and worker.state in (WorkerState.READY, WorkerState.SYNCING)
     )
--- a/rattanloom/placement/jobs.py
+++ b/rattanloom/placement/jobs.py
@@ -9,6 +9,9 @@
 
 # A late outcome still counts up to three times the objective of its job.
 LATE_FACTOR = 3
+# Longer estimates count as this much work where the load of a zone is measured: one job
+# with a wrong estimate must not turn away the others.
+COUNTED_ESTIMATE_MAX_MS = 60_000
 # Time after which clients should send a refused or given up job again.
 RETRY_AFTER_MS = 1_000
 
@@ -29,6 +32,11 @@
     required_label: str = ""
     per_worker_max: int = 0
 
+    @cached_property
+    def counted_work_millicore_ms(self) -> float:
+        """Return the work of one task as it counts for the load of a zone."""
+        return self.need.cpu_millicores * min(self.estimate_ms, COUNTED_ESTIMATE_MAX_MS)
+
 
 @frozen
 class JobPolicy:
@@ -83,6 +91,11 @@
             for step in self.steps
         )
 
+    @cached_property
+    def counted_work_millicore_ms(self) -> float:
+        """Return the work of all tasks as it counts for the load of a zone."""
+        return sum(step.count * step.counted_work_millicore_ms for step in self.steps)
+
     @cached_property
     def objective_ms(self) -> float:
         """Return the time from the client's request in which the job should finish."""
--- a/rattanloom/placement/leaving_workers.py
+++ b/rattanloom/placement/leaving_workers.py
@@ -40,12 +40,11 @@
     ]
     if not leaving:
         return 0
-    work = sum(
-        task.step.need.cpu_millicores * task.step.estimate_ms for task in waiting
-    )
-    wait_ms = work / max(1, capacity_millicores(workers))
+    work = sum(task.step.counted_work_millicore_ms for task in waiting)
+    capacity = max(1, capacity_millicores(workers, now_ms))
     stopped = 0
     for worker, run in leaving:
+        wait_ms = work / capacity
         state = _leaving_run(run, worker.entry.leaves_at_ms - now_ms, wait_ms, now_ms)
         if should_stop(state) and _has_other_worker(run.task, workers):
             log.info(
@@ -58,6 +57,8 @@
             )
             worker.stop(run)
             metrics.count("runs_stopped_leaving")
+            # The stopped tasks will wait, too, before those of the next runs.
+            work += run.step.counted_work_millicore_ms
             stopped += 1
     return stopped
 
--- a/rattanloom/placement/load_report.py
+++ b/rattanloom/placement/load_report.py
@@ -21,13 +21,10 @@
     ]
     return ZoneLoad(
         free_millicores(workers, placer.waiting, now_ms),
-        capacity_millicores(workers),
+        capacity_millicores(workers, now_ms),
         placer.demand.from_sources(own_sources, now_ms),
         merge_loads(
-            (
-                (priority, step.need.cpu_millicores * step.estimate_ms)
-                for priority, step in waiting
-            ),
+            ((priority, step.counted_work_millicore_ms) for priority, step in waiting),
             placer.demand.by_priority(now_ms),
         ),
     )
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -185,7 +185,7 @@
         self.jobs[job.job_id] = job
         now_ms = self.clock.now_ms()
         self.endings.record_arrival(job, now_ms)
-        work = submitted.work_millicore_ms
+        work = submitted.counted_work_millicore_ms
         self.demand.add(receiver.node, submitted.policy.priority, work, now_ms)
         log.info(
             "job_accepted",
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -14,7 +14,7 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.placement.runs import PlacedTask, Run, RunPhase
-from rattanloom.placement.start_limits import StartLimits
+from rattanloom.placement.start_limits import DRAINING_PAUSE_MS, StartLimits
 from rattanloom.placement.worker_events import LossCause, WorkerEvents, WorkerState
 from rattanloom.placement.worker_lease import WorkerLease
 from rattanloom.placement.worker_runs import WorkerRuns
@@ -29,6 +29,7 @@
     WorkerClientProtocol,
     WorkerEntry,
     WorkerReport,
+    reply_label,
 )
 
 log = DecisionLog("placement")
@@ -49,8 +50,6 @@
 # Time for the next placer, once recorded as the owner, to send its fencing token to
 # the worker.
 FENCING_DELAY_MS = 150
-# Pause after a report that the worker drains: longer than the wait for the next report.
-DRAINING_PAUSE_MS = 2_000
 
 
 @define(eq=False, repr=False)
@@ -60,7 +59,8 @@
     ``events`` is the placer. ``reported_clock_ms`` is the worker's clock in the newest
     report, ``last_finished_number`` the number of its last processed finished run.
     ``missed_replies`` counts requests in a row without a reply. The worker gets no
-    tasks until ``paused_until_ms``. ``failure_score``, ``quarantine_count`` and
+    tasks until ``paused_until_ms``, nor until ``drains_until_ms`` after a report that
+    it drains. ``failure_score``, ``quarantine_count`` and
     ``duration_ratio`` belong to ``WorkerHealth``. ``_idle_wait`` is set while a
     request to an idle worker is pending, which does not extend the lease. ``limits``
     are shared by the workers of the placer.
@@ -81,6 +81,7 @@
     reported_clock_ms: int = 0
     missed_replies: int = 0
     paused_until_ms: float = 0
+    drains_until_ms: float = 0
     failure_score: float = 0
     quarantine_count: int = 0
     duration_ratio: float = 1.0
@@ -201,7 +202,7 @@
                 worker=self.worker_id,
                 token=token,
                 lease_until_ms=order.lease_until_ms,
-                answer=_reply_label(reply),
+                answer=reply_label(reply),
             )
             if self.closed or self.runs.get(run.key) is not run:
                 return
@@ -386,8 +387,8 @@
         is_newer = report.clock_ms > self.reported_clock_ms
         self.reported_clock_ms = max(report.clock_ms, self.reported_clock_ms)
         self.missed_replies = 0
-        if report.remaining_ms:
-            self.paused_until_ms = self.clock.now_ms() + DRAINING_PAUSE_MS
+        if report.remaining_ms is not None:
+            self.drains_until_ms = self.clock.now_ms() + DRAINING_PAUSE_MS
         for finished in report.ended:
             self._apply_finished_run(finished)
         listed = {(row.task, row.attempt): row for row in report.running}
@@ -426,6 +427,7 @@
                 run.worker_restarted = True
         self.last_finished_number = 0
         self.reported_clock_ms = 0
+        self.drains_until_ms = 0
         self.incarnation_ms = incarnation_ms
 
     def _apply_finished_run(self, finished: FinishedRun) -> None:
@@ -485,11 +487,3 @@
             cause = LossCause.WORKER_RESTARTED
         self.runs.remove(run)
         self.events.on_run_lost(self, run, cause)
-
-
-def _reply_label(reply: Started | Refused | Failure) -> str:
-    if isinstance(reply, Started):
-        return "started"
-    if isinstance(reply, Refused):
-        return reply.refusal.value
-    return reply.kind.value
--- a/rattanloom/placement/start_limits.py
+++ b/rattanloom/placement/start_limits.py
@@ -18,6 +18,9 @@
 # Workers write their entries every 1.5 s, and an owner reads them every 400 ms. Before
 # this time has passed, a worker that is cold may not have been seen as such.
 COLD_SEEN_MS = 2_000
+# Time without starts after a report that the worker drains: longer than the wait for
+# the next report, and than the time until its entry is read.
+DRAINING_PAUSE_MS = 2_000
 
 
 @define(eq=False, repr=False)
@@ -61,6 +64,7 @@
         return (
             self.is_open(worker)
             and self.may_start_by_evacuations()
+            and worker.drains_until_ms <= self.clock.now_ms()
             and _has_room_for_orders(worker)
         )
 
--- a/rattanloom/placement/worker_choice.py
+++ b/rattanloom/placement/worker_choice.py
@@ -50,6 +50,7 @@
         and worker.entry.accepting
         and worker.has_current_entry
         and worker.paused_until_ms <= now_ms
+        and worker.drains_until_ms <= now_ms
         and not worker.runs.inherited_count
         and not worker.runs.isolated_count
         and worker.limits.allows(worker)
--- a/rattanloom/placement/workers.py
+++ b/rattanloom/placement/workers.py
@@ -113,6 +113,15 @@
     clock_ms: int = 0
 
 
+def reply_label(reply: Started | Refused | Failure) -> str:
+    """Return the label of a reply to a start order in the log."""
+    if isinstance(reply, Started):
+        return "started"
+    if isinstance(reply, Refused):
+        return reply.refusal.value
+    return reply.kind.value
+
+
 @frozen
 class RunStatus:
     """One run as a worker's report lists it; ``percent`` is its progress."""
@@ -154,14 +163,14 @@
     """Reply to a renewal: the worker's clock, its runs and those that have finished.
 
     ``ended`` has the finished runs after ``last_finished_number`` of the renewal.
-    ``remaining_ms`` is the least time until the worker leaves; 0 unless it drains.
+    ``remaining_ms`` is the least time until the worker leaves; None unless it drains.
     """
 
     clock_ms: int
     incarnation_ms: int
     running: tuple[RunStatus, ...]
     ended: tuple[FinishedRun, ...]
-    remaining_ms: float = 0
+    remaining_ms: float | None = None
 
 
 @frozen
--- a/rattanloom/platform/json_format.py
+++ b/rattanloom/platform/json_format.py
@@ -48,6 +48,11 @@
 CONVERTER = _make_converter()
 
 
+def is_number(value: object) -> bool:
+    """Return whether a decoded value is a number; JSON has booleans apart from them."""
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
 def structure(document: object, model: type[T]) -> T:
     """Convert a decoded document to ``model``; ``FormatError`` names the field."""
     if not isinstance(document, dict):
--- a/rattanloom/platform/worker_entries.py
+++ b/rattanloom/platform/worker_entries.py
@@ -1,11 +1,14 @@
 """Parses the entries by which workers register in the platform's metadata store."""
 
-from math import isfinite
-
 from attrs import define, evolve, field, fields, frozen
 
 from rattanloom.placement.workers import Resources, WorkerEntry
-from rattanloom.platform.json_format import FormatError, decode_object, structure
+from rattanloom.platform.json_format import (
+    FormatError,
+    decode_object,
+    is_number,
+    structure,
+)
 from rattanloom.platform.rows import Row
 from rattanloom.scheduling.leaving import NOTICE_MIN_MS
 
@@ -14,6 +17,8 @@
 # A later estimate of the time at which a worker leaves is used only if it is earlier by
 # more than this: entries are read up to 400 ms after they were written.
 LEAVING_TOLERANCE_MS = 500
+# Longer times in an entry count as invalid.
+TIME_MAX_MS = 3_600_000
 
 
 @frozen
@@ -87,15 +92,21 @@
 def _cold_left_ms(document: dict[str, object]) -> float:
     """Return how long the worker remains slow; 0 if the field is missing or invalid."""
     left_ms = document.get("cold_left_ms")
-    is_number = isinstance(left_ms, int | float) and not isinstance(left_ms, bool)
-    return left_ms if is_number and isfinite(left_ms) else 0.0
+    return left_ms if _is_time(left_ms) else 0.0
 
 
 def _remaining_ms(document: dict[str, object]) -> float:
     """Return the time left to a draining worker; the least notice if it names none."""
     remaining_ms = document.get("remaining_ms")
-    is_number = isinstance(remaining_ms, int | float) and isfinite(remaining_ms)
-    return max(0, remaining_ms) if is_number else NOTICE_MIN_MS
+    return remaining_ms if _is_time(remaining_ms) else NOTICE_MIN_MS
+
+
+def _is_time(value: object) -> bool:
+    """Return whether a value is a number in the range of times.
+
+    Integers in JSON have no limit, and very large ones can't be added to a float.
+    """
+    return is_number(value) and 0 <= value <= TIME_MAX_MS
 
 
 def _make_entry(worker_id: str, document: dict[str, object]) -> WorkerEntry:
--- a/rattanloom/platform/workers.py
+++ b/rattanloom/platform/workers.py
@@ -21,7 +21,7 @@
     WorkerReport,
 )
 from rattanloom.platform.http import HttpClient, Response
-from rattanloom.platform.json_format import FormatError, encode, parse
+from rattanloom.platform.json_format import FormatError, encode, is_number, parse
 
 # One connection waits for reports of finished runs; the others carry orders.
 CONNECTIONS_MAX = 5
@@ -79,7 +79,7 @@
     running: list[list]
     finished_runs: list[list]
     incarnation_ms: int = 0
-    remaining_ms: Any = 0
+    remaining_ms: Any = None
 
 
 @define(eq=False, repr=False)
@@ -190,7 +190,7 @@
             body.incarnation_ms,
             tuple(_parse_run_status(row) for row in body.running),
             tuple(_parse_finished_run(row) for row in body.finished_runs),
-            body.remaining_ms if isinstance(body.remaining_ms, int | float) else 0,
+            body.remaining_ms if is_number(body.remaining_ms) else None,
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         return Failure(ErrorKind.REPLY_LOST, f"invalid report from the worker: {error}")
--- a/rattanloom/scheduling/zone_load.py
+++ b/rattanloom/scheduling/zone_load.py
@@ -5,6 +5,7 @@
 
 from collections import Counter, deque
 from collections.abc import Container, Iterable
+from math import inf, isfinite
 
 from attrs import define, field, frozen
 
@@ -28,12 +29,13 @@
 
     ``free_millicores`` is the free processor less the need of waiting tasks; it may be
     below 0. ``capacity_millicores`` is that of the workers that accept tasks or soon
-    will; 0 if the placer's build does not announce it. ``own_arriving_millicores`` is
-    the processor that the jobs from clients of the placer's own zones need on average.
+    will; None if the placer's build does not announce it. ``own_arriving_millicores``
+    is the processor that the jobs from clients of the placer's own zones need on
+    average.
     """
 
     free_millicores: int
-    capacity_millicores: int = 0
+    capacity_millicores: int | None = None
     own_arriving_millicores: float = 0
     priorities: tuple[PriorityLoad, ...] = ()
 
@@ -41,14 +43,24 @@
     def wait_ms(self) -> float:
         """Return the expected wait of a new job: the waiting work over the capacity.
 
+        It is infinite without capacity, and 0 if the capacity is not announced.
         Work of all priorities counts. Leaving lower ones out moved too few jobs in the
         replay, and they do go first once they are close to their objective.
         """
-        if not self.capacity_millicores:
+        if self.capacity_millicores is None:
             return 0.0
+        if not self.capacity_millicores:
+            return inf
         work = sum(load.waiting_millicore_ms for load in self.priorities)
         return work / self.capacity_millicores
 
+    @property
+    def is_finite(self) -> bool:
+        """Return whether all amounts are finite numbers."""
+        amounts = [load.waiting_millicore_ms for load in self.priorities]
+        amounts += [load.arriving_millicores for load in self.priorities]
+        return all(map(isfinite, (*amounts, self.own_arriving_millicores)))
+
 
 @define(eq=False, repr=False)
 class DemandMeter:
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -81,6 +81,7 @@
     runs: WorkerRuns
     state: WorkerState = WorkerState.READY
     paused_until_ms: float = 0
+    drains_until_ms: float = 0
     has_current_entry: bool = True
     failure_score: float = 0
     duration_ratio: float = 1.0
--- a/tests/test_capacity_exchange.py
+++ b/tests/test_capacity_exchange.py
@@ -1,14 +1,17 @@
 """Announced loads by version of the peer, and the loss of a placer after a move."""
 
+from math import inf, nan
 from types import SimpleNamespace
 
 import pytest
 
 from rattanloom.capacity_exchange import CapacityExchange
 from rattanloom.ingress.job_router import JobRouter
+from rattanloom.links.codec import decode_message, encode_message
 from rattanloom.links.messages import AnnouncedLoad, FreeCapacity
 from rattanloom.metrics import Metrics
-from rattanloom.placement.jobs import OutcomeKind
+from rattanloom.placement.jobs import COUNTED_ESTIMATE_MAX_MS, OutcomeKind
+from rattanloom.placement.load_report import measure_load
 from rattanloom.scheduling.zone_choice import PlacerChoice
 from rattanloom.scheduling.zone_load import PriorityLoad, ZoneLoad
 from standins.store import Store, StoreSwitches
@@ -81,6 +84,34 @@
         assert daemon.metrics.counters["jobs_moved", "b/free_only"] == 1
 
 
+@pytest.mark.parametrize(
+    "load",
+    [
+        ZoneLoad(1, 1, inf),
+        ZoneLoad(1, 1, 0, (PriorityLoad(0, nan),)),
+        ZoneLoad(1, 1, 0, (PriorityLoad(0, 0, -inf),)),
+    ],
+)
+def test_load_that_is_not_finite_is_ignored_and_the_link_stays(load):
+    # Decoding failed, which closed the link to a placer.
+    message = decode_message(encode_message(AnnouncedLoad(load)))
+    choice, metrics = PlacerChoice(CLOCK, dict, lambda zone: None), Metrics()
+    exchange = CapacityExchange(CLOCK, None, None, None, choice, metrics)
+    exchange.handle(SimpleNamespace(peer=SimpleNamespace(node="n2")), message)
+    assert not choice.free_capacity
+    assert metrics.counters["loads_ignored", ""] == 1
+
+
+def test_wrong_estimate_counts_as_the_longest_estimate_in_the_load():
+    with running_placer() as placer:
+        job = make_submitted_job(count=2, estimate_ms=1e300, remaining_ms=1e300)
+        placer.submit(FakeReceiver("n1"), job, ())
+        load = measure_load(placer, {"n1"}, CLOCK.now_ms())
+    work = 2 * 14_000 * COUNTED_ESTIMATE_MAX_MS
+    assert load.own_arriving_millicores == work / 500
+    assert load.priorities[0].waiting_millicore_ms == work
+
+
 class PlacerHub(FakeHub):
     """Delivers submitted jobs to placers in this process, by node."""
 
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -10,12 +10,13 @@
 from rattanloom.placement.job_endings import capacity_millicores
 from rattanloom.placement.jobs import OutcomeKind
 from rattanloom.placement.leaving_workers import stop_leaving_runs
+from rattanloom.placement.load_report import measure_load
 from rattanloom.placement.runs import make_job
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.workers import RefusalReason, Refused, Resources, WorkerReport
 from rattanloom.platform.rows import Row, RowRef
 from rattanloom.registry import Registry
-from rattanloom.scheduling.leaving import LeavingRun, should_stop
+from rattanloom.scheduling.leaving import NOTICE_MIN_MS, LeavingRun, should_stop
 from tests.dispatcher_fakes import (
     CLOCK,
     FakeReceiver,
@@ -70,6 +71,13 @@
     assert read(state="draining", remaining_ms=100).leaves_at_ms < left_ms[0] - 1_000
     assert len(changes) == 3
     assert read(state="draining", remaining_ms="soon").leaves_at_ms
+    # Large integers raised an error that ended the reading of all rows.
+    for number, invalid in enumerate((10**400, True, -1, 3_600_001, None)):
+        entry = read(state="draining", remaining_ms=invalid, labels=[str(number)])
+        expected_ms = CLOCK.now_ms() + NOTICE_MIN_MS
+        assert entry.leaves_at_ms == pytest.approx(expected_ms, abs=200)
+    read(state="ready", cold_left_ms=10**400)
+    assert not registry.cold_until_ms
     assert read(seq=2).leaves_at_ms is None
 
 
@@ -117,6 +125,44 @@
         assert stop_leaving_runs(pool, placer.waiting, Metrics(), now_ms) == 0
 
 
+def test_work_of_stopped_runs_counts_for_the_next_ones_of_the_same_tick():
+    # All runs were stopped for the capacity that only the first ones could get.
+    workers = [PatchedWorker(f"w{number}") for number in range(4)]
+    with running_placer(*workers) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        job = make_submitted_job(estimate_ms=6_000, remaining_ms=60_000, count=6)
+        placer.submit(FakeReceiver(), job, ())
+        assert wait_for(lambda: sum(len(w.running) for w in workers) == 6)
+        pool = list(placer.workers.values())
+        runs = [run for worker in pool for run in worker.runs.all()]
+        assert wait_for(lambda: all(run.confirmed_ms for run in runs))
+        now_ms = CLOCK.now_ms()
+        leaving = sorted(pool, key=lambda worker: -len(worker.runs))[:3]
+        for worker in leaving:
+            worker.entry = evolve(
+                worker.entry, accepting=False, leaves_at_ms=now_ms + 2_000
+            )
+        # One worker of 32 cores is left: each stopped task of 14 cores adds 2.6 s. The
+        # job is of use for 12 s, and another run takes 6 s.
+        for placed in placer.jobs.values():
+            placed.deadline_ms = now_ms + 12_000
+        stopped = stop_leaving_runs(pool, placer.waiting, Metrics(), now_ms)
+    assert stopped == 3
+
+
+@pytest.mark.parametrize("is_draining", [False, True])
+def test_start_is_not_sent_again_after_a_report_of_a_drain(is_draining):
+    worker, orders = open_worker()
+    job = make_job(make_submitted_job(), FakeReceiver(), (), CLOCK.now_ms())
+    worker.start_run(job.tasks[0])
+    gevent.sleep(0.01)
+    worker.drains_until_ms = CLOCK.now_ms() + 2_000 * is_draining
+    orders.start_reply.set(Refused(RefusalReason.ATTEMPT_TOO_OLD))
+    gevent.sleep(0.05)
+    # Each order that is sent again has a newer attempt.
+    assert (job.tasks[0].attempt == 2) is is_draining
+
+
 @pytest.mark.parametrize(
     "changes", [{"accepting": False}, {"capacity": Resources(8_000, 64_000)}]
 )
@@ -132,20 +178,27 @@
     assert job.tasks[0].attempt == 2, "the start was sent again"
 
 
-def test_report_of_a_draining_worker_pauses_it_before_its_entry_is_read():
+@pytest.mark.parametrize("remaining_ms", [2_000, 0])
+def test_report_of_a_draining_worker_ends_starts_before_its_entry_is_read(remaining_ms):
     worker, receiver = PatchedWorker("w1"), FakeReceiver()
     renew = worker.renew
 
     def renew_draining(renewal):
         report = renew(renewal)
         is_report = isinstance(report, WorkerReport)
-        return evolve(report, remaining_ms=2_000) if is_report else report
+        changed = {"remaining_ms": remaining_ms}
+        return evolve(report, **changed) if is_report else report
 
     worker.renew = renew_draining
     with running_placer(worker) as placer:
         assert wait_for(lambda: all_ready(placer))
+        # A refusal sets the pause anew; the drain must not end with it.
+        placer.workers["w1"].paused_until_ms = 0
         placer.submit(receiver, make_submitted_job(), ())
         gevent.sleep(0.1)
+        pool = placer.workers.values()
+        assert capacity_millicores(pool, CLOCK.now_ms()) == 0
+        assert measure_load(placer, (), CLOCK.now_ms()).capacity_millicores == 0
     assert not worker.starts
 
 
@@ -153,4 +206,4 @@
     with running_placer(FakeWorker("w1", cut_off=True), FakeWorker("w2")) as placer:
         assert wait_for(lambda: placer.workers["w2"].state is WorkerState.READY)
         assert placer.workers["w1"].state is WorkerState.SYNCING
-        assert capacity_millicores(placer.workers.values()) == 64_000
+        assert capacity_millicores(placer.workers.values(), CLOCK.now_ms()) == 64_000
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -226,3 +226,15 @@
         link.close()
         gevent.sleep(0.05)
         assert link.unsent() == (Cancel("y"),)
+
+
+def test_priorities_outside_the_field_are_clamped():
+    # Encoding failed, and the job or the report was never sent.
+    for priority, expected in ((-1, 0), (70_000, 65_535)):
+        load = ZoneLoad(1, 1, 0, (PriorityLoad(priority),))
+        decoded = decode_message(encode_message(AnnouncedLoad(load)))
+        assert decoded.load.priorities[0].priority == expected
+        job = make_submitted_job()
+        job = evolve(job, policy=evolve(job.policy, priority=priority))
+        decoded = decode_message(encode_message(Submit(job)))
+        assert decoded.job.policy.priority == expected
--- a/tests/test_zone_choice.py
+++ b/tests/test_zone_choice.py
@@ -7,10 +7,11 @@
 
 from rattanloom.placement.jobs import JobPolicy, Step, SubmittedJob
 from rattanloom.placement.workers import Resources
+from rattanloom.scheduling.placer_capacity import LOW_CAPACITY_MILLICORES
 from rattanloom.scheduling.zone_choice import (
+    ACTIVITY_WINDOW_MS,
     CAPACITY_MAX_AGE_MS,
     GUEST_WAIT_MAX_MS,
-    LOW_CAPACITY_MILLICORES,
     RESERVE_SHARE,
     ChosenPlacer,
     PlacerChoice,
@@ -38,8 +39,8 @@
     return PlacerChoice(ManualClock(), lambda: owners, owners.get)
 
 
-def job_needing(millicores, job_id="00000000000000aa", run_ms=200):
-    step = Step(1, Resources(millicores, 64), run_ms)
+def job_needing(millicores, job_id="00000000000000aa", run_ms=200, label=""):
+    step = Step(1, Resources(millicores, 64), run_ms, required_label=label)
     return SubmittedJob(job_id, "", (step,), JobPolicy("s", 1, 2, 1.6, 61), 1_540)
 
 
@@ -176,6 +177,114 @@
     assert moved_need(healed) == 0
 
 
+def waiting_load(wait_ms, free=-1, capacity=CAPACITY):
+    return ZoneLoad(free, capacity, 0, (PriorityLoad(1, wait_ms * CAPACITY),))
+
+
+def make_choice_of(evacuated=(), **loads):
+    """Return a choice among the placers of zones a, b and so on, all well known."""
+    owners = {node: node for node in loads}
+    choice = PlacerChoice(ManualClock(), lambda: owners, owners.get, evacuated)
+    for _ in range(7):
+        choice.clock.at_ms += 100
+        for node, load in loads.items():
+            choice.record_load(node, load)
+    return choice
+
+
+NO_WORKERS = ZoneLoad(0, 0)
+
+
+@pytest.mark.parametrize(
+    "home", [waiting_load(60), waiting_load(400), NO_WORKERS, ZoneLoad(-90_000)]
+)
+@pytest.mark.parametrize("other", [waiting_load(0, 1_600_000), waiting_load(10)])
+def test_evacuated_zones_and_excluded_placers_are_left_out_of_every_rule(home, other):
+    # They would hand the job back or reject it, and its client would wait longer.
+    choice = make_choice_of({"b"}, a=home, b=other, c=waiting_load(500), d=other)
+    jobs = [job_needing(16_000, f"{number:016x}") for number in range(50)]
+    chosen = {choice.choose(job, {"d"}).node for job in jobs}
+    assert chosen <= {"a", "c"}
+
+
+@pytest.mark.parametrize("home", [None, NO_WORKERS])
+def test_evacuated_zone_or_one_without_workers_sends_its_jobs_to_the_shortest_wait(
+    home,
+):
+    # Without capacity, the zone was taken for one of an older build with free capacity.
+    loads = {"b": waiting_load(500), "c": waiting_load(300), "d": NO_WORKERS}
+    choice = make_choice_of(() if home else {"a"}, a=home or waiting_load(0), **loads)
+    expected = ChosenPlacer("c", "c", ZoneReason.NO_CAPACITY)
+    assert choice.choose(job_needing(16_000)) == expected
+    assert choice.is_preferred_nearly_full()
+
+
+def test_jobs_stay_if_no_placer_has_workers():
+    choice = make_choice_of(a=NO_WORKERS, b=NO_WORKERS)
+    assert choice.choose(job_needing(16_000)) == ChosenPlacer("a", "a")
+
+
+@pytest.mark.parametrize(
+    ("home", "placer"),
+    [
+        (waiting_load(400), "a"),
+        (ZoneLoad(-90_000), "a"),
+        (NO_WORKERS, "b"),
+    ],
+)
+def test_job_with_a_required_label_stays_where_the_label_may_be(home, placer):
+    # In a zone without workers of the label, it would wait until it is given up.
+    choice = make_choice_of(a=home, b=waiting_load(0, 1_600_000))
+    assert choice.choose(job_needing(16_000, label="r1-2")).node == placer
+    assert choice.choose(job_needing(16_000)).node == "b"
+
+
+def test_times_of_old_jobs_are_forgotten_without_reports():
+    # Small deployments have no reports, and the times of all jobs were kept.
+    choice = make_choice()
+    for _ in range(100):
+        choice.clock.at_ms += ACTIVITY_WINDOW_MS / 10
+        choice.choose(job_needing(1_000))
+    assert len(choice._jobs_ms) <= 11
+
+
+def test_preferred_is_nearly_full_while_tasks_wait_beside_scattered_capacity():
+    # Free parts that are too small for the waiting tasks kept the links closed.
+    assert not make_choice_of(a=waiting_load(0, 900_000)).is_preferred_nearly_full()
+    assert make_choice_of(a=waiting_load(10, 900_000)).is_preferred_nearly_full()
+
+
+def test_late_job_waits_at_the_placer_with_the_shortest_wait():
+    # The placers were tried by the order of zones.
+    loads = {"b": waiting_load(60), "c": waiting_load(20)}
+    choice = make_choice_of(a=waiting_load(400), **loads)
+    expected = ChosenPlacer("c", "c", ZoneReason.ON_TIME)
+    assert choice.choose(job_needing(16_000)) == expected
+
+
+def test_time_already_waited_counts_for_being_late():
+    # Of 181 ms of slack, a job sent again after a rejection has less left.
+    loads = {"a": waiting_load(150), "b": waiting_load(10)}
+    assert make_choice_of(**loads).choose(job_needing(16_000)).node == "a"
+    chosen = make_choice_of(**loads).choose(job_needing(16_000), (), 100)
+    assert chosen.reason is ZoneReason.ON_TIME
+    assert make_choice_of(**loads).choose(job_needing(16_000), (), 175).node == "a"
+
+
+@pytest.mark.parametrize(("own_zone", "daemons"), [("a", 20), ("z", 30)])
+def test_daemons_of_an_own_zone_without_owner_share_the_capacity_of_others(
+    own_zone, daemons
+):
+    # They were left out, so that together they took more than was announced.
+    loads = {"a": waiting_load(60), "b": waiting_load(60), "c": waiting_load(0, 90)}
+    choice = make_choice_of(**loads)
+    choice.own_zone, choice.daemons_in = own_zone, lambda zone: 10
+    choice.record_load("c", loads["c"])
+    assert choice.free_capacity["c"].sharing_daemons == daemons
+    choice.record_load("a", loads["a"])
+    assert choice.free_capacity["a"].budget_millicores <= 90
+
+
 @pytest.mark.parametrize(
     ("phases", "load"),
     [
