--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -10,6 +10,7 @@
 import capnp
 
 from rattanloom.links.messages import (
+    AnnouncedLoad,
     Cancel,
     FreeCapacity,
     Hello,
@@ -36,8 +37,11 @@
     SubmittedJob,
 )
 from rattanloom.placement.workers import Resources
+from rattanloom.scheduling.zone_load import PriorityLoad, ZoneLoad
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("links.capnp")))
+# Highest value of the field ``priority``, which has 16 bits.
+PRIORITY_MAX = 65_535
 
 
 class BadMessageError(Exception):
@@ -97,7 +101,7 @@
     slot.jobId = job.job_id
     slot.spec = job.spec.encode(errors="surrogatepass")
     slot.service = policy.service
-    slot.priority = policy.priority
+    slot.priority = _wire_priority(policy.priority)
     slot.maxAttempts = policy.max_attempts
     slot.slackFactor = policy.slack_factor
     slot.latencyTargetMs = policy.latency_target_ms
@@ -110,6 +114,11 @@
         _write_step(step_slot, step)
 
 
+def _wire_priority(priority: int) -> int:
+    """Return a priority in the range of the field; configurations have no limit."""
+    return min(max(priority, 0), PRIORITY_MAX)
+
+
 def _write_step(slot: object, step: Step) -> None:
     slot.count = step.count
     slot.cpuMillicores = step.need.cpu_millicores
@@ -188,6 +197,36 @@
     )
 
 
+def _write_load(builder: object, message: AnnouncedLoad) -> None:
+    load, slot = message.load, builder.init("zoneLoad")
+    slot.freeMillicores = load.free_millicores
+    slot.capacityMillicores = load.capacity_millicores
+    slot.ownArrivingMillicores = load.own_arriving_millicores
+    priority_slots = slot.init("priorities", len(load.priorities))
+    for priority_slot, priority_load in zip(
+        priority_slots, load.priorities, strict=True
+    ):
+        priority_slot.priority = _wire_priority(priority_load.priority)
+        priority_slot.waitingMillicoreMs = priority_load.waiting_millicore_ms
+        priority_slot.arrivingMillicores = priority_load.arriving_millicores
+
+
+def _read_load(reader: object) -> AnnouncedLoad:
+    slot = reader.zoneLoad
+    priorities = tuple(
+        PriorityLoad(load.priority, load.waitingMillicoreMs, load.arrivingMillicores)
+        for load in slot.priorities
+    )
+    return AnnouncedLoad(
+        ZoneLoad(
+            slot.freeMillicores,
+            slot.capacityMillicores,
+            slot.ownArrivingMillicores,
+            priorities,
+        )
+    )
+
+
 def _write_liveness_reply(builder: object, reply: OwnerLivenessReply) -> None:
     slot = builder.init("ownerAnswer")
     slot.owner = reply.owner
@@ -286,6 +325,7 @@
     Hello: _write_hello,
     Ping: _write_ping,
     FreeCapacity: _write_attribute("room", "millicores"),
+    AnnouncedLoad: _write_load,
     Submit: _write_submit,
     SubmitRejected: _write_attribute("submitRejected", "job_id"),
     Cancel: _write_attribute("cancel", "job_id"),
@@ -303,6 +343,7 @@
     "hello": _read_hello,
     "ping": lambda reader: Ping(),
     "room": lambda reader: FreeCapacity(reader.room),
+    "zoneLoad": _read_load,
     "submit": _read_submit,
     "submitRejected": lambda reader: SubmitRejected(reader.submitRejected),
     "cancel": lambda reader: Cancel(reader.cancel),
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -81,6 +81,19 @@
   retryAfterMs @2 :UInt32;
 }
 
+struct PriorityLoad {
+  priority @0 :UInt16;
+  waitingMillicoreMs @1 :Float64;
+  arrivingMillicores @2 :Float64;
+}
+
+struct ZoneLoad {
+  freeMillicores @0 :Int64;
+  capacityMillicores @1 :UInt64;
+  ownArrivingMillicores @2 :Float64;
+  priorities @3 :List(PriorityLoad);
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -97,5 +110,6 @@
     ownedZones @11 :OwnedZones;
     submitRejected @12 :Text;
     jobsReturned @13 :List(ReturnedJob);
+    zoneLoad @14 :ZoneLoad;
   }
 }
--- a/rattanloom/peer_messages.py
+++ b/rattanloom/peer_messages.py
@@ -4,13 +4,14 @@
 
 from attrs import define
 
+from rattanloom.capacity_exchange import CapacityExchange
 from rattanloom.crash_exchange import CrashExchange
 from rattanloom.ingress.job_router import JobRouter
-from rattanloom.ingress.placer_choice import PlacerChoice
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.link import Link
 from rattanloom.links.messages import (
     OWNED_ZONES_VERSION,
+    AnnouncedLoad,
     Cancel,
     FreeCapacity,
     JobsReturned,
@@ -33,7 +34,7 @@
     hub: LinkHub
     placer: Placer
     ownership: Ownership
-    placer_choice: PlacerChoice
+    capacity_exchange: CapacityExchange
     crash_exchange: CrashExchange
     job_router: JobRouter
     wake: Callable[[], None]
@@ -47,8 +48,8 @@
             self.job_router.on_rejected(node, message.job_id)
         elif isinstance(message, Cancel):
             self.placer.cancel(message.job_id)
-        elif isinstance(message, FreeCapacity):
-            self.placer_choice.record_free_capacity(node, message.millicores)
+        elif isinstance(message, FreeCapacity | AnnouncedLoad):
+            self.capacity_exchange.handle(link, message)
         elif isinstance(message, Outcome):
             self.job_router.record_outcome(node, message.outcome)
         elif isinstance(message, JobsReturned):
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -1,6 +1,6 @@
 """Ends jobs at a placer: stops their runs and delivers their outcomes."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from attrs import define, field
 
@@ -140,13 +140,7 @@
 
     def _capacity(self) -> PoolCapacity:
         """Return the capacity of all workers that accept tasks or soon may again."""
-        workers = [
-            worker
-            for worker in self.workers.values()
-            if worker.entry.accepting
-            and worker.limits.is_open(worker)
-            and worker.state in (WorkerState.READY, WorkerState.SYNCING)
-        ]
+        workers = usable_workers(self.workers.values(), self.clock.now_ms())
         return PoolCapacity(
             sum(worker.runs.capacity.cpu_millicores for worker in workers),
             max((worker.runs.free.cpu_millicores for worker in workers), default=0),
@@ -193,3 +187,25 @@
                     lost = run.step.need.cpu_millicores * (now_ms - run.ordered_ms)
                     self.metrics.count("work_lost_core_ms", by=round(lost / 1_000))
                     worker.stop(run)
+
+
+def usable_workers(
+    workers: Iterable[PooledWorker], now_ms: float
+) -> list[PooledWorker]:
+    """Return the workers that accept tasks or soon may again."""
+    return [
+        worker
+        for worker in workers
+        if worker.entry.accepting
+        and worker.drains_until_ms <= now_ms
+        and worker.limits.is_open(worker)
+        and worker.state in (WorkerState.READY, WorkerState.SYNCING)
+    ]
+
+
+def capacity_millicores(workers: Iterable[PooledWorker], now_ms: float) -> int:
+    """Return the capacity of the workers that accept tasks or soon may again."""
+    return sum(
+        worker.runs.capacity.cpu_millicores
+        for worker in usable_workers(workers, now_ms)
+    )
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -20,6 +20,7 @@
 from rattanloom.placement.job_endings import JobEndings
 from rattanloom.placement.job_returns import JobReturns
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind, SubmittedJob
+from rattanloom.placement.leaving_workers import stop_leaving_runs
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import (
     OutcomeReceiver,
@@ -33,10 +34,7 @@
 )
 from rattanloom.placement.start_limits import StartLimits
 from rattanloom.placement.suspension import SuspensionGuard
-from rattanloom.placement.worker_choice import (
-    free_millicores,
-    has_free_capacity,
-)
+from rattanloom.placement.worker_choice import has_free_capacity
 from rattanloom.placement.worker_events import LossCause, WorkerState
 from rattanloom.placement.worker_health import WorkerHealth
 from rattanloom.placement.worker_lease import WorkerLease
@@ -48,6 +46,7 @@
     WorkerEntry,
 )
 from rattanloom.scheduling.waiting import WaitingTasks, is_waiting
+from rattanloom.scheduling.zone_load import DemandMeter
 
 log = DecisionLog("placement")
 
@@ -70,7 +69,7 @@
     after the process was suspended; the placer gives no orders until ``resume`` is
     called. ``may_start_by_entries`` returns whether the entries of the workers are
     recent enough. ``active_runs`` counts the runs of each task that may not have
-    finished yet.
+    finished yet. ``demand`` measures the arriving work.
     """
 
     node: str
@@ -85,6 +84,7 @@
     jobs: dict[str, PlacedJob] = field(factory=dict)
     waiting: WaitingTasks = field(factory=WaitingTasks)
     active_runs: Counter[str] = field(factory=Counter)
+    demand: DemandMeter = field(factory=DemandMeter)
     worker_health: WorkerHealth = field(factory=WorkerHealth)
     inherited_work: InheritedWork = field(init=False)
     suspension: SuspensionGuard = field(init=False)
@@ -183,7 +183,10 @@
             self.crash_policy.must_be_isolated(task) for task in job.tasks
         )
         self.jobs[job.job_id] = job
-        self.endings.record_arrival(job, self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        self.endings.record_arrival(job, now_ms)
+        work = submitted.counted_work_millicore_ms
+        self.demand.add(receiver.node, submitted.policy.priority, work, now_ms)
         log.info(
             "job_accepted",
             job=job.job_id,
@@ -237,6 +240,7 @@
         now_ms = self.clock.now_ms()
         self.suspension.tick(now_ms)
         self._stop_overdue_runs()
+        stop_leaving_runs(self.workers.values(), self.waiting, self.metrics, now_ms)
         for job in list(self.jobs.values()):
             self._finish_done_tasks(job)
         self.endings.end_overdue(now_ms)
@@ -321,10 +325,6 @@
 
     # Placing
 
-    def free_millicores(self) -> int:
-        """Return the free processor less the waiting tasks' need; may be below 0."""
-        return free_millicores(self.workers.values(), self.waiting, self.clock.now_ms())
-
     def start_waiting_tasks(self) -> None:
         """Start waiting tasks, in the order of their queues, where capacity is free."""
         if self._is_starting_tasks or not self.waiting or not self.may_give_orders():
--- a/rattanloom/placement/start_limits.py
+++ b/rattanloom/placement/start_limits.py
@@ -8,6 +8,7 @@
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.placement.cold_workers import ColdWorkers
+from rattanloom.placement.workers import Resources
 
 if TYPE_CHECKING:
     from rattanloom.placement.pooled_worker import PooledWorker
@@ -17,6 +18,9 @@
 # Workers write their entries every 1.5 s, and an owner reads them every 400 ms. Before
 # this time has passed, a worker that is cold may not have been seen as such.
 COLD_SEEN_MS = 2_000
+# Time without starts after a report that the worker drains: longer than the wait for
+# the next report, and than the time until its entry is read.
+DRAINING_PAUSE_MS = 2_000
 
 
 @define(eq=False, repr=False)
@@ -57,7 +61,12 @@
 
     def may_send(self, worker: "PooledWorker") -> bool:
         """Return whether a start order may be sent now; called before each send."""
-        return self.is_open(worker) and self.may_start_by_evacuations()
+        return (
+            self.is_open(worker)
+            and self.may_start_by_evacuations()
+            and worker.drains_until_ms <= self.clock.now_ms()
+            and _has_room_for_orders(worker)
+        )
 
     def update(self, workers: Collection["PooledWorker"]) -> None:
         """Count the usable workers; log when a zone is full again."""
@@ -88,3 +97,8 @@
             for worker in workers
             if worker.entry.zone == zone
         )
+
+
+def _has_room_for_orders(worker: "PooledWorker") -> bool:
+    """Return whether the entry, which may be new, still allows orders not sent."""
+    return worker.entry.accepting and worker.runs.free.fits(Resources())
--- a/rattanloom/platform/worker_entries.py
+++ b/rattanloom/platform/worker_entries.py
@@ -1,15 +1,24 @@
 """Parses the entries by which workers register in the platform's metadata store."""
 
-from math import isfinite
-
-from attrs import define, field, fields, frozen
+from attrs import define, evolve, field, fields, frozen
 
 from rattanloom.placement.workers import Resources, WorkerEntry
-from rattanloom.platform.json_format import FormatError, decode_object, structure
+from rattanloom.platform.json_format import (
+    FormatError,
+    decode_object,
+    is_number,
+    structure,
+)
 from rattanloom.platform.rows import Row
+from rattanloom.scheduling.leaving import NOTICE_MIN_MS
 
 WORKERS_TABLE = "servers"
 READY, DRAINING = "ready", "draining"
+# A later estimate of the time at which a worker leaves is used only if it is earlier by
+# more than this: entries are read up to 400 ms after they were written.
+LEAVING_TOLERANCE_MS = 500
+# Longer times in an entry count as invalid.
+TIME_MAX_MS = 3_600_000
 
 
 @frozen
@@ -45,14 +54,18 @@
     The entry that was parsed last is then returned again. ``_parsed`` maps worker ids
     to the used fields and the entry. ``cold_left_ms`` has, by worker id, how long a
     worker was still slow when it wrote its last entry; not part of the entry, since
-    it changes with each heartbeat.
+    it changes with each heartbeat. So does ``remaining_ms`` of a draining worker, which
+    becomes a time when it arrives, and is no used field.
     """
 
     cold_left_ms: dict[str, float] = field(factory=dict)
     _parsed: dict[str, tuple[dict[str, object], WorkerEntry]] = field(factory=dict)
 
-    def parse(self, row: Row) -> WorkerEntry:
-        """Return the entry in ``row``; raise ``FormatError`` if it is invalid."""
+    def parse(self, row: Row, now_ms: float = 0) -> WorkerEntry:
+        """Return the entry in ``row``, read at ``now_ms``.
+
+        Raises ``FormatError`` if it is invalid.
+        """
         if row.value is None:
             raise FormatError("the row was deleted or its value is not valid base64")
         document = decode_object(row.value)
@@ -61,7 +74,14 @@
         if worker_id not in self._parsed or self._parsed[worker_id][0] != used:
             self._parsed[worker_id] = (used, _make_entry(worker_id, used))
         self.cold_left_ms[worker_id] = _cold_left_ms(document)
-        return self._parsed[worker_id][1]
+        entry = self._parsed[worker_id][1]
+        if not entry.accepting:
+            leaves_at_ms = now_ms + _remaining_ms(document)
+            known_ms = entry.leaves_at_ms
+            if known_ms is None or leaves_at_ms < known_ms - LEAVING_TOLERANCE_MS:
+                entry = evolve(entry, leaves_at_ms=leaves_at_ms)
+                self._parsed[worker_id] = (used, entry)
+        return entry
 
     def forget(self, worker_id: str) -> None:
         """Forget the entry of a worker that is gone."""
@@ -72,8 +92,21 @@
 def _cold_left_ms(document: dict[str, object]) -> float:
     """Return how long the worker remains slow; 0 if the field is missing or invalid."""
     left_ms = document.get("cold_left_ms")
-    is_number = isinstance(left_ms, int | float) and not isinstance(left_ms, bool)
-    return left_ms if is_number and isfinite(left_ms) else 0.0
+    return left_ms if _is_time(left_ms) else 0.0
+
+
+def _remaining_ms(document: dict[str, object]) -> float:
+    """Return the time left to a draining worker; the least notice if it names none."""
+    remaining_ms = document.get("remaining_ms")
+    return remaining_ms if _is_time(remaining_ms) else NOTICE_MIN_MS
+
+
+def _is_time(value: object) -> bool:
+    """Return whether a value is a number in the range of times.
+
+    Integers in JSON have no limit, and very large ones can't be added to a float.
+    """
+    return is_number(value) and 0 <= value <= TIME_MAX_MS
 
 
 def _make_entry(worker_id: str, document: dict[str, object]) -> WorkerEntry:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -13,6 +13,7 @@
 from rattanloom.links.codec import BadMessageError, decode_message, encode_message
 from rattanloom.links.hub import LinkHub, split_address
 from rattanloom.links.messages import (
+    AnnouncedLoad,
     Cancel,
     FreeCapacity,
     Hello,
@@ -31,6 +32,7 @@
 from rattanloom.ownership.records import claim_number
 from rattanloom.placement.crash_records import LossState, RunLoss
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind, ReturnedJob
+from rattanloom.scheduling.zone_load import PriorityLoad, ZoneLoad
 from tests.dispatcher_fakes import CLOCK, make_submitted_job, wait_for
 from tests.peer_hosts import free_address
 
@@ -41,6 +43,7 @@
     SubmitRejected("00000000000000aa"),
     Ping(),
     FreeCapacity(-14_000),
+    AnnouncedLoad(ZoneLoad(-14_000, 90_000, 5.5, (PriorityLoad(1, 2.5, 3.5),))),
     Submit(make_submitted_job(count=3), ("p1", "p2")),
     Cancel("00000000000000aa"),
     Outcome(JobOutcome("00000000000000aa", OutcomeKind.GIVEN_UP, "why", 1_000)),
@@ -223,3 +226,15 @@
         link.close()
         gevent.sleep(0.05)
         assert link.unsent() == (Cancel("y"),)
+
+
+def test_priorities_outside_the_field_are_clamped():
+    # Encoding failed, and the job or the report was never sent.
+    for priority, expected in ((-1, 0), (70_000, 65_535)):
+        load = ZoneLoad(1, 1, 0, (PriorityLoad(priority),))
+        decoded = decode_message(encode_message(AnnouncedLoad(load)))
+        assert decoded.load.priorities[0].priority == expected
+        job = make_submitted_job()
+        job = evolve(job, policy=evolve(job.policy, priority=priority))
+        decoded = decode_message(encode_message(Submit(job)))
+        assert decoded.job.policy.priority == expected
