--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -215,10 +215,9 @@
         receiver = FakeReceiver()
         placer.submit(receiver, make_submitted_job(count=3), ())
         assert wait_for(lambda: len(other.running) == 2)
-        assert (
-            measure_load(placer, (), CLOCK.now_ms()).free_millicores
-            == 32_000 - 3 * 14_000
-        )
+        load = measure_load(placer, (), CLOCK.now_ms())
+        assert load.free_millicores == 32_000 - 3 * 14_000
+        assert load.capacity_millicores == 32_000, "that of zone a is announced"
         gevent.sleep(0.1)
         assert not evacuated.starts
         assert not receiver.returned
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -14,7 +14,9 @@
 from rattanloom.placement.runs import make_job
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.workers import RefusalReason, Refused, Resources, WorkerReport
+from rattanloom.platform.json_format import structure
 from rattanloom.platform.rows import Row, RowRef
+from rattanloom.platform.workers import ReportBody, _parse_report
 from rattanloom.registry import Registry
 from rattanloom.scheduling.leaving import NOTICE_MIN_MS, LeavingRun, should_stop
 from tests.dispatcher_fakes import (
@@ -178,6 +180,17 @@
     assert job.tasks[0].attempt == 2, "the start was sent again"
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"), [(0, 0), (1.5, 1.5), (True, None), ("soon", None)]
+)
+def test_drain_is_read_from_a_report_also_if_no_time_remains(value, expected):
+    # A report of 0 ms counted as one without a drain.
+    row = {"clock_ms": 1, "running": [], "finished": [], "remaining_ms": value}
+    assert _parse_report(structure(row, ReportBody)).remaining_ms == expected
+    del row["remaining_ms"]
+    assert _parse_report(structure(row, ReportBody)).remaining_ms is None
+
+
 @pytest.mark.parametrize("remaining_ms", [2_000, 0])
 def test_report_of_a_draining_worker_ends_starts_before_its_entry_is_read(remaining_ms):
     worker, receiver = PatchedWorker("w1"), FakeReceiver()
@@ -199,6 +212,7 @@
         pool = placer.workers.values()
         assert capacity_millicores(pool, CLOCK.now_ms()) == 0
         assert measure_load(placer, (), CLOCK.now_ms()).capacity_millicores == 0
+        assert not placer.metrics.counters["tasks_not_started", "no_answer"]
     assert not worker.starts
 
 
