Do not start a job again for a late copy of its submission

Cause: a daemon sends a job again after its link to the placer was replaced. The first copy may still be on the older link and arrive after the job was refused, and the placer took it for a new job.

Cancelled and handed back submissions are not started either. Jobs that clients post again have another number.

Test: starts the refused job on the former code, which lacks the parameter.

--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from random import getrandbits
 from zlib import crc32
 
 from attrs import Factory, define, evolve, field
@@ -24,6 +25,7 @@
 
 log = DecisionLog("ingress")
 
+SUBMISSION_BITS = 63
 # How long a new job waits for a reachable placer. A job that had a placer before
 # waits until its deadline or ``late_limit_ms``, whichever is earlier.
 NO_PLACER_TIMEOUT_MS = 250
@@ -39,8 +41,9 @@
 class PendingJob:
     """A job whose client waits for the outcome.
 
-    ``placer`` is the daemon to which the job was sent, ``zone`` the zone whose
-    workers run it. ``former_placers`` are all daemons to which it was ever sent and
+    ``submission`` identifies the client's request; a client may post a job again.
+    ``placer`` is the daemon to which the job was sent, ``zone`` the zone whose workers
+    run it. ``former_placers`` are all daemons to which it was ever sent and
     that may have started it, in order, including the current one; those that rejected
     it or handed it back (``returned_by``) do not count. ``completed_by`` is the former
     placer that has reported that all tasks are done. ``sends`` counts the sends to each
@@ -51,6 +54,7 @@
 
     submitted: SubmittedJob
     arrived_ms: float
+    submission: int = field(factory=lambda: getrandbits(SUBMISSION_BITS))
     result: AsyncResult = field(factory=AsyncResult)
     placer: str | None = None
     zone: str = ""
@@ -343,11 +347,15 @@
             job.submitted, remaining_ms=remaining_ms, waited_ms=waited_ms
         )
         if placer == self.node:
-            self.placer.submit(self, submitted, former_placers, job.completed_by)
+            self.placer.submit(
+                self, submitted, former_placers, job.completed_by, job.submission
+            )
         else:
             link = self.hub.link(placer)
             if link is not None:
-                link.send(Submit(submitted, former_placers, job.completed_by))
+                link.send(
+                    Submit(submitted, former_placers, job.completed_by, job.submission)
+                )
 
 
 def _unplaced_outcome(job: PendingJob, reason: str) -> JobOutcome:
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -109,6 +109,7 @@
     slot.waitedMs = job.waited_ms
     slot.formerPlacers = list(submit.former_placers)
     slot.completedBy = submit.completed_by
+    slot.submission = submit.submission
     step_slots = slot.init("steps", len(job.steps))
     for step_slot, step in zip(step_slots, job.steps, strict=True):
         _write_step(step_slot, step)
@@ -148,7 +149,7 @@
         slot.waitedMs,
     )
     _check_job(job)
-    return Submit(job, tuple(slot.formerPlacers), slot.completedBy)
+    return Submit(job, tuple(slot.formerPlacers), slot.completedBy, slot.submission)
 
 
 def _check_job(job: SubmittedJob) -> None:
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -35,6 +35,7 @@
   waitedMs @9 :Float32;
   formerPlacers @10 :List(Text);
   completedBy @11 :Text;
+  submission @12 :UInt64;
 }
 
 struct Outcome {
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -59,11 +59,13 @@
     """Submits a job to the receiver's placer; see ``PlacedJob`` for former placers.
 
     ``completed_by`` is the one that has reported that all tasks are done, if any.
+    ``submission`` identifies the client's request; it is 0 from older builds.
     """
 
     job: SubmittedJob
     former_placers: tuple[str, ...] = ()
     completed_by: str = ""
+    submission: int = 0
 
 
 @frozen
--- a/rattanloom/peer_messages.py
+++ b/rattanloom/peer_messages.py
@@ -86,7 +86,11 @@
         if self.ownership.owned():
             receiver = PeerOutcomeReceiver(link.peer.node, self.hub)
             self.placer.submit(
-                receiver, message.job, message.former_placers, message.completed_by
+                receiver,
+                message.job,
+                message.former_placers,
+                message.completed_by,
+                message.submission,
             )
         elif link.peer.protocol_version >= OWNED_ZONES_VERSION:
             link.send(SubmitRejected(message.job.job_id))
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -153,6 +153,8 @@
         label = outcome.kind.value if outcome else "abandoned"
         reason = outcome.reason if outcome else "client or daemon disconnected"
         self.forget(job, label, reason)
+        if outcome is not None:
+            self.inherited_work.record_ending(job.submission, outcome)
         if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
             self.stop_runs(job)
             if job.may_have_run:
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -157,6 +157,7 @@
         submitted: SubmittedJob,
         former_placers: tuple[str, ...],
         completed_by: str = "",
+        submission: int = 0,
     ) -> None:
         """Accept a job; its outcome is delivered to ``receiver``.
 
@@ -164,6 +165,8 @@
         placer ``completed_by`` has completed the job, its runs here are stopped, and
         it completes once none is active.
         """
+        if self._is_late_copy(receiver, submitted.job_id, former_placers, submission):
+            return
         known = self.jobs.get(submitted.job_id)
         if known is not None:
             known.receiver = receiver
@@ -178,7 +181,7 @@
             receiver.deliver(JobOutcome(submitted.job_id, OutcomeKind.COMPLETE))
             return
         job = make_job(submitted, receiver, former_placers, self.clock.now_ms())
-        job.completed_by = completed_by
+        job.completed_by, job.submission = completed_by, submission
         job.sent_before = self.inherited_work.may_have_run(job.job_id) or any(
             self.crash_policy.must_be_isolated(task) for task in job.tasks
         )
@@ -210,10 +213,34 @@
             self.job_returns.return_jobs(filter(is_waiting, job.tasks))
             self.start_waiting_tasks()
 
+    def _is_late_copy(
+        self,
+        receiver: OutcomeReceiver,
+        job_id: str,
+        former_placers: tuple[str, ...],
+        submission: int,
+    ) -> bool:
+        """Return whether a submission has ended here; deliver its outcome again.
+
+        A copy on an older link arrives late, and must not start a job that was refused,
+        cancelled or handed back. A job that was handed back has former placers if it is
+        sent here again.
+        """
+        if not self.inherited_work.has_ended(submission):
+            return False
+        outcome = self.inherited_work.outcome_of(submission)
+        if outcome is None and former_placers:
+            return False
+        log.info("late_submission_ignored", job=job_id)
+        if outcome is not None:
+            receiver.deliver(outcome)
+        return True
+
     def cancel(self, job_id: str) -> None:
         """End a job whose client has disconnected."""
         job = self.jobs.get(job_id)
         if job is not None:
+            self.inherited_work.record_ending(job.submission, None)
             self.endings.end(job, None)
 
     def on_daemon_lost(self, node: str) -> None:
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -71,7 +71,8 @@
     ``effective_runs`` counts the runs that were ordered, less those that definitely
     had no effect. ``sent_before`` is set if an earlier send of the job may have run,
     ``completed_by`` is the former placer that has reported that all tasks are done.
-    ``submits`` counts how often this placer received the job.
+    ``submits`` counts how often this placer received the job; ``submission`` is that of
+    the message ``Submit``.
     """
 
     submitted: SubmittedJob
@@ -91,6 +92,7 @@
     ended: bool = False
     orphaned_ms: float = 0
     submits: int = 1
+    submission: int = 0
 
     @property
     def job_id(self) -> str:
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -391,6 +391,25 @@
     assert receiver.outcomes[0].retry_after_ms > 0
 
 
+def test_late_copy_of_a_refused_submission_is_not_started():
+    # A copy on an older, slow link started a job whose client had got 503.
+    worker, receiver = FakeWorker("w1", cut_off=True), FakeReceiver()
+    with running_placer(worker) as placer:
+        job = make_submitted_job(remaining_ms=300)
+        placer.submit(receiver, job, (), "", 7)
+        assert wait_for(lambda: receiver.outcomes)
+        worker.cut_off = False
+        assert wait_for(lambda: all_ready(placer))
+        placer.submit(receiver, job, (), "", 7)
+        gevent.sleep(0.05)
+        assert not worker.starts
+        assert [outcome.kind for outcome in receiver.outcomes] == 2 * [
+            OutcomeKind.REFUSED
+        ]
+        placer.submit(receiver, job, (), "", 8)
+        assert wait_for(lambda: worker.starts), "the client has posted the job again"
+
+
 def test_resubmitted_completed_job_gets_its_outcome_at_once():
     worker, receiver = FakeWorker("w1"), FakeReceiver()
     with running_placer(worker) as placer:
