Carry the rack of a step and the name of a job's queue to the placer

The placer needs the label of the rack that has a step's data (affinity), how much longer a task takes elsewhere (remote_factor in bounds), and which kind of job it places. None of the three was parsed. A label that is not printable or longer than 100 characters is dropped, so that links and logs carry only short ones.

tests/test_links.py and tests/test_platform_adapter.py pass with the new fields.

--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -85,6 +85,7 @@
     slot.remainingMs = job.remaining_ms
     slot.waitedMs = job.waited_ms
     slot.formerPlacers = list(submit.former_placers)
+    slot.queue = policy.queue
     step_slots = slot.init("steps", len(job.steps))
     for step_slot, step in zip(step_slots, job.steps, strict=True):
         _write_step(step_slot, step)
@@ -99,6 +100,7 @@
     slot.after = list(step.after)
     slot.requiredLabel = step.required_label
     slot.perWorkerMax = step.per_worker_max
+    slot.affinity = step.affinity
 
 
 def _read_submit(reader: object) -> Submit:
@@ -109,6 +111,7 @@
         slot.maxAttempts,
         slot.slackFactor,
         slot.latencyTargetMs,
+        slot.queue,
     )
     job = SubmittedJob(
         slot.jobId,
@@ -149,6 +152,7 @@
         tuple(slot.after),
         slot.requiredLabel,
         slot.perWorkerMax,
+        slot.affinity,
     )
 
 
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -18,6 +18,7 @@
   after @5 :List(UInt16);
   requiredLabel @6 :Text;
   perWorkerMax @7 :UInt32;
+  affinity @8 :Text;
 }
 
 struct Submit {
@@ -32,6 +33,7 @@
   remainingMs @8 :Float32;
   waitedMs @9 :Float32;
   formerPlacers @10 :List(Text);
+  queue @11 :Text;
 }
 
 struct Outcome {
--- a/rattanloom/placement/jobs.py
+++ b/rattanloom/placement/jobs.py
@@ -19,7 +19,8 @@
 
     ``need`` and the estimated duration ``estimate_ms`` are those of one task.
     ``after`` has the numbers of the steps to finish first. ``per_worker_max`` limits
-    the tasks of the step that run on one worker; 0 means no limit.
+    the tasks of the step that run on one worker; 0 means no limit. ``affinity`` is the
+    label of the rack that has the step's data; its tasks take longer elsewhere.
     """
 
     count: int
@@ -28,6 +29,7 @@
     after: tuple[int, ...] = ()
     required_label: str = ""
     per_worker_max: int = 0
+    affinity: str = ""
 
 
 @frozen
@@ -36,7 +38,8 @@
 
     Workers of other services get no task of the job. A job fails once one of its
     tasks has failed ``max_attempts`` times. ``slack_factor`` and
-    ``latency_target_ms`` determine ``SubmittedJob.objective_ms``.
+    ``latency_target_ms`` determine ``SubmittedJob.objective_ms``. ``queue`` is the name
+    of the queue, "" if a peer of an older build sent the job.
     """
 
     service: str
@@ -44,6 +47,7 @@
     max_attempts: int
     slack_factor: float
     latency_target_ms: float
+    queue: str = ""
 
 
 @frozen
@@ -70,6 +74,16 @@
             ends_ms.append(starts_ms + step.estimate_ms)
         return max(ends_ms, default=0.0)
 
+    @cached_property
+    def path_after_ms(self) -> tuple[float, ...]:
+        """Return the estimated duration of the longest chain after each step."""
+        after_ms = [0.0] * len(self.steps)
+        for number in reversed(range(len(self.steps))):
+            path_ms = after_ms[number] + self.steps[number].estimate_ms
+            for earlier in self.steps[number].after:
+                after_ms[earlier] = max(after_ms[earlier], path_ms)
+        return tuple(after_ms)
+
     @cached_property
     def need_millicores(self) -> int:
         """Return the sum of the processor needs of all tasks."""
--- a/rattanloom/platform/deployment.py
+++ b/rattanloom/platform/deployment.py
@@ -27,7 +27,8 @@
     """Limits that the platform sets.
 
     ``stop_grace_s`` is the time that a process gets to stop. A configuration must be in
-    force ``configuration_delay_max_ms`` after the store confirmed it.
+    force ``configuration_delay_max_ms`` after the store confirmed it. A task takes
+    ``remote_factor`` times as long outside the rack that has its data.
     """
 
     WIRE_NAMES: ClassVar = {
@@ -39,6 +40,7 @@
     worker_lease_max_ms: float = 1_000
     stop_grace_s: float = 6
     configuration_delay_max_ms: float = 2_000
+    remote_factor: float = 1.0
 
 
 @frozen
--- a/rattanloom/platform/job_format.py
+++ b/rattanloom/platform/job_format.py
@@ -14,6 +14,7 @@
 STEPS_MAX = 100
 TASKS_MAX = 1_000
 JOB_ID_LENGTH = 16
+LABEL_LENGTH_MAX = 100
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
@@ -22,7 +23,8 @@
     """One step of a posted job: ``count`` equal tasks. Other fields may be omitted.
 
     ``cpu``, in thousandths of a core, ``mem_mb`` and ``gpu`` are the need of one task,
-    ``after`` the numbers of the earlier steps that must finish first.
+    ``after`` the numbers of the earlier steps that must finish first. ``affinity`` is
+    the label of the rack that has the step's data.
     """
 
     WIRE_NAMES: ClassVar = {"estimate_ms": "est_ms", "per_worker_max": "anti_affinity"}
@@ -35,6 +37,7 @@
     after: tuple[int, ...] = ()
     required_label: str = ""
     per_worker_max: int = 0
+    affinity: str = ""
 
 
 @frozen
@@ -78,6 +81,7 @@
         queue.max_attempts,
         queue.slack_factor,
         queue.latency_target_ms,
+        queue.name,
     )
     steps = tuple(_to_step(step) for step in wire.steps)
     job = SubmittedJob(job_id, wire.spec, steps, policy, remaining_ms)
@@ -109,6 +113,11 @@
             raise FormatError(f"steps[{number}].after must only list earlier steps")
 
 
+def _is_label(text: str) -> bool:
+    """Return whether ``text`` may be a worker's label; others are not sent on."""
+    return len(text) <= LABEL_LENGTH_MAX and text.isprintable()
+
+
 def _to_step(wire: WireStep) -> Step:
     return Step(
         wire.count,
@@ -117,4 +126,5 @@
         wire.after,
         wire.required_label,
         wire.per_worker_max,
+        wire.affinity if _is_label(wire.affinity) else "",
     )
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -26,8 +26,8 @@
 )
 from rattanloom.ownership.records import claim_number
 from rattanloom.placement.crash_records import LossState, RunLoss
-from rattanloom.placement.jobs import JobOutcome, OutcomeKind
-from tests.dispatcher_fakes import CLOCK, make_submitted_job, wait_for
+from rattanloom.placement.jobs import JobOutcome, OutcomeKind, Step
+from tests.dispatcher_fakes import CLOCK, NEED, POLICY, make_submitted_job, wait_for
 from tests.peer_hosts import free_address
 
 LOSS = RunLoss("00000000000000aa.0.0.1", "w1", 7, True, LossState.OPEN)
@@ -35,7 +35,13 @@
     Hello("n1", "a", "127.0.0.1:1", 7),
     Ping(),
     FreeCapacity(-14_000),
-    Submit(make_submitted_job(count=3), ("p1", "p2")),
+    Submit(
+        evolve(
+            make_submitted_job(count=3, policy=evolve(POLICY, queue="crops")),
+            steps=(Step(3, NEED, 60, affinity="r1-3"), Step(1, NEED, 60, (0,))),
+        ),
+        ("p1", "p2"),
+    ),
     Cancel("00000000000000aa"),
     Outcome(JobOutcome("00000000000000aa", OutcomeKind.GIVEN_UP, "why", 1_000)),
     OwnerLivenessQuery("n1"),
@@ -55,6 +61,7 @@
     assert decoded.former_placers == message.former_placers
     assert decoded.job.steps == message.job.steps
     assert decoded.job.spec == message.job.spec
+    assert decoded.job.policy.queue == message.job.policy.queue
     assert decoded.job.objective_ms == pytest.approx(message.job.objective_ms)
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -30,7 +30,7 @@
     "listen": {"front": "10.1.0.13:1", "ready": "10.1.0.13:2"},
     "internal_ports": [7720, 7735],
     "platform": {"addr": "10.2.0.1:3", "form": "table"},
-    "bounds": {"hold_max_ms": 1000, "grace_s": 6, "a_new_bound": True},
+    "bounds": {"hold_max_ms": 1000, "grace_s": 6, "remote_factor": 3, "a_new_bound": 1},
     "a_new_field": {"of": "any kind"},
 }
 ENTRY = {
@@ -92,6 +92,7 @@
     assert deployment.peer_address == deployment.peer_listen_address
     assert deployment.peer_address == "10.1.0.13:7720"
     assert deployment.bounds.worker_lease_max_ms == 1000
+    assert deployment.bounds.remote_factor == 3
     assert deployment.store.address == "10.2.0.1:3"
 
 
@@ -145,6 +146,18 @@
             parse()
 
 
+@pytest.mark.parametrize(
+    ("posted", "expected"),
+    [("r1-3", "r1-3"), ("r1\n3", ""), ("r" * 101, "")],
+    ids=["rack", "not-printable", "too-long"],
+)
+def test_rack_of_a_step_is_parsed_and_an_impossible_label_ignored(posted, expected):
+    body = json.dumps(JOB | {"steps": [{"count": 1, "affinity": posted}]}).encode()
+    job = parse_job_request("a" * 16, body, QUEUE, 1_000).job
+    assert job.steps[0].affinity == expected
+    assert job.policy.queue == QUEUE.name
+
+
 @given(st.binary(max_size=64))
 def test_any_bytes_as_a_job_are_parsed_or_refused(content):
     with suppress(FormatError):
