Share the bounded table of kinds between learned estimates

Run times and their deviations each kept a bounded table of their own, and the placer is to get a third one. KindTable and gain() are the common core.

--- a/rattanloom/estimates.py
+++ b/rattanloom/estimates.py
@@ -5,12 +5,11 @@
 estimates waits from expected times, and the directory each have their own predictor.
 """
 
-from collections import OrderedDict
-
 from attrs import define, field
 
 from rattanloom.job import Task
-from rattanloom.run_times import KINDS_MAX, RunTimePredictor
+from rattanloom.kind_table import KindTable
+from rattanloom.run_times import RunTimePredictor
 
 # Weight of the newest measurement in the moving average of the deviation.
 DEVIATION_GAIN = 0.1
@@ -25,7 +24,7 @@
     """A ``RunTimePredictor`` with the mean relative deviation of each kind's times."""
 
     _run_times: RunTimePredictor = field(factory=RunTimePredictor)
-    _deviations: OrderedDict[str, float] = field(factory=OrderedDict)
+    _deviations: KindTable[float] = field(factory=KindTable)
 
     def learn(self, task: Task, run_ms: float) -> float | None:
         """Record a measured run time.
@@ -36,11 +35,11 @@
         expected_ms = self._run_times.estimate_ms(task)
         self._run_times.learn(task, run_ms)
         if task.kind not in self._deviations:
-            self._store(task.kind, UNKNOWN_KIND_DEVIATION)
+            self._deviations.store(task.kind, UNKNOWN_KIND_DEVIATION)
             return None
         ratio = run_ms / expected_ms
-        deviation = self._deviations[task.kind]
-        self._store(
+        deviation = self._deviations.get(task.kind)
+        self._deviations.store(
             task.kind, deviation + DEVIATION_GAIN * (abs(ratio - 1) - deviation)
         )
         return ratio
@@ -51,9 +50,3 @@
         return self._run_times.estimate_ms(task) * (
             1 + UPPER_BOUND_DEVIATIONS * deviation
         )
-
-    def _store(self, kind: str, deviation: float) -> None:
-        self._deviations[kind] = deviation
-        self._deviations.move_to_end(kind)
-        if len(self._deviations) > KINDS_MAX:
-            self._deviations.popitem(last=False)
--- a/rattanloom/run_times.py
+++ b/rattanloom/run_times.py
@@ -6,14 +6,13 @@
 one small record for each kind.
 """
 
-from collections import OrderedDict
 from collections.abc import Iterable
 
 from attrs import define, field
 
 from rattanloom.job import Task
+from rattanloom.kind_table import KindTable, gain
 
-KINDS_MAX = 256
 # Smallest weight of a new sample: means become moving averages after 50 samples.
 GAIN_MIN = 0.02
 # Samples are clipped to this factor above or below the prediction.
@@ -47,15 +46,15 @@
         An outlier is clipped for the predictors, but not for the errors.
         """
         self.samples += 1
-        gain = max(GAIN_MIN, 1 / self.samples)
+        weight = gain(self.samples, GAIN_MIN)
         by_ratio_ms = declared_ms * self.ratio
         error_of_mean_ms = abs(measured_ms - self.mean_ms)
         error_of_ratio_ms = abs(measured_ms - by_ratio_ms)
-        self.error_of_mean_ms += gain * (error_of_mean_ms - self.error_of_mean_ms)
-        self.error_of_ratio_ms += gain * (error_of_ratio_ms - self.error_of_ratio_ms)
-        self.mean_ms += gain * (_clip(measured_ms, self.mean_ms) - self.mean_ms)
+        self.error_of_mean_ms += weight * (error_of_mean_ms - self.error_of_mean_ms)
+        self.error_of_ratio_ms += weight * (error_of_ratio_ms - self.error_of_ratio_ms)
+        self.mean_ms += weight * (_clip(measured_ms, self.mean_ms) - self.mean_ms)
         clipped_ms = _clip(measured_ms, by_ratio_ms)
-        self.ratio += gain * (clipped_ms / declared_ms - self.ratio)
+        self.ratio += weight * (clipped_ms / declared_ms - self.ratio)
 
 
 def _clip(value: float, around: float) -> float:
@@ -64,12 +63,9 @@
 
 @define(eq=False)
 class RunTimePredictor:
-    """Predicts the run times of tasks by their kind.
+    """Predicts the run times of tasks by their kind."""
 
-    Keeps ``KINDS_MAX`` kinds; above it, drops the least recently measured one.
-    """
-
-    _kinds: OrderedDict[str, KindRunTime] = field(factory=OrderedDict)
+    _kinds: KindTable[KindRunTime] = field(factory=KindTable)
 
     def estimate_ms(self, task: Task) -> float:
         """Return the expected run time; the declared one for a kind never measured."""
@@ -92,9 +88,7 @@
         measured_ms = max(RUN_TIME_MIN_MS, measured_ms)
         known = self._kinds.get(task.kind)
         if known is None:
-            self._kinds[task.kind] = KindRunTime(measured_ms, measured_ms / declared_ms)
-            if len(self._kinds) > KINDS_MAX:
-                self._kinds.popitem(last=False)
-            return
-        known.learn(declared_ms, measured_ms)
-        self._kinds.move_to_end(task.kind)
+            known = KindRunTime(measured_ms, measured_ms / declared_ms)
+        else:
+            known.learn(declared_ms, measured_ms)
+        self._kinds.store(task.kind, known)
