Let the experiment on a placer's cost start tasks again

Its entries named incarnation 1, which is older than the one that the stand-ins report, so the placer waited for a newer entry and refused all jobs: 0 tasks/s.

--- a/experiments/placer_cost.py
+++ b/experiments/placer_cost.py
@@ -138,8 +138,9 @@
         )
         for settings in worker_settings:
             capacity = Resources(settings.cpu_millicores, settings.memory_mb)
+            # 0 stands for the incarnation that responds: the stand-in's is not known.
             entry = WorkerEntry(
-                settings.worker_id, 1, SERVICE, settings.listen, "a", True, capacity
+                settings.worker_id, 0, SERVICE, settings.listen, "a", True, capacity
             )
             placer.add_worker(entry, 1 << 40)  # any fencing token
         gevent.spawn(_tick_placer, placer)
