Place tasks by learned speed and by rack, and wait for a better worker

The former choice ranked workers in steps of 0.25 of a noisy average and knew no racks: a task started on any free worker, also on one so slow that its job was late.

Each task now gets the worker with the best chance to end in time. A task of a named rack goes there while it has capacity. A task waits for its rack, or for a faster worker, if the expected ends of the runs there make its job more likely to be on time. Workers' speeds are learned relative to the run times of each queue.

Tried and left out: leaving fast workers to others while slower ones are enough.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -174,6 +174,9 @@
             lambda: spawn_restarting(self._check_ownership_after_pause),
             EntryAgeGuard(clock, lambda: self.workers_follower.stale_ms()).may_start,
         )
+        self.placer.worker_health.placement.remote_factor = (
+            deployment.bounds.remote_factor
+        )
         self.crash_exchange = CrashExchange(self.hub, self.placer)
         self.placer.crash_policy.records.announce = self.crash_exchange.announce
         self.ownership = Ownership(
@@ -248,6 +251,7 @@
         self.store.set_address(deployment.store.address)
         bounds = deployment.bounds
         self.queue_follower.delay_max_ms = bounds.configuration_delay_max_ms
+        self.placer.worker_health.placement.remote_factor = bounds.remote_factor
         self.deployment = deployment
 
     def start(self) -> None:
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -13,16 +13,11 @@
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.metrics import Metrics
-from rattanloom.placement.assignment import AssignmentPass
 from rattanloom.placement.crash_policy import CrashPolicy
 from rattanloom.placement.crash_records import RunLoss
 from rattanloom.placement.inherited_work import InheritedWork
 from rattanloom.placement.job_endings import JobEndings
-from rattanloom.placement.jobs import (
-    JobOutcome,
-    OutcomeKind,
-    SubmittedJob,
-)
+from rattanloom.placement.jobs import JobOutcome, OutcomeKind, SubmittedJob
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import (
     OutcomeReceiver,
@@ -36,7 +31,6 @@
 )
 from rattanloom.placement.suspension import SuspensionGuard
 from rattanloom.placement.waiting import WaitingTasks
-from rattanloom.placement.worker_choice import accepts_tasks, tasks_without_worker
 from rattanloom.placement.worker_events import LossCause, WorkerState
 from rattanloom.placement.worker_health import WorkerHealth
 from rattanloom.placement.worker_lease import WorkerLease
@@ -47,6 +41,8 @@
     WorkerClientProtocol,
     WorkerEntry,
 )
+from rattanloom.scheduling.assignment import AssignmentPass
+from rattanloom.scheduling.worker_choice import accepts_tasks, tasks_without_worker
 
 log = DecisionLog("placement")
 
@@ -98,6 +94,7 @@
         self.inherited_work = InheritedWork(self.node, self.clock)
         self.suspension = SuspensionGuard(self.on_suspended)
         self.crash_policy = CrashPolicy(self.clock)
+        self.worker_health.placement.count = self.metrics.count
         self.endings = JobEndings(
             self.clock,
             self.metrics,
@@ -172,6 +169,7 @@
         )
         self.jobs[job.job_id] = job
         self.endings.arriving.add(job, self.clock.now_ms())
+        self.worker_health.placement.record_arrival(job, self.clock.now_ms())
         log.info(
             "job_accepted",
             job=job.job_id,
@@ -317,6 +315,7 @@
                 self._start_run,
                 now_ms,
                 self.crash_policy.must_be_isolated,
+                self.worker_health.placement,
             ).run(self.waiting)
         finally:
             self._is_starting_tasks = False
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -29,6 +29,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from rattanloom.scheduling.worker_speed import WorkerSpeed
 
 log = DecisionLog("placement")
 
@@ -58,7 +59,7 @@
     report, ``last_finished_number`` the number of its last processed finished run.
     ``missed_replies`` counts requests in a row without a reply. The worker gets no
     tasks until ``paused_until_ms``. ``failure_score``, ``quarantine_count`` and
-    ``duration_ratio`` belong to ``WorkerHealth``. ``_idle_wait`` is set while a
+    ``speed`` belong to ``WorkerHealth``. ``_idle_wait`` is set while a
     request to an idle worker is pending, which does not extend the lease.
     """
 
@@ -78,7 +79,7 @@
     paused_until_ms: float = 0
     failure_score: float = 0
     quarantine_count: int = 0
-    duration_ratio: float = 1.0
+    speed: WorkerSpeed = field(factory=WorkerSpeed)
     closed: bool = False
     _idle_wait: bool = False
     _bridging_idle_wait: bool = False
@@ -88,6 +89,11 @@
         """Return the id under which the worker registered."""
         return self.entry.worker_id
 
+    @property
+    def duration_ratio(self) -> float:
+        """Return how long its runs take compared to those of other workers."""
+        return self.speed.duration_ratio
+
     def __attrs_post_init__(self) -> None:
         self.runs = WorkerRuns(self.entry.capacity, self.active_runs)
 
--- a/rattanloom/placement/worker_health.py
+++ b/rattanloom/placement/worker_health.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Collection
 
-from attrs import define
+from attrs import define, field
 
 from rattanloom.decision_log import DecisionLog
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import Run, RunPhase
+from rattanloom.scheduling.placement_model import PlacementModel
 
 log = DecisionLog("placement")
 
@@ -23,26 +24,23 @@
 # A run without progress for this time is stalled. The longest tasks take 4 s, so a
 # healthy run gains one percent at least every 40 ms.
 STALLED_MS = 400
-# Weight of the newest run in the moving average of a worker's duration ratio, and
-# limits of the ratio of one run.
-DURATION_RATIO_WEIGHT = 0.15
-DURATION_RATIO_MIN, DURATION_RATIO_MAX = 0.25, 10.0
 
 
 @define(eq=False, repr=False)
 class WorkerHealth:
     """Rates workers by the outcomes and durations of their runs.
 
-    The duration ratio of a worker is the average of the actual over the estimated
-    duration of its runs; that of a slow worker is above 1.
+    ``placement`` learns the speeds of the workers from the durations.
     """
 
+    placement: PlacementModel = field(factory=PlacementModel)
+
     def record_success(self, worker: PooledWorker, run: Run, now_ms: float) -> None:
-        """Record a successful run: lower the score, update the duration ratio."""
+        """Record a successful run: lower the score, learn from its duration."""
         worker.failure_score /= 2
         worker.quarantine_count = 0
-        if run.confirmed_ms is not None and run.step.estimate_ms:
-            self._update_duration_ratio(worker, (now_ms - run.confirmed_ms), run)
+        if run.confirmed_ms is not None:
+            self.placement.learn(run.task, worker, now_ms - run.confirmed_ms)
 
     def record_failure(
         self, worker: PooledWorker, workers: Collection[PooledWorker], now_ms: float
@@ -71,12 +69,3 @@
         """Return whether reports list a run without progress for ``STALLED_MS``."""
         stalled_ms = run.last_listed_ms - run.last_progress_ms
         return run.phase is RunPhase.RUNNING and stalled_ms >= STALLED_MS
-
-    def _update_duration_ratio(
-        self, worker: PooledWorker, duration_ms: float, run: Run
-    ) -> None:
-        ratio = min(
-            max(duration_ms / run.step.estimate_ms, DURATION_RATIO_MIN),
-            DURATION_RATIO_MAX,
-        )
-        worker.duration_ratio += DURATION_RATIO_WEIGHT * (ratio - worker.duration_ratio)
--- /dev/null
+++ b/rattanloom/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about waiting work: order, refusal, preemption, worker and zone."""
--- a/rattanloom/scheduling/assignment.py
+++ b/rattanloom/scheduling/assignment.py
@@ -4,14 +4,20 @@
 
 from attrs import define, field
 
-from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedTask
 from rattanloom.placement.waiting import WaitingTasks
-from rattanloom.placement.worker_choice import accepts_tasks, choose_worker
+from rattanloom.scheduling.placement_model import PlacementModel
+from rattanloom.scheduling.step_placement import StepPlacement
+from rattanloom.scheduling.worker_choice import accepts_tasks, matches
+from rattanloom.scheduling.worker_schedule import WorkerSchedule, free_places_ms
+from rattanloom.scheduling.worker_view import WorkerView
 
 # A pass ends after this many tasks without a suitable worker. They are skipped so
 # that smaller ones behind them can use the remaining capacity.
 SKIPPED_TASKS_MAX = 24
+# At most this many tasks wait for their racks in a pass while other workers have free
+# capacity; the limit bounds the cost of a pass.
+HELD_TASKS_MAX = 32
 
 
 @define(eq=False, repr=False)
@@ -23,25 +29,36 @@
     on a worker without other runs. ``_accepting`` has the workers that accept tasks
     during the pass. ``_unplaceable_millicores`` has, by service, label, memory and
     accelerators, the smallest processor need for which no worker was found.
+    ``_held`` counts the tasks that wait for their racks. ``_placements`` has the
+    decisions by job and step, ``_schedules`` those of racks by what the tasks need.
+    ``_rack_demand`` has the demand for the rack of each worker, if there is any.
     """
 
-    workers: Collection[PooledWorker]
+    workers: Collection[WorkerView]
     may_start: Callable[[PlacedTask], bool]
-    start_run: Callable[[PlacedTask, PooledWorker], None]
+    start_run: Callable[[PlacedTask, WorkerView], None]
     now_ms: float
     must_be_isolated: Callable[[PlacedTask], bool] = lambda task: False
-    _accepting: list[PooledWorker] = field(init=False)
+    model: PlacementModel = field(factory=PlacementModel)
+    placement_type: type[StepPlacement] = StepPlacement
+    _accepting: list[WorkerView] = field(init=False)
     _unplaceable_millicores: dict[tuple[str, str, int, int], int] = field(factory=dict)
+    _held: int = 0
+    _placements: dict[tuple[str, int], StepPlacement] = field(factory=dict)
+    _schedules: dict[tuple, WorkerSchedule] = field(factory=dict)
+    _rack_demand: dict[str, int] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self._accepting = [
             worker for worker in self.workers if accepts_tasks(worker, self.now_ms)
         ]
+        if self.model.rack_demand:
+            self._rack_demand = self.model.demand_of_racks(self._accepting, self.now_ms)
 
     def run(self, waiting: WaitingTasks) -> None:
         """Start the tasks for which a worker is found; put the others back."""
         skipped: list[PlacedTask] = []
-        while len(skipped) < SKIPPED_TASKS_MAX:
+        while len(skipped) - self._held < SKIPPED_TASKS_MAX:
             task = waiting.pop(self.now_ms)
             if task is None:
                 break
@@ -63,23 +80,77 @@
             return False
         if not self.may_start(task):
             return False
-        worker = choose_worker(task, self._accepting)
+        placement = self._placement(task)
+        worker = placement.choose(task)
         if worker is None:
             # A step with a limit per worker may be rejected where other tasks of
             # the same size fit.
             if not task.step.per_worker_max:
                 self._unplaceable_millicores[kind] = need_millicores
             return False
-        self.start_run(task, worker)
+        if self._held < HELD_TASKS_MAX and placement.should_wait():
+            self._held += 1
+            return False
+        self._start_on(task, worker)
         return True
 
+    def _placement(self, task: PlacedTask) -> StepPlacement:
+        """Return the decision for the waiting tasks of a task's step.
+
+        It is made anew for each task of a step with a limit per worker.
+        """
+        key = (task.job.job_id, task.step_number)
+        placement = self._placements.get(key)
+        if placement is None or task.step.per_worker_max:
+            placement = self._make_placement(task, self._accepting)
+            self._placements[key] = placement
+        return placement
+
     def _start_isolated(self, task: PlacedTask) -> bool:
         if not self.may_start(task):
             return False
         idle = [worker for worker in self._accepting if not worker.runs]
-        worker = choose_worker(task, idle)
+        worker = self._make_placement(task, idle).choose(task)
         if worker is None:
             return False
         self._accepting.remove(worker)
-        self.start_run(task, worker)
+        self._start_on(task, worker)
         return True
+
+    def _start_on(self, task: PlacedTask, worker: WorkerView) -> None:
+        if task.step.affinity:
+            is_remote = self.model.is_remote(task, worker)
+            self.model.count("tasks_with_rack", "elsewhere" if is_remote else "rack")
+        self.start_run(task, worker)
+
+    def _make_placement(
+        self, task: PlacedTask, workers: list[WorkerView]
+    ) -> StepPlacement:
+        return self.placement_type(
+            task,
+            workers,
+            self.model,
+            self.now_ms,
+            self._rack_demand,
+            self._schedule,
+        )
+
+    def _schedule(self, task: PlacedTask, factor_max: float) -> WorkerSchedule:
+        """Return when workers with up to this factor for a task have room for it."""
+        step = task.step
+        service = task.job.submitted.policy.service
+        level = int(10 * factor_max)
+        key = (service, step.affinity, step.required_label, step.need, level)
+        if key not in self._schedules:
+            places = []
+            for worker in self._accepting:
+                factor = self.model.factor(task, worker)
+                if factor <= factor_max and matches(task, worker):
+                    ends = self.model.expected_ends_ms(worker, self.now_ms)
+                    free = worker.runs.free
+                    places += [
+                        (free_ms, factor)
+                        for free_ms in free_places_ms(step.need, free, ends)
+                    ]
+            self._schedules[key] = WorkerSchedule(places)
+        return self._schedules[key]
--- /dev/null
+++ b/rattanloom/scheduling/placement_model.py
@@ -0,0 +1,124 @@
+"""Expected run times of tasks on workers, for decisions about placement."""
+
+from collections import Counter
+from collections.abc import Callable, Collection
+from typing import Protocol
+
+from attrs import define, field
+
+from rattanloom.placement.runs import PlacedJob, PlacedTask
+from rattanloom.scheduling.racks import RackDemand
+from rattanloom.scheduling.run_time_model import RunTimeModel
+from rattanloom.scheduling.worker_speed import WorkerSpeed
+from rattanloom.scheduling.worker_view import WorkerView
+
+# A run that is past its expected end is expected to take this share of its expected
+# duration more.
+OVERDUE_SHARE = 0.25
+
+
+class LearningWorker(WorkerView, Protocol):
+    """A worker whose speed is learned; ``duration_ratio`` is that of ``speed``."""
+
+    speed: WorkerSpeed
+
+
+@define(eq=False, repr=False)
+class PlacementModel:
+    """What a placer knows beyond its workers and tasks.
+
+    A task takes ``remote_factor`` times as long outside the rack that its step names.
+    ``count`` increments a metric.
+    """
+
+    remote_factor: float = 1.0
+    run_times: RunTimeModel = field(factory=RunTimeModel)
+    rack_demand: RackDemand = field(factory=RackDemand)
+    count: Callable[[str, str], None] = lambda name, label: None
+
+    def normal_run_ms(self, task: PlacedTask) -> float:
+        """Return the expected run time of a task on a normal worker of its rack."""
+        queue = task.job.submitted.policy.queue
+        return self.run_times.expected_ms(queue, task.step.estimate_ms)
+
+    def run_ms(self, task: PlacedTask, worker: WorkerView) -> float:
+        """Return the expected run time of a task on a worker."""
+        return self.normal_run_ms(task) * self.factor(task, worker)
+
+    def factor(self, task: PlacedTask, worker: WorkerView) -> float:
+        """Return how long a task takes on a worker compared to a normal one."""
+        remote_factor = self.remote_factor if self.is_remote(task, worker) else 1.0
+        return worker.duration_ratio * remote_factor
+
+    def learn(self, task: PlacedTask, worker: LearningWorker, run_ms: float) -> None:
+        """Learn the worker's speed and the run times of its kind from a run.
+
+        The worker is compared with others that run the same kind of task.
+        """
+        estimate_ms = task.step.estimate_ms
+        if not estimate_ms:
+            return
+        factor = self.factor(task, worker)
+        expected_ms = self.normal_run_ms(task) * factor
+        queue = task.job.submitted.policy.queue
+        self.run_times.learn(queue, estimate_ms, run_ms, 1 / factor)
+        worker.speed.learn(worker.duration_ratio * run_ms / expected_ms)
+
+    def is_remote(self, task: PlacedTask, worker: WorkerView) -> bool:
+        """Return whether the worker is outside the rack that the task's step names."""
+        affinity = task.step.affinity
+        return (
+            bool(affinity)
+            and self.remote_factor > 1
+            and affinity not in worker.entry.labels
+        )
+
+    def record_arrival(self, job: PlacedJob, now_ms: float) -> None:
+        """Count the work that a new job brings to the racks that it names."""
+        if self.remote_factor > 1:
+            for step in job.submitted.steps:
+                if step.affinity:
+                    work = step.count * step.need.cpu_millicores * step.estimate_ms
+                    self.rack_demand.add(step.affinity, work, now_ms)
+
+    def expected_ends_ms(self, worker: WorkerView, now_ms: float) -> list[tuple]:
+        """Return the expected end and the need of each known run on a worker."""
+        ends = []
+        for run in worker.runs.all():
+            if run.task is None:
+                continue
+            run_ms = self.run_ms(run.task, worker)
+            end_ms = max(run.ordered_ms + run_ms, now_ms + OVERDUE_SHARE * run_ms)
+            ends.append((end_ms, run.step.need))
+        return ends
+
+    def demand_of_racks(
+        self, workers: Collection[WorkerView], now_ms: float
+    ) -> dict[str, int]:
+        """Return the demand for the racks of each worker, in steps, by worker id."""
+        millicores: Counter[str] = Counter()
+        for worker in workers:
+            for label in worker.entry.labels:
+                millicores[label] += worker.runs.capacity.cpu_millicores
+        steps = {
+            label: self.rack_demand.steps(label, size, now_ms)
+            for label, size in millicores.items()
+        }
+        return {
+            worker.worker_id: max(map(steps.get, worker.entry.labels), default=0)
+            for worker in workers
+        }
+
+
+def latest_on_time_end_ms(job: PlacedJob, step_number: int) -> float:
+    """Return the latest end of a step's tasks with which the job is still on time."""
+    submitted = job.submitted
+    after_ms = submitted.path_after_ms[step_number]
+    return job.arrived_ms + submitted.objective_ms - after_ms
+
+
+def latest_late_end_ms(job: PlacedJob, step_number: int) -> float:
+    """Return the latest end of a step's tasks with which the outcome still counts."""
+    submitted = job.submitted
+    late_limit_ms = min(job.deadline_ms, job.arrived_ms + submitted.late_limit_ms)
+    return late_limit_ms - submitted.path_after_ms[step_number]
--- /dev/null
+++ b/rattanloom/scheduling/racks.py
@@ -0,0 +1,51 @@
+"""Racks: the label of the workers near a step's data, and the demand for them."""
+
+from collections.abc import Collection
+from math import exp
+
+from attrs import define, field
+
+from rattanloom.kind_table import KindTable
+from rattanloom.placement.workers import WorkerEntry
+
+# Demand for a rack decays with this time constant: longer than the gaps between the
+# jobs that name a busy rack, shorter than a burst.
+DEMAND_DECAY_MS = 1_000
+# Demand is compared in steps of this share of the processor of the rack's workers.
+DEMAND_STEP = 0.25
+
+
+@define(eq=False, repr=False)
+class RackDemand:
+    """The recent demand for each rack, in processor time (thousandths of a core, ms).
+
+    ``_work`` has the decaying sum for each rack, and when it was updated. The labels
+    come from clients, so the table is bounded.
+    """
+
+    _work: KindTable[tuple[float, float]] = field(factory=KindTable)
+
+    def add(self, label: str, work_millicore_ms: float, now_ms: float) -> None:
+        """Count work for the workers with a label."""
+        self._work.store(
+            label, (self._decayed(label, now_ms) + work_millicore_ms, now_ms)
+        )
+
+    def __bool__(self) -> bool:
+        """Return whether any job has named a rack."""
+        return len(self._work) > 0
+
+    def steps(self, label: str, rack_millicores: float, now_ms: float) -> int:
+        """Return the demand for a rack of this size, in steps of ``DEMAND_STEP``."""
+        work = self._decayed(label, now_ms)
+        return int(work / (DEMAND_DECAY_MS * max(1, rack_millicores) * DEMAND_STEP))
+
+    def _decayed(self, label: str, now_ms: float) -> float:
+        work, updated_ms = self._work.get(label, (0.0, now_ms))
+        return work * exp((updated_ms - now_ms) / DEMAND_DECAY_MS)
+
+
+def zone_of_rack(label: str, entries: Collection[WorkerEntry]) -> str | None:
+    """Return the zone with the most workers of a rack; None if none is registered."""
+    zones = [entry.zone for entry in entries if label in entry.labels]
+    return max(sorted(set(zones)), key=zones.count, default=None)
--- /dev/null
+++ b/rattanloom/scheduling/step_placement.py
@@ -0,0 +1,163 @@
+"""Chooses the workers for the waiting tasks of one step in one decision.
+
+A job ends with its slowest task. Each task gets the worker with the best chance to end
+in time, or waits for one that is better even after the wait, unless another task of the
+job has a low chance anyway.
+"""
+
+from collections.abc import Callable, Iterable
+from math import exp, log
+
+from attrs import define, field
+
+from rattanloom.placement.runs import PlacedTask
+from rattanloom.scheduling.placement_model import (
+    PlacementModel,
+    latest_late_end_ms,
+    latest_on_time_end_ms,
+)
+from rattanloom.scheduling.worker_choice import matches
+from rattanloom.scheduling.worker_schedule import WorkerSchedule
+from rattanloom.scheduling.worker_view import WorkerView
+
+# A worker with this failure score or more ranks behind all others except those that
+# the task avoids.
+UNRELIABLE_SCORE = 1.5
+# Standard deviation of the logarithm of a run time: run times and estimates have a
+# spread of 0.4 together.
+RUN_TIME_SPREAD = 0.35
+# Chances to end in time are compared in steps of this size.
+CHANCE_STEP = 0.1
+# A job that has less than this chance to be on time is placed so that it ends while
+# its outcome still counts.
+ON_TIME_CHANCE_MIN = 0.05
+# Equal chances are compared by the factor by which the task takes longer.
+FACTOR_STEP = 0.1
+# A task waits for a faster worker if that raises its chance by this much, as the
+# expected ends of other runs are rough. It waits for its rack if it loses no more than
+# the second number: a run elsewhere takes processor time from others.
+WAIT_GAIN_MIN = 0.1
+RACK_LOSS_MAX = 0.02
+# A task whose rack gives it less than this chance does not wait for it, unless it ends
+# sooner there.
+RACK_CHANCE_MIN = 0.1
+# Only workers on which the task takes at most this share of the time are waited for.
+FASTER_FACTOR = 0.8
+
+
+def no_schedule(task: PlacedTask, factor_max: float) -> WorkerSchedule:
+    """Return a schedule without places, for tasks that must not wait."""
+    return WorkerSchedule([])
+
+
+@define(eq=False, repr=False)
+class StepPlacement:
+    """The decision for the waiting tasks of the step of ``task``.
+
+    ``rack_demand`` has the demand for the rack of each worker, if there is any.
+    ``schedule_of`` returns when workers on which a task takes at most a given factor
+    of its normal time have room. ``_left_ms`` is the time in which the tasks should
+    end. ``_workers`` has the workers that can run a task now, each with the factor by
+    which it takes longer there than normally and with its chance to end in time.
+    ``_best`` is the one that was chosen last, ``_worst_chance`` the smallest chance of
+    the tasks that do not wait.
+    """
+
+    task: PlacedTask
+    accepting: Iterable[WorkerView]
+    model: PlacementModel
+    now_ms: float
+    rack_demand: dict[str, int] = field(factory=dict)
+    schedule_of: Callable[[PlacedTask, float], WorkerSchedule] = no_schedule
+    _workers: list[tuple[WorkerView, float, float]] = field(init=False)
+    _normal_ms: float = field(init=False)
+    _left_ms: float = field(init=False)
+    _worst_chance: float = 1.0
+    _best: tuple[WorkerView, float, float] | None = None
+
+    def __attrs_post_init__(self) -> None:
+        task, model, need = self.task, self.model, self.task.step.need
+        self._normal_ms = max(1.0, model.normal_run_ms(task))
+        factors = [
+            (model.factor(task, worker), worker)
+            for worker in self.accepting
+            if worker.runs.free.fits(need) and matches(task, worker)
+        ]
+        factors.sort(key=lambda item: item[0])
+        self._left_ms = latest_on_time_end_ms(task.job, task.step_number) - self.now_ms
+        if factors and self._chance(factors[0][0]) < ON_TIME_CHANCE_MIN:
+            latest_ms = latest_late_end_ms(task.job, task.step_number)
+            self._left_ms = latest_ms - self.now_ms
+        self._workers = [
+            (worker, factor, self._chance(factor)) for factor, worker in factors
+        ]
+
+    def choose(self, task: PlacedTask) -> WorkerView | None:
+        """Return the best worker for one of the tasks; None if none has capacity."""
+        need = self.task.step.need
+        best, best_rank = None, None
+        for candidate in self._workers:
+            if not candidate[0].runs.free.fits(need):
+                continue
+            rank = self._rank(task, candidate)
+            if best_rank is None or rank < best_rank:
+                best, best_rank = candidate, rank
+        self._best = best
+        return None if best is None else best[0]
+
+    def should_wait(self) -> bool:
+        """Return whether the task should wait instead of using the chosen worker.
+
+        Reserves the place for which it waits.
+        """
+        worker, factor, chance = self._best
+        is_remote = self.model.is_remote(self.task, worker)
+        chance = min(chance, self._worst_chance)
+        if is_remote or chance < 1 - WAIT_GAIN_MIN:
+            schedule = self.schedule_of(self.task, factor * FASTER_FACTOR)
+            place = schedule.next_place()
+            if place is not None and self._is_better(place, is_remote):
+                schedule.reserve(place[1] * self._normal_ms)
+                return True
+        self._worst_chance = chance
+        return False
+
+    def _is_better(self, place: tuple[float, float], is_remote: bool) -> bool:
+        """Return whether a place that becomes free is better than the best worker."""
+        _, factor, chance = self._best
+        free_ms, place_factor = place
+        wait_ms = free_ms - self.now_ms
+        place_chance = self._chance(place_factor, wait_ms)
+        gain = min(place_chance, self._worst_chance) - min(chance, self._worst_chance)
+        if not is_remote:
+            return gain >= WAIT_GAIN_MIN
+        ends_sooner = wait_ms < (factor - place_factor) * self._normal_ms
+        if place_chance < RACK_CHANCE_MIN and not ends_sooner:
+            return gain >= WAIT_GAIN_MIN
+        return gain >= -RACK_LOSS_MAX
+
+    def _chance(self, factor: float, wait_ms: float = 0) -> float:
+        """Return the chance that a run ends in time, after a wait.
+
+        ``factor`` is how long it takes compared to the normal run time.
+        """
+        left_ms = self._left_ms - wait_ms
+        if left_ms <= 0:
+            return 0.0
+        deviations = log(left_ms / (factor * self._normal_ms)) / RUN_TIME_SPREAD
+        # The logistic function with this factor is close to the normal distribution.
+        return 1 / (1 + exp(-1.7 * max(deviations, -20)))
+
+    def _rank(
+        self, task: PlacedTask, candidate: tuple[WorkerView, float, float]
+    ) -> tuple:
+        worker, factor, chance = candidate
+        return (
+            worker.worker_id in task.avoided_workers,
+            worker.failure_score >= UNRELIABLE_SCORE,
+            self.model.is_remote(task, worker),
+            int((1 - chance) / CHANCE_STEP),
+            self.rack_demand.get(worker.worker_id, 0),
+            int(factor / FACTOR_STEP),
+            worker.runs.free.cpu_millicores - task.step.need.cpu_millicores,
+        )
--- a/rattanloom/scheduling/worker_choice.py
+++ b/rattanloom/scheduling/worker_choice.py
@@ -1,40 +1,14 @@
-"""Selection of the worker for a task."""
+"""Which workers accept tasks, and which can run a task."""
 
 from collections.abc import Collection, Iterable
 
-from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedTask
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.workers import Resources
+from rattanloom.scheduling.worker_view import WorkerView
 
-# A worker with this failure score or more ranks behind all others except those that
-# the task avoids.
-UNRELIABLE_SCORE = 1.5
-# Duration ratios are compared in steps of a quarter, as run time estimates are off
-# by 40%.
-DURATION_RATIO_STEP = 0.25
 
-
-def choose_worker(
-    task: PlacedTask, accepting: Iterable[PooledWorker]
-) -> PooledWorker | None:
-    """Return the best of the workers that accept tasks, or None if none can run it.
-
-    Prefers, in this order, workers that the task does not avoid, reliable ones, fast
-    ones, and those that the task leaves with little free processor.
-    """
-    need = task.step.need
-    best, best_rank = None, None
-    for worker in accepting:
-        if not worker.runs.free.fits(need) or not matches(task, worker):
-            continue
-        rank = _rank(task, worker)
-        if best_rank is None or rank < best_rank:
-            best, best_rank = worker, rank
-    return best
-
-
-def accepts_tasks(worker: PooledWorker, now_ms: float) -> bool:
+def accepts_tasks(worker: WorkerView, now_ms: float) -> bool:
     """Return whether a worker accepts new tasks now.
 
     It does not while it has inherited runs: a start would extend their lease, which
@@ -52,7 +26,7 @@
 
 
 def tasks_without_worker(
-    tasks: Iterable[PlacedTask], workers: Collection[PooledWorker]
+    tasks: Iterable[PlacedTask], workers: Collection[WorkerView]
 ) -> list[PlacedTask]:
     """Return the tasks that are too large for all workers of their service and label.
 
@@ -75,7 +49,7 @@
     return found
 
 
-def matches(task: PlacedTask, worker: PooledWorker) -> bool:
+def matches(task: PlacedTask, worker: WorkerView) -> bool:
     """Return whether a worker has the service and label that a task requires.
 
     False also if it runs as many tasks of the step as the step allows.
@@ -89,18 +63,10 @@
     return not limit or _siblings(task, worker) < limit
 
 
-def _siblings(task: PlacedTask, worker: PooledWorker) -> int:
+def _siblings(task: PlacedTask, worker: WorkerView) -> int:
     return sum(
         run.task is not None
         and run.task.job is task.job
         and run.task.step_number == task.step_number
         for run in worker.runs.all()
     )
-
-
-def _rank(task: PlacedTask, worker: PooledWorker) -> tuple:
-    is_avoided = worker.worker_id in task.avoided_workers
-    is_unreliable = worker.failure_score >= UNRELIABLE_SCORE
-    slowness = int(worker.duration_ratio / DURATION_RATIO_STEP)
-    leftover = worker.runs.free.cpu_millicores - task.step.need.cpu_millicores
-    return is_avoided, is_unreliable, slowness, leftover
--- /dev/null
+++ b/rattanloom/scheduling/worker_speed.py
@@ -0,0 +1,46 @@
+"""The learned speed of a worker, relative to that of others."""
+
+from math import exp, log
+
+from attrs import define
+
+from rattanloom.kind_table import gain
+
+# Smallest weight of a run in the average. With the spread of run times and estimates,
+# 0.4 each, the average of equal workers then differs by some 12%.
+GAIN_MIN = 0.1
+# Runs assumed at normal speed before the first one, so that a single run says little.
+PRIOR_RUNS = 3
+# A worker that slows down by a factor of 5 is noticed after a few runs: from the second
+# run in a row that differs by this factor in one direction, runs have more weight.
+CHANGE_FACTOR = 2.5
+CHANGE_GAIN = 0.3
+RATIO_MAX = 10.0
+
+
+@define(eq=False, repr=False)
+class WorkerSpeed:
+    """The average ratio of the durations of a worker's runs to the expected ones.
+
+    ``duration_ratio`` is above 1 for a slow worker. The average is geometric, as run
+    times are spread by factors. ``_changed`` is the direction in which the last run
+    differed by ``CHANGE_FACTOR``, or 0.
+    """
+
+    duration_ratio: float = 1.0
+    runs: int = PRIOR_RUNS
+    _changed: int = 0
+
+    def learn(self, ratio: float) -> None:
+        """Record the ratio of one run's duration to that on a worker of speed 1."""
+        ratio = min(max(ratio, 1 / RATIO_MAX), RATIO_MAX)
+        difference = log(ratio / self.duration_ratio)
+        self.runs += 1
+        weight = gain(self.runs, GAIN_MIN)
+        changed = 0
+        if abs(difference) > log(CHANGE_FACTOR):
+            changed = 1 if difference > 0 else -1
+        if changed and changed == self._changed:
+            weight = max(weight, CHANGE_GAIN)
+        self._changed = changed
+        self.duration_ratio *= exp(weight * difference)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,168 @@
+"""Tests of placement by speed, rack and size, and of learned run times."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from attrs import evolve
+
+from rattanloom.placement.jobs import Step
+from rattanloom.placement.runs import Run, RunPhase, TaskState, make_job
+from rattanloom.placement.waiting import WaitingTasks
+from rattanloom.placement.worker_runs import WorkerRuns
+from rattanloom.placement.workers import Resources, WorkerEntry
+from rattanloom.scheduling.assignment import AssignmentPass
+from rattanloom.scheduling.placement_model import PlacementModel
+from rattanloom.scheduling.racks import zone_of_rack
+from rattanloom.scheduling.run_time_model import WINDOW_RUNS, RunTimeModel
+from rattanloom.scheduling.worker_speed import WorkerSpeed
+from tests.dispatcher_fakes import FakeReceiver, make_submitted_job
+from tests.placement_replay import KINDS, Kind, ModelWorker, PlacementReplay
+
+HOT_RACK = KINDS | {"urgent": evolve(KINDS["urgent"], rack_share=0.6)}
+WITH_LARGE = KINDS | {"large": Kind(2, 200, 0.2, 24_000)}
+
+
+@pytest.mark.parametrize(
+    ("settings", "gain_min"),
+    [
+        ({"load": 0.6, "speeds": (0.55, 1.2)}, 0.01),
+        ({"load": 0.75, "speeds": (0.8, 1.0, 1.25)}, -0.005),
+        (
+            {"load": 0.85, "speeds": (1.0,), "remote_factor": 3, "kinds": HOT_RACK},
+            0.015,
+        ),
+        ({"load": 0.75, "speeds": (1.0,), "kinds": WITH_LARGE}, -0.002),
+    ],
+    ids=["speeds-0.55-1.2", "speeds-0.8-1-1.25", "hot-rack", "large-tasks"],
+)
+def test_callers_gain_over_the_former_choice(settings, gain_min):
+    worth = Counter()
+    for is_former in (True, False):
+        for seed in (1, 2, 3):
+            replay = PlacementReplay(
+                is_former=is_former, seed=seed, length_ms=4_000, **settings
+            )
+            worth[is_former] += replay.run().mean_worth / 3
+    assert worth[False] - worth[True] >= gain_min
+
+
+def make_worker(name: str, rack: str, zone: str = "a") -> ModelWorker:
+    capacity = Resources(14_000, 64)
+    entry = WorkerEntry(name, 1, "service", "", zone, True, capacity, (rack,))
+    return ModelWorker(entry, WorkerRuns(capacity, Counter()))
+
+
+def make_task(rack: str = "", estimate_ms: float = 100, number: int = 1):
+    submitted = make_submitted_job(f"{number:016x}")
+    step = Step(1, Resources(14_000, 64), estimate_ms, affinity=rack)
+    return make_job(evolve(submitted, steps=(step,)), FakeReceiver(), (), 0).tasks[0]
+
+
+def occupy(worker: ModelWorker, estimate_ms: float) -> None:
+    task = make_task(estimate_ms=estimate_ms, number=9)
+    worker.runs.add(Run(task.name, 1, task, task.step, RunPhase.RUNNING, 0, 0))
+
+
+def place(task, workers, remote_factor: float = 3) -> str | None:
+    """Return the worker on which one pass starts a task; None if it waits."""
+    waiting, started = WaitingTasks(), []
+
+    def start(task, worker):
+        task.state = TaskState.PLACED
+        started.append(worker.worker_id)
+
+    waiting.add(task, 0)
+    AssignmentPass(
+        workers, lambda _: True, start, 0, model=PlacementModel(remote_factor)
+    ).run(waiting)
+    assert bool(started) != bool(waiting)
+    return started[0] if started else None
+
+
+def test_task_starts_on_its_rack_while_it_has_capacity():
+    workers = [make_worker("w1", "r1"), make_worker("w2", "r2")]
+    workers[1].speed.duration_ratio = 1.3
+    assert place(make_task("r2"), workers) == "w2"
+
+
+@pytest.mark.parametrize(("busy_ms", "expected"), [(50, None), (1_000, "w1")])
+def test_slower_run_elsewhere_is_weighed_against_the_wait_for_the_rack(
+    busy_ms, expected
+):
+    workers = [make_worker("w1", "r1"), make_worker("w2", "r2")]
+    occupy(workers[1], busy_ms)
+    assert place(make_task("r2"), workers) == expected
+
+
+def test_task_runs_elsewhere_at_once_if_no_worker_has_its_rack():
+    assert place(make_task("r7"), [make_worker("w1", "r1")]) == "w1"
+    entries = [make_worker("w1", "r1").entry, make_worker("w2", "r2", "b").entry]
+    assert zone_of_rack("r2", entries) == "b"
+    assert zone_of_rack("r7", entries) is None
+
+
+def test_task_does_not_wait_for_a_rack_whose_workers_accept_no_tasks():
+    workers = [make_worker("w1", "r1"), make_worker("w2", "r2")]
+    occupy(workers[1], 50)
+    workers[1].paused_until_ms = 1_000
+    assert place(make_task("r2"), workers) == "w1"
+
+
+def test_task_without_a_rack_leaves_the_workers_of_a_busy_rack_free():
+    workers = [make_worker("w1", "r1"), make_worker("w2", "r2")]
+    model = PlacementModel(3)
+    model.record_arrival(make_task("r1", estimate_ms=500).job, 0)
+    started = []
+    waiting = WaitingTasks()
+    waiting.add(make_task(number=2), 0)
+    AssignmentPass(
+        workers,
+        lambda _: True,
+        lambda task, worker: started.append(worker.worker_id),
+        0,
+        model=model,
+    ).run(waiting)
+    assert started == ["w2"]
+
+
+def test_bias_of_a_kind_does_not_count_as_slowness_of_its_workers():
+    model, random = PlacementModel(), Random(1)
+    slow, normal = make_worker("w1", "r1"), make_worker("w2", "r1")
+    task = make_task()
+    task.job.submitted = make_submitted_job(
+        policy=evolve(task.job.submitted.policy, queue="crops")
+    )
+    others = [make_worker(f"o{number}", "r1") for number in range(6)]
+    for _ in range(40):
+        for worker in (slow, normal, *others):
+            factor = 2 if worker is slow else 1
+            model.learn(task, worker, 250 * factor * random.lognormvariate(0, 0.3))
+    assert 1.5 < slow.duration_ratio / normal.duration_ratio < 2.7
+    assert 0.7 < normal.duration_ratio < 1.35
+
+
+def test_speed_is_learned_within_some_runs_and_a_change_within_a_few():
+    speed = WorkerSpeed()
+    speed.learn(7.0)
+    assert speed.duration_ratio < 1.7
+    for _ in range(30):
+        speed.learn(0.8)
+    assert speed.duration_ratio < 0.9
+    for _ in range(5):
+        speed.learn(4.0)
+    assert speed.duration_ratio > 2
+
+
+def test_run_times_fall_back_to_the_estimate_and_are_learned_per_queue():
+    model, random = RunTimeModel(), Random(1)
+    assert model.expected_ms("crops", 100) == 100
+    assert model.expected_ms("crops", 100, speed=0.5) == 200
+    assert model.quantile_ms("crops", 100, 0.9) == 100
+    for _ in range(4 * WINDOW_RUNS):
+        model.learn("crops", 100, 300 * random.lognormvariate(0, 0.4), 0.5)
+    assert model.expected_ms("crops", 100) == pytest.approx(150, rel=0.1)
+    assert model.quantile_ms("crops", 100, 0.9) == pytest.approx(250, rel=0.15)
+    assert model.expected_ms("previews", 100) == 100
+    model.learn("", 100, 900, 1)
+    assert model.expected_ms("", 100) == 100
