--- a/rattanloom/scheduling/assignment.py
+++ b/rattanloom/scheduling/assignment.py
@@ -9,7 +9,11 @@
 from rattanloom.scheduling.placement_model import PlacementModel
 from rattanloom.scheduling.step_placement import StepPlacement
 from rattanloom.scheduling.worker_choice import accepts_tasks, matches
-from rattanloom.scheduling.worker_schedule import WorkerSchedule, free_places_ms
+from rattanloom.scheduling.worker_schedule import (
+    Place,
+    WorkerSchedule,
+    free_places_ms,
+)
 from rattanloom.scheduling.worker_view import WorkerView
 
 # A pass ends after this many tasks without a suitable worker. They are skipped so
@@ -30,7 +34,8 @@
     during the pass. ``_unplaceable_millicores`` has, by service, label, memory and
     accelerators, the smallest processor need for which no worker was found.
     ``_held`` counts the tasks that wait for their racks. ``_placements`` has the
-    decisions by job and step, ``_schedules`` those of racks by what the tasks need.
+    decisions by job and step, ``_schedules`` and ``_best_factors`` what was found for
+    tasks of one kind.
     ``_rack_demand`` has the demand for the rack of each worker, if there is any.
     """
 
@@ -46,6 +51,7 @@
     _held: int = 0
     _placements: dict[tuple[str, int], StepPlacement] = field(factory=dict)
     _schedules: dict[tuple, WorkerSchedule] = field(factory=dict)
+    _best_factors: dict[tuple, float] = field(factory=dict)
     _rack_demand: dict[str, int] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -80,6 +86,9 @@
             return False
         if not self.may_start(task):
             return False
+        if self._still_waits(task):
+            self._held += 1
+            return False
         placement = self._placement(task)
         worker = placement.choose(task)
         if worker is None:
@@ -90,10 +99,45 @@
             return False
         if self._held < HELD_TASKS_MAX and placement.should_wait():
             self._held += 1
+            self.model.held.record(task, placement.factor_awaited, self.now_ms)
             return False
         self._start_on(task, worker)
         return True
 
+    def _still_waits(self, task: PlacedTask) -> bool:
+        """Return whether a task that waited a moment ago needs no new decision.
+
+        Applies if no worker of those for which it waits has room now. Reserves the
+        place for which it waits.
+        """
+        factor_max = self.model.held.factor_awaited(task, self.now_ms)
+        if factor_max is None or self._held >= HELD_TASKS_MAX:
+            return False
+        if self._best_factor(task) <= factor_max:
+            return False
+        schedule = self._schedule(task, factor_max)
+        place = schedule.next_place()
+        if place is None:
+            return False
+        schedule.reserve(place[1] * self.model.normal_run_ms(task))
+        return True
+
+    def _best_factor(self, task: PlacedTask) -> float:
+        """Return the factor of the fastest worker that had room early in the pass."""
+        step = task.step
+        service = task.job.submitted.policy.service
+        key = (service, step.affinity, step.required_label, step.need)
+        if key not in self._best_factors:
+            self._best_factors[key] = min(
+                (
+                    self.model.factor(task, worker)
+                    for worker in self._accepting
+                    if worker.runs.free.fits(step.need) and matches(task, worker)
+                ),
+                default=0.0,
+            )
+        return self._best_factors[key]
+
     def _placement(self, task: PlacedTask) -> StepPlacement:
         """Return the decision for the waiting tasks of a task's step.
 
@@ -142,15 +186,22 @@
         level = int(10 * factor_max)
         key = (service, step.affinity, step.required_label, step.need, level)
         if key not in self._schedules:
-            places = []
-            for worker in self._accepting:
-                factor = self.model.factor(task, worker)
-                if factor <= factor_max and matches(task, worker):
-                    ends = self.model.expected_ends_ms(worker, self.now_ms)
-                    free = worker.runs.free
-                    places += [
-                        (free_ms, factor)
-                        for free_ms in free_places_ms(step.need, free, ends)
-                    ]
-            self._schedules[key] = WorkerSchedule(places)
+            self._schedules[key] = self.model.schedules.get(
+                key,
+                lambda: self._free_places(task, factor_max),
+                self.now_ms,
+            )
         return self._schedules[key]
+
+    def _free_places(self, task: PlacedTask, factor_max: float) -> list[Place]:
+        places = []
+        for worker in self._accepting:
+            factor = self.model.factor(task, worker)
+            if factor <= factor_max and matches(task, worker):
+                ends = self.model.expected_ends_ms(worker, self.now_ms)
+                free = worker.runs.free
+                places += [
+                    (free_ms, factor)
+                    for free_ms in free_places_ms(task.step.need, free, ends)
+                ]
+        return places
--- a/rattanloom/scheduling/placement_model.py
+++ b/rattanloom/scheduling/placement_model.py
@@ -9,6 +9,7 @@
 from rattanloom.placement.runs import PlacedJob, PlacedTask
 from rattanloom.scheduling.racks import RackDemand
 from rattanloom.scheduling.run_time_model import RunTimeModel
+from rattanloom.scheduling.worker_schedule import HeldTasks, ScheduleCache
 from rattanloom.scheduling.worker_speed import WorkerSpeed
 from rattanloom.scheduling.worker_view import WorkerView
 
@@ -34,6 +35,8 @@
     remote_factor: float = 1.0
     run_times: RunTimeModel = field(factory=RunTimeModel)
     rack_demand: RackDemand = field(factory=RackDemand)
+    schedules: ScheduleCache = field(factory=ScheduleCache)
+    held: HeldTasks = field(factory=HeldTasks)
     count: Callable[[str, str], None] = lambda name, label: None
 
     def normal_run_ms(self, task: PlacedTask) -> float:
--- a/rattanloom/scheduling/step_placement.py
+++ b/rattanloom/scheduling/step_placement.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterable
 from math import exp, log
+from operator import attrgetter
 
 from attrs import define, field
 
@@ -41,8 +42,19 @@
 # A task whose rack gives it less than this chance does not wait for it, unless it ends
 # sooner there.
 RACK_CHANCE_MIN = 0.1
-# Only workers on which the task takes at most this share of the time are waited for.
-FASTER_FACTOR = 0.8
+# Only workers on which the task takes at most this share of the time are waited for:
+# those of its rack, and others. At three speeds of 0.8, 1.0 and 1.25, waits cost more
+# than they brought.
+RACK_FACTOR_MAX = 0.8
+FASTER_FACTOR_MAX = 0.6
+
+
+_RANK = attrgetter("rank")
+
+
+def _factor_anywhere(task: PlacedTask, worker: WorkerView) -> float:
+    """Return ``PlacementModel.factor`` for a task without a rack, in less time."""
+    return worker.duration_ratio
 
 
 def no_schedule(task: PlacedTask, factor_max: float) -> WorkerSchedule:
@@ -50,6 +62,20 @@
     return WorkerSchedule([])
 
 
+@define(eq=False, repr=False)
+class Candidate:
+    """A worker that can run a task now; of two, the one with the lower rank is better.
+
+    ``factor`` is how much longer the task takes there than normally, ``chance`` is the
+    chance that it ends in time.
+    """
+
+    worker: WorkerView
+    factor: float
+    chance: float
+    rank: tuple
+
+
 @define(eq=False, repr=False)
 class StepPlacement:
     """The decision for the waiting tasks of the step of ``task``.
@@ -57,8 +83,8 @@
     ``rack_demand`` has the demand for the rack of each worker, if there is any.
     ``schedule_of`` returns when workers on which a task takes at most a given factor
     of its normal time have room. ``_left_ms`` is the time in which the tasks should
-    end. ``_workers`` has the workers that can run a task now, each with the factor by
-    which it takes longer there than normally and with its chance to end in time.
+    end. ``_candidates`` has the workers that can run a task now, the best first.
+    ``factor_awaited`` is the highest factor of the workers for which a task waits.
     ``_best`` is the one that was chosen last, ``_worst_chance`` the smallest chance of
     the tasks that do not wait.
     """
@@ -69,52 +95,64 @@
     now_ms: float
     rack_demand: dict[str, int] = field(factory=dict)
     schedule_of: Callable[[PlacedTask, float], WorkerSchedule] = no_schedule
-    _workers: list[tuple[WorkerView, float, float]] = field(init=False)
+    _candidates: list[Candidate] = field(init=False)
     _normal_ms: float = field(init=False)
     _left_ms: float = field(init=False)
+    factor_awaited: float = 0.0
     _worst_chance: float = 1.0
-    _best: tuple[WorkerView, float, float] | None = None
+    _best: Candidate | None = None
 
     def __attrs_post_init__(self) -> None:
         task, model, need = self.task, self.model, self.task.step.need
         self._normal_ms = max(1.0, model.normal_run_ms(task))
+        factor = model.factor if task.step.affinity else _factor_anywhere
         factors = [
-            (model.factor(task, worker), worker)
+            (factor(task, worker), worker)
             for worker in self.accepting
             if worker.runs.free.fits(need) and matches(task, worker)
         ]
-        factors.sort(key=lambda item: item[0])
         self._left_ms = latest_on_time_end_ms(task.job, task.step_number) - self.now_ms
-        if factors and self._chance(factors[0][0]) < ON_TIME_CHANCE_MIN:
+        fastest = min((factor for factor, _ in factors), default=1.0)
+        if self._chance(fastest) < ON_TIME_CHANCE_MIN:
             latest_ms = latest_late_end_ms(task.job, task.step_number)
             self._left_ms = latest_ms - self.now_ms
-        self._workers = [
-            (worker, factor, self._chance(factor)) for factor, worker in factors
-        ]
+        self._candidates = self._make_candidates(factors)
 
     def choose(self, task: PlacedTask) -> WorkerView | None:
-        """Return the best worker for one of the tasks; None if none has capacity."""
+        """Return the best worker for one of the tasks; None if none has capacity.
+
+        Of equal ones, this is the worker that the task leaves with the least processor.
+        """
         need = self.task.step.need
-        best, best_rank = None, None
-        for candidate in self._workers:
-            if not candidate[0].runs.free.fits(need):
+        best, best_key = None, None
+        for candidate in self._candidates:
+            is_avoided = candidate.worker.worker_id in task.avoided_workers
+            if best is not None and candidate.rank != best.rank:
+                if not task.avoided_workers:
+                    break
+                if is_avoided:
+                    continue
+            free = candidate.worker.runs.free
+            if not free.fits(need):
                 continue
-            rank = self._rank(task, candidate)
-            if best_rank is None or rank < best_rank:
-                best, best_rank = candidate, rank
+            key = (is_avoided, candidate.rank, free.cpu_millicores)
+            if best_key is None or key < best_key:
+                best, best_key = candidate, key
         self._best = best
-        return None if best is None else best[0]
+        return None if best is None else best.worker
 
     def should_wait(self) -> bool:
         """Return whether the task should wait instead of using the chosen worker.
 
         Reserves the place for which it waits.
         """
-        worker, factor, chance = self._best
-        is_remote = self.model.is_remote(self.task, worker)
-        chance = min(chance, self._worst_chance)
+        best = self._best
+        is_remote = self.model.is_remote(self.task, best.worker)
+        chance = min(best.chance, self._worst_chance)
         if is_remote or chance < 1 - WAIT_GAIN_MIN:
-            schedule = self.schedule_of(self.task, factor * FASTER_FACTOR)
+            share = RACK_FACTOR_MAX if is_remote else FASTER_FACTOR_MAX
+            self.factor_awaited = best.factor * share
+            schedule = self.schedule_of(self.task, self.factor_awaited)
             place = schedule.next_place()
             if place is not None and self._is_better(place, is_remote):
                 schedule.reserve(place[1] * self._normal_ms)
@@ -124,14 +162,14 @@
 
     def _is_better(self, place: tuple[float, float], is_remote: bool) -> bool:
         """Return whether a place that becomes free is better than the best worker."""
-        _, factor, chance = self._best
+        chance = min(self._best.chance, self._worst_chance)
         free_ms, place_factor = place
         wait_ms = free_ms - self.now_ms
         place_chance = self._chance(place_factor, wait_ms)
-        gain = min(place_chance, self._worst_chance) - min(chance, self._worst_chance)
+        gain = min(place_chance, self._worst_chance) - chance
         if not is_remote:
             return gain >= WAIT_GAIN_MIN
-        ends_sooner = wait_ms < (factor - place_factor) * self._normal_ms
+        ends_sooner = wait_ms < (self._best.factor - place_factor) * self._normal_ms
         if place_chance < RACK_CHANCE_MIN and not ends_sooner:
             return gain >= WAIT_GAIN_MIN
         return gain >= -RACK_LOSS_MAX
@@ -148,16 +186,25 @@
         # The logistic function with this factor is close to the normal distribution.
         return 1 / (1 + exp(-1.7 * max(deviations, -20)))
 
-    def _rank(
-        self, task: PlacedTask, candidate: tuple[WorkerView, float, float]
-    ) -> tuple:
-        worker, factor, chance = candidate
-        return (
-            worker.worker_id in task.avoided_workers,
-            worker.failure_score >= UNRELIABLE_SCORE,
-            self.model.is_remote(task, worker),
-            int((1 - chance) / CHANCE_STEP),
-            self.rack_demand.get(worker.worker_id, 0),
-            int(factor / FACTOR_STEP),
-            worker.runs.free.cpu_millicores - task.step.need.cpu_millicores,
-        )
+    def _make_candidates(
+        self, factors: list[tuple[float, WorkerView]]
+    ) -> list[Candidate]:
+        """Return the candidates, the best first; chances are those of the steps."""
+        chances: dict[int, tuple[float, int]] = {}
+        candidates = []
+        for factor, worker in factors:
+            step = int(factor / FACTOR_STEP)
+            if step not in chances:
+                chance = self._chance((step + 0.5) * FACTOR_STEP)
+                chances[step] = chance, int((1 - chance) / CHANCE_STEP)
+            chance, missing = chances[step]
+            rank = (
+                worker.failure_score >= UNRELIABLE_SCORE,
+                self.model.is_remote(self.task, worker),
+                missing,
+                self.rack_demand.get(worker.worker_id, 0) if self.rack_demand else 0,
+                step,
+            )
+            candidates.append(Candidate(worker, factor, chance, rank))
+        candidates.sort(key=_RANK)
+        return candidates
--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -50,16 +50,15 @@
     """The former choice: fast workers in steps of a quarter, then the best fit."""
 
     def __attrs_post_init__(self):
-        need = self.task.step.need
-        self._workers = [
-            (worker, 1.0, 1.0)
-            for worker in self.accepting
-            if worker.runs.free.fits(need)
-        ]
-
-    def _rank(self, task, candidate):
-        worker = candidate[0]
-        leftover = worker.runs.free.cpu_millicores - task.step.need.cpu_millicores
+        self._candidates = []
+
+    def choose(self, task):
+        need = task.step.need
+        workers = [worker for worker in self.accepting if worker.runs.free.fits(need)]
+        return min(workers, key=self._former_rank, default=None)
+
+    def _former_rank(self, worker):
+        leftover = worker.runs.free.cpu_millicores - self.task.step.need.cpu_millicores
         return int(worker.duration_ratio / 0.25), leftover
 
     def should_wait(self):
