Let a job wait by its learned run time if the estimate is too long

The latest useful start of a job follows from its critical path. Estimates that are too long made the placer give up jobs that could still be served. The learned duration of the job's queue now moves that time later, never earlier.

--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -64,6 +64,7 @@
     the daemons that received the job earlier and may have started runs of its tasks.
     ``effective_runs`` counts the runs that were ordered, less those that definitely
     had no effect. ``sent_before`` is set if an earlier send of the job may have run.
+    ``expected_path_ms`` is the learned duration of its critical path, if it is known.
     """
 
     submitted: SubmittedJob
@@ -78,6 +79,7 @@
     sent_before: bool = False
     ended: bool = False
     orphaned_ms: float = 0
+    expected_path_ms: float | None = None
 
     @property
     def job_id(self) -> str:
@@ -117,12 +119,14 @@
     def latest_useful_start_ms(self) -> float:
         """Return the latest time to start the job so that its outcome still counts.
 
-        ``UNSTARTED_WAIT_SHARE`` limits it while no task is started.
+        ``UNSTARTED_WAIT_SHARE`` limits it while no task is started. A learned duration
+        only makes it later: one that is too long would refuse jobs that can be served.
         """
+        path_ms = self.submitted.critical_path_ms
+        if self.expected_path_ms is not None:
+            path_ms = min(path_ms, self.expected_path_ms)
         late_limit_ms = self.arrived_ms + self.submitted.late_limit_ms
-        last_useful_ms = (
-            min(self.deadline_ms, late_limit_ms) - self.submitted.critical_path_ms
-        )
+        last_useful_ms = min(self.deadline_ms, late_limit_ms) - path_ms
         if self.started:
             return last_useful_ms
         allowed_ms = self.deadline_ms - self.arrived_ms
--- a/rattanloom/scheduling/assignment.py
+++ b/rattanloom/scheduling/assignment.py
@@ -99,7 +99,9 @@
             return False
         if self._held < HELD_TASKS_MAX and placement.should_wait():
             self._held += 1
-            self.model.held.record(task, placement.factor_awaited, self.now_ms)
+            if self.model.held.record(task, placement.factor_awaited, self.now_ms):
+                reason = "rack" if task.step.affinity else "speed"
+                self.model.count("tasks_held", reason)
             return False
         self._start_on(task, worker)
         return True
--- a/rattanloom/scheduling/placement_model.py
+++ b/rattanloom/scheduling/placement_model.py
@@ -77,9 +77,13 @@
         )
 
     def record_arrival(self, job: PlacedJob, now_ms: float) -> None:
-        """Count the work that a new job brings to the racks that it names."""
+        """Predict the duration of a new job; count its work for the racks it names."""
+        submitted = job.submitted
+        job.expected_path_ms = self.run_times.expected_ms(
+            submitted.policy.queue, submitted.critical_path_ms
+        )
         if self.remote_factor > 1:
-            for step in job.submitted.steps:
+            for step in submitted.steps:
                 if step.affinity:
                     work = step.count * step.need.cpu_millicores * step.estimate_ms
                     self.rack_demand.add(step.affinity, work, now_ms)
--- a/rattanloom/scheduling/worker_schedule.py
+++ b/rattanloom/scheduling/worker_schedule.py
@@ -80,11 +80,13 @@
 
     _held: dict[str, tuple[float, float]] = field(factory=dict)
 
-    def record(self, task: PlacedTask, factor_max: float, now_ms: float) -> None:
-        """Record that a task waits."""
-        if len(self._held) >= HELD_MAX:
+    def record(self, task: PlacedTask, factor_max: float, now_ms: float) -> bool:
+        """Record that a task waits; return whether this is a new decision."""
+        is_new = task.name not in self._held
+        if is_new and len(self._held) >= HELD_MAX:
             self._held.clear()
         self._held[task.name] = now_ms, factor_max
+        return is_new
 
     def factor_awaited(self, task: PlacedTask, now_ms: float) -> float | None:
         """Return the factor of a task that waits; None if it has to be decided."""
--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -171,7 +171,8 @@
         )
         job = make_job(submitted, FakeReceiver(), (), self.now_ms)
         self.asked[name] += 1
-        self.health.placement.record_arrival(job, self.now_ms)
+        if not self.is_former:
+            self.health.placement.record_arrival(job, self.now_ms)
         for task, duration_ms in zip(job.tasks, durations, strict=True):
             self._durations[task.name] = duration_ms
             self.waiting.add(task, self.now_ms)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -166,3 +166,20 @@
     assert model.expected_ms("previews", 100) == 100
     model.learn("", 100, 900, 1)
     assert model.expected_ms("", 100) == 100
+
+
+def test_learned_run_time_lets_a_job_wait_longer_but_never_shorter():
+    model = PlacementModel()
+    jobs = [make_task(estimate_ms=1_000).job for _ in range(3)]
+    for job, ratio in zip(jobs[1:], (0.5, 2.0), strict=True):
+        queue = f"q{ratio}"
+        policy = evolve(job.submitted.policy, queue=queue)
+        job.submitted = evolve(job.submitted, policy=policy)
+        job.effective_runs = 1
+        for _ in range(400):
+            model.run_times.learn(queue, 1_000, 1_000 * ratio, 1)
+        model.record_arrival(job, 0)
+    jobs[0].effective_runs = 1
+    by_estimate_ms = jobs[0].latest_useful_start_ms
+    assert jobs[1].latest_useful_start_ms == pytest.approx(by_estimate_ms + 500, abs=10)
+    assert jobs[2].latest_useful_start_ms == by_estimate_ms
