--- a/rattanloom/scheduling/step_placement.py
+++ b/rattanloom/scheduling/step_placement.py
@@ -18,7 +18,10 @@
     latest_on_time_end_ms,
 )
 from rattanloom.scheduling.worker_choice import matches
-from rattanloom.scheduling.worker_schedule import WorkerSchedule
+from rattanloom.scheduling.worker_schedule import (
+    SCHEDULE_AGE_MAX_MS,
+    WorkerSchedule,
+)
 from rattanloom.scheduling.worker_view import WorkerView
 
 # A worker with this failure score or more ranks behind all others except those that
@@ -43,10 +46,10 @@
 # sooner there.
 RACK_CHANCE_MIN = 0.1
 # Only workers on which the task takes at most this share of the time are waited for:
-# those of its rack, and others. At three speeds of 0.8, 1.0 and 1.25, waits cost more
+# those of its rack, and others. At speeds of 0.8, 1.0 and 1.25, other waits cost more
 # than they brought.
 RACK_FACTOR_MAX = 0.8
-FASTER_FACTOR_MAX = 0.6
+FASTER_FACTOR_MAX = 0.55
 
 
 _RANK = attrgetter("rank")
@@ -84,9 +87,10 @@
     ``schedule_of`` returns when workers on which a task takes at most a given factor
     of its normal time have room. ``_left_ms`` is the time in which the tasks should
     end. ``_candidates`` has the workers that can run a task now, the best first.
-    ``factor_awaited`` is the highest factor of the workers for which a task waits.
-    ``_best`` is the one that was chosen last, ``_worst_chance`` the smallest chance of
-    the tasks that do not wait.
+    No task waits longer than ``_wait_max_ms``: its job would be late, and might be
+    refused as such although other workers are idle. ``factor_awaited`` is the highest
+    factor of the workers for which a task waits. ``_best`` is the one that was chosen
+    last, ``_worst_chance`` the smallest chance of the tasks that do not wait.
     """
 
     task: PlacedTask
@@ -95,6 +99,7 @@
     now_ms: float
     rack_demand: dict[str, int] = field(factory=dict)
     schedule_of: Callable[[PlacedTask, float], WorkerSchedule] = no_schedule
+    _wait_max_ms: float = field(init=False)
     _candidates: list[Candidate] = field(init=False)
     _normal_ms: float = field(init=False)
     _left_ms: float = field(init=False)
@@ -113,6 +118,8 @@
         ]
         self._left_ms = latest_on_time_end_ms(task.job, task.step_number) - self.now_ms
         fastest = min((factor for factor, _ in factors), default=1.0)
+        estimate_ms = max(self._normal_ms, task.step.estimate_ms)
+        self._wait_max_ms = self._left_ms - estimate_ms - SCHEDULE_AGE_MAX_MS
         if self._chance(fastest) < ON_TIME_CHANCE_MIN:
             latest_ms = latest_late_end_ms(task.job, task.step_number)
             self._left_ms = latest_ms - self.now_ms
@@ -165,6 +172,8 @@
         chance = min(self._best.chance, self._worst_chance)
         free_ms, place_factor = place
         wait_ms = free_ms - self.now_ms
+        if wait_ms > self._wait_max_ms:
+            return False
         place_chance = self._chance(place_factor, wait_ms)
         gain = min(place_chance, self._worst_chance) - chance
         if not is_remote:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -109,6 +109,27 @@
     assert place(make_task("r2"), workers) == "w1"
 
 
+def test_task_does_not_wait_until_its_job_is_refused_beside_an_idle_worker():
+    workers = [make_worker("w1", "r1"), make_worker("w2", "r2")]
+    occupy(workers[1], 50)
+    task, model = make_task("r2"), PlacementModel(3)
+    started = []
+    for now_ms in range(0, int(task.job.latest_on_time_start_ms), 10):
+        waiting = WaitingTasks()
+        waiting.add(task, now_ms)
+        AssignmentPass(
+            workers,
+            lambda _: True,
+            lambda task, worker: started.append(worker.worker_id),
+            now_ms,
+            model=model,
+        ).run(waiting)
+        if started:
+            break
+    assert now_ms > 50
+    assert started == ["w1"]
+
+
 def test_task_without_a_rack_leaves_the_workers_of_a_busy_rack_free():
     workers = [make_worker("w1", "r1"), make_worker("w2", "r2")]
     model = PlacementModel(3)
