--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -105,6 +105,7 @@
     slot.waitedMs = job.waited_ms
     slot.formerPlacers = list(submit.former_placers)
     slot.completedBy = submit.completed_by
+    slot.queue = policy.queue
     step_slots = slot.init("steps", len(job.steps))
     for step_slot, step in zip(step_slots, job.steps, strict=True):
         _write_step(step_slot, step)
@@ -119,6 +120,7 @@
     slot.after = list(step.after)
     slot.requiredLabel = step.required_label
     slot.perWorkerMax = step.per_worker_max
+    slot.affinity = step.affinity
 
 
 def _read_submit(reader: object) -> Submit:
@@ -129,6 +131,7 @@
         slot.maxAttempts,
         slot.slackFactor,
         slot.latencyTargetMs,
+        slot.queue,
     )
     job = SubmittedJob(
         slot.jobId,
@@ -169,6 +172,7 @@
         tuple(slot.after),
         slot.requiredLabel,
         slot.perWorkerMax,
+        slot.affinity,
     )
 
 
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -20,6 +20,7 @@
   after @5 :List(UInt16);
   requiredLabel @6 :Text;
   perWorkerMax @7 :UInt32;
+  affinity @8 :Text;
 }
 
 struct Submit {
@@ -35,6 +36,7 @@
   waitedMs @9 :Float32;
   formerPlacers @10 :List(Text);
   completedBy @11 :Text;
+  queue @12 :Text;
 }
 
 struct Outcome {
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -11,7 +11,6 @@
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedJob, RunPhase
-from rattanloom.placement.worker_choice import accepts_tasks, tasks_without_worker
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.scheduling.cost import level_of
 from rattanloom.scheduling.fairness import SourceShares
@@ -29,6 +28,7 @@
     RETURNED_OFFSET_MS,
     WaitingTasks,
 )
+from rattanloom.scheduling.worker_choice import accepts_tasks, tasks_without_worker
 
 log = DecisionLog("placement")
 
--- /dev/null
+++ b/rattanloom/scheduling/assignment.py
@@ -0,0 +1,209 @@
+"""Assignment of waiting tasks to workers with free capacity."""
+
+from collections.abc import Callable, Collection
+
+from attrs import define, field
+
+from rattanloom.placement.runs import PlacedTask
+from rattanloom.scheduling.placement_model import PlacementModel
+from rattanloom.scheduling.step_placement import StepPlacement
+from rattanloom.scheduling.waiting import WaitingTasks
+from rattanloom.scheduling.worker_choice import accepts_tasks, matches
+from rattanloom.scheduling.worker_schedule import (
+    Place,
+    WorkerSchedule,
+    free_places_ms,
+)
+from rattanloom.scheduling.worker_view import WorkerView
+
+# A pass ends after this many tasks without a suitable worker. They are skipped so
+# that smaller ones behind them can use the remaining capacity.
+SKIPPED_TASKS_MAX = 24
+# At most this many tasks wait for their racks in a pass while other workers have free
+# capacity; the limit bounds the cost of a pass.
+HELD_TASKS_MAX = 32
+
+
+@define(eq=False, repr=False)
+class AssignmentPass:
+    """One pass over the waiting tasks.
+
+    ``may_start`` returns whether a task may have a new run now, on any worker;
+    ``start_run`` starts it. A task for which ``must_be_isolated`` returns true starts
+    on a worker without other runs. ``_accepting`` has the workers that accept tasks
+    during the pass. ``_unplaceable_millicores`` has, by service, label, memory and
+    accelerators, the smallest processor need for which no worker was found.
+    ``_held`` counts the tasks that wait for their racks. ``_placements`` has the
+    decisions by job and step, ``_schedules`` and ``_best_factors`` what was found for
+    tasks of one kind.
+    ``_rack_demand`` has the demand for the rack of each worker, if there is any.
+    """
+
+    workers: Collection[WorkerView]
+    may_start: Callable[[PlacedTask], bool]
+    start_run: Callable[[PlacedTask, WorkerView], None]
+    now_ms: float
+    must_be_isolated: Callable[[PlacedTask], bool] = lambda task: False
+    model: PlacementModel = field(factory=PlacementModel)
+    placement_type: type[StepPlacement] = StepPlacement
+    _accepting: list[WorkerView] = field(init=False)
+    _unplaceable_millicores: dict[tuple[str, str, int, int], int] = field(factory=dict)
+    _held: int = 0
+    _placements: dict[tuple[str, int], StepPlacement] = field(factory=dict)
+    _schedules: dict[tuple, WorkerSchedule] = field(factory=dict)
+    _best_factors: dict[tuple, float] = field(factory=dict)
+    _rack_demand: dict[str, int] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self._accepting = [
+            worker for worker in self.workers if accepts_tasks(worker, self.now_ms)
+        ]
+        if self.model.rack_demand:
+            self._rack_demand = self.model.demand_of_racks(self._accepting, self.now_ms)
+
+    def run(self, waiting: WaitingTasks) -> None:
+        """Start the tasks for which a worker is found; put the others back."""
+        skipped: list[PlacedTask] = []
+        while len(skipped) - self._held < SKIPPED_TASKS_MAX:
+            task = waiting.pop(self.now_ms)
+            if task is None:
+                break
+            if not self._start(task):
+                skipped.append(task)
+        for task in skipped:
+            waiting.put_back(task, self.now_ms)
+
+    def _start(self, task: PlacedTask) -> bool:
+        if self.must_be_isolated(task):
+            return self._start_isolated(task)
+        need = task.step.need
+        service, label = task.job.submitted.policy.service, task.step.required_label
+        kind = (service, label, need.memory_mb, need.gpus)
+        need_millicores = need.cpu_millicores
+        if need_millicores >= self._unplaceable_millicores.get(
+            kind, need_millicores + 1
+        ):
+            return False
+        if not self.may_start(task):
+            return False
+        if self._still_waits(task):
+            self._held += 1
+            return False
+        placement = self._placement(task)
+        worker = placement.choose(task)
+        if worker is None:
+            # A step with a limit per worker may be rejected where other tasks of
+            # the same size fit.
+            if not task.step.per_worker_max:
+                self._unplaceable_millicores[kind] = need_millicores
+            return False
+        if self._held < HELD_TASKS_MAX and placement.should_wait():
+            self._held += 1
+            if self.model.held.record(task, placement.factor_awaited, self.now_ms):
+                reason = "rack" if task.step.affinity else "speed"
+                self.model.count("tasks_held", reason)
+            return False
+        self._start_on(task, worker)
+        return True
+
+    def _still_waits(self, task: PlacedTask) -> bool:
+        """Return whether a task that waited a moment ago needs no new decision.
+
+        Applies if no worker of those for which it waits has room now. Reserves the
+        place for which it waits.
+        """
+        factor_max = self.model.held.factor_awaited(task, self.now_ms)
+        if factor_max is None or self._held >= HELD_TASKS_MAX:
+            return False
+        if self._best_factor(task) <= factor_max:
+            return False
+        schedule = self._schedule(task, factor_max)
+        place = schedule.next_place()
+        if place is None:
+            return False
+        schedule.reserve(place[1] * self.model.normal_run_ms(task))
+        return True
+
+    def _best_factor(self, task: PlacedTask) -> float:
+        """Return the factor of the fastest worker that had room early in the pass."""
+        step = task.step
+        service = task.job.submitted.policy.service
+        key = (service, step.affinity, step.required_label, step.need)
+        if key not in self._best_factors:
+            self._best_factors[key] = min(
+                (
+                    self.model.factor(task, worker)
+                    for worker in self._accepting
+                    if worker.runs.free.fits(step.need) and matches(task, worker)
+                ),
+                default=0.0,
+            )
+        return self._best_factors[key]
+
+    def _placement(self, task: PlacedTask) -> StepPlacement:
+        """Return the decision for the waiting tasks of a task's step.
+
+        It is made anew for each task of a step with a limit per worker.
+        """
+        key = (task.job.job_id, task.step_number)
+        placement = self._placements.get(key)
+        if placement is None or task.step.per_worker_max:
+            placement = self._make_placement(task, self._accepting)
+            self._placements[key] = placement
+        return placement
+
+    def _start_isolated(self, task: PlacedTask) -> bool:
+        if not self.may_start(task):
+            return False
+        idle = [worker for worker in self._accepting if not worker.runs]
+        worker = self._make_placement(task, idle).choose(task)
+        if worker is None:
+            return False
+        self._accepting.remove(worker)
+        self._start_on(task, worker)
+        return True
+
+    def _start_on(self, task: PlacedTask, worker: WorkerView) -> None:
+        if task.step.affinity:
+            is_remote = self.model.is_remote(task, worker)
+            self.model.count("tasks_with_rack", "elsewhere" if is_remote else "rack")
+        self.start_run(task, worker)
+
+    def _make_placement(
+        self, task: PlacedTask, workers: list[WorkerView]
+    ) -> StepPlacement:
+        return self.placement_type(
+            task,
+            workers,
+            self.model,
+            self.now_ms,
+            self._rack_demand,
+            self._schedule,
+        )
+
+    def _schedule(self, task: PlacedTask, factor_max: float) -> WorkerSchedule:
+        """Return when workers with up to this factor for a task have room for it."""
+        step = task.step
+        service = task.job.submitted.policy.service
+        level = int(10 * factor_max)
+        key = (service, step.affinity, step.required_label, step.need, level)
+        if key not in self._schedules:
+            self._schedules[key] = self.model.schedules.get(
+                key,
+                lambda: self._free_places(task, factor_max),
+                self.now_ms,
+            )
+        return self._schedules[key]
+
+    def _free_places(self, task: PlacedTask, factor_max: float) -> list[Place]:
+        places = []
+        for worker in self._accepting:
+            factor = self.model.factor(task, worker)
+            if factor <= factor_max and matches(task, worker):
+                ends = self.model.expected_ends_ms(worker, self.now_ms)
+                free = worker.runs.free
+                places += [
+                    (free_ms, factor)
+                    for free_ms in free_places_ms(task.step.need, free, ends)
+                ]
+        return places
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -12,7 +12,6 @@
 
 from attrs import define, field, frozen
 
-from rattanloom.placement.assignment import AssignmentPass
 from rattanloom.placement.jobs import JobPolicy, Step, SubmittedJob
 from rattanloom.placement.pooled_worker import BUSY_WAIT_MS
 from rattanloom.placement.runs import (
@@ -27,6 +26,7 @@
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.worker_runs import WorkerRuns
 from rattanloom.placement.workers import Resources, WorkerEntry
+from rattanloom.scheduling.assignment import AssignmentPass
 from rattanloom.scheduling.overload import (
     ArrivingWork,
     PoolCapacity,
