Bound the waits for better workers, and mend findings on placement

Learned slowness decays without finished runs, and adopted runs teach nothing. Slow workers of a rack rank as remote ones.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -148,9 +148,6 @@
             lambda: spawn_restarting(self._check_ownership_after_pause),
             EntryAgeGuard(clock, lambda: self.workers_follower.stale_ms()).may_start,
         )
-        self.placer.worker_health.placement.remote_factor = (
-            deployment.bounds.remote_factor
-        )
         self.crash_exchange = CrashExchange(self.hub, self.placer)
         self.placer.crash_policy.records.announce = self.crash_exchange.announce
         self.ownership = Ownership(
@@ -248,9 +245,6 @@
         """Apply changed settings; addresses to listen on only change at a restart."""
         self.store.set_address(deployment.store.address)
         self.evacuation_control.apply_bounds(deployment.bounds)
-        self.placer.worker_health.placement.remote_factor = (
-            deployment.bounds.remote_factor
-        )
         self.deployment = deployment
 
     def start(self) -> None:
--- a/rattanloom/evacuation_control.py
+++ b/rattanloom/evacuation_control.py
@@ -55,8 +55,9 @@
         self.apply_bounds(self.bounds)
 
     def apply_bounds(self, bounds: Bounds) -> None:
-        """Apply changed bounds of the settings."""
+        """Apply changed bounds of the settings, also that of placement by rack."""
         self.bounds = bounds
+        self.placer.worker_health.placement.remote_factor = bounds.remote_factor
         self.follower.delay_max_ms = bounds.operator_table_delay_max_ms
         self.guard.age_max_ms = bounds.operator_table_age_max_ms
         cold_workers = self.placer.start_limits.cold_workers
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -243,6 +243,7 @@
         self.inherited_work.remove_expired()
         self.crash_policy.records.remove_expired(now_ms)
         self.start_limits.update(self.workers.values())
+        self.worker_health.decay_speeds(self.workers.values(), now_ms)
         self.job_returns.return_jobs(self.waiting)
         self.start_waiting_tasks()
         self.endings.end_in_shortage(now_ms)
@@ -332,13 +333,11 @@
             return
         self._is_starting_tasks = True
         try:
-            workers = self.workers.values()
-            now_ms = self.clock.now_ms()
             AssignmentPass(
-                workers,
+                self.workers.values(),
                 self._may_start,
                 self._start_run,
-                now_ms,
+                self.clock.now_ms(),
                 self.crash_policy.must_be_isolated,
                 self.worker_health.placement,
             ).run(self.waiting)
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 import gevent
-from attrs import define, field
+from attrs import Factory, define, field
 
 from rattanloom.background import spawn_restarting
 from rattanloom.clock import MS_PER_S, Clock
@@ -72,7 +72,7 @@
     lease: WorkerLease
     fencing_token: int
     active_runs: Counter[str]
-    limits: StartLimits = field()
+    limits: StartLimits = Factory(lambda self: StartLimits(self.clock), takes_self=True)
     state: WorkerState = WorkerState.SYNCING
     runs: WorkerRuns = field(init=False)
     last_finished_number: int = 0
@@ -87,10 +87,6 @@
     _idle_wait: bool = False
     _bridging_idle_wait: bool = False
 
-    @limits.default
-    def _no_limits(self) -> StartLimits:
-        return StartLimits(self.clock)
-
     @property
     def worker_id(self) -> str:
         """Return the id under which the worker registered."""
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -182,6 +182,7 @@
     ``incarnation_ms`` is that of the worker then; ``worker_restarted`` is set if it
     has restarted since. ``other_jobs`` is how many other jobs had runs on the worker
     when it was lost. No other run may start beside an ``isolated`` one.
+    ``adopted`` is set if a former placer ordered the run: its duration is not known.
     """
 
     name: str
@@ -200,6 +201,7 @@
     worker_restarted: bool = False
     other_jobs: int = 0
     isolated: bool = False
+    adopted: bool = False
 
     @property
     def job_id(self) -> str:
--- a/rattanloom/placement/worker_health.py
+++ b/rattanloom/placement/worker_health.py
@@ -39,8 +39,14 @@
         """Record a successful run: lower the score, learn from its duration."""
         worker.failure_score /= 2
         worker.quarantine_count = 0
-        if run.confirmed_ms is not None:
-            self.placement.learn(run.task, worker, now_ms - run.confirmed_ms)
+        if run.confirmed_ms is not None and not run.adopted:
+            run_ms = now_ms - run.confirmed_ms
+            self.placement.learn(run.task, worker, run_ms, now_ms)
+
+    def decay_speeds(self, workers: Collection[PooledWorker], now_ms: float) -> None:
+        """Forget the speeds of workers without finished runs, in steps."""
+        for worker in workers:
+            worker.speed.decay(now_ms)
 
     def record_failure(
         self, worker: PooledWorker, workers: Collection[PooledWorker], now_ms: float
--- a/rattanloom/placement/worker_runs.py
+++ b/rattanloom/placement/worker_runs.py
@@ -81,7 +81,7 @@
         run.isolated = isolated
         run.task, run.step = task, task.step
         run.phase = RunPhase.RUNNING
-        run.confirmed_ms = now_ms
+        run.confirmed_ms, run.adopted = now_ms, True
         self.add(run)
 
     def set_capacity(self, capacity: Resources) -> None:
--- a/rattanloom/platform/job_format.py
+++ b/rattanloom/platform/job_format.py
@@ -15,6 +15,8 @@
 TASKS_MAX = 1_000
 JOB_ID_LENGTH = 16
 LABEL_LENGTH_MAX = 100
+# An hour; a longer estimate is an error of the client.
+ESTIMATE_MAX_MS = 3_600_000
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
@@ -109,6 +111,8 @@
             raise FormatError(f"steps[{number}] has a negative amount or no tasks")
         if not isfinite(step.estimate_ms):
             raise FormatError(f"steps[{number}].est_ms is not a finite number")
+        if step.estimate_ms > ESTIMATE_MAX_MS:
+            raise FormatError(f"steps[{number}].est_ms is above {ESTIMATE_MAX_MS}")
         if any(not 0 <= earlier < number for earlier in step.after):
             raise FormatError(f"steps[{number}].after must only list earlier steps")
 
--- a/rattanloom/scheduling/racks.py
+++ b/rattanloom/scheduling/racks.py
@@ -1,18 +1,19 @@
 """Racks: the label of the workers near a step's data, and the demand for them."""
 
-from collections.abc import Collection
 from math import exp
 
 from attrs import define, field
 
 from rattanloom.kind_table import KindTable
-from rattanloom.placement.workers import WorkerEntry
 
 # Demand for a rack decays with this time constant: longer than the gaps between the
 # jobs that name a busy rack, shorter than a burst.
 DEMAND_DECAY_MS = 1_000
 # Demand is compared in steps of this share of the processor of the rack's workers.
 DEMAND_STEP = 0.25
+# Limit of the demand for one rack: that of 1,000 cores for 1,000 s. Estimates come from
+# clients, and infinite demand can't be compared.
+WORK_MAX_MILLICORE_MS = 1e12
 
 
 @define(eq=False, repr=False)
@@ -27,9 +28,9 @@
 
     def add(self, label: str, work_millicore_ms: float, now_ms: float) -> None:
         """Count work for the workers with a label."""
-        self._work.store(
-            label, (self._decayed(label, now_ms) + work_millicore_ms, now_ms)
-        )
+        work = self._decayed(label, now_ms) + work_millicore_ms
+        # The order of the arguments gives the limit also for NaN.
+        self._work.store(label, (min(WORK_MAX_MILLICORE_MS, work), now_ms))
 
     def __bool__(self) -> bool:
         """Return whether any job has named a rack."""
@@ -43,9 +44,3 @@
     def _decayed(self, label: str, now_ms: float) -> float:
         work, updated_ms = self._work.get(label, (0.0, now_ms))
         return work * exp((updated_ms - now_ms) / DEMAND_DECAY_MS)
-
-
-def zone_of_rack(label: str, entries: Collection[WorkerEntry]) -> str | None:
-    """Return the zone with the most workers of a rack; None if none is registered."""
-    zones = [entry.zone for entry in entries if label in entry.labels]
-    return max(sorted(set(zones)), key=zones.count, default=None)
--- a/rattanloom/scheduling/step_placement.py
+++ b/rattanloom/scheduling/step_placement.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 
 from rattanloom.placement.runs import PlacedTask
+from rattanloom.scheduling.overload import HELD_SHARE
 from rattanloom.scheduling.placement_model import (
     PlacementModel,
     latest_late_end_ms,
@@ -19,7 +20,7 @@
 )
 from rattanloom.scheduling.worker_choice import matches
 from rattanloom.scheduling.worker_schedule import (
-    SCHEDULE_AGE_MAX_MS,
+    Place,
     WorkerSchedule,
 )
 from rattanloom.scheduling.worker_view import WorkerView
@@ -27,8 +28,8 @@
 # A worker with this failure score or more ranks behind all others except those that
 # the task avoids.
 UNRELIABLE_SCORE = 1.5
-# Standard deviation of the logarithm of a run time: run times and estimates have a
-# spread of 0.4 together.
+# Standard deviation of the logarithm of a run time around the expected one. Estimates
+# are off by up to 0.4, and the tasks of one job differ.
 RUN_TIME_SPREAD = 0.35
 # Chances to end in time are compared in steps of this size.
 CHANCE_STEP = 0.1
@@ -87,10 +88,13 @@
     ``schedule_of`` returns when workers on which a task takes at most a given factor
     of its normal time have room. ``_left_ms`` is the time in which the tasks should
     end. ``_candidates`` has the workers that can run a task now, the best first.
-    No task waits longer than ``_wait_max_ms``: its job would be late, and might be
-    refused as such although other workers are idle. ``factor_awaited`` is the highest
-    factor of the workers for which a task waits. ``_best`` is the one that was chosen
-    last, ``_worst_chance`` the smallest chance of the tasks that do not wait.
+    No task waits longer than ``wait_max_ms``: its job would be late, and might be
+    refused as such although other workers are idle, or would not be started within
+    ``HELD_SHARE`` of its objective. ``factor_awaited`` is the highest factor of the
+    workers for which a task waits, ``awaited`` the place that it got. ``_has_rack`` is
+    false if no worker that accepts tasks is in the rack that the step names, which is
+    ignored then. ``_best`` is the worker that was chosen last, ``_worst_chance`` the
+    smallest chance of the tasks that do not wait.
     """
 
     task: PlacedTask
@@ -99,11 +103,13 @@
     now_ms: float
     rack_demand: dict[str, int] = field(factory=dict)
     schedule_of: Callable[[PlacedTask, float], WorkerSchedule] = no_schedule
-    _wait_max_ms: float = field(init=False)
+    wait_max_ms: float = field(init=False)
     _candidates: list[Candidate] = field(init=False)
     _normal_ms: float = field(init=False)
     _left_ms: float = field(init=False)
+    _has_rack: bool = field(init=False)
     factor_awaited: float = 0.0
+    awaited: Place | None = None
     _worst_chance: float = 1.0
     _best: Candidate | None = None
 
@@ -116,10 +122,18 @@
             for worker in self.accepting
             if worker.runs.free.fits(need) and matches(task, worker)
         ]
+        self._has_rack = bool(task.step.affinity) and any(
+            not model.is_remote(task, worker) and matches(task, worker)
+            for worker in self.accepting
+        )
         self._left_ms = latest_on_time_end_ms(task.job, task.step_number) - self.now_ms
         fastest = min((factor for factor, _ in factors), default=1.0)
         estimate_ms = max(self._normal_ms, task.step.estimate_ms)
-        self._wait_max_ms = self._left_ms - estimate_ms - SCHEDULE_AGE_MAX_MS
+        self.wait_max_ms = self._left_ms - estimate_ms
+        if not task.job.started:
+            held_max_ms = HELD_SHARE * task.job.submitted.objective_ms
+            held_ms = self.now_ms - task.job.arrived_ms
+            self.wait_max_ms = min(self.wait_max_ms, held_max_ms - held_ms)
         if self._chance(fastest) < ON_TIME_CHANCE_MIN:
             latest_ms = latest_late_end_ms(task.job, task.step_number)
             self._left_ms = latest_ms - self.now_ms
@@ -156,42 +170,46 @@
         Reserves the place for which it waits.
         """
         best = self._best
-        is_remote = self.model.is_remote(self.task, best.worker)
+        is_far = self._is_far(best.worker)
         chance = min(best.chance, self._worst_chance)
-        if is_remote or chance < 1 - WAIT_GAIN_MIN:
-            share = RACK_FACTOR_MAX if is_remote else FASTER_FACTOR_MAX
+        if is_far or chance < 1 - WAIT_GAIN_MIN:
+            share = RACK_FACTOR_MAX if is_far else FASTER_FACTOR_MAX
             self.factor_awaited = best.factor * share
             schedule = self.schedule_of(self.task, self.factor_awaited)
             place = schedule.next_place()
-            if place is not None and self._is_better(place, is_remote):
+            if place is not None and self._is_better(place, is_far):
                 schedule.reserve(place[1] * self._normal_ms)
+                self.awaited = place
                 return True
         self._worst_chance = chance
         return False
 
-    def _is_better(self, place: tuple[float, float], is_remote: bool) -> bool:
+    def _is_better(self, place: Place, is_far: bool) -> bool:
         """Return whether a place that becomes free is better than the best worker."""
         chance = min(self._best.chance, self._worst_chance)
-        free_ms, place_factor = place
+        free_ms, place_factor, _ = place
         wait_ms = free_ms - self.now_ms
-        if wait_ms > self._wait_max_ms:
+        if wait_ms > self.wait_max_ms:
             return False
         place_chance = self._chance(place_factor, wait_ms)
         gain = min(place_chance, self._worst_chance) - chance
-        if not is_remote:
+        if not is_far:
             return gain >= WAIT_GAIN_MIN
         ends_sooner = wait_ms < (self._best.factor - place_factor) * self._normal_ms
         if place_chance < RACK_CHANCE_MIN and not ends_sooner:
             return gain >= WAIT_GAIN_MIN
         return gain >= -RACK_LOSS_MAX
 
+    def _is_far(self, worker: WorkerView) -> bool:
+        return self._has_rack and self.model.is_far(self.task, worker)
+
     def _chance(self, factor: float, wait_ms: float = 0) -> float:
         """Return the chance that a run ends in time, after a wait.
 
         ``factor`` is how long it takes compared to the normal run time.
         """
         left_ms = self._left_ms - wait_ms
-        if left_ms <= 0:
+        if not left_ms > 0:  # also for NaN, from an estimate of an older peer
             return 0.0
         deviations = log(left_ms / (factor * self._normal_ms)) / RUN_TIME_SPREAD
         # The logistic function with this factor is close to the normal distribution.
@@ -212,7 +230,7 @@
             rank = (
                 worker.failure_score >= UNRELIABLE_SCORE,
                 worker.limits.is_cold(worker),
-                self.model.is_remote(self.task, worker),
+                self._is_far(worker),
                 missing,
                 self.rack_demand.get(worker.worker_id, 0) if self.rack_demand else 0,
                 step,
--- a/rattanloom/scheduling/worker_schedule.py
+++ b/rattanloom/scheduling/worker_schedule.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable, Iterable
 from heapq import heapify, heapreplace, nsmallest
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from rattanloom.placement.runs import PlacedTask
 from rattanloom.placement.workers import Resources
 
-# The time at which a place becomes free, and the factor by which a task takes longer
-# there than normally.
-Place = tuple[float, float]
+# The time at which a place becomes free, the factor by which a task takes longer there
+# than normally, and whether it is in the rack that the task names.
+Place = tuple[float, float, bool]
 
 # Expected ends are computed again after this time, as that takes some 0.5 ms for the
 # workers of a zone. They are rough by more.
@@ -19,6 +19,8 @@
 SCHEDULES_MAX = 64
 PLACES_MAX = 32
 HELD_MAX = 256
+# A task stops to wait this long after the first promised time, the age of a schedule.
+PROMISE_GRACE_MS = 20
 
 
 @define(eq=False, repr=False)
@@ -39,8 +41,8 @@
 
     def reserve(self, run_ms: float) -> None:
         """Reserve the next place for a task that runs so long."""
-        free_ms, factor = self._places[0]
-        heapreplace(self._places, (free_ms + run_ms, factor))
+        free_ms, factor, is_in_rack = self._places[0]
+        heapreplace(self._places, (free_ms + run_ms, factor, is_in_rack))
 
 
 @define(eq=False, repr=False)
@@ -64,34 +66,61 @@
             self._found[kind] = now_ms, places
         return WorkerSchedule(
             [
-                (free_ms if free_ms > now_ms else now_ms, factor)
-                for free_ms, factor in places
+                (max(free_ms, now_ms), factor, is_in_rack)
+                for free_ms, factor, is_in_rack in places
             ]
         )
 
 
-@define(eq=False, repr=False)
-class HeldTasks:
-    """The tasks that wait for better workers, for up to ``SCHEDULE_AGE_MAX_MS``.
+@frozen
+class Hold:
+    """The decision that a task waits for a better worker.
 
-    ``_held`` has, by task, when that was decided and the highest factor by which the
-    task takes longer than normally on the workers for which it waits.
+    The decision holds until ``valid_until_ms``. ``factor_max`` is the highest factor by
+    which the task takes longer than normally on the workers for which it waits,
+    ``promised_ms`` when the first decision expected one of them to have room.
     """
 
-    _held: dict[str, tuple[float, float]] = field(factory=dict)
+    valid_until_ms: float
+    factor_max: float
+    promised_ms: float
+
 
-    def record(self, task: PlacedTask, factor_max: float, now_ms: float) -> bool:
-        """Record that a task waits; return whether this is a new decision."""
-        is_new = task.name not in self._held
-        if is_new and len(self._held) >= HELD_MAX:
-            self._held.clear()
-        self._held[task.name] = now_ms, factor_max
-        return is_new
+@define(eq=False, repr=False)
+class HeldTasks:
+    """The tasks that wait for better workers; ``HELD_MAX`` bounds their number."""
+
+    _held: dict[str, Hold] = field(factory=dict)
+
+    def record(
+        self,
+        task: PlacedTask,
+        factor_max: float,
+        free_ms: float,
+        valid_until_ms: float,
+    ) -> bool:
+        """Record that a task waits; return whether this is the first decision.
+
+        A worker is expected to have room at ``free_ms``.
+        """
+        known = self._held.get(task.name)
+        if known is None and len(self._held) >= HELD_MAX:
+            del self._held[next(iter(self._held))]
+        promised_ms = free_ms if known is None else known.promised_ms
+        self._held[task.name] = Hold(valid_until_ms, factor_max, promised_ms)
+        return known is None
+
+    def may_wait(self, task: PlacedTask, now_ms: float) -> bool:
+        """Return whether the time first promised to a task has not passed."""
+        hold = self._held.get(task.name)
+        return hold is None or now_ms <= hold.promised_ms + PROMISE_GRACE_MS
 
     def factor_awaited(self, task: PlacedTask, now_ms: float) -> float | None:
         """Return the factor of a task that waits; None if it has to be decided."""
-        decided_ms, factor_max = self._held.get(task.name, (-1_000.0, 0.0))
-        return factor_max if now_ms - decided_ms < SCHEDULE_AGE_MAX_MS else None
+        hold = self._held.get(task.name)
+        if hold is None or now_ms >= hold.valid_until_ms:
+            return None
+        return hold.factor_max
 
 
 def free_places_ms(
@@ -99,14 +128,15 @@
 ) -> list[float]:
     """Return when each place for a task with ``need`` becomes free on one worker.
 
-    ``free`` is free now; ``ends`` has the expected end and the need of each run.
+    ``free`` is free now; ``ends`` has the expected end and the need of each run. At
+    most ``PLACES_MAX`` places are returned, as a need may be as small as 0.
     """
     places_ms = []
     for end_ms, released in sorted(ends, key=lambda end: end[0]):
         free = free.plus(released)
         while free.fits(need):
+            if len(places_ms) == PLACES_MAX:
+                return places_ms
             free = free.minus(need)
             places_ms.append(end_ms)
-            if not need.cpu_millicores:
-                break
     return places_ms
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -178,6 +178,7 @@
         [{"count": True}],
         [{"count": 1, "est_ms": float("nan")}],
         [{"count": 1, "est_ms": float("inf")}],
+        [{"count": 1, "est_ms": 3_600_001}],
         [{"count": "2"}],
     ],
 )
