--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -20,6 +20,7 @@
   after @5 :List(UInt16);
   requiredLabel @6 :Text;
   perWorkerMax @7 :UInt32;
+  affinity @8 :Text;
 }
 
 struct Submit {
@@ -36,6 +37,7 @@
   formerPlacers @10 :List(Text);
   completedBy @11 :Text;
   submission @12 :UInt64;
+  queue @13 :Text;
 }
 
 struct Outcome {
--- a/rattanloom/placement/leaving_workers.py
+++ b/rattanloom/placement/leaving_workers.py
@@ -7,10 +7,10 @@
 from rattanloom.placement.job_endings import capacity_millicores
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedTask, Run, RunPhase
-from rattanloom.placement.worker_choice import matches
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.scheduling.leaving import LeavingRun, should_stop
 from rattanloom.scheduling.waiting import WaitingTasks
+from rattanloom.scheduling.worker_choice import matches
 
 log = DecisionLog("placement")
 
--- a/rattanloom/placement/load_report.py
+++ b/rattanloom/placement/load_report.py
@@ -4,7 +4,7 @@
 
 from rattanloom.placement.job_endings import capacity_millicores
 from rattanloom.placement.placer import Placer
-from rattanloom.placement.worker_choice import free_millicores
+from rattanloom.scheduling.worker_choice import free_millicores
 from rattanloom.scheduling.zone_load import ZoneLoad, merge_loads
 
 
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -13,7 +13,6 @@
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.metrics import Metrics
-from rattanloom.placement.assignment import AssignmentPass
 from rattanloom.placement.crash_policy import CrashPolicy
 from rattanloom.placement.crash_records import RunLoss
 from rattanloom.placement.inherited_work import InheritedWork
@@ -34,7 +33,6 @@
 )
 from rattanloom.placement.start_limits import StartLimits
 from rattanloom.placement.suspension import SuspensionGuard
-from rattanloom.placement.worker_choice import has_free_capacity
 from rattanloom.placement.worker_events import LossCause, WorkerState
 from rattanloom.placement.worker_health import WorkerHealth
 from rattanloom.placement.worker_lease import WorkerLease
@@ -45,7 +43,9 @@
     WorkerClientProtocol,
     WorkerEntry,
 )
+from rattanloom.scheduling.assignment import AssignmentPass
 from rattanloom.scheduling.waiting import WaitingTasks, is_waiting
+from rattanloom.scheduling.worker_choice import has_free_capacity
 from rattanloom.scheduling.zone_load import DemandMeter
 
 log = DecisionLog("placement")
@@ -98,6 +98,7 @@
         self.inherited_work = InheritedWork(self.node, self.clock)
         self.suspension = SuspensionGuard(self.on_suspended)
         self.crash_policy = CrashPolicy(self.clock)
+        self.worker_health.placement.count = self.metrics.count
         self.endings = JobEndings(
             self.clock,
             self.metrics,
@@ -190,6 +191,7 @@
         self.endings.record_arrival(job, now_ms)
         work = submitted.counted_work_millicore_ms
         self.demand.add(receiver.node, submitted.policy.priority, work, now_ms)
+        self.worker_health.placement.record_arrival(job, now_ms)
         log.info(
             "job_accepted",
             job=job.job_id,
@@ -275,6 +277,7 @@
         self.inherited_work.remove_expired()
         self.crash_policy.records.remove_expired(now_ms)
         self.start_limits.update(self.workers.values())
+        self.worker_health.decay_speeds(self.workers.values(), now_ms)
         self.job_returns.return_jobs(self.waiting)
         self.start_waiting_tasks()
         self.endings.end_in_shortage(now_ms)
@@ -360,14 +363,13 @@
             return
         self._is_starting_tasks = True
         try:
-            workers = self.workers.values()
-            now_ms = self.clock.now_ms()
             AssignmentPass(
-                workers,
+                self.workers.values(),
                 self._may_start,
                 self._start_run,
-                now_ms,
+                self.clock.now_ms(),
                 self.crash_policy.must_be_isolated,
+                self.worker_health.placement,
             ).run(self.waiting)
         finally:
             self._is_starting_tasks = False
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 import gevent
-from attrs import define, field
+from attrs import Factory, define, field
 
 from rattanloom.background import spawn_restarting
 from rattanloom.clock import MS_PER_S, Clock
@@ -31,6 +31,7 @@
     WorkerReport,
     reply_label,
 )
+from rattanloom.scheduling.worker_speed import WorkerSpeed
 
 log = DecisionLog("placement")
 
@@ -60,8 +61,8 @@
     report, ``last_finished_number`` the number of its last processed finished run.
     ``missed_replies`` counts requests in a row without a reply. The worker gets no
     tasks until ``paused_until_ms``, nor until ``drains_until_ms`` after a report that
-    it drains. ``failure_score``, ``quarantine_count`` and
-    ``duration_ratio`` belong to ``WorkerHealth``. ``_idle_wait`` is set while a
+    it drains. ``failure_score``, ``quarantine_count`` and ``speed`` belong to
+    ``WorkerHealth``. ``_idle_wait`` is set while a
     request to an idle worker is pending, which does not extend the lease. ``limits``
     are shared by the workers of the placer.
     """
@@ -73,7 +74,7 @@
     lease: WorkerLease
     fencing_token: int
     active_runs: Counter[str]
-    limits: StartLimits = field()
+    limits: StartLimits = Factory(lambda self: StartLimits(self.clock), takes_self=True)
     state: WorkerState = WorkerState.SYNCING
     runs: WorkerRuns = field(init=False)
     last_finished_number: int = 0
@@ -84,20 +85,21 @@
     drains_until_ms: float = 0
     failure_score: float = 0
     quarantine_count: int = 0
-    duration_ratio: float = 1.0
+    speed: WorkerSpeed = field(factory=WorkerSpeed)
     closed: bool = False
     _idle_wait: bool = False
     _bridging_idle_wait: bool = False
 
-    @limits.default
-    def _no_limits(self) -> StartLimits:
-        return StartLimits(self.clock)
-
     @property
     def worker_id(self) -> str:
         """Return the id under which the worker registered."""
         return self.entry.worker_id
 
+    @property
+    def duration_ratio(self) -> float:
+        """Return how long its runs take compared to those of other workers."""
+        return self.speed.duration_ratio
+
     def __attrs_post_init__(self) -> None:
         self.runs = WorkerRuns(self.entry.capacity, self.active_runs)
 
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -72,7 +72,8 @@
     had no effect. ``sent_before`` is set if an earlier send of the job may have run,
     ``completed_by`` is the former placer that has reported that all tasks are done.
     ``submits`` counts how often this placer received the job; ``submission`` is that of
-    the message ``Submit``.
+    the message ``Submit``. ``expected_path_ms`` is the learned duration of its critical
+    path, if it is known.
     """
 
     submitted: SubmittedJob
@@ -93,6 +94,7 @@
     orphaned_ms: float = 0
     submits: int = 1
     submission: int = 0
+    expected_path_ms: float | None = None
 
     @property
     def job_id(self) -> str:
@@ -134,13 +136,24 @@
             - self.submitted.critical_path_ms
         )
 
+    @property
+    def shortest_path_ms(self) -> float:
+        """Return the estimated or learned duration of the critical path, if shorter.
+
+        A longer learned one is not used: it would refuse jobs that can be served.
+        """
+        path_ms = self.submitted.critical_path_ms
+        if self.expected_path_ms is None:
+            return path_ms
+        return min(path_ms, self.expected_path_ms)
+
     @property
     def latest_useful_start_ms(self) -> float:
         """Return the latest time to start the job so that its outcome still counts.
 
         ``UNSTARTED_WAIT_SHARE`` limits it while no task is started.
         """
-        last_useful_ms = self.useful_until_ms - self.submitted.critical_path_ms
+        last_useful_ms = self.useful_until_ms - self.shortest_path_ms
         if self.started:
             return last_useful_ms
         allowed_ms = self.deadline_ms - self.arrived_ms
@@ -175,6 +188,7 @@
     ``incarnation_ms`` is that of the worker then; ``worker_restarted`` is set if it
     has restarted since. ``other_jobs`` is how many other jobs had runs on the worker
     when it was lost. No other run may start beside an ``isolated`` one.
+    ``adopted`` is set if a former placer ordered the run: its duration is not known.
     """
 
     name: str
@@ -193,6 +207,7 @@
     worker_restarted: bool = False
     other_jobs: int = 0
     isolated: bool = False
+    adopted: bool = False
 
     @property
     def job_id(self) -> str:
--- a/rattanloom/platform/deployment.py
+++ b/rattanloom/platform/deployment.py
@@ -31,6 +31,7 @@
     in a zone ``evacuation_delay_max_ms`` after the store confirmed its evacuation,
     longer by ``store_skew_max_ms`` if the store is unstable; None if the deployment has
     no evacuations. ``cold_overshoot`` and ``cold_slack`` are those of ``ColdWorkers``.
+    A task takes ``remote_factor`` times as long outside the rack that has its data.
     """
 
     WIRE_NAMES: ClassVar = {
@@ -48,6 +49,7 @@
     store_skew_max_ms: float = 0
     cold_overshoot: float = 1.5
     cold_slack: float = 5
+    remote_factor: float = 1.0
 
     @property
     def operator_table_age_max_ms(self) -> float | None:
--- a/rattanloom/platform/job_format.py
+++ b/rattanloom/platform/job_format.py
@@ -14,6 +14,9 @@
 STEPS_MAX = 100
 TASKS_MAX = 1_000
 JOB_ID_LENGTH = 16
+LABEL_LENGTH_MAX = 100
+# An hour; a longer estimate is an error of the client.
+ESTIMATE_MAX_MS = 3_600_000
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
@@ -22,7 +25,8 @@
     """One step of a posted job: ``count`` equal tasks. Other fields may be omitted.
 
     ``cpu``, in thousandths of a core, ``mem_mb`` and ``gpu`` are the need of one task,
-    ``after`` the numbers of the earlier steps that must finish first.
+    ``after`` the numbers of the earlier steps that must finish first. ``affinity`` is
+    the label of the rack that has the step's data.
     """
 
     WIRE_NAMES: ClassVar = {"estimate_ms": "est_ms", "per_worker_max": "anti_affinity"}
@@ -35,6 +39,7 @@
     after: tuple[int, ...] = ()
     required_label: str = ""
     per_worker_max: int = 0
+    affinity: str = ""
 
 
 @frozen
@@ -78,6 +83,7 @@
         queue.max_attempts,
         queue.slack_factor,
         queue.latency_target_ms,
+        queue.name,
     )
     steps = tuple(_to_step(step) for step in wire.steps)
     job = SubmittedJob(job_id, wire.spec, steps, policy, remaining_ms)
@@ -105,10 +111,17 @@
             raise FormatError(f"steps[{number}] has a negative amount or no tasks")
         if not isfinite(step.estimate_ms):
             raise FormatError(f"steps[{number}].est_ms is not a finite number")
+        if step.estimate_ms > ESTIMATE_MAX_MS:
+            raise FormatError(f"steps[{number}].est_ms is above {ESTIMATE_MAX_MS}")
         if any(not 0 <= earlier < number for earlier in step.after):
             raise FormatError(f"steps[{number}].after must only list earlier steps")
 
 
+def _is_label(text: str) -> bool:
+    """Return whether ``text`` may be a worker's label; others are not sent on."""
+    return len(text) <= LABEL_LENGTH_MAX and text.isprintable()
+
+
 def _to_step(wire: WireStep) -> Step:
     return Step(
         wire.count,
@@ -117,4 +130,5 @@
         wire.after,
         wire.required_label,
         wire.per_worker_max,
+        wire.affinity if _is_label(wire.affinity) else "",
     )
--- a/rattanloom/scheduling/overload.py
+++ b/rattanloom/scheduling/overload.py
@@ -157,7 +157,7 @@
     ahead = 0.0
     for job in late_jobs:
         work = job.remaining_work_millicore_ms
-        left_ms = job.latest_useful_start_ms - now_ms + job.submitted.critical_path_ms
+        left_ms = job.latest_useful_start_ms - now_ms + job.shortest_path_ms
         if not job.may_have_active_runs and ahead + work > spare_millicores * left_ms:
             hopeless.append(job)
         else:
--- a/tests/test_cold_workers.py
+++ b/tests/test_cold_workers.py
@@ -6,10 +6,12 @@
 from rattanloom.placement.placer import Placer
 from rattanloom.placement.runs import make_job
 from rattanloom.placement.start_limits import COLD_SEEN_MS
-from rattanloom.placement.worker_choice import accepts_tasks, choose_worker
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.platform.rows import Row, RowRef
 from rattanloom.registry import Registry
+from rattanloom.scheduling.placement_model import PlacementModel
+from rattanloom.scheduling.step_placement import StepPlacement
+from rattanloom.scheduling.worker_choice import accepts_tasks
 from tests.dispatcher_fakes import FakeReceiver, FakeWorker, make_submitted_job
 from tests.test_job_router import ManualClock
 from tests.test_placer import TOKEN
@@ -68,7 +70,8 @@
     job = make_job(make_submitted_job(), FakeReceiver(), (), 0)
     if accepting is None:
         accepting = [w for w in placer.workers.values() if accepts_tasks(w, 0)]
-    worker = choose_worker(job.tasks[0], accepting)
+    task = job.tasks[0]
+    worker = StepPlacement(task, accepting, PlacementModel(), 0).choose(task)
     if worker is not None:
         placer.start_limits.cold_workers.record_start(worker)
     return worker
