Let no task wait until its job is given up

The placer gives up a job with a task that waits after its latest useful start, also beside idle workers. Waits end a tick before.

--- a/rattanloom/scheduling/step_placement.py
+++ b/rattanloom/scheduling/step_placement.py
@@ -12,7 +12,7 @@
 from attrs import define, field
 
 from rattanloom.placement.runs import PlacedTask
-from rattanloom.scheduling.overload import HELD_SHARE
+from rattanloom.scheduling.overload import HELD_SHARE, TICK_MS
 from rattanloom.scheduling.placement_model import (
     PlacementModel,
     latest_late_end_ms,
@@ -129,7 +129,10 @@
         self._left_ms = latest_on_time_end_ms(task.job, task.step_number) - self.now_ms
         fastest = min((factor for factor, _ in factors), default=1.0)
         estimate_ms = max(self._normal_ms, task.step.estimate_ms)
-        self.wait_max_ms = self._left_ms - estimate_ms
+        # The placer gives a job up if a task waits at a tick after its latest useful
+        # start, whether or not workers have room.
+        useful_ms = task.job.latest_useful_start_ms - TICK_MS - self.now_ms
+        self.wait_max_ms = min(self._left_ms - estimate_ms, useful_ms)
         if not task.job.started:
             held_max_ms = HELD_SHARE * task.job.submitted.objective_ms
             held_ms = self.now_ms - task.job.arrived_ms
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -28,6 +28,7 @@
 @pytest.mark.parametrize(
     ("settings", "gain_min"),
     [
+        ({"load": 0.6, "speeds": (0.55, 1.2)}, 0.01),
         ({"load": 0.75, "speeds": (0.55, 1.2)}, 0.015),
         ({"load": 0.75, "speeds": (0.8, 1.0, 1.25)}, -0.005),
         (
@@ -36,7 +37,13 @@
         ),
         ({"load": 0.75, "speeds": (1.0,), "kinds": WITH_LARGE}, -0.002),
     ],
-    ids=["speeds-0.55-1.2", "speeds-0.8-1-1.25", "hot-rack", "large-tasks"],
+    ids=[
+        "speeds-0.55-1.2",
+        "speeds-0.55-1.2-75%",
+        "speeds-0.8-1-1.25",
+        "hot-rack",
+        "large-tasks",
+    ],
 )
 def test_callers_gain_over_the_former_choice(settings, gain_min):
     worth = Counter()
@@ -156,6 +163,20 @@
     assert left_ms == job.useful_until_ms
 
 
+def test_task_of_a_started_job_does_not_wait_until_the_job_is_given_up():
+    workers = [make_worker("w1", "r1"), make_worker("w2", "r2")]
+    occupy(workers[1], 100)
+    task = make_task("r2", estimate_ms=1_000)
+    long_step = evolve(task.step, estimate_ms=4_000, affinity="")
+    steps = (task.step, long_step)
+    job = make_job(
+        evolve(task.job.submitted, steps=steps, remaining_ms=4_140), None, (), 0
+    )
+    job.effective_runs = 1
+    assert job.latest_useful_start_ms == 140
+    assert place(job.tasks[0], workers) == "w1"
+
+
 def test_task_waits_no_longer_than_first_promised_for_an_overdue_run():
     workers = [make_worker("w1", "r1"), make_worker("w2", "r2")]
     occupy(workers[1], 50)
