--- a/tests/test_zones_after_restart.py
+++ b/tests/test_zones_after_restart.py
@@ -84,6 +84,9 @@
     with running_deployment(SIZE, random) as deployment:
         daemons = dict(deployment.daemons)
         in_zone = [daemon for daemon in daemons.values() if daemon.zone == lost_zone]
+        assert wait_for(
+            lambda: set(ZONES) <= set(read_owners(deployment)), STARTED_WITHIN_S
+        )
         for daemon in in_zone:
             daemon.kill()
         names = {daemon.name for daemon in in_zone}
