--- a/rattanloom/placement/inherited_work.py
+++ b/rattanloom/placement/inherited_work.py
@@ -10,7 +10,6 @@
 from attrs import define, field
 
 from rattanloom.clock import Clock
-from rattanloom.placement.jobs import JobOutcome
 from rattanloom.placement.pooled_worker import PooledWorker, WorkerState
 from rattanloom.placement.runs import PlacedJob, Run
 
@@ -41,7 +40,6 @@
     _done_tasks: dict[str, float] = field(factory=dict)
     _done_jobs: dict[str, float] = field(factory=dict)
     _unfinished_jobs: dict[str, float] = field(factory=dict)
-    _endings: dict[int, tuple[JobOutcome | None, float]] = field(factory=dict)
     _unreported_ms: float = -inf
 
     def is_synced(self, job: PlacedJob, workers: Iterable[PooledWorker]) -> bool:
@@ -123,29 +121,9 @@
         """Return whether tasks of an earlier send of a job may have run recently."""
         return job_id in self._unfinished_jobs
 
-    def record_ending(self, submission: int, outcome: JobOutcome | None) -> None:
-        """Record how a submission ended here; None if its outcome is not wanted."""
-        if submission:
-            self._endings[submission] = (outcome, self.clock.now_ms())
-
-    def has_ended(self, submission: int) -> bool:
-        """Return whether a submission ended here recently.
-
-        A copy of it that was held up on an older link must not start the job again.
-        """
-        return submission in self._endings
-
-    def outcome_of(self, submission: int) -> JobOutcome | None:
-        """Return the outcome of a submission that ended here, if it has one."""
-        return self._endings[submission][0]
-
     def remove_expired(self) -> None:
         """Remove the records of tasks and jobs older than ``DONE_KEPT_MS``."""
         now_ms = self.clock.now_ms()
-        for submission in [
-            key for key, (_, at) in self._endings.items() if now_ms > at + DONE_KEPT_MS
-        ]:
-            del self._endings[submission]
         for done_ms in (self._done_tasks, self._done_jobs, self._unfinished_jobs):
             for name in [
                 key for key, at in done_ms.items() if now_ms > at + DONE_KEPT_MS
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -11,6 +11,7 @@
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedJob, RunPhase
+from rattanloom.placement.submissions import EndedSubmissions
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.scheduling.cost import level_of
 from rattanloom.scheduling.fairness import SourceShares
@@ -55,6 +56,10 @@
     sources: SourceShares = field(factory=SourceShares)
     returns: ReturnTimes = field(factory=ReturnTimes)
     shortage: Shortage = field(factory=Shortage)
+    submissions: EndedSubmissions = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.submissions = EndedSubmissions(self.clock)
 
     def record_arrival(self, job: PlacedJob, now_ms: float) -> None:
         """Count the work of a new job, and decide its place within its level."""
@@ -154,7 +159,7 @@
         reason = outcome.reason if outcome else "client or daemon disconnected"
         self.forget(job, label, reason)
         if outcome is not None:
-            self.inherited_work.record_ending(job.submission, outcome)
+            self.submissions.record(job.submission, outcome)
         if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
             self.stop_runs(job)
             if job.may_have_run:
--- a/rattanloom/placement/job_returns.py
+++ b/rattanloom/placement/job_returns.py
@@ -81,7 +81,7 @@
         by_receiver = defaultdict(list)
         for job in jobs:
             self.endings.forget(job, "returned", "its workers' zones are evacuated")
-            self.endings.inherited_work.record_ending(job.submission, None)
+            self.endings.submissions.record(job.submission, None)
             by_receiver[job.receiver.node].append(job)
         for jobs_of_receiver in by_receiver.values():
             receiver = jobs_of_receiver[0].receiver
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -31,6 +31,7 @@
     make_job,
     ready_tasks,
 )
+from rattanloom.placement.stalled_runs import stop_stalled_runs
 from rattanloom.placement.start_limits import StartLimits
 from rattanloom.placement.suspension import SuspensionGuard
 from rattanloom.placement.worker_events import LossCause, WorkerState
@@ -45,7 +46,6 @@
 )
 from rattanloom.scheduling.assignment import AssignmentPass
 from rattanloom.scheduling.waiting import WaitingTasks, is_waiting
-from rattanloom.scheduling.worker_choice import has_free_capacity
 from rattanloom.scheduling.zone_load import DemandMeter
 
 log = DecisionLog("placement")
@@ -166,7 +166,9 @@
         placer ``completed_by`` has completed the job, its runs here are stopped, and
         it completes once none is active.
         """
-        if self._is_late_copy(receiver, submitted.job_id, former_placers, submission):
+        if self.endings.submissions.is_late_copy(
+            receiver, submitted.job_id, former_placers, submission
+        ):
             return
         known = self.jobs.get(submitted.job_id)
         if known is not None:
@@ -215,34 +217,11 @@
             self.job_returns.return_jobs(filter(is_waiting, job.tasks))
             self.start_waiting_tasks()
 
-    def _is_late_copy(
-        self,
-        receiver: OutcomeReceiver,
-        job_id: str,
-        former_placers: tuple[str, ...],
-        submission: int,
-    ) -> bool:
-        """Return whether a submission has ended here; deliver its outcome again.
-
-        A copy on an older link arrives late, and must not start a job that was refused,
-        cancelled or handed back. A job that was handed back has former placers if it is
-        sent here again.
-        """
-        if not self.inherited_work.has_ended(submission):
-            return False
-        outcome = self.inherited_work.outcome_of(submission)
-        if outcome is None and former_placers:
-            return False
-        log.info("late_submission_ignored", job=job_id)
-        if outcome is not None:
-            receiver.deliver(outcome)
-        return True
-
     def cancel(self, job_id: str) -> None:
         """End a job whose client has disconnected."""
         job = self.jobs.get(job_id)
         if job is not None:
-            self.inherited_work.record_ending(job.submission, None)
+            self.endings.submissions.record(job.submission, None)
             self.endings.end(job, None)
 
     def on_daemon_lost(self, node: str) -> None:
@@ -273,8 +252,9 @@
         for job in list(self.jobs.values()):
             self._finish_done_tasks(job)
         self.endings.end_overdue(now_ms)
-        self._stop_stalled_runs(now_ms)
+        stop_stalled_runs(self.workers.values(), self.worker_health, now_ms)
         self.inherited_work.remove_expired()
+        self.endings.submissions.remove_expired(now_ms)
         self.crash_policy.records.remove_expired(now_ms)
         self.start_limits.update(self.workers.values())
         self.worker_health.decay_speeds(self.workers.values(), now_ms)
@@ -291,31 +271,6 @@
         """Return whether this placer was not suspended, see ``SuspensionGuard``."""
         return self.suspension.may_give_orders(self.clock.now_ms())
 
-    def _stop_stalled_runs(self, now_ms: float) -> None:
-        """Stop stalled runs; their tasks start again, on other workers if possible.
-
-        Does nothing while no worker has free capacity.
-        """
-        if not has_free_capacity(self.workers.values(), now_ms):
-            return
-        for worker in self.workers.values():
-            for run in worker.runs.all():
-                if run.task is None or run.task.job.ended:
-                    continue
-                if self.worker_health.is_stalled(run):
-                    log.warning(
-                        "task_stuck",
-                        task=run.name,
-                        worker=worker.worker_id,
-                        stalled_ms=round(run.last_listed_ms - run.last_progress_ms),
-                        percent=run.percent,
-                    )
-                    run.task.avoided_workers.add(worker.worker_id)
-                    self.worker_health.record_failure(
-                        worker, self.workers.values(), now_ms
-                    )
-                    worker.stop(run)
-
     def _stop_overdue_runs(self) -> None:
         """Stop the inherited runs that no job has adopted in time."""
         for worker, run in self.inherited_work.pop_overdue():
