--- a/rattanloom/platform/worker_entries.py
+++ b/rattanloom/platform/worker_entries.py
@@ -52,13 +52,13 @@
 
     A worker's heartbeat changes its entry, but hardly ever the fields that are used.
     The entry that was parsed last is then returned again. ``_parsed`` maps worker ids
-    to the used fields and the entry. ``cold_left_ms`` has, by worker id, how long a
+    to the used fields and the entry. ``slow_for_ms`` has, by worker id, how long a
     worker was still slow when it wrote its last entry; not part of the entry, since
     it changes with each heartbeat. So does ``remaining_ms`` of a draining worker, which
     becomes a time when it arrives, and is no used field.
     """
 
-    cold_left_ms: dict[str, float] = field(factory=dict)
+    slow_for_ms: dict[str, float] = field(factory=dict)
     _parsed: dict[str, tuple[dict[str, object], WorkerEntry]] = field(factory=dict)
 
     def parse(self, row: Row, now_ms: float = 0) -> WorkerEntry:
@@ -73,7 +73,7 @@
         worker_id = row.ref.key
         if worker_id not in self._parsed or self._parsed[worker_id][0] != used:
             self._parsed[worker_id] = (used, _make_entry(worker_id, used))
-        self.cold_left_ms[worker_id] = _cold_left_ms(document)
+        self.slow_for_ms[worker_id] = _cold_left_ms(document)
         entry = self._parsed[worker_id][1]
         if not entry.accepting:
             leaves_at_ms = now_ms + _remaining_ms(document)
@@ -86,7 +86,7 @@
     def forget(self, worker_id: str) -> None:
         """Forget the entry of a worker that is gone."""
         self._parsed.pop(worker_id, None)
-        self.cold_left_ms.pop(worker_id, None)
+        self.slow_for_ms.pop(worker_id, None)
 
 
 def _cold_left_ms(document: dict[str, object]) -> float:
--- a/rattanloom/registry.py
+++ b/rattanloom/registry.py
@@ -85,7 +85,7 @@
         self._record_cold(worker_id, row.version)
 
     def _record_cold(self, worker_id: str, version: int) -> None:
-        left_ms = self._parser.cold_left_ms[worker_id]
+        left_ms = self._parser.slow_for_ms[worker_id]
         if left_ms <= 0:
             self.cold_until_ms.pop(worker_id, None)
         elif self._cold_versions.get(worker_id) != version:
--- a/rattanloom/scheduling/zone_choice.py
+++ b/rattanloom/scheduling/zone_choice.py
@@ -31,7 +31,7 @@
 # Jobs move into the queue of another zone only while the expected wait there is below
 # this. It is less than 92 ms, which the most urgent kind of job can wait without being
 # late.
-GUEST_WAIT_MAX_MS = 80
+MOVED_WAIT_MAX_MS = 80
 # In zones of 30 tasks, most daemons get no job between two reports. Shares divided by
 # all daemons stay unused then. The minimum limits a sudden burst to three times these.
 ACTIVITY_WINDOW_MS = 500
@@ -207,7 +207,7 @@
         """Return a placer where the job waits and is on time, if it is late otherwise.
 
         It is on time if it waits for ``slack_ms`` at most. Moved jobs fill the other
-        queue to the mean of both waits at most, and never beyond ``GUEST_WAIT_MAX_MS``;
+        queue to the mean of both waits at most, and never beyond ``MOVED_WAIT_MAX_MS``;
         this daemon adds only its share of that.
         """
         wait_ms = preferred.load.wait_ms
@@ -223,7 +223,7 @@
             other_wait_ms = other.load.wait_ms
             if other_wait_ms + DETOUR_MS > slack_ms:
                 break
-            level_ms = min(GUEST_WAIT_MAX_MS, (wait_ms + other_wait_ms) / 2)
+            level_ms = min(MOVED_WAIT_MAX_MS, (wait_ms + other_wait_ms) / 2)
             work = (level_ms - other_wait_ms) * other.load.capacity_millicores
             share = work * other.ramp / self._sharers(other)
             if share - other.moved_work > _chance(job) * work_needed:
@@ -261,13 +261,13 @@
         """Return the expected wait of a job at a placer.
 
         Without a report of waiting work, it is 0 if the job fits into the free
-        capacity, as it does without any recent report, else ``GUEST_WAIT_MAX_MS``.
+        capacity, as it does without any recent report, else ``MOVED_WAIT_MAX_MS``.
         """
         capacity = self._recent(node)
         if capacity is not None and capacity.load.capacity_millicores is not None:
             return capacity.load.wait_ms
         need = job.need_millicores
-        return 0 if self._free_millicores(node, need) >= need else GUEST_WAIT_MAX_MS
+        return 0 if self._free_millicores(node, need) >= need else MOVED_WAIT_MAX_MS
 
     def _others(
         self, owners: Mapping[str, str], preferred: PlacerCapacity
--- a/tests/test_zone_choice.py
+++ b/tests/test_zone_choice.py
@@ -11,7 +11,7 @@
 from rattanloom.scheduling.zone_choice import (
     ACTIVITY_WINDOW_MS,
     CAPACITY_MAX_AGE_MS,
-    GUEST_WAIT_MAX_MS,
+    MOVED_WAIT_MAX_MS,
     RESERVE_SHARE,
     ChosenPlacer,
     PlacerChoice,
@@ -157,11 +157,11 @@
         return ZoneLoad(-1, CAPACITY, 0, (PriorityLoad(1, wait_ms * CAPACITY),))
 
     late = make_loaded_choice(load(10), home_load=load(400))
-    bound = (GUEST_WAIT_MAX_MS - 10) * CAPACITY
+    bound = (MOVED_WAIT_MAX_MS - 10) * CAPACITY
     assert 0 < moved_need(late) * 200 <= bound + 16_000 * 200
     on_time = make_loaded_choice(load(10), home_load=load(150))
     assert moved_need(on_time) == 0
-    bounded = make_loaded_choice(load(GUEST_WAIT_MAX_MS), home_load=load(400))
+    bounded = make_loaded_choice(load(MOVED_WAIT_MAX_MS), home_load=load(400))
     assert moved_need(bounded) == 0
 
 
