Log from what a job is reported complete, and check it in the soak

The logs could not tell whether runs of a job were active when it was reported complete, nor which placer's report was used.

job_ended has the former placers, the placer that completed the job and the number of runs that may be active; completed_job_submitted, task_done_elsewhere, job_answered and outcome_of_former_placer name the other sources. The last two are written only for jobs that more than one placer had. The soak checks that no run that started before a job was reported as complete is active at that moment; the check finds it in a bad history (tests/test_soak_checks.py).

--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -180,13 +180,31 @@
         if job.placer == placer or (
             outcome.kind is OutcomeKind.COMPLETE and job.former_placers == (placer,)
         ):
+            if job.former_placers != (placer,):
+                self._log_outcome("job_answered", job, placer, outcome)
             self._finish(job, outcome)
-        elif outcome.kind is OutcomeKind.COMPLETE and not job.completed_by:
+            return
+        self._log_outcome("outcome_of_former_placer", job, placer, outcome)
+        if outcome.kind is OutcomeKind.COMPLETE and not job.completed_by:
             job.completed_by = placer
             if job.placer is not None:
                 job.sends[job.placer] += 1
                 self._send(job, job.placer, job.former_placers)
 
+    def _log_outcome(
+        self, event: str, job: PendingJob, reporter: str, outcome: JobOutcome
+    ) -> None:
+        """Log an outcome of a job that several placers may have started."""
+        log.info(
+            event,
+            job=outcome.job_id,
+            outcome=outcome.kind.value,
+            reporter=reporter,
+            placer=job.placer,
+            former_placers=job.former_placers,
+            completed_by=job.completed_by,
+        )
+
     def _finish(self, job: PendingJob, outcome: JobOutcome) -> None:
         self.pending.pop(job.submitted.job_id, None)
         job.result.set(outcome)
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -1,5 +1,6 @@
 """Ends jobs at a placer: stops their runs and delivers their outcomes."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 
 from attrs import define, field
@@ -42,6 +43,7 @@
 class JobEndings:
     """Ends the jobs of a placer, which owns ``jobs``, ``workers`` and ``waiting``.
 
+    ``active_runs`` is that of ``Placer``.
     ``arriving`` is the work that arrived lately, ``sources`` the shares of the daemons
     that sent it, ``returns`` has the jobs that were told to return.
     """
@@ -52,6 +54,7 @@
     workers: dict[str, PooledWorker]
     waiting: WaitingTasks
     inherited_work: InheritedWork
+    active_runs: Counter[str]
     arriving: ArrivingWork = field(factory=ArrivingWork)
     sources: SourceShares = field(factory=SourceShares)
     returns: ReturnTimes = field(factory=ReturnTimes)
@@ -182,8 +185,15 @@
             tasks_left=job.tasks_left,
             age_ms=round(age_ms),
             rank_offset_ms=job.rank_offset_ms,
+            former_placers=job.former_placers,
+            completed_by=job.completed_by,
+            active_runs=self.active_runs_of(job),
         )
 
+    def active_runs_of(self, job: PlacedJob) -> int:
+        """Return the number of runs of a job that may not have finished yet."""
+        return sum(self.active_runs[task.name] for task in job.tasks)
+
     def stop_runs(self, job: PlacedJob) -> None:
         """Stop the runs of a job's tasks."""
         now_ms = self.clock.now_ms()
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -106,6 +106,7 @@
             self.workers,
             self.waiting,
             self.inherited_work,
+            self.active_runs,
         )
         self.start_limits = StartLimits(self.clock)
         self.job_returns = JobReturns(self.endings, self.start_limits)
@@ -181,6 +182,12 @@
                 self._finish_done_tasks(known)
             return
         if self.inherited_work.is_job_done(submitted.job_id):
+            log.info(
+                "completed_job_submitted",
+                job=submitted.job_id,
+                entry=receiver.node,
+                former_placers=former_placers,
+            )
             receiver.deliver(JobOutcome(submitted.job_id, OutcomeKind.COMPLETE))
             return
         job = make_job(submitted, receiver, former_placers, self.clock.now_ms())
@@ -295,6 +302,7 @@
             return
         for task in job.tasks:
             if self._is_done_elsewhere(task) and not self.active_runs[task.name]:
+                log.info("task_done_elsewhere", task=task.name)
                 self._finish_task(task)
 
     def _is_done_elsewhere(self, task: PlacedTask) -> bool:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -113,6 +113,26 @@
             yield Breach("complete_means_whole", f"{job.job_id}: tasks {missing}")
 
 
+def complete_jobs_have_no_active_runs(
+    history: History, runs: list[TaskRun]
+) -> Iterable[Breach]:
+    """No run that started before a job was reported as complete is active then."""
+    by_job = defaultdict(list)
+    for run in runs:
+        by_job[run.job_id].append(run)
+    for job, send in _sends(history):
+        if send.state != "complete":
+            continue
+        for run in by_job[job.job_id]:
+            if run.start_ms < send.answered_ms < run.end_ms:
+                yield Breach(
+                    "complete_jobs_have_no_active_runs",
+                    f"{run.task}, attempt {run.attempt} on {run.worker}, active for "
+                    f"{run.end_ms - send.answered_ms:.0f} ms after {send.daemon} "
+                    f"responded at {send.answered_ms:.0f}",
+                )
+
+
 def no_worker_is_overfilled(history: History, runs: list[TaskRun]) -> Iterable[Breach]:
     """No start brings a worker over the capacity that a placer must know of."""
     for run in runs:
@@ -328,6 +348,7 @@
     refused_jobs_never_run,
     only_sent_tasks_run,
     complete_means_whole,
+    complete_jobs_have_no_active_runs,
     no_worker_is_overfilled,
     crashing_tasks_are_given_up,
     jobs_fail_with_cause,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -60,6 +60,10 @@
         make_history(COMPLETE),
         [make_run(0), make_run(1, how="stopped")],
     ),
+    "complete_jobs_have_no_active_runs": (
+        make_history(COMPLETE),
+        [*GOOD_RUNS, make_run(1, attempt=2, start_ms=1_070, end_ms=1_130)],
+    ),
     "requests_never_fail": (make_history(Send("n1", 900, 1_080, 500)), []),
     "answers_come_in_time": (make_history(Send("n1", 900, 2_700, 504)), []),
     "everything_ends": (make_history(COMPLETE), [make_run(0, end_ms=inf, how="")]),
