Report a job complete only once no run of it can be active

Cause: a placer reported a job from whichever source said first that it is done, and only some of the sources asked whether another run may be active. Those that did not: its record of completed jobs, also for a job that another placer had since; its own last run, while an inherited run of the same task or a run of an earlier send was being stopped; a run that it adopted before all workers had reported; a done run found for a job without former placers; and a job that it knew already when it came back from another placer, whose list of former placers was not extended.

Change: one place decides. `_complete_if_inactive` ends a job once its tasks are done, the runs of all former placers are known and no run of the job is counted as active; it stops those that are. All sources go through it. A done run of an earlier send counts for a later one as well, so that such a task does not run again. `stop_runs` stops the runs of earlier sends too.

Evidence: five tests of tests/test_complete_jobs.py failed before ("reported complete beside an active run") and pass; test_placer passes.

--- a/rattanloom/placement/inherited_work.py
+++ b/rattanloom/placement/inherited_work.py
@@ -53,7 +53,8 @@
         """
         if not job.former_placers:
             return True
-        if self.clock.now_ms() >= job.received_ms + FORMER_LEASE_MAX_MS:
+        now_ms = self.clock.now_ms()
+        if now_ms >= job.received_ms + FORMER_LEASE_MAX_MS:
             return True
         takeovers_ms = [
             self.takeover_ms_by_node.get(node, 0)
@@ -101,6 +102,10 @@
         """Record that a former placer's run of a task is done."""
         self._done_tasks[task_name] = self.clock.now_ms()
 
+    def has_done_tasks(self) -> bool:
+        """Return whether any task was completed elsewhere recently."""
+        return bool(self._done_tasks)
+
     def is_task_done(self, task_name: str) -> bool:
         """Return whether a former placer's run of a task completed recently."""
         return task_name in self._done_tasks
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -195,15 +195,18 @@
         return sum(self.active_runs[task.name] for task in job.tasks)
 
     def stop_runs(self, job: PlacedJob) -> None:
-        """Stop the runs of a job's tasks."""
+        """Stop the runs of a job's tasks, also those of earlier sends of the job."""
         now_ms = self.clock.now_ms()
+        prefix = f"{job.job_id}."
         for worker in self.workers.values():
             for run in worker.runs.all():
-                belongs_to_job = run.task is not None and run.task.job is job
-                if belongs_to_job and run.phase is not RunPhase.STOPPING:
+                if run.phase is RunPhase.STOPPING or not run.name.startswith(prefix):
+                    continue
+                if run.step is not None:
                     lost = run.step.need.cpu_millicores * (now_ms - run.ordered_ms)
                     self.metrics.count("work_lost_core_ms", by=round(lost / 1_000))
-                    worker.stop(run)
+                self.inherited_work.pop_run(run.name)
+                worker.stop(run)
 
 
 def usable_workers(
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -173,25 +173,21 @@
             return
         known = self.jobs.get(submitted.job_id)
         if known is not None:
-            known.receiver = receiver
-            known.deadline_ms = self.clock.now_ms() + submitted.remaining_ms
+            now_ms = self.clock.now_ms()
+            known.receiver, known.submission = receiver, submission
+            known.deadline_ms = now_ms + submitted.remaining_ms
             known.submits += 1
+            known.add_former_placers(former_placers, self.node, now_ms)
             if completed_by and not known.completed_by:
                 known.completed_by = completed_by
                 self.endings.stop_runs(known)
                 self._finish_done_tasks(known)
             return
-        if self.inherited_work.is_job_done(submitted.job_id):
-            log.info(
-                "completed_job_submitted",
-                job=submitted.job_id,
-                entry=receiver.node,
-                former_placers=former_placers,
-            )
-            receiver.deliver(JobOutcome(submitted.job_id, OutcomeKind.COMPLETE))
-            return
         job = make_job(submitted, receiver, former_placers, self.clock.now_ms())
         job.completed_by, job.submission = completed_by, submission
+        if self.inherited_work.is_job_done(submitted.job_id):
+            self._add_completed_job(job)
+            return
         job.sent_before = self.inherited_work.may_have_run(job.job_id) or any(
             self.crash_policy.must_be_isolated(task) for task in job.tasks
         )
@@ -224,6 +220,21 @@
             self.job_returns.return_jobs(filter(is_waiting, job.tasks))
             self.start_waiting_tasks()
 
+    def _add_completed_job(self, job: PlacedJob) -> None:
+        """Add a job that this placer has completed; other placers may have runs of it.
+
+        It is reported at once if there can be none.
+        """
+        log.info(
+            "completed_job_submitted",
+            job=job.job_id,
+            entry=job.receiver.node,
+            former_placers=job.former_placers,
+        )
+        self.jobs[job.job_id] = job
+        job.completed_by = self.node
+        self._finish_done_tasks(job)
+
     def cancel(self, job_id: str) -> None:
         """End a job whose client has disconnected."""
         job = self.jobs.get(job_id)
@@ -291,25 +302,50 @@
         task.job.effective_runs += 1
 
     def _finish_done_tasks(self, job: PlacedJob) -> None:
-        """Finish the tasks that a former placer's run has completed.
+        """Finish the tasks that a run of another placer or of an earlier send has done.
 
-        Only once no other run of them can be active: a job must not be reported
-        complete while one is, and another placer may have started one since.
+        Only once no other run of them can be active: another placer may have started
+        one since. Report the job if it only waited for the end of such runs.
         """
-        if job.ended or not job.former_placers:
+        may_be_done = (
+            job.completed_by or job.all_done or self.inherited_work.has_done_tasks()
+        )
+        if job.ended or not may_be_done:
             return
         if not self.inherited_work.is_synced(job, self.workers.values()):
             return
         for task in job.tasks:
-            if self._is_done_elsewhere(task) and not self.active_runs[task.name]:
+            if (
+                task.state is not TaskState.DONE
+                and self._is_done_elsewhere(task)
+                and not self.active_runs[task.name]
+            ):
                 log.info("task_done_elsewhere", task=task.name)
                 self._finish_task(task)
+        if job.all_done:
+            self._complete_if_inactive(job)
+
+    def _complete_if_inactive(self, job: PlacedJob) -> None:
+        """Report a job whose tasks are all done, unless a run of it may be active.
+
+        No run may be active when a job is reported complete, whichever placer started
+        it and for whichever send.
+        """
+        if job.ended or not self.inherited_work.is_synced(job, self.workers.values()):
+            return
+        active_runs = self.endings.active_runs_of(job)
+        if active_runs:
+            if not job.completion_waits:
+                log.info("completion_waits", job=job.job_id, active_runs=active_runs)
+            job.completion_waits = True
+            self.endings.stop_runs(job)
+            return
+        self.endings.end(job, JobOutcome(job.job_id, OutcomeKind.COMPLETE))
 
     def _is_done_elsewhere(self, task: PlacedTask) -> bool:
-        """Return whether a former placer's run has completed a task of a job."""
-        job = task.job
-        return bool(job.completed_by) or (
-            bool(job.former_placers) and self.inherited_work.is_task_done(task.name)
+        """Return whether a run of another placer or earlier send has done a task."""
+        return bool(task.job.completed_by) or self.inherited_work.is_task_done(
+            task.name
         )
 
     def _queue_ready_tasks(self, job: PlacedJob) -> None:
@@ -388,8 +424,9 @@
             how=finished.outcome.value,
         )
         task = run.task
-        if task is None or task.job.ended:
+        if task is None or task.job.ended or task.state is TaskState.DONE:
             self.inherited_work.pop_run(run.name)
+            self._finish_tasks_after(run)
         elif finished.outcome is RunOutcome.DONE:
             self.worker_health.record_success(worker, run, self.clock.now_ms())
             self._finish_task(task)
@@ -420,6 +457,7 @@
         # After a run of an earlier send, the current send of the job waits.
         for job in self._jobs_of_task(run.name):
             self._end_risky_job(job)
+        self._finish_tasks_after(run)
         if run.task is not None and not run.task.job.ended:
             run.task.avoided_workers.add(worker.worker_id)
             self._requeue(run.task)
@@ -448,6 +486,7 @@
         if refusal is RefusalReason.UNHEALTHY:
             pause_ms = UNHEALTHY_PAUSE_MS
         worker.paused_until_ms = now_ms + pause_ms
+        self._finish_tasks_after(run)
         if run.task is not None and not run.task.job.ended:
             run.task.job.effective_runs -= 1
             self._requeue(run.task)
@@ -456,6 +495,9 @@
     def on_inherited_run(self, worker: PooledWorker, run: Run) -> None:
         """Assign an inherited run to its task, or keep it until a job adopts it."""
         for job in self._jobs_of_task(run.name):
+            if job.all_done:
+                worker.stop(run)
+                return
             for task in job.tasks:
                 if task.name == run.name and task.state is TaskState.WAITING:
                     self._adopt(task, worker, run)
@@ -472,12 +514,12 @@
             return
         self.inherited_work.record_done_task(finished.task)
         for job in self._jobs_of_task(finished.task):
-            if job.former_placers:
-                self._finish_done_tasks(job)
-                continue
-            for task in job.tasks:
-                if task.name == finished.task and task.state is TaskState.WAITING:
-                    self._finish_task(task)
+            self._finish_done_tasks(job)
+
+    def _finish_tasks_after(self, run: Run) -> None:
+        """Finish the tasks and the job that waited for the end of a run."""
+        for job in self._jobs_of_task(run.name):
+            self._finish_done_tasks(job)
 
     def _jobs_of_task(self, task_name: str) -> Iterable[PlacedJob]:
         """Return the known job of a task, if any; task names start with the job id."""
@@ -490,16 +532,16 @@
         task.state = TaskState.DONE
         job = task.job
         job.tasks_left -= 1
-        if job.tasks_left == 0:
+        if job.all_done:
             self.inherited_work.record_completed_job(job.job_id)
-            self.endings.end(job, JobOutcome(job.job_id, OutcomeKind.COMPLETE))
+            self._complete_if_inactive(job)
         else:
             self._queue_ready_tasks(job)
 
     def _requeue(self, task: PlacedTask) -> None:
-        self.waiting.add(task, self.clock.now_ms())
-        if task.job.completed_by:
-            self._finish_done_tasks(task.job)
+        if task.state is not TaskState.DONE:
+            self.waiting.add(task, self.clock.now_ms())
+        self._finish_done_tasks(task.job)
 
     def _handle_failure(self, worker: PooledWorker, task: PlacedTask) -> None:
         self.worker_health.record_failure(
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -72,7 +72,8 @@
     had no effect. ``sent_before`` is set if an earlier send of the job may have run,
     ``completed_by`` is the former placer that has reported that all tasks are done.
     ``submits`` counts how often this placer received the job; ``submission`` is that of
-    the message ``Submit``. ``expected_path_ms`` is the learned duration of its critical
+    the message ``Submit``. ``completion_waits`` is set if a run was still active when
+    all tasks were done. ``expected_path_ms`` is the learned duration of its critical
     path, if it is known.
     """
 
@@ -94,6 +95,7 @@
     orphaned_ms: float = 0
     submits: int = 1
     submission: int = 0
+    completion_waits: bool = False
     expected_path_ms: float | None = None
 
     @property
@@ -106,6 +108,11 @@
         """Return whether any task has run or may have run."""
         return self.effective_runs > 0
 
+    @property
+    def all_done(self) -> bool:
+        """Return whether all tasks are done; runs of them may still be active."""
+        return not self.tasks_left
+
     @property
     def may_have_active_runs(self) -> bool:
         """Return whether any task has a run or may have one, here or elsewhere."""
@@ -159,6 +166,17 @@
         allowed_ms = self.deadline_ms - self.arrived_ms
         return min(last_useful_ms, self.arrived_ms + UNSTARTED_WAIT_SHARE * allowed_ms)
 
+    def add_former_placers(
+        self, nodes: tuple[str, ...], own_node: str, now_ms: float
+    ) -> None:
+        """Record the other placers that received the job, at the latest now."""
+        added = tuple(
+            node for node in nodes if node not in (own_node, *self.former_placers)
+        )
+        if added:
+            self.former_placers += added
+            self.received_ms = now_ms
+
 
 class RunPhase(Enum):
     """Phase of a run as the placer tracks it.
--- a/tests/test_complete_jobs.py
+++ b/tests/test_complete_jobs.py
@@ -2,7 +2,6 @@
 
 import gevent
 
-from rattanloom.links.messages import Cancel
 from rattanloom.placement.jobs import OutcomeKind
 from rattanloom.placement.placer import Placer
 from rattanloom.placement.worker_events import WorkerState
@@ -21,6 +20,17 @@
 PLACER, FORMER = "placer-1", "placer-0"
 
 
+class WithoutStops:
+    """A client of a worker that does not carry out stops."""
+
+    def __init__(self, worker: FakeWorker):
+        self.start, self.renew, self.close = worker.start, worker.renew, worker.close
+
+    def stop(self, task: str, attempt: int, fencing_token: int) -> bool:
+        """Lose a stop."""
+        return True
+
+
 def start_run_of_former_placer(worker: FakeWorker, attempt: int = 2) -> None:
     until_ms = int(CLOCK.now_ms()) + 7_000 + 900
     worker.carry_out(StartOrder(TASK, attempt, "spec", until_ms, 5))
@@ -123,7 +133,7 @@
         placer.connect = lambda entry: worker
         placer.add_worker(worker.entry(), TOKEN)
         assert wait_for(lambda: worker.running)
-        worker.stop = lambda *order: True
+        placer.workers["w2"].client = WithoutStops(worker)
         placer.cancel(JOB_ID)
         receiver = FakeReceiver()
         placer.submit(receiver, job, ())
@@ -145,7 +155,8 @@
         assert wait_for(lambda: placer.workers["w1"].state is WorkerState.READY)
         placer.remove_worker("w2", "it is no longer registered")
         receiver = FakeReceiver()
-        placer.submit(receiver, make_submitted_job(), (PLACER,))
+        job = make_submitted_job(estimate_ms=2_000, remaining_ms=9_000)
+        placer.submit(receiver, job, (PLACER,))
         assert_completes_without_active_run(receiver, expired)
 
 
@@ -154,7 +165,8 @@
     start_run_of_former_placer(unregistered)
     with running_placer(worker) as placer:
         assert wait_for(lambda: all_ready(placer))
-        placer.submit(FakeReceiver(), make_submitted_job(), (PLACER,))
+        job = make_submitted_job(estimate_ms=2_000, remaining_ms=9_000)
+        placer.submit(FakeReceiver(), job, (PLACER,))
         assert wait_for(lambda: worker.running)
         unregistered._expire_runs()
         assert not unregistered.running, "the task runs twice"
@@ -166,7 +178,7 @@
         placer.submit(FakeReceiver("entry-1"), make_submitted_job(), ())
         assert wait_for(lambda: worker.running)
         placer.submit(receiver, make_submitted_job(), ())
-        placer.cancel(Cancel(JOB_ID).job_id, "entry-1")
+        placer.cancel(JOB_ID, "entry-1")
         worker.end(TASK)
         assert wait_for(lambda: receiver.outcomes, within_s=1)
     assert receiver.outcomes[0].kind is OutcomeKind.COMPLETE
