Weigh the runs of this daemon's former incarnation

`InheritedWork.is_synced` skipped this daemon among the former placers of a job. That is right for the runs of this process, which it counts. After a restart, a worker that was removed without a report, or whose entry had expired and was not back yet, may have a run of the former incarnation: the task was started again, or its job reported complete, beside it.

Change: a job that names this daemon as a former placer counts as known only once the leases of the former incarnation have expired, 1,050 ms after this process started.

Evidence: two tests failed before ("reported complete beside an active run", "the task runs twice") and pass; test_placer passes. Cost: only jobs that a daemon sent to the former incarnation wait, for at most 1,050 ms after the start.

--- a/rattanloom/placement/inherited_work.py
+++ b/rattanloom/placement/inherited_work.py
@@ -30,18 +30,23 @@
     """Tracks inherited runs, tasks and jobs that are done, and jobs that ended before.
 
     ``node`` is this daemon. ``takeover_ms_by_node`` is that of ``ZoneAcquirer``.
+    ``started_ms`` is when this process started, or shortly after.
     ``_unreported_ms`` is when a worker that never reported was last removed.
     """
 
     node: str
     clock: Clock
     takeover_ms_by_node: dict[str, float] = field(factory=dict)
+    started_ms: float = field(init=False)
     _runs: dict[str, tuple[PooledWorker, Run]] = field(factory=dict)
     _done_tasks: dict[str, float] = field(factory=dict)
     _done_jobs: dict[str, float] = field(factory=dict)
     _unfinished_jobs: dict[str, float] = field(factory=dict)
     _unreported_ms: float = -inf
 
+    def __attrs_post_init__(self) -> None:
+        self.started_ms = self.clock.now_ms()
+
     def is_synced(self, job: PlacedJob, workers: Iterable[PooledWorker]) -> bool:
         """Return whether all runs that former placers started for a job are known.
 
@@ -50,12 +55,22 @@
         their runs, or once the leases granted by the former placers have expired. A
         worker that was removed without a report may be cut off and still have runs.
         A placer that has completed the job has no active runs of it.
+
+        If this daemon is one of the former placers, the runs of this process are known.
+        Those of a former incarnation may be on workers that are not registered any
+        more, until its leases have expired.
         """
         if not job.former_placers:
             return True
         now_ms = self.clock.now_ms()
         if now_ms >= job.received_ms + FORMER_LEASE_MAX_MS:
             return True
+        if (
+            self.node in job.former_placers
+            and self.node != job.completed_by
+            and now_ms < self.started_ms + FORMER_LEASE_MAX_MS
+        ):
+            return False
         takeovers_ms = [
             self.takeover_ms_by_node.get(node, 0)
             for node in job.former_placers
