Cancel a job only for the daemon that submitted it last

A client that gets no response from one daemon posts the job again at another one. When the first daemon then noticed that its client was gone, its Cancel ended the job at the placer, and the client of the second daemon waited for its deadline.

Change: `Placer.cancel` names the daemon, and leaves a job alone that another daemon has submitted since.

--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -128,7 +128,7 @@
         self.pending.pop(job.submitted.job_id, None)
         log.info("job_cancelled", job=job.submitted.job_id, placer=job.placer)
         if job.placer == self.node:
-            self.placer.cancel(job.submitted.job_id)
+            self.placer.cancel(job.submitted.job_id, self.node)
         elif job.placer is not None:
             link = self.hub.link(job.placer)
             if link is not None:
--- a/rattanloom/peer_messages.py
+++ b/rattanloom/peer_messages.py
@@ -47,7 +47,7 @@
         elif isinstance(message, SubmitRejected):
             self.job_router.on_rejected(node, message.job_id)
         elif isinstance(message, Cancel):
-            self.placer.cancel(message.job_id)
+            self.placer.cancel(message.job_id, node)
         elif isinstance(message, FreeCapacity | AnnouncedLoad):
             self.capacity_exchange.handle(link, message)
         elif isinstance(message, Outcome):
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -235,10 +235,17 @@
         job.completed_by = self.node
         self._finish_done_tasks(job)
 
-    def cancel(self, job_id: str) -> None:
-        """End a job whose client has disconnected."""
+    def cancel(self, job_id: str, node: str) -> None:
+        """End a job whose client has disconnected from the daemon ``node``.
+
+        It goes on if another daemon has submitted it since.
+        """
         job = self.jobs.get(job_id)
-        if job is not None:
+        if job is None:
+            return
+        if job.receiver is not None and job.receiver.node != node:
+            log.info("cancellation_ignored", job=job_id, node=node)
+        else:
             self.endings.submissions.record(job.submission, None)
             self.endings.end(job, None)
 
--- a/tests/test_complete_jobs.py
+++ b/tests/test_complete_jobs.py
@@ -134,7 +134,7 @@
         placer.add_worker(worker.entry(), TOKEN)
         assert wait_for(lambda: worker.running)
         placer.workers["w2"].client = WithoutStops(worker)
-        placer.cancel(JOB_ID)
+        placer.cancel(JOB_ID, FakeReceiver().node)
         receiver = FakeReceiver()
         placer.submit(receiver, job, ())
         silent.cut_off = False
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -295,7 +295,7 @@
         placer.submit(receiver, make_submitted_job(), ())
         assert wait_for(lambda: worker.running)
         placer.active_runs["00000000000000aa.0.0.0"] += 1
-        placer.cancel("00000000000000aa")
+        placer.cancel("00000000000000aa", receiver.node)
         placer.submit(receiver, make_submitted_job(), ())
         assert wait_for(lambda: not worker.running)
         gevent.sleep(0.1)
@@ -359,7 +359,7 @@
     with running_placer(worker) as placer:
         placer.submit(receiver, job, ())
         assert wait_for(lambda: worker.running)
-        placer.cancel(job.job_id)
+        placer.cancel(job.job_id, receiver.node)
         assert wait_for(lambda: not placer.active_runs)
         placer.workers["w1"].apply_entry(evolve(worker.entry(), accepting=False))
         placer.submit(receiver, job, ())
