Tell outcomes of an earlier post of a job from those of the current one

An Outcome named the job only. If a client left and posted the job again to the same daemon while a refusal was on its way, the daemon answered the later post with it (503, has not run) while the placer ran the job.

Change: an Outcome carries the submission, 0 from older builds. Of an earlier post only a completion counts. The field is new in the schema, so that older builds ignore it.

Evidence: test_refusal_of_an_earlier_post_does_not_end_a_later_one fails before (record_outcome knows no submission; without the check it ends the later post) and passes. 97 tests of the router, links, placer and evacuations pass.

--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -167,25 +167,31 @@
         """Record an outcome of the placer in this daemon; see ``OutcomeReceiver``."""
         self.record_outcome(self.node, outcome)
 
-    def record_outcome(self, placer: str, outcome: JobOutcome) -> None:
+    def record_outcome(
+        self, placer: str, outcome: JobOutcome, submission: int = 0
+    ) -> None:
         """Record an outcome that the daemon ``placer`` reported.
 
         From a former placer only a completion counts, since the current placer may
         still run the job. If other placers had the job, the completion is passed on to
         the current one, which reports it once none of its runs of the job is active.
+        Of an earlier post of the job, too, only a completion counts. ``submission`` is
+        that of the post, 0 if it is not known.
         """
         job = self.pending.get(outcome.job_id)
         if job is None:
             return
-        if job.placer == placer or (
-            outcome.kind is OutcomeKind.COMPLETE and job.former_placers == (placer,)
-        ):
+        is_complete = outcome.kind is OutcomeKind.COMPLETE
+        if submission not in (0, job.submission) and not is_complete:
+            self._log_outcome("outcome_of_earlier_post", job, placer, outcome)
+            return
+        if job.placer == placer or (is_complete and job.former_placers == (placer,)):
             if job.former_placers != (placer,):
                 self._log_outcome("job_answered", job, placer, outcome)
             self._finish(job, outcome)
             return
         self._log_outcome("outcome_of_former_placer", job, placer, outcome)
-        if outcome.kind is OutcomeKind.COMPLETE and not job.completed_by:
+        if is_complete and not job.completed_by:
             job.completed_by = placer
             if job.placer is not None:
                 job.sends[job.placer] += 1
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -193,12 +193,14 @@
     slot.kind = outcome.kind.value
     slot.reason = outcome.reason
     slot.retryAfterMs = outcome.retry_after_ms
+    slot.submission = message.submission
 
 
 def _read_outcome(reader: object) -> Outcome:
     slot = reader.outcome
     return Outcome(
-        JobOutcome(slot.jobId, OutcomeKind(slot.kind), slot.reason, slot.retryAfterMs)
+        JobOutcome(slot.jobId, OutcomeKind(slot.kind), slot.reason, slot.retryAfterMs),
+        slot.submission,
     )
 
 
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -45,6 +45,7 @@
   kind @1 :Text;
   reason @2 :Text;
   retryAfterMs @3 :UInt32;
+  submission @4 :UInt64;
 }
 
 struct OwnerAnswer {
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -84,9 +84,13 @@
 
 @frozen
 class Outcome:
-    """Reports the outcome of a job to the daemon that submitted it."""
+    """Reports the outcome of a job to the daemon that submitted it.
+
+    ``submission`` is that of the message ``Submit``; it is 0 from older builds.
+    """
 
     outcome: JobOutcome
+    submission: int = 0
 
 
 @frozen
--- a/rattanloom/peer_messages.py
+++ b/rattanloom/peer_messages.py
@@ -51,7 +51,7 @@
         elif isinstance(message, FreeCapacity | AnnouncedLoad):
             self.capacity_exchange.handle(link, message)
         elif isinstance(message, Outcome):
-            self.job_router.record_outcome(node, message.outcome)
+            self.job_router.record_outcome(node, message.outcome, message.submission)
         elif isinstance(message, JobsReturned):
             self.job_router.on_jobs_returned(node, message.jobs)
         elif isinstance(message, RunLosses):
@@ -84,7 +84,7 @@
         new owner.
         """
         if self.ownership.owned():
-            receiver = PeerOutcomeReceiver(link.peer.node, self.hub)
+            receiver = PeerOutcomeReceiver(link.peer.node, self.hub, message.submission)
             self.placer.submit(
                 receiver,
                 message.job,
--- a/rattanloom/peer_receiver.py
+++ b/rattanloom/peer_receiver.py
@@ -9,10 +9,14 @@
 
 @define(eq=False, repr=False)
 class PeerOutcomeReceiver:
-    """Receives the outcomes of jobs that another daemon submitted over a link."""
+    """Receives the outcome of a job that another daemon submitted over a link.
+
+    ``submission`` is that of the message ``Submit``.
+    """
 
     node: str
     hub: LinkHub
+    submission: int = 0
 
     def deliver(self, outcome: JobOutcome) -> None:
         """Send an outcome over the current link to that daemon.
@@ -21,7 +25,7 @@
         """
         link = self.hub.link(self.node)
         if link is not None:
-            link.send(Outcome(outcome))
+            link.send(Outcome(outcome, self.submission))
 
     def take_back(self, jobs: tuple[ReturnedJob, ...]) -> None:
         """Return jobs that never ran; to an older build, send refusals instead."""
@@ -32,4 +36,4 @@
             link.send(JobsReturned(jobs))
             return
         for job in jobs:
-            link.send(Outcome(job.refusal))
+            link.send(Outcome(job.refusal, self.submission))
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -254,3 +254,17 @@
     job_router.submit(make_submitted_job())
     ownership.owner = "p2"
     assert job_router.placers() == {"p1", "p2"}
+
+
+def test_refusal_of_an_earlier_post_does_not_end_a_later_one():
+    # The refusal was on its way when the client left and posted the job again.
+    ownership, hub = FakeOwnership("p1"), FakeHub("p1")
+    job_router = make_router(ownership, hub)
+    earlier = job_router.submit(make_submitted_job())
+    job_router.cancel(earlier)
+    later = job_router.submit(make_submitted_job())
+    refusal = make_outcome(OutcomeKind.REFUSED)
+    job_router.record_outcome("p1", refusal, earlier.submission)
+    assert not later.result.ready(), "the placer runs the later one"
+    job_router.record_outcome("p1", refusal, later.submission)
+    assert later.result.get().kind is OutcomeKind.REFUSED
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -52,7 +52,7 @@
         ("p1", "p2"),
     ),
     Cancel("00000000000000aa"),
-    Outcome(JobOutcome("00000000000000aa", OutcomeKind.GIVEN_UP, "why", 1_000)),
+    Outcome(JobOutcome("00000000000000aa", OutcomeKind.GIVEN_UP, "why", 1_000), 7),
     OwnerLivenessQuery("n1"),
     OwnerLivenessReply("n1", True, ("a",)),
     TakeZones(("a", "b"), ("w1",)),
