Keep every receiver of a job, and look at other placers before repeating an outcome

- A submission that had ended here was answered from the record at once, also if another placer had it since: complete beside that placer's run, or 503 for a job that ran there.
The check for late copies now applies only if no other placer is named.
- Of two posts of one job by different daemons, the second took the outcome from the first, and a late copy of the first took it back.
A job keeps a receiver for each post and delivers to all; a cancelled or lost daemon removes only its own.
- A completed job that waited for a run to end could be refused as never run.
- A done run that was listed before its job arrived was not used; the loss of a duplicate run could fail a job that was done.
- A known job that comes back from another placer waits for its leases each time.

--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -161,14 +161,17 @@
         label = outcome.kind.value if outcome else "abandoned"
         reason = outcome.reason if outcome else "client or daemon disconnected"
         self.forget(job, label, reason)
+        receivers = {**job.earlier_receivers, job.submission: job.receiver}
         if outcome is not None:
-            self.submissions.record(job.submission, outcome)
+            for submission in receivers:
+                self.submissions.record(submission, outcome)
         if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
             self.stop_runs(job)
             if job.may_have_run:
                 self.inherited_work.record_unfinished_job(job.job_id)
-        if outcome is not None and job.receiver is not None:
-            job.receiver.deliver(outcome)
+        for receiver in receivers.values():
+            if outcome is not None and receiver is not None:
+                receiver.deliver(outcome)
 
     def forget(self, job: PlacedJob, label: str, reason: str) -> None:
         """Remove a job, without an outcome and without stopping its runs."""
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -163,25 +163,21 @@
     ) -> None:
         """Accept a job; its outcome is delivered to ``receiver``.
 
-        A job that is known already gets the new receiver and deadline. If the former
+        A job that is known already gets another receiver, or a new deadline if this is
+        its latest post. If the former
         placer ``completed_by`` has completed the job, its runs here are stopped, and
         it completes once none is active.
         """
-        if self.endings.submissions.is_late_copy(
+        others = tuple(node for node in former_placers if node != self.node)
+        if not others and self.endings.submissions.is_late_copy(
             receiver, submitted.job_id, former_placers, submission
         ):
             return
         known = self.jobs.get(submitted.job_id)
         if known is not None:
-            now_ms = self.clock.now_ms()
-            known.receiver, known.submission = receiver, submission
-            known.deadline_ms = now_ms + submitted.remaining_ms
-            known.submits += 1
-            known.add_former_placers(former_placers, self.node, now_ms)
-            if completed_by and not known.completed_by:
-                known.completed_by = completed_by
-                self.endings.stop_runs(known)
-                self._finish_done_tasks(known)
+            if known.add_receiver(receiver, submission):
+                known.deadline_ms = self.clock.now_ms() + submitted.remaining_ms
+            self._update_known_job(known, others, completed_by)
             return
         job = make_job(submitted, receiver, former_placers, self.clock.now_ms())
         job.completed_by, job.submission = completed_by, submission
@@ -220,6 +216,19 @@
             self.job_returns.return_jobs(filter(is_waiting, job.tasks))
             self.start_waiting_tasks()
 
+    def _update_known_job(
+        self, job: PlacedJob, other_placers: tuple[str, ...], completed_by: str
+    ) -> None:
+        """Apply what another submission of a job tells about other placers."""
+        job.submits += 1
+        if other_placers:
+            job.add_former_placers(other_placers)
+            job.received_ms = self.clock.now_ms()
+        if completed_by and not job.completed_by:
+            job.completed_by = completed_by
+            self.endings.stop_runs(job)
+            self._finish_done_tasks(job)
+
     def _add_completed_job(self, job: PlacedJob) -> None:
         """Add a job that this placer has completed; other placers may have runs of it.
 
@@ -232,28 +241,26 @@
             former_placers=job.former_placers,
         )
         self.jobs[job.job_id] = job
-        job.completed_by = self.node
+        job.completed_by, job.sent_before = self.node, True
         self._finish_done_tasks(job)
 
     def cancel(self, job_id: str, node: str) -> None:
         """End a job whose client has disconnected from the daemon ``node``.
 
-        It goes on if another daemon has submitted it since.
+        It goes on while other daemons wait for it.
         """
         job = self.jobs.get(job_id)
         if job is None:
             return
-        if job.receiver is not None and job.receiver.node != node:
-            log.info("cancellation_ignored", job=job_id, node=node)
-        else:
-            self.endings.submissions.record(job.submission, None)
+        for submission in job.remove_receivers(node):
+            self.endings.submissions.record(submission, None)
+        if job.receiver is None:
             self.endings.end(job, None)
 
     def on_daemon_lost(self, node: str) -> None:
         """Handle a lost link to a daemon; keep its jobs for a short time."""
         for job in self.jobs.values():
-            if job.receiver is not None and job.receiver.node == node:
-                job.receiver = None
+            if job.remove_receivers(node) and job.receiver is None:
                 job.orphaned_ms = self.clock.now_ms()
 
     def drop_all_jobs(self) -> None:
@@ -400,6 +407,8 @@
 
     def _end_risky_job(self, job: PlacedJob) -> bool:
         """End a job with a task that must not start; return whether it ended."""
+        if job.all_done or job.completed_by:
+            return False
         outcome = self.crash_policy.outcome_of(job)
         if outcome is not None:
             self.endings.end(job, outcome)
@@ -431,13 +440,16 @@
             how=finished.outcome.value,
         )
         task = run.task
+        is_done = finished.outcome is RunOutcome.DONE
         if task is None or task.job.ended or task.state is TaskState.DONE:
             self.inherited_work.pop_run(run.name)
+            if task is None and is_done:
+                self.inherited_work.record_done_task(run.name)
             self._finish_tasks_after(run)
-        elif finished.outcome is RunOutcome.DONE:
+        elif is_done:
             self.worker_health.record_success(worker, run, self.clock.now_ms())
             self._finish_task(task)
-        elif finished.outcome is RunOutcome.FAILED:
+        elif finished.outcome is RunOutcome.FAILED and not task.job.completed_by:
             self._handle_failure(worker, task)
         else:
             self._requeue(task)
@@ -462,9 +474,9 @@
         )
         self.crash_policy.record_loss(worker, run, cause)
         # After a run of an earlier send, the current send of the job waits.
+        self._finish_tasks_after(run)
         for job in self._jobs_of_task(run.name):
             self._end_risky_job(job)
-        self._finish_tasks_after(run)
         if run.task is not None and not run.task.job.ended:
             run.task.avoided_workers.add(worker.worker_id)
             self._requeue(run.task)
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -72,9 +72,10 @@
     had no effect. ``sent_before`` is set if an earlier send of the job may have run,
     ``completed_by`` is the former placer that has reported that all tasks are done.
     ``submits`` counts how often this placer received the job; ``submission`` is that of
-    the message ``Submit``. ``completion_waits`` is set if a run was still active when
-    all tasks were done. ``expected_path_ms`` is the learned duration of its critical
-    path, if it is known.
+    the message ``Submit``. ``earlier_receivers`` has the receivers of the client's
+    earlier posts, by submission. ``completion_waits`` is set if a run was still active
+    when all tasks were done. ``expected_path_ms`` is the learned duration of its
+    critical path, if it is known.
     """
 
     submitted: SubmittedJob
@@ -95,6 +96,7 @@
     orphaned_ms: float = 0
     submits: int = 1
     submission: int = 0
+    earlier_receivers: dict[int, OutcomeReceiver] = field(factory=dict)
     completion_waits: bool = False
     expected_path_ms: float | None = None
 
@@ -166,16 +168,41 @@
         allowed_ms = self.deadline_ms - self.arrived_ms
         return min(last_useful_ms, self.arrived_ms + UNSTARTED_WAIT_SHARE * allowed_ms)
 
-    def add_former_placers(
-        self, nodes: tuple[str, ...], own_node: str, now_ms: float
-    ) -> None:
-        """Record the other placers that received the job, at the latest now."""
-        added = tuple(
-            node for node in nodes if node not in (own_node, *self.former_placers)
-        )
-        if added:
-            self.former_placers += added
-            self.received_ms = now_ms
+    def add_former_placers(self, nodes: tuple[str, ...]) -> None:
+        """Record placers that received the job before it was submitted here again."""
+        self.former_placers = tuple(dict.fromkeys((*self.former_placers, *nodes)))
+
+    def add_receiver(self, receiver: OutcomeReceiver, submission: int) -> bool:
+        """Add or replace a receiver; return whether it is that of the latest post.
+
+        A client that gets no response posts the job again, often to another daemon.
+        """
+        if submission in self.earlier_receivers:
+            self.earlier_receivers[submission] = receiver
+            return False
+        if self.receiver is not None and submission != self.submission:
+            self.earlier_receivers[self.submission] = self.receiver
+        self.receiver, self.submission = receiver, submission
+        return True
+
+    def remove_receivers(self, node: str) -> list[int]:
+        """Remove the receivers for a daemon; return their submissions.
+
+        If one for another daemon is left, it becomes the current one.
+        """
+        removed = [
+            submission
+            for submission, receiver in self.earlier_receivers.items()
+            if receiver.node == node
+        ]
+        for submission in removed:
+            del self.earlier_receivers[submission]
+        if self.receiver is not None and self.receiver.node == node:
+            removed.append(self.submission)
+            self.receiver = None
+            if self.earlier_receivers:
+                self.submission, self.receiver = self.earlier_receivers.popitem()
+        return removed
 
 
 class RunPhase(Enum):
