--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -68,16 +68,20 @@
 
 @define(eq=False)
 class Daemon(Process):
-    """A daemon's process; ``settings`` is the content of its settings file."""
+    """A daemon's process; ``settings`` is the content of its settings file.
+
+    ``variables`` are added to the environment of this process.
+    """
 
     settings: dict = field(factory=dict)
     settings_path: Path = Path()
+    variables: dict[str, str] = field(factory=dict)
 
     def start(self) -> None:
         """Write the settings file and start the process with it."""
         self.write_settings()
-        environment = dict(os.environ) | {SETTINGS_VARIABLE: str(self.settings_path)}
-        self.launch(environment)
+        settings = {SETTINGS_VARIABLE: str(self.settings_path)}
+        self.launch(dict(os.environ) | settings | self.variables)
 
     def write_settings(self) -> None:
         """Replace the settings file atomically."""
