Start a daemon without asyncio and without gevent's search for plugins

Cause: of the 0.42 s of processor time of the imports (arm64, native), monkey.patch_all took 62 ms more than patching the sockets alone: it imports importlib.metadata and searches the installed packages for plugins twice for each module. pycapnp imports asyncio, 29 modules, for RPC, of which a daemon uses none.

Ruled out: importlib.util.LazyLoader; on Python 3.11 the second import of a lazy module loads it. ssl and importlib.metadata are still loaded, by urllib3.

Change: only the sockets are patched; the daemon waits by gevent's own functions everywhere else. ssl and asyncio are imported when one of their attributes is needed.

--- a/dispatcher.py
+++ b/dispatcher.py
@@ -3,10 +3,10 @@
 Other commands: ``check [PATH]``, ``version`` (or ``--version``) and ``--help``.
 """
 
-from gevent import monkey
+from rattanloom.daemon_imports import defer_unused_modules, patch_sockets
 
-# The daemon uses no TLS and starts no processes.
-monkey.patch_all(ssl=False, subprocess=False)
+defer_unused_modules()
+patch_sockets()
 
 import sys  # noqa: E402
 
