Collect no garbage while a daemon imports; start it without OpenSSL

Ruled out: imports without zope.interface; gevent's event loop needs it.

Change: the collector is off during the imports, and their objects are exempt from later collections. hashlib is imported without OpenSSL where the interpreter has its other implementations; it can still be imported later.

--- a/dispatcher.py
+++ b/dispatcher.py
@@ -3,15 +3,13 @@
 Other commands: ``check [PATH]``, ``version`` (or ``--version``) and ``--help``.
 """
 
-from rattanloom.daemon_imports import defer_unused_modules, patch_sockets
+import sys
 
-defer_unused_modules()
-patch_sockets()
+from rattanloom.daemon_imports import lean_imports
 
-import sys  # noqa: E402
-
-from rattanloom.daemon_commands import DaemonCommands  # noqa: E402
-from rattanloom.environment import Environment  # noqa: E402
+with lean_imports():
+    from rattanloom.daemon_commands import DaemonCommands
+    from rattanloom.environment import Environment
 
 
 def main() -> int:
--- a/rattanloom/daemon_imports.py
+++ b/rattanloom/daemon_imports.py
@@ -1,16 +1,21 @@
-"""Saves a daemon the import of what its libraries load and it never uses.
-
-To be called before the libraries are imported.
-"""
+"""Saves a daemon the import of what its libraries load and it never uses."""
 
+import gc
 import socket
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from importlib import import_module
+from importlib.util import find_spec
 from types import ModuleType
 
 # Names of the module ``socket`` that the daemon and its libraries use.
 SOCKET_NAMES = ("SocketType", "create_connection", "fromfd", "getaddrinfo", "socket")
 
+OPENSSL = "_hashlib"
+# Without OpenSSL, ``hashlib`` and ``random`` use these modules of the standard library.
+HASH_MODULES = ("_blake2", "_md5", "_sha1", "_sha256", "_sha3", "_sha512")
+
 
 class DeferredModule(ModuleType):
     """Stands for a module that is imported when one of its attributes is needed."""
@@ -43,6 +48,36 @@
         placeholder.BufferedProtocol = type("BufferedProtocol", (), {"__slots__": ()})
 
 
+@contextmanager
+def omitting_openssl() -> Iterator[None]:
+    """Make ``hashlib`` do without OpenSSL if it is imported in the block.
+
+    OpenSSL is for algorithms and a speed that a daemon does not need.
+    """
+    if OPENSSL in sys.modules or not all(map(find_spec, HASH_MODULES)):
+        yield
+        return
+    sys.modules[OPENSSL] = None
+    try:
+        yield
+    finally:
+        del sys.modules[OPENSSL]
+
+
+@contextmanager
+def deferring_collection() -> Iterator[None]:
+    """Collect no garbage during the block, and exempt its objects from collections.
+
+    Nearly all objects that an import creates live as long as the process.
+    """
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.freeze()
+        gc.enable()
+
+
 def patch_sockets() -> None:
     """Make the sockets of this process gevent's.
 
@@ -55,3 +90,12 @@
 
     for name in SOCKET_NAMES:
         monkey.patch_item(socket, name, getattr(gevent_socket, name))
+
+
+@contextmanager
+def lean_imports() -> Iterator[None]:
+    """Import the daemon's libraries in this block; its sockets are gevent's."""
+    defer_unused_modules()
+    with omitting_openssl(), deferring_collection():
+        patch_sockets()
+        yield
--- a/tests/test_daemon_imports.py
+++ b/tests/test_daemon_imports.py
@@ -10,7 +10,8 @@
 ROOT = Path(__file__).parent.parent
 # None of them does anything in a daemon; each costs a start time and memory.
 UNUSED_MODULES = {"asyncio.events", "concurrent.futures", "fire", "hypothesis"}
-UNUSED_MODULES |= {"multiprocessing", "subprocess", "tenacity"}
+UNUSED_MODULES |= {"_hashlib", "gevent.events", "multiprocessing", "subprocess"}
+UNUSED_MODULES |= {"tenacity"}
 
 
 def run_after_start(statements: str) -> object:
@@ -47,3 +48,11 @@
 print("true" if asyncio is not deferred and asyncio.events.__file__ else "false")
 """
     assert run_after_start(statements) is True
+
+
+def test_openssl_can_be_imported_after_the_start():
+    statements = """
+import gc, hashlib, _hashlib
+print("true" if gc.isenabled() and hashlib.sha1(b"").name == "sha1" else "false")
+"""
+    assert run_after_start(statements) is True
