One wake-up a tick of an idle daemon

Cause: a daemon that places nothing waited 150 ms for an event and then paused for 50 ms, so each tick of 200 ms took two wake-ups, each with a timer.

Ruled out: a longer interval. The time until a restarted owner is replaced counts one idle tick (ownership/confirmation.py), and SuspensionGuard takes 400 ms without a tick for a suspension.

Change: the whole interval is one wait. An event still leads to a tick 50 ms later, as before, so that events at the same time share a tick.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -295,7 +295,8 @@
         )
         if is_idle:
             self._wake.clear()
-            self._wake.wait((IDLE_TICK_MS - TICK_MS) / MS_PER_S)
+            if not self._wake.wait(IDLE_TICK_MS / MS_PER_S):
+                return
         gevent.sleep(TICK_MS / MS_PER_S)
 
     def _request_placer_links(self) -> None:
