An announced load is encoded once for all links

Cause: an owner in a large deployment announces its load to each linked daemon every 100 ms, and encoded it for each; each link's writer woke up for it as well.

Change: send_to_all encodes a message once and writes it at once where no data is queued. The stub link of one test takes frames now; its checks are the same.

Ruled out: no announcement while the load is unchanged. Under traffic it always changes, and a receiver ignores loads that are older than 350 ms.

--- a/rattanloom/capacity_exchange.py
+++ b/rattanloom/capacity_exchange.py
@@ -4,7 +4,7 @@
 
 from rattanloom.clock import Clock
 from rattanloom.links.hub import LinkHub
-from rattanloom.links.link import Link
+from rattanloom.links.link import Link, send_to_all
 from rattanloom.links.messages import ZONE_LOAD_VERSION, AnnouncedLoad, FreeCapacity
 from rattanloom.metrics import Metrics
 from rattanloom.ownership.ownership import Ownership
@@ -49,12 +49,13 @@
         self.metrics.gauge("zone_capacity_millicores", load.capacity_millicores)
         self.metrics.gauge("zone_wait_ms", min(load.wait_ms, SHOWN_WAIT_MAX_MS))
         self.placer_choice.record_load(self.ownership.own_member.node, load)
+        current, older = [], []
         for node in self.hub.nodes():
             link = self.hub.link(node)
-            if link.peer.protocol_version >= ZONE_LOAD_VERSION:
-                link.send(AnnouncedLoad(load))
-            else:
-                link.send(FreeCapacity(load.free_millicores))
+            is_current = link.peer.protocol_version >= ZONE_LOAD_VERSION
+            (current if is_current else older).append(link)
+        send_to_all(current, AnnouncedLoad(load))
+        send_to_all(older, FreeCapacity(load.free_millicores))
 
     def handle(self, link: Link, message: FreeCapacity | AnnouncedLoad) -> None:
         """Record what a peer's placer announced; ignore a load that is not finite."""
--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -6,7 +6,7 @@
 
 import struct
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import gevent
@@ -229,6 +229,14 @@
         return content
 
 
+def send_to_all(links: Iterable[Link], message: Message) -> None:
+    """Send a message over several links; it is encoded once."""
+    frame = None
+    for link in links:
+        frame = frame or encode_frame(message)
+        link.send_frame(message, frame)
+
+
 def encode_frame(message: Message) -> bytes:
     """Return the bytes of a message on a link, its length first."""
     content = encode_message(message)
--- a/tests/test_capacity_exchange.py
+++ b/tests/test_capacity_exchange.py
@@ -31,7 +31,9 @@
 def test_load_is_announced_in_the_form_that_the_peer_knows(version, kind):
     sent = []
     peer = SimpleNamespace(node="n2", protocol_version=version)
-    link = SimpleNamespace(peer=peer, send=sent.append)
+    link = SimpleNamespace(
+        peer=peer, send_frame=lambda message, frame: sent.append(message)
+    )
     zones = {"entry-1": "a", "n2": "b"}
     members = {
         node: SimpleNamespace(node=node, zone=zone) for node, zone in zones.items()
--- a/tests/test_link_keepalive.py
+++ b/tests/test_link_keepalive.py
@@ -15,8 +15,9 @@
     RECEIVE_TIMEOUT_MS,
     Link,
     encode_frame,
+    send_to_all,
 )
-from rattanloom.links.messages import Hello, TakeZones
+from rattanloom.links.messages import Cancel, Hello, TakeZones
 from tests.dispatcher_fakes import CLOCK, wait_for
 from tests.test_links import make_hub
 
@@ -112,6 +113,19 @@
         assert link.unsent() in ((), (PING,))
 
 
+def test_messages_written_at_once_do_not_overtake_queued_ones():
+    first, second = [], []
+    one, two = make_hub("n1", first), make_hub("n2", second)
+    with one.serving(), two.serving():
+        one.keep_link("n2", two.own_hello.address, CLOCK.now_ms() + 60_000)
+        assert wait_for(lambda: one.link("n2") and two.link("n1"))
+        send_to_all([one.link("n2")], Cancel("w"))
+        one.link("n2").send(Cancel("x"))
+        send_to_all([one.link("n2")], Cancel("y"))
+        assert wait_for(lambda: len(second) == 4)
+        assert [message.job_id for _, message in second[1:]] == ["w", "x", "y"]
+
+
 def test_link_is_lost_if_its_peer_sends_but_does_not_read():
     events = []
     hub = make_hub("n1", events)
