--- a/rattanloom/platform/workers.py
+++ b/rattanloom/platform/workers.py
@@ -20,7 +20,7 @@
     StartOrder,
     WorkerReport,
 )
-from rattanloom.platform.http import HttpClient, Response
+from rattanloom.platform.http import HEADERS, HttpClient, Response
 from rattanloom.platform.json_format import FormatError, encode, is_number, parse
 
 # One connection waits for reports of finished runs; the others carry orders.
@@ -97,9 +97,12 @@
 
     def __attrs_post_init__(self) -> None:
         self._http = HttpClient(
-            self.address, CONNECTIONS_MAX, CONNECT_TIMEOUT_MS, self.source_ip
+            self.address,
+            CONNECTIONS_MAX,
+            CONNECT_TIMEOUT_MS,
+            self.source_ip,
+            HEADERS | {"Expect-Instance": self.worker_id},
         )
-        self._http.headers["Expect-Instance"] = self.worker_id
 
     def start(self, order: StartOrder) -> Started | Refused | Failure:
         """Start a run of a task; the order also extends the worker's lease."""
