An index of workers with room: a pass of placement costs nothing for full workers

Cause: each event built the list of accepting workers of the whole pool, each decision for a step examined and ranked them all, and each task went through all candidates of the best rank. Each tick examined all workers for decaying speeds and notices, each ended job all runs of all workers, each refusal the capacity of all workers.

Change: WorkerIndex keeps the workers by service, label and step of speed, sorted by free processor, also those that have not reported, those that leave, the sizes, and the capacity as a running sum. Events mark a worker as changed (hooks on the attributes of PooledWorker that matter, and calls in WorkerRuns and WorkerSpeed); the next query records it. If no rack is named or in demand and no worker is cold, the first worker of the index is the best one; else those with room are ranked as before. The runs of a job are kept with the job, times of decay in a heap.

The index and the passes are seen to fail the tests if they skip no full workers, leave pauses in force, ignore a changed membership or entry, or visit groups unsorted.

Ruled out: leaving out waits for faster workers.

Conclusion: the growth with the number of workers is gone where racks are not used; with racks, workers with room are still ranked for each step.

--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -1,6 +1,6 @@
 """Ends jobs at a placer: stops their runs and delivers their outcomes."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 from attrs import define, field
 
@@ -12,7 +12,6 @@
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedJob, RunPhase
 from rattanloom.placement.submissions import EndedSubmissions
-from rattanloom.placement.worker_events import WorkerState
 from rattanloom.scheduling.cost import level_of
 from rattanloom.scheduling.fairness import SourceShares
 from rattanloom.scheduling.overload import (
@@ -29,7 +28,7 @@
     RETURNED_OFFSET_MS,
     WaitingTasks,
 )
-from rattanloom.scheduling.worker_choice import tasks_without_worker
+from rattanloom.scheduling.worker_index import WorkerIndex
 
 log = DecisionLog("placement")
 
@@ -40,8 +39,9 @@
 
 @define(eq=False, repr=False)
 class JobEndings:
-    """Ends the jobs of a placer, which owns ``jobs``, ``workers`` and ``waiting``.
+    """Ends the jobs of a placer.
 
+    The placer owns ``jobs``, ``workers`` with their ``index``, and ``waiting``.
     ``arriving`` is the work that arrived lately, ``sources`` the shares of the daemons
     that sent it, ``returns`` has the jobs that were told to return.
     """
@@ -52,6 +52,7 @@
     workers: dict[str, PooledWorker]
     waiting: WaitingTasks
     inherited_work: InheritedWork
+    index: WorkerIndex
     arriving: ArrivingWork = field(factory=ArrivingWork)
     sources: SourceShares = field(factory=SourceShares)
     returns: ReturnTimes = field(factory=ReturnTimes)
@@ -87,7 +88,7 @@
         for task in list(self.waiting):
             if now_ms > task.job.latest_useful_start_ms:
                 self.give_up(task.job, "no worker had free capacity in time")
-        for task in tasks_without_worker(self.waiting, self.workers.values()):
+        for task in self.index.tasks_without_worker(self.waiting, now_ms):
             self.give_up(task.job, "no worker is large enough for a task")
 
     def end_in_shortage(self, now_ms: float) -> None:
@@ -138,17 +139,17 @@
         jobs = dict.fromkeys(task.job for task in self.waiting)
         waiting = sum(other.remaining_work_millicore_ms for other in jobs)
         spare = spare_millicores(
-            self._capacity().millicores, self.arriving.millicores(now_ms)
+            self.index.usable_millicores(now_ms), self.arriving.millicores(now_ms)
         )
         work = job.submitted.work_millicore_ms
         return self.returns.add(job.job_id, work, waiting, spare, now_ms)
 
     def _capacity(self) -> PoolCapacity:
         """Return the capacity of all workers that accept tasks or soon may again."""
-        workers = usable_workers(self.workers.values(), self.clock.now_ms())
+        now_ms = self.clock.now_ms()
         return PoolCapacity(
-            sum(worker.runs.capacity.cpu_millicores for worker in workers),
-            max((worker.runs.free.cpu_millicores for worker in workers), default=0),
+            self.index.usable_millicores(now_ms),
+            self.index.largest_free_millicores(now_ms),
         )
 
     def end(self, job: PlacedJob, outcome: JobOutcome | None) -> None:
@@ -187,32 +188,11 @@
     def stop_runs(self, job: PlacedJob) -> None:
         """Stop the runs of a job's tasks."""
         now_ms = self.clock.now_ms()
-        for worker in self.workers.values():
-            for run in worker.runs.all():
-                belongs_to_job = run.task is not None and run.task.job is job
-                if belongs_to_job and run.phase is not RunPhase.STOPPING:
-                    lost = run.step.need.cpu_millicores * (now_ms - run.ordered_ms)
-                    self.metrics.count("work_lost_core_ms", by=round(lost / 1_000))
-                    worker.stop(run)
-
-
-def usable_workers(
-    workers: Iterable[PooledWorker], now_ms: float
-) -> list[PooledWorker]:
-    """Return the workers that accept tasks or soon may again."""
-    return [
-        worker
-        for worker in workers
-        if worker.entry.accepting
-        and worker.drains_until_ms <= now_ms
-        and worker.limits.is_open(worker)
-        and worker.state in (WorkerState.READY, WorkerState.SYNCING)
-    ]
-
-
-def capacity_millicores(workers: Iterable[PooledWorker], now_ms: float) -> int:
-    """Return the capacity of the workers that accept tasks or soon may again."""
-    return sum(
-        worker.runs.capacity.cpu_millicores
-        for worker in usable_workers(workers, now_ms)
-    )
+        for run, worker_id in list(job.runs.items()):
+            worker = self.workers.get(worker_id)
+            if worker is None or worker.runs.get(run.key) is not run:
+                continue
+            if run.phase is not RunPhase.STOPPING:
+                lost = run.step.need.cpu_millicores * (now_ms - run.ordered_ms)
+                self.metrics.count("work_lost_core_ms", by=round(lost / 1_000))
+                worker.stop(run)
--- a/rattanloom/placement/leaving_workers.py
+++ b/rattanloom/placement/leaving_workers.py
@@ -1,22 +1,18 @@
 """Stops runs that won't end before their workers leave; they start again elsewhere."""
 
-from collections.abc import Collection
-
 from rattanloom.decision_log import DecisionLog
 from rattanloom.metrics import Metrics
-from rattanloom.placement.job_endings import capacity_millicores
-from rattanloom.placement.pooled_worker import PooledWorker
-from rattanloom.placement.runs import PlacedTask, Run, RunPhase
+from rattanloom.placement.runs import Run, RunPhase
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.scheduling.leaving import LeavingRun, should_stop
 from rattanloom.scheduling.waiting import WaitingTasks
-from rattanloom.scheduling.worker_choice import matches
+from rattanloom.scheduling.worker_index import WorkerIndex
 
 log = DecisionLog("placement")
 
 
 def stop_leaving_runs(
-    workers: Collection[PooledWorker],
+    index: WorkerIndex,
     waiting: WaitingTasks,
     metrics: Metrics,
     now_ms: float,
@@ -28,10 +24,8 @@
     """
     leaving = [
         (worker, run)
-        for worker in workers
-        if worker.entry.leaves_at_ms is not None
-        and not worker.entry.accepting
-        and worker.state is WorkerState.READY
+        for worker in index.leaving(now_ms)
+        if worker.state is WorkerState.READY
         for run in worker.runs.all()
         if run.phase is RunPhase.RUNNING
         and run.task is not None
@@ -41,12 +35,12 @@
     if not leaving:
         return 0
     work = sum(task.step.counted_work_millicore_ms for task in waiting)
-    capacity = max(1, capacity_millicores(workers, now_ms))
+    capacity = max(1, index.usable_millicores(now_ms))
     stopped = 0
     for worker, run in leaving:
         wait_ms = work / capacity
         state = _leaving_run(run, worker.entry.leaves_at_ms - now_ms, wait_ms, now_ms)
-        if should_stop(state) and _has_other_worker(run.task, workers):
+        if should_stop(state) and index.is_any_large_enough(run.task, now_ms):
             log.info(
                 "leaving_run_stopped",
                 task=run.name,
@@ -76,14 +70,3 @@
         min(job.deadline_ms, late_limit_ms) - now_ms,
         wait_ms,
     )
-
-
-def _has_other_worker(task: PlacedTask, workers: Collection[PooledWorker]) -> bool:
-    """Return whether a worker that accepts tasks is large enough for the task."""
-    return any(
-        worker.entry.accepting
-        and worker.state is WorkerState.READY
-        and worker.runs.capacity.fits(task.step.need)
-        and matches(task, worker)
-        for worker in workers
-    )
--- a/rattanloom/placement/load_report.py
+++ b/rattanloom/placement/load_report.py
@@ -2,9 +2,7 @@
 
 from collections.abc import Container
 
-from rattanloom.placement.job_endings import capacity_millicores
 from rattanloom.placement.placer import Placer
-from rattanloom.scheduling.worker_choice import free_millicores
 from rattanloom.scheduling.zone_load import ZoneLoad, merge_loads
 
 
@@ -15,13 +13,16 @@
 
     ``own_sources`` are the daemons in the placer's own zones.
     """
-    workers = placer.workers.values()
+    index = placer.index
+    free = sum(
+        max(0, worker.runs.free.cpu_millicores) for worker in index.accepting(now_ms)
+    )
     waiting = [
         (task.job.submitted.policy.priority, task.step) for task in placer.waiting
     ]
     return ZoneLoad(
-        free_millicores(workers, placer.waiting, now_ms),
-        capacity_millicores(workers, now_ms),
+        free - sum(step.need.cpu_millicores for _, step in waiting),
+        index.usable_millicores(now_ms),
         placer.demand.from_sources(own_sources, now_ms),
         merge_loads(
             ((priority, step.counted_work_millicore_ms) for priority, step in waiting),
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -45,7 +45,9 @@
     WorkerEntry,
 )
 from rattanloom.scheduling.assignment import AssignmentPass
+from rattanloom.scheduling.speed_decay import SpeedDecay
 from rattanloom.scheduling.waiting import WaitingTasks, is_waiting
+from rattanloom.scheduling.worker_index import WorkerIndex
 from rattanloom.scheduling.zone_load import DemandMeter
 
 log = DecisionLog("placement")
@@ -91,6 +93,8 @@
     crash_policy: CrashPolicy = field(init=False)
     endings: JobEndings = field(init=False)
     start_limits: StartLimits = field(init=False)
+    index: WorkerIndex = field(init=False)
+    speed_decay: SpeedDecay = field(factory=SpeedDecay)
     job_returns: JobReturns = field(init=False)
     _is_starting_tasks: bool = False
 
@@ -98,6 +102,8 @@
         self.inherited_work = InheritedWork(self.node, self.clock)
         self.suspension = SuspensionGuard(self.on_suspended)
         self.crash_policy = CrashPolicy(self.clock)
+        self.start_limits = StartLimits(self.clock)
+        self.index = WorkerIndex(self.start_limits)
         self.worker_health.placement.count = self.metrics.count
         self.endings = JobEndings(
             self.clock,
@@ -106,8 +112,8 @@
             self.workers,
             self.waiting,
             self.inherited_work,
+            self.index,
         )
-        self.start_limits = StartLimits(self.clock)
         self.job_returns = JobReturns(self.endings, self.start_limits)
 
     # Workers
@@ -125,8 +131,11 @@
             fencing_token,
             self.active_runs,
             self.start_limits,
+            self.index.mark,
         )
         self.workers[entry.worker_id] = worker
+        self.index.add(worker)
+        self.speed_decay.add(worker.speed)
         worker.open()
 
     def remove_worker(self, worker_id: str, reason: str) -> None:
@@ -134,6 +143,8 @@
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
+        self.index.remove(worker)
+        self.speed_decay.remove(worker.speed)
         log.info("worker_removed", worker=worker_id, reason=reason)
         if worker.state is WorkerState.SYNCING:
             self.inherited_work.record_unreported_worker()
@@ -248,16 +259,17 @@
         now_ms = self.clock.now_ms()
         self.suspension.tick(now_ms)
         self._stop_overdue_runs()
-        stop_leaving_runs(self.workers.values(), self.waiting, self.metrics, now_ms)
+        stop_leaving_runs(self.index, self.waiting, self.metrics, now_ms)
         for job in list(self.jobs.values()):
             self._finish_done_tasks(job)
         self.endings.end_overdue(now_ms)
-        stop_stalled_runs(self.workers.values(), self.worker_health, now_ms)
+        if self.index.has_free_capacity(now_ms):
+            stop_stalled_runs(self.workers.values(), self.worker_health, now_ms)
         self.inherited_work.remove_expired()
         self.endings.submissions.remove_expired(now_ms)
         self.crash_policy.records.remove_expired(now_ms)
         self.start_limits.update(self.workers.values())
-        self.worker_health.decay_speeds(self.workers.values(), now_ms)
+        self.speed_decay.run(now_ms)
         self.job_returns.return_jobs(self.waiting)
         self.start_waiting_tasks()
         self.endings.end_in_shortage(now_ms)
@@ -319,7 +331,7 @@
         self._is_starting_tasks = True
         try:
             AssignmentPass(
-                self.workers.values(),
+                self.index,
                 self._may_start,
                 self._start_run,
                 self.clock.now_ms(),
@@ -334,7 +346,9 @@
             not self.active_runs[task.name]
             and not self._is_done_elsewhere(task)
             and self.crash_policy.may_start(task)
-            and self.inherited_work.is_synced(task.job, self.workers.values())
+            and self.inherited_work.is_synced(
+                task.job, self.index.syncing(self.clock.now_ms())
+            )
         )
 
     def _start_run(self, task: PlacedTask, worker: PooledWorker) -> None:
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -5,9 +5,10 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 
 import gevent
-from attrs import Factory, define, field
+from attrs import Attribute, Factory, define, field
 
 from rattanloom.background import spawn_restarting
 from rattanloom.clock import MS_PER_S, Clock
@@ -53,6 +54,12 @@
 FENCING_DELAY_MS = 150
 
 
+def _mark(worker: "PooledWorker", attribute: Attribute, value: object) -> object:
+    """Tell that an attribute changes on which the choice of workers depends."""
+    worker.on_change(worker)
+    return value
+
+
 @define(eq=False, repr=False)
 class PooledWorker:
     """One worker of a placer's pool, controlled under ``fencing_token``.
@@ -64,26 +71,28 @@
     it drains. ``failure_score``, ``quarantine_count`` and ``speed`` belong to
     ``WorkerHealth``. ``_idle_wait`` is set while a
     request to an idle worker is pending, which does not extend the lease. ``limits``
-    are shared by the workers of the placer.
+    are shared by the workers of the placer. ``on_change`` is called with each change
+    that matters to the choice of workers, just before or after it.
     """
 
-    entry: WorkerEntry
+    entry: WorkerEntry = field(on_setattr=_mark)
     client: WorkerClientProtocol
-    events: WorkerEvents
+    events: "WorkerEvents[PooledWorker]"
     clock: Clock
     lease: WorkerLease
     fencing_token: int
     active_runs: Counter[str]
     limits: StartLimits = Factory(lambda self: StartLimits(self.clock), takes_self=True)
-    state: WorkerState = WorkerState.SYNCING
+    on_change: "Callable[[PooledWorker], None]" = lambda worker: None
+    state: WorkerState = field(default=WorkerState.SYNCING, on_setattr=_mark)
     runs: WorkerRuns = field(init=False)
     last_finished_number: int = 0
-    incarnation_ms: int = 0
+    incarnation_ms: int = field(default=0, on_setattr=_mark)
     reported_clock_ms: int = 0
     missed_replies: int = 0
-    paused_until_ms: float = 0
-    drains_until_ms: float = 0
-    failure_score: float = 0
+    paused_until_ms: float = field(default=0, on_setattr=_mark)
+    drains_until_ms: float = field(default=0, on_setattr=_mark)
+    failure_score: float = field(default=0, on_setattr=_mark)
     quarantine_count: int = 0
     speed: WorkerSpeed = field(factory=WorkerSpeed)
     closed: bool = False
@@ -101,7 +110,13 @@
         return self.speed.duration_ratio
 
     def __attrs_post_init__(self) -> None:
-        self.runs = WorkerRuns(self.entry.capacity, self.active_runs)
+        def on_change() -> None:
+            self.on_change(self)
+
+        self.runs = WorkerRuns(
+            self.entry.capacity, self.active_runs, self.worker_id, on_change
+        )
+        self.speed.on_change = on_change
 
     @property
     def has_current_entry(self) -> bool:
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -73,7 +73,8 @@
     ``completed_by`` is the former placer that has reported that all tasks are done.
     ``submits`` counts how often this placer received the job; ``submission`` is that of
     the message ``Submit``. ``expected_path_ms`` is the learned duration of its critical
-    path, if it is known.
+    path, if it is known. ``runs`` has the runs of its tasks, with their workers' ids;
+    ``WorkerRuns`` changes it.
     """
 
     submitted: SubmittedJob
@@ -81,6 +82,7 @@
     arrived_ms: float
     deadline_ms: float
     tasks: list[PlacedTask] = field(factory=list)
+    runs: "dict[Run, str]" = field(factory=dict)
     tasks_left: int = 0
     former_placers: tuple[str, ...] = ()
     received_ms: float = 0
--- a/rattanloom/placement/stalled_runs.py
+++ b/rattanloom/placement/stalled_runs.py
@@ -5,7 +5,6 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.worker_health import WorkerHealth
-from rattanloom.scheduling.worker_choice import has_free_capacity
 
 log = DecisionLog("placement")
 
@@ -15,10 +14,8 @@
 ) -> None:
     """Stop stalled runs; their tasks start again, on other workers if possible.
 
-    Does nothing while no worker has free capacity.
+    Call it only while any worker has free capacity.
     """
-    if not has_free_capacity(workers, now_ms):
-        return
     for worker in workers:
         for run in worker.runs.all():
             if run.task is None or run.task.job.ended:
--- a/rattanloom/placement/worker_health.py
+++ b/rattanloom/placement/worker_health.py
@@ -43,11 +43,6 @@
             run_ms = now_ms - run.confirmed_ms
             self.placement.learn(run.task, worker, run_ms, now_ms)
 
-    def decay_speeds(self, workers: Collection[PooledWorker], now_ms: float) -> None:
-        """Forget the speeds of workers without finished runs, in steps."""
-        for worker in workers:
-            worker.speed.decay(now_ms)
-
     def record_failure(
         self, worker: PooledWorker, workers: Collection[PooledWorker], now_ms: float
     ) -> None:
--- a/rattanloom/placement/worker_runs.py
+++ b/rattanloom/placement/worker_runs.py
@@ -1,6 +1,7 @@
 """The runs on one worker, and its free capacity."""
 
 from collections import Counter
+from collections.abc import Callable
 
 from attrs import define, field
 
@@ -17,11 +18,14 @@
 
     ``active_runs`` is shared by all workers and counts the runs of each task.
     ``inherited_count`` counts the inherited runs that no job has adopted,
-    ``isolated_count`` those beside which no other run may start.
+    ``isolated_count`` those beside which no other run may start. ``on_change`` is
+    called after each change of the runs or the capacity.
     """
 
     capacity: Resources
     active_runs: Counter[str]
+    worker_id: str = ""
+    on_change: Callable[[], None] = lambda: None
     free: Resources = field(init=False)
     inherited_count: int = 0
     isolated_count: int = 0
@@ -50,9 +54,12 @@
         """Add a run and reserve its capacity."""
         self._runs[run.key] = run
         self.active_runs[run.name] += 1
+        if run.task is not None:
+            run.task.job.runs[run] = self.worker_id
         self.inherited_count += run.task is None
         self.isolated_count += run.isolated
         self.free = self.free.minus(_need(run))
+        self.on_change()
 
     def remove(self, run: Run) -> bool:
         """Remove a run and free its capacity; return False if it is gone already."""
@@ -62,9 +69,12 @@
         self.active_runs[run.name] -= 1
         if not self.active_runs[run.name]:
             del self.active_runs[run.name]
+        if run.task is not None:
+            run.task.job.runs.pop(run, None)
         self.inherited_count -= run.task is None
         self.isolated_count -= run.isolated
         self.free = self.free.plus(_need(run))
+        self.on_change()
         return True
 
     def count_other_jobs(self) -> None:
@@ -88,6 +98,7 @@
         """Set a new total capacity of the worker."""
         self.free = self.free.plus(capacity.minus(self.capacity))
         self.capacity = capacity
+        self.on_change()
 
 
 def _need(run: Run) -> Resources:
--- a/rattanloom/scheduling/assignment.py
+++ b/rattanloom/scheduling/assignment.py
@@ -1,14 +1,15 @@
 """Assignment of waiting tasks to workers with free capacity."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from attrs import define, field
 
 from rattanloom.placement.runs import PlacedTask
 from rattanloom.scheduling.placement_model import PlacementModel
-from rattanloom.scheduling.step_placement import UNRELIABLE_SCORE, StepPlacement
+from rattanloom.scheduling.step_placement import StepPlacement
 from rattanloom.scheduling.waiting import WaitingTasks
-from rattanloom.scheduling.worker_choice import accepts_tasks, matches
+from rattanloom.scheduling.worker_choice import matches
+from rattanloom.scheduling.worker_index import UNRELIABLE_SCORE, WorkerIndex
 from rattanloom.scheduling.worker_schedule import (
     SCHEDULE_AGE_MAX_MS,
     Place,
@@ -31,23 +32,22 @@
 
     ``may_start`` returns whether a task may have a new run now, on any worker;
     ``start_run`` starts it. A task for which ``must_be_isolated`` returns true starts
-    on a worker without other runs. ``_accepting`` has the workers that accept tasks
-    during the pass. ``_unplaceable_millicores`` has, by service, label, memory and
-    accelerators, the smallest processor need for which no worker was found.
+    on a worker without other runs. ``index`` has the workers.
+    ``_unplaceable_millicores`` has, by service, label, memory and accelerators, the
+    smallest processor need for which no worker was found.
     ``_held`` counts the tasks that wait for better workers. ``_placements`` has the
     decisions by job and step, ``_schedules`` and ``_best_factors`` what was found for
     tasks of one kind.
     ``_rack_demand`` has the demand for the rack of each worker, if there is any.
     """
 
-    workers: Collection[WorkerView]
+    index: WorkerIndex
     may_start: Callable[[PlacedTask], bool]
     start_run: Callable[[PlacedTask, WorkerView], None]
     now_ms: float
     must_be_isolated: Callable[[PlacedTask], bool] = lambda task: False
     model: PlacementModel = field(factory=PlacementModel)
     placement_type: type[StepPlacement] = StepPlacement
-    _accepting: list[WorkerView] = field(init=False)
     _unplaceable_millicores: dict[tuple[str, str, int, int], int] = field(factory=dict)
     _held: int = 0
     _placements: dict[tuple[str, int], StepPlacement] = field(factory=dict)
@@ -56,11 +56,9 @@
     _rack_demand: dict[str, int] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self._accepting = [
-            worker for worker in self.workers if accepts_tasks(worker, self.now_ms)
-        ]
         if self.model.rack_demand:
-            self._rack_demand = self.model.demand_of_racks(self._accepting, self.now_ms)
+            accepting = self.index.accepting
+            self._rack_demand = self.model.demand_of_racks(accepting, self.now_ms)
 
     def run(self, waiting: WaitingTasks) -> None:
         """Start the tasks for which a worker is found; put the others back."""
@@ -155,8 +153,7 @@
             self._best_factors[key] = min(
                 (
                     self.model.factor(task, worker)
-                    for worker in self._accepting
-                    if worker.runs.free.fits(step.need) and matches(task, worker)
+                    for worker in self.index.fitting(task, self.now_ms)
                 ),
                 default=0.0,
             )
@@ -170,18 +167,19 @@
         key = (task.job.job_id, task.step_number)
         placement = self._placements.get(key)
         if placement is None or task.step.per_worker_max:
-            placement = self._make_placement(task, self._accepting)
+            placement = self._make_placement(task, self.index)
             self._placements[key] = placement
         return placement
 
     def _start_isolated(self, task: PlacedTask) -> bool:
         if not self.may_start(task):
             return False
-        idle = [worker for worker in self._accepting if not worker.runs]
-        worker = self._make_placement(task, idle).choose(task)
+        accepting = self.index.accepting(self.now_ms)
+        idle = [worker for worker in accepting if not worker.runs]
+        index = WorkerIndex.of(idle, self.index.limits, self.now_ms)
+        worker = self._make_placement(task, index).choose(task)
         if worker is None:
             return False
-        self._accepting.remove(worker)
         # The placements made so far have the worker among their candidates.
         self._placements.clear()
         self._start_on(task, worker)
@@ -193,12 +191,10 @@
             self.model.count("tasks_with_rack", "elsewhere" if is_remote else "rack")
         self.start_run(task, worker)
 
-    def _make_placement(
-        self, task: PlacedTask, workers: list[WorkerView]
-    ) -> StepPlacement:
+    def _make_placement(self, task: PlacedTask, index: WorkerIndex) -> StepPlacement:
         return self.placement_type(
             task,
-            workers,
+            index,
             self.model,
             self.now_ms,
             self._rack_demand,
@@ -222,7 +218,7 @@
     def _free_places(self, task: PlacedTask, factor_max: float) -> list[Place]:
         step = task.step
         places = []
-        for worker in self._accepting:
+        for worker in self._workers_up_to(task, factor_max):
             if worker.failure_score >= UNRELIABLE_SCORE or worker.limits.is_cold(
                 worker
             ):
@@ -239,3 +235,14 @@
                     for free_ms in free_places_ms(step.need, free, ends)
                 ]
         return places
+
+    def _workers_up_to(self, task: PlacedTask, factor_max: float) -> list[WorkerView]:
+        """Return the workers, with room or not, that may be fast enough for a task."""
+        step, model = task.step, self.model
+        service = task.job.submitted.policy.service
+        kind, accepting = (service, step.required_label), self.index.accepting
+        if not step.affinity or model.remote_factor <= 1:
+            return list(accepting(self.now_ms, kind, factor_max))
+        rack = accepting(self.now_ms, (service, step.affinity), factor_max)
+        others = accepting(self.now_ms, kind, factor_max / model.remote_factor)
+        return list(dict.fromkeys((*rack, *others)))
--- a/rattanloom/scheduling/placement_model.py
+++ b/rattanloom/scheduling/placement_model.py
@@ -1,7 +1,7 @@
 """Expected run times of tasks on workers, for decisions about placement."""
 
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from attrs import define, field
@@ -124,14 +124,16 @@
         return ends
 
     def demand_of_racks(
-        self, workers: Collection[WorkerView], now_ms: float
+        self, find_workers: Callable[[float], Iterable[WorkerView]], now_ms: float
     ) -> dict[str, int]:
         """Return the demand for the racks of each worker, in steps, by worker id.
 
         It is up to ``DEMAND_AGE_MAX_MS`` old; workers that were not there are missing.
+        Empty while no rack is in demand.
         """
         if now_ms - self._demand_ms < DEMAND_AGE_MAX_MS:
             return self._demand
+        workers = list(find_workers(now_ms))
         millicores: Counter[str] = Counter()
         for worker in workers:
             for label in worker.entry.labels:
@@ -141,10 +143,12 @@
             for label, size in millicores.items()
         }
         self._demand_ms = now_ms
-        self._demand = {
-            worker.worker_id: max(map(steps.get, worker.entry.labels), default=0)
-            for worker in workers
-        }
+        self._demand = {}
+        if any(steps.values()):
+            self._demand = {
+                worker.worker_id: max(map(steps.get, worker.entry.labels), default=0)
+                for worker in workers
+            }
         return self._demand
 
 
--- a/rattanloom/scheduling/step_placement.py
+++ b/rattanloom/scheduling/step_placement.py
@@ -5,7 +5,7 @@
 job has a low chance anyway.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from math import exp, log
 from operator import attrgetter
 
@@ -19,15 +19,17 @@
     latest_on_time_end_ms,
 )
 from rattanloom.scheduling.worker_choice import matches
+from rattanloom.scheduling.worker_index import (
+    FACTOR_STEP,
+    UNRELIABLE_SCORE,
+    WorkerIndex,
+)
 from rattanloom.scheduling.worker_schedule import (
     Place,
     WorkerSchedule,
 )
 from rattanloom.scheduling.worker_view import WorkerView
 
-# A worker with this failure score or more ranks behind all others except those that
-# the task avoids.
-UNRELIABLE_SCORE = 1.5
 # Standard deviation of the logarithm of a run time around the expected one. Estimates
 # are off by up to 0.4, and the tasks of one job differ.
 RUN_TIME_SPREAD = 0.35
@@ -36,8 +38,6 @@
 # A job that has less than this chance to be on time is placed so that it ends while
 # its outcome still counts.
 ON_TIME_CHANCE_MIN = 0.05
-# Equal chances are compared by the factor by which the task takes longer.
-FACTOR_STEP = 0.1
 # A task waits for a faster worker if that raises its chance by this much, as the
 # expected ends of other runs are rough. It waits for its rack if it loses no more than
 # the second number: a run elsewhere takes processor time from others.
@@ -56,11 +56,6 @@
 _RANK = attrgetter("rank")
 
 
-def _factor_anywhere(task: PlacedTask, worker: WorkerView) -> float:
-    """Return ``PlacementModel.factor`` for a task without a rack, in less time."""
-    return worker.duration_ratio
-
-
 def no_schedule(task: PlacedTask, factor_max: float) -> WorkerSchedule:
     """Return a schedule without places, for tasks that must not wait."""
     return WorkerSchedule([])
@@ -87,7 +82,8 @@
     ``rack_demand`` has the demand for the rack of each worker, if there is any.
     ``schedule_of`` returns when workers on which a task takes at most a given factor
     of its normal time have room. ``_left_ms`` is the time in which the tasks should
-    end. ``_candidates`` has the workers that can run a task now, the best first.
+    end. ``_candidates`` has the workers that can run a task now, the best first; None
+    if their order is that of ``WorkerIndex.fitting``.
     No task waits longer than ``wait_max_ms``: its job would be late, and might be
     refused as such although other workers are idle, or would not be started within
     ``HELD_SHARE`` of its objective. ``factor_awaited`` is the highest factor of the
@@ -98,36 +94,32 @@
     """
 
     task: PlacedTask
-    accepting: Iterable[WorkerView]
+    index: WorkerIndex
     model: PlacementModel
     now_ms: float
     rack_demand: dict[str, int] = field(factory=dict)
     schedule_of: Callable[[PlacedTask, float], WorkerSchedule] = no_schedule
     wait_max_ms: float = field(init=False)
-    _candidates: list[Candidate] = field(init=False)
+    _candidates: list[Candidate] | None = None
     _normal_ms: float = field(init=False)
     _left_ms: float = field(init=False)
-    _has_rack: bool = field(init=False)
+    _has_rack: bool = False
     factor_awaited: float = 0.0
     awaited: Place | None = None
     _worst_chance: float = 1.0
     _best: Candidate | None = None
 
     def __attrs_post_init__(self) -> None:
-        task, model, need = self.task, self.model, self.task.step.need
-        self._normal_ms = max(1.0, model.normal_run_ms(task))
-        factor = model.factor if task.step.affinity else _factor_anywhere
-        factors = [
-            (factor(task, worker), worker)
-            for worker in self.accepting
-            if worker.runs.free.fits(need) and matches(task, worker)
-        ]
-        self._has_rack = bool(task.step.affinity) and any(
-            not model.is_remote(task, worker) and matches(task, worker)
-            for worker in self.accepting
-        )
+        task = self.task
+        self._normal_ms = max(1.0, self.model.normal_run_ms(task))
         self._left_ms = latest_on_time_end_ms(task.job, task.step_number) - self.now_ms
-        fastest = min((factor for factor, _ in factors), default=1.0)
+        factors = None
+        if self._must_rank():
+            factors = [
+                (self.model.factor(task, worker), worker)
+                for worker in self.index.fitting(task, self.now_ms)
+            ]
+            self._has_rack = self._find_rack()
         estimate_ms = max(self._normal_ms, task.step.estimate_ms)
         # The placer gives a job up if a task waits at a tick after its latest useful
         # start, whether or not workers have room.
@@ -137,16 +129,64 @@
             held_max_ms = HELD_SHARE * task.job.submitted.objective_ms
             held_ms = self.now_ms - task.job.arrived_ms
             self.wait_max_ms = min(self.wait_max_ms, held_max_ms - held_ms)
-        if self._chance(fastest) < ON_TIME_CHANCE_MIN:
+        if not self._can_be_on_time(factors):
             latest_ms = latest_late_end_ms(task.job, task.step_number)
             self._left_ms = latest_ms - self.now_ms
-        self._candidates = self._make_candidates(factors)
+        if factors is not None:
+            self._candidates = self._make_candidates(factors)
+
+    def _must_rank(self) -> bool:
+        """Return whether the best worker depends on more than the index sorts by."""
+        is_near_better = self.task.step.affinity and self.model.remote_factor > 1
+        has_cold = self.index.limits.has_cold
+        return bool(is_near_better or self.rack_demand or has_cold)
+
+    def _find_rack(self) -> bool:
+        """Return whether a worker that accepts tasks is in the rack that is named."""
+        task = self.task
+        kind = task.job.submitted.policy.service, task.step.affinity
+        return bool(task.step.affinity) and any(
+            matches(task, worker) for worker in self.index.accepting(self.now_ms, kind)
+        )
+
+    def _can_be_on_time(self, factors: list[tuple[float, WorkerView]] | None) -> bool:
+        """Return whether the fastest of the workers with room may be fast enough."""
+        if factors is None:
+            fitting = self.index.fitting(self.task, self.now_ms)
+            best = next(fitting, None)
+            if best and self._chance(best.duration_ratio) >= ON_TIME_CHANCE_MIN:
+                return True
+            factors = [(worker.duration_ratio, worker) for worker in fitting]
+            factors += [(best.duration_ratio, best)] if best else []
+        fastest = min((factor for factor, _ in factors), default=1.0)
+        return self._chance(fastest) >= ON_TIME_CHANCE_MIN
 
     def choose(self, task: PlacedTask) -> WorkerView | None:
         """Return the best worker for one of the tasks; None if none has capacity.
 
         Of equal ones, this is the worker that the task leaves with the least processor.
         """
+        best = self._first(task) if self._candidates is None else self._ranked(task)
+        self._best = best
+        return None if best is None else best.worker
+
+    def _first(self, task: PlacedTask) -> Candidate | None:
+        """Return the first worker of the index, if possible not an avoided one."""
+        chosen = None
+        for worker in self.index.fitting(task, self.now_ms):
+            is_avoided = worker.worker_id in task.avoided_workers
+            if chosen is None or not is_avoided:
+                chosen = worker
+            if not is_avoided:
+                break
+        if chosen is None:
+            return None
+        step = int(chosen.duration_ratio / FACTOR_STEP)
+        chance = self._chance((step + 0.5) * FACTOR_STEP)
+        return Candidate(chosen, chosen.duration_ratio, chance, ())
+
+    def _ranked(self, task: PlacedTask) -> Candidate | None:
+        """Return the best of the candidates."""
         need = self.task.step.need
         best, best_key = None, None
         for candidate in self._candidates:
@@ -164,8 +204,7 @@
             key = (is_avoided, candidate.rank, free.cpu_millicores)
             if best_key is None or key < best_key:
                 best, best_key = candidate, key
-        self._best = best
-        return None if best is None else best.worker
+        return best
 
     def should_wait(self) -> bool:
         """Return whether the task should wait instead of using the chosen worker.
--- a/rattanloom/scheduling/worker_speed.py
+++ b/rattanloom/scheduling/worker_speed.py
@@ -1,5 +1,6 @@
 """The learned speed of a worker, relative to that of others."""
 
+from collections.abc import Callable
 from math import exp, log
 
 from attrs import define
@@ -28,13 +29,20 @@
     ``duration_ratio`` is above 1 for a slow worker. The average is geometric, as run
     times are spread by factors. ``_changed`` is the direction in which the last run
     differed by ``CHANGE_FACTOR``, or 0. ``_updated_ms`` is the time of the last
-    finished run, or of the last decay.
+    finished run, or of the last decay. ``on_change`` is called after each change of the
+    average.
     """
 
     duration_ratio: float = 1.0
     runs: int = PRIOR_RUNS
     _changed: int = 0
     _updated_ms: float = 0
+    on_change: Callable[[], None] = lambda: None
+
+    @property
+    def decays_at_ms(self) -> float:
+        """Return when the average decays next unless a run finishes before."""
+        return self._updated_ms + HALF_LIFE_MS
 
     def learn(self, ratio: float, now_ms: float) -> None:
         """Record the ratio of one run's duration to that on a worker of speed 1."""
@@ -50,6 +58,7 @@
             weight = max(weight, CHANGE_GAIN)
         self._changed = changed
         self.duration_ratio *= exp(weight * difference)
+        self.on_change()
 
     def decay(self, now_ms: float) -> None:
         """Move the average towards normal speed if no run has finished lately."""
@@ -57,3 +66,4 @@
         if periods > 0:
             self._updated_ms += periods * HALF_LIFE_MS
             self.duration_ratio **= 0.5**periods
+            self.on_change()
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator
+from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -36,6 +37,7 @@
 )
 from rattanloom.scheduling.progress import RunProgress
 from rattanloom.scheduling.waiting import WaitingTasks
+from rattanloom.scheduling.worker_index import WorkerIndex
 from tests.dispatcher_fakes import CLOCK, FakeReceiver
 
 TICK_MS = 50
@@ -150,6 +152,7 @@
     gives_up_useless: bool = False
     results: Results = field(factory=Results)
     pool: list[ModelWorker] = field(factory=list)
+    index: WorkerIndex = field(factory=lambda: WorkerIndex(StartLimits(CLOCK)))
     waiting: WaitingTasks = field(factory=WaitingTasks)
     arriving: ArrivingWork = field(factory=ArrivingWork)
     shortage: Shortage = field(factory=Shortage)
@@ -173,6 +176,7 @@
             if self.is_varied:
                 worker.duration_ratio = 1 / (0.8, 1.0, 1.25, 1.0)[number % 4]
             self.pool.append(worker)
+            self.follow(worker)
         for name, kind in self.kinds.items():
             self._plan_arrivals(name, kind, self._random)
         at_ms = 0
@@ -185,10 +189,16 @@
             self._start_tasks()
         return self.results
 
+    def follow(self, worker: ModelWorker) -> None:
+        """Add a worker to the index."""
+        worker.runs.on_change = partial(self.index.mark, worker)
+        self.index.add(worker)
+
     def remove_workers(self, share: float) -> None:
         """Let a share of the workers accept no further tasks."""
         for worker in self.pool[: round(share * len(self.pool))]:
             worker.state = WorkerState.UNRESPONSIVE
+            self.index.mark(worker)
 
     def at(self, at_ms: float, action: Callable, *arguments: object) -> None:
         """Plan a change during the replay."""
@@ -246,7 +256,7 @@
             self.waiting.add(task, self.now_ms)
 
     def _start_tasks(self) -> None:
-        AssignmentPass(self.pool, lambda task: True, self._start, self.now_ms).run(
+        AssignmentPass(self.index, lambda task: True, self._start, self.now_ms).run(
             self.waiting
         )
 
--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -5,6 +5,8 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
+from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -19,8 +21,10 @@
 from rattanloom.placement.worker_runs import WorkerRuns
 from rattanloom.placement.workers import Resources, WorkerEntry
 from rattanloom.scheduling.assignment import AssignmentPass
+from rattanloom.scheduling.speed_decay import SpeedDecay
 from rattanloom.scheduling.step_placement import StepPlacement
 from rattanloom.scheduling.waiting import WaitingTasks
+from rattanloom.scheduling.worker_index import WorkerIndex
 from rattanloom.scheduling.worker_speed import WorkerSpeed
 from tests.dispatcher_fakes import CLOCK, FakeReceiver
 
@@ -51,11 +55,10 @@
     """The former choice: fast workers in steps of a quarter, then the best fit."""
 
     def __attrs_post_init__(self):
-        self._candidates = []
+        pass
 
     def choose(self, task):
-        need = task.step.need
-        workers = [worker for worker in self.accepting if worker.runs.free.fits(need)]
+        workers = self.index.fitting(task, self.now_ms)
         return min(workers, key=self._former_rank, default=None)
 
     def _former_rank(self, worker):
@@ -90,6 +93,16 @@
         return self.speed.duration_ratio
 
 
+def make_index(workers: Iterable[ModelWorker], now_ms: float = 0) -> WorkerIndex:
+    """Return an index that follows the workers' runs; they share the limits."""
+    workers = list(workers)
+    index = WorkerIndex.of(workers, workers[0].limits, now_ms)
+    for worker in workers:
+        worker.limits = index.limits
+        worker.runs.on_change = worker.speed.on_change = partial(index.mark, worker)
+    return index
+
+
 @define(eq=False)
 class PlacementReplay:
     """One replay; ``load`` is the share of the processor that the arrivals need."""
@@ -107,6 +120,8 @@
     asked: Counter = field(factory=Counter)
     now_ms: float = 0
     pool: list[ModelWorker] = field(factory=list)
+    index: WorkerIndex = field(init=False)
+    speed_decay: SpeedDecay = field(factory=SpeedDecay)
     waiting: WaitingTasks = field(factory=WaitingTasks)
     health: WorkerHealth = field(factory=WorkerHealth)
     _true_speeds: dict[str, float] = field(factory=dict)
@@ -124,6 +139,8 @@
             entry = WorkerEntry(f"w{number}", 1, "s", "", "a", True, capacity, (rack,))
             self.pool.append(ModelWorker(entry, WorkerRuns(capacity, Counter())))
             self._true_speeds[f"w{number}"] = random.choice(self.speeds)
+            self.speed_decay.add(self.pool[-1].speed)
+        self.index = make_index(self.pool)
         size = sum(
             worker.runs.capacity.cpu_millicores * self._true_speeds[worker.worker_id]
             for worker in self.pool
@@ -182,7 +199,7 @@
 
     def _start_tasks(self) -> None:
         AssignmentPass(
-            self.pool,
+            self.index,
             lambda task: True,
             self._start,
             self.now_ms,
@@ -209,6 +226,7 @@
         if self.is_former:
             ratio = min(max(run_ms / run.step.estimate_ms, 0.25), 10)
             worker.speed.duration_ratio += 0.15 * (ratio - worker.duration_ratio)
+            self.index.mark(worker)
         else:
             self.health.placement.learn(run.task, worker, run_ms, self.now_ms)
         job = run.task.job
@@ -227,7 +245,7 @@
             if self.now_ms > task.job.latest_useful_start_ms:
                 task.job.ended = True
         if not self.is_former:
-            self.health.decay_speeds(self.pool, self.now_ms)
+            self.speed_decay.run(self.now_ms)
         for worker in self.pool:
             for run in worker.runs.all():
                 if self.now_ms > run.task.job.deadline_ms or run.task.job.ended:
--- a/tests/test_cold_workers.py
+++ b/tests/test_cold_workers.py
@@ -12,6 +12,7 @@
 from rattanloom.scheduling.placement_model import PlacementModel
 from rattanloom.scheduling.step_placement import StepPlacement
 from rattanloom.scheduling.worker_choice import accepts_tasks
+from rattanloom.scheduling.worker_index import WorkerIndex
 from tests.dispatcher_fakes import FakeReceiver, FakeWorker, make_submitted_job
 from tests.test_job_router import ManualClock
 from tests.test_placer import TOKEN
@@ -69,9 +70,10 @@
     """Return the worker chosen for a task, after its start was counted."""
     job = make_job(make_submitted_job(), FakeReceiver(), (), 0)
     if accepting is None:
-        accepting = [w for w in placer.workers.values() if accepts_tasks(w, 0)]
+        accepting = placer.workers.values()
     task = job.tasks[0]
-    worker = StepPlacement(task, accepting, PlacementModel(), 0).choose(task)
+    index = WorkerIndex.of(accepting, placer.start_limits, 0)
+    worker = StepPlacement(task, index, PlacementModel(), 0).choose(task)
     if worker is not None:
         placer.start_limits.cold_workers.record_start(worker)
     return worker
--- a/tests/test_leaving_replay.py
+++ b/tests/test_leaving_replay.py
@@ -39,6 +39,8 @@
             entry = evolve(known.entry, accepting=False, leaves_at_ms=leaves_at_ms)
             worker = LeavingWorker(entry, known.runs, on_stop=self._plan_end)
             self.pool[number] = worker
+            self.index.remove(known)
+            self.follow(worker)
             self.at(leaves_at_ms, self._leave, worker)
         for delay_ms in range(0, NOTICE_MIN_MS * stops_runs, TICK_MS):
             self.at(self.now_ms + delay_ms, self._stop_runs)
@@ -49,7 +51,7 @@
                 duration_ms = self._played[run.task.job.job_id].duration_ms
                 run.percent = int(100 * (self.now_ms - run.ordered_ms) / duration_ms)
         self.stopped += stop_leaving_runs(
-            self.pool, self.waiting, Metrics(), self.now_ms
+            self.index, self.waiting, Metrics(), self.now_ms
         )
 
     def _plan_end(self, worker: ModelWorker, run: Run) -> None:
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -7,7 +7,6 @@
 from attrs import evolve
 
 from rattanloom.metrics import Metrics
-from rattanloom.placement.job_endings import capacity_millicores
 from rattanloom.placement.jobs import OutcomeKind
 from rattanloom.placement.leaving_workers import stop_leaving_runs
 from rattanloom.placement.load_report import measure_load
@@ -123,8 +122,8 @@
         pooled.entry = evolve(
             pooled.entry, accepting=False, leaves_at_ms=now_ms + 2_000
         )
-        pool = placer.workers.values()
-        assert stop_leaving_runs(pool, placer.waiting, Metrics(), now_ms) == 0
+        index = placer.index
+        assert stop_leaving_runs(index, placer.waiting, Metrics(), now_ms) == 0
 
 
 def test_work_of_stopped_runs_counts_for_the_next_ones_of_the_same_tick():
@@ -148,7 +147,7 @@
         # job is of use for 12 s, and another run takes 6 s.
         for placed in placer.jobs.values():
             placed.deadline_ms = now_ms + 12_000
-        stopped = stop_leaving_runs(pool, placer.waiting, Metrics(), now_ms)
+        stopped = stop_leaving_runs(placer.index, placer.waiting, Metrics(), now_ms)
     assert stopped == 3
 
 
@@ -209,8 +208,7 @@
         placer.workers["w1"].paused_until_ms = 0
         placer.submit(receiver, make_submitted_job(), ())
         gevent.sleep(0.1)
-        pool = placer.workers.values()
-        assert capacity_millicores(pool, CLOCK.now_ms()) == 0
+        assert placer.index.usable_millicores(CLOCK.now_ms()) == 0
         assert measure_load(placer, (), CLOCK.now_ms()).capacity_millicores == 0
         assert not placer.metrics.counters["tasks_not_started", "no_answer"]
     assert not worker.starts
@@ -220,4 +218,4 @@
     with running_placer(FakeWorker("w1", cut_off=True), FakeWorker("w2")) as placer:
         assert wait_for(lambda: placer.workers["w2"].state is WorkerState.READY)
         assert placer.workers["w1"].state is WorkerState.SYNCING
-        assert capacity_millicores(placer.workers.values(), CLOCK.now_ms()) == 64_000
+        assert placer.index.usable_millicores(CLOCK.now_ms()) == 64_000
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -19,7 +19,13 @@
 from rattanloom.scheduling.worker_schedule import PLACES_MAX, free_places_ms
 from rattanloom.scheduling.worker_speed import WorkerSpeed
 from tests.dispatcher_fakes import FakeReceiver, make_submitted_job
-from tests.placement_replay import KINDS, Kind, ModelWorker, PlacementReplay
+from tests.placement_replay import (
+    KINDS,
+    Kind,
+    ModelWorker,
+    PlacementReplay,
+    make_index,
+)
 
 HOT_RACK = KINDS | {"urgent": evolve(KINDS["urgent"], rack_share=0.6)}
 WITH_LARGE = KINDS | {"large": Kind(2, 200, 0.2, 24_000)}
@@ -86,7 +92,8 @@
 
     waiting.add(task, now_ms)
     model = model or PlacementModel(3)
-    AssignmentPass(workers, lambda _: True, start, now_ms, model=model).run(waiting)
+    index = make_index(workers, now_ms)
+    AssignmentPass(index, lambda _: True, start, now_ms, model=model).run(waiting)
     assert bool(started) != bool(waiting)
     return started[0] if started else None
 
@@ -129,7 +136,7 @@
         waiting = WaitingTasks()
         waiting.add(task, now_ms)
         AssignmentPass(
-            workers,
+            make_index(workers, now_ms),
             lambda _: True,
             lambda task, worker: started.append(worker.worker_id),
             now_ms,
@@ -206,7 +213,7 @@
     elif change == "unreliable":
         workers[1].failure_score = 1.5
     else:
-        limits = workers[1].limits
+        limits = workers[0].limits
         limits.has_cold = True
         limits.cold_workers.cold_until_ms = {"w2": float("inf")}
     assert place(task, workers) == "w1"
@@ -239,7 +246,7 @@
     for task in job.tasks:
         waiting.add(task, 0)
     AssignmentPass(
-        [others, worker],
+        make_index([others, worker]),
         lambda _: True,
         start,
         0,
@@ -258,7 +265,8 @@
         raise ValueError("no start")
 
     with pytest.raises(ValueError, match="no start"):
-        AssignmentPass([make_worker("w1", "r1")], lambda _: True, fail, 0).run(waiting)
+        index = make_index([make_worker("w1", "r1")])
+        AssignmentPass(index, lambda _: True, fail, 0).run(waiting)
     assert set(waiting) == set(tasks)
 
 
@@ -289,7 +297,7 @@
     waiting = WaitingTasks()
     waiting.add(make_task(number=2), 0)
     AssignmentPass(
-        workers,
+        make_index(workers),
         lambda _: True,
         lambda task, worker: started.append(worker.worker_id),
         0,
