A pass of placement ends once no worker has room for the smallest waiting task

Change: WaitingTasks counts its entries by service and processor need. A pass goes on only while a worker of a service has as much processor free as the smallest need of the service's entries. The hypothesis test checks that no task could start otherwise.

A pass that ends early no longer moves the tasks that it skipped behind others of exactly the same rank, so choices differ between equal tasks and between late started jobs.

Ruled out: fewer skipped tasks in a pass; small tasks behind large ones must start.

--- a/rattanloom/scheduling/assignment.py
+++ b/rattanloom/scheduling/assignment.py
@@ -65,6 +65,9 @@
         skipped: list[PlacedTask] = []
         try:
             while len(skipped) - self._held < SKIPPED_TASKS_MAX:
+                needs = waiting.smallest_needs()
+                if not self.index.has_room_for_any(needs, self.now_ms):
+                    break
                 task = waiting.pop(self.now_ms)
                 if task is None:
                     break
--- a/rattanloom/scheduling/waiting.py
+++ b/rattanloom/scheduling/waiting.py
@@ -1,5 +1,6 @@
 """Queues of the tasks that wait for free capacity on a worker."""
 
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from heapq import heappop, heappush
 from itertools import count
@@ -60,12 +61,14 @@
 
     Among the first tasks of the levels, that of a level that is owed its guaranteed
     share goes first, then the one whose delay costs most per work that its job needs.
+    ``_needs`` counts the entries by service and processor need (thousandths of a core).
     """
 
     demand: DemandByLevel = field(factory=DemandByLevel)
     shares: GuaranteedShares = field(init=False)
     _levels: dict[int, LevelQueues] = field(factory=dict)
     _numbers: Iterator[int] = field(factory=count)
+    _needs: dict[str, Counter[int]] = field(factory=lambda: defaultdict(Counter))
 
     def __attrs_post_init__(self) -> None:
         self.shares = GuaranteedShares(self.demand)
@@ -89,6 +92,8 @@
         elif kind == LATE:
             rank = _late_order(task)
         heappush(level_queues.queues[kind], (rank, next(self._numbers), task))
+        need_millicores = task.step.need.cpu_millicores
+        self._needs[task.job.submitted.policy.service][need_millicores] += 1
 
     def pop(self, now_ms: float) -> PlacedTask | None:
         """Remove and return the first task that is still waiting, or None.
@@ -110,9 +115,27 @@
                 if best is None or rank[2] > best_rank:
                     best, best_rank = queue, rank[2]
             if best is not None:
-                return heappop(best)[2]
+                return self._pop_first(best)
         return None
 
+    def smallest_needs(self) -> Iterator[tuple[str, int]]:
+        """Yield the services of the entries, and the smallest processor need of each.
+
+        Their tasks may not wait any more.
+        """
+        for service, needs in self._needs.items():
+            if needs:
+                yield service, min(needs)
+
+    def _pop_first(self, queue: list[Entry]) -> PlacedTask:
+        task = heappop(queue)[2]
+        needs = self._needs[task.job.submitted.policy.service]
+        need_millicores = task.step.need.cpu_millicores
+        needs[need_millicores] -= 1
+        if not needs[need_millicores]:
+            del needs[need_millicores]
+        return task
+
     def record_start(self, task: PlacedTask) -> None:
         """Count the start of a task, for the guaranteed shares of the levels."""
         waiting = [level for level, queues in self._levels.items() if queues]
@@ -132,10 +155,10 @@
             if is_waiting(task):
                 if _queue_of(task.job, now_ms) in (kind, STARTED):
                     return True
-                heappop(queue)
+                self._pop_first(queue)
                 self.put_back(task, now_ms)
             else:
-                heappop(queue)
+                self._pop_first(queue)
         return False
 
     def _rank(self, level: int, queue: list[Entry], now_ms: float) -> Rank:
@@ -197,6 +220,7 @@
     def clear(self) -> None:
         """Remove all waiting tasks."""
         self._levels.clear()
+        self._needs.clear()
 
 
 def cost_of(job: PlacedJob) -> JobCost:
--- a/rattanloom/scheduling/worker_index.py
+++ b/rattanloom/scheduling/worker_index.py
@@ -252,6 +252,18 @@
                         if self.limits.allows(worker):
                             yield worker
 
+    def has_room_for_any(self, needs: Iterable[tuple[str, int]], now_ms: float) -> bool:
+        """Return whether a worker may have room for one of some tasks.
+
+        ``needs`` has services and processor needs. True may be wrong, False is not.
+        """
+        self.refresh(now_ms)
+        return any(
+            rooms[-1][0] >= need_millicores
+            for service, need_millicores in needs
+            for rooms in self._groups.get((service, ""), {}).values()
+        )
+
     def has_free_capacity(self, now_ms: float) -> bool:
         """Return whether any worker accepts a task now."""
         self.refresh(now_ms)
--- a/tests/test_worker_index.py
+++ b/tests/test_worker_index.py
@@ -1,6 +1,7 @@
 """Tests of the index of workers, and of the choices made by it."""
 
 from collections import Counter
+from random import Random
 
 import pytest
 from attrs import define, evolve
@@ -192,6 +193,8 @@
             if value < 3:
                 task.avoided_workers.add(worker.worker_id)
             demand = {"w1": 1} if value == 9 else {}
+            need = (SERVICE, task.step.need.cpu_millicores)
+            may_fit = index.has_room_for_any([need], now_ms)
             found = StepPlacement(task, index, model, now_ms, demand)
             former = ScanPlacement(task, scan, model, now_ms, demand)
             assert found._left_ms == former._left_ms
@@ -201,6 +204,7 @@
             if former_pick is None:
                 assert pick is None
                 continue
+            assert may_fit
             ranks = {id(each.worker): each.rank for each in former._candidates}
             assert ranks[id(pick)] == ranks[id(former_pick)]
             assert pick.runs.free.cpu_millicores == former_pick.runs.free.cpu_millicores
@@ -253,6 +257,43 @@
     assert count_examined(monkeypatch, 300, 0) <= few
 
 
+def test_pass_over_full_workers_examines_one_task_for_each_place():
+    waiting = WaitingTasks()
+    for number in range(100):
+        for task in make_tasks(Step(1, Resources(20_000, 64), 100), number + 1):
+            waiting.add(task, 0)
+    examined, started = [], []
+
+    def start(task, worker):
+        task.state = TaskState.PLACED
+        started.append(task)
+        add_run(worker, task)
+
+    index = make_index(make_worker(number) for number in range(3))
+    for _ in range(2):
+        AssignmentPass(index, lambda task: not examined.append(task), start, 0).run(
+            waiting
+        )
+    assert len(started) == len(examined) == 3
+    assert len(list(waiting)) == 97
+
+
+def test_smallest_needs_are_those_of_the_waiting_tasks():
+    waiting, random = WaitingTasks(), Random(1)
+    for number in range(300):
+        now_ms = 20 * number
+        step = Step(2, Resources(random.choice((4_000, 14_000)), 64), 100)
+        for task in make_tasks(step, number + 1):
+            waiting.add(task, now_ms)
+        popped = [waiting.pop(now_ms) for _ in range(random.randrange(6))]
+        for task in filter(None, popped):
+            if random.random() < 0.3:
+                waiting.put_back(task, now_ms)
+        needs = {task.step.need.cpu_millicores for task in waiting}
+        smallest = [(SERVICE, need) for need in sorted(needs)[:1]]
+        assert list(waiting.smallest_needs()) == smallest
+
+
 @pytest.mark.parametrize("seed_ms", [0.0, 1e9 / 3])
 def test_speeds_decay_as_soon_as_if_all_were_examined_at_each_tick(seed_ms):
     speeds, others = ([WorkerSpeed(4.0) for _ in range(5)] for _ in range(2))
