--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -75,7 +75,8 @@
     the message ``Submit``. ``earlier_receivers`` has the receivers of the client's
     earlier posts, by submission. ``completion_waits`` is set if a run was still active
     when all tasks were done. ``expected_path_ms`` is the learned duration of its
-    critical path, if it is known.
+    critical path, if it is known. ``runs`` has the runs of its tasks, with their
+    workers' ids; ``WorkerRuns`` changes it.
     """
 
     submitted: SubmittedJob
@@ -83,6 +84,7 @@
     arrived_ms: float
     deadline_ms: float
     tasks: list[PlacedTask] = field(factory=list)
+    runs: "dict[Run, str]" = field(factory=dict)
     tasks_left: int = 0
     former_placers: tuple[str, ...] = ()
     received_ms: float = 0
