Responses that only httptools accepts are lost replies, as before

Cause: test_altered_answer_... failed once beside the tests of other modules, which change the examples that hypothesis makes: an empty line before the status line was accepted by the new client and refused by the former. A search of 600,000 altered responses against http.client (trial) found two more: a status below 100, and the body of a "Transfer-Encoding" that lists more than "chunked", which the former client returned undecoded.

Ruled out: a race in the test or the client; the failure comes with the same example each time. The test server nevertheless ends connections by shutdown, which takes effect at once, and listens on an address that no other process probes.

Change: all three are lost replies. Tolerated, since the status is beyond doubt: empty lines between an interim response and the final one, and "Transfer-Encoding: chunked" with status 204 or 304.

--- a/rattanloom/platform/http.py
+++ b/rattanloom/platform/http.py
@@ -21,6 +21,7 @@
 CONTINUE, OK = int(HTTPStatus.CONTINUE), int(HTTPStatus.OK)
 HTTP_PORT = "80"  # left out of the header ``Host``
 HEADERS = {"Content-Type": "application/json"}
+LINE_ENDS = (b"\r", b"\n")  # the parser skips them before a response
 METHODS_WITH_BODY = frozenset({"PATCH", "POST", "PUT"})
 VERSIONS = frozenset({"1.1", "1.0", "0.9"})
 
@@ -49,12 +50,15 @@
         self.response: Response | None = None
         self.keeps_connection = False
         self._parser = HttpResponseParser(self)
-        self._head_bytes = 0
+        self._received_bytes = 0
         self._status = 0
         self.on_message_begin()
 
     def feed(self, data: bytes) -> None:
         """Read a non-empty piece; raise ``ResponseError`` if it is invalid."""
+        if not self._received_bytes and data[:1] in LINE_ENDS:
+            raise ResponseError("it begins with an empty line")
+        self._received_bytes += len(data)
         # A response that is complete before the last byte is followed by other data.
         self._feed_parser(data[:-1])
         has_extra_data = self.response is not None
@@ -63,10 +67,8 @@
             self.keeps_connection = False
         if self.response is not None:
             del self._parser  # ends the reference cycle
-        elif not self._status:
-            self._head_bytes += len(data)
-            if self._head_bytes > HEAD_MAX_BYTES:
-                raise ResponseError(f"its headers exceed {HEAD_MAX_BYTES} bytes")
+        elif not self._status and self._received_bytes > HEAD_MAX_BYTES:
+            raise ResponseError(f"its headers exceed {HEAD_MAX_BYTES} bytes")
 
     def end(self) -> Response:
         """Return a response that ends with the connection; raise if it was cut."""
@@ -88,7 +90,9 @@
         elif name == b"content-length":
             self._has_length = True
         elif name == b"transfer-encoding":
-            self._has_length |= value.lower().endswith(b"chunked")
+            self._has_length = True
+            if value.lower() != b"chunked":
+                raise ResponseError(f"its transfer encoding is {value!r}")
 
     def on_headers_complete(self) -> None:
         """Note the status, unless the final response is still to follow."""
@@ -96,6 +100,8 @@
         if version not in VERSIONS:
             raise ResponseError(f"its HTTP version is {version}")
         status = self._parser.get_status_code()
+        if status < CONTINUE:
+            raise ResponseError(f"its status is {status}")
         if status == CONTINUE or self.response is not None:
             return
         self._status = status
@@ -122,7 +128,8 @@
         except HttpParserError as error:
             # Invalid data after a complete response only ends the connection.
             if self.response is None:
-                raise ResponseError(f"it is invalid: {error}") from error
+                reason = error.__context__ or error  # of a callback, or the parser's
+                raise ResponseError(f"it is invalid: {reason}") from error
             self.keeps_connection = False
 
 
