Send the end of a long request without a delay by the kernel

The last, partial segment of a request longer than a segment could then wait for the acknowledgement of the ones before.

The test fails without the option and passes with it.

--- a/rattanloom/platform/http.py
+++ b/rattanloom/platform/http.py
@@ -5,7 +5,7 @@
 """
 
 from http import HTTPStatus
-from socket import MSG_PEEK, create_connection, socket
+from socket import IPPROTO_TCP, MSG_PEEK, TCP_NODELAY, create_connection, socket
 from time import monotonic
 
 import gevent
@@ -215,11 +215,13 @@
         host, _, port = self.address.rpartition(":")
         # Limits the resolution of a host name as well.
         with gevent.Timeout(timeout_ms / MS_PER_S, TimeoutError("timed out")):
-            return create_connection(
+            connection = create_connection(
                 (host.strip("[]"), int(port)),
                 self.connect_timeout_ms / MS_PER_S,
                 (self.source_ip, 0) if self.source_ip else None,
             )
+        connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        return connection
 
     def _release_connection(self, connection: socket, is_persistent: bool) -> None:
         """Keep a connection for further calls, unless the server closes it."""
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -322,3 +322,11 @@
         call.kill()
         assert client.call(*REQUEST, TIMEOUT_MS).status == 200
     assert server.connections == 2
+
+
+def test_end_of_a_long_request_is_not_delayed_by_the_kernel():
+    with serving([[OK]]) as (_, address):
+        client = make_client(address)
+        assert client.call(*REQUEST, TIMEOUT_MS).status == 200
+        (connection,) = client._idle
+        assert connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
