Keep the requests of concurrent greenlets apart in a daemon

The tests run with everything patched, so none saw it.

Change: threading.local and RLock are gevent's before any library is imported.

Evidence: test_requests_of_concurrent_greenlets_are_not_mixed, in a fresh interpreter that starts like a daemon, fails before and passes.

--- a/rattanloom/daemon_imports.py
+++ b/rattanloom/daemon_imports.py
@@ -3,6 +3,7 @@
 import gc
 import socket
 import sys
+import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
 from importlib import import_module
@@ -78,8 +79,11 @@
         gc.enable()
 
 
-def patch_sockets() -> None:
-    """Make the sockets of this process gevent's.
+def patch_standard_library() -> None:
+    """Make the sockets, thread-local data and locks of this process gevent's.
+
+    ``bottle`` keeps the current request in thread-local data: without the patch, the
+    requests of all greenlets would share it.
 
     ``monkey.patch_all`` takes longer than all other imports of gevent: it also
     searches the installed packages for plugins. The daemon uses gevent's functions for
@@ -87,15 +91,19 @@
     """
     from gevent import monkey
     from gevent import socket as gevent_socket
+    from gevent.local import local
+    from gevent.lock import RLock
 
     for name in SOCKET_NAMES:
         monkey.patch_item(socket, name, getattr(gevent_socket, name))
+    monkey.patch_item(threading, "local", local)
+    monkey.patch_item(threading, "RLock", RLock)
 
 
 @contextmanager
 def lean_imports() -> Iterator[None]:
-    """Import the daemon's libraries in this block; its sockets are gevent's."""
+    """Import the daemon's libraries in this block, for use by greenlets."""
     defer_unused_modules()
     with omitting_openssl(), deferring_collection():
-        patch_sockets()
+        patch_standard_library()
         yield
--- a/tests/test_daemon_imports.py
+++ b/tests/test_daemon_imports.py
@@ -56,3 +56,18 @@
 print("true" if gc.isenabled() and hashlib.sha1(b"").name == "sha1" else "false")
 """
     assert run_after_start(statements) is True
+
+
+def test_requests_of_concurrent_greenlets_are_not_mixed():
+    # bottle keeps the current request in thread-local data.
+    statements = """
+import bottle, gevent
+paths = {}
+def handle(path):
+    bottle.request.bind({"PATH_INFO": path})
+    gevent.sleep(0.01)
+    paths[path] = bottle.request.path
+gevent.joinall([gevent.spawn(handle, path) for path in ("/a", "/b")])
+print("true" if paths == {"/a": "/a", "/b": "/b"} else "false")
+"""
+    assert run_after_start(statements) is True
