--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -16,7 +16,7 @@
 import sys
 import time
 from base64 import b64encode
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from random import Random
@@ -208,8 +208,15 @@
 
 
 @contextmanager
-def running_deployment(size: DeploymentSize, random: Random) -> Iterator[Deployment]:
-    """Start a deployment, and stop all its processes at the end of the block."""
+def running_deployment(
+    size: DeploymentSize,
+    random: Random,
+    prepare: Callable[[Daemon], None] = lambda daemon: None,
+) -> Iterator[Deployment]:
+    """Start a deployment, and stop all its processes at the end of the block.
+
+    ``prepare`` is called with each daemon before it is started.
+    """
     with ExitStack() as stack:
         folder = Path(stack.enter_context(TemporaryDirectory(prefix="soak-")))
         network = stack.enter_context(reserved_network())
@@ -219,6 +226,8 @@
         deployment.store.start()
         _await_store(deployment)
         deployment.configure()
+        for daemon in deployment.daemons.values():
+            prepare(daemon)
         for process in deployment.processes()[1:]:
             process.start()
         deployment.await_ready()
