Stalled runs and their progress are found by job, so a tick examines no idle worker

Cause: at each tick of 50 ms, the search for stalled runs copied the runs of each worker, and in a shortage the prediction of useless jobs did the same.

Change: both go through the runs that each job keeps. Runs on workers that left the pool are left out as before, also if a worker came back under the same id. The test of that fails without the check, and the new tests that a change of a pooled worker reaches the index fail without the hooks that they name.

--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -8,6 +8,7 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.metrics import Metrics
 from rattanloom.placement.inherited_work import InheritedWork
+from rattanloom.placement.job_runs import runs_in_pool
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedJob, RunPhase
@@ -112,15 +113,11 @@
 
     def _progress(self) -> Iterator[tuple[PlacedJob, RunProgress]]:
         """Iterate over the runs of jobs, with their progress in the last report."""
-        for worker in self.workers.values():
-            for run in worker.runs.all():
-                if (
-                    run.task is not None
-                    and run.phase is RunPhase.RUNNING
-                    and run.confirmed_ms is not None
-                ):
+        for job in self.jobs.values():
+            for _, run in runs_in_pool(job, self.workers):
+                if run.phase is RunPhase.RUNNING and run.confirmed_ms is not None:
                     yield (
-                        run.task.job,
+                        job,
                         RunProgress(run.confirmed_ms, run.last_listed_ms, run.percent),
                     )
 
@@ -188,10 +185,7 @@
     def stop_runs(self, job: PlacedJob) -> None:
         """Stop the runs of a job's tasks."""
         now_ms = self.clock.now_ms()
-        for run, worker_id in list(job.runs.items()):
-            worker = self.workers.get(worker_id)
-            if worker is None or worker.runs.get(run.key) is not run:
-                continue
+        for worker, run in runs_in_pool(job, self.workers):
             if run.phase is not RunPhase.STOPPING:
                 lost = run.step.need.cpu_millicores * (now_ms - run.ordered_ms)
                 self.metrics.count("work_lost_core_ms", by=round(lost / 1_000))
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -264,7 +264,7 @@
             self._finish_done_tasks(job)
         self.endings.end_overdue(now_ms)
         if self.index.has_free_capacity(now_ms):
-            stop_stalled_runs(self.workers.values(), self.worker_health, now_ms)
+            stop_stalled_runs(self.jobs, self.workers, self.worker_health, now_ms)
         self.inherited_work.remove_expired()
         self.endings.submissions.remove_expired(now_ms)
         self.crash_policy.records.remove_expired(now_ms)
--- a/rattanloom/placement/worker_health.py
+++ b/rattanloom/placement/worker_health.py
@@ -68,5 +68,7 @@
 
     def is_stalled(self, run: Run) -> bool:
         """Return whether reports list a run without progress for ``STALLED_MS``."""
-        stalled_ms = run.last_listed_ms - run.last_progress_ms
-        return run.phase is RunPhase.RUNNING and stalled_ms >= STALLED_MS
+        return (
+            run.last_listed_ms - run.last_progress_ms >= STALLED_MS
+            and run.phase is RunPhase.RUNNING
+        )
--- a/tests/test_worker_index.py
+++ b/tests/test_worker_index.py
@@ -24,6 +24,7 @@
 from rattanloom.scheduling.worker_speed import WorkerSpeed
 from tests.dispatcher_fakes import FakeReceiver, make_submitted_job
 from tests.placement_replay import ModelWorker, make_index
+from tests.test_cold_workers import make_placer
 
 SERVICE = "service"
 
@@ -219,6 +220,43 @@
         )
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda worker: setattr(worker, "state", WorkerState.UNRESPONSIVE),
+        lambda worker: setattr(worker, "paused_until_ms", 100),
+        lambda worker: setattr(worker, "drains_until_ms", 100),
+        lambda worker: setattr(worker, "failure_score", 2),
+        lambda worker: setattr(worker, "incarnation_ms", 2),
+        lambda worker: worker.apply_entry(evolve(worker.entry, labels=("r1",))),
+        lambda worker: worker.runs.set_capacity(Resources(8_000, 64)),
+        lambda worker: worker.speed.learn(9.0, 0),
+        lambda worker: add_run(worker, make_tasks(Step(1, Resources(1), 1))[0]),
+    ],
+    ids=[
+        "state",
+        "paused",
+        "drains",
+        "failures",
+        "restart",
+        "entry",
+        "capacity",
+        "speed",
+        "run",
+    ],
+)
+def test_change_of_a_pooled_worker_reaches_the_index(change):
+    placer = make_placer({}, 2)
+    placer.index.refresh(0)
+    before = contents(placer.index)
+    change(placer.workers["w1"])
+    placer.index.refresh(0)
+    assert contents(placer.index) != before
+    workers = placer.workers.values()
+    anew = WorkerIndex.of(workers, placer.start_limits, 0)
+    assert contents(placer.index) == contents(anew)
+
+
 def count_examined(monkeypatch, free_workers: int, full_workers: int) -> float:
     """Return how many times a pass examines a worker, per started task."""
     workers = [make_worker(number) for number in range(free_workers + full_workers)]
