After a pass without room, the tasks of started jobs wait among the started ones again

Change: at the end of a pass, WaitingTasks.settle moves the first tasks of each queue that belong elsewhere by now.

Ruled out: queuing the tasks of a job anew when it starts: entries would be double.

--- a/rattanloom/scheduling/assignment.py
+++ b/rattanloom/scheduling/assignment.py
@@ -78,6 +78,7 @@
             # Without this, an error would lose the tasks that are not in the queues.
             for task in skipped:
                 waiting.put_back(task, self.now_ms)
+        waiting.settle(self.now_ms)
 
     def _start(self, task: PlacedTask) -> bool:
         if self.must_be_isolated(task):
--- a/rattanloom/scheduling/waiting.py
+++ b/rattanloom/scheduling/waiting.py
@@ -85,12 +85,7 @@
         level_queues = self._levels.get(level)
         if level_queues is None:
             level_queues = self._levels[level] = LevelQueues()
-        kind = _queue_of(task.job, now_ms)
-        rank = task.job.latest_on_time_start_ms
-        if kind == ON_TIME:
-            rank += task.job.rank_offset_ms
-        elif kind == LATE:
-            rank = _late_order(task)
+        kind, rank = _place_of(task, now_ms)
         heappush(level_queues.queues[kind], (rank, next(self._numbers), task))
         need_millicores = task.step.need.cpu_millicores
         self._needs[task.job.submitted.policy.service][need_millicores] += 1
@@ -127,6 +122,24 @@
             if needs:
                 yield service, min(needs)
 
+    def settle(self, now_ms: float) -> None:
+        """Move the first tasks of the queues that belong elsewhere by now.
+
+        These are above all the other tasks of jobs that a pass has started.
+        """
+        moved = []
+        for level_queues in self._levels.values():
+            for kind, queue in enumerate(level_queues.queues):
+                while queue:
+                    rank, _, task = queue[0]
+                    if is_waiting(task):
+                        if _place_of(task, now_ms) == (kind, rank):
+                            break
+                        moved.append(task)
+                    self._pop_first(queue)
+        for task in moved:
+            self.put_back(task, now_ms)
+
     def _pop_first(self, queue: list[Entry]) -> PlacedTask:
         task = heappop(queue)[2]
         needs = self._needs[task.job.submitted.policy.service]
@@ -241,6 +254,16 @@
     return LATE if is_late else ON_TIME
 
 
+def _place_of(task: PlacedTask, now_ms: float) -> tuple[int, float]:
+    """Return the queue of a task, and its sort key there."""
+    job = task.job
+    kind = _queue_of(job, now_ms)
+    if kind == LATE:
+        return kind, _late_order(task)
+    rank = job.latest_on_time_start_ms
+    return kind, rank + job.rank_offset_ms if kind == ON_TIME else rank
+
+
 def is_waiting(task: PlacedTask) -> bool:
     """Return whether a task waits for a worker; the tasks of an ended job don't."""
     return task.state is TaskState.WAITING and not task.job.ended
--- a/tests/test_worker_index.py
+++ b/tests/test_worker_index.py
@@ -316,6 +316,28 @@
     assert len(list(waiting)) == 97
 
 
+def test_started_job_goes_on_before_an_earlier_due_one_after_a_pass_without_room():
+    # A pass that ended early left the other tasks of a started job where they were.
+    waiting, started, worker = WaitingTasks(), [], make_worker(1)
+    tasks = make_tasks(Step(2, Resources(20_000, 64), 1_000))
+
+    def start(task, worker):
+        task.state = TaskState.PLACED
+        task.job.effective_runs += 1
+        started.append(task)
+        add_run(worker, task)
+
+    index = make_index([worker])
+    for task in tasks:
+        waiting.add(task, 0)
+    AssignmentPass(index, lambda _: True, start, 0).run(waiting)
+    (due_earlier,) = make_tasks(Step(1, Resources(20_000, 64), 100), 2)
+    waiting.add(due_earlier, 0)
+    worker.runs.remove(worker.runs.all()[0])
+    AssignmentPass(index, lambda _: True, start, 0).run(waiting)
+    assert started == tasks
+
+
 def test_smallest_needs_are_those_of_the_waiting_tasks():
     waiting, random = WaitingTasks(), Random(1)
     for number in range(300):
