The return of a refused job is computed once, not for each of its waiting tasks

Cause: at a tick, give_up was called for each overdue waiting task, also after the first one had ended the job. Each call added up the work of all waiting jobs for a time to return that nobody got, and recorded the job's return again.

Change: give_up does nothing for a job that has ended.

Ruled out: a running sum of the waiting work: it changes with each task that ends.

Figures: a refused job of eight tasks is recorded once instead of eight times; the test fails without the change. Processor time not measured.

--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -122,7 +122,12 @@
                     )
 
     def give_up(self, job: PlacedJob, reason: str) -> None:
-        """End a job as refused, or as given up if any of its tasks may have run."""
+        """End a job as refused, or as given up if any of its tasks may have run.
+
+        Does nothing if the job has ended; it may be asked for each waiting task.
+        """
+        if job.ended:
+            return
         kind = OutcomeKind.REFUSED
         if job.may_have_run:
             kind = OutcomeKind.GIVEN_UP
--- a/tests/test_job_runs.py
+++ b/tests/test_job_runs.py
@@ -64,3 +64,14 @@
     assert other.phase is RunPhase.RUNNING
     assert [task.avoided_workers for task in job.tasks] == [{"w0"}, set()]
     assert placer.workers["w0"].failure_score == 1
+
+
+def test_return_of_a_refused_job_is_computed_once_not_for_each_of_its_tasks(placer):
+    job = make_job(make_submitted_job("b" * 16, count=8), FakeReceiver(), (), 0)
+    placer.jobs[job.job_id] = job
+    for task in job.tasks:
+        placer.waiting.add(task, 0)
+    now_ms = placer.clock.at_ms = job.latest_useful_start_ms + 1
+    placer.endings.end_overdue(now_ms)
+    assert job.ended
+    assert len(placer.endings.returns._refused) == 1
