--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -9,6 +9,7 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.metrics import Metrics
 from rattanloom.placement.inherited_work import InheritedWork
+from rattanloom.placement.job_runs import runs_in_pool
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import PlacedJob, Run, RunPhase
@@ -115,20 +116,21 @@
 
     def _progress(self) -> Iterator[tuple[PlacedJob, RunProgress]]:
         """Iterate over the runs of jobs, with their progress in the last report."""
-        for worker in self.workers.values():
-            for run in worker.runs.all():
-                if (
-                    run.task is not None
-                    and run.phase is RunPhase.RUNNING
-                    and run.confirmed_ms is not None
-                ):
+        for job in self.jobs.values():
+            for _, run in runs_in_pool(job, self.workers):
+                if run.phase is RunPhase.RUNNING and run.confirmed_ms is not None:
                     yield (
-                        run.task.job,
+                        job,
                         RunProgress(run.confirmed_ms, run.last_listed_ms, run.percent),
                     )
 
     def give_up(self, job: PlacedJob, reason: str) -> None:
-        """End a job as refused, or as given up if any of its tasks may have run."""
+        """End a job as refused, or as given up if any of its tasks may have run.
+
+        Does nothing if the job has ended; it may be asked for each waiting task.
+        """
+        if job.ended:
+            return
         kind = OutcomeKind.REFUSED
         if job.may_have_run:
             kind = OutcomeKind.GIVEN_UP
@@ -201,13 +203,7 @@
     def stop_runs(self, job: PlacedJob) -> None:
         """Stop the runs of a job's tasks, also those of earlier sends of the job."""
         now_ms = self.clock.now_ms()
-        runs = job.runs.items()
-        if self.active_runs_of(job) > len(job.runs):
-            runs = self._runs_by_name(job)
-        for run, worker_id in list(runs):
-            worker = self.workers.get(worker_id)
-            if worker is None or worker.runs.get(run.key) is not run:
-                continue
+        for worker, run in list(self._runs_of(job)):
             if run.phase is not RunPhase.STOPPING:
                 if run.step is not None:
                     lost = run.step.need.cpu_millicores * (now_ms - run.ordered_ms)
@@ -215,10 +211,13 @@
                 self.inherited_work.pop_run(run.name)
                 worker.stop(run)
 
-    def _runs_by_name(self, job: PlacedJob) -> Iterator[tuple[Run, str]]:
+    def _runs_of(self, job: PlacedJob) -> Iterator[tuple[PooledWorker, Run]]:
         """Iterate over all runs of a job's tasks, whichever send they belong to."""
+        if self.active_runs_of(job) <= len(job.runs):
+            yield from runs_in_pool(job, self.workers)
+            return
         prefix = f"{job.job_id}."
         for worker in self.workers.values():
             for run in worker.runs.all():
                 if run.name.startswith(prefix):
-                    yield run, worker.worker_id
+                    yield worker, run
--- a/tests/test_worker_index.py
+++ b/tests/test_worker_index.py
@@ -24,6 +24,7 @@
 from rattanloom.scheduling.worker_speed import WorkerSpeed
 from tests.dispatcher_fakes import FakeReceiver, make_submitted_job
 from tests.placement_replay import ModelWorker, make_index
+from tests.test_cold_workers import make_placer
 
 SERVICE = "service"
 
@@ -219,6 +220,43 @@
         )
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda worker: setattr(worker, "state", WorkerState.UNRESPONSIVE),
+        lambda worker: setattr(worker, "paused_until_ms", 100),
+        lambda worker: setattr(worker, "drains_until_ms", 100),
+        lambda worker: setattr(worker, "failure_score", 2),
+        lambda worker: setattr(worker, "incarnation_ms", 2),
+        lambda worker: worker.apply_entry(evolve(worker.entry, labels=("r1",))),
+        lambda worker: worker.runs.set_capacity(Resources(8_000, 64)),
+        lambda worker: worker.speed.learn(9.0, 0),
+        lambda worker: add_run(worker, make_tasks(Step(1, Resources(1), 1))[0]),
+    ],
+    ids=[
+        "state",
+        "paused",
+        "drains",
+        "failures",
+        "restart",
+        "entry",
+        "capacity",
+        "speed",
+        "run",
+    ],
+)
+def test_change_of_a_pooled_worker_reaches_the_index(change):
+    placer = make_placer({}, 2)
+    placer.index.refresh(0)
+    before = contents(placer.index)
+    change(placer.workers["w1"])
+    placer.index.refresh(0)
+    assert contents(placer.index) != before
+    workers = placer.workers.values()
+    anew = WorkerIndex.of(workers, placer.start_limits, 0)
+    assert contents(placer.index) == contents(anew)
+
+
 def count_examined(monkeypatch, free_workers: int, full_workers: int) -> float:
     """Return how many times a pass examines a worker, per started task."""
     workers = [make_worker(number) for number in range(free_workers + full_workers)]
@@ -278,6 +316,28 @@
     assert len(list(waiting)) == 97
 
 
+def test_started_job_goes_on_before_an_earlier_due_one_after_a_pass_without_room():
+    # A pass that ended early left the other tasks of a started job where they were.
+    waiting, started, worker = WaitingTasks(), [], make_worker(1)
+    tasks = make_tasks(Step(2, Resources(20_000, 64), 1_000))
+
+    def start(task, worker):
+        task.state = TaskState.PLACED
+        task.job.effective_runs += 1
+        started.append(task)
+        add_run(worker, task)
+
+    index = make_index([worker])
+    for task in tasks:
+        waiting.add(task, 0)
+    AssignmentPass(index, lambda _: True, start, 0).run(waiting)
+    (due_earlier,) = make_tasks(Step(1, Resources(20_000, 64), 100), 2)
+    waiting.add(due_earlier, 0)
+    worker.runs.remove(worker.runs.all()[0])
+    AssignmentPass(index, lambda _: True, start, 0).run(waiting)
+    assert started == tasks
+
+
 def test_smallest_needs_are_those_of_the_waiting_tasks():
     waiting, random = WaitingTasks(), Random(1)
     for number in range(300):
