Orders of short runs extend the lease without a further renewal

Cause: a start on an idle worker, at which a request waits for up to 1.5 s, led to a second request 300 ms later if any run was active then, however recent its order. Both returned at the next end of a run. By cause, of the renewals under load in experiments.placer_cost (60 workers, tasks of 60 ms) about 10% were these; nearly all others returned ends.

Ruled out, in a replay of one worker in virtual time (tasks of 60, 200 and 900 ms, 1.7 to 20 a second; renewals a task at 1.7, 4, 10 and 20 a second, 1.28, 1.13, 1.07 and 1.01 at first): a wait of 450 ms instead of 300 (1.25, 1.10, 1.04, 1.01, but a silent worker is noticed up to 150 ms later); with it, a pause of 2 ms after a report of an end (1.25, 1.11, 1.04, 1.00) or of 10 ms (1.25, 1.11, 1.02, 0.95): the first of two ends has returned the request already, so only a third one is gathered; an idle wait of 2,000 ms with the 450 ms (1.20 at 1.7 a second, 1.76 instead of 2.04 at 0.5, but an idle worker that is cut off is noticed up to 500 ms later); renewals without a wait beside the idle wait (no gain).

Change: the further renewal is sent once the oldest run is 300 ms old. Until then, its order has extended the lease, since every run that is there was ordered since.

What stays: a run has a report at the latest as long after its order as before, which the detection of stalled runs needs; a lease of 900 ms is extended after 300 ms at the latest; the end of a run returns the pending request.

--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -336,14 +336,22 @@
             gevent.spawn(self._bridge_idle_wait)
 
     def _bridge_idle_wait(self) -> None:
-        gevent.sleep(BUSY_WAIT_MS / MS_PER_S)
+        """Renew while the idle wait is pending and a run is ``BUSY_WAIT_MS`` old.
+
+        Until then, the order of the run has extended the lease.
+        """
         while (
             self._idle_wait
             and self.runs
             and not self.closed
             and not self.missed_replies
         ):
-            self._renew(BUSY_WAIT_MS)
+            oldest_ms = min(run.ordered_ms for run in self.runs.all())
+            fresh_ms = oldest_ms + BUSY_WAIT_MS - self.clock.now_ms()
+            if fresh_ms > 0:
+                gevent.sleep(fresh_ms / MS_PER_S)
+            else:
+                self._renew(BUSY_WAIT_MS)
         self._bridging_idle_wait = False
 
     def _handle_renewal_refusal(self, reply: Refused, token: int) -> None:
--- a/tests/test_pooled_worker.py
+++ b/tests/test_pooled_worker.py
@@ -3,12 +3,13 @@
 from collections import Counter
 
 import gevent
+import pytest
 from attrs import define, field
 from gevent.event import AsyncResult
 
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.placement.pooled_worker import PooledWorker
-from rattanloom.placement.runs import make_job
+from rattanloom.placement.runs import Run, RunPhase, make_job
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.worker_lease import WorkerLease
 from rattanloom.placement.workers import (
@@ -162,6 +163,75 @@
     assert "on_run_lost" in worker.events.seen
 
 
+@define(eq=False)
+class Script:
+    """Virtual time in which runs of ``length_ms`` follow one another on a worker.
+
+    It is the clock, the ``gevent`` of the module and the client; ``renewed_ms`` has the
+    times of the renewals, each of which waits in vain.
+    """
+
+    length_ms: float
+    time_ms: float = 0
+    renewed_ms: list[float] = field(factory=list)
+    worker: PooledWorker | None = None
+
+    def now_ms(self) -> float:
+        """Return the virtual time."""
+        return self.time_ms
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass; each run that ends meanwhile is followed by the next one."""
+        self.time_ms += 1_000 * seconds
+        (run,) = self.worker.runs.all() or (None,)
+        while run and run.ordered_ms + self.length_ms <= self.time_ms:
+            self.worker.runs.remove(run)
+            run = self.add_run(run.ordered_ms + self.length_ms)
+
+    def add_run(self, ordered_ms: float) -> Run | None:
+        """Add a run, unless a second has passed."""
+        if ordered_ms >= 1_000:
+            return None
+        job = make_job(make_submitted_job(), FakeReceiver(), (), ordered_ms)
+        task = job.tasks[0]
+        run = Run(task.name, 1, task, task.step, RunPhase.RUNNING, ordered_ms)
+        self.worker.runs.add(run)
+        return run
+
+    def renew(self, renewal: Renewal) -> WorkerReport:
+        """Return a report after the wait."""
+        self.renewed_ms.append(self.time_ms)
+        self.sleep(renewal.wait_ms / 1_000)
+        running = tuple(run.name for run in self.worker.runs.all())
+        return report(int(self.time_ms) + 1, running)
+
+
+@pytest.mark.parametrize(
+    ("length_ms", "renewed_ms"), [(70, []), (950, [300, 600, 900])]
+)
+def test_lease_of_short_runs_is_extended_by_their_orders_alone(
+    length_ms, renewed_ms, monkeypatch
+):
+    # A renewal was sent 300 ms after any start, beside the pending one, and both
+    # returned at the end of the run.
+    script = Script(length_ms)
+    monkeypatch.setattr("rattanloom.placement.pooled_worker.gevent", script)
+    script.worker = PooledWorker(
+        FakeWorker("w1").entry(),
+        script,
+        RecordedEvents(),
+        script,
+        WorkerLease(script, 900, offset_ms=0),
+        TOKEN,
+        Counter(),
+        state=WorkerState.READY,
+    )
+    script.worker._idle_wait = True
+    script.add_run(0)
+    script.worker._bridge_idle_wait()
+    assert script.renewed_ms[: len(renewed_ms) or None] == renewed_ms
+
+
 def test_repr_of_a_worker_in_a_traceback_is_short():
     worker, _ = open_worker()
     assert len(repr(worker)) < 200
