The start of a daemon loads neither urllib3 nor TLS

Cause: urllib3 was what still loaded ssl, OpenSSL and importlib.metadata at a start.

Change: the test of the modules that a start loads lists them.

--- a/tests/test_daemon_imports.py
+++ b/tests/test_daemon_imports.py
@@ -11,7 +11,7 @@
 # None of them does anything in a daemon; each costs a start time and memory.
 UNUSED_MODULES = {"asyncio.events", "concurrent.futures", "fire", "hypothesis"}
 UNUSED_MODULES |= {"_hashlib", "gevent.events", "multiprocessing", "subprocess"}
-UNUSED_MODULES |= {"tenacity"}
+UNUSED_MODULES |= {"_ssl", "importlib.metadata", "tenacity", "urllib3"}
 
 
 def run_after_start(statements: str) -> object:
