JSON of workers, store, client jobs and logs by msgspec

Ruled out: msgspec under cattrs.preconf, which keeps the checks by field in Python; and platform/messages.py, which only the stand-alone version uses.

Change: parse() decodes into msgspec structs, which check types without coercion; ints keep any size. The settings file, configuration and workers' entries stay attrs classes, since they are read seldom and all their errors are listed at once. Errors still name the platform's field. Log lines are encoded by msgspec, other types as text, as before.

Outcomes that differ: UTF-16, UTF-32 and a byte order mark are refused; so are NaN, Infinity, numbers beyond a double and lone surrogates in ignored fields (before: only in checked ones, and NaN passed as a report's remaining_ms); an empty object or a text in place of a report's list of runs is refused (before: read as a list); only the first of several errors in a body is named; text beyond ASCII is written as UTF-8, NaN in a log line as null. A text with a lone surrogate is still written, through json.

--- a/rattanloom/decision_log.py
+++ b/rattanloom/decision_log.py
@@ -14,6 +14,7 @@
 from attrs import define, field
 from gevent.event import Event
 from logbook import Handler, Logger, LogRecord, lookup_level
+from msgspec.json import Encoder
 
 from rattanloom.clock import MS_PER_S, Clock
 
@@ -22,6 +23,8 @@
 # Limit for each event; further lines in the same second are dropped.
 LINES_PER_EVENT_PER_S = 400
 FLUSH_MS = 100
+# Values of other types are logged as text.
+ENCODER = Encoder(enc_hook=str)
 
 
 @define(eq=False)
@@ -143,8 +146,15 @@
             "event": event,
             **fields,
         }
-        line = json.dumps(document, separators=(",", ":"), default=str)
-        self.buffer.add(line.encode() + b"\n")
+        self.buffer.add(_encode_line(document) + b"\n")
+
+
+def _encode_line(document: dict) -> bytes:
+    try:
+        return ENCODER.encode(document)
+    except UnicodeEncodeError:
+        # A lone surrogate has an escaped form only.
+        return json.dumps(document, separators=(",", ":"), default=str).encode()
 
 
 @contextmanager
--- a/rattanloom/platform/configuration.py
+++ b/rattanloom/platform/configuration.py
@@ -5,7 +5,7 @@
 from attrs import field, frozen
 
 from rattanloom.ingress.queues import Configuration, Queue, RequestLimits
-from rattanloom.platform.json_format import FormatError, parse
+from rattanloom.platform.json_format import FormatError, decode_object, structure
 from rattanloom.platform.rows import Row
 
 OPERATOR_TABLE = "op"
@@ -55,7 +55,7 @@
     """Return the configuration in ``row``; raise ``FormatError`` if it is invalid."""
     if row.value is None:
         raise FormatError("the row was deleted or its value is not valid base64")
-    wire = parse(row.value, WireConfiguration)
+    wire = structure(decode_object(row.value), WireConfiguration)
     limits = wire.limits
     return Configuration(
         wire.version,
--- a/rattanloom/platform/job_format.py
+++ b/rattanloom/platform/job_format.py
@@ -1,9 +1,9 @@
 """Parses the jobs that clients post to the daemon; encodes the response bodies."""
 
 from math import isfinite
-from typing import ClassVar
 
 from attrs import frozen
+from msgspec import Struct
 
 from rattanloom.ingress.queues import Queue
 from rattanloom.placement.jobs import JobPolicy, Step, SubmittedJob
@@ -20,8 +20,11 @@
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
-@frozen
-class WireStep:
+class WireStep(
+    Struct,
+    frozen=True,
+    rename={"estimate_ms": "est_ms", "per_worker_max": "anti_affinity"},
+):
     """One step of a posted job: ``count`` equal tasks. Other fields may be omitted.
 
     ``cpu``, in thousandths of a core, ``mem_mb`` and ``gpu`` are the need of one task,
@@ -29,8 +32,6 @@
     the label of the rack that has the step's data.
     """
 
-    WIRE_NAMES: ClassVar = {"estimate_ms": "est_ms", "per_worker_max": "anti_affinity"}
-
     count: int
     cpu: int = 0
     mem_mb: int = 0
@@ -42,12 +43,9 @@
     affinity: str = ""
 
 
-@frozen
-class WireJob:
+class WireJob(Struct, frozen=True, rename={"is_best_effort": "best_effort"}):
     """The body of a request that posts a job."""
 
-    WIRE_NAMES: ClassVar = {"is_best_effort": "best_effort"}
-
     spec: str
     steps: tuple[WireStep, ...]
     is_best_effort: bool = False
--- a/rattanloom/platform/json_format.py
+++ b/rattanloom/platform/json_format.py
@@ -1,12 +1,15 @@
-"""Decodes the platform's JSON documents into attrs classes, for the daemon.
+"""Encodes and decodes the platform's JSON documents, for the daemon.
 
-Unknown fields are ignored; the types of known fields are checked. ``WIRE_NAMES``
-of a class maps its fields to the platform's names where they differ.
+Unknown fields are ignored; the types of known fields are checked. Frequent bodies are
+decoded by ``parse`` into ``msgspec.Struct`` classes, other documents by ``structure``
+into attrs classes. ``WIRE_NAMES`` of an attrs class maps its fields to the platform's
+names where they differ.
 """
 
 import json
 from typing import Any, TypeVar
 
+import msgspec
 from attrs import fields, has
 from cattrs import Converter, transform_error
 from cattrs.errors import BaseValidationError
@@ -15,6 +18,7 @@
 from rattanloom.settings import forbid_type_coercion
 
 T = TypeVar("T")
+S = TypeVar("S", bound=msgspec.Struct)
 
 
 class FormatError(ValueError):
@@ -46,6 +50,8 @@
 
 
 CONVERTER = _make_converter()
+DECODER = msgspec.json.Decoder()
+ENCODER = msgspec.json.Encoder()
 
 
 def is_number(value: object) -> bool:
@@ -84,7 +90,7 @@
 def decode_object(body: bytes) -> dict[str, object]:
     """Decode a JSON object; raise ``FormatError`` for anything else."""
     try:
-        document = json.loads(body)
+        document = DECODER.decode(body)
     except (ValueError, RecursionError) as error:
         raise FormatError(f"not valid JSON: {error}") from error
     if not isinstance(document, dict):
@@ -92,11 +98,22 @@
     return document
 
 
-def parse(body: bytes, model: type[T]) -> T:
-    """Decode a JSON body as ``model``; raise ``FormatError`` if it does not match."""
-    return structure(decode_object(body), model)
+def parse(body: bytes, model: type[S]) -> S:
+    """Decode a JSON body as ``model``; ``FormatError`` names the field."""
+    try:
+        # Text, since the decoder does not check the encoding of unknown fields.
+        return msgspec.json.decode(body.decode(), type=model)
+    except msgspec.ValidationError as error:
+        reason, _, path = str(error).partition(" - at `$")
+        raise FormatError(f"{path.strip('.`') or 'document'}: {reason}") from error
+    except (ValueError, RecursionError) as error:
+        raise FormatError(f"not valid JSON: {error}") from error
 
 
 def encode(document: object) -> bytes:
     """Return ``document`` as compact JSON."""
-    return json.dumps(document, separators=(",", ":")).encode()
+    try:
+        return ENCODER.encode(document)
+    except UnicodeEncodeError:
+        # A lone surrogate has an escaped form only.
+        return json.dumps(document, separators=(",", ":")).encode()
--- a/rattanloom/platform/store.py
+++ b/rattanloom/platform/store.py
@@ -3,10 +3,10 @@
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
-from typing import ClassVar
 from urllib.parse import urlencode
 
-from attrs import define, field, frozen
+from attrs import define, field
+from msgspec import Struct
 
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.platform.http import HttpClient, Response
@@ -30,12 +30,9 @@
 CALL_TIMEOUT_MS = 1_000
 
 
-@frozen
-class WireRow:
+class WireRow(Struct, frozen=True, rename={"version": "row_version"}):
     """A row in a response; ``value`` is base64."""
 
-    WIRE_NAMES: ClassVar = {"version": "row_version"}
-
     table: str
     key: str
     version: int
@@ -54,15 +51,12 @@
             return Row(ref, self.version, None)
 
 
-@frozen
-class RowsBody:
+class RowsBody(Struct, frozen=True, rename={"version": "row_version"}):
     """The body of every response with rows; ``version`` is that of the store.
 
     ``has_more`` is set if a read of a table did not return all rows.
     """
 
-    WIRE_NAMES: ClassVar = {"version": "row_version"}
-
     version: int = 0
     rows: tuple[WireRow, ...] = ()
     has_more: bool = False
--- a/rattanloom/platform/workers.py
+++ b/rattanloom/platform/workers.py
@@ -4,9 +4,10 @@
 """
 
 from http import HTTPStatus
-from typing import Any, ClassVar
+from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, field
+from msgspec import Struct
 
 from rattanloom.errors import ErrorKind, Failure
 from rattanloom.placement.workers import (
@@ -50,22 +51,22 @@
 OUTCOMES_BY_NAME = {outcome.value: outcome for outcome in RunOutcome}
 
 
-@frozen
-class OrderBody:
+class OrderBody(Struct, frozen=True, rename={"incarnation_ms": "born"}):
     """The body of a response to a start, or of any refusal with status 409.
 
     ``clock_ms`` is the worker's clock, ``reason`` a key of ``REFUSALS_BY_REASON``.
     """
 
-    WIRE_NAMES: ClassVar = {"incarnation_ms": "born"}
-
     clock_ms: int = 0
     reason: str = ""
     incarnation_ms: int = 0
 
 
-@frozen
-class ReportBody:
+class ReportBody(
+    Struct,
+    frozen=True,
+    rename={"incarnation_ms": "born", "finished_runs": "finished"},
+):
     """The body of a response to a renewal.
 
     Each run is a JSON array of the fields of ``RunStatus`` or ``FinishedRun``, in their
@@ -73,8 +74,6 @@
     send ``remaining_ms``; any other value than a number counts as absent.
     """
 
-    WIRE_NAMES: ClassVar = {"incarnation_ms": "born", "finished_runs": "finished"}
-
     clock_ms: int
     running: list[list]
     finished_runs: list[list]
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -4,6 +4,7 @@
 import os
 
 import gevent
+import pytest
 
 from rattanloom.clock import SystemClock
 from rattanloom.decision_log import (
@@ -86,3 +87,23 @@
     buffer.flush()
     assert not buffer.lines
     assert buffer.dropped
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ("a\ud800", "a\ud800"),
+        (1 << 70, 1 << 70),
+        (("a", 1.5), ["a", 1.5]),
+        (KeyError("k"), "'k'"),
+        ({1: KeyError("k")}, {"1": "'k'"}),
+        (float("nan"), None),
+    ],
+    ids=repr,
+)
+def test_field_of_any_value_is_logged(value, expected):
+    read_end, write_end = os.pipe()
+    with logging_decisions("n1", ManualClock(), write_end, "INFO"):
+        log.info("event", field=value)
+    (line,) = read_lines(read_end)
+    assert line["field"] == expected
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -14,7 +14,7 @@
 from rattanloom.placement.runs import make_job
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.workers import RefusalReason, Refused, Resources, WorkerReport
-from rattanloom.platform.json_format import structure
+from rattanloom.platform.json_format import parse
 from rattanloom.platform.rows import Row, RowRef
 from rattanloom.platform.workers import ReportBody, _parse_report
 from rattanloom.registry import Registry
@@ -186,9 +186,14 @@
 def test_drain_is_read_from_a_report_also_if_no_time_remains(value, expected):
     # A report of 0 ms counted as one without a drain.
     row = {"clock_ms": 1, "running": [], "finished": [], "remaining_ms": value}
-    assert _parse_report(structure(row, ReportBody)).remaining_ms == expected
+    assert (
+        _parse_report(parse(json.dumps(row).encode(), ReportBody)).remaining_ms
+        == expected
+    )
     del row["remaining_ms"]
-    assert _parse_report(structure(row, ReportBody)).remaining_ms is None
+    assert (
+        _parse_report(parse(json.dumps(row).encode(), ReportBody)).remaining_ms is None
+    )
 
 
 @pytest.mark.parametrize("remaining_ms", [2_000, 0])
