Move the completion of tasks and jobs out of the placer

What decides when a task is done and when its job is reported is a class of its own now; no decision changes. 88 tests of the placer, its jobs and crashes pass.

--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -13,6 +13,7 @@
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.metrics import Metrics
+from rattanloom.placement.completion import JobCompletion
 from rattanloom.placement.crash_policy import CrashPolicy
 from rattanloom.placement.crash_records import RunLoss
 from rattanloom.placement.inherited_work import InheritedWork
@@ -29,7 +30,6 @@
     TaskState,
     job_id_of,
     make_job,
-    ready_tasks,
 )
 from rattanloom.placement.stalled_runs import stop_stalled_runs
 from rattanloom.placement.start_limits import StartLimits
@@ -92,6 +92,7 @@
     suspension: SuspensionGuard = field(init=False)
     crash_policy: CrashPolicy = field(init=False)
     endings: JobEndings = field(init=False)
+    completion: JobCompletion = field(init=False)
     start_limits: StartLimits = field(init=False)
     index: WorkerIndex = field(init=False)
     speed_decay: SpeedDecay = field(factory=SpeedDecay)
@@ -115,6 +116,7 @@
             self.active_runs,
             self.index,
         )
+        self.completion = JobCompletion(self.clock, self.endings)
         self.job_returns = JobReturns(self.endings, self.start_limits)
 
     # Workers
@@ -221,9 +223,9 @@
                 self._adopt(task, *found)
         if completed_by:
             self.endings.stop_runs(job)
-        self._finish_done_tasks(job)
+        self.completion.finish_done_tasks(job)
         if not job.ended:
-            self._queue_ready_tasks(job)
+            self.completion.queue_ready_tasks(job)
             self.job_returns.return_jobs(filter(is_waiting, job.tasks))
             self.start_waiting_tasks()
 
@@ -238,7 +240,7 @@
         if completed_by and not job.completed_by:
             job.completed_by = completed_by
             self.endings.stop_runs(job)
-            self._finish_done_tasks(job)
+            self.completion.finish_done_tasks(job)
 
     def _add_completed_job(self, job: PlacedJob) -> None:
         """Add a job that this placer has completed; other placers may have runs of it.
@@ -253,7 +255,7 @@
         )
         self.jobs[job.job_id] = job
         job.completed_by, job.sent_before = self.node, True
-        self._finish_done_tasks(job)
+        self.completion.finish_done_tasks(job)
 
     def cancel(self, job_id: str, node: str) -> None:
         """End a job whose client has disconnected from the daemon ``node``.
@@ -293,7 +295,7 @@
         self._stop_overdue_runs()
         stop_leaving_runs(self.index, self.waiting, self.metrics, now_ms)
         for job in list(self.jobs.values()):
-            self._finish_done_tasks(job)
+            self.completion.finish_done_tasks(job)
         self.endings.end_overdue(now_ms)
         if self.index.has_free_capacity(now_ms):
             stop_stalled_runs(self.jobs, self.workers, self.worker_health, now_ms)
@@ -327,57 +329,6 @@
         task.state = TaskState.PLACED
         task.job.effective_runs += 1
 
-    def _finish_done_tasks(self, job: PlacedJob) -> None:
-        """Finish the tasks that a run of another placer or of an earlier send has done.
-
-        Only once no other run of them can be active: another placer may have started
-        one since. Report the job if it only waited for the end of such runs.
-        """
-        may_be_done = (
-            job.completed_by or job.all_done or self.inherited_work.has_done_tasks()
-        )
-        if job.ended or not may_be_done:
-            return
-        if not self.inherited_work.is_synced(job, self.workers.values()):
-            return
-        for task in job.tasks:
-            if (
-                task.state is not TaskState.DONE
-                and self._is_done_elsewhere(task)
-                and not self.active_runs[task.name]
-            ):
-                log.info("task_done_elsewhere", task=task.name)
-                self._finish_task(task)
-        if job.all_done:
-            self._complete_if_inactive(job)
-
-    def _complete_if_inactive(self, job: PlacedJob) -> None:
-        """Report a job whose tasks are all done, unless a run of it may be active.
-
-        No run may be active when a job is reported complete, whichever placer started
-        it and for whichever send.
-        """
-        if job.ended or not self.inherited_work.is_synced(job, self.workers.values()):
-            return
-        active_runs = self.endings.active_runs_of(job)
-        if active_runs:
-            if not job.completion_waits:
-                log.info("completion_waits", job=job.job_id, active_runs=active_runs)
-            job.completion_waits = True
-            self.endings.stop_runs(job)
-            return
-        self.endings.end(job, JobOutcome(job.job_id, OutcomeKind.COMPLETE))
-
-    def _is_done_elsewhere(self, task: PlacedTask) -> bool:
-        """Return whether a run of another placer or earlier send has done a task."""
-        return bool(task.job.completed_by) or self.inherited_work.is_task_done(
-            task.name
-        )
-
-    def _queue_ready_tasks(self, job: PlacedJob) -> None:
-        for task in ready_tasks(job):
-            self.waiting.add(task, self.clock.now_ms())
-
     # Placing
 
     def start_waiting_tasks(self) -> None:
@@ -402,7 +353,7 @@
     def _may_start(self, task: PlacedTask) -> bool:
         return (
             not self.active_runs[task.name]
-            and not self._is_done_elsewhere(task)
+            and not self.completion.is_done_elsewhere(task)
             and self.crash_policy.may_start(task)
             and self.inherited_work.is_synced(
                 task.job, self.index.syncing(self.clock.now_ms())
@@ -459,14 +410,14 @@
             self.inherited_work.pop_run(run.name)
             if task is None and is_done:
                 self.inherited_work.record_done_task(run.name)
-            self._finish_tasks_after(run)
+            self.completion.finish_after(run)
         elif is_done:
             self.worker_health.record_success(worker, run, self.clock.now_ms())
-            self._finish_task(task)
+            self.completion.finish_task(task)
         elif finished.outcome is RunOutcome.FAILED and not task.job.completed_by:
             self._handle_failure(worker, task)
         else:
-            self._requeue(task)
+            self.completion.requeue(task)
         self.start_waiting_tasks()
 
     def on_run_lost(self, worker: PooledWorker, run: Run, cause: LossCause) -> None:
@@ -488,12 +439,12 @@
         )
         self.crash_policy.record_loss(worker, run, cause)
         # After a run of an earlier send, the current send of the job waits.
-        self._finish_tasks_after(run)
+        self.completion.finish_after(run)
         for job in self._jobs_of_task(run.name):
             self._end_risky_job(job)
         if run.task is not None and not run.task.job.ended:
             run.task.avoided_workers.add(worker.worker_id)
-            self._requeue(run.task)
+            self.completion.requeue(run.task)
             self.start_waiting_tasks()
 
     def add_losses(self, losses: Iterable[RunLoss]) -> None:
@@ -519,10 +470,10 @@
         if refusal is RefusalReason.UNHEALTHY:
             pause_ms = UNHEALTHY_PAUSE_MS
         worker.paused_until_ms = now_ms + pause_ms
-        self._finish_tasks_after(run)
+        self.completion.finish_after(run)
         if run.task is not None and not run.task.job.ended:
             run.task.job.effective_runs -= 1
-            self._requeue(run.task)
+            self.completion.requeue(run.task)
             self.start_waiting_tasks()
 
     def on_inherited_run(self, worker: PooledWorker, run: Run) -> None:
@@ -547,35 +498,13 @@
             return
         self.inherited_work.record_done_task(finished.task)
         for job in self._jobs_of_task(finished.task):
-            self._finish_done_tasks(job)
-
-    def _finish_tasks_after(self, run: Run) -> None:
-        """Finish the tasks and the job that waited for the end of a run."""
-        for job in self._jobs_of_task(run.name):
-            self._finish_done_tasks(job)
+            self.completion.finish_done_tasks(job)
 
     def _jobs_of_task(self, task_name: str) -> Iterable[PlacedJob]:
         """Return the known job of a task, if any; task names start with the job id."""
         job = self.jobs.get(job_id_of(task_name))
         return () if job is None else (job,)
 
-    def _finish_task(self, task: PlacedTask) -> None:
-        if task.state is TaskState.DONE:
-            return
-        task.state = TaskState.DONE
-        job = task.job
-        job.tasks_left -= 1
-        if job.all_done:
-            self.inherited_work.record_completed_job(job.job_id)
-            self._complete_if_inactive(job)
-        else:
-            self._queue_ready_tasks(job)
-
-    def _requeue(self, task: PlacedTask) -> None:
-        if task.state is not TaskState.DONE:
-            self.waiting.add(task, self.clock.now_ms())
-        self._finish_done_tasks(task.job)
-
     def _handle_failure(self, worker: PooledWorker, task: PlacedTask) -> None:
         self.worker_health.record_failure(
             worker, self.workers.values(), self.clock.now_ms()
@@ -587,4 +516,4 @@
             reason = f"task {task.name} failed {task.failures} times"
             self.endings.end(job, JobOutcome(job.job_id, OutcomeKind.FAILED, reason))
         else:
-            self._requeue(task)
+            self.completion.requeue(task)
