experiments.placer_cost measures a pool of a given size as well

Cause: the cost of a placer grows with its pool; 60 workers were the most it measured.

Rows of one process are not independent: earlier pools are not closed, and their placers go on asking workers that are gone.

--- a/experiments/placer_cost.py
+++ b/experiments/placer_cost.py
@@ -174,8 +174,11 @@
             gevent.sleep(TICK_MS / MS_PER_S)
 
 
-def main(length_s: float = 5.0) -> None:
-    """Measure a small and a large pool, each nearly idle and under load."""
+def main(length_s: float = 5.0, largest_pool: int = 0) -> None:
+    """Measure a small and a large pool, each nearly idle and under load.
+
+    Also a pool of ``largest_pool`` workers, if it is given.
+    """
     # The arguments are workers, jobs per second and length.
     rows = [
         measure(24, 1, length_s),
@@ -183,6 +186,8 @@
         measure(60, 1, length_s),
         measure(60, 70, length_s),
     ]
+    if largest_pool:
+        rows += [measure(largest_pool, rate, length_s) for rate in (1, 70)]
     for row in rows:
         print(row)
     print(json.dumps({"placer_cost": rows}))
