--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -187,7 +187,7 @@
             return
         if job.placer == placer or (is_complete and job.former_placers == (placer,)):
             if job.former_placers != (placer,):
-                self._log_outcome("job_answered", job, placer, outcome)
+                self._log_outcome("outcome_of_moved_job", job, placer, outcome)
             self._finish(job, outcome)
             return
         self._log_outcome("outcome_of_former_placer", job, placer, outcome)
