Record a cancelled submission whose link was lost before

Found by reading the whole change. Since a job keeps a receiver for each post, cancel recorded only the submissions of receivers that it removed. A job whose link was lost has none left, so its submission was no longer recorded, and a late copy of it on the older link started the job again.

Evidence: the new test fails without the change (two starts) and passes. Beside it, from the same read: JobCompletion uses the clock of the endings instead of a second one, two tests share their set-up with the same assertions, a docstring is wrapped again. 52 tests of the placer and of active runs pass.

--- a/rattanloom/placement/completion.py
+++ b/rattanloom/placement/completion.py
@@ -6,7 +6,6 @@
 
 from attrs import define
 
-from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.placement.job_endings import JobEndings
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
@@ -26,7 +25,6 @@
 class JobCompletion:
     """Finishes the tasks and jobs of a placer, whose state ``endings`` refers to."""
 
-    clock: Clock
     endings: JobEndings
 
     def finish_done_tasks(self, job: PlacedJob) -> None:
@@ -85,7 +83,7 @@
     def queue_ready_tasks(self, job: PlacedJob) -> None:
         """Queue the tasks whose earlier steps are all done."""
         for task in ready_tasks(job):
-            self.endings.waiting.add(task, self.clock.now_ms())
+            self.endings.waiting.add(task, self.endings.clock.now_ms())
 
     def finish_task(self, task: PlacedTask) -> None:
         """Record that a task is done; end its job or queue the tasks after it."""
@@ -103,7 +101,7 @@
     def requeue(self, task: PlacedTask) -> None:
         """Queue a task whose run has ended, unless it is done by another run."""
         if task.state is not TaskState.DONE:
-            self.endings.waiting.add(task, self.clock.now_ms())
+            self.endings.waiting.add(task, self.endings.clock.now_ms())
         self.finish_done_tasks(task.job)
 
     def finish_after(self, run: Run) -> None:
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -116,7 +116,7 @@
             self.active_runs,
             self.index,
         )
-        self.completion = JobCompletion(self.clock, self.endings)
+        self.completion = JobCompletion(self.endings)
         self.job_returns = JobReturns(self.endings, self.start_limits)
 
     # Workers
@@ -176,10 +176,9 @@
     ) -> None:
         """Accept a job; its outcome is delivered to ``receiver``.
 
-        A job that is known already gets another receiver, or a new deadline if this is
-        its latest post. If the former
-        placer ``completed_by`` has completed the job, its runs here are stopped, and
-        it completes once none is active.
+        A job that is known already gets another receiver, and a new deadline if this
+        is its latest post. If the former placer ``completed_by`` has completed the job,
+        its runs here are stopped, and it completes once none is active.
         """
         others = tuple(node for node in former_placers if node != self.node)
         if not others and self.endings.submissions.is_late_copy(
@@ -265,10 +264,12 @@
         job = self.jobs.get(job_id)
         if job is None:
             return
-        for submission in job.remove_receivers(node):
-            self.endings.submissions.record(submission, None)
+        submissions = job.remove_receivers(node)
         if job.receiver is None:
+            submissions.append(job.submission)
             self.endings.end(job, None)
+        for submission in submissions:
+            self.endings.submissions.record(submission, None)
 
     def on_daemon_lost(self, node: str) -> None:
         """Handle a lost link to a daemon; keep its jobs for a short time."""
--- a/tests/test_active_runs.py
+++ b/tests/test_active_runs.py
@@ -4,6 +4,7 @@
 import pytest
 
 from rattanloom.placement.jobs import OutcomeKind
+from rattanloom.placement.placer import Placer
 from rattanloom.placement.workers import (
     FinishedRun,
     RunOutcome,
@@ -31,6 +32,16 @@
 SUBMISSION = 7
 
 
+def lose_worker(placer: Placer, worker: FakeWorker, how: str) -> None:
+    """Cut a worker off once its inherited run is known; remove it if asked."""
+    assert wait_for(lambda: all_ready(placer) and placer.active_runs[TASK])
+    worker.cut_off = True
+    worker.changed.set()
+    if how == "removed":
+        placer.remove_worker(worker.worker_id, "it is no longer registered")
+    gevent.sleep(0.05)
+
+
 def long_job():
     return make_submitted_job(estimate_ms=2_000, remaining_ms=9_000)
 
@@ -68,12 +79,7 @@
     start_run_of_former_placer(lost)
     with running_placer(worker, lost) as placer:
         placer.inherited_work.takeover_ms_by_node[FORMER] = CLOCK.now_ms()
-        assert wait_for(lambda: all_ready(placer) and placer.active_runs[TASK])
-        lost.cut_off = True
-        lost.changed.set()
-        if how == "removed":
-            placer.remove_worker("w2", "it is no longer registered")
-        gevent.sleep(0.05)
+        lose_worker(placer, lost, how)
         placer.submit(FakeReceiver(), long_job(), (FORMER,))
         assert wait_for(lambda: worker.running)
         lost._expire_runs()
@@ -88,12 +94,7 @@
     worker.end(TASK)
     with running_placer(worker, lost) as placer:
         placer.inherited_work.takeover_ms_by_node[FORMER] = CLOCK.now_ms()
-        assert wait_for(lambda: all_ready(placer) and placer.active_runs[TASK])
-        lost.cut_off = True
-        lost.changed.set()
-        if how == "removed":
-            placer.remove_worker("w2", "it is no longer registered")
-        gevent.sleep(0.05)
+        lose_worker(placer, lost, how)
         receiver = FakeReceiver()
         placer.submit(receiver, long_job(), (FORMER,))
         assert_completes_without_active_run(receiver, lost)
@@ -200,3 +201,18 @@
         worker.end(TASK)
         assert wait_for(lambda: receiver.outcomes, within_s=1)
         assert len(worker.starts) == 1
+
+
+def test_late_copy_of_a_cancelled_job_starts_nothing_after_its_link_was_lost():
+    worker = FakeWorker("w1")
+    with running_placer(worker) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        receiver = FakeReceiver()
+        placer.submit(receiver, long_job(), (), "", SUBMISSION)
+        assert wait_for(lambda: worker.running)
+        placer.on_daemon_lost(receiver.node)
+        placer.cancel(JOB_ID, receiver.node)
+        assert wait_for(lambda: not placer.active_runs[TASK])
+        placer.submit(receiver, long_job(), (), "", SUBMISSION)
+        gevent.sleep(0.1)
+        assert len(worker.starts) == 1
