--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -13,8 +13,9 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import tomllib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -45,6 +46,9 @@
     "resend_ms": RESEND_MS,
 }
 READY_TIMEOUT_S = 25
+LENGTH_MAX_S = 115
+# All daemons that were started, to be ended with this process.
+STARTED: list = []
 
 
 class NotRunError(Exception):
@@ -85,6 +89,7 @@
         variables["RATTANLOOM_SETTINGS"] = str(path)
         variables["PYTHONPATH"] = str(ROOT / "target" / "deps")
         with self.logs[-1].open("wb") as log:
+            STARTED.append(self)
             self.process = subprocess.Popen(
                 self.command, cwd=ROOT, env=variables, stdout=log, stderr=log
             )
@@ -95,14 +100,11 @@
             self.process.send_signal(number)
 
     def end(self) -> None:
-        """End the process, if it was started; keep its logs if ``KEEP_LOGS`` is set."""
+        """End the process, if it was started."""
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         if self.process is not None:
             self.process.wait()
-        if os.environ.get("KEEP_LOGS"):
-            for log in self.logs:
-                Path(os.environ["KEEP_LOGS"], log.name).write_bytes(log.read_bytes())
 
 
 @dataclass
@@ -134,7 +136,7 @@
         self.cuts.end()
         self.record.add("cut_ended", daemon=daemon.name)
 
-    async def write_configuration(self, version: int, **policy: object) -> None:
+    async def write_configuration(self, version: int, guards: bool = True) -> None:
         """Write the operator's configuration with one queue."""
         route = {
             "name": "queue",
@@ -152,8 +154,8 @@
             "config",
             {
                 "version": version,
-                "routes": [route | policy],
-                "services": [{"name": "desk", "admission_control": True}],
+                "routes": [route],
+                "services": [{"name": "desk", "admission_control": guards}],
                 "limits": {},
             },
         )
@@ -329,13 +331,26 @@
     return 1 if broken else 0
 
 
-def main(case: object) -> None:
-    """Run a case, a coroutine function that returns the exit status, and exit."""
-    try:
-        status = asyncio.run(asyncio.wait_for(case(), 110))
-    except Exception as error:  # only a verdict may exit with 1
-        print(f"could not run: {type(error).__name__}: {error}")
-        status = 2
+def main(case: Callable[[], Awaitable[int]]) -> None:
+    """Run a case, which returns the exit status, and exit."""
+    watchdog = threading.Timer(LENGTH_MAX_S, exit_now, (2,))
+    watchdog.daemon = True
+    watchdog.start()
+
+    async def run() -> None:
+        try:
+            status = await case()
+        except Exception as error:  # only a verdict may exit with 1
+            print(f"could not run: {type(error).__name__}: {error}")
+            status = 2
+        exit_now(status)
+
+    asyncio.run(run())
+
+
+def exit_now(status: int) -> None:
+    """End all daemons and this process, without closing its open connections."""
+    for daemon in STARTED:
+        daemon.end()
     sys.stdout.flush()
-    # Connections that are still open would each report that the event loop is closed.
     os._exit(status)
--- a/review/lib/platform_standins.py
+++ b/review/lib/platform_standins.py
@@ -180,7 +180,9 @@
 
 @dataclass
 class Worker:
-    """One worker that guards its capacity; ``boot`` starts a new life of it.
+    """One worker; ``boot`` starts a new life of it.
+
+    It starts whatever it is told to unless it ``guards`` its capacity.
 
     While ``dark``, it has no power: nothing that it receives is read or answered.
     """
@@ -195,6 +197,7 @@
     cpu: int = 32_000
     labels: tuple[str, ...] = ("a",)
     dark: bool = False
+    guards: bool = True
     born_ms: int = 0
     token: int = 0
     lease_until_ms: float = 0
@@ -278,8 +281,8 @@
         if order["attempt"] <= self.newest.get(order["task"], 0):
             return self._reply(409, reason="old")
         spec = json.loads(order["spec"])
-        used = sum(run.need[0] for run in self.runs.values())
-        if used + spec["cpu"] > self.cpu:
+        used = sum(run.need[0] for run in self.runs.values()) + spec["cpu"]
+        if self.guards and used > self.cpu:
             return self._reply(409, reason="room")
         run = Run(*key, spec["ms"], (spec["cpu"], 0), now_ms())
         self.runs[key] = run
@@ -290,6 +293,8 @@
             run=run.attempt,
             by=request.peer_ip,
             labels=self.labels,
+            used=used,
+            capacity=self.cpu,
         )
         run.end = asyncio.get_running_loop().create_task(self._run(run))
         return self._reply(200)
