Start no task for a job that its daemon has sent elsewhere

Cause: a placer acted on jobs and runs of a former ownership. The next owner took the zones of which it reached a daemon; the former one woke as the owner of its own zone and dropped nothing. The daemons had sent their jobs to the next owner; the links were gone, but the tasks of such jobs could start until the jobs ended 300 ms later. Runs on workers of the lost zones counted as ended once the leases granted here were over, though the next owner had extended them.

Ruled out: the check after a suspension. The owners were read before orders were given again.

Change: a task is assigned, and its start order sent, only while a daemon waits for the job from this placer (the link of the submission is alive; for own jobs, the router has the job here), before the deadline, and while the worker is in the pool. Runs on workers that another placer controls count as active until that placer has stopped them.

--- a/experiments/placer_cost.py
+++ b/experiments/placer_cost.py
@@ -57,6 +57,10 @@
     complete: int = 0
     others: int = 0
 
+    def is_waiting(self, job_id: str) -> bool:
+        """Return that the outcome of every job is waited for."""
+        return True
+
     def deliver(self, outcome: JobOutcome) -> None:
         """Count the outcome of a job."""
         if outcome.kind is OutcomeKind.COMPLETE:
--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -341,7 +341,7 @@
         owned = self.ownership.owned()
         if not owned and self.placer.workers:
             for worker_id in list(self.placer.workers):
-                self.placer.remove_worker(worker_id, "another daemon owns its zone")
+                self.placer.release_worker(worker_id)
             self.placer.drop_all_jobs()
             return
         for worker_id, worker in list(self.placer.workers.items()):
@@ -349,7 +349,7 @@
             if entry is None:
                 self.placer.remove_worker(worker_id, "it is no longer registered")
             elif entry.zone not in owned:
-                self.placer.remove_worker(worker_id, "another daemon owns its zone")
+                self.placer.release_worker(worker_id)
             elif entry.address != worker.entry.address:
                 self.placer.remove_worker(worker_id, "its address changed")
             else:
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -163,6 +163,11 @@
         )
         return nodes - {None}
 
+    def is_waiting(self, job_id: str) -> bool:
+        """Return whether this daemon's placer has a job; see ``OutcomeReceiver``."""
+        job = self.pending.get(job_id)
+        return job is not None and job.placer == self.node
+
     def deliver(self, outcome: JobOutcome) -> None:
         """Record an outcome of the placer in this daemon; see ``OutcomeReceiver``."""
         self.record_outcome(self.node, outcome)
--- a/rattanloom/peer_messages.py
+++ b/rattanloom/peer_messages.py
@@ -84,7 +84,7 @@
         new owner.
         """
         if self.ownership.owned():
-            receiver = PeerOutcomeReceiver(link.peer.node, self.hub, message.submission)
+            receiver = PeerOutcomeReceiver(link, self.hub, message.submission)
             self.placer.submit(
                 receiver,
                 message.job,
--- a/rattanloom/peer_receiver.py
+++ b/rattanloom/peer_receiver.py
@@ -3,21 +3,34 @@
 from attrs import define
 
 from rattanloom.links.hub import LinkHub
+from rattanloom.links.link import Link
 from rattanloom.links.messages import JOBS_RETURNED_VERSION, JobsReturned, Outcome
 from rattanloom.placement.jobs import JobOutcome, ReturnedJob
 
 
 @define(eq=False, repr=False)
 class PeerOutcomeReceiver:
-    """Receives the outcome of a job that another daemon submitted over a link.
+    """Receives the outcome of a job that another daemon submitted over ``link``.
 
     ``submission`` is that of the message ``Submit``.
     """
 
-    node: str
+    link: Link
     hub: LinkHub
     submission: int = 0
 
+    @property
+    def node(self) -> str:
+        """Return the daemon that submitted the job."""
+        return self.link.peer.node
+
+    def is_waiting(self, job_id: str) -> bool:
+        """Return whether the link of the submission is still alive.
+
+        After its loss, the daemon submits the job again, to this placer or another.
+        """
+        return self.link.is_alive()
+
     def deliver(self, outcome: JobOutcome) -> None:
         """Send an outcome over the current link to that daemon.
 
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -16,7 +16,7 @@
 from rattanloom.placement.completion import JobCompletion
 from rattanloom.placement.crash_policy import CrashPolicy
 from rattanloom.placement.crash_records import RunLoss
-from rattanloom.placement.inherited_work import InheritedWork
+from rattanloom.placement.inherited_work import INHERITED_STOP_MAX_MS, InheritedWork
 from rattanloom.placement.job_endings import JobEndings
 from rattanloom.placement.job_returns import JobReturns
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind, SubmittedJob
@@ -59,6 +59,7 @@
 # refused the start as unhealthy.
 REFUSAL_PAUSE_MS = 100
 UNHEALTHY_PAUSE_MS = 500
+NEW_OWNER = "another daemon owns its zone"
 
 
 @define(eq=False, repr=False)
@@ -141,6 +142,16 @@
         self.speed_decay.add(worker.speed)
         worker.open()
 
+    def release_worker(self, worker_id: str, reason: str = NEW_OWNER) -> None:
+        """Remove a worker that another placer controls now.
+
+        That one may extend the worker's lease before it stops the runs of this placer.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.lease.record_grant(self.clock.now_ms() + INHERITED_STOP_MAX_MS)
+            self.remove_worker(worker_id, reason)
+
     def remove_worker(self, worker_id: str, reason: str) -> None:
         """Remove a worker; its runs count as active until its lease has expired."""
         worker = self.workers.pop(worker_id, None)
@@ -161,8 +172,8 @@
             gevent.sleep(
                 max(0.01, (worker.lease.expires_ms - self.clock.now_ms()) / 1000)
             )
-        worker.runs.remove(run)
-        self.on_run_lost(worker, run, LossCause.LEFT_POOL)
+        if worker.runs.remove(run):
+            self.on_run_lost(worker, run, LossCause.LEFT_POOL)
 
     # Jobs
 
@@ -353,7 +364,8 @@
 
     def _may_start(self, task: PlacedTask) -> bool:
         return (
-            not self.active_runs[task.name]
+            self._may_run(task.job)
+            and not self.active_runs[task.name]
             and not self.completion.is_done_elsewhere(task)
             and self.crash_policy.may_start(task)
             and self.inherited_work.is_synced(
@@ -361,6 +373,18 @@
             )
         )
 
+    def _may_run(self, job: PlacedJob) -> bool:
+        """Return whether a daemon still waits for a job, before its deadline."""
+        return (
+            not job.ended
+            and job.is_waited_for
+            and self.clock.now_ms() < job.deadline_ms
+        )
+
+    def may_send_start(self, run: Run) -> bool:
+        """Return whether the start order of a run may be sent now."""
+        return self.may_give_orders() and self._may_run(run.task.job)
+
     def _start_run(self, task: PlacedTask, worker: PooledWorker) -> None:
         task.state = TaskState.PLACED
         task.job.effective_runs += 1
@@ -387,7 +411,7 @@
         if worker.state is WorkerState.READY:
             self.crash_policy.on_worker_responded(worker)
         if worker.state is WorkerState.FENCED:
-            self.remove_worker(worker.worker_id, "fenced by another placer")
+            self.release_worker(worker.worker_id, "fenced by another placer")
             self.on_worker_fenced(worker)
         self.start_waiting_tasks()
 
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -203,7 +203,7 @@
 
     def _start(self, run: Run) -> None:
         for _ in range(START_TRIES_MAX):
-            if not self.events.may_give_orders() or not self.limits.may_send(self):
+            if not self._may_send_start(run):
                 self._drop_unstarted(run, None)
                 return
             token = self.fencing_token
@@ -230,6 +230,14 @@
                 break
         self._handle_start_reply(run, reply)
 
+    def _may_send_start(self, run: Run) -> bool:
+        """Return whether a start order may be sent; checked before each send."""
+        return (
+            not self.closed
+            and self.events.may_send_start(run)
+            and self.limits.may_send(self)
+        )
+
     def _should_retry(self, run: Run, reply: object, token: int) -> bool:
         """Return whether to send the start order again; may raise the attempt.
 
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -18,6 +18,12 @@
 
     node: str
 
+    def is_waiting(self, job_id: str) -> bool:
+        """Return whether the daemon waits for the outcome of a job from this placer.
+
+        If not, it may have sent the job to another placer.
+        """
+
     def deliver(self, outcome: JobOutcome) -> None:
         """Report the outcome of a job; must not block."""
 
@@ -127,6 +133,15 @@
         """Return whether any task may have run, by now or at an earlier send."""
         return self.sent_before or self.may_have_active_runs
 
+    @property
+    def is_waited_for(self) -> bool:
+        """Return whether some daemon waits for the outcome from this placer."""
+        receivers = (self.receiver, *self.earlier_receivers.values())
+        return any(
+            receiver is not None and receiver.is_waiting(self.job_id)
+            for receiver in receivers
+        )
+
     @property
     def remaining_work_millicore_ms(self) -> float:
         """Return the estimated work of the tasks that are not done."""
--- a/rattanloom/placement/worker_events.py
+++ b/rattanloom/placement/worker_events.py
@@ -43,6 +43,9 @@
     def may_give_orders(self) -> bool:
         """Return whether the placer may start runs and extend leases now."""
 
+    def may_send_start(self, run: Run) -> bool:
+        """Return whether the start order of a run may be sent now."""
+
     def on_run_finished(self, worker: Worker, run: Run, finished: FinishedRun) -> None:
         """Handle a finished run of this placer."""
 
--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -302,13 +302,18 @@
 
 @define(eq=False)
 class FakeReceiver:
-    """Receiver that collects the outcomes of jobs."""
+    """Receiver that collects the outcomes of jobs; it waits for all if ``waiting``."""
 
     node: str = "entry-1"
+    waiting: bool = True
     outcomes: list = field(factory=list)
     returned: list = field(factory=list)
     by_job: dict = field(factory=lambda: defaultdict(list))
 
+    def is_waiting(self, job_id) -> bool:
+        """Return what the test has set."""
+        return self.waiting
+
     def deliver(self, outcome) -> None:
         """Record an outcome."""
         self.outcomes.append(outcome)
--- a/tests/test_capacity_exchange.py
+++ b/tests/test_capacity_exchange.py
@@ -130,7 +130,9 @@
         """Pass a job to a placer and its outcome to the router."""
         self.sent[node].append(message)
         receiver = SimpleNamespace(
-            node="n0", deliver=lambda outcome: self.router.record_outcome(node, outcome)
+            node="n0",
+            is_waiting=lambda job_id: True,
+            deliver=lambda outcome: self.router.record_outcome(node, outcome),
         )
         self.placers[node].submit(receiver, message.job, message.former_placers)
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -321,7 +321,7 @@
     ):
         link = hub.link("d0")
         link.peer = Hello("d0", "a", "", 0, version)
-        PeerOutcomeReceiver("d0", OneLink(link)).take_back((returned,))
+        PeerOutcomeReceiver(link, OneLink(link)).take_back((returned,))
         assert hub.sent["d0"].pop() == expected
 
 
@@ -452,6 +452,7 @@
     """Passes outcomes and returned jobs from the placer ``node`` to a router."""
 
     node = "n0"
+    is_waiting = staticmethod(lambda job_id: True)
 
     def __init__(self, router: list, node: str):
         self.deliver = lambda outcome: router[0].record_outcome(node, outcome)
--- /dev/null
+++ b/tests/test_former_ownership.py
@@ -0,0 +1,129 @@
+"""A placer starts nothing for jobs, and on workers, of a former ownership."""
+
+from types import SimpleNamespace
+
+import gevent
+import pytest
+
+from rattanloom.links.messages import Hello
+from rattanloom.peer_receiver import PeerOutcomeReceiver
+from rattanloom.placement.inherited_work import INHERITED_RUN_MAX_MS
+from rattanloom.placement.worker_events import WorkerState
+from tests.dispatcher_fakes import (
+    CLOCK,
+    FakeReceiver,
+    FakeWorker,
+    make_submitted_job,
+    wait_for,
+)
+from tests.test_complete_jobs import TASK
+from tests.test_job_router import FakeHub, FakeOwnership, make_router
+from tests.test_placer import TOKEN, all_ready, running_placer
+
+LONGER_THAN_A_TICK_S = 0.2
+
+
+def expire_lease(placer, worker_id: str) -> None:
+    """Let the lease of a worker end, as after a freeze of this process."""
+    placer.workers[worker_id].lease.expires_ms = 0
+
+
+def test_task_lost_with_a_zone_is_not_started_for_a_daemon_that_disconnected():
+    # The owner froze, and the daemon sent the job to the next owner meanwhile.
+    lost, kept = FakeWorker("w1"), FakeWorker("w2", zone="b")
+    with running_placer(lost) as placer:
+        receiver = FakeReceiver()
+        placer.submit(receiver, make_submitted_job(), ())
+        assert wait_for(lambda: lost.running)
+        placer.connect = lambda entry: kept
+        placer.add_worker(kept.entry(), TOKEN)
+        assert wait_for(lambda: all_ready(placer))
+        placer.on_daemon_lost(receiver.node)
+        expire_lease(placer, "w1")
+        placer.remove_worker("w1", "it is no longer registered")
+        gevent.sleep(LONGER_THAN_A_TICK_S)
+        assert not kept.starts
+
+
+@pytest.mark.parametrize("how", ["taken over", "fenced"])
+def test_run_counts_as_active_until_the_next_owner_of_its_worker_has_stopped_it(how):
+    # The next owner may have extended the worker's lease for other runs.
+    lost, kept = FakeWorker("w1"), FakeWorker("w2", zone="b")
+    with running_placer(lost) as placer:
+        placer.submit(FakeReceiver(), make_submitted_job(), ())
+        assert wait_for(lambda: lost.running)
+        placer.connect = lambda entry: kept
+        placer.add_worker(kept.entry(), TOKEN)
+        assert wait_for(lambda: all_ready(placer))
+        worker = placer.workers["w1"]
+        expire_lease(placer, "w1")
+        if how == "fenced":
+            worker.state = WorkerState.FENCED
+            placer.on_worker_changed(worker)
+        else:
+            placer.release_worker("w1")
+        lease_end_ms = worker.lease.expires_ms
+        assert lease_end_ms > CLOCK.now_ms() + 900 + INHERITED_RUN_MAX_MS
+        assert placer.active_runs[TASK] == 1
+        assert wait_for(lambda: kept.starts, within_s=3)
+        assert CLOCK.now_ms() >= lease_end_ms
+
+
+def test_task_of_a_job_that_its_daemon_sent_elsewhere_is_not_started():
+    worker, receiver = FakeWorker("w1"), FakeReceiver()
+    with running_placer() as placer:
+        placer.submit(receiver, make_submitted_job(), ())
+        receiver.waiting = False
+        placer.connect = lambda entry: worker
+        placer.add_worker(worker.entry(), TOKEN)
+        assert wait_for(lambda: all_ready(placer))
+        gevent.sleep(LONGER_THAN_A_TICK_S)
+        assert not worker.starts
+
+
+def test_task_is_not_started_after_the_deadline_of_its_job():
+    worker = FakeWorker("w1")
+    with running_placer(worker) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        placer.submit(FakeReceiver(), make_submitted_job(remaining_ms=-1), ())
+        assert not placer.active_runs
+        gevent.sleep(LONGER_THAN_A_TICK_S)
+        assert not worker.starts
+
+
+def test_start_that_was_not_sent_before_its_worker_was_removed_is_not_sent():
+    worker = FakeWorker("w1")
+    with running_placer(worker) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        placer.submit(FakeReceiver(), make_submitted_job(), ())
+        assert placer.active_runs[TASK] == 1
+        placer.release_worker("w1")
+        gevent.sleep(LONGER_THAN_A_TICK_S)
+        assert not worker.starts
+        assert not placer.active_runs[TASK]
+
+
+def test_peer_waits_for_a_job_only_on_the_link_on_which_it_sent_the_job():
+    alive, reopened = (
+        SimpleNamespace(
+            peer=Hello("n2", "b", "", 1), closed=False, is_alive=lambda: True
+        )
+        for _ in range(2)
+    )
+    receiver = PeerOutcomeReceiver(alive, hub=None)
+    assert receiver.is_waiting("job")
+    alive.is_alive = lambda: False
+    assert not receiver.is_waiting("job")
+    assert PeerOutcomeReceiver(reopened, hub=None).is_waiting("job")
+
+
+def test_own_jobs_are_waited_for_only_while_this_daemon_is_their_placer():
+    ownership = FakeOwnership("n0")
+    router = make_router(ownership, FakeHub("p2"))
+    router.placer = SimpleNamespace(submit=lambda *arguments: None)
+    job = router.submit(make_submitted_job())
+    job_id = job.submitted.job_id
+    assert router.is_waiting(job_id)
+    ownership.owner = "p2"
+    router.on_placers_changed()
+    assert not router.is_waiting(job_id)
--- a/tests/test_pooled_worker.py
+++ b/tests/test_pooled_worker.py
@@ -70,6 +70,10 @@
         """Allow all orders."""
         return True
 
+    def may_send_start(self, run) -> bool:
+        """Allow all start orders."""
+        return True
+
     def __init__(self) -> None:
         """Start without recorded events."""
         self.seen = []
