Drop all jobs with the last zone, also if no worker is left

Cause: its workers had refused its token one by one, so the pool was empty when it read the owners, and an empty pool was taken for nothing to drop. The placer kept the jobs of its own clients, the router sent them to the successor, and the returning workers got their tasks again.

Change: a daemon without zones drops all jobs of its placer, and its router handles the own loss like that of a peer, so a job whose zone returns before another owner is reachable is sent again instead of being held to its deadline. New log event jobs_dropped.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -334,12 +334,15 @@
 
     def _on_owners_changed(self) -> None:
         self._reconcile_workers()
-        self.job_router.on_placers_changed()
+        node = self.deployment.node
+        self.job_router.on_zones_announced(node, bool(self.ownership.owned()))
 
     def _reconcile_workers(self) -> None:
         """Give the placer exactly the registered workers of the zones owned here."""
         owned = self.ownership.owned()
-        if not owned and self.placer.workers:
+        if not owned:
+            # The pool may be empty before the jobs are dropped: its workers refuse
+            # the token once another daemon has taken them over.
             for worker_id in list(self.placer.workers):
                 self.placer.release_worker(worker_id)
             self.placer.drop_all_jobs()
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -280,7 +280,7 @@
             job.forget_send(node)
 
     def on_zones_announced(self, node: str, owns_zones: bool) -> None:
-        """Submit jobs again after a daemon announced the zones that it owns.
+        """Submit jobs again after a daemon, possibly this one, announced its zones.
 
         One that owns none has dropped its jobs, also if it acquires zones again before
         this daemon reads the records of the owners.
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -290,6 +290,9 @@
 
     def drop_all_jobs(self) -> None:
         """Drop all jobs, without outcomes, after other placers took over the zones."""
+        if self.jobs:
+            started = sum(job.started for job in self.jobs.values())
+            log.info("jobs_dropped", jobs=len(self.jobs), started=started)
         for job in self.jobs.values():
             job.ended = True
         self.jobs.clear()
--- a/tests/test_former_ownership.py
+++ b/tests/test_former_ownership.py
@@ -5,10 +5,13 @@
 import gevent
 import pytest
 
+from rattanloom.ingress.job_router import REJECTED_PAUSE_MS
 from rattanloom.links.messages import Hello
+from rattanloom.ownership.records import ZoneOwner
 from rattanloom.peer_receiver import PeerOutcomeReceiver
 from rattanloom.placement.inherited_work import INHERITED_RUN_MAX_MS
 from rattanloom.placement.worker_events import WorkerState
+from standins.store import Store, StoreSwitches
 from tests.dispatcher_fakes import (
     CLOCK,
     FakeReceiver,
@@ -17,6 +20,7 @@
     wait_for,
 )
 from tests.test_complete_jobs import TASK
+from tests.test_configuration_delay import daemon_with
 from tests.test_job_router import FakeHub, FakeOwnership, make_router
 from tests.test_placer import TOKEN, all_ready, running_placer
 
@@ -127,3 +131,31 @@
     ownership.owner = "p2"
     router.on_placers_changed()
     assert not router.is_waiting(job_id)
+
+
+def test_jobs_are_dropped_with_the_last_zone_also_if_no_worker_is_left():
+    # All workers had refused the token before the owners were read.
+    store = Store(switches=StoreSwitches(latency_ms=0))
+    with daemon_with(store) as daemon:
+        daemon.ownership.acquirer.acquire(["a"], "test")
+        placer, router = daemon.placer, daemon.job_router
+        job = router.submit(make_submitted_job())
+        assert job.placer == "d1"
+        assert job.submitted.job_id in placer.jobs
+        daemon.ownership.view.apply_owners([ZoneOwner("a", "d2", 2)])
+        assert not placer.jobs
+        assert job.placer is None
+        assert job.former_placers == ("d1",)
+
+
+def test_own_job_is_submitted_again_after_its_zone_was_lost_and_regained():
+    store = Store(switches=StoreSwitches(latency_ms=0))
+    with daemon_with(store) as daemon:
+        daemon.ownership.acquirer.acquire(["a"], "test")
+        job = daemon.job_router.submit(make_submitted_job())
+        daemon.ownership.view.apply_owners([ZoneOwner("a", "d2", 2)])
+        daemon.ownership.acquirer.acquire(["a"], "test")
+        gevent.sleep(REJECTED_PAUSE_MS / 1_000)
+        daemon.job_router.tick()
+        assert job.placer == "d1"
+        assert daemon.placer.jobs[job.submitted.job_id].former_placers == ("d1",)
