Check the range of every field in workers' entries

Callers saw: jobs held 6 s to a 504 where others got 503 in 0.4 s, while one entry with a capacity of 400 digits stood among the workers (more than 64 workers, an owner a zone). Tracebacks were printed past the structured log for a host that can't be encoded.

Cause: the types of the fields were checked, their ranges were not. The amount did not fit into the announced load, so announce_if_due and _request_placer_links failed at every tick. Any text with a colon and digits, also superscripts, was an address. An entry that could not be read left the former one of its worker in use, where the platform's page says that such an entry names no worker to use.

Change: a range for each field that is used; a worker whose entry becomes invalid gets no new tasks and is gone after the grace for missing entries, unless a valid one follows; one log line for each version of such a row, its reason at most 200 characters.

Ruled out: deep nesting and undecodable bytes were refused before as well.

--- a/rattanloom/platform/worker_entries.py
+++ b/rattanloom/platform/worker_entries.py
@@ -1,6 +1,11 @@
-"""Parses the entries by which workers register in the platform's metadata store."""
+"""Parses the entries by which workers register in the platform's metadata store.
 
-from attrs import define, evolve, field, fields, frozen
+Other writers may leave entries there, so every field that is used has a range.
+"""
+
+import re
+
+from attrs import astuple, define, evolve, field, fields, frozen
 
 from rattanloom.placement.workers import Resources, WorkerEntry
 from rattanloom.platform.json_format import (
@@ -19,6 +24,20 @@
 LEAVING_TOLERANCE_MS = 500
 # Longer times in an entry count as invalid.
 TIME_MAX_MS = 3_600_000
+# Ranges of the other fields. Amounts are summed over all workers and sent between
+# daemons as integers of 64 bits; the wall time is in the year 2286.
+AMOUNT_MAX = 1_000_000_000
+BORN_MAX_MS = 10_000_000_000_000
+NAME_MAX_CHARS = 200
+LABELS_MAX = 100
+HOST_MAX_CHARS = 253
+PORT_MAX = 65_535
+# A host name or an IPv4 address, or an IPv6 address in brackets.
+HOST_LABEL = "[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
+HOST = re.compile(rf"{HOST_LABEL}(\.{HOST_LABEL})*|\[[0-9A-Fa-f:.]{{2,45}}\]")
+PORT = re.compile("[0-9]{1,5}")
+# The reason for which an entry is invalid may quote it.
+REASON_MAX_CHARS = 200
 
 
 @frozen
@@ -64,8 +83,14 @@
     def parse(self, row: Row, now_ms: float = 0) -> WorkerEntry:
         """Return the entry in ``row``, read at ``now_ms``.
 
-        Raises ``FormatError`` if it is invalid.
+        Raises ``FormatError`` if it is invalid, with at most ``REASON_MAX_CHARS``.
         """
+        try:
+            return self._parse(row, now_ms)
+        except FormatError as error:
+            raise FormatError(str(error)[:REASON_MAX_CHARS]) from error
+
+    def _parse(self, row: Row, now_ms: float) -> WorkerEntry:
         if row.value is None:
             raise FormatError("the row was deleted or its value is not valid base64")
         document = decode_object(row.value)
@@ -111,11 +136,7 @@
 
 def _make_entry(worker_id: str, document: dict[str, object]) -> WorkerEntry:
     wire = structure(document, WireWorkerEntry)
-    if wire.state not in (READY, DRAINING):
-        raise FormatError(f"unknown state {wire.state!r}")
-    host, _, port = wire.addr.rpartition(":")
-    if not host or not port.isdigit():
-        raise FormatError(f"addr {wire.addr!r} is not ip:port")
+    _check_ranges(worker_id, wire)
     capacity = wire.capacity
     return WorkerEntry(
         worker_id,
@@ -127,3 +148,35 @@
         Resources(capacity.cpu, capacity.mem_mb, capacity.gpu),
         wire.labels,
     )
+
+
+def _check_ranges(worker_id: str, wire: WireWorkerEntry) -> None:
+    """Raise ``FormatError`` that names the first field out of its range."""
+    checks = {
+        "key": _is_name(worker_id),
+        "service": _is_name(wire.service),
+        "zone": _is_name(wire.zone),
+        "state": wire.state in (READY, DRAINING),
+        "addr": _is_address(wire.addr),
+        "capacity": all(0 <= amount <= AMOUNT_MAX for amount in astuple(wire.capacity)),
+        "labels": len(wire.labels) <= LABELS_MAX and all(map(_is_name, wire.labels)),
+        "born": 0 <= wire.born <= BORN_MAX_MS,
+    }
+    for name, is_valid in checks.items():
+        if not is_valid:
+            raise FormatError(f"{name} is out of its range")
+
+
+def _is_name(text: str) -> bool:
+    return 0 < len(text) <= NAME_MAX_CHARS and text.isprintable()
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a text is ``host:port``, with a host that can be looked up."""
+    host, _, port = text.rpartition(":")
+    return (
+        len(host) <= HOST_MAX_CHARS
+        and HOST.fullmatch(host) is not None
+        and PORT.fullmatch(port) is not None
+        and 0 < int(port) <= PORT_MAX
+    )
--- a/rattanloom/registry.py
+++ b/rattanloom/registry.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 
 import gevent
-from attrs import define, field
+from attrs import define, evolve, field
 
 from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.decision_log import DecisionLog
@@ -24,10 +24,12 @@
     """The entries of live and leaving workers, by worker id.
 
     An entry that is deleted or missing in the store is removed here only after
-    ``MISSING_GRACE_MS``. ``on_change`` is called after entries changed, not after a
-    change of ``cold_until_ms`` alone: that has, by worker id, when a worker that is
-    slow now will have its normal speed. ``_cold_versions`` has the versions of the rows
-    that it is from, since a row that is read again is older than at its first read.
+    ``MISSING_GRACE_MS``; one that becomes invalid gets no new tasks meanwhile.
+    ``on_change`` is called after entries changed, not after a change of
+    ``cold_until_ms`` alone: that has, by worker id, when a worker that is slow now will
+    have its normal speed. ``_cold_versions`` has the versions of the rows that it is
+    from, since a row that is read again is older than at its first read.
+    ``_invalid_versions`` has the versions of the rows that are invalid.
     """
 
     clock: Clock
@@ -35,6 +37,7 @@
     entries: dict[str, WorkerEntry] = field(factory=dict)
     cold_until_ms: dict[str, float] = field(factory=dict)
     _cold_versions: dict[str, int] = field(factory=dict)
+    _invalid_versions: dict[str, int] = field(factory=dict)
     _parser: WorkerEntryParser = field(factory=WorkerEntryParser)
     _missing: set[str] = field(factory=set)
     _first_read_ms: float | None = None
@@ -55,6 +58,8 @@
         for worker_id in self.entries:
             if worker_id not in present:
                 self._mark_missing(worker_id)
+        for worker_id in self._invalid_versions.keys() - present:
+            del self._invalid_versions[worker_id]
         self.apply_rows(rows)
 
     def apply_rows(self, rows: Sequence[Row]) -> None:
@@ -72,18 +77,32 @@
     def _apply_row(self, row: Row) -> None:
         worker_id = row.ref.key
         if row.deleted:
+            self._invalid_versions.pop(worker_id, None)
             if worker_id in self.entries:
                 self._mark_missing(worker_id)
             return
         try:
             entry = self._parser.parse(row, self.clock.now_ms())
         except FormatError as error:
-            log.warning("entry_unreadable", worker=worker_id, reason=str(error))
+            self._reject(row, str(error))
             return
+        self._invalid_versions.pop(worker_id, None)
         self._missing.discard(worker_id)
         self.entries[worker_id] = entry
         self._record_cold(worker_id, row.version)
 
+    def _reject(self, row: Row, reason: str) -> None:
+        """Use a worker no more whose entry is invalid, unless a valid one follows."""
+        worker_id = row.ref.key
+        if self._invalid_versions.get(worker_id) != row.version:
+            self._invalid_versions[worker_id] = row.version
+            log.warning("entry_unreadable", worker=worker_id, reason=reason)
+        entry = self.entries.get(worker_id)
+        if entry is not None:
+            if entry.accepting:
+                self.entries[worker_id] = evolve(entry, accepting=False)
+            self._mark_missing(worker_id)
+
     def _record_cold(self, worker_id: str, version: int) -> None:
         left_ms = self._parser.slow_for_ms[worker_id]
         if left_ms <= 0:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -212,10 +212,12 @@
     size: DeploymentSize,
     random: Random,
     prepare: Callable[[Daemon], None] = lambda daemon: None,
+    fill_store: Callable[[Deployment], None] = lambda deployment: None,
 ) -> Iterator[Deployment]:
     """Start a deployment, and stop all its processes at the end of the block.
 
-    ``prepare`` is called with each daemon before it is started.
+    ``prepare`` is called with each daemon before it is started, ``fill_store`` once
+    the store runs.
     """
     with ExitStack() as stack:
         folder = Path(stack.enter_context(TemporaryDirectory(prefix="soak-")))
@@ -226,6 +228,7 @@
         deployment.store.start()
         _await_store(deployment)
         deployment.configure()
+        fill_store(deployment)
         for daemon in deployment.daemons.values():
             prepare(daemon)
         for process in deployment.processes()[1:]:
