Tell a former owner of its successor over the link

Cause: a daemon that reads a new owner sends its jobs there while its link to the former owner is alive. The successor waits for the leases of the former owner, who has not read the owners and extends the leases of the workers that the successor has not reached yet.

Change: a daemon that learns of a new owner sends its record to the former one, in the message by which claims are announced, before it sends its jobs on.

--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -125,9 +125,10 @@
 
 @frozen
 class ZoneClaims:
-    """Announces zones that ``owner`` claimed without the store.
+    """Announces zones that ``owner`` claimed without the store, or a newer record.
 
-    ``epochs`` has one epoch for each zone; ``claim`` is that of ``ZoneOwner``.
+    ``epochs`` has one epoch for each zone; ``claim`` is that of ``ZoneOwner``, 0 for a
+    record of the store, which is sent to the former owner.
     """
 
     owner: str
--- a/rattanloom/ownership/confirmation.py
+++ b/rattanloom/ownership/confirmation.py
@@ -111,6 +111,11 @@
             and link.peer.protocol_version < OWNED_ZONES_VERSION
         )
 
+    def may_hold(self, link: Link, zone: str) -> bool:
+        """Return whether a peer has not stated to have lost a zone."""
+        is_old_build = link.peer.protocol_version < OWNED_ZONES_VERSION
+        return is_old_build or zone in link.peer_zones
+
     def held_zones(self, node: str) -> set[str]:
         """Return the zones that a node holds, as far as this daemon knows."""
         if node == self.view.own_member.node:
--- a/rattanloom/ownership/ownership.py
+++ b/rattanloom/ownership/ownership.py
@@ -249,8 +249,20 @@
 
     def _on_owners_changed(self) -> None:
         self.confirmation.announce()
+        self._inform_former_owners()
         self.on_change()
 
+    def _inform_former_owners(self) -> None:
+        """Send former owners the records that replaced theirs.
+
+        One that does not reach the store would go on with jobs that this daemon is
+        about to send to the new owners.
+        """
+        for node, record in self.view.pop_superseded():
+            link = self.hub.link(node)
+            if link is not None and self.confirmation.may_hold(link, record.zone):
+                link.send(make_claims_message([record]))
+
     def register(self) -> None:
         """Register this daemon; it takes no zones before."""
         self.registration.register()
--- a/rattanloom/ownership/view.py
+++ b/rattanloom/ownership/view.py
@@ -24,7 +24,9 @@
 
     Of two owners of a zone, the one with the higher fencing token is kept.
     ``versions`` holds the version of each zone's row in the store. ``on_change`` is
-    called after owners changed. ``_own_tokens`` holds the tokens of the zones that
+    called after owners changed. ``superseded`` has the former owners of zones with the
+    records that replaced theirs, until the caller of ``pop_superseded`` takes them.
+    ``_own_tokens`` holds the tokens of the zones that
     this incarnation acquired. ``_expected_tokens`` counts the writes by token that may
     have acquired a zone; without a response, they may do so seconds later.
     """
@@ -34,6 +36,7 @@
     members: dict[str, Member] = field(factory=dict)
     owners: dict[str, ZoneOwner] = field(factory=dict)
     versions: dict[str, int] = field(factory=dict)
+    superseded: list[tuple[str, ZoneOwner]] = field(factory=list)
     _own_tokens: set[int] = field(factory=set)
     _expected_tokens: Counter[int] = field(factory=Counter)
 
@@ -108,6 +111,8 @@
             if current is None or record.fencing_token > current.fencing_token:
                 self.owners[record.zone] = record
                 changed = True
+                if current is not None and current.owner != record.owner:
+                    self.superseded.append((current.owner, record))
                 log.info(
                     "zone_owner",
                     zone=record.zone,
@@ -118,6 +123,11 @@
         if changed or acquired:
             self.on_change()
 
+    def pop_superseded(self) -> list[tuple[str, ZoneOwner]]:
+        """Return and forget the former owners and the records that replaced theirs."""
+        superseded, self.superseded = self.superseded, []
+        return superseded
+
     def token(self, zone: str) -> int:
         """Return the fencing token of a zone's owner; 0 without one."""
         owner = self.owners.get(zone)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -216,3 +216,18 @@
     assert ownership.owner_of("a") == "n1"
     assert ownership.is_owner("n1")
     assert ownership.reachable_owners() == {"a": "n1"}
+
+
+def test_former_owner_without_the_store_learns_of_its_successor_from_a_peer():
+    # Its peers had sent their jobs to the successor, and it went on with them.
+    with cluster(("n1", "a"), ("n2", "a"), ("n3", "b")) as nodes:
+        assert wait_for(lambda: one_owner(nodes))
+        name = one_owner(nodes)
+        owner = next(node for node in nodes if node.name == name)
+        peer, successor = (node for node in nodes if node is not owner)
+        assert wait_for(lambda: peer.hub.is_alive(name))
+        epoch = owner.ownership.view.epoch("a") + 1
+        peer.ownership.view.apply_owners([ZoneOwner("a", successor.name, epoch)])
+        assert wait_for(lambda: owner.owners()["a"] == successor.name, within_s=1)
+        assert "a" not in owner.ownership.owned()
+        assert "b" in owner.ownership.owned()
