Wait for leases if a former owner's zones went to several daemons

Cause: a takeover counted as complete once the former owner had no zone left, also if another daemon had taken some of its zones. The successor then started tasks at once whose runs were active on workers of the other zones, until their new owner had stopped them. Found by reading, while looking for the cause of runs in two zones; callers may have seen TWICE after an owner of two zones was lost.

Evidence: the first new test failed before; the second shows the limit. No run with real processes was made for this alone.

--- a/rattanloom/ownership/acquisition.py
+++ b/rattanloom/ownership/acquisition.py
@@ -163,12 +163,18 @@
         """Read owners and workers; record takeovers of owners that have no zone left.
 
         Both are read after the zones were acquired: a former owner may have acquired
-        another zone, or used a worker, that was not known here.
+        another zone, or used a worker, that was not known here. A takeover in which
+        another daemon got some of the zones is not recorded, since runs of the former
+        owner in those are not known here.
         """
         reading = gevent.spawn(self.refresh_workers)
         is_confirmed = self.follower.read_now() is None
         is_confirmed &= bool(reading.get()) and self.is_registry_complete()
-        remaining = {node for node in former_owners if self.view.zones_of(node)}
+        remaining = {
+            node
+            for node in former_owners
+            if self.view.zones_of(node) or self.view.was_taken_by_others(node)
+        }
         log.info(
             "takeover_checked",
             former_owners=sorted(former_owners),
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -139,3 +139,26 @@
     new.acquirer.acquire(("b",), "lost owner")
     gevent.sleep(0.05)
     assert "old" not in new.acquirer.takeover_ms_by_node
+
+
+def test_takeover_is_not_recorded_if_another_daemon_took_a_zone_of_the_former_owner():
+    # Its runs in that zone are not known here, and not stopped yet.
+    new = Acquiring("new", make_store())
+    new.acquirer.follower.read_now()
+    store_owner(new.store, "b", "other", 2)
+    new.acquirer.acquire(("a",), "lost owner")
+    gevent.sleep(0.05)
+    assert set(new.view.owned()) == {"a"}
+    assert not new.view.zones_of("old")
+    assert "old" not in new.acquirer.takeover_ms_by_node
+
+
+def test_takeover_is_recorded_if_another_daemon_took_a_zone_long_before(monkeypatch):
+    monkeypatch.setattr("rattanloom.ownership.view.TAKEOVER_RECENT_MS", 0)
+    new = Acquiring("new", make_store())
+    new.acquirer.follower.read_now()
+    store_owner(new.store, "b", "other", 2)
+    new.acquirer.follower.read_now()
+    gevent.sleep(0.01)
+    new.acquirer.acquire(("a",), "lost owner")
+    assert wait_for(lambda: "old" in new.acquirer.takeover_ms_by_node)
