Don't submit a job whose client has disconnected

Callers saw: one task ran on two workers at once after a daemon had been frozen. Requests wait in its socket meanwhile; their clients give up and send the jobs to other daemons. When it woke, it submitted the jobs, and saw the closed connections only then.

--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -16,7 +16,11 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.ingress.job_router import JobRouter, PendingJob
 from rattanloom.ingress.queues import Queue, QueueTable, RequestLimits
-from rattanloom.ingress.server import SOCKET_KEY, wait_until_closed
+from rattanloom.ingress.server import (
+    SOCKET_KEY,
+    is_disconnected,
+    wait_until_closed,
+)
 from rattanloom.metrics import Metrics
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from rattanloom.platform.job_format import (
@@ -72,6 +76,11 @@
             return _error(
                 HTTPStatus.SERVICE_UNAVAILABLE, "stored jobs are not supported"
             )
+        if is_disconnected(request.environ[SOCKET_KEY]):
+            # A request that waited in the socket while this process was frozen: its
+            # client may have sent the job to another daemon since.
+            log.info("client_gone", job=job_id)
+            return _error(HTTPStatus.SERVICE_UNAVAILABLE, "the client disconnected")
         pending = self.job_router.submit(posted.job)
         outcome = self._wait_for_outcome(pending, posted.job.remaining_ms)
         response = _outcome_response(outcome)
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -162,6 +162,20 @@
         gevent.sleep(POLL_MS / MS_PER_S)
 
 
+def is_disconnected(connection: socket) -> bool:
+    """Return whether the client has disconnected, without waiting."""
+    timeout_s = connection.gettimeout()
+    connection.settimeout(0.0)
+    try:
+        return not connection.recv(1, MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        connection.settimeout(timeout_s)
+
+
 def wait_until_closed(connection: socket) -> bool:
     """Wait until the client disconnects; return False if it sends data instead."""
     try:
