Don't send a job on after its deadline

Cause: a daemon whose timers stood still during a suspension sent jobs without a placer to the next owner before it gave them up, after their clients had sent them elsewhere. And each tick closed links by age before it asked for those that pending jobs need, so that a link could close under a job that had just been sent.

Change: no job is submitted after its deadline; links are asked for first in a tick. Found by reading; not seen in a run.

Evidence: the new test failed before.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -275,10 +275,11 @@
 
     def _tick_all(self) -> None:
         steps = (
+            # First, since the tick of the ownership closes links that are not kept.
+            self._request_placer_links,
             self.ownership.tick,
             self.placer.tick,
             self.job_router.tick,
-            self._request_placer_links,
             self.capacity_exchange.announce_if_due,
         )
         while True:
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -332,8 +332,14 @@
         return job.arrived_ms + min(limits_ms)
 
     def _submit_to_placer(self, job: PendingJob) -> None:
-        """Submit a job to a reachable placer; do nothing if there is none."""
+        """Submit a job to a reachable placer; do nothing if there is none.
+
+        Nor after the deadline, as after a suspension of this daemon: the client may
+        have sent the job to another one since.
+        """
         now_ms = self.clock.now_ms()
+        if now_ms >= job.arrived_ms + job.submitted.remaining_ms:
+            return
         excluded = {
             node
             for node, rejected_ms in job.rejected_ms.items()
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -268,3 +268,18 @@
     assert not later.result.ready(), "the placer runs the later one"
     job_router.record_outcome("p1", refusal, later.submission)
     assert later.result.get().kind is OutcomeKind.REFUSED
+
+
+def test_job_past_its_deadline_is_not_submitted_again():
+    # After a suspension of this daemon; its client has sent it to another one.
+    ownership, hub = FakeOwnership("p1"), FakeHub("p1", "p2")
+    job_router = make_router(ownership, hub)
+    job = job_router.submit(make_submitted_job(remaining_ms=1_000))
+    job_router.clock.at_ms += 1_001
+    ownership.owner = "p2"
+    job_router.on_placers_changed()
+    assert not hub.sent["p2"]
+    job_router.on_placer_lost("p1")
+    job_router.tick()
+    assert not hub.sent["p2"]
+    assert job.result.get(block=False).kind is OutcomeKind.GIVEN_UP
