Ask for a report before a task with a label starts

Cause: the report of an idle worker is waited for up to 1.8 s, and its entry is read up to 600 ms after it was written; until then the placer goes by the former entry.

Change: a start order of a task with a required label is sent only to a worker that reported within 100 ms; else a report is asked for first. No report, or one of another incarnation than the entry's, means no start.

--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -50,6 +50,9 @@
 START_TRIES_MAX = 5
 # A stop is sent again if a report lists the run this long after the last stop.
 STOP_RETRY_MS = 150
+# A task with a required label starts only on a worker that reported within this time: a
+# worker may restart without the label while the report of an idle one is waited for.
+LABEL_REPORT_AGE_MAX_MS = 100
 # Time for the next placer, once recorded as the owner, to send its fencing token to
 # the worker.
 FENCING_DELAY_MS = 150
@@ -72,7 +75,8 @@
     it drains. ``failure_score``, ``quarantine_count`` and ``speed`` belong to
     ``WorkerHealth``. ``_idle_wait`` is set while a
     request to an idle worker is pending, which does not extend the lease.
-    ``_incarnation_seen_ms`` is when the current incarnation first reported. ``limits``
+    ``_reported_ms`` is when the last report arrived, ``_incarnation_seen_ms`` when the
+    first one of the current incarnation did. ``limits``
     are shared by the workers of the placer. ``on_change`` is called with each change
     that matters to the choice of workers, just before or after it.
     """
@@ -98,6 +102,7 @@
     quarantine_count: int = 0
     speed: WorkerSpeed = field(factory=WorkerSpeed)
     closed: bool = False
+    _reported_ms: float = -inf
     _incarnation_seen_ms: float = -inf
     _idle_wait: bool = False
     _bridging_idle_wait: bool = False
@@ -202,6 +207,9 @@
         task.attempt = max(task.attempt, run.attempt)
 
     def _start(self, run: Run) -> None:
+        if run.step.required_label and not self._has_label(run.step.required_label):
+            self._drop_unstarted(run, None)
+            return
         for _ in range(START_TRIES_MAX):
             if not self._may_send_start(run):
                 self._drop_unstarted(run, None)
@@ -230,6 +238,16 @@
                 break
         self._handle_start_reply(run, reply)
 
+    def _has_label(self, label: str) -> bool:
+        """Return whether the worker has a label, by a recent report and its entry."""
+        if self.clock.now_ms() >= self._reported_ms + LABEL_REPORT_AGE_MAX_MS:
+            self._renew(0)
+        return (
+            self.has_current_entry
+            and label in self.entry.labels
+            and not self.missed_replies
+        )
+
     def _may_send_start(self, run: Run) -> bool:
         """Return whether a start order may be sent; checked before each send."""
         return (
@@ -423,6 +441,7 @@
                 log.info("old_report_ignored", worker=self.worker_id)
                 return
             self._begin_incarnation(report.incarnation_ms)
+        self._reported_ms = self.clock.now_ms()
         self.lease.record_worker_clock(report.clock_ms)
         # Replies on two connections can overtake each other: an older one may still
         # list runs that are recorded as finished.
--- a/tests/test_pooled_worker.py
+++ b/tests/test_pooled_worker.py
@@ -4,11 +4,14 @@
 
 import gevent
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 from gevent.event import AsyncResult
 
 from rattanloom.errors import ErrorKind, Failure
-from rattanloom.placement.pooled_worker import PooledWorker
+from rattanloom.placement.pooled_worker import (
+    LABEL_REPORT_AGE_MAX_MS,
+    PooledWorker,
+)
 from rattanloom.placement.runs import Run, RunPhase, make_job
 from rattanloom.placement.worker_events import WorkerState
 from rattanloom.placement.worker_lease import WorkerLease
@@ -38,9 +41,11 @@
 
     start_reply: object = field(factory=AsyncResult)
     renewals: list[tuple[Renewal, AsyncResult]] = field(factory=list)
+    starts: list[StartOrder] = field(factory=list)
 
     def start(self, order: StartOrder) -> Started | Failure:
-        """Wait for the reply that the test sets."""
+        """Record the order; wait for the reply that the test sets."""
+        self.starts.append(order)
         return self.start_reply.get()
 
     def stop(self, task: str, attempt: int, fencing_token: int) -> bool:
@@ -90,10 +95,10 @@
     return WorkerReport(clock_ms, 1, rows, ended)
 
 
-def open_worker() -> tuple[PooledWorker, ScriptedOrders]:
+def open_worker(**changes) -> tuple[PooledWorker, ScriptedOrders]:
     orders = ScriptedOrders()
     worker = PooledWorker(
-        FakeWorker("w1").entry(),
+        evolve(FakeWorker("w1").entry(), **changes),
         orders,
         RecordedEvents(),
         CLOCK,
@@ -239,3 +244,32 @@
 def test_repr_of_a_worker_in_a_traceback_is_short():
     worker, _ = open_worker()
     assert len(repr(worker)) < 200
+
+
+@pytest.mark.parametrize(
+    ("incarnation_ms", "is_started"), [(1, True), (2, False)], ids=["same", "restarted"]
+)
+def test_label_is_checked_by_a_recent_report_before_a_task_starts(
+    incarnation_ms, is_started
+):
+    # An idle worker restarted without the label during the wait for its report.
+    worker, orders = open_worker(labels=("kind-a",), incarnation_ms=1)
+    orders.start_reply.set(Started(1_001))
+    job = make_job(make_submitted_job(), FakeReceiver(), (), CLOCK.now_ms())
+    job.tasks[0].step = evolve(job.tasks[0].step, required_label="kind-a")
+    gevent.sleep(LABEL_REPORT_AGE_MAX_MS / 1_000)
+    run = worker.start_run(job.tasks[0])
+    orders.reply(2, evolve(report(1_300), incarnation_ms=incarnation_ms))
+    assert bool(orders.starts) is is_started
+    assert (run in worker.runs.all()) is is_started
+    if not is_started:
+        assert "on_run_not_started" in worker.events.seen
+
+
+def test_task_without_a_label_starts_without_a_report():
+    worker, orders = open_worker()
+    gevent.sleep(LABEL_REPORT_AGE_MAX_MS / 1_000)
+    renewals = len(orders.renewals)
+    start_task(worker, orders)
+    assert len(worker.runs) == 1
+    assert len(orders.renewals) <= renewals + 1, "only the renewal of the lease"
