Cancel jobs that are not stored on DELETE

Cause: delete_job answered without asking anybody, as no job is stored. Such a job exists while its POST is open, perhaps at another daemon.

Owners end the job as cancelled, stop its runs and answer later copies alike for 15 s. The POST is answered 200 with the state cancelled, the DELETE 200 if the job is known there, else 410. Builds before this one get no new message, and given_up.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -12,6 +12,7 @@
 from gevent.pywsgi import WSGIServer
 
 from rattanloom.background import run_and_log_failure, spawn_restarting
+from rattanloom.cancellations import Cancellations
 from rattanloom.capacity_exchange import CapacityExchange
 from rattanloom.clock import MS_PER_S
 from rattanloom.crash_exchange import CrashExchange
@@ -105,6 +106,7 @@
     crash_exchange: CrashExchange = field(init=False)
     capacity_exchange: CapacityExchange = field(init=False)
     job_router: JobRouter = field(init=False)
+    cancellations: Cancellations = field(init=False)
     peer_messages: PeerMessages = field(init=False)
     evacuation_control: EvacuationControl = field(init=False)
     connections: ConnectionState = field(init=False)
@@ -213,6 +215,14 @@
             self._wake.set,
             self.metrics,
         )
+        self.cancellations = Cancellations(
+            deployment.node,
+            clock,
+            self.hub,
+            self.placer,
+            self.job_router,
+            self.ownership.owners,
+        )
         self.peer_messages = PeerMessages(
             self.hub,
             self.placer,
@@ -280,6 +290,7 @@
             self.ownership.tick,
             self.placer.tick,
             self.job_router.tick,
+            self.cancellations.tick,
             self.capacity_exchange.announce_if_due,
         )
         while True:
@@ -293,6 +304,7 @@
             and not self.placer.jobs
             and self.ownership.is_settled()
             and not self.job_router.has_unplaced()
+            and not self.cancellations.is_telling()
         )
         if is_idle:
             self._wake.clear()
@@ -304,7 +316,11 @@
         """Request links to placers that have jobs from here or may soon get some."""
         nodes = self.job_router.placers()
         is_unplaced = self.job_router.has_unplaced()
-        if is_unplaced or self.placer_choice.is_preferred_nearly_full():
+        if (
+            is_unplaced
+            or self.placer_choice.is_preferred_nearly_full()
+            or self.cancellations.is_telling()
+        ):
             nodes |= self.ownership.owners()
         for node in nodes:
             self.ownership.request_link(node)
@@ -420,7 +436,12 @@
 
 def run(daemon: Daemon, settings_path: str, stop: Event) -> ExitStatus:
     """Serve until ``stop`` is set, then stop gracefully."""
-    api = ClientApi(daemon.queues, daemon.job_router, daemon.metrics)
+    api = ClientApi(
+        daemon.queues,
+        daemon.job_router,
+        daemon.metrics,
+        daemon.cancellations.cancel,
+    )
     listen = daemon.deployment.listen
     with ExitStack() as stack:
         stack.enter_context(daemon.hub.serving())
--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -4,6 +4,7 @@
 outcome in the response. Jobs are not stored.
 """
 
+from collections.abc import Callable
 from http import HTTPStatus
 from math import isfinite
 
@@ -36,16 +37,24 @@
 DEADLINE_HEADER = "Deadline-Ms"
 # The response is sent this long before the client's deadline.
 RESPONSE_MARGIN_MS = 15
-STATES_BY_KIND = {OutcomeKind.COMPLETE: "complete", OutcomeKind.FAILED: "failed"}
+STATES_BY_KIND = {
+    OutcomeKind.COMPLETE: "complete",
+    OutcomeKind.FAILED: "failed",
+    OutcomeKind.CANCELLED: "cancelled",
+}
 
 
 @define(eq=False, repr=False)
 class ClientApi:
-    """Routes and handles the requests of clients."""
+    """Routes and handles the requests of clients.
+
+    ``cancel_job`` cancels a job at all daemons, and returns whether it is known here.
+    """
 
     queues: QueueTable
     job_router: JobRouter
     metrics: Metrics
+    cancel_job: Callable[[str], bool]
     app: Bottle = field(factory=Bottle)
 
     def __attrs_post_init__(self) -> None:
@@ -112,11 +121,17 @@
         return _error(HTTPStatus.GONE, "no such job")
 
     def delete_job(self, path: str) -> HTTPResponse:
-        """Respond that the job does not exist, since no job is stored."""
+        """Cancel a job that some daemon may have, as no job is stored.
+
+        The request that posted it is answered that it was cancelled.
+        """
         found = self._find_queue(f"/{path}")
         if isinstance(found, HTTPResponse):
             return found
-        return _error(HTTPStatus.GONE, "no such job")
+        _, job_id = found
+        if is_job_id(job_id) and self.cancel_job(job_id):
+            return _json(HTTPStatus.OK, encode_state("cancelled"))
+        return _error(HTTPStatus.GONE, "no such job is known here")
 
     def _find_queue(self, path: str) -> tuple[Queue, str] | HTTPResponse:
         if self.queues.configuration is None:
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -19,6 +19,7 @@
     OutcomeKind,
     ReturnedJob,
     SubmittedJob,
+    cancelled_outcome,
 )
 from rattanloom.placement.placer import Placer
 from rattanloom.scheduling.zone_choice import ChosenPlacer, PlacerChoice
@@ -134,6 +135,15 @@
             if link is not None:
                 link.send(Cancel(job.submitted.job_id))
 
+    def revoke(self, job_id: str) -> bool:
+        """End a job that its client cancelled; return whether it was pending here."""
+        job = self.pending.get(job_id)
+        if job is None:
+            return False
+        self.cancel(job)
+        self._finish(job, cancelled_outcome(job_id))
+        return True
+
     def give_up_all(self, reason: str) -> None:
         """Give up and cancel all jobs; clients may retry at another daemon.
 
@@ -334,8 +344,8 @@
     def _submit_to_placer(self, job: PendingJob) -> None:
         """Submit a job to a reachable placer; do nothing if there is none.
 
-        Nor after the deadline, as after a suspension of this daemon: the client may
-        have sent the job to another one since.
+        A job past its deadline is not submitted, which happens after a suspension of
+        this daemon: its client may have sent it to another one since.
         """
         now_ms = self.clock.now_ms()
         if now_ms >= job.arrived_ms + job.submitted.remaining_ms:
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -115,5 +115,6 @@
     submitRejected @12 :Text;
     jobsReturned @13 :List(ReturnedJob);
     zoneLoad @14 :ZoneLoad;
+    jobCancelled @15 :Text;
   }
 }
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -8,14 +8,15 @@
 
 # Version of the messages; the first one with ``RunLosses``; the first one with
 # ``OwnedZones``, ``SubmitRejected`` and the zones in ``Hello`` and
-# ``OwnerLivenessReply``; the first one with ``JobsReturned``; and the first one with
-# ``AnnouncedLoad``. Builds from before the field send 0 and close a link on which they
-# receive an unknown message.
-PROTOCOL_VERSION = 2
+# ``OwnerLivenessReply``; the first one with ``JobsReturned``; the first one with
+# ``AnnouncedLoad``; and the first one with ``JobCancelled``. Builds from before the
+# field send 0 and close a link on which they receive an unknown message.
+PROTOCOL_VERSION = 3
 RUN_LOSSES_VERSION = 1
 OWNED_ZONES_VERSION = 2
 JOBS_RETURNED_VERSION = 2
 ZONE_LOAD_VERSION = 2
+JOB_CANCELLED_VERSION = 3
 
 
 @frozen
@@ -77,7 +78,14 @@
 
 @frozen
 class Cancel:
-    """Cancels a job whose client has disconnected."""
+    """Cancels a job whose client has disconnected from the sender."""
+
+    job_id: str
+
+
+@frozen
+class JobCancelled:
+    """Tells that the client of a job has cancelled it, whichever daemon has it."""
 
     job_id: str
 
@@ -172,6 +180,7 @@
     | SubmitRejected
     | JobsReturned
     | Cancel
+    | JobCancelled
     | Outcome
     | RunLosses
 )
--- a/rattanloom/peer_messages.py
+++ b/rattanloom/peer_messages.py
@@ -14,6 +14,7 @@
     AnnouncedLoad,
     Cancel,
     FreeCapacity,
+    JobCancelled,
     JobsReturned,
     Message,
     Outcome,
@@ -48,6 +49,8 @@
             self.job_router.on_rejected(node, message.job_id)
         elif isinstance(message, Cancel):
             self.placer.cancel(message.job_id, node)
+        elif isinstance(message, JobCancelled):
+            self.placer.revoke(message.job_id)
         elif isinstance(message, FreeCapacity | AnnouncedLoad):
             self.capacity_exchange.handle(link, message)
         elif isinstance(message, Outcome):
--- a/rattanloom/peer_receiver.py
+++ b/rattanloom/peer_receiver.py
@@ -1,11 +1,16 @@
 """Sends what becomes of the jobs that another daemon submitted to this placer."""
 
-from attrs import define
+from attrs import define, evolve
 
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.link import Link
-from rattanloom.links.messages import JOBS_RETURNED_VERSION, JobsReturned, Outcome
-from rattanloom.placement.jobs import JobOutcome, ReturnedJob
+from rattanloom.links.messages import (
+    JOB_CANCELLED_VERSION,
+    JOBS_RETURNED_VERSION,
+    JobsReturned,
+    Outcome,
+)
+from rattanloom.placement.jobs import JobOutcome, OutcomeKind, ReturnedJob
 
 
 @define(eq=False, repr=False)
@@ -37,8 +42,12 @@
         Without a link the outcome is dropped; the other daemon submits the job again.
         """
         link = self.hub.link(self.node)
-        if link is not None:
-            link.send(Outcome(outcome, self.submission))
+        if link is None:
+            return
+        is_cancelled = outcome.kind is OutcomeKind.CANCELLED
+        if is_cancelled and link.peer.protocol_version < JOB_CANCELLED_VERSION:
+            outcome = evolve(outcome, kind=OutcomeKind.GIVEN_UP)
+        link.send(Outcome(outcome, self.submission))
 
     def take_back(self, jobs: tuple[ReturnedJob, ...]) -> None:
         """Return jobs that never ran; to an older build, send refusals instead."""
--- a/rattanloom/placement/inherited_work.py
+++ b/rattanloom/placement/inherited_work.py
@@ -26,6 +26,8 @@
 HANDOVER_MAX_MS = 2_000
 # How long done tasks and jobs are recorded, as the jobs may be submitted again.
 DONE_KEPT_MS = 5_000
+# How long cancellations are recorded: a client may post a job again seconds after it.
+CANCELLED_KEPT_MS = 15_000
 
 
 @define(eq=False, repr=False)
@@ -45,6 +47,7 @@
     _done_tasks: dict[str, float] = field(factory=dict)
     _done_jobs: dict[str, float] = field(factory=dict)
     _unfinished_jobs: dict[str, float] = field(factory=dict)
+    _cancelled_jobs: dict[str, float] = field(factory=dict)
     _unreported_ms: float = -inf
 
     def __attrs_post_init__(self) -> None:
@@ -144,11 +147,22 @@
         """Return whether tasks of an earlier send of a job may have run recently."""
         return job_id in self._unfinished_jobs
 
+    def record_cancelled_job(self, job_id: str) -> None:
+        """Record a job that its client cancelled; it may arrive later."""
+        self._cancelled_jobs[job_id] = self.clock.now_ms()
+
+    def is_job_cancelled(self, job_id: str) -> bool:
+        """Return whether the client of a job cancelled it recently."""
+        return job_id in self._cancelled_jobs
+
     def remove_expired(self) -> None:
-        """Remove the records of tasks and jobs older than ``DONE_KEPT_MS``."""
+        """Remove the records of tasks and jobs that are too old."""
         now_ms = self.clock.now_ms()
         for done_ms in (self._done_tasks, self._done_jobs, self._unfinished_jobs):
-            for name in [
-                key for key, at in done_ms.items() if now_ms > at + DONE_KEPT_MS
-            ]:
-                del done_ms[name]
+            _remove_older(done_ms, now_ms - DONE_KEPT_MS)
+        _remove_older(self._cancelled_jobs, now_ms - CANCELLED_KEPT_MS)
+
+
+def _remove_older(recorded_ms: dict[str, float], limit_ms: float) -> None:
+    for name in [key for key, at_ms in recorded_ms.items() if at_ms < limit_ms]:
+        del recorded_ms[name]
--- a/rattanloom/placement/jobs.py
+++ b/rattanloom/placement/jobs.py
@@ -126,12 +126,14 @@
     """Kind of outcome of a job at the placer; ``RunOutcome`` is that of one run.
 
     REFUSED: no task has run or will run. GIVEN_UP: some tasks may have run.
+    CANCELLED: the client cancelled the job; some tasks may have run.
     """
 
     COMPLETE = "complete"
     FAILED = "failed"
     REFUSED = "refused"
     GIVEN_UP = "given_up"
+    CANCELLED = "cancelled"
 
 
 @frozen
@@ -147,6 +149,11 @@
     retry_after_ms: int = 0
 
 
+def cancelled_outcome(job_id: str) -> JobOutcome:
+    """Return the outcome of a job that its client cancelled."""
+    return JobOutcome(job_id, OutcomeKind.CANCELLED, "the client cancelled the job")
+
+
 @frozen
 class ReturnedJob:
     """A job that a placer hands back, since all workers for it are in evacuated zones.
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -19,7 +19,12 @@
 from rattanloom.placement.inherited_work import INHERITED_STOP_MAX_MS, InheritedWork
 from rattanloom.placement.job_endings import JobEndings
 from rattanloom.placement.job_returns import JobReturns
-from rattanloom.placement.jobs import JobOutcome, OutcomeKind, SubmittedJob
+from rattanloom.placement.jobs import (
+    JobOutcome,
+    OutcomeKind,
+    SubmittedJob,
+    cancelled_outcome,
+)
 from rattanloom.placement.leaving_workers import stop_leaving_runs
 from rattanloom.placement.pooled_worker import PooledWorker
 from rattanloom.placement.runs import (
@@ -192,9 +197,7 @@
         its runs here are stopped, and it completes once none is active.
         """
         others = tuple(node for node in former_placers if node != self.node)
-        if not others and self.endings.submissions.is_late_copy(
-            receiver, submitted.job_id, former_placers, submission
-        ):
+        if self._has_ended(receiver, submitted.job_id, former_placers, submission):
             return
         known = self.jobs.get(submitted.job_id)
         if known is not None:
@@ -239,6 +242,25 @@
             self.job_returns.return_jobs(filter(is_waiting, job.tasks))
             self.start_waiting_tasks()
 
+    def _has_ended(
+        self,
+        receiver: OutcomeReceiver,
+        job_id: str,
+        former_placers: tuple[str, ...],
+        submission: int,
+    ) -> bool:
+        """Return whether a job was cancelled or its submission has ended here.
+
+        The outcome is delivered again.
+        """
+        if self.inherited_work.is_job_cancelled(job_id):
+            receiver.deliver(cancelled_outcome(job_id))
+            return True
+        is_only_placer = all(node == self.node for node in former_placers)
+        return is_only_placer and self.endings.submissions.is_late_copy(
+            receiver, job_id, former_placers, submission
+        )
+
     def _update_known_job(
         self, job: PlacedJob, other_placers: tuple[str, ...], completed_by: str
     ) -> None:
@@ -282,6 +304,17 @@
         for submission in submissions:
             self.endings.submissions.record(submission, None)
 
+    def revoke(self, job_id: str) -> bool:
+        """End a job that its client cancelled; return whether it was known.
+
+        Copies of the job that arrive later are not accepted.
+        """
+        self.inherited_work.record_cancelled_job(job_id)
+        job = self.jobs.get(job_id)
+        if job is not None:
+            self.endings.end(job, cancelled_outcome(job_id))
+        return job is not None
+
     def on_daemon_lost(self, node: str) -> None:
         """Handle a lost link to a daemon; keep its jobs for a short time."""
         for job in self.jobs.values():
--- a/tests/test_client_api.py
+++ b/tests/test_client_api.py
@@ -52,6 +52,10 @@
             job.result.set(JobOutcome(submitted.job_id, self.kind, "why", 1_500))
         return job
 
+    def revoke(self, job_id):
+        """Return whether the job was submitted."""
+        return job_id in self.submitted
+
     def cancel(self, job):
         """Record the cancelled job."""
         self.cancelled.append(job.submitted.job_id)
@@ -78,7 +82,7 @@
     if configured:
         queues.replace(Configuration(1, (QUEUE,), LIMITS))
     job_router = router_type(kind)
-    api = ClientApi(queues, job_router, Metrics())
+    api = ClientApi(queues, job_router, Metrics(), job_router.revoke)
     state = ConnectionState(lambda: LIMITS, lambda: False)
     with serving("127.0.0.1:0", api.app, state) as server:
         yield server.server_port, job_router
@@ -120,6 +124,7 @@
         (OutcomeKind.FAILED, 200, '"state":"failed"'),
         (OutcomeKind.REFUSED, 503, "Retry-After: 2"),
         (OutcomeKind.GIVEN_UP, 504, "why"),
+        (OutcomeKind.CANCELLED, 200, '"state":"cancelled"'),
     ],
 )
 def test_outcome_is_returned_to_the_client(kind, status, expected):
@@ -177,7 +182,8 @@
             watches.append(gevent.getcurrent())
             gevent.sleep(9)
 
-    api = WatchingApi(QueueTable(), FakeRouter(None), Metrics())
+    router = FakeRouter(None)
+    api = WatchingApi(QueueTable(), router, Metrics(), router.revoke)
     job = PendingJob(None, CLOCK.now_ms())
     gevent.spawn_later(0.02, job.result.set, JobOutcome(JOB, OutcomeKind.COMPLETE))
     request.environ[SOCKET_KEY] = None
@@ -214,7 +220,8 @@
 def test_responses_close_the_connection_while_the_daemon_stops():
     queues = QueueTable()
     queues.replace(Configuration(1, (QUEUE,), LIMITS))
-    api = ClientApi(queues, FakeRouter(OutcomeKind.COMPLETE), Metrics())
+    router = FakeRouter(OutcomeKind.COMPLETE)
+    api = ClientApi(queues, router, Metrics(), router.revoke)
     state = ConnectionState(lambda: LIMITS, lambda: True)
     with serving("127.0.0.1:0", api.app, state) as server:
         _, response = fetch(server.server_port, make_post(make_body()))
@@ -244,7 +251,8 @@
 def test_request_whose_headers_arrive_as_a_stop_ends_is_answered():
     queues = QueueTable()
     queues.replace(Configuration(1, (QUEUE,), LIMITS))
-    api = ClientApi(queues, FakeRouter(OutcomeKind.COMPLETE), Metrics())
+    router = FakeRouter(OutcomeKind.COMPLETE)
+    api = ClientApi(queues, router, Metrics(), router.revoke)
     state = ConnectionState(lambda: LIMITS, lambda: True)
     line, headers = make_post(make_body()).split(b"\r\n", 1)
 
@@ -276,3 +284,13 @@
         assert not job_router.submitted
         assert fetch(port, make_post(make_body()))[0] == 200
         assert job_router.submitted == [JOB]
+
+
+def test_cancellation_of_a_job_that_is_known_is_confirmed():
+    delete = f"DELETE /q/{JOB} HTTP/1.1\r\nHost: h.example\r\n\r\n".encode()
+    with serve_api() as (port, _):
+        assert fetch(port, delete)[0] == 410
+        fetch(port, make_post(make_body()))
+        status, response = fetch(port, delete)
+    assert status == 200
+    assert '"state":"cancelled"' in response
