--- a/soak/checks.py
+++ b/soak/checks.py
@@ -52,6 +52,7 @@
     "configuration_after_outage",
     "zone_cut",
     "zone_cut_one_way",
+    "zone_cut_ends_unevenly",
     "daemon_cut",
     "daemon_cut_from_store",
     "connections_silenced",
--- a/soak/fault_table.py
+++ b/soak/fault_table.py
@@ -27,6 +27,7 @@
     workers_killed,
     workers_shrunk,
     zone_cut,
+    zone_cut_ends_unevenly,
     zone_cut_one_way,
     zone_evacuated,
 )
@@ -114,6 +115,7 @@
     "workers_shrunk": FaultKind(workers_shrunk, 2, 6),
     # Longer than EVACUATION_DELAY_MAX_MS, after which no task may start.
     "zone_evacuated": FaultKind(zone_evacuated, 6, 9),
+    "zone_cut_ends_unevenly": FaultKind(zone_cut_ends_unevenly, 2, 5),
 }
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,8 @@
 SLOW_STORE_MS = 300.0
 LINK_DELAY_MS = 60.0
 CRASHING_SHARE = 0.05
+# How long some connections stay blocked after an uneven end of a cut.
+UNEVEN_END_S = 1.6
 
 
 @define(eq=False)
@@ -259,6 +261,24 @@
         yield
 
 
+@contextmanager
+def zone_cut_ends_unevenly(context: FaultContext) -> FaultBody:
+    """After the cut of a zone, some traffic stays blocked for ``UNEVEN_END_S``.
+
+    That is the traffic between a daemon of the zone and the store, and between the
+    zone's workers and the other zones.
+    """
+    fault = "zone_cut_ends_unevenly"
+    inside, outside = context.split_by_random_zone()
+    daemons = sorted(inside.intersection(context.deployment.daemons))
+    late = pairs_between({context.random.choice(daemons)}, {"store"})
+    late |= pairs_between(inside.difference(daemons), outside)
+    with _cut(context, fault, pairs_between(inside, outside)):
+        yield
+    with _cut(context, fault, late):
+        gevent.sleep(UNEVEN_END_S)
+
+
 @daemon_fault
 def daemon_cut(context: FaultContext, daemon: Daemon) -> FaultBody:
     """A daemon is cut off from its peers, all workers and the store, not clients."""
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -9,6 +9,7 @@
     "crashing_jobs_sent",
     "workers_shrunk",
     "zone_evacuated",
+    "zone_cut_ends_unevenly",
 )
 REGRESSION_FAULTS = tuple(name for name in FAULTS if name not in ADDED_LATER)
 
