Log each start order before it is sent, and which post a job belongs to

Ruled out: moving `task_ordered` before the send; its field `answer` is used to tell the reply.

Change: new events `task_start_sent` (worker, zone, token, waiting daemons, post) and `job_submitted_again`; `submission` in `job_accepted`, `job_handed_over`, `job_cancelled` and `job_ended`, with the waiting daemons in the last.

--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -127,7 +127,12 @@
     def cancel(self, job: PendingJob) -> None:
         """Cancel a job at its placer and stop tracking it."""
         self.pending.pop(job.submitted.job_id, None)
-        log.info("job_cancelled", job=job.submitted.job_id, placer=job.placer)
+        log.info(
+            "job_cancelled",
+            job=job.submitted.job_id,
+            placer=job.placer,
+            submission=job.submission,
+        )
         if job.placer == self.node:
             self.placer.cancel(job.submitted.job_id, self.node)
         elif job.placer is not None:
@@ -372,6 +377,7 @@
         log.info(
             "job_handed_over",
             job=job.submitted.job_id,
+            submission=job.submission,
             placer=chosen.node,
             zone=chosen.zone,
             reason=chosen.reason.value,
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -188,6 +188,8 @@
             job=job.job_id,
             outcome=label,
             reason=reason,
+            entries=job.entries,
+            submission=job.submission,
             tasks_left=job.tasks_left,
             age_ms=round(age_ms),
             rank_offset_ms=job.rank_offset_ms,
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -201,8 +201,18 @@
             return
         known = self.jobs.get(submitted.job_id)
         if known is not None:
-            if known.add_receiver(receiver, submission):
+            is_latest = known.add_receiver(receiver, submission)
+            if is_latest:
                 known.deadline_ms = self.clock.now_ms() + submitted.remaining_ms
+            log.info(
+                "job_submitted_again",
+                job=submitted.job_id,
+                entry=receiver.node,
+                submission=submission,
+                is_latest=is_latest,
+                former_placers=former_placers,
+                remaining_ms=round(submitted.remaining_ms),
+            )
             self._update_known_job(known, others, completed_by)
             return
         job = make_job(submitted, receiver, former_placers, self.clock.now_ms())
@@ -223,10 +233,12 @@
             "job_accepted",
             job=job.job_id,
             entry=receiver.node,
+            submission=submission,
             tasks=len(job.tasks),
             former_placers=former_placers,
             synced=self.inherited_work.is_synced(job, self.workers.values()),
-            slack_ms=round(job.latest_on_time_start_ms - self.clock.now_ms()),
+            slack_ms=round(job.latest_on_time_start_ms - now_ms),
+            remaining_ms=round(submitted.remaining_ms),
         )
         if self._end_risky_job(job):
             return
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -222,6 +222,16 @@
                 self.lease.extend(),
                 token,
             )
+            log.info(
+                "task_start_sent",
+                task=run.name,
+                attempt=run.attempt,
+                worker=self.worker_id,
+                zone=self.entry.zone,
+                token=token,
+                entries=run.task.job.entries,
+                submission=run.task.job.submission,
+            )
             reply = self.client.start(order)
             log.info(
                 "task_ordered",
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -133,6 +133,12 @@
         """Return whether any task may have run, by now or at an earlier send."""
         return self.sent_before or self.may_have_active_runs
 
+    @property
+    def entries(self) -> list[str]:
+        """Return the daemons that wait for the outcome from this placer."""
+        receivers = (self.receiver, *self.earlier_receivers.values())
+        return [receiver.node for receiver in receivers if receiver is not None]
+
     @property
     def is_waited_for(self) -> bool:
         """Return whether some daemon waits for the outcome from this placer."""
