--- a/experiments/placer_cost.py
+++ b/experiments/placer_cost.py
@@ -12,6 +12,7 @@
 import time  # noqa: E402
 from collections.abc import Iterator  # noqa: E402
 from contextlib import contextmanager  # noqa: E402
+from math import inf  # noqa: E402
 from pathlib import Path  # noqa: E402
 from random import Random  # noqa: E402
 from tempfile import TemporaryDirectory  # noqa: E402
@@ -57,9 +58,9 @@
     complete: int = 0
     others: int = 0
 
-    def is_waiting(self, job_id: str) -> bool:
-        """Return that the outcome of every job is waited for."""
-        return True
+    def renewed_ms(self, job_id: str) -> float:
+        """Return that the lease of every job is renewed all the time."""
+        return inf
 
     def deliver(self, outcome: JobOutcome) -> None:
         """Count the outcome of a job."""
--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -15,7 +15,8 @@
 
 from rattanloom.clock import MS_PER_S
 from rattanloom.decision_log import DecisionLog
-from rattanloom.ingress.job_router import JobRouter, PendingJob
+from rattanloom.ingress.job_router import JobRouter
+from rattanloom.ingress.pending_job import PendingJob
 from rattanloom.ingress.queues import Queue, QueueTable, RequestLimits
 from rattanloom.ingress.server import (
     SOCKET_KEY,
@@ -85,12 +86,15 @@
             return _error(
                 HTTPStatus.SERVICE_UNAVAILABLE, "stored jobs are not supported"
             )
-        if is_disconnected(request.environ[SOCKET_KEY]):
+        connection = request.environ[SOCKET_KEY]
+        if is_disconnected(connection):
             # A request that waited in the socket while this process was frozen: its
             # client may have sent the job to another daemon since.
             log.info("client_gone", job=job_id)
             return _error(HTTPStatus.SERVICE_UNAVAILABLE, "the client disconnected")
-        pending = self.job_router.submit(posted.job)
+        pending = self.job_router.submit(
+            posted.job, lambda: not is_disconnected(connection)
+        )
         outcome = self._wait_for_outcome(pending, posted.job.remaining_ms)
         response = _outcome_response(outcome)
         age_ms = self.job_router.clock.now_ms() - pending.arrived_ms
--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -1,17 +1,16 @@
 """Tracks the jobs posted to this daemon, and the placer of each."""
 
-from collections import Counter
 from collections.abc import Callable
-from random import getrandbits
+from math import inf
 from zlib import crc32
 
-from attrs import Factory, define, evolve, field
-from gevent.event import AsyncResult
+from attrs import define, evolve, field
 
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
+from rattanloom.ingress.pending_job import PendingJob
 from rattanloom.links.hub import LinkHub
-from rattanloom.links.messages import Cancel, Submit
+from rattanloom.links.messages import Cancel, Submit, Withdraw
 from rattanloom.metrics import Metrics
 from rattanloom.placement.jobs import (
     RETRY_AFTER_MS,
@@ -22,11 +21,10 @@
     cancelled_outcome,
 )
 from rattanloom.placement.placer import Placer
-from rattanloom.scheduling.zone_choice import ChosenPlacer, PlacerChoice
+from rattanloom.scheduling.zone_choice import PlacerChoice
 
 log = DecisionLog("ingress")
 
-SUBMISSION_BITS = 63
 # How long a new job waits for a reachable placer. A job that had a placer before
 # waits until its deadline or ``late_limit_ms``, whichever is earlier.
 NO_PLACER_TIMEOUT_MS = 250
@@ -38,61 +36,6 @@
 RETURN_WITHIN_MS = 3_000
 
 
-@define(eq=False, repr=False)
-class PendingJob:
-    """A job whose client waits for the outcome.
-
-    ``submission`` identifies the client's request; a client may post a job again.
-    ``placer`` is the daemon to which the job was sent, ``zone`` the zone whose workers
-    run it. ``former_placers`` are all daemons to which it was ever sent and
-    that may have started it, in order, including the current one; those that rejected
-    it or handed it back (``returned_by``) do not count. ``completed_by`` is the former
-    placer that has reported that all tasks are done. ``sends`` counts the sends to each
-    daemon that were not rejected. ``rejected_ms`` is when a daemon last rejected it.
-    ``unplaced_ms`` is since when a job that no placer has waits for one. ``result`` is
-    set to the outcome, or to None if the client disconnects.
-    """
-
-    submitted: SubmittedJob
-    arrived_ms: float
-    submission: int = field(factory=lambda: getrandbits(SUBMISSION_BITS))
-    result: AsyncResult = field(factory=AsyncResult)
-    placer: str | None = None
-    zone: str = ""
-    former_placers: tuple[str, ...] = ()
-    completed_by: str = ""
-    sends: Counter[str] = field(factory=Counter)
-    rejected_ms: dict[str, float] = field(factory=dict)
-    returned_by: tuple[str, ...] = ()
-    unplaced_ms: float = field(
-        default=Factory(lambda job: job.arrived_ms, takes_self=True)
-    )
-
-    def assign_placer(self, chosen: ChosenPlacer) -> None:
-        """Record the placer to which the job is about to be sent."""
-        self.placer, self.zone = chosen.node, chosen.zone
-        if chosen.node not in self.former_placers:
-            self.former_placers = (*self.former_placers, chosen.node)
-        self.sends[chosen.node] += 1
-
-    def forget_send(self, node: str) -> None:
-        """Undo one send to a daemon that has not started the job for it."""
-        self.sends[node] -= 1
-        if self.sends[node] <= 0:
-            self.former_placers = tuple(
-                placer for placer in self.former_placers if placer != node
-            )
-        if self.placer == node:
-            self.placer = None
-
-    def take_back(self, placer: str, now_ms: float) -> None:
-        """Record that the only placer that ever had the job handed it back."""
-        self.placer, self.zone = None, ""
-        self.former_placers, self.unplaced_ms = (), now_ms
-        self.sends.clear()
-        self.returned_by = (*self.returned_by, placer)
-
-
 @define(eq=False, repr=False)
 class JobRouter:
     """Submits jobs to placers, and submits them again when the placer changes.
@@ -114,12 +57,20 @@
     metrics: Metrics = field(factory=Metrics)
     pending: dict[str, PendingJob] = field(factory=dict)
 
-    def submit(self, submitted: SubmittedJob) -> PendingJob:
+    def submit(
+        self,
+        submitted: SubmittedJob,
+        is_client_connected: Callable[[], bool] = lambda: True,
+    ) -> PendingJob:
         """Submit a job; return the pending one if its id is already known."""
         known = self.pending.get(submitted.job_id)
         if known is not None:
             return known
-        job = PendingJob(submitted, self.clock.now_ms())
+        job = PendingJob(
+            submitted,
+            self.clock.now_ms(),
+            is_client_connected=is_client_connected,
+        )
         self.pending[submitted.job_id] = job
         self._submit_or_end(job)
         return job
@@ -133,12 +84,21 @@
             placer=job.placer,
             submission=job.submission,
         )
+        self._withdraw(job, moved=False)
+
+    def _withdraw(self, job: PendingJob, moved: bool) -> None:
+        """Tell the placer of a job that this daemon no longer waits for it there.
+
+        Over another link than that of the last send, the message could be lost while
+        this daemon goes on renewing the lease. If that link is closed, the lease ends.
+        """
+        job_id, link, job.link = job.submitted.job_id, job.link, None
         if job.placer == self.node:
-            self.placer.cancel(job.submitted.job_id, self.node)
-        elif job.placer is not None:
-            link = self.hub.link(job.placer)
-            if link is not None:
-                link.send(Cancel(job.submitted.job_id))
+            self.placer.withdraw(job_id, self, moved)
+        elif link is not None and link.has_job_leases:
+            link.send(Withdraw(job_id, job.submission, moved))
+        elif link is not None and not moved:
+            link.send(Cancel(job_id))
 
     def revoke(self, job_id: str) -> bool:
         """End a job that its client cancelled; return whether it was pending here."""
@@ -178,10 +138,11 @@
         )
         return nodes - {None}
 
-    def is_waiting(self, job_id: str) -> bool:
-        """Return whether this daemon's placer has a job; see ``OutcomeReceiver``."""
+    def renewed_ms(self, job_id: str) -> float:
+        """Return now if this daemon's placer has a job; see ``OutcomeReceiver``."""
         job = self.pending.get(job_id)
-        return job is not None and job.placer == self.node
+        is_here = job is not None and job.placer == self.node
+        return self.clock.now_ms() if is_here else -inf
 
     def deliver(self, outcome: JobOutcome) -> None:
         """Record an outcome of the placer in this daemon; see ``OutcomeReceiver``."""
@@ -326,10 +287,12 @@
             job.returned_by
         )
         if not is_open:
+            self._withdraw(job, moved=False)
             self.metrics.count("jobs_refused", "evacuation")
             reason = "the zones of its workers are evacuated"
             self._finish(job, _unplaced_outcome(job, reason))
         elif self.clock.now_ms() > self._give_up_at_ms(job):
+            self._withdraw(job, moved=False)
             self._finish(job, _unplaced_outcome(job, "no placer is reachable"))
         else:
             self.on_unplaced()
@@ -349,11 +312,13 @@
     def _submit_to_placer(self, job: PendingJob) -> None:
         """Submit a job to a reachable placer; do nothing if there is none.
 
-        A job past its deadline is not submitted, which happens after a suspension of
-        this daemon: its client may have sent it to another one since.
+        A job past its deadline or without its client is not submitted, which happens
+        after a suspension of this daemon: its client may have sent it to another one
+        since.
         """
         now_ms = self.clock.now_ms()
-        if now_ms >= job.arrived_ms + job.submitted.remaining_ms:
+        is_overdue = now_ms >= job.arrived_ms + job.submitted.remaining_ms
+        if is_overdue or not job.is_client_connected():
             return
         excluded = {
             node
@@ -373,6 +338,9 @@
         if chosen.node != self.node and self.hub.link(chosen.node) is None:
             return
         former, placer_before = job.former_placers, job.placer
+        last_node = job.link.peer.node if job.link is not None else placer_before
+        if last_node not in (None, chosen.node):
+            self._withdraw(job, moved=True)
         job.assign_placer(chosen)
         log.info(
             "job_handed_over",
@@ -404,6 +372,7 @@
         else:
             link = self.hub.link(placer)
             if link is not None:
+                job.link = link
                 link.send(
                     Submit(submitted, former_placers, job.completed_by, job.submission)
                 )
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -22,10 +22,13 @@
     OwnerLivenessQuery,
     OwnerLivenessReply,
     Ping,
+    Probe,
+    ProbeReply,
     RunLosses,
     Submit,
     SubmitRejected,
     TakeZones,
+    Withdraw,
     ZoneClaims,
 )
 from rattanloom.placement.crash_records import LossState, RunLoss
@@ -262,6 +265,18 @@
     builder.ping = None
 
 
+def _write_withdraw(builder: object, message: Withdraw) -> None:
+    slot = builder.init("withdraw")
+    slot.jobId = message.job_id
+    slot.submission = message.submission
+    slot.moved = message.moved
+
+
+def _read_withdraw(reader: object) -> Withdraw:
+    slot = reader.withdraw
+    return Withdraw(slot.jobId, slot.submission, slot.moved)
+
+
 def _write_claims(builder: object, message: ZoneClaims) -> None:
     slot = builder.init("zoneClaims")
     slot.owner = message.owner
@@ -332,11 +347,14 @@
 _WRITERS: dict[type, Callable[[object, Message], None]] = {
     Hello: _write_hello,
     Ping: _write_ping,
+    Probe: _write_attribute("probe", "sent_ms"),
+    ProbeReply: _write_attribute("probeReply", "sent_ms"),
     FreeCapacity: _write_attribute("room", "millicores"),
     AnnouncedLoad: _write_load,
     Submit: _write_submit,
     SubmitRejected: _write_attribute("submitRejected", "job_id"),
     Cancel: _write_attribute("cancel", "job_id"),
+    Withdraw: _write_withdraw,
     JobCancelled: _write_attribute("jobCancelled", "job_id"),
     Outcome: _write_outcome,
     RunLosses: _write_losses,
@@ -351,11 +369,14 @@
 _READERS: dict[str, Callable[[object], Message]] = {
     "hello": _read_hello,
     "ping": lambda reader: Ping(),
+    "probe": lambda reader: Probe(reader.probe),
+    "probeReply": lambda reader: ProbeReply(reader.probeReply),
     "room": lambda reader: FreeCapacity(reader.room),
     "zoneLoad": _read_load,
     "submit": _read_submit,
     "submitRejected": lambda reader: SubmitRejected(reader.submitRejected),
     "cancel": lambda reader: Cancel(reader.cancel),
+    "withdraw": _read_withdraw,
     "jobCancelled": lambda reader: JobCancelled(reader.jobCancelled),
     "outcome": _read_outcome,
     "runLosses": _read_losses,
--- a/rattanloom/links/hub.py
+++ b/rattanloom/links/hub.py
@@ -53,7 +53,9 @@
         """Accept links inside the block; close all links after it."""
         server = StreamServer(split_address(self.listen), self._accept)
         server.start()
-        keepalive = spawn_restarting(LinkKeepalive(self.clock, self.open_links).run)
+        keepalive = spawn_restarting(
+            LinkKeepalive(self.clock, self.open_links, self._owns_zones).run
+        )
         try:
             yield
         finally:
@@ -72,6 +74,10 @@
             return links[-1]
         return next((link for link in reversed(links) if not link.closed), None)
 
+    def _owns_zones(self) -> bool:
+        """Return whether other daemons may submit jobs to this one."""
+        return bool(self.own_hello.zones)
+
     def nodes(self) -> tuple[str, ...]:
         """Return the nodes of the peers with an open link."""
         return tuple(node for node in self._links if self.link(node))
--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -7,6 +7,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable, Iterable
+from math import inf
 from typing import Protocol
 
 import gevent
@@ -18,7 +19,14 @@
 from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.links.codec import BadMessageError, decode_message, encode_message
-from rattanloom.links.messages import Hello, Message, Ping
+from rattanloom.links.messages import (
+    JOB_LEASES_VERSION,
+    Hello,
+    Message,
+    Ping,
+    Probe,
+    ProbeReply,
+)
 
 log = DecisionLog("links")
 
@@ -26,6 +34,8 @@
 MESSAGE_MAX_BYTES = 1_000_000
 # An idle link sends pings at this interval.
 PING_INTERVAL_MS = 150
+# A daemon that owns zones sends probes at this interval.
+PROBE_INTERVAL_MS = 100
 # A link that receives no data for this time is closed: two pings in a row are late. So
 # is one on which a write takes this time: the peer has stopped reading.
 RECEIVE_TIMEOUT_MS = 450
@@ -58,8 +68,10 @@
     set if this daemon opened the connection. The link closes if the peer is another
     node than ``expected_node``. ``peer_zones`` has the fencing tokens of the zones that
     the peer last stated to own; it ends with the link, and so with the incarnation.
-    ``ping_due_ms`` is when the next ping is due; ``LinkKeepalive`` sends it, and closes
-    the link at ``lost_at_ms``. ``_write_started_ms`` is set during a write.
+    ``ping_due_ms`` and ``probe_due_ms`` are when the next ping and the next probe are
+    due; ``LinkKeepalive`` sends them, and closes the link at ``lost_at_ms``.
+    ``_write_started_ms`` is set during a write. ``_answered_ms`` is when the last
+    message was sent that the peer has answered: its hello answers the own one.
     """
 
     socket: socket
@@ -72,7 +84,10 @@
     expected_node: str | None = None
     peer_zones: dict[str, int] = field(factory=dict)
     closed: bool = False
+    closed_ms: float = inf
     ping_due_ms: float = 0
+    probe_due_ms: float = 0
+    _answered_ms: float = 0
     _close_reason: str = ""
     _write_started_ms: float | None = None
     _outgoing: deque[tuple[Message, bytes]] = field(factory=deque)
@@ -85,8 +100,10 @@
         writer = gevent.spawn(self._write_all)
         reason = "closed by the peer"
         try:
+            hello_sent_ms = self.clock.now_ms()
             self.send(self.own_hello)
             self._read_hello()
+            self._answered_ms = hello_sent_ms
             # An unexpected error concerns the first messages; the link stays open.
             run_and_log_failure(on_open, self)
             self._read_all()
@@ -123,6 +140,26 @@
         if not self._is_writing:
             self.send_frame(PING, PING_FRAME)
 
+    @property
+    def has_job_leases(self) -> bool:
+        """Return whether the peer replies to probes and withdraws jobs."""
+        return self.peer.protocol_version >= JOB_LEASES_VERSION
+
+    def send_probe(self) -> None:
+        """Ask the peer to renew the leases of the jobs that it sent on this link."""
+        now_ms = self.clock.now_ms()
+        self.probe_due_ms = now_ms + PROBE_INTERVAL_MS
+        message = Probe(now_ms)
+        self.send_frame(message, encode_frame(message))
+
+    def renewed_ms(self) -> float:
+        """Return when the peer last renewed the leases of its jobs on this link.
+
+        It has sent a message since. Data that was on its way for long does not count,
+        but for peers of an older build.
+        """
+        return self._answered_ms if self.has_job_leases else self.last_received_ms
+
     def unsent(self) -> tuple[Message, ...]:
         """Return the messages of a closed link of which no byte was written."""
         return tuple(message for message, _ in self._outgoing)
@@ -130,7 +167,7 @@
     def close(self, reason: str = "closed by this daemon") -> None:
         """Close the connection and drop the queued messages."""
         if not self.closed:
-            self.closed = True
+            self.closed, self.closed_ms = True, self.clock.now_ms()
             self._close_reason = reason
             self._writable.set()
             self.socket.close()
@@ -207,10 +244,19 @@
             if content == PING_CONTENT:
                 continue
             message = decode_message(content)
-            if not isinstance(message, Ping):
+            if isinstance(message, Probe):
+                reply = ProbeReply(message.sent_ms)
+                self.send_frame(reply, encode_frame(reply))
+            elif isinstance(message, ProbeReply):
+                self._record_reply(message)
+            elif not isinstance(message, Ping):
                 # An unexpected error concerns one message; the link stays open.
                 run_and_log_failure(self.handler.handle_message, self, message)
 
+    def _record_reply(self, reply: ProbeReply) -> None:
+        if self._answered_ms < reply.sent_ms <= self.clock.now_ms():
+            self._answered_ms = reply.sent_ms
+
     def _read_content(self) -> bytes:
         (size_bytes,) = LENGTH.unpack(self._read_exactly(LENGTH.size))
         if size_bytes > MESSAGE_MAX_BYTES:
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -71,6 +71,12 @@
   tokens @1 :List(UInt64);
 }
 
+struct Withdraw {
+  jobId @0 :Text;
+  submission @1 :UInt64;
+  moved @2 :Bool;
+}
+
 struct RunLoss {
   task @0 :Text;
   worker @1 :Text;
@@ -116,5 +122,8 @@
     jobsReturned @13 :List(ReturnedJob);
     zoneLoad @14 :ZoneLoad;
     jobCancelled @15 :Text;
+    probe @16 :Float64;
+    probeReply @17 :Float64;
+    withdraw @18 :Withdraw;
   }
 }
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -9,14 +9,16 @@
 # Version of the messages; the first one with ``RunLosses``; the first one with
 # ``OwnedZones``, ``SubmitRejected`` and the zones in ``Hello`` and
 # ``OwnerLivenessReply``; the first one with ``JobsReturned``; the first one with
-# ``AnnouncedLoad``; and the first one with ``JobCancelled``. Builds from before the
-# field send 0 and close a link on which they receive an unknown message.
-PROTOCOL_VERSION = 3
+# ``AnnouncedLoad``; the first one with ``JobCancelled``; and the first one with
+# ``Probe``, ``ProbeReply`` and ``Withdraw``. Builds from before the field send 0 and
+# close a link on which they receive an unknown message.
+PROTOCOL_VERSION = 4
 RUN_LOSSES_VERSION = 1
 OWNED_ZONES_VERSION = 2
 JOBS_RETURNED_VERSION = 2
 ZONE_LOAD_VERSION = 2
 JOB_CANCELLED_VERSION = 3
+JOB_LEASES_VERSION = 4
 
 
 @frozen
@@ -41,6 +43,24 @@
     """Keepalive of an idle link."""
 
 
+@frozen
+class Probe:
+    """Requests a ``ProbeReply``; ``sent_ms`` is a point on the sender's clock."""
+
+    sent_ms: float
+
+
+@frozen
+class ProbeReply:
+    """Reply to the probe of ``sent_ms``.
+
+    It renews the leases of all jobs that its sender submitted on this link and has not
+    withdrawn there.
+    """
+
+    sent_ms: float
+
+
 @frozen
 class FreeCapacity:
     """Announces ``free_millicores`` of ``ZoneLoad`` to builds that know no more."""
@@ -78,9 +98,22 @@
 
 @frozen
 class Cancel:
-    """Cancels a job whose client has disconnected from the sender."""
+    """Cancels a job of the sender at a placer of a build that knows no ``Withdraw``."""
+
+    job_id: str
+
+
+@frozen
+class Withdraw:
+    """Withdraws a job that the sender submitted on this link.
+
+    It was ``moved`` if the sender sends it to another placer. ``submission`` is that of
+    the message ``Submit``.
+    """
 
     job_id: str
+    submission: int
+    moved: bool = False
 
 
 @frozen
@@ -180,8 +213,9 @@
     | SubmitRejected
     | JobsReturned
     | Cancel
+    | Withdraw
     | JobCancelled
     | Outcome
     | RunLosses
 )
-Message = Hello | Ping | PlacementMessage | OwnershipMessage
+Message = Hello | Ping | Probe | ProbeReply | PlacementMessage | OwnershipMessage
--- a/rattanloom/ownership/confirmation.py
+++ b/rattanloom/ownership/confirmation.py
@@ -133,6 +133,9 @@
         }
 
     def _send(self, link: Link) -> None:
+        hello = self.hub.own_hello
+        if hello.zones and link.has_job_leases:
+            # The reply arrives before the jobs that the peer submits now.
+            link.send_probe()
         if link.peer.protocol_version >= OWNED_ZONES_VERSION:
-            hello = self.hub.own_hello
             link.send(OwnedZones(hello.zones, hello.tokens))
--- a/rattanloom/peer_messages.py
+++ b/rattanloom/peer_messages.py
@@ -22,6 +22,7 @@
     RunLosses,
     Submit,
     SubmitRejected,
+    Withdraw,
 )
 from rattanloom.ownership.ownership import Ownership
 from rattanloom.peer_receiver import PeerOutcomeReceiver
@@ -47,8 +48,8 @@
             self._on_submit(link, message)
         elif isinstance(message, SubmitRejected):
             self.job_router.on_rejected(node, message.job_id)
-        elif isinstance(message, Cancel):
-            self.placer.cancel(message.job_id, node)
+        elif isinstance(message, Cancel | Withdraw):
+            self._on_withdrawn(link, message)
         elif isinstance(message, JobCancelled):
             self.placer.revoke(message.job_id)
         elif isinstance(message, FreeCapacity | AnnouncedLoad):
@@ -74,12 +75,21 @@
     def on_link_lost(self, link: Link) -> None:
         """Handle the loss of a link."""
         self.wake()
-        self.placer.on_daemon_lost(link.peer.node)
         for message in link.unsent():
             if isinstance(message, Submit):
                 self.job_router.on_not_sent(link.peer.node, message.job.job_id)
         self.job_router.on_placer_lost(link.peer.node)
 
+    def _on_withdrawn(self, link: Link, message: Cancel | Withdraw) -> None:
+        """End a job for which the peer does not wait any more."""
+        if isinstance(message, Cancel):
+            self.placer.cancel(message.job_id, link.peer.node)
+            return
+        receiver = PeerOutcomeReceiver(link, self.hub, message.submission)
+        self.placer.withdraw(
+            message.job_id, receiver, message.moved, message.submission
+        )
+
     def _on_submit(self, link: Link, message: Submit) -> None:
         """Give a job to the placer, or reject it if this daemon owns no zone.
 
--- a/rattanloom/peer_receiver.py
+++ b/rattanloom/peer_receiver.py
@@ -1,6 +1,6 @@
 """Sends what becomes of the jobs that another daemon submitted to this placer."""
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.link import Link
@@ -10,18 +10,20 @@
     JobsReturned,
     Outcome,
 )
+from rattanloom.placement.job_lease import KEEP_MAX_MS, RECONNECT_MAX_MS
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind, ReturnedJob
 
 
-@define(eq=False, repr=False)
+@define(repr=False, eq=True)
 class PeerOutcomeReceiver:
     """Receives the outcome of a job that another daemon submitted over ``link``.
 
-    ``submission`` is that of the message ``Submit``.
+    ``submission`` is that of the message ``Submit``. Two are equal if link and
+    submission are the same.
     """
 
     link: Link
-    hub: LinkHub
+    hub: LinkHub = field(eq=False)
     submission: int = 0
 
     @property
@@ -29,12 +31,14 @@
         """Return the daemon that submitted the job."""
         return self.link.peer.node
 
-    def is_waiting(self, job_id: str) -> bool:
-        """Return whether the link of the submission is still alive.
+    def renewed_ms(self, job_id: str) -> float:
+        """Return when the daemon last renewed the lease, on the link of the submission.
 
-        After its loss, the daemon submits the job again, to this placer or another.
+        The lease of a closed link allows no starts: the daemon is about to submit the
+        job again, to this placer or another.
         """
-        return self.link.is_alive()
+        counted_ms = self.link.closed_ms + RECONNECT_MAX_MS - KEEP_MAX_MS
+        return min(self.link.renewed_ms(), counted_ms)
 
     def deliver(self, outcome: JobOutcome) -> None:
         """Send an outcome over the current link to that daemon.
--- a/rattanloom/placement/inherited_work.py
+++ b/rattanloom/placement/inherited_work.py
@@ -20,8 +20,8 @@
 # stop come on top.
 INHERITED_STOP_MAX_MS = INHERITED_RUN_MAX_MS + 100
 # Leases granted by a former placer have expired this long after a job was submitted
-# to its next placer.
-FORMER_LEASE_MAX_MS = 1_050
+# to its next placer: ``RUN_LEASE_MAX_MS`` on a slow clock, and the time to act on it.
+FORMER_LEASE_MAX_MS = 1_200
 # Daemons submit their jobs again within this time after their placer was replaced.
 HANDOVER_MAX_MS = 2_000
 # How long done tasks and jobs are recorded, as the jobs may be submitted again.
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -34,10 +34,6 @@
 
 log = DecisionLog("placement")
 
-# Time for a daemon to submit its jobs again after its link was lost; the jobs end
-# after it.
-ORPHAN_GRACE_MS = 300
-
 
 @define(eq=False, repr=False)
 class JobEndings:
@@ -80,13 +76,14 @@
             self.metrics.count("jobs_over_share")
 
     def end_overdue(self, now_ms: float) -> None:
-        """End the jobs that can't be done in time, or whose receiver was lost."""
+        """End the jobs that can't be done in time, or whose lease has lapsed."""
         self.waiting.demand.update(now_ms)
         self.sources.remove_idle(now_ms)
         self.returns.remove_expired(now_ms)
         for job in list(self.jobs.values()):
-            if job.receiver is None and now_ms > job.orphaned_ms + ORPHAN_GRACE_MS:
-                self.end(job, None)
+            if job.has_lapsed(now_ms):
+                self.metrics.count("job_leases_lapsed")
+                self.end(job, None, reason="its daemon is lost")
             elif now_ms > job.deadline_ms:
                 self.give_up(job, "the deadline has passed")
         for task in list(self.waiting):
@@ -157,19 +154,27 @@
             self.index.largest_free_millicores(now_ms),
         )
 
-    def end(self, job: PlacedJob, outcome: JobOutcome | None) -> None:
-        """End a job and stop its runs; without an outcome, nothing is delivered."""
+    def end(
+        self,
+        job: PlacedJob,
+        outcome: JobOutcome | None,
+        reason: str = "",
+        stop_delay_ms: float = 0,
+    ) -> None:
+        """End a job and stop its runs; without an outcome, nothing is delivered.
+
+        ``reason`` is logged; it is that of the outcome by default.
+        """
         if job.ended:
             return
         label = outcome.kind.value if outcome else "abandoned"
-        reason = outcome.reason if outcome else "client or daemon disconnected"
-        self.forget(job, label, reason)
+        self.forget(job, label, outcome.reason if outcome else reason)
         receivers = {**job.earlier_receivers, job.submission: job.receiver}
         if outcome is not None:
             for submission in receivers:
                 self.submissions.record(submission, outcome)
         if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
-            self.stop_runs(job)
+            self.stop_runs(job, stop_delay_ms)
             if job.may_have_run:
                 self.inherited_work.record_unfinished_job(job.job_id)
         for receiver in receivers.values():
@@ -202,7 +207,7 @@
         """Return the number of runs of a job that may not have finished yet."""
         return sum(self.active_runs[task.name] for task in job.tasks)
 
-    def stop_runs(self, job: PlacedJob) -> None:
+    def stop_runs(self, job: PlacedJob, delay_ms: float = 0) -> None:
         """Stop the runs of a job's tasks, also those of earlier sends of the job."""
         now_ms = self.clock.now_ms()
         for worker, run in list(self._runs_of(job)):
@@ -211,7 +216,7 @@
                     lost = run.step.need.cpu_millicores * (now_ms - run.ordered_ms)
                     self.metrics.count("work_lost_core_ms", by=round(lost / 1_000))
                 self.inherited_work.pop_run(run.name)
-                worker.stop(run)
+                worker.stop(run, delay_ms)
 
     def _runs_of(self, job: PlacedJob) -> Iterator[tuple[PooledWorker, Run]]:
         """Iterate over all runs of a job's tasks, whichever send they belong to."""
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -18,6 +18,7 @@
 from rattanloom.placement.crash_records import RunLoss
 from rattanloom.placement.inherited_work import INHERITED_STOP_MAX_MS, InheritedWork
 from rattanloom.placement.job_endings import JobEndings
+from rattanloom.placement.job_lease import OutcomeReceiver
 from rattanloom.placement.job_returns import JobReturns
 from rattanloom.placement.jobs import (
     JobOutcome,
@@ -26,9 +27,8 @@
     cancelled_outcome,
 )
 from rattanloom.placement.leaving_workers import stop_leaving_runs
-from rattanloom.placement.pooled_worker import PooledWorker
+from rattanloom.placement.pooled_worker import FENCING_DELAY_MS, PooledWorker
 from rattanloom.placement.runs import (
-    OutcomeReceiver,
     PlacedJob,
     PlacedTask,
     Run,
@@ -302,17 +302,49 @@
         self.completion.finish_done_tasks(job)
 
     def cancel(self, job_id: str, node: str) -> None:
-        """End a job whose client has disconnected from the daemon ``node``.
+        """End a job for which the daemon ``node`` does not wait any more.
 
         It goes on while other daemons wait for it.
         """
+        reason = "client or daemon disconnected"
+        self._remove_receivers(job_id, lambda other: other.node == node, reason)
+
+    def withdraw(
+        self,
+        job_id: str,
+        receiver: OutcomeReceiver,
+        moved: bool,
+        submission: int = 0,
+    ) -> None:
+        """End a job for which one receiver does not wait any more.
+
+        If the job was ``moved`` to another placer, that one may be about to take over
+        the workers of its runs, and these are stopped after its token has fenced them.
+        Otherwise, copies of the submission that arrive later start nothing.
+        """
+        if not moved:
+            self.endings.submissions.record(submission, None)
+        reason = "its daemon sent it elsewhere" if moved else "its client disconnected"
+        delay_ms = FENCING_DELAY_MS if moved else 0
+        self._remove_receivers(
+            job_id, lambda other: other == receiver, reason, delay_ms
+        )
+
+    def _remove_receivers(
+        self,
+        job_id: str,
+        is_removed: Callable[[OutcomeReceiver], bool],
+        reason: str,
+        stop_delay_ms: float = 0,
+    ) -> None:
+        """Remove receivers of a job, and end it if none is left."""
         job = self.jobs.get(job_id)
         if job is None:
             return
-        submissions = job.remove_receivers(node)
+        submissions = job.remove_receivers(is_removed)
         if job.receiver is None:
             submissions.append(job.submission)
-            self.endings.end(job, None)
+            self.endings.end(job, None, reason, stop_delay_ms)
         for submission in submissions:
             self.endings.submissions.record(submission, None)
 
@@ -327,12 +359,6 @@
             self.endings.end(job, cancelled_outcome(job_id))
         return job is not None
 
-    def on_daemon_lost(self, node: str) -> None:
-        """Handle a lost link to a daemon; keep its jobs for a short time."""
-        for job in self.jobs.values():
-            if job.remove_receivers(node) and job.receiver is None:
-                job.orphaned_ms = self.clock.now_ms()
-
     def drop_all_jobs(self) -> None:
         """Drop all jobs, without outcomes, after other placers took over the zones."""
         if self.jobs:
@@ -347,7 +373,7 @@
     def tick(self) -> None:
         """Stop overdue and stalled runs, end overdue jobs and start waiting tasks.
 
-        Overdue jobs are those whose receiver was lost, whose deadline has passed or
+        Overdue jobs are those whose lease has lapsed, whose deadline has passed or
         whose tasks can no longer start in time.
         """
         now_ms = self.clock.now_ms()
@@ -412,7 +438,7 @@
 
     def _may_start(self, task: PlacedTask) -> bool:
         return (
-            self._may_run(task.job)
+            task.job.may_start(self.clock.now_ms())
             and not self.active_runs[task.name]
             and not self.completion.is_done_elsewhere(task)
             and self.crash_policy.may_start(task)
@@ -421,17 +447,9 @@
             )
         )
 
-    def _may_run(self, job: PlacedJob) -> bool:
-        """Return whether a daemon still waits for a job, before its deadline."""
-        return (
-            not job.ended
-            and job.is_waited_for
-            and self.clock.now_ms() < job.deadline_ms
-        )
-
     def may_send_start(self, run: Run) -> bool:
         """Return whether the start order of a run may be sent now."""
-        return self.may_give_orders() and self._may_run(run.task.job)
+        return self.may_give_orders() and run.task.job.may_start(self.clock.now_ms())
 
     def _start_run(self, task: PlacedTask, worker: PooledWorker) -> None:
         task.state = TaskState.PLACED
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -15,6 +15,7 @@
 from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.errors import ErrorKind, Failure
+from rattanloom.placement.job_lease import START_LEASE_MIN_MS
 from rattanloom.placement.runs import PlacedTask, Run, RunPhase
 from rattanloom.placement.start_limits import DRAINING_PAUSE_MS, StartLimits
 from rattanloom.placement.worker_events import LossCause, WorkerEvents, WorkerState
@@ -195,11 +196,16 @@
         gevent.spawn(self._start, run)
         return run
 
-    def stop(self, run: Run) -> None:
-        """Stop a run; its capacity is free once a report shows that it has finished."""
+    def stop(self, run: Run, delay_ms: float = 0) -> None:
+        """Stop a run; its capacity is free once a report shows that it has finished.
+
+        With a delay, a placer that takes the worker over may keep the run.
+        """
+        if run.stop_lease_limit_ms is None:
+            run.stop_lease_limit_ms = run.lease_limit_ms
         run.phase = RunPhase.STOPPING
-        run.stop_sent_ms = self.clock.now_ms()
-        gevent.spawn(self._stop, run)
+        run.stop_sent_ms = self.clock.now_ms() + delay_ms
+        gevent.spawn_later(delay_ms / MS_PER_S, self._stop, run)
 
     def adopt(self, run: Run, task: PlacedTask, isolated: bool = False) -> None:
         """Assign an inherited run to the task that it belongs to."""
@@ -219,7 +225,7 @@
                 run.name,
                 run.attempt,
                 run.task.job.submitted.spec,
-                self.lease.extend(),
+                self.lease.extend(self._lease_limit_ms()),
                 token,
             )
             log.info(
@@ -258,10 +264,16 @@
             and not self.missed_replies
         )
 
+    def _lease_limit_ms(self) -> float:
+        """Return until when the lease may last; see ``job_lease``."""
+        return min((run.lease_limit_ms for run in self.runs.all()), default=inf)
+
     def _may_send_start(self, run: Run) -> bool:
         """Return whether a start order may be sent; checked before each send."""
+        lease_min_ms = self.clock.now_ms() + START_LEASE_MIN_MS
         return (
             not self.closed
+            and self._lease_limit_ms() >= lease_min_ms
             and self.events.may_send_start(run)
             and self.limits.may_send(self)
         )
@@ -371,7 +383,10 @@
             and self.missed_replies < 2
             and self.events.may_give_orders()
         )
-        lease_until_ms = self.lease.extend() if is_leasing else None
+        limit_ms = self._lease_limit_ms()
+        lease_until_ms = None
+        if is_leasing and limit_ms > sent_ms:
+            lease_until_ms = self.lease.extend(limit_ms)
         if self.state is WorkerState.SYNCING:
             wait_ms = 0
         reply = self.client.renew(
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -1,36 +1,25 @@
 """State of the jobs, tasks and runs that a placer tracks."""
 
+from collections.abc import Callable
 from enum import Enum
 from math import inf
-from typing import Protocol
 
 from attrs import define, field
 
-from rattanloom.placement.jobs import JobOutcome, ReturnedJob, Step, SubmittedJob
+from rattanloom.placement.job_lease import (
+    INHERITED_LEASE_MAX_MS,
+    KEEP_MAX_MS,
+    RUN_LEASE_MAX_MS,
+    START_MAX_MS,
+    OutcomeReceiver,
+)
+from rattanloom.placement.jobs import Step, SubmittedJob
 
 # A job without any started task is refused after this share of the time that its
 # client waits: the platform's users count a later refusal as no response at all.
 UNSTARTED_WAIT_SHARE = 0.45
 
 
-class OutcomeReceiver(Protocol):
-    """Receives the outcome of a job for ``node``, the daemon that serves its client."""
-
-    node: str
-
-    def is_waiting(self, job_id: str) -> bool:
-        """Return whether the daemon waits for the outcome of a job from this placer.
-
-        If not, it may have sent the job to another placer.
-        """
-
-    def deliver(self, outcome: JobOutcome) -> None:
-        """Report the outcome of a job; must not block."""
-
-    def take_back(self, jobs: tuple[ReturnedJob, ...]) -> None:
-        """Take back jobs that never ran here; must not block."""
-
-
 class TaskState(Enum):
     """Progress of a task.
 
@@ -70,8 +59,8 @@
 
     ``arrived_ms`` is when the client sent it, ``received_ms`` when this placer
     received it, ``deadline_ms`` when the client stops waiting. ``receiver`` is None
-    after the link to its daemon was lost, at ``orphaned_ms``. ``former_placers`` are
-    the daemons that received the job earlier and may have started runs of its tasks.
+    once no daemon waits for the outcome any more. ``former_placers`` are the daemons
+    that received the job earlier and may have started runs of its tasks.
     ``rank_offset_ms`` moves the job among those of its level that can be on time.
     ``cost`` is what a delay costs, as computed for the time until ``cost_until_ms``.
     ``effective_runs`` counts the runs that were ordered, less those that definitely
@@ -101,7 +90,6 @@
     cost: float = 0
     cost_until_ms: float = -inf
     ended: bool = False
-    orphaned_ms: float = 0
     submits: int = 1
     submission: int = 0
     earlier_receivers: dict[int, OutcomeReceiver] = field(factory=dict)
@@ -140,14 +128,32 @@
         return [receiver.node for receiver in receivers if receiver is not None]
 
     @property
-    def is_waited_for(self) -> bool:
-        """Return whether some daemon waits for the outcome from this placer."""
-        receivers = (self.receiver, *self.earlier_receivers.values())
-        return any(
-            receiver is not None and receiver.is_waiting(self.job_id)
-            for receiver in receivers
+    def renewed_ms(self) -> float:
+        """Return when a daemon last renewed the lease; see ``job_lease``."""
+        renewed_ms = -inf
+        if self.receiver is not None:
+            renewed_ms = self.receiver.renewed_ms(self.job_id)
+        for receiver in self.earlier_receivers.values():
+            renewed_ms = max(renewed_ms, receiver.renewed_ms(self.job_id))
+        return renewed_ms
+
+    @property
+    def run_lease_limit_ms(self) -> float:
+        """Return until when leases of workers with runs of this job may last."""
+        return min(self.renewed_ms, self.deadline_ms) + RUN_LEASE_MAX_MS
+
+    def may_start(self, now_ms: float) -> bool:
+        """Return whether the job's lease and deadline allow a start."""
+        return (
+            not self.ended
+            and now_ms < self.deadline_ms
+            and now_ms < self.renewed_ms + START_MAX_MS
         )
 
+    def has_lapsed(self, now_ms: float) -> bool:
+        """Return whether the lease has not been renewed in time to keep the job."""
+        return now_ms > self.renewed_ms + KEEP_MAX_MS
+
     @property
     def remaining_work_millicore_ms(self) -> float:
         """Return the estimated work of the tasks that are not done."""
@@ -208,19 +214,21 @@
         self.receiver, self.submission = receiver, submission
         return True
 
-    def remove_receivers(self, node: str) -> list[int]:
-        """Remove the receivers for a daemon; return their submissions.
+    def remove_receivers(
+        self, is_removed: Callable[[OutcomeReceiver], bool]
+    ) -> list[int]:
+        """Remove the receivers that match; return their submissions.
 
-        If one for another daemon is left, it becomes the current one.
+        If another one is left, it becomes the current one.
         """
         removed = [
             submission
             for submission, receiver in self.earlier_receivers.items()
-            if receiver.node == node
+            if is_removed(receiver)
         ]
         for submission in removed:
             del self.earlier_receivers[submission]
-        if self.receiver is not None and self.receiver.node == node:
+        if self.receiver is not None and is_removed(self.receiver):
             removed.append(self.submission)
             self.receiver = None
             if self.earlier_receivers:
@@ -257,6 +265,7 @@
     has restarted since. ``other_jobs`` is how many other jobs had runs on the worker
     when it was lost. No other run may start beside an ``isolated`` one.
     ``adopted`` is set if a former placer ordered the run: its duration is not known.
+    ``stop_lease_limit_ms`` is its ``lease_limit_ms`` from its first stop on.
     """
 
     name: str
@@ -268,6 +277,7 @@
     confirmed_ms: float | None = None
     start_fence_token: int = 0
     stop_sent_ms: float = 0
+    stop_lease_limit_ms: float | None = None
     percent: int = 0
     last_listed_ms: float = 0
     last_progress_ms: float = 0
@@ -287,6 +297,15 @@
         """Return the task name and attempt that identify this run on its worker."""
         return self.name, self.attempt
 
+    @property
+    def lease_limit_ms(self) -> float:
+        """Return until when the lease of the run's worker may last."""
+        if self.stop_lease_limit_ms is not None:
+            return self.stop_lease_limit_ms
+        if self.task is None:
+            return self.ordered_ms + INHERITED_LEASE_MAX_MS
+        return self.task.job.run_lease_limit_ms
+
     def must_be_listed(self, report_requested_ms: float) -> bool:
         """Return whether the run was known when a report was requested.
 
--- a/rattanloom/placement/worker_lease.py
+++ b/rattanloom/placement/worker_lease.py
@@ -3,6 +3,8 @@
 A worker has one lease for all its runs; when it expires, the worker stops them.
 """
 
+from math import inf
+
 from attrs import define
 
 from rattanloom.clock import Clock
@@ -30,15 +32,22 @@
         """Record the worker's clock from a reply that was received just now."""
         self.offset_ms = worker_clock_ms - self.clock.now_ms()
 
-    def extend(self) -> int:
-        """Grant a new lease; return its end in the worker's clock, to be sent now."""
+    def extend(self, limit_ms: float = inf) -> int:
+        """Grant a new lease; return its end in the worker's clock, to be sent now.
+
+        It ends at ``limit_ms`` at the latest, by a clock that is not slow.
+        """
         now_ms = self.clock.now_ms()
-        self.record_grant(now_ms)
-        return int(now_ms + self.offset_ms + self.duration_ms)
+        duration_ms = min(self.duration_ms, limit_ms - now_ms)
+        self._record(now_ms, duration_ms)
+        return int(now_ms + self.offset_ms + duration_ms)
 
     def record_grant(self, now_ms: float) -> None:
         """Record that a lease granted at ``now_ms`` may be active on the worker."""
-        expires_ms = now_ms + self.duration_ms * SLOW_CLOCK_FACTOR + TRANSIT_MS
+        self._record(now_ms, self.duration_ms)
+
+    def _record(self, now_ms: float, duration_ms: float) -> None:
+        expires_ms = now_ms + duration_ms * SLOW_CLOCK_FACTOR + TRANSIT_MS
         self.expires_ms = max(self.expires_ms, expires_ms)
 
     def is_expired(self) -> bool:
--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -4,6 +4,7 @@
 """
 
 from collections import defaultdict
+from math import inf
 
 import gevent
 from attrs import define, field
@@ -11,6 +12,7 @@
 
 from rattanloom.clock import SystemClock
 from rattanloom.errors import ErrorKind, Failure
+from rattanloom.placement.job_lease import KEEP_MAX_MS, RECONNECT_MAX_MS
 from rattanloom.placement.jobs import JobPolicy, Step, SubmittedJob
 from rattanloom.placement.workers import (
     FinishedRun,
@@ -302,17 +304,27 @@
 
 @define(eq=False)
 class FakeReceiver:
-    """Receiver that collects the outcomes of jobs; it waits for all if ``waiting``."""
+    """Receiver that collects the outcomes of jobs.
+
+    It renews the leases of all jobs until it is ``disconnected_ms``, if ``waiting``.
+    """
 
     node: str = "entry-1"
     waiting: bool = True
+    disconnected_ms: float | None = None
     outcomes: list = field(factory=list)
     returned: list = field(factory=list)
     by_job: dict = field(factory=lambda: defaultdict(list))
 
-    def is_waiting(self, job_id) -> bool:
-        """Return what the test has set."""
-        return self.waiting
+    def disconnect(self) -> None:
+        """Renew no lease from now on, as after the loss of the daemon's link."""
+        self.disconnected_ms = CLOCK.now_ms() + RECONNECT_MAX_MS - KEEP_MAX_MS
+
+    def renewed_ms(self, job_id) -> float:
+        """Return when the leases were last renewed."""
+        if not self.waiting:
+            return -inf
+        return self.disconnected_ms or CLOCK.now_ms()
 
     def deliver(self, outcome) -> None:
         """Record an outcome."""
--- a/tests/test_active_runs.py
+++ b/tests/test_active_runs.py
@@ -210,7 +210,7 @@
         receiver = FakeReceiver()
         placer.submit(receiver, long_job(), (), "", SUBMISSION)
         assert wait_for(lambda: worker.running)
-        placer.on_daemon_lost(receiver.node)
+        receiver.disconnect()
         placer.cancel(JOB_ID, receiver.node)
         assert wait_for(lambda: not placer.active_runs[TASK])
         placer.submit(receiver, long_job(), (), "", SUBMISSION)
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -7,10 +7,10 @@
 from rattanloom.cancellations import TELL_MAX_MS, Cancellations
 from rattanloom.links.messages import (
     JOB_CANCELLED_VERSION,
-    Cancel,
     Hello,
     JobCancelled,
     Outcome,
+    Withdraw,
 )
 from rattanloom.peer_receiver import PeerOutcomeReceiver
 from rattanloom.placement.jobs import OutcomeKind, cancelled_outcome
@@ -59,7 +59,7 @@
     router = make_router(FakeOwnership("p1"), hub)
     job = router.submit(make_submitted_job())
     assert router.revoke(JOB)
-    assert hub.sent["p1"][-1] == Cancel(JOB)
+    assert hub.sent["p1"][-1] == Withdraw(JOB, job.submission)
     assert job.result.get(block=False).kind is OutcomeKind.CANCELLED
     assert not router.revoke(JOB)
 
--- a/tests/test_capacity_exchange.py
+++ b/tests/test_capacity_exchange.py
@@ -8,7 +8,7 @@
 from rattanloom.capacity_exchange import CapacityExchange
 from rattanloom.ingress.job_router import JobRouter
 from rattanloom.links.codec import decode_message, encode_message
-from rattanloom.links.messages import AnnouncedLoad, FreeCapacity
+from rattanloom.links.messages import AnnouncedLoad, FreeCapacity, Submit
 from rattanloom.metrics import Metrics
 from rattanloom.placement.jobs import COUNTED_ESTIMATE_MAX_MS, OutcomeKind
 from rattanloom.placement.load_report import measure_load
@@ -124,14 +124,20 @@
 
     def link(self, node):
         """Return the link to a placer."""
-        return SimpleNamespace(send=lambda message: self.deliver_to(node, message))
+        return SimpleNamespace(
+            peer=SimpleNamespace(node=node),
+            has_job_leases=True,
+            send=lambda message: self.deliver_to(node, message),
+        )
 
     def deliver_to(self, node, message):
         """Pass a job to a placer and its outcome to the router."""
         self.sent[node].append(message)
+        if not isinstance(message, Submit):
+            return
         receiver = SimpleNamespace(
             node="n0",
-            is_waiting=lambda job_id: True,
+            renewed_ms=lambda job_id: inf,
             deliver=lambda outcome: self.router.record_outcome(node, outcome),
         )
         self.placers[node].submit(receiver, message.job, message.former_placers)
--- a/tests/test_client_api.py
+++ b/tests/test_client_api.py
@@ -11,7 +11,7 @@
 
 from rattanloom.decision_log import logging_decisions
 from rattanloom.ingress.api import ClientApi
-from rattanloom.ingress.job_router import PendingJob
+from rattanloom.ingress.pending_job import PendingJob
 from rattanloom.ingress.queues import (
     Configuration,
     Queue,
@@ -44,7 +44,7 @@
         self.cancelled = []
         self.is_sent = True
 
-    def submit(self, submitted):
+    def submit(self, submitted, is_client_connected):
         """Return a pending job, with its outcome if ``kind`` is set."""
         self.submitted.append(submitted.job_id)
         job = PendingJob(submitted, CLOCK.now_ms())
@@ -71,7 +71,7 @@
 class FailingRouter(FakeRouter):
     """Raises an unexpected exception for each job."""
 
-    def submit(self, submitted):
+    def submit(self, submitted, is_client_connected):
         """Raise an exception."""
         raise RuntimeError("unforeseen")
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -1,6 +1,7 @@
 """Tests that no task starts in an evacuated zone, and where its jobs go instead."""
 
 from contextlib import contextmanager
+from math import inf
 
 import gevent
 import pytest
@@ -452,7 +453,7 @@
     """Passes outcomes and returned jobs from the placer ``node`` to a router."""
 
     node = "n0"
-    is_waiting = staticmethod(lambda job_id: True)
+    renewed_ms = staticmethod(lambda job_id: inf)
 
     def __init__(self, router: list, node: str):
         self.deliver = lambda outcome: router[0].record_outcome(node, outcome)
--- a/tests/test_former_ownership.py
+++ b/tests/test_former_ownership.py
@@ -1,15 +1,18 @@
 """A placer starts nothing for jobs, and on workers, of a former ownership."""
 
+from math import inf
 from types import SimpleNamespace
 
 import gevent
 import pytest
 
 from rattanloom.ingress.job_router import REJECTED_PAUSE_MS
+from rattanloom.links.link import Link
 from rattanloom.links.messages import Hello
 from rattanloom.ownership.records import ZoneOwner
 from rattanloom.peer_receiver import PeerOutcomeReceiver
 from rattanloom.placement.inherited_work import INHERITED_RUN_MAX_MS
+from rattanloom.placement.job_lease import START_MAX_MS
 from rattanloom.placement.worker_events import WorkerState
 from standins.store import Store, StoreSwitches
 from tests.dispatcher_fakes import (
@@ -42,7 +45,7 @@
         placer.connect = lambda entry: kept
         placer.add_worker(kept.entry(), TOKEN)
         assert wait_for(lambda: all_ready(placer))
-        placer.on_daemon_lost(receiver.node)
+        receiver.disconnect()
         expire_lease(placer, "w1")
         placer.remove_worker("w1", "it is no longer registered")
         gevent.sleep(LONGER_THAN_A_TICK_S)
@@ -107,30 +110,32 @@
         assert not placer.active_runs[TASK]
 
 
-def test_peer_waits_for_a_job_only_on_the_link_on_which_it_sent_the_job():
-    alive, reopened = (
-        SimpleNamespace(
-            peer=Hello("n2", "b", "", 1), closed=False, is_alive=lambda: True
-        )
-        for _ in range(2)
-    )
-    receiver = PeerOutcomeReceiver(alive, hub=None)
-    assert receiver.is_waiting("job")
-    alive.is_alive = lambda: False
-    assert not receiver.is_waiting("job")
-    assert PeerOutcomeReceiver(reopened, hub=None).is_waiting("job")
+def test_lease_of_a_job_is_renewed_only_on_the_link_on_which_it_was_submitted():
+    # The daemon may have submitted the job elsewhere before it opened another link.
+    links = [Link(None, CLOCK, None, None, Hello("n2", "b", "", 1)) for _ in range(2)]
+    first, reopened = (PeerOutcomeReceiver(link, hub=None) for link in links)
+    links[1]._answered_ms = CLOCK.now_ms()
+    assert first.renewed_ms("job") == 0
+    assert reopened.renewed_ms("job") == links[1]._answered_ms
+    links[1].closed_ms = links[1]._answered_ms
+    assert reopened.renewed_ms("job") + START_MAX_MS <= CLOCK.now_ms()
 
 
-def test_own_jobs_are_waited_for_only_while_this_daemon_is_their_placer():
+def test_leases_of_own_jobs_are_renewed_only_while_this_daemon_is_their_placer():
     ownership = FakeOwnership("n0")
     router = make_router(ownership, FakeHub("p2"))
-    router.placer = SimpleNamespace(submit=lambda *arguments: None)
+    withdrawn = []
+    router.placer = SimpleNamespace(
+        submit=lambda *arguments: None,
+        withdraw=lambda *arguments: withdrawn.append(arguments),
+    )
     job = router.submit(make_submitted_job())
     job_id = job.submitted.job_id
-    assert router.is_waiting(job_id)
+    assert router.renewed_ms(job_id) == router.clock.now_ms()
     ownership.owner = "p2"
     router.on_placers_changed()
-    assert not router.is_waiting(job_id)
+    assert router.renewed_ms(job_id) == -inf
+    assert withdrawn == [(job_id, router, True)]
 
 
 def test_jobs_are_dropped_with_the_last_zone_also_if_no_worker_is_left():
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -1,11 +1,13 @@
 """What happens to pending jobs when placers change or become unreachable."""
 
+from types import SimpleNamespace
+
 from rattanloom.ingress.job_router import (
     NO_PLACER_TIMEOUT_MS,
     REJECTED_PAUSE_MS,
     JobRouter,
 )
-from rattanloom.links.messages import Cancel, Submit
+from rattanloom.links.messages import Submit, Withdraw
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from rattanloom.scheduling.zone_choice import PlacerChoice
 from tests.dispatcher_fakes import CLOCK, make_submitted_job
@@ -39,6 +41,9 @@
         class Link:
             """Records messages."""
 
+            peer = SimpleNamespace(node=node)
+            has_job_leases = True
+
             def send(self, message):
                 """Record a message."""
                 outer.sent[node].append(message)
@@ -160,7 +165,7 @@
     job_router.give_up_all("this daemon is stopping")
     assert job.result.get(timeout=1).kind is OutcomeKind.GIVEN_UP
     assert job.result.get().retry_after_ms
-    assert hub.sent["p1"][-1] == Cancel(JOB)
+    assert hub.sent["p1"][-1] == Withdraw(JOB, job.submission)
     assert not job_router.pending
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -24,10 +24,13 @@
     OwnerLivenessQuery,
     OwnerLivenessReply,
     Ping,
+    Probe,
+    ProbeReply,
     RunLosses,
     Submit,
     SubmitRejected,
     TakeZones,
+    Withdraw,
     ZoneClaims,
 )
 from rattanloom.ownership.records import claim_number
@@ -54,6 +57,9 @@
         ("p1", "p2"),
     ),
     Cancel("00000000000000aa"),
+    Withdraw("00000000000000aa", 7, True),
+    Probe(1_234.5),
+    ProbeReply(1_234.5),
     Outcome(JobOutcome("00000000000000aa", OutcomeKind.GIVEN_UP, "why", 1_000), 7),
     OwnerLivenessQuery("n1"),
     OwnerLivenessReply("n1", True, ("a",)),
--- a/tests/test_owner_confirmation.py
+++ b/tests/test_owner_confirmation.py
@@ -9,6 +9,7 @@
 from attrs import define, evolve, field
 
 from rattanloom.links.messages import (
+    JOB_LEASES_VERSION,
     OWNED_ZONES_VERSION,
     Hello,
     OwnedZones,
@@ -32,6 +33,16 @@
     own_hello: Hello | None = None
     closed: bool = False
     sent: list = field(factory=list)
+    probes: int = 0
+
+    @property
+    def has_job_leases(self) -> bool:
+        """Return whether the peer replies to probes."""
+        return self.peer.protocol_version >= JOB_LEASES_VERSION
+
+    def send_probe(self) -> None:
+        """Count the probe."""
+        self.probes += 1
 
     def is_alive(self) -> bool:
         """Return that the link is alive."""
@@ -197,6 +208,7 @@
     confirmation.announce()
     confirmation.on_link_opened(opening)
     announced = OwnedZones(("a",), (record.fencing_token,))
+    assert (known.probes, old.probes, opening.probes) == (0, 0, 1)
     assert (known.sent, old.sent, opening.sent) == ([announced], [], [announced])
     assert hub.own_hello == evolve(
         hub.own_hello, zones=announced.zones, tokens=announced.tokens
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -335,7 +335,7 @@
     with running_placer(worker) as placer:
         placer.submit(receiver, make_submitted_job(estimate_ms=3_000), ())
         assert wait_for(lambda: worker.running)
-        placer.on_daemon_lost(receiver.node)
+        receiver.disconnect()
         assert wait_for(lambda: not worker.running, within_s=0.85)
 
 
--- a/tests/test_run_lapses.py
+++ b/tests/test_run_lapses.py
@@ -9,9 +9,11 @@
 from rattanloom.ingress.api import ClientApi
 from rattanloom.ingress.queues import Configuration, QueueTable
 from rattanloom.ingress.server import ConnectionState, serving
-from rattanloom.links.link import encode_frame
-from rattanloom.links.messages import Hello
+from rattanloom.links.codec import decode_message
+from rattanloom.links.link import LENGTH, Link, encode_frame
+from rattanloom.links.messages import Hello, Probe, ProbeReply, Withdraw
 from rattanloom.metrics import Metrics
+from rattanloom.placement.job_lease import START_MAX_MS
 from standins.store import Store, StoreSwitches
 from tests.dispatcher_fakes import (
     CLOCK,
@@ -112,6 +114,15 @@
     return connection
 
 
+def reply_to_probes(link: socket.socket) -> None:
+    """Renew the leases of the jobs sent on a link until it closes."""
+    with link.makefile("rb") as stream:
+        while size_bytes := stream.read(LENGTH.size):
+            message = decode_message(stream.read(*LENGTH.unpack(size_bytes)))
+            if isinstance(message, Probe):
+                link.sendall(encode_frame(ProbeReply(message.sent_ms)))
+
+
 def sent_messages(job_router, hub: FakeHub) -> list:
     """Return and forget what a router has sent to the daemon ``PLACER``."""
     messages, hub.sent[PLACER] = hub.sent[PLACER], []
@@ -144,6 +155,56 @@
         assert end_ms - due_ms <= RUN_END_MAX_MS
 
 
+def test_reply_that_was_held_up_renews_leases_only_from_when_its_probe_was_sent():
+    # A frozen placer took pings that had waited in its socket for new ones.
+    link = Link(None, CLOCK, None, None, Hello("n0", "b", "", 1))
+    sent_ms = CLOCK.now_ms() - 400
+    link._record_reply(ProbeReply(sent_ms))
+    link.last_received_ms = CLOCK.now_ms()
+    link._record_reply(ProbeReply(sent_ms - 100))
+    link._record_reply(ProbeReply(CLOCK.now_ms() + 1_000))
+    assert link.renewed_ms() == sent_ms
+
+
+def test_job_that_was_sent_elsewhere_is_withdrawn_from_its_placer_before():
+    # The former placer went on, as its link to this daemon was alive.
+    ownership, hub = FakeOwnership(PLACER), FakeHub(PLACER, NEXT_PLACER)
+    job_router = make_router(ownership, hub)
+    job = job_router.submit(long_job())
+    ownership.owner = NEXT_PLACER
+    job_router.on_placers_changed()
+    assert hub.sent[PLACER][1:] == [Withdraw(JOB_ID, job.submission, moved=True)]
+    assert hub.sent[NEXT_PLACER][0].former_placers == (PLACER,)
+
+
+def test_runs_of_a_job_that_was_sent_elsewhere_are_stopped_by_its_former_placer():
+    worker, receiver = FakeWorker("w1"), FakeReceiver()
+    with running_placer(worker) as placer:
+        placer.submit(receiver, long_job(), ())
+        assert wait_for(lambda: worker.running)
+        placer.withdraw(JOB_ID, FakeReceiver("entry-2"), moved=True)
+        assert placer.jobs
+        placer.withdraw(JOB_ID, receiver, moved=True)
+        assert not placer.jobs
+        # The next placer may adopt the run if it takes the worker over.
+        assert worker.running
+        assert wait_for(lambda: not worker.running, within_s=0.5)
+
+
+def test_task_is_not_started_if_the_lease_of_its_job_is_not_renewed():
+    worker, receiver = FakeWorker("w1"), FakeReceiver()
+    with running_placer() as placer:
+        receiver.disconnected_ms = CLOCK.now_ms() - START_MAX_MS
+        placer.submit(receiver, long_job(), ())
+        placer.connect = lambda entry: worker
+        placer.add_worker(worker.entry(), TOKEN)
+        assert wait_for(lambda: all_ready(placer))
+        gevent.sleep(0.1)
+        assert not worker.starts
+        receiver.disconnected_ms = None
+        assert wait_for(lambda: worker.starts)
+
+
 @contextmanager
 def routed_job_of_a_lost_client():
     """Return a router and its hub; the client of its job has just disconnected.
@@ -190,6 +251,7 @@
         open_link(daemon) as older,
         open_link(daemon) as newer,
     ):
+        gevent.spawn(reply_to_probes, newer)
         newer.sendall(encode_frame(cancel))
         gevent.sleep(0.05)
         older.sendall(encode_frame(submit))
