Name the submission in rejections and returns of jobs

A job could run twice at once after its client left and posted it again within the transit time of a message.

Cause: `SubmitRejected` and `JobsReturned` name a job, not the post that was rejected or handed back. The router took a late one for the later post, forgot that the placer had that one, and sent it to another placer without a former one to wait for.

Ruled out: the count of sends in `ReturnedJob`; both posts have been sent once.

Change: both name the submission (protocol version 4), and so does the undo of a send that was not written. Peers of older builds send 0, which stands for any post, as before.

Conclusion: fixed between daemons of this version.

--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -206,7 +206,7 @@
         A return is ignored if the job was sent again since: that placer may have it.
         """
         for returned in jobs:
-            job = self.pending.get(returned.job_id)
+            job = self._pending_submission(returned.job_id, returned.submission)
             is_current = (
                 job is not None
                 and job.placer == placer
@@ -238,9 +238,9 @@
             if job.placer == node:
                 job.placer = None
 
-    def on_rejected(self, node: str, job_id: str) -> None:
+    def on_rejected(self, node: str, job_id: str, submission: int = 0) -> None:
         """Submit a job to the next placer after a daemon without zones rejected it."""
-        job = self.pending.get(job_id)
+        job = self._pending_submission(job_id, submission)
         if job is None:
             return
         job.forget_send(node)
@@ -249,9 +249,16 @@
         if job.placer is None:
             self._submit_or_end(job)
 
-    def on_not_sent(self, node: str, job_id: str) -> None:
-        """Undo a send to a placer whose link was lost before anything was written."""
+    def _pending_submission(self, job_id: str, submission: int) -> PendingJob | None:
+        """Return the pending job of a submission; 0 stands for that of any post."""
         job = self.pending.get(job_id)
+        if job is not None and submission not in (0, job.submission):
+            return None
+        return job
+
+    def on_not_sent(self, node: str, job_id: str, submission: int = 0) -> None:
+        """Undo a send to a placer whose link was lost before anything was written."""
+        job = self._pending_submission(job_id, submission)
         if job is not None:
             job.forget_send(node)
 
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -265,6 +265,15 @@
     builder.ping = None
 
 
+def _write_rejected(builder: object, message: SubmitRejected) -> None:
+    if not message.submission:
+        builder.submitRejected = message.job_id
+        return
+    slot = builder.init("submissionRejected")
+    slot.jobId = message.job_id
+    slot.submission = message.submission
+
+
 def _write_withdraw(builder: object, message: Withdraw) -> None:
     slot = builder.init("withdraw")
     slot.jobId = message.job_id
@@ -333,12 +342,13 @@
         slot.jobId = job.job_id
         slot.submits = job.submits
         slot.retryAfterMs = job.retry_after_ms
+        slot.submission = job.submission
 
 
 def _read_returned_jobs(reader: object) -> JobsReturned:
     return JobsReturned(
         tuple(
-            ReturnedJob(slot.jobId, slot.submits, slot.retryAfterMs)
+            ReturnedJob(slot.jobId, slot.submits, slot.retryAfterMs, slot.submission)
             for slot in reader.jobsReturned
         )
     )
@@ -352,7 +362,7 @@
     FreeCapacity: _write_attribute("room", "millicores"),
     AnnouncedLoad: _write_load,
     Submit: _write_submit,
-    SubmitRejected: _write_attribute("submitRejected", "job_id"),
+    SubmitRejected: _write_rejected,
     Cancel: _write_attribute("cancel", "job_id"),
     Withdraw: _write_withdraw,
     JobCancelled: _write_attribute("jobCancelled", "job_id"),
@@ -375,6 +385,9 @@
     "zoneLoad": _read_load,
     "submit": _read_submit,
     "submitRejected": lambda reader: SubmitRejected(reader.submitRejected),
+    "submissionRejected": lambda reader: SubmitRejected(
+        reader.submissionRejected.jobId, reader.submissionRejected.submission
+    ),
     "cancel": lambda reader: Cancel(reader.cancel),
     "withdraw": _read_withdraw,
     "jobCancelled": lambda reader: JobCancelled(reader.jobCancelled),
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -89,6 +89,12 @@
   jobId @0 :Text;
   submits @1 :UInt32;
   retryAfterMs @2 :UInt32;
+  submission @3 :UInt64;
+}
+
+struct RejectedSubmission {
+  jobId @0 :Text;
+  submission @1 :UInt64;
 }
 
 struct PriorityLoad {
@@ -125,5 +131,6 @@
     probe @16 :Float64;
     probeReply @17 :Float64;
     withdraw @18 :Withdraw;
+    submissionRejected @19 :RejectedSubmission;
   }
 }
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -10,8 +10,9 @@
 # ``OwnedZones``, ``SubmitRejected`` and the zones in ``Hello`` and
 # ``OwnerLivenessReply``; the first one with ``JobsReturned``; the first one with
 # ``AnnouncedLoad``; the first one with ``JobCancelled``; and the first one with
-# ``Probe``, ``ProbeReply`` and ``Withdraw``. Builds from before the field send 0 and
-# close a link on which they receive an unknown message.
+# ``Probe``, ``ProbeReply``, ``Withdraw`` and the submission in ``SubmitRejected``.
+# Builds from before the field send 0 and close a link on which they receive an unknown
+# message.
 PROTOCOL_VERSION = 4
 RUN_LOSSES_VERSION = 1
 OWNED_ZONES_VERSION = 2
@@ -91,9 +92,13 @@
 
 @frozen
 class SubmitRejected:
-    """Reply of a daemon without zones to ``Submit``; it has not started the job."""
+    """Reply of a daemon without zones to ``Submit``; it has not started the job.
+
+    ``submission`` is that of the ``Submit``; it is 0 from and to older builds.
+    """
 
     job_id: str
+    submission: int = 0
 
 
 @frozen
--- a/rattanloom/peer_messages.py
+++ b/rattanloom/peer_messages.py
@@ -47,7 +47,7 @@
         if isinstance(message, Submit):
             self._on_submit(link, message)
         elif isinstance(message, SubmitRejected):
-            self.job_router.on_rejected(node, message.job_id)
+            self.job_router.on_rejected(node, message.job_id, message.submission)
         elif isinstance(message, Cancel | Withdraw):
             self._on_withdrawn(link, message)
         elif isinstance(message, JobCancelled):
@@ -77,7 +77,9 @@
         self.wake()
         for message in link.unsent():
             if isinstance(message, Submit):
-                self.job_router.on_not_sent(link.peer.node, message.job.job_id)
+                self.job_router.on_not_sent(
+                    link.peer.node, message.job.job_id, message.submission
+                )
         self.job_router.on_placer_lost(link.peer.node)
 
     def _on_withdrawn(self, link: Link, message: Cancel | Withdraw) -> None:
@@ -106,4 +108,5 @@
                 message.submission,
             )
         elif link.peer.protocol_version >= OWNED_ZONES_VERSION:
-            link.send(SubmitRejected(message.job.job_id))
+            submission = message.submission if link.has_job_leases else 0
+            link.send(SubmitRejected(message.job.job_id, submission))
--- a/rattanloom/placement/job_returns.py
+++ b/rattanloom/placement/job_returns.py
@@ -88,7 +88,10 @@
             receiver.take_back(
                 tuple(
                     ReturnedJob(
-                        job.job_id, job.submits, retry_after_ms(job.job_id, 0, 0)
+                        job.job_id,
+                        job.submits,
+                        retry_after_ms(job.job_id, 0, 0),
+                        job.submission,
                     )
                     for job in jobs_of_receiver
                 )
--- a/rattanloom/placement/jobs.py
+++ b/rattanloom/placement/jobs.py
@@ -161,11 +161,13 @@
     No task of it has run or will run at that placer. ``submits`` counts how often the
     placer received the job; a daemon that sent it more often ignores the return, as
     the placer may have the job again. ``retry_after_ms`` is that of a refusal.
+    ``submission`` is that of the message ``Submit``; it is 0 from older builds.
     """
 
     job_id: str
     submits: int
     retry_after_ms: int
+    submission: int = 0
 
     @property
     def refusal(self) -> JobOutcome:
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -2,13 +2,15 @@
 
 from types import SimpleNamespace
 
+import pytest
+
 from rattanloom.ingress.job_router import (
     NO_PLACER_TIMEOUT_MS,
     REJECTED_PAUSE_MS,
     JobRouter,
 )
 from rattanloom.links.messages import Submit, Withdraw
-from rattanloom.placement.jobs import JobOutcome, OutcomeKind
+from rattanloom.placement.jobs import JobOutcome, OutcomeKind, ReturnedJob
 from rattanloom.scheduling.zone_choice import PlacerChoice
 from tests.dispatcher_fakes import CLOCK, make_submitted_job
 
@@ -173,6 +175,25 @@
     job_router.on_rejected(node, JOB)
 
 
+@pytest.mark.parametrize("how", ["rejected", "returned"])
+def test_reply_to_an_earlier_post_leaves_a_later_one_at_its_placer(how):
+    # The later post went to another placer, which did not wait for the first one.
+    owners = {"a": "p1", "b": "p2"}
+    hub = FakeHub("p1", "p2")
+    job_router = make_router(FakeOwnership("p1"), hub)
+    job_router.placer_choice.reachable_owners = lambda: owners
+    earlier = job_router.submit(make_submitted_job())
+    job_router.cancel(earlier)
+    later = job_router.submit(make_submitted_job())
+    if how == "rejected":
+        job_router.on_rejected("p1", JOB, earlier.submission)
+    else:
+        returned = ReturnedJob(JOB, 1, 1_500, earlier.submission)
+        job_router.on_jobs_returned("p1", (returned,))
+    assert (later.placer, later.former_placers) == ("p1", ("p1",))
+    assert not hub.sent["p2"]
+
+
 def test_rejected_job_goes_to_the_next_owner_as_if_it_was_never_sent():
     owners = {"a": "p1", "b": "p2"}
     hub = FakeHub("p1", "p2")
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -45,6 +45,7 @@
     Hello("n1", "a", "127.0.0.1:1", 7, 2, ("a", "b"), (1 << 40, 2 << 40)),
     OwnedZones(("a",), (3 << 40,)),
     SubmitRejected("00000000000000aa"),
+    SubmitRejected("00000000000000aa", 7),
     JobCancelled("00000000000000aa"),
     Ping(),
     FreeCapacity(-14_000),
@@ -65,7 +66,7 @@
     OwnerLivenessReply("n1", True, ("a",)),
     TakeZones(("a", "b"), ("w1",)),
     ZoneClaims("n1", claim_number("n1", 3), ("a",), (4,)),
-    JobsReturned((ReturnedJob("00000000000000aa", 2, 1_500),)),
+    JobsReturned((ReturnedJob("00000000000000aa", 2, 1_500, 7),)),
     RunLosses((LOSS, evolve(LOSS, alone=False, state=LossState.CLEARED))),
 )
 
