Leave a later post pending when an earlier one of the job ends

The client of a job's third post waited until its deadline, and the job was cancelled at its placer.

Cause: a router drops pending jobs by their id. A post that shared the entry of an earlier one and reached its deadline after that one had ended dropped, and cancelled, whatever post of the job was pending by then.

Ruled out: a second run by this; the job's runs are stopped.

Change: `JobRouter.cancel` does nothing unless the given entry is the pending one.

Conclusion: fixed.

--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -76,8 +76,10 @@
         return job
 
     def cancel(self, job: PendingJob) -> None:
-        """Cancel a job at its placer and stop tracking it."""
-        self.pending.pop(job.submitted.job_id, None)
+        """Cancel a job at its placer and stop tracking it, unless it has ended."""
+        if self.pending.get(job.submitted.job_id) is not job:
+            return
+        del self.pending[job.submitted.job_id]
         log.info(
             "job_cancelled",
             job=job.submitted.job_id,
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -175,6 +175,19 @@
     job_router.on_rejected(node, JOB)
 
 
+def test_deadline_of_an_ended_post_leaves_a_later_post_pending():
+    # Both clients' posts had shared one entry; the later one's outcome was dropped.
+    hub = FakeHub("p1")
+    job_router = make_router(FakeOwnership("p1"), hub)
+    earlier = job_router.submit(make_submitted_job())
+    job_router.cancel(earlier)
+    later = job_router.submit(make_submitted_job())
+    messages = len(hub.sent["p1"])
+    job_router.expire(earlier)
+    assert job_router.pending[JOB] is later
+    assert len(hub.sent["p1"]) == messages
+
+
 @pytest.mark.parametrize("how", ["rejected", "returned"])
 def test_reply_to_an_earlier_post_leaves_a_later_one_at_its_placer(how):
     # The later post went to another placer, which did not wait for the first one.
