Check the ownership again after a second suspension during the check

A placer that is suspended a second time while it reads the owners could give orders by what it had read before.

Cause: `SuspensionGuard` noted no suspension while it waited for the check of an earlier one, and the response to that one, which had waited in the socket, ended the wait.

Change: each suspension starts a check, and orders wait for all of them.

--- a/rattanloom/placement/suspension.py
+++ b/rattanloom/placement/suspension.py
@@ -15,32 +15,34 @@
 
 @define(eq=False, repr=False)
 class SuspensionGuard:
-    """Forbids orders after a suspension, until ``resume`` is called.
+    """Forbids orders after a suspension, until ``resume`` is called for it.
 
     Meanwhile, another daemon may have taken over. ``on_suspended`` is called once a
-    tick shows a suspension; ``last_tick_ms`` is None before the first tick.
+    tick shows a suspension, also during the check of an earlier one: what that one
+    reads may be older. ``unchecked`` is the number of suspensions without a ``resume``;
+    ``last_tick_ms`` is None before the first tick.
     """
 
     on_suspended: Callable[[], None]
     last_tick_ms: float | None = None
-    is_suspended: bool = False
+    unchecked: int = 0
 
     def tick(self, now_ms: float) -> None:
         """Record a tick; detect a suspension before it."""
-        if not self.is_suspended and not self._has_ticked_recently(now_ms):
+        if not self._has_ticked_recently(now_ms):
             gap_ms = round(now_ms - self.last_tick_ms)
             log.warning("placer_paused", paused_ms=gap_ms)
-            self.is_suspended = True
+            self.unchecked += 1
             self.on_suspended()
         self.last_tick_ms = now_ms
 
     def resume(self) -> None:
-        """Allow orders again."""
-        self.is_suspended = False
+        """Allow orders again, once all suspensions are checked."""
+        self.unchecked -= 1
 
     def may_give_orders(self, now_ms: float) -> bool:
         """Return whether there was no suspension since the last tick."""
-        return not self.is_suspended and self._has_ticked_recently(now_ms)
+        return not self.unchecked and self._has_ticked_recently(now_ms)
 
     def _has_ticked_recently(self, now_ms: float) -> bool:
         last_ms = self.last_tick_ms
