Notice that a client disconnects after it sent more data

A job whose client had sent some bytes while it waited, and had then left, ran until its deadline beside the runs of its next post.

Cause: the watch for the end of a client's connection ended with the first byte that the client sent, as an end can't be seen behind unread data. The daemon then renews the lease of a job that nobody waits for.

Ruled out: keep-alive probes of the kernel; they show a lost path after 2 s at the earliest, and a client posts again after 1.3 s.

Change: what a client sends while it waits is moved to the buffer from which its next request is read, and the watch goes on. The connection is an object of its own (ClientConnection).

A connection that is cut without its end being seen stays open.

--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -11,18 +11,13 @@
 import gevent
 from attrs import define, field
 from bottle import Bottle, HTTPResponse, request
-from gevent.socket import socket
 
 from rattanloom.clock import MS_PER_S
 from rattanloom.decision_log import DecisionLog
 from rattanloom.ingress.job_router import JobRouter
 from rattanloom.ingress.pending_job import PendingJob
 from rattanloom.ingress.queues import Queue, QueueTable, RequestLimits
-from rattanloom.ingress.server import (
-    SOCKET_KEY,
-    is_disconnected,
-    wait_until_closed,
-)
+from rattanloom.ingress.server import CONNECTION_KEY, ClientConnection
 from rattanloom.metrics import Metrics
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from rattanloom.platform.job_format import (
@@ -86,15 +81,13 @@
             return _error(
                 HTTPStatus.SERVICE_UNAVAILABLE, "stored jobs are not supported"
             )
-        connection = request.environ[SOCKET_KEY]
-        if is_disconnected(connection):
+        connection = request.environ[CONNECTION_KEY]
+        if connection.is_closed():
             # A request that waited in the socket while this process was frozen: its
             # client may have sent the job to another daemon since.
             log.info("client_gone", job=job_id)
             return _error(HTTPStatus.SERVICE_UNAVAILABLE, "the client disconnected")
-        pending = self.job_router.submit(
-            posted.job, lambda: not is_disconnected(connection)
-        )
+        pending = self.job_router.submit(posted.job, lambda: not connection.is_closed())
         outcome = self._wait_for_outcome(pending, posted.job.remaining_ms)
         response = _outcome_response(outcome)
         age_ms = self.job_router.clock.now_ms() - pending.arrived_ms
@@ -152,7 +145,9 @@
 
         At the deadline, a job that was never sent to a placer is refused.
         """
-        watch = gevent.spawn(self._watch_client, pending, request.environ[SOCKET_KEY])
+        watch = gevent.spawn(
+            self._watch_client, pending, request.environ[CONNECTION_KEY]
+        )
         try:
             timeout_ms = max(0, remaining_ms - RESPONSE_MARGIN_MS)
             return pending.result.get(timeout=timeout_ms / MS_PER_S)
@@ -163,10 +158,10 @@
             # the response closes the connection before that.
             watch.kill()
 
-    def _watch_client(self, pending: PendingJob, connection: socket) -> None:
-        if wait_until_closed(connection):
-            self.job_router.cancel(pending)
-            pending.result.set(None)
+    def _watch_client(self, pending: PendingJob, connection: ClientConnection) -> None:
+        connection.wait_until_closed()
+        self.job_router.cancel(pending)
+        pending.result.set(None)
 
 
 def _limit_error(limits: RequestLimits) -> HTTPResponse | None:
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -3,6 +3,7 @@
 import traceback
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from io import BufferedReader
 from socket import IPPROTO_TCP, MSG_PEEK, TCP_NODELAY
 
 import gevent
@@ -17,8 +18,8 @@
 
 log = DecisionLog("ingress")
 
-# Key of the client's socket in the WSGI environment.
-SOCKET_KEY = "rattanloom.socket"
+# Key of the ``ClientConnection`` in the WSGI environment.
+CONNECTION_KEY = "rattanloom.connection"
 BACKLOG = 1_024
 # Half of a machine's file descriptors; the rest is for workers and other daemons.
 CONNECTIONS_MAX = 2_000
@@ -46,6 +47,49 @@
             connection.close()
 
 
+@define(eq=False, repr=False)
+class ClientConnection:
+    """A client's connection while a request of it is served.
+
+    ``reader`` reads its requests from ``socket``. What the client sends meanwhile is
+    moved to the buffer of ``reader``, since its end could not be seen behind that.
+    """
+
+    socket: socket
+    reader: BufferedReader
+
+    def is_closed(self) -> bool:
+        """Return whether the client has disconnected, without waiting."""
+        timeout_s = self.socket.gettimeout()
+        self.socket.settimeout(0.0)
+        try:
+            return self._has_ended()
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            self.socket.settimeout(timeout_s)
+
+    def wait_until_closed(self) -> None:
+        """Wait until the client disconnects."""
+        try:
+            wait_read(self.socket.fileno())
+            while not self._has_ended():
+                # Not busy with data that the buffer does not take.
+                gevent.sleep(POLL_MS / MS_PER_S)
+                wait_read(self.socket.fileno())
+        except OSError:
+            return
+
+    def _has_ended(self) -> bool:
+        """Return whether the client has ended the connection; buffer what it sent."""
+        if not self.socket.recv(1, MSG_PEEK):
+            return True
+        self.reader.peek()
+        return False
+
+
 class ClientHandler(WSGIHandler):
     """Serves one client connection within the active limits."""
 
@@ -59,8 +103,9 @@
         super().handle()
 
     def get_environ(self) -> dict:
-        """Return the WSGI environment with the socket added."""
-        return super().get_environ() | {SOCKET_KEY: self.socket}
+        """Return the WSGI environment with the connection added."""
+        connection = ClientConnection(self.socket, self.rfile)
+        return super().get_environ() | {CONNECTION_KEY: connection}
 
     def read_requestline(self) -> str:
         """Wait for the next request; return an empty line after the timeout.
@@ -160,26 +205,3 @@
     """Wait until no request is open, at most until ``until_ms``."""
     while state.requests_in_flight and clock.now_ms() < until_ms:
         gevent.sleep(POLL_MS / MS_PER_S)
-
-
-def is_disconnected(connection: socket) -> bool:
-    """Return whether the client has disconnected, without waiting."""
-    timeout_s = connection.gettimeout()
-    connection.settimeout(0.0)
-    try:
-        return not connection.recv(1, MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    finally:
-        connection.settimeout(timeout_s)
-
-
-def wait_until_closed(connection: socket) -> bool:
-    """Wait until the client disconnects; return False if it sends data instead."""
-    try:
-        wait_read(connection.fileno())
-        return not connection.recv(1, MSG_PEEK)
-    except OSError:
-        return True
--- a/standins/handler.py
+++ b/standins/handler.py
@@ -8,10 +8,10 @@
 from bottle import HTTPResponse, request
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from rattanloom.ingress.server import wait_until_closed
+from rattanloom.ingress.server import ClientConnection
 
-# Key of the socket in the WSGI environment.
-SOCKET_KEY = "standin.socket"
+# Key of the ``ClientConnection`` in the WSGI environment.
+CONNECTION_KEY = "standin.connection"
 
 
 class NoDelayHandler(WSGIHandler):
@@ -24,17 +24,18 @@
 
 
 class SocketHandler(NoDelayHandler):
-    """Adds the socket to the WSGI environment for ``drop_connection``."""
+    """Adds the connection to the WSGI environment for ``drop_connection``."""
 
     def get_environ(self) -> dict:
-        """Return the WSGI environment with the socket added."""
-        return super().get_environ() | {SOCKET_KEY: self.socket}
+        """Return the WSGI environment with the connection added."""
+        connection = ClientConnection(self.socket, self.rfile)
+        return super().get_environ() | {CONNECTION_KEY: connection}
 
 
 def drop_connection() -> None:
     """Close the current request's connection without a response; never return."""
     with suppress(OSError):
-        request.environ[SOCKET_KEY].shutdown(SHUT_RDWR)
+        request.environ[CONNECTION_KEY].socket.shutdown(SHUT_RDWR)
     raise HTTPResponse(status=HTTPStatus.SERVICE_UNAVAILABLE)
 
 
@@ -43,7 +44,7 @@
 
     Never returns.
     """
-    wait_until_closed(request.environ[SOCKET_KEY])
+    request.environ[CONNECTION_KEY].wait_until_closed()
     drop_connection()
 
 
--- a/tests/test_client_api.py
+++ b/tests/test_client_api.py
@@ -19,7 +19,7 @@
     RequestLimits,
 )
 from rattanloom.ingress.server import (
-    SOCKET_KEY,
+    CONNECTION_KEY,
     ConnectionState,
     finish_requests,
     serving,
@@ -42,12 +42,14 @@
         self.clock = CLOCK
         self.submitted = []
         self.cancelled = []
+        self.pending = []
         self.is_sent = True
 
     def submit(self, submitted, is_client_connected):
         """Return a pending job, with its outcome if ``kind`` is set."""
         self.submitted.append(submitted.job_id)
         job = PendingJob(submitted, CLOCK.now_ms())
+        self.pending.append(job)
         if self.kind is not None:
             job.result.set(JobOutcome(submitted.job_id, self.kind, "why", 1_500))
         return job
@@ -173,6 +175,36 @@
         assert wait_for(lambda: job_router.cancelled == [JOB])
 
 
+@pytest.mark.parametrize(
+    "extra", [b"\r\n", b"GET /q/ HTTP/1.1\r\nHost: h.example\r\n\r\n"]
+)
+def test_client_that_sent_more_data_before_it_disconnected_cancels_its_job(extra):
+    # The data ended the watch, and the job went on until its deadline.
+    with serve_api(None) as (port, job_router):
+        with send(port, make_post(make_body())) as client:
+            assert wait_for(lambda: job_router.submitted == [JOB])
+            gevent.sleep(0.05)
+            client.sendall(extra)
+            gevent.sleep(0.05)
+            assert not job_router.cancelled
+        assert wait_for(lambda: job_router.cancelled == [JOB], within_s=0.5)
+
+
+def test_request_that_a_client_sent_while_it_waited_is_served_after_its_job():
+    with (
+        serve_api(None) as (port, job_router),
+        send(port, make_post(make_body())) as client,
+    ):
+        assert wait_for(lambda: job_router.pending)
+        client.sendall(b"GET /q/ HTTP/1.1\r\nHost: h.example\r\n\r\n")
+        gevent.sleep(0.05)
+        job_router.pending[0].result.set(JobOutcome(JOB, OutcomeKind.COMPLETE))
+        received = b""
+        while b'"pending":0' not in received:
+            received += client.recv(4_096)
+        assert b'"state":"complete"' in received
+
+
 def test_no_watcher_is_left_on_the_connection_when_the_response_is_sent():
     # A daemon was aborted by libev, which found a closed connection in its event loop.
     watches = []
@@ -186,7 +218,7 @@
     api = WatchingApi(QueueTable(), router, Metrics(), router.revoke)
     job = PendingJob(None, CLOCK.now_ms())
     gevent.spawn_later(0.02, job.result.set, JobOutcome(JOB, OutcomeKind.COMPLETE))
-    request.environ[SOCKET_KEY] = None
+    request.environ[CONNECTION_KEY] = None
     api._wait_for_outcome(job, 500)
     assert watches[0].dead
 
