Soak: don't let workers' clocks be negative on a machine that has just booted

Cause: the offset of a worker's clock is drawn from -1,000 s to 1,000 s, against a steady clock that starts at 0 with the machine.

Ruled out: a fault of the placer; a machine's steady clock is not negative.

Change: an offset takes back half of the machine's time at most.

Measured: tests/test_soak.py and tests/test_soak_checks.py pass (28 cases).

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -313,6 +313,8 @@
     size: DeploymentSize, network: str, random: Random
 ) -> dict[str, WorkerSettings]:
     workers = {}
+    # Clocks of workers start at 0, as those of their machines.
+    offset_min_ms = -SystemClock().now_ms() / 2
     for zone_number, zone in enumerate(ZONES):
         for number in range(size.workers):
             # Listens on the first address and registers the second, its relay's.
@@ -321,7 +323,7 @@
                 zone,
                 f"{network}.{200 + zone_number}.1:{WORKER_PORT + number}",
                 f"{network}.{210 + zone_number}.1:{WORKER_PORT + number}",
-                clock_offset_ms=random.uniform(-1e6, 1e6),
+                clock_offset_ms=max(offset_min_ms, random.uniform(-1e6, 1e6)),
                 clock_rate=random.uniform(0.98, 1.02),
                 guards_capacity=number % 2 == 0,
                 renamed_by_crash=number % 3 == 0,
