--- a/soak/checks.py
+++ b/soak/checks.py
@@ -14,6 +14,7 @@
 
 from soak.deployment import EVACUATION_DELAY_MAX_MS
 from soak.history import (
+    CLIENT_LEFT,
     NOT_CONNECTED,
     ClientJob,
     ConfigurationChange,
@@ -206,7 +207,7 @@
             in_flight = send.sent_ms < stop.to_ms and send.answered_ms > stop.from_ms
             if send.daemon not in stop.names or not in_flight or send.status:
                 continue
-            if send.reason == NOT_CONNECTED:
+            if send.reason in (NOT_CONNECTED, CLIENT_LEFT):
                 continue
             waited_ms = send.answered_ms - send.sent_ms
             if waited_ms < LOSS_SLACK_MS and job.job_id not in started:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -1,6 +1,8 @@
 """Clients of a soak (open loop, kept-alive connections) and their load balancer."""
 
 import json
+from collections.abc import Iterator
+from contextlib import contextmanager
 from random import Random
 
 import gevent
@@ -16,9 +18,15 @@
     Daemon,
     Deployment,
 )
-from soak.history import NOT_CONNECTED, ClientJob, History, Send
+from soak.history import CLIENT_LEFT, NOT_CONNECTED, ClientJob, History, Send
 
 DEADLINE_MS = 1_500.0
+# Shares of the jobs whose clients wait for long, and of those whose clients disconnect
+# before the response and post the job again.
+PATIENT_SHARE = 0.04
+PATIENT_DEADLINE_MS = (5_000.0, 9_000.0)
+LEAVING_SHARE = 0.04
+LEAVES_WITHIN_MS = (20.0, 1_000.0)
 # Pause before a job is sent again; the platform's clients wait as long for a response.
 RESEND_MS = 1_300.0
 SENDS_MAX = 3
@@ -113,18 +121,14 @@
         if self._daemon is None:
             self._daemon = self.balancer.choose(self.zone, self.random)
         send = Send(self._daemon, self.clock.now_ms())
+        leaves_after_ms = None if job.sends else job.leaves_after_ms
         job.sends.append(send)
         try:
-            response = self._pool(send.daemon).urlopen(
-                "POST",
-                f"{job.prefix}{job.job_id}",
-                body=_body(job),
-                headers=_headers(job),
-                timeout=Timeout(total=(job.deadline_ms + RESPONSE_GRACE_MS) / MS_PER_S),
-            )
-            send.status = response.status
-            send.state = json.loads(response.data).get("state", "")
-            send.reason = json.loads(response.data).get("error", "")
+            with _leaving_after(leaves_after_ms):
+                self._request(job, send)
+        except gevent.Timeout:
+            send.reason = CLIENT_LEFT
+            self._daemon = None
         except NewConnectionError:
             send.reason = NOT_CONNECTED
             self._daemon = None
@@ -134,6 +138,19 @@
         send.answered_ms = self.clock.now_ms()
         return send
 
+    def _request(self, job: ClientJob, send: Send) -> None:
+        """Send one request and record the response."""
+        response = self._pool(send.daemon).urlopen(
+            "POST",
+            f"{job.prefix}{job.job_id}",
+            body=_body(job),
+            headers=_headers(job),
+            timeout=Timeout(total=(job.deadline_ms + RESPONSE_GRACE_MS) / MS_PER_S),
+        )
+        send.status = response.status
+        send.state = json.loads(response.data).get("state", "")
+        send.reason = json.loads(response.data).get("error", "")
+
     def _pool(self, daemon: str) -> HTTPConnectionPool:
         if daemon not in self._pools:
             ip = self.deployment.daemons[daemon].settings["ip"]
@@ -143,6 +160,14 @@
         return self._pools[daemon]
 
 
+@contextmanager
+def _leaving_after(leaves_after_ms: float | None) -> Iterator[None]:
+    """Raise ``gevent.Timeout`` in the block after a time, never if it is None."""
+    timeout_s = None if leaves_after_ms is None else leaves_after_ms / MS_PER_S
+    with gevent.Timeout(timeout_s):
+        yield
+
+
 def _headers(job: ClientJob) -> dict[str, str]:
     return {
         "Host": ROUTE_HOST,
@@ -203,6 +228,11 @@
         if self.crashing_share and random.random() < self.crashing_share:
             spec["crash_index"] = random.randrange(count)
         job_id = f"{random.getrandbits(64):016x}"
-        return ClientJob(
+        job = ClientJob(
             job_id, kind.name, json.dumps(spec), count, DEADLINE_MS, PATH_PREFIX
         )
+        if random.random() < PATIENT_SHARE:
+            job.deadline_ms = random.uniform(*PATIENT_DEADLINE_MS)
+        if random.random() < LEAVING_SHARE:
+            job.leaves_after_ms = random.uniform(*LEAVES_WITHIN_MS)
+        return job
--- a/soak/fault_table.py
+++ b/soak/fault_table.py
@@ -116,6 +116,10 @@
     # Longer than EVACUATION_DELAY_MAX_MS, after which no task may start.
     "zone_evacuated": FaultKind(zone_evacuated, 6, 9),
     "zone_cut_ends_unevenly": FaultKind(zone_cut_ends_unevenly, 2, 5),
+    # Stops have no effect at a worker, and get no response.
+    "stops_lost": FaultKind(
+        switched("stops_lost", {"lost_stops": 1_000}, {"lost_stops": 0}), 1, 4
+    ),
 }
 
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -14,6 +14,8 @@
 
 # ``Send.reason`` if no connection to the daemon could be established.
 NOT_CONNECTED = "refused"
+# ``Send.reason`` if the client disconnected before the response.
+CLIENT_LEFT = "left"
 
 
 @define(eq=False)
@@ -33,7 +35,11 @@
 
 @define(eq=False)
 class ClientJob:
-    """A job of ``count`` tasks and its requests, as observed by its client."""
+    """A job of ``count`` tasks and its requests, as observed by its client.
+
+    If ``leaves_after_ms`` is set, the client disconnects that long after the first
+    request, and posts the job again.
+    """
 
     job_id: str
     kind: str
@@ -42,6 +48,7 @@
     deadline_ms: float
     prefix: str
     sends: list[Send] = field(factory=list)
+    leaves_after_ms: float | None = None
 
     @property
     def is_complete(self) -> bool:
--- a/standins/pool.py
+++ b/standins/pool.py
@@ -154,7 +154,11 @@
     def _stop(self) -> HTTPResponse:
         if self._is_misdirected():
             return self._response(421)
-        order = request.json
+        table, order = self.table, request.json
+        if table.switches.lost_stops:
+            remaining = table.switches.lost_stops - 1
+            table.switches = evolve(table.switches, lost_stops=remaining)
+            drop_connection()
         if not self.table.accept_token(order["fencing_token"]):
             return self._response(409, reason="fence")
         self.table.stop(order["task"], order["attempt"])
--- a/standins/run_table.py
+++ b/standins/run_table.py
@@ -54,8 +54,9 @@
     The next ``late_orders`` starts are carried out ``late_ms`` late and get no
     response. ``speed`` is the progress of runs per unit of time; with 0 they stall.
     With ``failing`` they finish as failed. A ``draining`` worker is registered as
-    draining. A stop takes ``stop_ms``. ``capacity_share`` is the share of its capacity
-    that the worker has now.
+    draining. A stop takes ``stop_ms``. The next ``lost_stops`` stops have no effect and
+    get no response. ``capacity_share`` is the share of its capacity that the worker has
+    now.
     """
 
     speed: float = 1.0
@@ -64,6 +65,7 @@
     late_ms: float = 1_500.0
     draining: bool = False
     stop_ms: float = 10.0
+    lost_stops: int = 0
     capacity_share: float = 1.0
 
 
