Know the runs of a worker whatever its clock shows

What callers saw: in soaks on a machine that had just booted, tasks ran twice and workers were filled beyond their capacity. Not in users' records, as far as they show.

Cause: a placer takes runs that it does not know from a report only if the worker's clock is later than in the report before. Before the first one, and after a restart of the worker, 0 stood for that, so a worker whose clock is 0 or below had no inherited runs.

Ruled out: the stand-ins alone. The platform's pages say only that a worker's clock starts anew with each life, not from which value.

Change: without an earlier report, any clock is later.

Measured: the test failed for clocks of -70,000 and 0 and passes.

Conclusion: fixed. It makes soaks valid for any clock.

--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -95,7 +95,7 @@
     runs: WorkerRuns = field(init=False)
     last_finished_number: int = 0
     incarnation_ms: int = field(default=0, on_setattr=_mark)
-    reported_clock_ms: int = 0
+    reported_clock_ms: float = -inf
     missed_replies: int = 0
     paused_until_ms: float = field(default=0, on_setattr=_mark)
     drains_until_ms: float = field(default=0, on_setattr=_mark)
@@ -512,7 +512,7 @@
             for run in self.runs.all():
                 run.worker_restarted = True
         self.last_finished_number = 0
-        self.reported_clock_ms = 0
+        self.reported_clock_ms = -inf
         self.drains_until_ms = 0
         self.incarnation_ms = incarnation_ms
         self._incarnation_seen_ms = self.clock.now_ms()
--- a/tests/test_pooled_worker.py
+++ b/tests/test_pooled_worker.py
@@ -132,6 +132,24 @@
     assert worker.runs.free == worker.entry.capacity
 
 
+@pytest.mark.parametrize("clock_ms", [-70_000, 0, 70_000])
+def test_runs_of_a_former_placer_are_known_whatever_the_clock_of_the_worker(clock_ms):
+    orders = ScriptedOrders()
+    worker = PooledWorker(
+        FakeWorker("w1").entry(),
+        orders,
+        RecordedEvents(),
+        CLOCK,
+        WorkerLease(CLOCK, 900),
+        TOKEN,
+        Counter(),
+    )
+    worker.open()
+    orders.reply(0, report(clock_ms, ("foreign.0.0.0",)))
+    assert worker.state is WorkerState.READY
+    assert [run.name for run in worker.runs.all()] == ["foreign.0.0.0"]
+
+
 def test_stopped_run_of_another_placer_is_dropped_once_it_is_not_listed():
     worker, orders = open_worker()
     orders.reply(1, report(1_010, ("foreign.0.0.0",)))
