Tell clients of given up jobs to return after all runs have ended

Cause: a 504 may have a Retry-After of 1 s, while a run that could not be stopped ends up to 1.2 s after the last contact with its daemon. A client that obeys the header, not the platform's 1,300 ms, may post the job again beside such a run.

Ruled out: refusals (503); nothing of these jobs runs.

Change: at least 2 s (whole seconds) for jobs that may have run.

Measured: the new test in tests/test_client_api.py failed before and passes.

Conclusion: the header keeps what the job's lease promises.

--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -33,6 +33,9 @@
 DEADLINE_HEADER = "Deadline-Ms"
 # The response is sent this long before the client's deadline.
 RESPONSE_MARGIN_MS = 15
+# The client of a given up job returns after this time at the earliest: a run that could
+# not be stopped ends within 1.2 s (``job_lease``).
+GIVEN_UP_RETRY_AFTER_MIN_MS = 2_000
 STATES_BY_KIND = {
     OutcomeKind.COMPLETE: "complete",
     OutcomeKind.FAILED: "failed",
@@ -189,11 +192,14 @@
         return _error(HTTPStatus.GATEWAY_TIMEOUT, "the job did not finish in time")
     if outcome.kind in STATES_BY_KIND:
         return _json(HTTPStatus.OK, encode_state(STATES_BY_KIND[outcome.kind]))
+    retry_after_ms = outcome.retry_after_ms
     if outcome.kind is OutcomeKind.REFUSED:
         status = HTTPStatus.SERVICE_UNAVAILABLE
     else:
         status = HTTPStatus.GATEWAY_TIMEOUT
-    return _error(status, outcome.reason, outcome.retry_after_ms)
+        if retry_after_ms:
+            retry_after_ms = max(retry_after_ms, GIVEN_UP_RETRY_AFTER_MIN_MS)
+    return _error(status, outcome.reason, retry_after_ms)
 
 
 def _json(status: HTTPStatus, body: bytes) -> HTTPResponse:
--- a/tests/test_client_api.py
+++ b/tests/test_client_api.py
@@ -44,6 +44,7 @@
         self.cancelled = []
         self.pending = []
         self.is_sent = True
+        self.retry_after_ms = 1_500
 
     def submit(self, submitted, is_client_connected):
         """Return a pending job, with its outcome if ``kind`` is set."""
@@ -51,7 +52,10 @@
         job = PendingJob(submitted, CLOCK.now_ms())
         self.pending.append(job)
         if self.kind is not None:
-            job.result.set(JobOutcome(submitted.job_id, self.kind, "why", 1_500))
+            outcome = JobOutcome(
+                submitted.job_id, self.kind, "why", self.retry_after_ms
+            )
+            job.result.set(outcome)
         return job
 
     def revoke(self, job_id):
@@ -168,6 +172,13 @@
     assert "Retry-After" in response
 
 
+def test_client_of_a_job_that_may_have_run_returns_after_its_runs_have_ended():
+    with serve_api(OutcomeKind.GIVEN_UP) as (port, job_router):
+        job_router.retry_after_ms = 1_000
+        _, response = fetch(port, make_post(make_body()))
+        assert "Retry-After: 2" in response
+
+
 def test_client_disconnect_cancels_its_job():
     with serve_api(None) as (port, job_router):
         with send(port, make_post(make_body())):
