--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -10,6 +10,7 @@
     "workers_shrunk",
     "zone_evacuated",
     "zone_cut_ends_unevenly",
+    "stops_lost",
 )
 REGRESSION_FAULTS = tuple(name for name in FAULTS if name not in ADDED_LATER)
 
