Name the probes of leases LeaseProbe

Cause: `ownership/indirect_probe.py` probes owners through peers; two kinds of probes had one name.

Wire names are unchanged.

Measured: the tests of links, messages and leases pass.

--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -22,10 +22,10 @@
 from rattanloom.links.messages import (
     JOB_LEASES_VERSION,
     Hello,
+    LeaseProbe,
+    LeaseProbeReply,
     Message,
     Ping,
-    Probe,
-    ProbeReply,
 )
 
 log = DecisionLog("links")
@@ -151,7 +151,7 @@
         """Ask the peer to renew the leases of the jobs that it sent on this link."""
         now_ms = self.clock.now_ms()
         self.probe_due_ms = now_ms + PROBE_INTERVAL_MS
-        message = Probe(now_ms)
+        message = LeaseProbe(now_ms)
         self.send_frame(message, encode_frame(message))
 
     def needs_probe(self) -> bool:
@@ -251,16 +251,18 @@
             if content == PING_CONTENT:
                 continue
             message = decode_message(content)
-            if isinstance(message, Probe):
-                reply = ProbeReply(message.sent_ms)
+            if isinstance(message, LeaseProbe):
+                reply = LeaseProbeReply(message.sent_ms)
                 self.send_frame(reply, encode_frame(reply))
-            elif isinstance(message, ProbeReply) and not self._record_reply(message):
+            elif isinstance(message, LeaseProbeReply) and not self._record_reply(
+                message
+            ):
                 continue
             elif not isinstance(message, Ping):
                 # An unexpected error concerns one message; the link stays open.
                 run_and_log_failure(self.handler.handle_message, self, message)
 
-    def _record_reply(self, reply: ProbeReply) -> bool:
+    def _record_reply(self, reply: LeaseProbeReply) -> bool:
         """Record a reply; return whether the one before was late."""
         was_late = self.needs_probe()
         if self._answered_ms < reply.sent_ms <= self.clock.now_ms():
--- a/rattanloom/links/messages.py
+++ b/rattanloom/links/messages.py
@@ -10,9 +10,9 @@
 # ``OwnedZones``, ``SubmitRejected`` and the zones in ``Hello`` and
 # ``OwnerLivenessReply``; the first one with ``JobsReturned``; the first one with
 # ``AnnouncedLoad``; the first one with ``JobCancelled``; and the first one with
-# ``Probe``, ``ProbeReply``, ``Withdraw`` and the submission in ``SubmitRejected``.
-# Builds from before the field send 0 and close a link on which they receive an unknown
-# message.
+# ``LeaseProbe``, ``LeaseProbeReply``, ``Withdraw`` and the submission in
+# ``SubmitRejected``. Builds from before the field send 0 and close a link on which they
+# receive an unknown message.
 PROTOCOL_VERSION = 4
 RUN_LOSSES_VERSION = 1
 OWNED_ZONES_VERSION = 2
@@ -45,14 +45,14 @@
 
 
 @frozen
-class Probe:
-    """Requests a ``ProbeReply``; ``sent_ms`` is a point on the sender's clock."""
+class LeaseProbe:
+    """Requests a ``LeaseProbeReply``; ``sent_ms`` is a point on the sender's clock."""
 
     sent_ms: float
 
 
 @frozen
-class ProbeReply:
+class LeaseProbeReply:
     """Reply to the probe of ``sent_ms``.
 
     It renews the leases of all jobs that its sender submitted on this link and has not
@@ -223,4 +223,6 @@
     | Outcome
     | RunLosses
 )
-Message = Hello | Ping | Probe | ProbeReply | PlacementMessage | OwnershipMessage
+Message = (
+    Hello | Ping | LeaseProbe | LeaseProbeReply | PlacementMessage | OwnershipMessage
+)
--- a/rattanloom/peer_messages.py
+++ b/rattanloom/peer_messages.py
@@ -16,10 +16,10 @@
     FreeCapacity,
     JobCancelled,
     JobsReturned,
+    LeaseProbeReply,
     Message,
     Outcome,
     OwnedZones,
-    ProbeReply,
     RunLosses,
     Submit,
     SubmitRejected,
@@ -54,7 +54,7 @@
             self.placer.revoke(message.job_id)
         elif isinstance(message, FreeCapacity | AnnouncedLoad):
             self.capacity_exchange.handle(link, message)
-        elif isinstance(message, ProbeReply):
+        elif isinstance(message, LeaseProbeReply):
             # It was late: tasks may wait for it.
             self.placer.start_waiting_tasks()
         elif isinstance(message, RunLosses):
--- a/tests/test_job_lease.py
+++ b/tests/test_job_lease.py
@@ -7,7 +7,7 @@
 
 from rattanloom.links.codec import decode_message
 from rattanloom.links.link import LENGTH, PING_FRAME, encode_frame
-from rattanloom.links.messages import Probe, ProbeReply, Submit, Withdraw
+from rattanloom.links.messages import LeaseProbe, LeaseProbeReply, Submit, Withdraw
 from rattanloom.placement.job_lease import RUN_LEASE_MAX_MS
 from standins.store import Store, StoreSwitches
 from tests.dispatcher_fakes import CLOCK, FakeReceiver, FakeWorker, wait_for
@@ -96,10 +96,10 @@
     with link.makefile("rb") as stream:
         while size_bytes := stream.read(LENGTH.size):
             message = decode_message(stream.read(*LENGTH.unpack(size_bytes)))
-            if isinstance(message, Probe):
+            if isinstance(message, LeaseProbe):
                 link.sendall(submit_frame)
                 submit_frame = b""
-                frame = encode_frame(ProbeReply(message.sent_ms))
+                frame = encode_frame(LeaseProbeReply(message.sent_ms))
                 gevent.spawn_later(0.06, link.sendall, frame)
 
 
--- a/tests/test_run_lapses.py
+++ b/tests/test_run_lapses.py
@@ -11,7 +11,7 @@
 from rattanloom.ingress.server import ConnectionState, serving
 from rattanloom.links.codec import decode_message
 from rattanloom.links.link import LENGTH, Link, encode_frame
-from rattanloom.links.messages import Hello, Probe, ProbeReply, Withdraw
+from rattanloom.links.messages import Hello, LeaseProbe, LeaseProbeReply, Withdraw
 from rattanloom.metrics import Metrics
 from rattanloom.placement.job_lease import START_MAX_MS
 from standins.store import Store, StoreSwitches
@@ -119,8 +119,8 @@
     with link.makefile("rb") as stream:
         while size_bytes := stream.read(LENGTH.size):
             message = decode_message(stream.read(*LENGTH.unpack(size_bytes)))
-            if isinstance(message, Probe):
-                link.sendall(encode_frame(ProbeReply(message.sent_ms)))
+            if isinstance(message, LeaseProbe):
+                link.sendall(encode_frame(LeaseProbeReply(message.sent_ms)))
 
 
 def sent_messages(job_router, hub: FakeHub) -> list:
@@ -159,10 +159,10 @@
     # A frozen placer took pings that had waited in its socket for new ones.
     link = Link(None, CLOCK, None, None, Hello("n0", "b", "", 1))
     sent_ms = CLOCK.now_ms() - 400
-    link._record_reply(ProbeReply(sent_ms))
+    link._record_reply(LeaseProbeReply(sent_ms))
     link.last_received_ms = CLOCK.now_ms()
-    link._record_reply(ProbeReply(sent_ms - 100))
-    link._record_reply(ProbeReply(CLOCK.now_ms() + 1_000))
+    link._record_reply(LeaseProbeReply(sent_ms - 100))
+    link._record_reply(LeaseProbeReply(CLOCK.now_ms() + 1_000))
     assert link.renewed_ms() == sent_ms
 
 
