Test the probes of leases between two daemons

Change: one over two hubs; the test of renewals on one link records a reply instead of setting the time of the last one.

--- a/tests/test_former_ownership.py
+++ b/tests/test_former_ownership.py
@@ -8,7 +8,7 @@
 
 from rattanloom.ingress.job_router import REJECTED_PAUSE_MS
 from rattanloom.links.link import Link
-from rattanloom.links.messages import Hello
+from rattanloom.links.messages import Hello, LeaseProbeReply
 from rattanloom.ownership.records import ZoneOwner
 from rattanloom.peer_receiver import PeerOutcomeReceiver
 from rattanloom.placement.inherited_work import INHERITED_RUN_MAX_MS
@@ -114,7 +114,7 @@
     # The daemon may have submitted the job elsewhere before it opened another link.
     links = [Link(None, CLOCK, None, None, Hello("n2", "b", "", 1)) for _ in range(2)]
     first, reopened = (PeerOutcomeReceiver(link, hub=None) for link in links)
-    links[1]._answered_ms = CLOCK.now_ms()
+    links[1]._record_reply(LeaseProbeReply(CLOCK.now_ms()))
     assert first.renewed_ms("job") == 0
     assert reopened.renewed_ms("job") == links[1]._answered_ms
     links[1].closed_ms = links[1]._answered_ms
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -114,6 +114,18 @@
         assert wait_for(lambda: ("n2", "lost") in first)
 
 
+def test_leases_are_renewed_on_a_link_whose_peer_replies_to_probes():
+    one, two = make_hub("n1", []), make_hub("n2", [])
+    two.own_hello = evolve(two.own_hello, zones=("a",), tokens=(1,))
+    with one.serving(), two.serving():
+        one.keep_link("n2", two.own_hello.address, CLOCK.now_ms() + 60_000)
+        assert wait_for(lambda: one.link("n2") and two.link("n1"))
+        opened_ms = two.link("n1").renewed_ms()
+        assert wait_for(lambda: two.link("n1").renewed_ms() > opened_ms + 300)
+        # A daemon without zones has no jobs of others.
+        assert one.link("n2").renewed_ms() < opened_ms + 300
+
+
 def test_link_stays_open_after_a_message_that_can_not_be_handled():
     first, second = [], []
     one, two = make_hub("n1", first), make_hub("n2", second)
