--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -1,7 +1,7 @@
 """Ends jobs at a placer: stops their runs and delivers their outcomes."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from attrs import define, field
 
@@ -9,6 +9,7 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.metrics import Metrics
 from rattanloom.placement.inherited_work import InheritedWork
+from rattanloom.placement.job_lease import OutcomeReceiver
 from rattanloom.placement.job_runs import runs_in_pool
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from rattanloom.placement.pooled_worker import PooledWorker
@@ -181,6 +182,30 @@
             if outcome is not None and receiver is not None:
                 receiver.deliver(outcome)
 
+    def remove_receivers(
+        self,
+        job_id: str,
+        is_removed: Callable[[OutcomeReceiver], bool],
+        reason: str,
+        stop_delay_ms: float = 0,
+    ) -> None:
+        """Remove receivers of a job; end it with that of its latest post.
+
+        The daemons of earlier posts are told that the job is given up.
+        """
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        submissions = job.remove_receivers(is_removed)
+        if job.receiver is None:
+            self.end(job, None, reason, stop_delay_ms)
+            outcome = JobOutcome(job_id, OutcomeKind.GIVEN_UP, reason)
+            for submission, earlier in job.earlier_receivers.items():
+                self.submissions.record(submission, outcome)
+                earlier.deliver(outcome)
+        for submission in submissions:
+            self.submissions.record(submission, None)
+
     def forget(self, job: PlacedJob, label: str, reason: str) -> None:
         """Remove a job, without an outcome and without stopping its runs."""
         job.ended = True
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -306,7 +306,7 @@
     def cancel(self, job_id: str, node: str) -> None:
         """End a job, unless the daemon ``node`` does not have its latest post."""
         reason = "client or daemon disconnected"
-        self._remove_receivers(job_id, lambda other: other.node == node, reason)
+        self.endings.remove_receivers(job_id, lambda other: other.node == node, reason)
 
     def withdraw(
         self,
@@ -325,31 +325,10 @@
             self.endings.submissions.record(submission, None)
         reason = "its daemon sent it elsewhere" if moved else "its client disconnected"
         delay_ms = FENCING_DELAY_MS if moved else 0
-        self._remove_receivers(
+        self.endings.remove_receivers(
             job_id, lambda other: other == receiver, reason, delay_ms
         )
 
-    def _remove_receivers(
-        self,
-        job_id: str,
-        is_removed: Callable[[OutcomeReceiver], bool],
-        reason: str,
-        stop_delay_ms: float = 0,
-    ) -> None:
-        """Remove receivers of a job; end it with that of its latest post."""
-        job = self.jobs.get(job_id)
-        if job is None:
-            return
-        submissions = job.remove_receivers(is_removed)
-        if job.receiver is None:
-            self.endings.end(job, None, reason, stop_delay_ms)
-            outcome = JobOutcome(job_id, OutcomeKind.GIVEN_UP, reason)
-            for submission, earlier in job.earlier_receivers.items():
-                self.endings.submissions.record(submission, outcome)
-                earlier.deliver(outcome)
-        for submission in submissions:
-            self.endings.submissions.record(submission, None)
-
     def revoke(self, job_id: str) -> bool:
         """End a job that its client cancelled; return whether it was known.
 
