--- a/review/lib-2/cluster.py
+++ b/review/lib-2/cluster.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 import tomllib
+from base64 import b64decode
 from contextlib import contextmanager, suppress
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
@@ -26,7 +27,9 @@
 FRONT, READY, CONTROL, PEER, STORE, WORKER = 8161, 8167, 8166, 7720, 8169, 9000
 HOST, PREFIX, SERVICE = "desk.example", "/jobs/", "desk"
 HEARTBEAT_S = 1.5
-ENTRY_TTL_S = 3 * HEARTBEAT_S
+START_GAP_S = 0.04
+# A case that takes longer is ended, with all its processes.
+RUN_MAX_S = 116
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000,
     "catch_up_s": 4, "drain_ms": 2000, "grace_s": 6, "loss_slack_ms": 200,
@@ -216,6 +219,8 @@
                 self.network.relay((listen[0], STORE), address, "store"),
             ]
             daemon.start()
+            # The last one is the first candidate for the zones.
+            gevent.sleep(START_GAP_S)
         self.await_ready(*self.daemons)
 
     def _serve_worker(self, worker):
@@ -271,11 +276,18 @@
 
     def owner_of(self, zone):
         """Return the daemon that the store names as the owner of a zone."""
-        from base64 import b64decode
-
         _, value = self.store.rows.get(("rattanloom", "", f"zone/{zone}"), (0, None))
         return json.loads(b64decode(value))["owner"] if value else None
 
+    def started(self):
+        """Return the daemons in the order of their last start, by their own rows."""
+        rows = []
+        for (table, _, key), (_, value) in self.store.rows.items():
+            if table == "rattanloom" and key.startswith("member/") and value:
+                member = json.loads(b64decode(value))
+                rows.append((member["started_wall_ms"], member["node"]))
+        return [name for _, name in sorted(rows)]
+
     def call(self, method, daemon, job_id, body=None, deadline_ms=1_500, **fields):
         """Send a request as a client; return its status, 0 without an answer."""
         ip = self.daemons[daemon].settings["ip"]
@@ -341,6 +353,17 @@
 def running(record, zones=("adum", "bantama", "asokwa"), daemons=2, workers=2, **opts):
     """Run a deployment; ``opts`` are options of the workers."""
     cluster = Cluster(record, zones, daemons, workers, opts)
+
+    def end(number, frame):
+        # Must not block, as it may run in the event loop.
+        for daemon in cluster.daemons.values():
+            if daemon.process is not None and daemon.process.returncode is None:
+                daemon.process.send_signal(signal.SIGKILL)
+        shutil.rmtree(cluster.folder, ignore_errors=True)
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGALRM, end)
     try:
         cluster.start()
         yield cluster
@@ -352,6 +375,7 @@
     """Run ``case(record, trouble)``, which returns what broke the rule; exit."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
+    signal.alarm(RUN_MAX_S)
     try:
         breaches = case(record, trouble)
     except CannotRunError as error:
