--- a/review/lib-2/cluster.py
+++ b/review/lib-2/cluster.py
@@ -29,6 +29,7 @@
 HOST, PREFIX, SERVICE = "desk.example", "/jobs/", "desk"
 HEARTBEAT_S = 1.5
 START_GAP_S = 0.04
+LOCK_PORT = 8170
 # A case that takes longer is ended, with all its processes.
 RUN_MAX_S = 116
 BOUNDS = {
@@ -342,7 +343,8 @@
     for number in range(20, 250):
         lock = socket.socket()
         try:
-            lock.bind((f"127.{number}.255.2", CONTROL))
+            # The project's soak reserves its networks by the same address.
+            lock.bind((f"127.{number}.255.1", LOCK_PORT))
         except OSError:
             lock.close()
             continue
