--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,6 @@
 """Jobs that have run are refused: a cut-off zone's placer took note of their ends."""
 
+import os
 from pathlib import Path
 
 from gevent import monkey
@@ -90,11 +91,10 @@
     for number in range(ROUNDS):
         if now_ms() - record.began_ms < LAST_ROUND_MS:
             one_round(record, trouble, number)
-    refused = {
-        row["job"]
-        for row in record.of("answered", method="POST")
-        if row["status"] in (429, 503, 404)
-    }
+    answers = {}
+    for row in record.of("answered", method="POST"):
+        answers.setdefault(row["job"], []).append(row["status"] in (429, 503, 404))
+    refused = {job for job, rejected in answers.items() if all(rejected)}
     return [
         f"{run['task']} ran on {run['worker']}, and its job was refused"
         for run in record.of("start")
@@ -103,4 +103,5 @@
 
 
 if __name__ == "__main__":
-    main(Path(__file__).parent, case)
+    record_path = Path(__file__).with_name("record.txt")
+    main(record_path, os.environ.get("TROUBLE", "1") != "0", case)
--- a/review/lib-2/cluster.py
+++ b/review/lib-2/cluster.py
@@ -55,12 +55,13 @@
 
 
 class Record:
-    """Writes what happened to ``record.txt`` and keeps it; times since the start."""
+    """Writes what happened to a file and keeps it; times are since the start."""
 
-    def __init__(self, folder):
-        """Begin a new record in the folder of the case."""
+    def __init__(self, path):
+        """Begin a new record."""
         self.began_ms = now_ms()
-        self.file = (Path(folder) / "record.txt").open("w")
+        self.path = Path(path)
+        self.path.write_text("")
         self.events = []
 
     def __call__(self, event, **fields):
@@ -68,8 +69,8 @@
         at_ms = round(now_ms() - self.began_ms, 1)
         row = {"at_ms": at_ms, "event": event, **fields}
         self.events.append(row)
-        self.file.write(json.dumps(row) + "\n")
-        self.file.flush()
+        with self.path.open("a") as file:
+            file.write(json.dumps(row) + "\n")
         return at_ms
 
     def of(self, event, **fields):
@@ -374,10 +375,9 @@
         cluster.stop()
 
 
-def main(folder, case):
+def main(path, trouble, case):
     """Run ``case(record, trouble)``, which returns what broke the rule; exit."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder)
+    record = Record(path)
     signal.alarm(RUN_MAX_S)
     try:
         breaches = case(record, trouble)
