Refuse jobs only on evidence that holds under one ownership of the zone

Cause: a run whose start order got no reply was fenced off, and counted as never started if a report under the higher token did not list it. A worker forgets a finished run once any placer has noted its end. In the cut, a daemon of the zone had claimed it and noted the ends; the former owner then acquired the zone again, before it heard of the claim, and kept the worker with its runs. Its first report under the new epoch listed nothing.

The log lacked a line for the conclusion itself: task_not_started is new, with the evidence and the tokens.

Ruled out: a restarted worker (one incarnation throughout), the router (the job had one placer), a refusal by the worker (no reply at all), a copy of the order (one start).

Change: placement/start_evidence.py is the only place that decides whether an order had no effect: the worker refused it, nothing of it was sent, or a report under a higher token of the same ownership lacks the run. The ownership is the high part of the token (rattanloom/fencing.py). A worker refuses lower tokens, so another owner can have used it in between only under a token of another ownership. Run.order_token is the token that was sent: it may be of an earlier ownership than the one that fences the order off. Without evidence, the run counts as lost, its task starts again, and a job that ends before that is given up (504).

--- a/rattanloom/ownership/records.py
+++ b/rattanloom/ownership/records.py
@@ -12,6 +12,7 @@
 from attrs import frozen
 from cattrs.errors import BaseValidationError
 
+from rattanloom.fencing import RAISE_BITS
 from rattanloom.platform.rows import Row, RowRef
 from rattanloom.settings import CONVERTER
 
@@ -20,13 +21,13 @@
 MEMBER_PREFIX = "member/"
 ZONE_PREFIX = "zone/"
 # Layout of fencing tokens, highest bits first: the epoch; one bit that is set for
-# claims; a hash of the claiming node; the number of the claim at this node; and 16
+# claims; a hash of the claiming node; the number of the claim at this node; and the
 # bits by which the placer raises the token when it fences off a start order.
 EPOCH_SHIFT = 40
 CLAIM_BIT = 1 << 39
 CLAIM_NODE_SHIFT = 23
 CLAIM_NODE_MASK = 0xFFFF
-CLAIM_NUMBER_SHIFT = 16
+CLAIM_NUMBER_SHIFT = RAISE_BITS
 CLAIM_NUMBERS = 1 << (CLAIM_NODE_SHIFT - CLAIM_NUMBER_SHIFT)
 
 
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -37,6 +37,7 @@
     make_job,
 )
 from rattanloom.placement.stalled_runs import stop_stalled_runs
+from rattanloom.placement.start_evidence import NoEffect
 from rattanloom.placement.start_limits import StartLimits
 from rattanloom.placement.suspension import SuspensionGuard
 from rattanloom.placement.worker_events import LossCause, WorkerState
@@ -532,11 +533,24 @@
         self.crash_policy.on_worker_replaced(worker)
 
     def on_run_not_started(
-        self, worker: PooledWorker, run: Run, refusal: RefusalReason | None
+        self,
+        worker: PooledWorker,
+        run: Run,
+        evidence: NoEffect,
+        refusal: RefusalReason | None,
     ) -> None:
         """Pause the worker, and queue the task of a start that had no effect."""
         label = refusal.value if refusal else "no_answer"
         self.metrics.count("tasks_not_started", label)
+        log.info(
+            "task_not_started",
+            task=run.name,
+            attempt=run.attempt,
+            worker=worker.worker_id,
+            evidence=evidence.value,
+            token=run.order_token,
+            own_token=worker.fencing_token,
+        )
         now_ms = self.clock.now_ms()
         pause_ms = REFUSAL_PAUSE_MS
         if refusal is RefusalReason.UNHEALTHY:
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -21,6 +21,11 @@
     TAKEOVER_LEASE_MAX_MS,
 )
 from rattanloom.placement.runs import PlacedTask, Run, RunPhase
+from rattanloom.placement.start_evidence import (
+    NoEffect,
+    evidence_in_absence,
+    evidence_in_reply,
+)
 from rattanloom.placement.start_limits import DRAINING_PAUSE_MS, StartLimits
 from rattanloom.placement.worker_events import LossCause, WorkerEvents, WorkerState
 from rattanloom.placement.worker_lease import WorkerLease
@@ -222,13 +227,14 @@
 
     def _start(self, run: Run) -> None:
         if run.step.required_label and not self._has_label(run.step.required_label):
-            self._drop_unstarted(run, None)
+            self._drop_unstarted(run, NoEffect.NOT_SENT)
             return
         for _ in range(START_TRIES_MAX):
             if not self._may_send_start(run):
-                self._drop_unstarted(run, None)
+                # The worker has refused any earlier order.
+                self._drop_unstarted(run, NoEffect.NOT_SENT)
                 return
-            token = self.fencing_token
+            run.order_token = token = self.fencing_token
             order = StartOrder(
                 run.name,
                 run.attempt,
@@ -302,6 +308,7 @@
         return reply.refusal is RefusalReason.FENCED and token < self.fencing_token
 
     def _handle_start_reply(self, run: Run, reply: Started | Refused | Failure) -> None:
+        evidence = evidence_in_reply(reply)
         if isinstance(reply, Started):
             self.lease.record_worker_clock(reply.clock_ms)
             if run.phase is RunPhase.STARTING:
@@ -309,30 +316,32 @@
             run.confirmed_ms = self.clock.now_ms()
             self._renew_while_idle_wait()
         elif isinstance(reply, Refused):
-            self._handle_start_refusal(run, reply)
-        elif reply.kind is ErrorKind.PLATFORM_UNREACHABLE:
+            self._handle_start_refusal(reply)
+            self._drop_unstarted(run, evidence, reply.refusal)
+        elif evidence is not None:
             self._record_missed_reply(reply)
-            self._drop_unstarted(run, None)
+            self._drop_unstarted(run, evidence)
         else:
             self._handle_lost_start_reply(run, reply)
 
-    def _handle_start_refusal(self, run: Run, reply: Refused) -> None:
+    def _handle_start_refusal(self, reply: Refused) -> None:
         if reply.clock_ms:
             self.lease.record_worker_clock(reply.clock_ms)
         if reply.refusal is RefusalReason.FENCED:
             self._set_fenced()
-        self._drop_unstarted(run, reply.refusal)
 
-    def _drop_unstarted(self, run: Run, refusal: RefusalReason | None) -> None:
+    def _drop_unstarted(
+        self, run: Run, evidence: NoEffect, refusal: RefusalReason | None = None
+    ) -> None:
         """Remove a run whose start order definitely had no effect."""
         if self.runs.remove(run):
-            self.events.on_run_not_started(self, run, refusal)
+            self.events.on_run_not_started(self, run, evidence, refusal)
 
     def _handle_lost_start_reply(self, run: Run, failure: Failure) -> None:
         """Request a report under a higher token, which fences off the start order.
 
-        The report shows whether the run was started; a start order that arrives
-        later is refused.
+        The report shows whether the run was started, see ``evidence_in_absence``; a
+        start order that arrives later is refused.
         """
         log.warning(
             "start_unanswered",
@@ -582,10 +591,11 @@
         if run.start_fence_token and run.confirmed_ms is None:
             if token < run.start_fence_token:
                 return
-            if run.worker_restarted:
+            evidence = evidence_in_absence(run, token)
+            if evidence is None:
                 self._drop_missing(run)
             else:
-                self._drop_unstarted(run, None)
+                self._drop_unstarted(run, evidence)
         elif run.must_be_listed(sent_ms):
             self._drop_missing(run)
 
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -63,8 +63,9 @@
     ``rank_offset_ms`` moves the job among those of its level that can be on time.
     ``cost`` is what a delay costs, as computed for the time until ``cost_until_ms``.
     ``effective_runs`` counts the runs that were ordered, less those that definitely
-    had no effect. ``sent_before`` is set if an earlier send of the job may have run,
-    ``completed_by`` is the former placer that has reported that all tasks are done.
+    had no effect (``NoEffect``). ``sent_before`` is set if an earlier send of the job
+    may have run, ``completed_by`` is the former placer that has reported that all tasks
+    are done.
     ``submits`` counts how often this placer received the job; ``submission`` is that of
     the message ``Submit``, which last arrived at ``submitted_ms``.
     ``earlier_receivers`` has those of the client's earlier posts, by submission.
@@ -272,9 +273,10 @@
     ``name`` is that of the task. ``task`` and ``step`` are None while its job is
     unknown. ``ordered_ms`` is when the start was ordered or, for an inherited run,
     when a report first listed it; ``confirmed_ms`` is when the worker confirmed it.
-    If the reply to the start was lost, ``start_fence_token`` is the token that
-    fences the start order off, else 0. ``last_listed_ms`` is when a report last listed
-    the run, ``last_progress_ms`` when a report last showed progress.
+    ``order_token`` is the fencing token of the last start order that was sent. If its
+    reply was lost, ``start_fence_token`` is the token that fences it off, else 0.
+    ``last_listed_ms`` is when a report last listed the run, ``last_progress_ms`` when
+    a report last showed progress.
     ``incarnation_ms`` is that of the worker then; ``worker_restarted`` is set if it
     has restarted since. ``other_jobs`` is how many other jobs had runs on the worker
     when it was lost. No other run may start beside an ``isolated`` one.
@@ -290,6 +292,7 @@
     phase: RunPhase
     ordered_ms: float
     confirmed_ms: float | None = None
+    order_token: int = 0
     start_fence_token: int = 0
     stop_sent_ms: float = 0
     fixed_lease_limit_ms: float | None = None
--- a/rattanloom/placement/worker_events.py
+++ b/rattanloom/placement/worker_events.py
@@ -4,6 +4,7 @@
 from typing import Protocol, TypeVar
 
 from rattanloom.placement.runs import Run
+from rattanloom.placement.start_evidence import NoEffect
 from rattanloom.placement.workers import FinishedRun, RefusalReason
 
 # The type of the pooled workers; they import this module.
@@ -53,11 +54,15 @@
         """Handle a run that has definitely stopped, with an unknown outcome."""
 
     def on_run_not_started(
-        self, worker: Worker, run: Run, refusal: RefusalReason | None
+        self,
+        worker: Worker,
+        run: Run,
+        evidence: NoEffect,
+        refusal: RefusalReason | None,
     ) -> None:
         """Handle a start order that definitely had no effect.
 
-        ``refusal`` is None if the worker did not receive the order.
+        ``refusal`` is None unless the worker refused the order.
         """
 
     def on_inherited_run(self, worker: Worker, run: Run) -> None:
