A worker that shows an earlier run of a task marks its job as possibly run

What callers could see: 503 for a job of which a task had run, if another post of it had been at a former placer.

Cause: the conclusion "has not run" counted the orders of this placer only. Three signs of other runs were dropped: a start refused as too old an attempt (a run of this attempt or a later one has finished there, or was stopped; the order had no effect, but it is no sign that the task has not run), a finished run of a former placer (recorded only if it was done, and not for this decision), and a listed run that no job had adopted.

Ruled out: marking the job of each send with former placers again; it counts as possibly run already.

Change: one event, Placer.on_earlier_run, for all three.

Tests: tests/test_run_evidence.py, five cases; all failed before (REFUSED instead of GIVEN_UP).

Conclusion: a related path of the same cause, mended before it was seen.

--- a/rattanloom/placement/inherited_work.py
+++ b/rattanloom/placement/inherited_work.py
@@ -43,7 +43,7 @@
     _runs: dict[str, tuple[PooledWorker, Run]] = field(factory=dict)
     _done_tasks: dict[str, float] = field(factory=dict)
     _done_jobs: dict[str, float] = field(factory=dict)
-    _unfinished_jobs: dict[str, float] = field(factory=dict)
+    _possible_runs: dict[str, float] = field(factory=dict)
     _cancelled_jobs: dict[str, float] = field(factory=dict)
     _unreported_ms: float = -inf
 
@@ -136,13 +136,13 @@
         """Return whether this placer completed a job recently."""
         return job_id in self._done_jobs
 
-    def record_unfinished_job(self, job_id: str) -> None:
-        """Record a job that ended before it was done, and that may have run."""
-        self._unfinished_jobs[job_id] = self.clock.now_ms()
+    def record_possible_run(self, job_id: str) -> None:
+        """Record that tasks of a job may have run, at this placer or another one."""
+        self._possible_runs[job_id] = self.clock.now_ms()
 
     def may_have_run(self, job_id: str) -> bool:
         """Return whether tasks of an earlier send of a job may have run recently."""
-        return job_id in self._unfinished_jobs
+        return job_id in self._possible_runs
 
     def record_cancelled_job(self, job_id: str) -> None:
         """Record a job that its client cancelled; it may arrive later."""
@@ -155,7 +155,7 @@
     def remove_expired(self) -> None:
         """Remove the records of tasks and jobs that are too old."""
         now_ms = self.clock.now_ms()
-        for done_ms in (self._done_tasks, self._done_jobs, self._unfinished_jobs):
+        for done_ms in (self._done_tasks, self._done_jobs, self._possible_runs):
             _remove_older(done_ms, now_ms - DONE_KEPT_MS)
         _remove_older(self._cancelled_jobs, now_ms - CANCELLED_KEPT_MS)
 
--- a/rattanloom/placement/job_endings.py
+++ b/rattanloom/placement/job_endings.py
@@ -177,7 +177,7 @@
         if outcome is None or outcome.kind is not OutcomeKind.COMPLETE:
             self.stop_runs(job, stop_delay_ms)
             if job.may_have_run:
-                self.inherited_work.record_unfinished_job(job.job_id)
+                self.inherited_work.record_possible_run(job.job_id)
         for receiver in receivers.values():
             if outcome is not None and receiver is not None:
                 receiver.deliver(outcome)
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -562,8 +562,15 @@
             self.completion.requeue(run.task)
             self.start_waiting_tasks()
 
+    def on_earlier_run(self, task_name: str) -> None:
+        """Record that the job of a task may have run, also for later sends of it."""
+        self.inherited_work.record_possible_run(job_id_of(task_name))
+        for job in self._jobs_of_task(task_name):
+            job.sent_before = True
+
     def on_inherited_run(self, worker: PooledWorker, run: Run) -> None:
         """Assign an inherited run to its task, or keep it until a job adopts it."""
+        self.on_earlier_run(run.name)
         for job in self._jobs_of_task(run.name):
             if job.all_done:
                 worker.stop(run)
@@ -580,6 +587,7 @@
         self, worker: PooledWorker, finished: FinishedRun
     ) -> None:
         """Handle a finished run that another placer ordered."""
+        self.on_earlier_run(finished.task)
         if finished.outcome is not RunOutcome.DONE:
             return
         self.inherited_work.record_done_task(finished.task)
--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -300,6 +300,7 @@
         if not isinstance(reply, Refused):
             return False
         if reply.refusal is RefusalReason.ATTEMPT_TOO_OLD:
+            self.events.on_earlier_run(run.name)
             self.runs.remove(run)
             run.attempt += 1
             run.task.attempt = run.attempt
--- a/rattanloom/placement/runs.py
+++ b/rattanloom/placement/runs.py
@@ -64,8 +64,8 @@
     ``cost`` is what a delay costs, as computed for the time until ``cost_until_ms``.
     ``effective_runs`` counts the runs that were ordered, less those that definitely
     had no effect (``NoEffect``). ``sent_before`` is set if an earlier send of the job
-    may have run, ``completed_by`` is the former placer that has reported that all tasks
-    are done.
+    may have run, or a worker shows that another placer's has. ``completed_by`` is the
+    former placer that has reported that all tasks are done.
     ``submits`` counts how often this placer received the job; ``submission`` is that of
     the message ``Submit``, which last arrived at ``submitted_ms``.
     ``earlier_receivers`` has those of the client's earlier posts, by submission.
--- a/rattanloom/placement/worker_events.py
+++ b/rattanloom/placement/worker_events.py
@@ -65,6 +65,9 @@
         ``refusal`` is None unless the worker refused the order.
         """
 
+    def on_earlier_run(self, task_name: str) -> None:
+        """Record that a worker shows an earlier run of a task, which may have begun."""
+
     def on_inherited_run(self, worker: Worker, run: Run) -> None:
         """Handle a run that a report lists and another placer ordered."""
 
--- a/rattanloom/placement/workers.py
+++ b/rattanloom/placement/workers.py
@@ -81,7 +81,8 @@
     """Why a worker refused a start order or a renewal.
 
     FENCED: it has received a higher fencing token. ATTEMPT_TOO_OLD: a run of this
-    attempt or a later one has finished or was stopped. LEASE_EXPIRED: the lease in
+    attempt or a later one has finished or was stopped, so the task may have run, by an
+    order of another placer or an earlier one. LEASE_EXPIRED: the lease in
     the order has expired already. OTHER_WORKER: another worker has the address.
     """
 
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -2,13 +2,19 @@
 
 from contextlib import contextmanager
 
+import pytest
 from attrs import define, evolve, field
 from gevent.event import Event
 
 from rattanloom.errors import Failure
 from rattanloom.placement.jobs import OutcomeKind
 from rattanloom.placement.placer import Placer
-from rattanloom.placement.workers import StartOrder
+from rattanloom.placement.workers import (
+    RefusalReason,
+    Refused,
+    RunOutcome,
+    StartOrder,
+)
 from tests.dispatcher_fakes import (
     LOST,
     FakeReceiver,
@@ -16,7 +22,12 @@
     make_submitted_job,
     wait_for,
 )
-from tests.test_placer import TOKEN, all_ready, running_placer
+from tests.test_placer import (
+    TOKEN,
+    all_ready,
+    running_placer,
+    start_inherited_run,
+)
 
 CLAIMANT_TOKEN = TOKEN | 1 << 39
 NEXT_TOKEN = 2 << 40
@@ -96,3 +107,43 @@
         assert give_up(placer, receiver) is OutcomeKind.REFUSED
         assert not worker.starts
         assert order.fencing_token < worker.token
+
+
+class RefusingWorker(FakeWorker):
+    """A worker that has a run of an attempt, and has no room for a later one."""
+
+    def start(self, order: StartOrder) -> Refused:
+        """Refuse an order."""
+        self.starts.append(order)
+        if order.attempt == 1:
+            return Refused(RefusalReason.ATTEMPT_TOO_OLD)
+        return Refused(RefusalReason.NO_ROOM)
+
+
+def test_job_of_which_a_worker_knows_an_earlier_attempt_is_not_refused():
+    worker, receiver = RefusingWorker("w1"), FakeReceiver()
+    with running_placer(worker) as placer:
+        assert wait_for(lambda: all_ready(placer))
+        placer.submit(receiver, JOB, ())
+        assert wait_for(lambda: len(worker.starts) > 1)
+        placer.workers["w1"].apply_entry(evolve(worker.entry(), accepting=False))
+        assert give_up(placer, receiver) is OutcomeKind.GIVEN_UP
+
+
+@pytest.mark.parametrize("outcome", [RunOutcome.DONE, RunOutcome.EXPIRED])
+@pytest.mark.parametrize("known_first", [False, True], ids=["run", "job"])
+def test_job_whose_run_of_a_former_placer_has_ended_is_not_refused(
+    outcome, known_first
+):
+    # Its client posted it again to another daemon, which knew no former placer.
+    worker, receiver = FakeWorker("w1"), FakeReceiver()
+    job = make_submitted_job(count=2, remaining_ms=2_000, estimate_ms=100)
+    start_inherited_run(worker, TASK)
+    worker.end(TASK, outcome)
+    worker.cut_off = known_first
+    with running_placer(worker) as placer:
+        placer.workers["w1"].apply_entry(evolve(worker.entry(), accepting=False))
+        assert known_first or wait_for(lambda: all_ready(placer))
+        placer.submit(receiver, job, ())
+        worker.cut_off = False
+        assert give_up(placer, receiver) is OutcomeKind.GIVEN_UP
