Conclude nothing from a report that does not list all finished runs

What callers could see: a done task started again, or 503 for a job that had run, on a worker with more than 500 finished runs that nobody has noted.

Cause: a worker lists 500 finished runs at a time. A run that is missing from such a report may be among those that follow, but counted as lost or as never started.

Change: WorkerReport.lists_all_ends, which the adapter sets; without it, runs that are not listed are left alone and the next report is asked for at once. The stand-in of the workers lists 500 at a time, too.

Tests: test_run_that_is_missing_from_a_partial_report_is_kept failed with the field and without the check; test_report_of_a_worker_with_many_finished_runs_lists_the_first_ones.

Conclusion: reports are evidence only if they are whole.

--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -504,13 +504,13 @@
             self.drains_until_ms = self.clock.now_ms() + DRAINING_PAUSE_MS
         for finished in report.ended:
             self._apply_finished_run(finished)
-        listed = {(row.task, row.attempt): row for row in report.running}
         for row in report.running:
             if is_newer or (row.task, row.attempt) in self.runs:
                 self._apply_run_status(row)
-        for run in self.runs.all():
-            if run.key not in listed:
-                self._check_missing(run, sent_ms, token)
+        if report.lists_all_ends:
+            self._check_unlisted(report, sent_ms, token)
+        else:
+            self.request_report()
         if self.state in (WorkerState.SYNCING, WorkerState.UNRESPONSIVE):
             log.info(
                 "worker_answers",
@@ -584,6 +584,13 @@
         if run.phase is RunPhase.STOPPING and is_stop_due:
             self.stop(run)
 
+    def _check_unlisted(self, report: WorkerReport, sent_ms: float, token: int) -> None:
+        """Check the runs that a report lists neither as running nor as finished."""
+        listed = {(row.task, row.attempt) for row in report.running}
+        for run in self.runs.all():
+            if run.key not in listed:
+                self._check_missing(run, sent_ms, token)
+
     def _check_missing(self, run: Run, sent_ms: float, token: int) -> None:
         """Remove a run that a report does not list, if it definitely does not run.
 
--- a/rattanloom/placement/workers.py
+++ b/rattanloom/placement/workers.py
@@ -163,7 +163,8 @@
 class WorkerReport:
     """Reply to a renewal: the worker's clock, its runs and those that have finished.
 
-    ``ended`` has the finished runs after ``last_finished_number`` of the renewal.
+    ``ended`` has the finished runs after ``last_finished_number`` of the renewal;
+    later ones may be missing unless ``lists_all_ends``.
     ``remaining_ms`` is the least time until the worker leaves; None unless it drains.
     """
 
@@ -172,6 +173,7 @@
     running: tuple[RunStatus, ...]
     ended: tuple[FinishedRun, ...]
     remaining_ms: float | None = None
+    lists_all_ends: bool = True
 
 
 @frozen
--- a/rattanloom/platform/workers.py
+++ b/rattanloom/platform/workers.py
@@ -31,6 +31,8 @@
 ORDER_TIMEOUT_MS = 300
 # Time for the response to a renewal, on top of the requested wait.
 RENEWAL_SLACK_MS = 300
+# A report lists at most this many finished runs, the oldest first.
+FINISHED_RUNS_MAX = 500
 
 # By the ``reason`` in the body of a response with status 409.
 REFUSALS_BY_REASON = {
@@ -193,6 +195,7 @@
             tuple(_parse_run_status(row) for row in body.running),
             tuple(_parse_finished_run(row) for row in body.finished_runs),
             body.remaining_ms if is_number(body.remaining_ms) else None,
+            len(body.finished_runs) < FINISHED_RUNS_MAX,
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         return Failure(ErrorKind.REPLY_LOST, f"invalid report from the worker: {error}")
--- a/standins/pool.py
+++ b/standins/pool.py
@@ -34,6 +34,7 @@
 ENTRY_TTL_MS = 3 * HEARTBEAT_MS
 # Longest wait of a lease renewal for a run to finish.
 RENEWAL_WAIT_MAX_MS = 2_000
+FINISHED_RUNS_MAX = 500
 
 
 @frozen
@@ -182,7 +183,8 @@
         running = [
             [run.task, run.attempt, "", run.percent] for run in table.runs.values()
         ]
-        return self._response(200, running=running, finished=table.finished_runs)
+        finished = table.finished_runs[:FINISHED_RUNS_MAX]
+        return self._response(200, running=running, finished=finished)
 
     def _is_misdirected(self) -> bool:
         """Return whether a request is for another incarnation; drop it while down."""
--- a/tests/test_pooled_worker.py
+++ b/tests/test_pooled_worker.py
@@ -161,6 +161,21 @@
     assert not worker.runs
 
 
+def test_run_that_is_missing_from_a_partial_report_is_kept():
+    # The end of the run is among those that a worker with many ends lists later.
+    worker, orders = open_worker()
+    run = start_task(worker, orders)
+    worker.request_report()
+    assert wait_for(lambda: len(orders.renewals) == 3)
+    others = FinishedRun(1, "foreign.0.0.0", 1, RunOutcome.DONE)
+    orders.reply(2, evolve(report(1_100, ended=(others,)), lists_all_ends=False))
+    assert worker.runs.all() == [run]
+    ended = FinishedRun(2, run.name, run.attempt, RunOutcome.DONE)
+    orders.reply(3, report(1_110, ended=(ended,)))
+    assert not worker.runs
+    assert "on_run_lost" not in worker.events.seen
+
+
 def test_run_started_in_a_new_incarnation_is_kept_on_its_first_report():
     worker, orders = open_worker()
     run = start_task(worker, orders)
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -122,6 +122,17 @@
         assert client.renew(Renewal(5, 1, None, 0)).ended == ()
 
 
+def test_report_of_a_worker_with_many_finished_runs_lists_the_first_ones():
+    with running_worker() as (worker, client):
+        worker.table.finished_runs += [
+            [number, f"aa.0.0.{number}", 1, "done", ""] for number in range(1, 601)
+        ]
+        first = client.renew(Renewal(5, 0, None, 0))
+        second = client.renew(Renewal(5, first.ended[-1].number, None, 0))
+    assert [len(first.ended), len(second.ended)] == [500, 100]
+    assert [first.lists_all_ends, second.lists_all_ends] == [False, True]
+
+
 @pytest.mark.parametrize(
     ("changes", "refusal"),
     [
