Count a refusal as given up if another placer may have run the job

What callers could see: 503 for a job that ran at a second placer, if it came back to the first one while that one's refusal was on its way.

Cause: the daemon that has the client takes the refusal of the job's present placer as it is. The placer knows of others only from the latest send to it, which may have crossed its refusal.

Change: ingress/job_outcomes.py decides for all outcomes there: a refusal stands only if no other daemon may have had the job, whether the placer or this daemon refuses it.

Test: test_refusal_that_crosses_a_return_to_a_former_placer_counts_as_given_up failed before (REFUSED instead of GIVEN_UP).

Conclusion: the same principle as at the placer: 503 on evidence, else 504.

--- a/rattanloom/ingress/job_router.py
+++ b/rattanloom/ingress/job_router.py
@@ -2,18 +2,17 @@
 
 from collections.abc import Callable
 from math import inf
-from zlib import crc32
 
 from attrs import define, evolve, field
 
 from rattanloom.clock import Clock
 from rattanloom.decision_log import DecisionLog
+from rattanloom.ingress.job_outcomes import checked_outcome, unplaced_outcome
 from rattanloom.ingress.pending_job import PendingJob
 from rattanloom.links.hub import LinkHub
 from rattanloom.links.messages import Cancel, Submit, Withdraw
 from rattanloom.metrics import Metrics
 from rattanloom.placement.jobs import (
-    RETRY_AFTER_MS,
     JobOutcome,
     OutcomeKind,
     ReturnedJob,
@@ -31,9 +30,6 @@
 # How long a job is not sent again to a placer that rejected it, unless that announces
 # zones before: two ticks, so that a restarting placer gets few useless messages.
 REJECTED_PAUSE_MS = 100
-# Clients of jobs without a placer are told to return within this time, since every zone
-# is served again 3 s after a loss.
-RETURN_WITHIN_MS = 3_000
 
 
 @define(eq=False, repr=False)
@@ -115,14 +111,14 @@
         """
         for job in list(self.pending.values()):
             self.cancel(job)
-            self._finish(job, _unplaced_outcome(job, reason))
+            self._finish(job, unplaced_outcome(job, reason))
 
     def expire(self, job: PendingJob) -> JobOutcome | None:
         """Cancel a job at its deadline; return a refusal if it was never sent."""
         self.cancel(job)
         if job.former_placers:
             return None
-        return _unplaced_outcome(job, "no placer was reachable in time")
+        return unplaced_outcome(job, "no placer was reachable in time")
 
     def has_unplaced(self) -> bool:
         """Return whether some job has no placer."""
@@ -168,7 +164,7 @@
         if job.placer == placer or (is_complete and job.former_placers == (placer,)):
             if job.former_placers != (placer,):
                 self._log_outcome("outcome_of_moved_job", job, placer, outcome)
-            self._finish(job, outcome)
+            self._finish(job, checked_outcome(job, outcome, placer))
             return
         self._log_outcome("outcome_of_former_placer", job, placer, outcome)
         if is_complete and not job.completed_by:
@@ -296,10 +292,10 @@
             self._withdraw(job, moved=False)
             self.metrics.count("jobs_refused", "evacuation")
             reason = "the zones of its workers are evacuated"
-            self._finish(job, _unplaced_outcome(job, reason))
+            self._finish(job, unplaced_outcome(job, reason))
         elif self.clock.now_ms() > self._give_up_at_ms(job):
             self._withdraw(job, moved=False)
-            self._finish(job, _unplaced_outcome(job, "no placer is reachable"))
+            self._finish(job, unplaced_outcome(job, "no placer is reachable"))
         else:
             self.on_unplaced()
 
@@ -383,16 +379,3 @@
                 link.send(
                     Submit(submitted, former_placers, job.completed_by, job.submission)
                 )
-
-
-def _unplaced_outcome(job: PendingJob, reason: str) -> JobOutcome:
-    """Return the outcome of a job that no placer takes.
-
-    The times at which clients return are spread, so that they don't return in one wave.
-    """
-    job_id = job.submitted.job_id
-    kind = OutcomeKind.GIVEN_UP if job.former_placers else OutcomeKind.REFUSED
-    spread = crc32(job_id.encode()) / 2**32
-    # Clients get whole seconds, rounded up.
-    retry_after_ms = max(RETRY_AFTER_MS, round(spread * RETURN_WITHIN_MS))
-    return JobOutcome(job_id, kind, reason, retry_after_ms)
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -115,6 +115,18 @@
     assert not job.result.ready()
 
 
+def test_refusal_that_crosses_a_return_to_a_former_placer_counts_as_given_up():
+    # The first placer refused its send of the job while the second one may have run it.
+    ownership, hub = FakeOwnership("p1"), FakeHub("p1", "p2")
+    job_router = make_router(ownership, hub)
+    job = job_router.submit(make_submitted_job())
+    for owner in ("p2", "p1"):
+        ownership.owner = owner
+        job_router.on_placers_changed()
+    job_router.record_outcome("p1", make_outcome(OutcomeKind.REFUSED))
+    assert job.result.get().kind is OutcomeKind.GIVEN_UP
+
+
 def test_completion_by_a_former_placer_is_reported_by_the_new_one():
     ownership, hub = FakeOwnership("p1"), FakeHub("p1", "p2")
     job_router = make_router(ownership, hub)
