Confirm a cancellation only once the owners have it

Cause: the response followed as soon as the messages to the owners were queued. The cut was 0.3 s old, so the link counted as alive; what was written to it was lost. Telling ends after 3 s, before a new link opened. "Not known here" became 410 whether an owner was reached or not.

Ruled out: telling for longer alone. The response would still come first, and the cut may outlast any bound.

Change: each JobCancelled is followed by a probe on the same link. A peer handles the messages of a link in order, so its reply shows that it has the cancellation; there is no new message, and peers of protocol version 4 confirm as they are. DELETE of a job that is not known here is answered 410 once all other owners have replied, else after 1 s with 503 and Retry-After 1 s. A job that is known here is answered 200 at once: its lease ends the runs at a placer that is not reached.

Tests: test_cancellation_that_reaches_no_owner_is_not_acknowledged and test_cancellation_that_may_not_have_reached_all_owners_gets_no_410; one case each fails with the check taken out. Before the change there was nothing to call, so they were seen to fail that way only.

Conclusion: an acknowledged cancellation has reached all owners.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -441,6 +441,7 @@
         daemon.job_router,
         daemon.metrics,
         daemon.cancellations.cancel,
+        daemon.cancellations.wait_until_told,
     )
     listen = daemon.deployment.listen
     with ExitStack() as stack:
--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -36,6 +36,7 @@
 # The client of a given up job returns after this time at the earliest: a run that could
 # not be stopped ends within 1.2 s (``job_lease``).
 GIVEN_UP_RETRY_AFTER_MIN_MS = 2_000
+CANCEL_RETRY_AFTER_MS = 1_000
 STATES_BY_KIND = {
     OutcomeKind.COMPLETE: "complete",
     OutcomeKind.FAILED: "failed",
@@ -48,12 +49,14 @@
     """Routes and handles the requests of clients.
 
     ``cancel_job`` cancels a job at all daemons, and returns whether it is known here.
+    ``wait_until_told`` returns whether all daemons that may have it know of that.
     """
 
     queues: QueueTable
     job_router: JobRouter
     metrics: Metrics
     cancel_job: Callable[[str], bool]
+    wait_until_told: Callable[[str], bool] = lambda job_id: True
     app: Bottle = field(factory=Bottle)
 
     def __attrs_post_init__(self) -> None:
@@ -129,8 +132,15 @@
         if isinstance(found, HTTPResponse):
             return found
         _, job_id = found
-        if is_job_id(job_id) and self.cancel_job(job_id):
-            return _json(HTTPStatus.OK, encode_state("cancelled"))
+        if is_job_id(job_id):
+            if self.cancel_job(job_id):
+                return _json(HTTPStatus.OK, encode_state("cancelled"))
+            if not self.wait_until_told(job_id):
+                return _error(
+                    HTTPStatus.SERVICE_UNAVAILABLE,
+                    "not all daemons that may have the job could be told; cancel again",
+                    CANCEL_RETRY_AFTER_MS,
+                )
         return _error(HTTPStatus.GONE, "no such job is known here")
 
     def _find_queue(self, path: str) -> tuple[Queue, str] | HTTPResponse:
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -1,12 +1,16 @@
 """A job that its client cancels ends, whichever daemon has it."""
 
+from math import inf
 from types import SimpleNamespace
 
+import gevent
 import pytest
 
 from rattanloom.cancellations import TELL_MAX_MS, Cancellations
+from rattanloom.clock import Clock
 from rattanloom.links.messages import (
     JOB_CANCELLED_VERSION,
+    JOB_LEASES_VERSION,
     Hello,
     JobCancelled,
     Outcome,
@@ -15,6 +19,7 @@
 from rattanloom.peer_receiver import PeerOutcomeReceiver
 from rattanloom.placement.jobs import OutcomeKind, cancelled_outcome
 from tests.dispatcher_fakes import (
+    CLOCK,
     FakeReceiver,
     FakeWorker,
     make_submitted_job,
@@ -65,11 +70,23 @@
 
 
 class FakeLink:
-    """A link that records its messages in ``sent``."""
+    """A link that records its messages in ``sent``; the test sets ``replied_ms``."""
+
+    has_job_leases = True
 
     def __init__(self, peer: Hello, sent: list):
         self.peer = peer
         self.send = sent.append
+        self.probes = 0
+        self.replied_ms = -inf
+
+    def send_probe(self) -> None:
+        """Count the probes."""
+        self.probes += 1
+
+    def renewed_ms(self) -> float:
+        """Return when the probe was sent that the peer has replied to."""
+        return self.replied_ms
 
 
 class VersionedHub:
@@ -91,11 +108,12 @@
         return self.links.get(node)
 
 
-def make_cancellations(hub: VersionedHub, owners: set[str]) -> Cancellations:
+def make_cancellations(
+    hub: VersionedHub, owners: set[str], clock: Clock | None = None
+) -> Cancellations:
     nothing_known = SimpleNamespace(revoke=lambda job_id: False)
-    return Cancellations(
-        "n0", ManualClock(), hub, nothing_known, nothing_known, lambda: owners
-    )
+    clock = clock or ManualClock()
+    return Cancellations("n0", clock, hub, nothing_known, nothing_known, lambda: owners)
 
 
 def test_owners_are_told_once_over_each_link_also_if_it_opens_later():
@@ -112,6 +130,22 @@
     assert not cancellations.is_telling()
 
 
+@pytest.mark.parametrize("reached", [True, False])
+def test_cancellation_that_reaches_no_owner_is_not_acknowledged(reached, monkeypatch):
+    # The daemon was cut off: what it had sent was lost, and it responded 410.
+    monkeypatch.setattr("rattanloom.cancellations.CONFIRM_MAX_MS", 60)
+    hub = VersionedHub(p1=JOB_LEASES_VERSION)
+    link = hub.link("p1")
+    cancellations = make_cancellations(hub, {"n0", "p1"}, CLOCK)
+    link.replied_ms = CLOCK.now_ms()
+    gevent.sleep(0.002)
+    assert not cancellations.cancel(JOB)
+    assert (hub.sent["p1"], link.probes) == ([JobCancelled(JOB)], 1)
+    if reached:
+        gevent.spawn_later(0.01, setattr, link, "replied_ms", inf)
+    assert cancellations.wait_until_told(JOB) is reached
+
+
 @pytest.mark.parametrize(
     ("version", "kind"),
     [
--- a/tests/test_client_api.py
+++ b/tests/test_client_api.py
@@ -83,12 +83,16 @@
 
 
 @contextmanager
-def serve_api(kind=OutcomeKind.COMPLETE, configured=True, router_type=FakeRouter):
+def serve_api(
+    kind=OutcomeKind.COMPLETE, configured=True, router_type=FakeRouter, told=True
+):
     queues = QueueTable()
     if configured:
         queues.replace(Configuration(1, (QUEUE,), LIMITS))
     job_router = router_type(kind)
-    api = ClientApi(queues, job_router, Metrics(), job_router.revoke)
+    api = ClientApi(
+        queues, job_router, Metrics(), job_router.revoke, lambda job_id: told
+    )
     state = ConnectionState(lambda: LIMITS, lambda: False)
     with serving("127.0.0.1:0", api.app, state) as server:
         yield server.server_port, job_router
@@ -329,6 +333,15 @@
         assert job_router.submitted == [JOB]
 
 
+def test_cancellation_that_may_not_have_reached_all_owners_gets_no_410():
+    # A daemon that was cut off told nobody, and the job ran on.
+    delete = f"DELETE /q/{JOB} HTTP/1.1\r\nHost: h.example\r\n\r\n".encode()
+    with serve_api(told=False) as (port, _):
+        status, response = fetch(port, delete)
+    assert status == 503
+    assert "Retry-After: 1" in response
+
+
 def test_cancellation_of_a_job_that_is_known_is_confirmed():
     delete = f"DELETE /q/{JOB} HTTP/1.1\r\nHost: h.example\r\n\r\n".encode()
     with serve_api() as (port, _):
