Use workers that don't guard their capacity by recent entries only

Cause: once a read of the entries has failed for 250 ms, tasks start by entries of any age. That is sound for workers that refuse what does not fit. Others start whatever they are told, and only the store tells their capacity.

Change: the configuration tells whether the workers of a service guard their capacity; a service that is not listed counts as one that does not. It goes with the job to its placer (Submit.guardsCapacity; older builds leave it out, which reads as true). Tasks of the others start only by entries of the last 1.5 s, as after a takeover already. Jobs of which nothing has started are refused at once while that can't be had; jobs with started tasks wait.

Cost: while the store can't be reached, such services are not served.

Test: test_worker_that_does_not_guard_its_capacity_is_not_used_by_old_entries fails with the check taken out.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -139,6 +139,7 @@
             deployment.store.address, self.metrics.count, deployment.ip
         )
         self.registry = Registry(clock, self._reconcile_workers)
+        entry_age = EntryAgeGuard(clock, lambda: self.workers_follower.stale_ms())
         self.placer = Placer(
             deployment.node,
             clock,
@@ -147,7 +148,8 @@
             self._connect_worker,
             self._on_token_refused,
             lambda: spawn_restarting(self._check_ownership_after_pause),
-            EntryAgeGuard(clock, lambda: self.workers_follower.stale_ms()).may_start,
+            entry_age.may_start,
+            entry_age.is_recent,
         )
         self.crash_exchange = CrashExchange(self.hub, self.placer)
         self.placer.crash_policy.records.announce = self.crash_exchange.announce
--- a/rattanloom/ingress/queues.py
+++ b/rattanloom/ingress/queues.py
@@ -10,6 +10,7 @@
     Its tasks run on the workers of ``service``; ``priority`` 0 is the highest. A
     job's latency objective is ``slack_factor`` times its critical path plus
     ``latency_target_ms``. ``timeout_ms`` is the deadline of a job posted without one.
+    ``guards_capacity`` is that of ``JobPolicy``.
     """
 
     name: str
@@ -21,6 +22,7 @@
     slack_factor: float = 1.0
     latency_target_ms: float = 0
     timeout_ms: float = 1_500
+    guards_capacity: bool = True
 
 
 @frozen
--- a/rattanloom/links/codec.py
+++ b/rattanloom/links/codec.py
@@ -115,6 +115,7 @@
     slot.completedBy = submit.completed_by
     slot.submission = submit.submission
     slot.queue = policy.queue
+    slot.guardsCapacity = policy.guards_capacity
     step_slots = slot.init("steps", len(job.steps))
     for step_slot, step in zip(step_slots, job.steps, strict=True):
         _write_step(step_slot, step)
@@ -146,6 +147,7 @@
         slot.slackFactor,
         slot.latencyTargetMs,
         slot.queue,
+        slot.guardsCapacity,
     )
     job = SubmittedJob(
         slot.jobId,
--- a/rattanloom/links/links.capnp
+++ b/rattanloom/links/links.capnp
@@ -38,6 +38,7 @@
   completedBy @11 :Text;
   submission @12 :UInt64;
   queue @13 :Text;
+  guardsCapacity @14 :Bool = true;
 }
 
 struct Outcome {
--- a/rattanloom/placement/jobs.py
+++ b/rattanloom/placement/jobs.py
@@ -47,7 +47,9 @@
     Workers of other services get no task of the job. A job fails once one of its
     tasks has failed ``max_attempts`` times. ``slack_factor`` and
     ``latency_target_ms`` determine ``SubmittedJob.objective_ms``. ``queue`` is the name
-    of the queue, "" if a peer of an older build sent the job.
+    of the queue, "" if a peer of an older build sent the job. ``guards_capacity`` is
+    set if the workers of the service refuse tasks for which they have no room; others
+    start them.
     """
 
     service: str
@@ -56,6 +58,7 @@
     slack_factor: float
     latency_target_ms: float
     queue: str = ""
+    guards_capacity: bool = True
 
 
 @frozen
--- a/rattanloom/placement/placer.py
+++ b/rattanloom/placement/placer.py
@@ -77,8 +77,9 @@
     with a worker that refused this placer's fencing token. ``on_suspended`` is called
     after the process was suspended; the placer gives no orders until ``resume`` is
     called. ``may_start_by_entries`` returns whether the entries of the workers are
-    recent enough. ``active_runs`` counts the runs of each task that may not have
-    finished yet. ``demand`` measures the arriving work.
+    recent enough, ``has_recent_entries`` whether they are for workers that start tasks
+    for which they have no room. ``active_runs`` counts the runs of each task that may
+    not have finished yet. ``demand`` measures the arriving work.
     """
 
     node: str
@@ -89,6 +90,7 @@
     on_worker_fenced: Callable[[PooledWorker], None]
     on_suspended: Callable[[], None]
     may_start_by_entries: Callable[[], bool] = lambda: True
+    has_recent_entries: Callable[[], bool] = lambda: True
     workers: dict[str, PooledWorker] = field(factory=dict)
     jobs: dict[str, PlacedJob] = field(factory=dict)
     waiting: WaitingTasks = field(factory=WaitingTasks)
@@ -365,6 +367,7 @@
         for job in list(self.jobs.values()):
             self.completion.finish_done_tasks(job)
         self.endings.end_overdue(now_ms)
+        self._refuse_unknown_capacity()
         if self.index.has_free_capacity(now_ms):
             stop_stalled_runs(self.jobs, self.workers, self.worker_health, now_ms)
         self.inherited_work.remove_expired()
@@ -424,11 +427,30 @@
             and not self.active_runs[task.name]
             and not self.completion.is_done_elsewhere(task)
             and self.crash_policy.may_start(task)
+            and self._is_capacity_known(task)
             and self.inherited_work.is_synced(
                 task.job, self.index.syncing(self.clock.now_ms())
             )
         )
 
+    def _is_capacity_known(self, task: PlacedTask) -> bool:
+        """Return whether no worker can be filled beyond its capacity by a task."""
+        guards_capacity = task.job.submitted.policy.guards_capacity
+        return guards_capacity or self.has_recent_entries()
+
+    def _refuse_unknown_capacity(self) -> None:
+        """End the jobs for which no worker can be chosen as long as the store is down.
+
+        Jobs with started tasks wait for it.
+        """
+        if not self.waiting or not self.may_start_by_entries():
+            return
+        for task in list(self.waiting):
+            if not (self._is_capacity_known(task) or task.job.started):
+                self.endings.give_up(
+                    task.job, "the capacity of its workers is not known"
+                )
+
     def may_send_start(self, run: Run) -> bool:
         """Return whether the start order of a run may be sent now."""
         return self.may_give_orders() and run.task.job.may_start(self.clock.now_ms())
--- a/rattanloom/platform/configuration.py
+++ b/rattanloom/platform/configuration.py
@@ -32,6 +32,16 @@
     timeout_ms: float = 1_500
 
 
+@frozen
+class WireService:
+    """One service of the document; ``guards_capacity`` is left out if it is false."""
+
+    WIRE_NAMES: ClassVar = {"guards_capacity": "admission_control"}
+
+    name: str
+    guards_capacity: bool = False
+
+
 @frozen
 class WireLimits:
     """The limits of the document; fields may be omitted."""
@@ -49,6 +59,7 @@
     version: int
     routes: tuple[WireRoute, ...] = ()
     limits: WireLimits = field(factory=WireLimits)
+    services: tuple[WireService, ...] = ()
 
 
 def parse_configuration(row: Row) -> Configuration:
@@ -57,9 +68,10 @@
         raise FormatError("the row was deleted or its value is not valid base64")
     wire = structure(decode_object(row.value), WireConfiguration)
     limits = wire.limits
+    guarded = {service.name for service in wire.services if service.guards_capacity}
     return Configuration(
         wire.version,
-        tuple(_to_queue(route) for route in wire.routes),
+        tuple(_to_queue(route, route.service in guarded) for route in wire.routes),
         RequestLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
@@ -69,7 +81,7 @@
     )
 
 
-def _to_queue(route: WireRoute) -> Queue:
+def _to_queue(route: WireRoute, guards_capacity: bool) -> Queue:
     return Queue(
         route.name,
         route.host.lower(),
@@ -80,4 +92,5 @@
         route.slack_factor,
         route.latency_target_ms,
         route.timeout_ms,
+        guards_capacity,
     )
--- a/rattanloom/platform/job_format.py
+++ b/rattanloom/platform/job_format.py
@@ -82,6 +82,7 @@
         queue.slack_factor,
         queue.latency_target_ms,
         queue.name,
+        queue.guards_capacity,
     )
     steps = tuple(_to_step(step) for step in wire.steps)
     job = SubmittedJob(job_id, wire.spec, steps, policy, remaining_ms)
--- a/tests/test_entry_age.py
+++ b/tests/test_entry_age.py
@@ -3,10 +3,13 @@
 from contextlib import contextmanager
 
 import gevent
+from attrs import evolve
 
 from rattanloom.daemon import Daemon
+from rattanloom.placement.jobs import OutcomeKind
 from standins.store import Store, StoreSwitches
 from tests.dispatcher_fakes import (
+    POLICY,
     FakeReceiver,
     FakeWorker,
     make_submitted_job,
@@ -99,6 +102,27 @@
         assert wait_for(lambda: worker.starts)
 
 
+def test_worker_that_does_not_guard_its_capacity_is_not_used_by_old_entries():
+    # A daemon that was cut off claimed a zone and filled a worker that had shrunk.
+    store = Store(switches=StoreSwitches(latency_ms=5))
+    worker, receiver = FakeWorker("w1"), FakeReceiver()
+    policy = evolve(POLICY, guards_capacity=False)
+    with daemon_with_old_entries(worker, store) as daemon:
+        daemon.ownership.acquirer.acquire(["a"], "test")
+        assert wait_for(lambda: daemon.placer.workers)
+        store.set_switches(silent=True)
+        daemon.workers_follower._confirmed_ms -= 10_000
+        daemon.placer.submit(receiver, make_submitted_job(policy=policy), ())
+        assert wait_for(lambda: receiver.outcomes, within_s=1.0)
+        assert receiver.outcomes[0].kind is OutcomeKind.REFUSED
+        assert not worker.starts
+        store.set_switches(silent=False)
+        assert wait_for(lambda: daemon.workers_follower.stale_ms() < 1_000)
+        again = make_submitted_job("00000000000000bb", policy=policy)
+        daemon.placer.submit(receiver, again, ())
+        assert wait_for(lambda: worker.starts)
+
+
 def test_restarted_worker_gets_no_tasks_before_its_new_entry_was_read():
     store = Store(switches=StoreSwitches(latency_ms=5))
     worker = FakeWorker("w1")
