--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,8 @@
 
 from rattanloom.errors import ErrorKind
 from rattanloom.ingress.queues import Queue
+from rattanloom.links.codec import decode_message, encode_message
+from rattanloom.links.messages import Submit
 from rattanloom.platform.configuration import parse_configuration
 from rattanloom.platform.deployment import load_deployment
 from rattanloom.platform.http import HttpClient
@@ -50,7 +52,7 @@
         st.lists(inner, max_size=4)
         | st.dictionaries(
             st.sampled_from(
-                [*ENTRY, *JOB, "count", "after", "cpu", "version", "routes"]
+                [*ENTRY, *JOB, "count", "after", "cpu", "version", "routes", "services"]
             ),
             inner,
             max_size=6,
@@ -240,3 +242,21 @@
         server.stop()
     assert statuses == [200, 200, 200]
     assert len(accepted) == 3
+
+
+@pytest.mark.parametrize(
+    ("services", "expected"),
+    [
+        ([{"name": "s", "admission_control": True, "standby": False}], True),
+        ([{"name": "s"}, {"name": "other", "admission_control": True}], False),
+        ([], False),
+    ],
+)
+def test_queue_knows_whether_its_workers_guard_their_capacity(services, expected):
+    route = {"name": "q", "host": "h", "path_prefix": "/q/", "service": "s"}
+    document = {"version": 1, "routes": [route], "services": services}
+    (queue,) = parse_configuration(make_row(json.dumps(document).encode())).queues
+    assert queue.guards_capacity is expected
+    job = parse_job_request("00000000000000aa", json.dumps(JOB).encode(), queue, 1_000)
+    message = decode_message(encode_message(Submit(job.job, ())))
+    assert message.job.policy.guards_capacity is expected
