Know the runs of a worker only after a whole report

What callers could see: a task that is done started again by a new owner of a worker with more than 500 finished runs that nobody has noted.

Cause: a worker counted as having reported its runs after a report that lists a part of its ends. A job that was sent again then started tasks whose ends were in the next part.

Change: the worker stays in its state (syncing or unresponsive) until a report lists all ends; each partial one is followed by the next at once.

Test: test_runs_of_a_worker_are_not_known_before_a_whole_report failed before (READY).

Conclusion: a partial report now decides nothing but the ends that it lists.

--- a/rattanloom/placement/pooled_worker.py
+++ b/rattanloom/placement/pooled_worker.py
@@ -510,10 +510,10 @@
         for row in report.running:
             if is_newer or (row.task, row.attempt) in self.runs:
                 self._apply_run_status(row)
-        if report.lists_all_ends:
-            self._check_unlisted(report, sent_ms, token)
-        else:
+        if not report.lists_all_ends:
             self.request_report()
+            return
+        self._check_unlisted(report, sent_ms, token)
         if self.state in (WorkerState.SYNCING, WorkerState.UNRESPONSIVE):
             log.info(
                 "worker_answers",
--- a/tests/test_pooled_worker.py
+++ b/tests/test_pooled_worker.py
@@ -34,6 +34,7 @@
 )
 
 TOKEN = 1 << 40
+OTHER_END = FinishedRun(1, "foreign.0.0.0", 1, RunOutcome.DONE)
 
 
 @define(eq=False)
@@ -97,7 +98,9 @@
 
 
 def open_worker(
-    first_report: WorkerReport | None = None, **changes
+    first_report: WorkerReport | None = None,
+    expected: WorkerState = WorkerState.READY,
+    **changes,
 ) -> tuple[PooledWorker, ScriptedOrders]:
     orders = ScriptedOrders()
     worker = PooledWorker(
@@ -111,7 +114,7 @@
     )
     worker.open()
     orders.reply(0, first_report or report(1_000))
-    assert worker.state is WorkerState.READY
+    assert worker.state is expected
     return worker, orders
 
 
@@ -168,8 +171,7 @@
     run = start_task(worker, orders)
     worker.request_report()
     assert wait_for(lambda: len(orders.renewals) == 3)
-    others = FinishedRun(1, "foreign.0.0.0", 1, RunOutcome.DONE)
-    orders.reply(2, evolve(report(1_100, ended=(others,)), lists_all_ends=False))
+    orders.reply(2, evolve(report(1_100, ended=(OTHER_END,)), lists_all_ends=False))
     assert worker.runs.all() == [run]
     ended = FinishedRun(2, run.name, run.attempt, RunOutcome.DONE)
     orders.reply(3, report(1_110, ended=(ended,)))
@@ -177,6 +179,14 @@
     assert "on_run_lost" not in worker.events.seen
 
 
+def test_runs_of_a_worker_are_not_known_before_a_whole_report():
+    # The end of a task that is done may be among those that are listed later.
+    partial = evolve(report(1_000, ended=(OTHER_END,)), lists_all_ends=False)
+    worker, orders = open_worker(partial, expected=WorkerState.SYNCING)
+    orders.reply(1, report(1_010))
+    assert worker.state is WorkerState.READY
+
+
 def test_run_started_in_a_new_incarnation_is_kept_on_its_first_report():
     worker, orders = open_worker()
     run = start_task(worker, orders)
