Limit the requests of a daemon's clients while they are read

Callers saw: daemons ran out of memory when clients sent heads over the limit, and answered nobody while bodies came in small chunks.

Cause: gevent's handler reads a head of up to 100 lines of 64 KB before the daemon looks at its size. A chunked body was decoded twice, by gevent and by bottle, both one character at a time; bottle copies what it has for each of them, and nothing bounds the body. A body above 100 KB went to a temporary file.

Change: rattanloom/serving reads requests itself. Heads are bounded as they arrive, httptools parses heads and chunks, bodies are bounded by their length or as their chunks arrive. Refusals (400, 408, 413, 414, 431, 503) are sent before the application runs; what the client still sends is read for half a second, so that the response is not lost to a reset. Empty lines before a request are refused, as before. The sockets' buffers are bounded: unread data is about 26 KB a connection.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -9,7 +9,7 @@
 import gevent
 from attrs import define, field
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
 
 from rattanloom.background import run_and_log_failure, spawn_restarting
 from rattanloom.build_id import build_id
@@ -487,7 +487,7 @@
     return ExitStatus.OK
 
 
-def stop_gracefully(daemon: Daemon, server: WSGIServer) -> None:
+def stop_gracefully(daemon: Daemon, server: StreamServer) -> None:
     """Fail the readiness check, hand the zones over and finish open requests.
 
     Jobs that are still open ``GIVE_UP_MARGIN_MS`` before the end of the grace period
--- a/rattanloom/ingress/api.py
+++ b/rattanloom/ingress/api.py
@@ -16,8 +16,7 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.ingress.job_router import JobRouter
 from rattanloom.ingress.pending_job import PendingJob
-from rattanloom.ingress.queues import Queue, QueueTable, RequestLimits
-from rattanloom.ingress.server import CONNECTION_KEY, ClientConnection
+from rattanloom.ingress.queues import Queue, QueueTable
 from rattanloom.metrics import Metrics
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
 from rattanloom.platform.job_format import (
@@ -27,6 +26,8 @@
     parse_job_request,
 )
 from rattanloom.platform.json_format import FormatError
+from rattanloom.serving.client_connection import ClientConnection
+from rattanloom.serving.http_connection import CONNECTION_KEY
 
 log = DecisionLog("ingress")
 
@@ -74,13 +75,8 @@
         queue, job_id = found
         if not is_job_id(job_id):
             return _error(HTTPStatus.BAD_REQUEST, f"{job_id!r} is not a job id")
-        too_large = _limit_error(self.queues.configuration.limits)
-        if too_large is not None:
-            return too_large
         try:
-            posted = parse_job_request(
-                job_id, request.body.read(), queue, _deadline_ms(queue)
-            )
+            posted = parse_job_request(job_id, _take_body(), queue, _deadline_ms(queue))
         except FormatError as error:
             return _error(HTTPStatus.BAD_REQUEST, str(error))
         if posted.is_durable:
@@ -177,15 +173,9 @@
         pending.result.set(None)
 
 
-def _limit_error(limits: RequestLimits) -> HTTPResponse | None:
-    """Return the error response if the request exceeds the limits, else None."""
-    if (request.content_length or 0) > limits.body_bytes_max:
-        return _error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
-    header_bytes = sum(len(name) + len(text) for name, text in request.headers.items())
-    if header_bytes > limits.header_bytes_max:
-        status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-        return _error(status, "the headers are too large")
-    return None
+def _take_body() -> bytes:
+    """Return the body of the request, which is freed once it is parsed."""
+    return request.environ.pop("wsgi.input").read()
 
 
 def _deadline_ms(queue: Queue) -> float:
--- a/rattanloom/ingress/queues.py
+++ b/rattanloom/ingress/queues.py
@@ -2,6 +2,8 @@
 
 from attrs import define, field, frozen
 
+from rattanloom.serving.limits import RequestLimits
+
 
 @frozen
 class Queue:
@@ -25,19 +27,6 @@
     guards_capacity: bool = True
 
 
-@frozen
-class RequestLimits:
-    """Limits on the size of a request and on the time until its headers arrive.
-
-    ``idle_timeout_ms`` is the longest wait for a further request on a connection.
-    """
-
-    header_bytes_max: int = 16_384
-    body_bytes_max: int = 262_144
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
-
-
 @frozen
 class Configuration:
     """One version of the operator's queues and limits."""
