Bound what all clients of a daemon hold together

Callers saw: a daemon ran out of memory or of descriptors when many clients sent large bodies short of their end, or opened connections and sent nothing.

Cause: a limit held for one request only. 2,000 connections times what one of them may hold is more than a machine has, and a body had no time limit.

Settings, counters, gauges and one log line a second; errors in a daemon's settings name the field and the bound.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -28,7 +28,7 @@
 from rattanloom.ingress.server import (
     ConnectionState,
     finish_requests,
-    serving,
+    log_clients_limited,
     wait_for_requests,
 )
 from rattanloom.job_exchange import JobExchange
@@ -54,6 +54,8 @@
 from rattanloom.registry import Registry
 from rattanloom.reload import SettingsWatcher
 from rattanloom.scheduling.zone_choice import PlacerChoice
+from rattanloom.serving.budget import ClientBudget, Listener
+from rattanloom.serving.http_server import serving_http
 from rattanloom.settings import SettingsError
 from rattanloom.signals import stop_signals
 from rattanloom.status import ExitStatus
@@ -113,10 +115,22 @@
     peer_messages: PeerMessages = field(init=False)
     evacuation_control: EvacuationControl = field(init=False)
     connections: ConnectionState = field(init=False)
+    client_budget: ClientBudget = field(init=False)
+    client_listener: Listener = field(init=False)
     _wake: Event = field(factory=Event)
 
     def __attrs_post_init__(self) -> None:
         deployment, clock = self.deployment, self.environment.clock
+        self.client_budget = ClientBudget(
+            deployment.client_memory_bytes,
+            deployment.client_limits.stalled_after_ms,
+            self.metrics,
+            clock,
+            log_clients_limited,
+        )
+        self.client_listener = self.client_budget.add_listener(
+            "clients", deployment.client_connections
+        )
         hello = Hello(
             deployment.node,
             deployment.zone,
@@ -247,7 +261,9 @@
             self.job_router,
             self._wake.set,
         )
-        self.connections = ConnectionState(self._limits, lambda: not self.is_ready())
+        self.connections = ConnectionState(
+            self._limits, lambda: not self.is_ready(), deployment.client_limits
+        )
 
     def is_ready(self) -> bool:
         """Return whether this daemon should get requests from the load balancer."""
@@ -270,6 +286,7 @@
         }
         for name, value in gauges.items():
             self.metrics.gauge(name, value)
+        self.client_budget.update_gauges()
         for follower in self._followers():
             self.metrics.gauge("table_stale_ms", follower.stale_ms(), follower.table)
         for state in WorkerState:
@@ -282,6 +299,10 @@
         """Apply changed settings; addresses to listen on only change at a restart."""
         self.store.set_address(deployment.store.address)
         self.evacuation_control.apply_bounds(deployment.bounds)
+        self.client_budget.memory_max_bytes = deployment.client_memory_bytes
+        self.client_budget.stalled_after_ms = deployment.client_limits.stalled_after_ms
+        self.client_listener.connections_max = deployment.client_connections
+        self.connections.client_limits = deployment.client_limits
         self.deployment = deployment
 
     def start(self) -> None:
@@ -469,7 +490,13 @@
         )
         stack.enter_context(serving_readiness(listen.readiness, daemon.is_ready))
         server = stack.enter_context(
-            serving(listen.clients, api.app, daemon.connections)
+            serving_http(
+                listen.clients,
+                api.app,
+                daemon.connections,
+                daemon.client_budget,
+                daemon.client_listener,
+            )
         )
         daemon.start()
         stack.enter_context(
--- a/rattanloom/daemon_commands.py
+++ b/rattanloom/daemon_commands.py
@@ -47,6 +47,8 @@
             f"daemons    {deployment.peer_listen_address}",
             f"store      {deployment.store.address}",
             f"processor  {deployment.cpu_cores:.2f} cores",
+            f"clients'    {deployment.client_memory_bytes // 1_000_000} MB and "
+            f"{deployment.client_connections} connections at most",
             sep="\n",
             file=self.environment.stdout,
         )
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -12,7 +12,7 @@
 from rattanloom.clock import MS_PER_S, Clock
 from rattanloom.decision_log import DecisionLog
 from rattanloom.platform.job_format import encode_error
-from rattanloom.serving.budget import ClientBudget, Listener
+from rattanloom.serving.budget import ClientBudget
 from rattanloom.serving.client_connection import ClientConnection
 from rattanloom.serving.http_connection import CONNECTION_KEY, Application
 from rattanloom.serving.http_server import serving_http
@@ -29,7 +29,6 @@
     "ConnectionState",
     "finish_requests",
     "log_clients_limited",
-    "new_budget",
     "serving",
     "wait_for_requests",
 ]
@@ -98,15 +97,6 @@
             connection.close()
 
 
-def new_budget(
-    limits: ClientLimits, memory_max_bytes: int = MEMORY_DEFAULT_BYTES
-) -> ClientBudget:
-    """Return a budget that logs what it refuses and closes."""
-    return ClientBudget(
-        memory_max_bytes, limits.stalled_after_ms, log=log_clients_limited
-    )
-
-
 def log_clients_limited(counts: dict[str, int]) -> None:
     """Log the numbers of refused requests and closed connections by reason."""
     log.warning("clients_limited", counts=counts)
@@ -114,15 +104,11 @@
 
 @contextmanager
 def serving(
-    address: str,
-    application: Application,
-    state: ConnectionState,
-    budget: ClientBudget | None = None,
-    listener: Listener | None = None,
+    address: str, application: Application, state: ConnectionState
 ) -> Iterator[StreamServer]:
-    """Serve a WSGI application on ``address`` until the block ends."""
-    budget = budget or new_budget(state.client_limits)
-    listener = listener or budget.add_listener("clients", CONNECTIONS_MAX)
+    """Serve a WSGI application on ``address``, with a budget of its own."""
+    budget = ClientBudget(MEMORY_DEFAULT_BYTES, state.client_limits.stalled_after_ms)
+    listener = budget.add_listener("clients", CONNECTIONS_MAX)
     with serving_http(address, application, state, budget, listener) as server:
         yield server
 
--- a/rattanloom/platform/deployment.py
+++ b/rattanloom/platform/deployment.py
@@ -7,7 +7,12 @@
 from attrs import field, frozen
 
 from rattanloom.platform.json_format import FormatError, structure
-from rattanloom.settings import SettingsError
+from rattanloom.serving.limits import (
+    ClientLimits,
+    connections_of_clients,
+    memory_of_clients,
+)
+from rattanloom.settings import SettingsError, in_range
 
 SETTINGS_VARIABLE = "RATTANLOOM_SETTINGS"
 
@@ -82,12 +87,18 @@
 
 @frozen
 class MachineLimits:
-    """Processor time of a process: a share of a core of this ``speed``; 1 is normal."""
+    """What the machine gives to a process.
 
-    WIRE_NAMES: ClassVar = {"speed": "cores"}
+    Processor time is a share of a core of this ``speed``; 1 is normal. ``memory_mb`` is
+    0 if it is not known.
+    """
+
+    WIRE_NAMES: ClassVar = {"speed": "cores", "descriptors_max": "max_fds"}
 
     cpu_share: float = 1.0
     speed: float = 1.0
+    memory_mb: float = 0
+    descriptors_max: int = 4_100
 
 
 @frozen
@@ -98,6 +109,8 @@
     ``internal_ports`` is the range of ports for traffic between daemons, of which
     the first is used. ``advertised_peer_address`` is set if other daemons must
     connect to another address than the one that this daemon listens on.
+    ``client_limits`` and ``client_connections_max`` limit what clients hold; 0
+    connections stand for a share of the machine's descriptors.
     """
 
     WIRE_NAMES: ClassVar = {
@@ -117,6 +130,20 @@
     bounds: Bounds = field(factory=Bounds)
     machine: MachineLimits = field(factory=MachineLimits)
     advertised_peer_address: str = ""
+    client_limits: ClientLimits = field(factory=ClientLimits)
+    client_connections_max: int = field(default=0, validator=in_range(0, 100_000))
+
+    @property
+    def client_memory_bytes(self) -> int:
+        """Return how many bytes all clients may hold together."""
+        return memory_of_clients(self.client_limits, self.machine.memory_mb)
+
+    @property
+    def client_connections(self) -> int:
+        """Return how many connections clients may have to their listener."""
+        return self.client_connections_max or connections_of_clients(
+            self.machine.descriptors_max
+        )
 
     @property
     def cpu_cores(self) -> float:
--- a/rattanloom/platform/json_format.py
+++ b/rattanloom/platform/json_format.py
@@ -14,6 +14,7 @@
 from cattrs import Converter, transform_error
 from cattrs.errors import BaseValidationError
 from cattrs.gen import make_dict_structure_fn, override
+from cattrs.v import format_exception
 
 from rattanloom.settings import forbid_type_coercion
 
@@ -67,10 +68,20 @@
         return CONVERTER.structure(document, model)
     except BaseValidationError as error:
         names = _wire_names(model)
-        messages = (_with_wire_path(text, names) for text in transform_error(error))
+        messages = (
+            _with_wire_path(text, names)
+            for text in transform_error(error, format_exception=_error_reason)
+        )
         raise FormatError("; ".join(messages)) from error
 
 
+def _error_reason(error: BaseException, cls: type | None) -> str:
+    """Return the message of an invalid value, which says what would be valid."""
+    if isinstance(error, ValueError) and error.args:
+        return str(error.args[0])
+    return format_exception(error, cls)
+
+
 def _wire_names(model: type) -> dict[str, str]:
     """Return the ``WIRE_NAMES`` of a class and of the classes of its fields."""
     names = dict(getattr(model, "WIRE_NAMES", {}))
--- a/rattanloom/serving/http_request.py
+++ b/rattanloom/serving/http_request.py
@@ -226,7 +226,9 @@
             if len(body) > ORDINARY_BYTES and not has_memory:
                 self._take_memory(body_bytes_max)
                 has_memory = True
-        return bytes(body)
+        content = bytes(body)
+        body.clear()
+        return content
 
     def _next_piece(self, tail: bytes) -> tuple[bytes, bytes]:
         """Return the data up to the next empty line, and the end of all data so far."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -100,7 +100,13 @@
 
 @pytest.mark.parametrize(
     ("changes", "expected_name"),
-    [({"zone": 7}, "zone"), ({"listen": {}}, "front"), ({"bounds": []}, "bounds")],
+    [
+        ({"zone": 7}, "zone"),
+        ({"listen": {}}, "front"),
+        ({"bounds": []}, "bounds"),
+        ({"client_limits": {"body_timeout_ms": 0}}, "client_limits"),
+        ({"client_connections_max": -1}, "client_connections_max"),
+    ],
 )
 def test_error_for_a_setting_of_wrong_type_names_file_and_field(
     tmp_path, changes, expected_name
