Keep of a job only what its body can mean

Cause: a job keeps the label that it requires and the steps that it waits for at any length, and a placer gets them in messages that wait in the link's queue after the request has ended.

Change: a label is kept up to 201 characters, one more than a worker's may have, and each step that another waits for once.

--- a/rattanloom/platform/job_format.py
+++ b/rattanloom/platform/job_format.py
@@ -15,6 +15,8 @@
 TASKS_MAX = 1_000
 JOB_ID_LENGTH = 16
 LABEL_LENGTH_MAX = 100
+# No worker has a label of this length; the rest of a longer one is not kept.
+REQUIRED_LABEL_KEPT_CHARS = 201
 # An hour; a longer estimate is an error of the client.
 ESTIMATE_MAX_MS = 3_600_000
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
@@ -126,8 +128,8 @@
         wire.count,
         Resources(wire.cpu, wire.mem_mb, wire.gpu),
         wire.estimate_ms,
-        wire.after,
-        wire.required_label,
+        tuple(dict.fromkeys(wire.after)),
+        wire.required_label[:REQUIRED_LABEL_KEPT_CHARS],
         wire.per_worker_max,
         wire.affinity if _is_label(wire.affinity) else "",
     )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -166,6 +166,15 @@
     assert job.policy.queue == QUEUE.name
 
 
+def test_large_body_leaves_a_small_job():
+    # Jobs of large bodies were kept, and sent to placers, at several times their size.
+    step = {"count": 1, "after": [0] * 60_000, "required_label": "x" * 100_000}
+    body = json.dumps(JOB | {"steps": [{"count": 1}, step]}).encode()
+    kept = parse_job_request("a" * 16, body, QUEUE, 1_000).job.steps[1]
+    assert kept.after == (0,)
+    assert len(kept.required_label) == 201  # labels of workers have up to 200
+
+
 @given(st.binary(max_size=64))
 def test_any_bytes_as_a_job_are_parsed_or_refused(content):
     with suppress(FormatError):
