Serve the readiness check and the metrics within the limits on clients

Callers saw: a daemon ran out of memory or descriptors when clients sent heads over the limit to the address of its readiness check, or left bodies unfinished there; clients that did not read the metrics kept it from answering jobs.

Cause: both addresses had gevent's server without any limit or time-out, and built a page for each request although nobody took the last one.

Change: they use the server of the clients' address and its budget, with 64 connections each and no bodies. A response is written before the next request is read, and must be taken within 15 s.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -22,13 +22,14 @@
 from rattanloom.evacuation_control import EvacuationControl
 from rattanloom.ingress.api import ClientApi
 from rattanloom.ingress.job_router import JobRouter
-from rattanloom.ingress.metrics_page import serving_metrics
+from rattanloom.ingress.metrics_page import METRICS_PORT, metrics_page
 from rattanloom.ingress.queues import QueueTable, RequestLimits
-from rattanloom.ingress.readiness import serving_readiness
+from rattanloom.ingress.readiness import readiness_page
 from rattanloom.ingress.server import (
     ConnectionState,
     finish_requests,
     log_clients_limited,
+    serving_page,
     wait_for_requests,
 )
 from rattanloom.job_exchange import JobExchange
@@ -483,12 +484,22 @@
         daemon.cancellations.wait_until_told,
     )
     listen = daemon.deployment.listen
+    metrics_address = f"{daemon.deployment.ip}:{METRICS_PORT}"
     with ExitStack() as stack:
         stack.enter_context(daemon.hub.serving())
-        stack.enter_context(
-            serving_metrics(daemon.deployment.ip, daemon.render_metrics)
-        )
-        stack.enter_context(serving_readiness(listen.readiness, daemon.is_ready))
+        for name, address, page in (
+            ("metrics", metrics_address, metrics_page(daemon.render_metrics)),
+            ("readiness", listen.readiness, readiness_page(daemon.is_ready)),
+        ):
+            stack.enter_context(
+                serving_page(
+                    name,
+                    address,
+                    page,
+                    daemon.client_budget,
+                    daemon.deployment.client_limits,
+                )
+            )
         server = stack.enter_context(
             serving_http(
                 listen.clients,
--- a/rattanloom/ingress/readiness.py
+++ b/rattanloom/ingress/readiness.py
@@ -1,24 +1,15 @@
 """Serves the daemon's readiness check to the platform's load balancer."""
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 
-from gevent.pywsgi import WSGIServer
+from rattanloom.serving.http_connection import Application
 
 
-@contextmanager
-def serving_readiness(address: str, is_ready: Callable[[], bool]) -> Iterator[None]:
-    """Serve status 200 while ``is_ready`` returns true, 503 otherwise."""
-    host, _, port = address.rpartition(":")
+def readiness_page(is_ready: Callable[[], bool]) -> Application:
+    """Return an application that serves 200 while ``is_ready`` is true, else 503."""
 
     def application(environ: dict, start_response: Callable) -> list[bytes]:
-        status = "200 OK" if is_ready() else "503 Service Unavailable"
-        start_response(status, [("Content-Length", "0")])
+        start_response("200 OK" if is_ready() else "503 Service Unavailable", [])
         return []
 
-    server = WSGIServer((host, int(port)), application, log=None, error_log=None)
-    server.start()
-    try:
-        yield
-    finally:
-        server.stop(timeout=0)
+    return application
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -30,12 +30,15 @@
     "finish_requests",
     "log_clients_limited",
     "serving",
+    "serving_page",
     "wait_for_requests",
 ]
 
 log = DecisionLog("ingress")
 
 POLL_MS = 20
+# Of pages for operators and the load balancer: their requests have no body.
+PAGE_LIMITS = RequestLimits(header_bytes_max=8_192, body_bytes_max=0)
 LOGGED_PATH_CHARS = 200
 
 
@@ -97,6 +100,21 @@
             connection.close()
 
 
+@contextmanager
+def serving_page(
+    name: str,
+    address: str,
+    application: Application,
+    budget: ClientBudget,
+    client_limits: ClientLimits,
+) -> Iterator[None]:
+    """Serve a page on ``address`` until the block ends; ``name`` is the listener's."""
+    state = ConnectionState(lambda: PAGE_LIMITS, lambda: False, client_limits)
+    listener = budget.add_listener(name, client_limits.page_connections_max)
+    with serving_http(address, application, state, budget, listener):
+        yield
+
+
 def log_clients_limited(counts: dict[str, int]) -> None:
     """Log the numbers of refused requests and closed connections by reason."""
     log.warning("clients_limited", counts=counts)
--- a/rattanloom/serving/limits.py
+++ b/rattanloom/serving/limits.py
@@ -11,6 +11,7 @@
 # Of the descriptors that are not for files; the rest is for workers, the store and
 # links to other daemons.
 CONNECTIONS_SHARE = 0.52
+PEER_CONNECTIONS_SHARE = 0.25
 FILE_DESCRIPTORS = 200
 CONNECTIONS_MAX = 2_000
 
@@ -36,13 +37,17 @@
     machine's memory. The body of a request must arrive within ``body_timeout_ms``, and
     a client must take a response within ``response_timeout_ms``. A connection that has
     been idle, or at one request or response, for ``stalled_after_ms`` may be closed for
-    others that need its memory.
+    others that need its memory. ``page_connections_max`` is for each address
+    that serves pages to operators, ``peer_connections_max`` for the one that other
+    processes of the system connect to; 0 stands for a share of the descriptors.
     """
 
     memory_max_bytes: int = field(default=0, validator=in_range(0, 10**12))
     body_timeout_ms: int = field(default=30_000, validator=in_range(100, 600_000))
     response_timeout_ms: int = field(default=15_000, validator=in_range(100, 600_000))
     stalled_after_ms: int = field(default=1_000, validator=in_range(50, 60_000))
+    page_connections_max: int = field(default=64, validator=in_range(4, 10_000))
+    peer_connections_max: int = field(default=0, validator=in_range(0, 100_000))
 
 
 def memory_of_clients(limits: ClientLimits, machine_memory_mb: float = 0) -> int:
@@ -53,5 +58,15 @@
 
 def connections_of_clients(descriptors_max: int) -> int:
     """Return how many connections of clients a machine's descriptors allow."""
-    for_sockets = max(0, descriptors_max - FILE_DESCRIPTORS)
-    return max(1, min(CONNECTIONS_MAX, int(for_sockets * CONNECTIONS_SHARE)))
+    allowed = int(_sockets_max(descriptors_max) * CONNECTIONS_SHARE)
+    return max(1, min(CONNECTIONS_MAX, allowed))
+
+
+def connections_of_peers(limits: ClientLimits, descriptors_max: int) -> int:
+    """Return how many connections other processes of the system may open."""
+    allowed = int(_sockets_max(descriptors_max) * PEER_CONNECTIONS_SHARE)
+    return limits.peer_connections_max or max(1, allowed)
+
+
+def _sockets_max(descriptors_max: int) -> int:
+    return max(0, descriptors_max - FILE_DESCRIPTORS)
