Limit what others may send to a daemon's links before they say hello

Callers saw: a daemon ran out of memory or descriptors when others than daemons connected to the address of its links and sent the begin of a message.

Cause: anyone may connect there, without a limit on their number; the time for the hello was that of each read, and the hello may be 1 MB like any message.

Change: accepted links belong to the clients' budget, a quarter of the descriptors for sockets at most. A hello has 64 KB and must be whole within 400 ms; a link that has none yet is closed for others, the oldest first, and a link of a daemon never is. Later messages above 16 KB are charged, and may use what large requests of clients may not.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -152,6 +152,8 @@
             lambda link, message: self.peer_messages.on_message(link, message),
             lambda link: self.peer_messages.on_link_opened(link),
             lambda link: self.peer_messages.on_link_lost(link),
+            self.client_budget,
+            deployment.peer_connections,
         )
         self.store = StoreClient(
             deployment.store.address, self.metrics.count, deployment.ip
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -18,7 +18,6 @@
 from rattanloom.serving.http_server import serving_http
 from rattanloom.serving.limits import (
     CONNECTIONS_MAX,
-    MEMORY_DEFAULT_BYTES,
     ClientLimits,
     RequestLimits,
 )
@@ -125,7 +124,7 @@
     address: str, application: Application, state: ConnectionState
 ) -> Iterator[StreamServer]:
     """Serve a WSGI application on ``address``, with a budget of its own."""
-    budget = ClientBudget(MEMORY_DEFAULT_BYTES, state.client_limits.stalled_after_ms)
+    budget = ClientBudget()
     listener = budget.add_listener("clients", CONNECTIONS_MAX)
     with serving_http(address, application, state, budget, listener) as server:
         yield server
--- a/rattanloom/links/hub.py
+++ b/rattanloom/links/hub.py
@@ -14,12 +14,15 @@
 from rattanloom.links.keepalive import LinkKeepalive
 from rattanloom.links.link import Link
 from rattanloom.links.messages import Hello, Message
+from rattanloom.serving.budget import ClientBudget, Holding, Listener
 
 log = DecisionLog("links")
 
 CONNECT_TIMEOUT_MS = 250
 # Pause before a kept link that closed or could not be opened is dialled again.
 RECONNECT_PAUSE_MS = 60
+# Links that other daemons open.
+ACCEPTED_MAX = 1_000
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -35,7 +38,9 @@
     Both sides may dial at the same time. Of several links to a peer, the newest
     open one is used; after it closes, the next older one. ``listen`` is the address
     to bind; ``own_hello`` has the address that peers dial. ``_kept_links`` maps a node
-    to the address of its kept link and the time until which the link is kept.
+    to the address of its kept link and the time until which the link is kept. Links
+    that are accepted share ``budget`` with clients until the peer has sent its hello:
+    anyone may connect.
     """
 
     own_hello: Hello
@@ -44,10 +49,18 @@
     on_message: Callable[[Link, Message], None]
     on_open: Callable[[Link], None]
     on_lost: Callable[[Link], None]
+    budget: ClientBudget = field(factory=ClientBudget)
+    accepted_max: int = ACCEPTED_MAX
+    _listener: Listener = field(init=False)
     _links: dict[str, list[Link]] = field(factory=dict)
     _kept_links: dict[str, tuple[str, float]] = field(factory=dict)
     _dialling: set[str] = field(factory=set)
 
+    def __attrs_post_init__(self) -> None:
+        self._listener = self.budget.add_listener(
+            "daemons", self.accepted_max, is_internal=True
+        )
+
     @contextmanager
     def serving(self) -> Iterator[None]:
         """Accept links inside the block; close all links after it."""
@@ -121,7 +134,15 @@
         self.on_lost(link)
 
     def _accept(self, connection: socket, _: object) -> None:
-        self._run(connection, dialled=False)
+        """Serve a link that another daemon opens, if there is room for it."""
+        holding = self.budget.admit(self._listener, connection.close)
+        if holding is None:
+            connection.close()
+            return
+        try:
+            self._run(connection, dialled=False, holding=holding)
+        finally:
+            holding.release()
 
     def _dial(self, node: str) -> None:
         try:
@@ -166,7 +187,13 @@
         _, until_ms = self._kept_links.get(node, ("", 0))
         return self.clock.now_ms() < until_ms
 
-    def _run(self, connection: socket, dialled: bool, node: str | None = None) -> None:
+    def _run(
+        self,
+        connection: socket,
+        dialled: bool,
+        node: str | None = None,
+        holding: Holding | None = None,
+    ) -> None:
         link = Link(
             connection,
             self.clock,
@@ -174,6 +201,7 @@
             self,
             dialled=dialled,
             expected_node=node,
+            holding=holding,
         )
         link.run(self._add_link)
 
--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -27,6 +27,7 @@
     Message,
     Ping,
 )
+from rattanloom.serving.budget import Holding
 
 log = DecisionLog("links")
 
@@ -42,12 +43,19 @@
 # is one on which a write takes this time: the peer has stopped reading.
 RECEIVE_TIMEOUT_MS = 450
 HELLO_TIMEOUT_MS = 400
+# A longer first message is refused unread: its sender may be anyone.
+HELLO_MAX_BYTES = 65_536
+# A longer message is charged to the budget of all clients while it is read.
+CHARGED_MESSAGE_BYTES = 16_384
 # Most bytes that are read from the socket at once.
 READ_BYTES = 65_536
 PING = Ping()
 PING_CONTENT = encode_message(PING)
 
 
+NO_MEMORY = "the clients of this process hold too much memory"
+
+
 class LinkLostError(Exception):
     """Raised when the peer has closed the connection."""
 
@@ -74,6 +82,7 @@
     due; ``LinkKeepalive`` sends them, and closes the link at ``lost_at_ms``.
     ``_write_started_ms`` is set during a write. ``_answered_ms`` is when the last
     message was sent that the peer has answered: its hello answers the own one.
+    ``holding`` is that of an accepted connection.
     """
 
     socket: socket
@@ -85,6 +94,7 @@
     dialled: bool = False
     expected_node: str | None = None
     peer_zones: dict[str, int] = field(factory=dict)
+    holding: Holding | None = None
     closed: bool = False
     closed_ms: float = inf
     ping_due_ms: float = 0
@@ -234,23 +244,27 @@
         self.close()
 
     def _read_hello(self) -> None:
-        self.socket.settimeout(HELLO_TIMEOUT_MS / MS_PER_S)
-        hello = decode_message(self._read_content())
+        if self.holding is not None and not self.holding.begin_request():
+            raise LinkLostError(NO_MEMORY)
+        with gevent.Timeout(HELLO_TIMEOUT_MS / MS_PER_S, TimeoutError("no hello")):
+            hello = decode_message(self._read_content(HELLO_MAX_BYTES))
         if not isinstance(hello, Hello):
             raise BadMessageError("the first message of the peer is not a hello")
         if self.expected_node not in (None, hello.node):
             raise BadMessageError(f"the peer is {hello.node}")
+        if self.holding is not None and not self.holding.begin_serving():
+            raise LinkLostError(NO_MEMORY)
         # From here on, LinkKeepalive closes the link if it is late.
-        self.socket.settimeout(None)
         self.peer = hello
         self.peer_zones = dict(zip(hello.zones, hello.tokens, strict=True))
 
     def _read_all(self) -> None:
         while not self.closed:
-            content = self._read_content()
+            content = self._read_content(MESSAGE_MAX_BYTES)
             if content == PING_CONTENT:
                 continue
             self._handle(decode_message(content))
+            self._give_back(len(content))
 
     def _handle(self, message: Message) -> None:
         """Reply to a probe; pass on what concerns other components."""
@@ -271,12 +285,22 @@
             self._answered_ms = reply.sent_ms
         return was_late
 
-    def _read_content(self) -> bytes:
+    def _read_content(self, max_bytes: int) -> bytes:
         (size_bytes,) = LENGTH.unpack(self._read_exactly(LENGTH.size))
-        if size_bytes > MESSAGE_MAX_BYTES:
+        if size_bytes > max_bytes:
             raise BadMessageError(f"message of {size_bytes} bytes is too long")
+        if self._is_charged(size_bytes) and not self.holding.take_large(size_bytes):
+            raise LinkLostError(NO_MEMORY)
         return self._read_exactly(size_bytes)
 
+    def _is_charged(self, size_bytes: int) -> bool:
+        is_client = self.holding is not None and self.peer is not None
+        return is_client and size_bytes > CHARGED_MESSAGE_BYTES
+
+    def _give_back(self, size_bytes: int) -> None:
+        if self._is_charged(size_bytes):
+            self.holding.budget.give_back(self.holding, size_bytes)
+
     def _read_exactly(self, size_bytes: int) -> bytes:
         while len(self._buffer) < size_bytes:
             chunk = self.socket.recv(READ_BYTES)
--- a/rattanloom/platform/deployment.py
+++ b/rattanloom/platform/deployment.py
@@ -10,6 +10,7 @@
 from rattanloom.serving.limits import (
     ClientLimits,
     connections_of_clients,
+    connections_of_peers,
     memory_of_clients,
 )
 from rattanloom.settings import SettingsError, in_range
@@ -145,6 +146,11 @@
             self.machine.descriptors_max
         )
 
+    @property
+    def peer_connections(self) -> int:
+        """Return how many connections other daemons may open to this one."""
+        return connections_of_peers(self.client_limits, self.machine.descriptors_max)
+
     @property
     def cpu_cores(self) -> float:
         """Return the processor time of this daemon, in cores of normal speed."""
--- a/rattanloom/serving/budget.py
+++ b/rattanloom/serving/budget.py
@@ -16,6 +16,7 @@
 
 from rattanloom.clock import MS_PER_S, Clock, SystemClock
 from rattanloom.metrics import Metrics
+from rattanloom.serving.limits import MEMORY_DEFAULT_BYTES, STALLED_AFTER_MS
 
 # Socket buffers of a connection; the kernel doubles these values.
 RECEIVE_BUFFER_BYTES = 16_384
@@ -53,11 +54,14 @@
 class Listener:
     """One listening address, which accepts up to ``connections_max`` connections.
 
+    Large messages of ``is_internal`` ones, between processes of the system, may use the
+    part of the budget that large requests of clients may not.
     ``_phases`` has the connections of each phase but SERVING, the oldest first.
     """
 
     name: str
     connections_max: int
+    is_internal: bool = False
     connections: int = 0
     _phases: dict[Phase, dict["Holding", None]] = field(
         factory=lambda: {phase: {} for phase in WAITING}
@@ -149,8 +153,8 @@
     connections closed since, by listener and reason.
     """
 
-    memory_max_bytes: int
-    stalled_after_ms: float
+    memory_max_bytes: int = MEMORY_DEFAULT_BYTES
+    stalled_after_ms: float = STALLED_AFTER_MS
     metrics: Metrics = field(factory=Metrics)
     clock: Clock = field(factory=SystemClock)
     log: Callable[[dict[str, int]], None] = lambda counts: None
@@ -165,9 +169,11 @@
         """Return the memory that large requests may use."""
         return int(self.memory_max_bytes * (1 - ORDINARY_SHARE))
 
-    def add_listener(self, name: str, connections_max: int) -> Listener:
+    def add_listener(
+        self, name: str, connections_max: int, is_internal: bool = False
+    ) -> Listener:
         """Return a new listener whose connections share this budget."""
-        listener = Listener(name, connections_max)
+        listener = Listener(name, connections_max, is_internal)
         self.listeners.append(listener)
         return listener
 
@@ -207,7 +213,9 @@
         Only connections that have stalled are closed for it.
         """
         until_ms = self.clock.now_ms() + WAIT_MAX_MS
-        while self.held_bytes + number_bytes > self.large_max_bytes:
+        is_internal = holding.listener.is_internal
+        max_bytes = self.memory_max_bytes if is_internal else self.large_max_bytes
+        while self.held_bytes + number_bytes > max_bytes:
             victim = self._stalled(holding)
             if victim is not None:
                 self._evict(victim, "memory")
--- a/rattanloom/serving/limits.py
+++ b/rattanloom/serving/limits.py
@@ -14,6 +14,7 @@
 PEER_CONNECTIONS_SHARE = 0.25
 FILE_DESCRIPTORS = 200
 CONNECTIONS_MAX = 2_000
+STALLED_AFTER_MS = 1_000
 
 
 @frozen
@@ -45,7 +46,9 @@
     memory_max_bytes: int = field(default=0, validator=in_range(0, 10**12))
     body_timeout_ms: int = field(default=30_000, validator=in_range(100, 600_000))
     response_timeout_ms: int = field(default=15_000, validator=in_range(100, 600_000))
-    stalled_after_ms: int = field(default=1_000, validator=in_range(50, 60_000))
+    stalled_after_ms: int = field(
+        default=STALLED_AFTER_MS, validator=in_range(50, 60_000)
+    )
     page_connections_max: int = field(default=64, validator=in_range(4, 10_000))
     peer_connections_max: int = field(default=0, validator=in_range(0, 100_000))
 
