Serve an entry host's callers and operators within the limits on clients

Callers saw: an entry host ran out of memory when clients sent heads over the limit or large bodies short of their end, and answered nobody while bodies came in small chunks or pages were requested without being read.

Cause: as for the daemon's addresses; the host bounds one body, and its time, but not what all clients hold.

Change: the host has the same server and a budget of its own. Refusals carry the documented error kinds. A body has a time of its own, client_limits.body_timeout_ms; the test of a late body sets it to the value that it had. A head may have 16 KB (header_max_bytes). in_range moves to a module of its own, as settings now need the limits.

--- a/rattanloom/callers/api.py
+++ b/rattanloom/callers/api.py
@@ -4,7 +4,6 @@
 from http import HTTPStatus
 from math import ceil
 
-import gevent
 from attrs import define, field
 from bottle import Bottle, HTTPError, HTTPResponse, request
 
@@ -45,13 +44,12 @@
 class CallersApi:
     """Routes of the callers' interface to one job service.
 
-    ``body_timeout_ms`` bounds the time for reading a request body. A query waits at
-    most ``wait_max_ms`` for a result, so that it does not delay a shutdown.
+    A query waits at most ``wait_max_ms`` for a result, so that it does not delay a
+    shutdown.
     """
 
     jobs: JobService
     body_max_bytes: int
-    body_timeout_ms: float
     wait_max_ms: float = WAIT_MAX_MS
     app: Bottle = field(factory=Bottle)
 
@@ -100,26 +98,12 @@
         return result_response(self.jobs.cancel(job_id))
 
     def read_body(self) -> bytes | Failure:
-        """Read the request's body; fail if it is too large or arrives too late."""
-        limit_bytes = self.body_max_bytes
-        too_large = Failure(
-            ErrorKind.TOO_LARGE, f"the request body exceeds {limit_bytes} bytes"
-        )
-        if request.content_length > limit_bytes:
-            return too_large
-        raw = None
-        with gevent.Timeout(self.body_timeout_ms / MS_PER_S, False):
-            raw = self._read_input(limit_bytes + 1)
-        if raw is None:
-            return Failure(ErrorKind.BAD_REQUEST, "timed out reading the request body")
-        return too_large if len(raw) > limit_bytes else raw
-
-    def _read_input(self, limit_bytes: int) -> bytes | Failure:
-        try:
-            return request.environ["wsgi.input"].read(limit_bytes)
-        except (OSError, ValueError) as error:
-            log.debug("Cannot read the request body: {}", error)
-            return b""
+        """Return the request's body; fail if it is too large."""
+        raw = request.environ.pop("wsgi.input").read()
+        if len(raw) > self.body_max_bytes:
+            reason = f"the request body exceeds {self.body_max_bytes} bytes"
+            return Failure(ErrorKind.TOO_LARGE, reason)
+        return raw
 
 
 def json_response(
--- a/rattanloom/callers/server.py
+++ b/rattanloom/callers/server.py
@@ -1,24 +1,37 @@
-"""gevent HTTP server of an entry host, with timeouts and a limit on connections."""
+"""HTTP server of an entry host, with limits on what its callers hold."""
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
-from socket import IPPROTO_TCP, TCP_NODELAY
+import json
+from collections.abc import Iterator
+from contextlib import AbstractContextManager, contextmanager, nullcontext
+from http import HTTPStatus
 
 import gevent
 from attrs import define
-from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.server import StreamServer
+from gevent.socket import socket
 
+from rattanloom.callers.api import failure_response
 from rattanloom.clock import MS_PER_S
+from rattanloom.errors import ErrorKind, Failure
 from rattanloom.logs import get_log
+from rattanloom.serving.budget import ClientBudget
+from rattanloom.serving.http_connection import Application, HttpResponse
+from rattanloom.serving.http_server import serving_http as serving_within_budget
+from rattanloom.serving.limits import ClientLimits, RequestLimits
 
 log = get_log("callers")
 
 # Longest wait for a further request on a connection.
 IDLE_TIMEOUT_MS = 75_000
-# Connections that the kernel queues until the server accepts them.
-BACKLOG = 1024
+BODY_MAX_BYTES = 1_000_000
+HEADER_MAX_BYTES = 16_384
 IN_FLIGHT_POLL_MS = 10
+LOGGED_PATH_CHARS = 200
+KINDS_BY_STATUS = {
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ErrorKind.TOO_LARGE,
+    HTTPStatus.METHOD_NOT_ALLOWED: ErrorKind.METHOD_NOT_ALLOWED,
+    HTTPStatus.SERVICE_UNAVAILABLE: ErrorKind.OVERLOADED,
+}
 
 
 @define(eq=False)
@@ -44,76 +57,72 @@
         return not self.count
 
 
-class TimeoutHandler(WSGIHandler):
-    """Closes connections that are idle too long or receive headers too slowly.
+@define(eq=False)
+class CallerConnections:
+    """The ``HttpService`` of an entry host."""
 
-    ``header_timeout_ms`` is the timeout of the first request line, and of the
-    headers of each request.
-    """
+    limits: RequestLimits
+    client_limits: ClientLimits
+    in_flight: InFlight
 
-    header_timeout_ms = 5_000
-    in_flight: "InFlight"
-    served_requests = 0
+    def request_limits(self) -> RequestLimits:
+        """Return the limits of a request."""
+        return self.limits
 
-    def handle(self) -> None:
-        """Serve one connection, with Nagle's algorithm disabled."""
-        self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-        super().handle()
+    def is_closing(self) -> bool:
+        """Return False: a stopping host closes the connections itself."""
+        return False
 
-    def read_requestline(self) -> str:
-        """Read a request line, the first one with the header timeout."""
-        timeout_ms = IDLE_TIMEOUT_MS if self.served_requests else self.header_timeout_ms
-        self.served_requests += 1
-        with gevent.Timeout(timeout_ms / MS_PER_S, False):
-            return super().read_requestline()
-        return ""
+    def idle(self, connection: socket) -> AbstractContextManager[None]:
+        """Return a context without effect."""
+        return nullcontext()
 
-    def read_request(self, raw_requestline: str) -> bool:
-        """Read the headers; raise ``gevent.Timeout`` if they take too long."""
-        timeout = gevent.Timeout(self.header_timeout_ms / MS_PER_S)
-        with timeout:
-            return super().read_request(raw_requestline)
+    def reading_and_serving(self) -> AbstractContextManager[None]:
+        """Return a context without effect: requests count once they are read."""
+        return nullcontext()
 
-    def handle_one_request(self) -> object:
-        """Serve one request; if reading its headers times out, close the connection."""
-        try:
-            return super().handle_one_request()
-        except gevent.Timeout:
-            return None
+    def responding(self) -> AbstractContextManager[None]:
+        """Return a context that counts a request as in flight."""
+        return self.in_flight.track_request()
+
+    def refusal(self, status: HTTPStatus, reason: str) -> HttpResponse:
+        """Return the response that refuses a request."""
+        kind = KINDS_BY_STATUS.get(status, ErrorKind.BAD_REQUEST)
+        response = failure_response(Failure(kind, reason))
+        headers = tuple(response.headerlist)
+        return HttpResponse(response.status_line, headers, response.body.encode())
+
+    def log_failure(self, path: str, reason: str, where: str) -> None:
+        """Log an unexpected exception."""
+        path = path[:LOGGED_PATH_CHARS]
+        log.error("Request for {} failed: {} at {}.", path, reason, where)
 
-    def handle_one_response(self) -> None:
-        """Handle one request, counted as in flight until its response is written."""
-        with self.in_flight.track_request():
-            super().handle_one_response()
 
-    def log_error(self, message: str, *args: object) -> None:
-        """Log a malformed request in one line at debug level."""
-        log.debug("Malformed request: {}", message % args if args else message)
+def log_clients_limited(counts: dict[str, int]) -> None:
+    """Log the numbers of refused requests and closed connections by reason."""
+    log.warning("Limits on clients: {}.", json.dumps(counts))
 
 
 @contextmanager
 def serving_http(
     address: str,
-    application: Callable,
+    application: Application,
     header_timeout_ms: float,
     connections_max: int,
     in_flight: InFlight,
-) -> Iterator[WSGIServer]:
+    client_limits: ClientLimits | None = None,
+    budget: ClientBudget | None = None,
+    header_max_bytes: int = HEADER_MAX_BYTES,
+    body_max_bytes: int = BODY_MAX_BYTES,
+) -> Iterator[StreamServer]:
     """Serve a WSGI application on ``address`` until the block ends."""
-    host, _, port = address.rpartition(":")
-    attributes = {"header_timeout_ms": header_timeout_ms, "in_flight": in_flight}
-    handler = type("Handler", (TimeoutHandler,), attributes)
-    server = WSGIServer(
-        (host, int(port)),
-        application,
-        handler_class=handler,
-        spawn=Pool(connections_max),
-        backlog=BACKLOG,
-        log=None,
-        error_log=None,
+    limits = RequestLimits(
+        header_max_bytes, body_max_bytes, header_timeout_ms, IDLE_TIMEOUT_MS
     )
-    server.start()
-    try:
+    service = CallerConnections(limits, client_limits or ClientLimits(), in_flight)
+    budget = budget or ClientBudget()
+    listener = budget.add_listener("callers", connections_max)
+    with serving_within_budget(
+        address, application, service, budget, listener
+    ) as server:
         yield server
-    finally:
-        server.stop(timeout=1)
--- a/rattanloom/callers/submission.py
+++ b/rattanloom/callers/submission.py
@@ -9,8 +9,9 @@
 from rattanloom.errors import ErrorKind, Failure, Ran
 from rattanloom.job import Job, JobResult, ResultKind, Task
 from rattanloom.rules import HOUR_MS
-from rattanloom.settings import SettingsError, in_range, structure_document
+from rattanloom.settings import SettingsError, structure_document
 from rattanloom.ticket import TICKET_MAX_CHARS
+from rattanloom.validation import in_range
 
 # Longest name of a team or a kind.
 NAME_MAX_CHARS = 63
--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -9,7 +9,7 @@
 
 from rattanloom.admission import Admission
 from rattanloom.callers.api import CallersApi
-from rattanloom.callers.server import InFlight, serving_http
+from rattanloom.callers.server import InFlight, log_clients_limited, serving_http
 from rattanloom.claims import Claims
 from rattanloom.clock import MS_PER_S
 from rattanloom.configuration import Configuration
@@ -25,6 +25,8 @@
 from rattanloom.peers.service import PeerService
 from rattanloom.platform.client import PlatformClient
 from rattanloom.sealed_ledger import SealedLedgers
+from rattanloom.serving.budget import ClientBudget
+from rattanloom.serving.limits import memory_of_clients
 from rattanloom.settings import EntrySettings, SettingsError, load_settings
 from rattanloom.signals import stop_signals
 from rattanloom.status import ExitStatus
@@ -52,6 +54,7 @@
     jobs: JobService
     state: HostState
     pages: OperatorPages
+    client_budget: ClientBudget
     in_flight: InFlight = field(factory=InFlight)
 
 
@@ -90,6 +93,13 @@
 ) -> EntryHost:
     """Build the components of one entry host; ``start`` starts them."""
     metrics = Metrics()
+    client_budget = ClientBudget(
+        memory_of_clients(settings.client_limits),
+        settings.client_limits.stalled_after_ms,
+        metrics,
+        environment.clock,
+        log_clients_limited,
+    )
     timeline = Timeline(settings.host, environment.clock)
     incarnation = new_incarnation()
     links = LinkFilter()
@@ -163,6 +173,7 @@
         directory,
         metrics,
         timeline,
+        client_budget,
     )
     return EntryHost(
         settings,
@@ -177,6 +188,7 @@
         jobs,
         state,
         pages,
+        client_budget,
     )
 
 
@@ -195,7 +207,6 @@
     api = CallersApi(
         host.jobs,
         settings.body_max_bytes,
-        settings.header_timeout_ms,
         wait_max_ms=settings.stop_within_ms / 2,
     )
     host.pages.add_routes(api.app)
@@ -205,6 +216,10 @@
         settings.header_timeout_ms,
         settings.connections_max,
         host.in_flight,
+        settings.client_limits,
+        host.client_budget,
+        settings.header_max_bytes,
+        settings.body_max_bytes,
     ):
         yield
 
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -14,7 +14,7 @@
 from rattanloom.platform.job_format import encode_error
 from rattanloom.serving.budget import ClientBudget
 from rattanloom.serving.client_connection import ClientConnection
-from rattanloom.serving.http_connection import CONNECTION_KEY, Application
+from rattanloom.serving.http_connection import CONNECTION_KEY, Application, HttpResponse
 from rattanloom.serving.http_server import serving_http
 from rattanloom.serving.limits import (
     CONNECTIONS_MAX,
@@ -39,6 +39,7 @@
 # Of pages for operators and the load balancer: their requests have no body.
 PAGE_LIMITS = RequestLimits(header_bytes_max=8_192, body_bytes_max=0)
 LOGGED_PATH_CHARS = 200
+RETRY_AFTER_S = 1
 
 
 @define(eq=False, repr=False)
@@ -84,9 +85,13 @@
         """Do nothing: the request is counted since its first byte."""
         yield
 
-    def refusal_body(self, status: HTTPStatus, reason: str) -> bytes:
-        """Return the body of the response that refuses a request."""
-        return encode_error(reason)
+    def refusal(self, status: HTTPStatus, reason: str) -> HttpResponse:
+        """Return the response that refuses a request."""
+        headers = [("Content-Type", "application/json")]
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            headers.append(("Retry-After", str(RETRY_AFTER_S)))
+        line = f"{status.value} {status.phrase}"
+        return HttpResponse(line, tuple(headers), encode_error(reason))
 
     def log_failure(self, path: str, reason: str, where: str) -> None:
         """Log an unexpected exception."""
--- a/rattanloom/operators/folder_base.py
+++ b/rattanloom/operators/folder_base.py
@@ -9,7 +9,8 @@
 
 from attrs import asdict, field, frozen
 
-from rattanloom.settings import in_range, load_settings
+from rattanloom.settings import load_settings
+from rattanloom.validation import in_range
 
 BASE_FILE = ".base.json"
 VERSION_MAX = 2**53
--- a/rattanloom/operators/pages.py
+++ b/rattanloom/operators/pages.py
@@ -15,6 +15,7 @@
 from rattanloom.peers.service import PeerService
 from rattanloom.quota import JOIN_MS
 from rattanloom.resources import own_usage
+from rattanloom.serving.budget import ClientBudget
 from rattanloom.settings import EntrySettings
 from rattanloom.targets.directory import TargetDirectory
 from rattanloom.timeline import Timeline, event_to_json
@@ -49,6 +50,7 @@
     directory: TargetDirectory
     metrics: Metrics
     timeline: Timeline
+    client_budget: ClientBudget
     started_ms: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -90,6 +92,7 @@
         self.metrics.gauge("memory_bytes", usage.memory_bytes)
         self.metrics.gauge("processor_seconds", usage.processor_s)
         self.metrics.gauge("config_version", self.configuration.version())
+        self.client_budget.update_gauges()
         return HTTPResponse(
             self.metrics.render(), headers={"Content-Type": PROMETHEUS_TEXT}
         )
--- a/rattanloom/operators/settings.py
+++ b/rattanloom/operators/settings.py
@@ -4,7 +4,8 @@
 from attrs.validators import deep_mapping
 
 from rattanloom.configuration_publish import RETRY_TIMEOUT_MS
-from rattanloom.settings import in_range, validate_address, validate_name
+from rattanloom.settings import validate_address, validate_name
+from rattanloom.validation import in_range
 
 
 @frozen
--- a/rattanloom/platform/deployment.py
+++ b/rattanloom/platform/deployment.py
@@ -13,7 +13,8 @@
     connections_of_peers,
     memory_of_clients,
 )
-from rattanloom.settings import SettingsError, in_range
+from rattanloom.settings import SettingsError
+from rattanloom.validation import in_range
 
 SETTINGS_VARIABLE = "RATTANLOOM_SETTINGS"
 
--- a/rattanloom/rules.py
+++ b/rattanloom/rules.py
@@ -5,7 +5,8 @@
 
 from attrs import field, frozen
 
-from rattanloom.settings import in_range, validate_name
+from rattanloom.settings import validate_name
+from rattanloom.validation import in_range
 
 SLOTS_MAX = 1_000_000
 TASKS_MAX = 100_000
--- a/rattanloom/serving/http_connection.py
+++ b/rattanloom/serving/http_connection.py
@@ -30,7 +30,6 @@
 
 # Key of the ``ClientConnection`` in the WSGI environment.
 CONNECTION_KEY = "rattanloom.connection"
-RETRY_AFTER_S = 1
 # After a refusal, what the client still sends is read for this long: a connection that
 # is closed with unread data is reset, and the client may lose the response.
 LINGER_MS = 500
@@ -65,8 +64,8 @@
     def responding(self) -> AbstractContextManager[None]:
         """Return a context in which a complete request is served."""
 
-    def refusal_body(self, status: HTTPStatus, reason: str) -> bytes:
-        """Return the body, in JSON, of the response that refuses a request."""
+    def refusal(self, status: HTTPStatus, reason: str) -> "HttpResponse":
+        """Return the response that refuses a request."""
 
     def log_failure(self, path: str, reason: str, where: str) -> None:
         """Log an unexpected exception of the application."""
@@ -242,14 +241,7 @@
     def _refuse(self, refusal: RequestRefusedError) -> None:
         """Refuse a request, and wait a little until the client has the response."""
         self.holding.budget.count_refused(self.holding.listener, refusal.label)
-        headers = [("Content-Type", "application/json")]
-        if refusal.status is HTTPStatus.SERVICE_UNAVAILABLE:
-            headers.append(("Retry-After", str(RETRY_AFTER_S)))
-        response = HttpResponse(
-            f"{refusal.status.value} {refusal.status.phrase}",
-            tuple(headers),
-            self.service.refusal_body(refusal.status, refusal.reason),
-        )
+        response = self.service.refusal(refusal.status, refusal.reason)
         self.holding.begin_closing()
         # A response of this size fits into the socket's buffer.
         self.socket.send(_encode(response, False, False, "1.1"), timeout=0.0)
--- a/rattanloom/serving/limits.py
+++ b/rattanloom/serving/limits.py
@@ -2,7 +2,7 @@
 
 from attrs import field, frozen
 
-from rattanloom.settings import in_range
+from rattanloom.validation import in_range
 
 # Where the settings do not say how much memory the machine has.
 MEMORY_DEFAULT_BYTES = 128_000_000
--- a/rattanloom/settings.py
+++ b/rattanloom/settings.py
@@ -9,13 +9,11 @@
 from pathlib import Path
 from typing import TypeVar, get_args, get_origin
 
-from attrs import Attribute, field, fields, frozen
+from attrs import field, fields, frozen
 from attrs.validators import (
     and_,
     deep_iterable,
-    ge,
     instance_of,
-    le,
     matches_re,
     max_len,
 )
@@ -25,6 +23,9 @@
 from cattrs.strategies import configure_union_passthrough
 from cattrs.v import format_exception
 
+from rattanloom.serving.limits import ClientLimits
+from rattanloom.validation import in_range
+
 T = TypeVar("T")
 
 NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
@@ -131,11 +132,6 @@
     return format_exception(error, cls)
 
 
-def in_range(low: float, high: float) -> Callable[[object, Attribute, object], None]:
-    """Return a validator that accepts ``low`` to ``high``, both included."""
-    return and_(ge(low), le(high))
-
-
 validate_key = matches_re(r"[ -~]{16,64}")
 validate_name = and_(instance_of(str), matches_re(NAME_PATTERN))
 validate_address = and_(instance_of(str), matches_re(ADDRESS_PATTERN))
@@ -188,6 +184,8 @@
     leave_grace_ms: int = field(default=1_000, validator=in_range(0, 60_000))
     header_timeout_ms: int = field(default=5_000, validator=in_range(100, 60_000))
     connections_max: int = field(default=2_000, validator=in_range(1, 100_000))
+    header_max_bytes: int = field(default=16_384, validator=in_range(1_000, 1_000_000))
+    client_limits: ClientLimits = field(factory=ClientLimits)
     config_poll_ms: int = field(default=2_000, validator=in_range(50, 60_000))
     host_list_poll_ms: int = field(default=2_000, validator=in_range(50, 60_000))
     heartbeat_ms: int = field(default=250, validator=in_range(20, 10_000))
--- a/tests/test_callers_api.py
+++ b/tests/test_callers_api.py
@@ -18,6 +18,7 @@
 from rattanloom.errors import ERROR_RESPONSES, ErrorKind, Failure
 from rattanloom.job import JobResult, ResultKind
 from rattanloom.resources import own_usage
+from rattanloom.serving.limits import ClientLimits
 from tests.utils import send_random_requests
 
 BODY_MAX_BYTES = 20_000
@@ -53,8 +54,9 @@
 
 @contextmanager
 def serving():
-    api = CallersApi(EchoJobs(), BODY_MAX_BYTES, HEADER_TIMEOUT_MS)
-    limits = (HEADER_TIMEOUT_MS, 100, InFlight())
+    api = CallersApi(EchoJobs(), BODY_MAX_BYTES)
+    client_limits = ClientLimits(body_timeout_ms=HEADER_TIMEOUT_MS)
+    limits = (HEADER_TIMEOUT_MS, 100, InFlight(), client_limits)
     with serving_http("127.0.0.1:0", api.app, *limits) as server:
         yield server.server_port
 
