Read no large frame of another host before its hello

Callers saw: an entry host ran out of memory when others than entry hosts connected to its peer address and sent the begin of a large frame.

Cause: a frame may have 32 MB, also the first one, whose sender may be anyone, and the time for the hello was that of each read. An invalid frame gave a log line each.

Change: the connections belong to the clients' budget, with a limit on their number (peer_connections_max). Later frames above 16 KB are charged while they are read.

--- a/rattanloom/core.py
+++ b/rattanloom/core.py
@@ -144,6 +144,7 @@
         metrics,
         links,
         directory.encode_host_list,
+        client_budget,
     )
     dispatcher = Dispatcher(
         environment, timeline, admission, directory, configuration.rules, metrics
--- a/rattanloom/peers/frame_stream.py
+++ b/rattanloom/peers/frame_stream.py
@@ -1,6 +1,8 @@
 """Frames on one TCP connection, each a length prefix and a sealed message."""
 
 import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import gevent
 from attrs import define, field
@@ -12,9 +14,12 @@
 from rattanloom.peers.frame_codec import decode_frame, encode_frame
 from rattanloom.peers.messages import Frame
 from rattanloom.peers.schema import BadMessageError, UnsendableError
+from rattanloom.serving.budget import Holding
 
 LENGTH = struct.Struct(">I")
 FRAME_MAX_BYTES = 32_000_000
+# A longer frame is charged to the budget of all clients while it is read.
+CHARGED_FRAME_BYTES = 16_384
 
 
 @define(eq=False)
@@ -23,13 +28,14 @@
 
     ``peer_address`` is the other host's listening address; on an accepted
     connection it is empty until the hello arrives. Frames that the link filter
-    blocks are dropped without an error.
+    blocks are dropped without an error. ``holding`` is that of an accepted connection.
     """
 
     socket: socket
     seal_key: Keyring
     link_filter: LinkFilter
     peer_address: str = ""
+    holding: Holding | None = None
     bytes_sent: int = 0
     bytes_received: int = 0
     _write_lock: Semaphore = field(factory=Semaphore)
@@ -52,7 +58,7 @@
             self.socket.sendall(LENGTH.pack(len(content)) + content)
         self.bytes_sent += LENGTH.size + len(content)
 
-    def read(self) -> Frame | None:
+    def read(self, max_bytes: int = FRAME_MAX_BYTES) -> Frame | None:
         """Return the next frame, or None at the end of the connection.
 
         Raises ``OSError``, also when the socket's time-out passes without data,
@@ -63,14 +69,28 @@
             if prefix is None:
                 return None
             (size_bytes,) = LENGTH.unpack(prefix)
-            if size_bytes > FRAME_MAX_BYTES:
+            if size_bytes > max_bytes:
                 raise BadMessageError(f"a frame of {size_bytes} bytes is too large")
-            content = self._read_exactly(size_bytes)
-            if content is None:
-                return None
-            self.bytes_received += LENGTH.size + size_bytes
-            if self.link_filter.may_receive(self.peer_address):
-                return decode_frame(self.seal_key, content)
+            with self._charged(size_bytes):
+                content = self._read_exactly(size_bytes)
+                if content is None:
+                    return None
+                self.bytes_received += LENGTH.size + size_bytes
+                if self.link_filter.may_receive(self.peer_address):
+                    return decode_frame(self.seal_key, content)
+
+    @contextmanager
+    def _charged(self, size_bytes: int) -> Iterator[None]:
+        """Charge a large frame while the block runs; raise ``OSError`` if it can't."""
+        if self.holding is None or size_bytes <= CHARGED_FRAME_BYTES:
+            yield
+            return
+        if not self.holding.take_large(size_bytes):
+            raise OSError("the clients of this process hold too much memory")
+        try:
+            yield
+        finally:
+            self.holding.budget.give_back(self.holding, size_bytes)
 
     def close(self) -> None:
         """Close the connection."""
--- a/rattanloom/peers/listener.py
+++ b/rattanloom/peers/listener.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+import gevent
 from attrs import define, field
 from gevent.pool import Group
 from gevent.server import StreamServer
@@ -38,10 +39,13 @@
 )
 from rattanloom.peers.protocol import JobRequests
 from rattanloom.peers.schema import BadMessageError, UnsendableError
+from rattanloom.serving.budget import ClientBudget
+from rattanloom.serving.budget import Listener as AcceptedConnections
 
 log = get_log("peers")
 
-CONNECTIONS_MAX = 512  # further ones are closed at once
+CONNECTIONS_MAX = 512
+HELLO_MAX_BYTES = 65_536  # a longer first frame is refused unread
 REQUESTS_MAX = 2_048  # running at once, over all connections
 HELLO_TIMEOUT_MS = 2_000
 IDLE_TIMEOUT_MS = 120_000  # without data from the peer
@@ -55,7 +59,8 @@
 
     A request continues when its connection is lost: its job must not be
     interrupted, and the other host repeats the request on a new connection.
-    ``own`` returns this host's current record.
+    ``own`` returns this host's current record. Connections share ``budget`` with
+    clients, and may be closed for them before the hello: anyone may connect.
     """
 
     own: Callable[[], MemberRecord]
@@ -64,10 +69,18 @@
     config_document: Callable[[int], str | Failure]
     target_list: Callable[[], str | Failure]
     metrics: Metrics
+    budget: ClientBudget = field(factory=ClientBudget)
+    connections_max: int = CONNECTIONS_MAX
+    _accepted: AcceptedConnections = field(init=False)
     _requests: JobRequests | None = None
     _streams: set[FrameStream] = field(factory=set)
     _request_greenlets: Group = field(factory=Group)
 
+    def __attrs_post_init__(self) -> None:
+        self._accepted = self.budget.add_listener(
+            "hosts", self.connections_max, is_internal=True
+        )
+
     @contextmanager
     def running(self, requests: JobRequests) -> Iterator[None]:
         """Serve connections; on exit, wait briefly for the running requests."""
@@ -84,35 +97,42 @@
             connections.kill()
 
     def _serve(self, connection: socket, _address: tuple) -> None:
-        if len(self._streams) >= CONNECTIONS_MAX:
+        holding = self.budget.admit(self._accepted, connection.close)
+        if holding is None:
             connection.close()
             return
-        stream = FrameStream(connection, self.seal_key, self.link_filter)
+        stream = FrameStream(
+            connection, self.seal_key, self.link_filter, holding=holding
+        )
         self._streams.add(stream)
         try:
             self._exchange_hellos(stream)
             self._read_all(stream)
         except BadMessageError as error:
             self.metrics.count("peer_frames_refused")
-            log.warning("Closed a peer connection after an invalid frame: {}.", error)
+            self.budget.count_closed(self._accepted, "invalid_frame")
+            log.debug("Closed a peer connection after an invalid frame: {}.", error)
         except OSError:
             self.metrics.count("peer_connections_lost")
         finally:
             self._streams.discard(stream)
+            holding.release()
             stream.close()
 
     def _exchange_hellos(self, stream: FrameStream) -> None:
         """Exchange hellos; a peer that the link filter blocks gets no reply."""
-        stream.socket.settimeout(HELLO_TIMEOUT_MS / MS_PER_S)
-        frame = stream.read()
+        if not stream.holding.begin_request():
+            raise OSError("no memory for a hello")
+        with gevent.Timeout(HELLO_TIMEOUT_MS / MS_PER_S, TimeoutError("no hello")):
+            frame = stream.read(HELLO_MAX_BYTES)
         if frame is None or not isinstance(frame.body, Hello):
             raise BadMessageError("the first frame is not a hello")
+        if not stream.holding.begin_serving():
+            raise OSError("closed for the memory of other connections")
         stream.peer_address = frame.body.record.address
-        if not self.link_filter.may_receive(stream.peer_address):
-            stream.socket.settimeout(IDLE_TIMEOUT_MS / MS_PER_S)
-            return
-        stream.write(Frame(Hello(self.own())))
         stream.socket.settimeout(IDLE_TIMEOUT_MS / MS_PER_S)
+        if self.link_filter.may_receive(stream.peer_address):
+            stream.write(Frame(Hello(self.own())))
 
     def _read_all(self, stream: FrameStream) -> None:
         while (frame := stream.read()) is not None:
--- a/rattanloom/peers/service.py
+++ b/rattanloom/peers/service.py
@@ -15,7 +15,7 @@
 from rattanloom.metrics import Metrics
 from rattanloom.peers.forwarder import ANY_INCARNATION, Forwarder
 from rattanloom.peers.heartbeats import Heartbeats
-from rattanloom.peers.listener import Listener
+from rattanloom.peers.listener import CONNECTIONS_MAX, Listener
 from rattanloom.peers.load_exchange import LoadReporter
 from rattanloom.peers.membership import REACHABLE_STATES, KnownMember, Membership
 from rattanloom.peers.messages import (
@@ -31,6 +31,7 @@
 from rattanloom.peers.protocol import HostLoad, JobRequests, Member
 from rattanloom.peers.schema import SEAL_PURPOSE
 from rattanloom.peers.send_schedule import SendSchedule
+from rattanloom.serving.budget import ClientBudget
 from rattanloom.settings import EntrySettings
 from rattanloom.timeline import EventKind, Timeline
 from rattanloom.timer import TimerService
@@ -66,6 +67,7 @@
     metrics: Metrics
     link_filter: LinkFilter = field(factory=LinkFilter)
     target_list: Callable[[], str | Failure] = no_targets
+    client_budget: ClientBudget = field(factory=ClientBudget)
     membership: Membership = field(init=False)
     heartbeats: Heartbeats = field(init=False)
     forwarder: Forwarder = field(init=False)
@@ -112,6 +114,8 @@
             self.config_document,
             self.target_list,
             self.metrics,
+            self.client_budget,
+            settings.client_limits.peer_connections_max or CONNECTIONS_MAX,
         )
 
     @contextmanager
