--- a/rattanloom/serving/http_request.py
+++ b/rattanloom/serving/http_request.py
@@ -83,7 +83,6 @@
     def __init__(self) -> None:
         self.target = b""
         self.headers: list[tuple[str, str]] = []
-        self.trailers = 0
         self.body = bytearray()
         self.body_bytes = 0
         self.has_head = False
