Let no page and no link take the process for itself

Callers saw: nothing yet; by hand, beside 1,500 clients that ask for the metrics without reading them an ordinary job had no answer for 10 s, and 1,500 links with a hello and the begin of a message of 1 MB took 446 MB of 300.

Cause: the metrics were rendered for each request, 16 of them without letting others run. The buffer of a closed link stays until the next full garbage collection, and unread data of links was bounded by the kernel only.

Change: every request ends the turn of its connection, the metrics are rendered at most four times a second, a closed link frees its buffer, and accepted links have the buffers of clients.

--- a/rattanloom/daemon.py
+++ b/rattanloom/daemon.py
@@ -490,7 +490,11 @@
     with ExitStack() as stack:
         stack.enter_context(daemon.hub.serving())
         for name, address, page in (
-            ("metrics", metrics_address, metrics_page(daemon.render_metrics)),
+            (
+                "metrics",
+                metrics_address,
+                metrics_page(daemon.render_metrics, daemon.environment.clock),
+            ),
             ("readiness", listen.readiness, readiness_page(daemon.is_ready)),
         ):
             stack.enter_context(
--- a/rattanloom/links/hub.py
+++ b/rattanloom/links/hub.py
@@ -15,6 +15,7 @@
 from rattanloom.links.link import Link
 from rattanloom.links.messages import Hello, Message
 from rattanloom.serving.budget import ClientBudget, Holding, Listener
+from rattanloom.serving.http_server import limit_buffers
 
 log = DecisionLog("links")
 
@@ -65,6 +66,8 @@
     def serving(self) -> Iterator[None]:
         """Accept links inside the block; close all links after it."""
         server = StreamServer(split_address(self.listen), self._accept)
+        server.init_socket()
+        limit_buffers(server)
         server.start()
         keepalive = spawn_restarting(
             LinkKeepalive(self.clock, self.open_links, self._owns_zones).run
--- a/rattanloom/links/link.py
+++ b/rattanloom/links/link.py
@@ -124,6 +124,8 @@
             reason = self._close_reason or reason
         finally:
             self.close()
+            # The closed link is referred to until the next full garbage collection.
+            self._buffer.clear()
             writer.kill(block=False)
         if self.peer is not None:
             self.handler.handle_lost(self, reason)
--- a/rattanloom/serving/http_connection.py
+++ b/rattanloom/serving/http_connection.py
@@ -36,8 +36,6 @@
 LINGER_MAX_BYTES = 1_000_000
 # What is read then is not used, so all connections share this buffer.
 DISCARDED = bytearray(65_536)
-# A client that sends requests without a pause lets others run after so many.
-REQUESTS_PER_TURN = 16
 RESPONSE_FREE_BYTES = ACTIVE_BYTES // 2
 # CGI variables that have no prefix ``HTTP_``.
 UNPREFIXED = {"content-type": "CONTENT_TYPE", "content-length": "CONTENT_LENGTH"}
@@ -103,8 +101,8 @@
             while self._serve_next():
                 self._requests += 1
                 self.holding.wait_for_request()
-                if self._requests % REQUESTS_PER_TURN == 0:
-                    gevent.sleep(0)
+                # A client that sends without a pause would keep others waiting.
+                gevent.sleep(0)
         except (OSError, ClientGoneError):
             return  # The connection has ended; nobody can be told.
 
