Accept no more connections in a turn than are closed for them

Cause: gevent accepts up to 100 connections in a turn of the event loop. A connection that is closed for another keeps its descriptor until the next turn, so that a slow process opens hundreds before it closes any.

Change: eight a turn.

--- a/rattanloom/links/hub.py
+++ b/rattanloom/links/hub.py
@@ -15,7 +15,7 @@
 from rattanloom.links.link import Link
 from rattanloom.links.messages import Hello, Message
 from rattanloom.serving.budget import ClientBudget, Holding, Listener
-from rattanloom.serving.http_server import limit_buffers
+from rattanloom.serving.http_server import limit_accepted
 
 log = DecisionLog("links")
 
@@ -67,7 +67,7 @@
         """Accept links inside the block; close all links after it."""
         server = StreamServer(split_address(self.listen), self._accept)
         server.init_socket()
-        limit_buffers(server)
+        limit_accepted(server)
         server.start()
         keepalive = spawn_restarting(
             LinkKeepalive(self.clock, self.open_links, self._owns_zones).run
--- a/rattanloom/serving/http_server.py
+++ b/rattanloom/serving/http_server.py
@@ -19,6 +19,9 @@
 
 # Connections that the kernel queues until the server accepts them.
 BACKLOG = 1_024
+# Accepted in one turn of the event loop: connections that are closed for them keep
+# their descriptors until the next turn.
+ACCEPTS_PER_TURN = 8
 BUSY_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n"
     b"Content-Length: 0\r\n\r\n"
@@ -78,7 +81,7 @@
         (host, int(port)), acceptor.serve, backlog=BACKLOG, spawn=Pool()
     )
     server.init_socket()
-    limit_buffers(server)
+    limit_accepted(server)
     server.start()
     try:
         yield server
@@ -86,8 +89,9 @@
         server.stop(timeout=0)
 
 
-def limit_buffers(server: StreamServer) -> None:
-    """Limit the kernel's buffers of all connections that a server accepts."""
+def limit_accepted(server: StreamServer) -> None:
+    """Limit the rate of accepted connections, and the kernel's buffers of each."""
+    server.max_accept = ACCEPTS_PER_TURN
     server.socket.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     server.socket.setsockopt(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER_BYTES)
 
