--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -16,7 +16,12 @@
 from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 
-from experiments.cluster import ClusterLayout, running_cluster
+from experiments.cluster import (
+    READY_WITHIN_S,
+    ClusterLayout,
+    await_page,
+    running_cluster,
+)
 from rattanloom.ingress.metrics_page import METRICS_PORT
 from soak.deployment import (
     PEER_PORT,
@@ -220,7 +225,7 @@
     layout = ClusterLayout(("Adum",), hosts=1, workers=1, host_settings=settings)
     with running_cluster(layout) as cluster:
         (host,) = cluster.hosts.values()
-        gevent.sleep(1)
+        await_page(cluster.http, host, "/v1/status", READY_WITHIN_S)
         yield host
 
 
