--- a/rattanloom/background.py
+++ b/rattanloom/background.py
@@ -35,12 +35,17 @@
     try:
         function(*arguments)
     except Exception as error:
-        where = traceback.extract_tb(error.__traceback__)[-1]
         log.error(
             "task_failed",
             task=function.__qualname__,
             reason=f"{type(error).__name__}: {error}",
-            where=f"{where.filename.rpartition('/')[2]}:{where.lineno}",
+            where=raised_at(error),
         )
         return False
     return True
+
+
+def raised_at(error: BaseException) -> str:
+    """Return the file and the line, ``file:line``, at which an error was raised."""
+    where = traceback.extract_tb(error.__traceback__)[-1]
+    return f"{where.filename.rpartition('/')[2]}:{where.lineno}"
--- a/rattanloom/ingress/server.py
+++ b/rattanloom/ingress/server.py
@@ -13,8 +13,7 @@
 from rattanloom.decision_log import DecisionLog
 from rattanloom.platform.job_format import encode_error
 from rattanloom.serving.budget import ClientBudget
-from rattanloom.serving.client_connection import ClientConnection
-from rattanloom.serving.http_connection import CONNECTION_KEY, Application, HttpResponse
+from rattanloom.serving.http_connection import Application, HttpResponse
 from rattanloom.serving.http_server import serving_http
 from rattanloom.serving.limits import (
     CONNECTIONS_MAX,
@@ -22,17 +21,6 @@
     RequestLimits,
 )
 
-__all__ = [
-    "CONNECTION_KEY",
-    "ClientConnection",
-    "ConnectionState",
-    "finish_requests",
-    "log_clients_limited",
-    "serving",
-    "serving_page",
-    "wait_for_requests",
-]
-
 log = DecisionLog("ingress")
 
 POLL_MS = 20
--- a/rattanloom/serving/http_connection.py
+++ b/rattanloom/serving/http_connection.py
@@ -1,6 +1,5 @@
 """Serves the HTTP requests of one client connection to a WSGI application."""
 
-import traceback
 from collections.abc import Callable, Iterable
 from contextlib import AbstractContextManager
 from email.utils import formatdate
@@ -16,6 +15,7 @@
 from attrs import define, field, frozen
 from gevent.socket import socket
 
+from rattanloom.background import raised_at
 from rattanloom.clock import MS_PER_S
 from rattanloom.serving.budget import ACTIVE_BYTES, Holding, Phase
 from rattanloom.serving.client_connection import ClientConnection
@@ -205,11 +205,10 @@
             status, headers = started[0]
             return HttpResponse(status, tuple(headers), content)
         except Exception as error:
-            where = traceback.extract_tb(error.__traceback__)[-1]
             self.service.log_failure(
                 environ["PATH_INFO"],
                 f"{type(error).__name__}: {error}",
-                f"{where.filename.rpartition('/')[2]}:{where.lineno}",
+                raised_at(error),
             )
             status = HTTPStatus.INTERNAL_SERVER_ERROR
             return HttpResponse(f"{status.value} {status.phrase}", ())
--- a/standins/handler.py
+++ b/standins/handler.py
@@ -8,7 +8,7 @@
 from bottle import HTTPResponse, request
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from rattanloom.ingress.server import ClientConnection
+from rattanloom.serving.client_connection import ClientConnection
 
 # Key of the ``ClientConnection`` in the WSGI environment.
 CONNECTION_KEY = "standin.connection"
--- a/tests/test_client_api.py
+++ b/tests/test_client_api.py
@@ -19,13 +19,13 @@
     RequestLimits,
 )
 from rattanloom.ingress.server import (
-    CONNECTION_KEY,
     ConnectionState,
     finish_requests,
     serving,
 )
 from rattanloom.metrics import Metrics
 from rattanloom.placement.jobs import JobOutcome, OutcomeKind
+from rattanloom.serving.http_connection import CONNECTION_KEY
 from tests.dispatcher_fakes import CLOCK, wait_for
 
 JOB = "5c0e7a21d94b36f8"
