--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -28,6 +28,7 @@
 HOST = "desk.example"
 PREFIX = "/jobs/"
 FRONT_PORT, READY_PORT, PEER_PORT, STORE_PORT = 8161, 8167, 7720, 8169
+LOCK_PORT = 8170
 HEARTBEAT_MS = 1_500
 STORE_LATENCY_S = 0.004
 HOLD_MAX_MS = 1_000
@@ -68,6 +69,8 @@
     connection.
     """
 
+    server: asyncio.Server | None = None
+
     async def listen(self, address: str) -> None:
         """Listen on ``host:port``."""
         host, port = address.split(":")
@@ -470,7 +473,7 @@
 
     def __init__(self, record: Record, daemons: int = 1, workers: int = 2, cpu=32_000):
         self.record, self.folder = record, Path(tempfile.mkdtemp(prefix="review-"))
-        self.network = _free_network()
+        self.network, self._lock = _reserve_network()
         self.store = Store()
         self.store_address = f"{self.network}.254.1:{STORE_PORT}"
         self.daemons = {
@@ -623,20 +626,23 @@
             daemon.signal(signal.SIGCONT)
             await daemon.kill()
         for server in (self.store, *self.workers.values(), *self.relays):
-            server.server.close()
+            if server.server is not None:
+                server.server.close()
         for server in (self.store, *self.workers.values()):
-            server.reset()
+            if server.server is not None:
+                server.reset()
 
 
-def _free_network() -> str:
-    """Return a loopback network ``127.N`` on which the store's port is free."""
+def _reserve_network() -> tuple[str, socket.socket]:
+    """Reserve a loopback network ``127.N``, in the way in which the soak does."""
     for number in range(20, 250):
-        with socket.socket() as probe:
-            try:
-                probe.bind((f"127.{number}.254.1", STORE_PORT))
-            except OSError:
-                continue
-            return f"127.{number}"
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{number}.255.1", LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return f"127.{number}", lock
     raise RuntimeError("no free loopback network")
 
 
--- a/review/lib-3/relay.py
+++ b/review/lib-3/relay.py
@@ -32,6 +32,8 @@
 class Relay:
     """Forwards connections from ``listen`` to ``target``; ``owner`` is its machine."""
 
+    server: asyncio.Server | None = None
+
     def __init__(self, listen: str, target: str, owner: str, cuts: Cuts):
         self.listen, self.target, self.owner, self.cuts = listen, target, owner, cuts
         self._age = 0
